--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# All tasks of the project. `make demo` and `make test` are all a newcomer needs.
+GO            ?= go
+TOOLS         := $(CURDIR)/.tools
+LINT_VERSION  := v2.15.0
+PROTOC_GEN_GO := v1.36.12
+PROTOC_DRPC   := v1.1.0
+
+.PHONY: build demo test lint format fuzz generate bench
+
+build:
+	$(GO) build -o bin/sardinerock ./cmd/sardinerock
+
+demo: build
+	bin/sardinerock demo
+
+test:
+	$(GO) vet ./...
+	$(GO) test -race -timeout 20m ./...
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+lint: $(TOOLS)/golangci-lint
+	$(TOOLS)/golangci-lint run ./...
+	$(TOOLS)/golangci-lint fmt --diff
+
+format: $(TOOLS)/golangci-lint
+	$(TOOLS)/golangci-lint fmt
+
+$(TOOLS)/golangci-lint:
+	GOBIN=$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+# Needs protoc (Debian's protobuf-compiler); the generated code is committed, so the build doesn't.
+generate:
+	GOBIN=$(TOOLS) $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO)
+	GOBIN=$(TOOLS) $(GO) install storj.io/drpc/cmd/protoc-gen-go-drpc@$(PROTOC_DRPC)
+	PATH="$(TOOLS):$$PATH" protoc --go_out=. --go_opt=paths=source_relative \
+	  --go-drpc_out=. --go-drpc_opt=paths=source_relative $(shell git ls-files '*.proto')
--- /dev/null
+++ b/cmd/sardinerock/main.go
@@ -0,0 +1,5 @@
+// Command sardinerock serves online and batch model inference on one fleet.
+package main
+
+func main() {
+}
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,83 @@
+package event
+
+import (
+	"github.com/phuslu/log"
+)
+
+// ID numbers one kind of log line for good; a number is never given a second meaning.
+type ID int
+
+// The events. Hundreds tell the duty: 1 process, 2 routing, 3 gate, 4 retries
+// and crashes, 5 jobs, 6 configuration, 7 placement, 8 membership, 9 front.
+const (
+	Started         ID = 101
+	Stopping        ID = 102
+	Stopped         ID = 103
+	Failed          ID = 104
+	RouteChosen     ID = 201
+	RouteNone       ID = 202
+	LinkUp          ID = 203
+	LinkDown        ID = 204
+	LinkSilent      ID = 205
+	GateAdmitted    ID = 301
+	GateRefused     ID = 302
+	GatePreempted   ID = 303
+	GateSlots       ID = 304
+	Retried         ID = 401
+	RetryDenied     ID = 402
+	BackendCrashed  ID = 403
+	Quarantined     ID = 404
+	FrameDropped    ID = 405
+	StreamResumed   ID = 406
+	JobAccepted     ID = 501
+	JobCancelled    ID = 502
+	JobFinished     ID = 503
+	ShardClaimed    ID = 504
+	ShardLost       ID = 505
+	ItemFailed      ID = 506
+	Checkpointed    ID = 507
+	LogOutage       ID = 508
+	LogBack         ID = 509
+	BundleAccepted  ID = 601
+	BundleRejected  ID = 602
+	BundleInForce   ID = 603
+	ModelLoaded     ID = 701
+	ModelUnloaded   ID = 702
+	OrderRefused    ID = 703
+	PlacementChosen ID = 704
+	PeerUp          ID = 801
+	PeerDown        ID = 802
+	ListChanged     ID = 803
+	RequestRefused  ID = 901
+	RequestServed   ID = 902
+)
+
+// Logger writes numbered events; its zero value writes nowhere.
+type Logger struct {
+	// Sink takes the lines.
+	Sink *log.Logger
+	// Process is the instance's id, put on every line.
+	Process string
+}
+
+// Info starts the line of an ordinary event; the caller adds fields and ends it with Msg.
+func (l *Logger) Info(id ID) *log.Entry {
+	return l.start(log.InfoLevel, id)
+}
+
+// Warn starts the line of an event that an operator may have to look at.
+func (l *Logger) Warn(id ID) *log.Entry {
+	return l.start(log.WarnLevel, id)
+}
+
+// Error starts the line of an event that took something from a caller.
+func (l *Logger) Error(id ID) *log.Entry {
+	return l.start(log.ErrorLevel, id)
+}
+
+func (l *Logger) start(level log.Level, id ID) *log.Entry {
+	if l == nil || l.Sink == nil {
+		return nil
+	}
+	return l.Sink.WithLevel(level).Int("event", int(id)).Str("process", l.Process)
+}
--- /dev/null
+++ b/refusal.go
@@ -0,0 +1,121 @@
+package sardinerock
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Errors that adapters of the platform's services wrap.
+var (
+	ErrLogRefused     = errors.New("log: record refused, it is not in the stream")
+	ErrLogGap         = errors.New("log: records at this offset are no longer kept")
+	ErrNotSent        = errors.New("request never reached the backend server")
+	ErrFenced         = errors.New("engine has seen a newer fencing number")
+	ErrModelNotLoaded = errors.New("engine does not hold the model")
+	ErrNotFound       = errors.New("not found")
+)
+
+// Outcome says whether a request ran at a backend server.
+type Outcome int
+
+// The three outcomes. OutcomeNotRun is said only when it is proved.
+const (
+	OutcomeUnknown Outcome = iota
+	OutcomeNotRun
+	OutcomeRan
+)
+
+// String returns the outcome as callers see it in the Sardinerock-Outcome header.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeNotRun:
+		return "notRun"
+	case OutcomeRan:
+		return "ran"
+	default:
+		return "unknown"
+	}
+}
+
+// Code is a stable error code that callers may branch on.
+type Code string
+
+// The error codes.
+const (
+	CodeInvalidRequest  Code = "invalidRequest"
+	CodeBodyTooLarge    Code = "bodyTooLarge"
+	CodeUnauthorized    Code = "unauthorized"
+	CodeForbidden       Code = "forbidden"
+	CodeNotFound        Code = "notFound"
+	CodeModelNotFound   Code = "modelNotFound"
+	CodeConflict        Code = "idempotencyConflict"
+	CodeRateLimited     Code = "rateLimited"
+	CodeOverloaded      Code = "overloaded"
+	CodeDeadline        Code = "deadlineExceeded"
+	CodeCrashSuspect    Code = "requestCrashesBackend"
+	CodeNoBackend       Code = "noBackendServer"
+	CodeBackendLost     Code = "backendServerLost"
+	CodeNotReady        Code = "notReady"
+	CodeShuttingDown    Code = "shuttingDown"
+	CodeLogUnavailable  Code = "logUnavailable"
+	CodeCancelled       Code = "cancelled"
+	CodeVersionConflict Code = "versionConflict"
+	CodeInternal        Code = "internal"
+)
+
+// Refusal is the final answer to a request that was not, or not wholly, served.
+type Refusal struct {
+	Code    Code
+	Message string
+	Outcome Outcome
+	// RetryAfter is when to come back; zero when coming back does not help.
+	RetryAfter time.Duration
+	// Param names the field at fault, if one is.
+	Param string
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (%s): %s", r.Code, r.Outcome, r.Message)
+}
+
+// Status returns the HTTP status that goes with the code.
+func (r *Refusal) Status() int {
+	switch r.Code {
+	case CodeInvalidRequest:
+		return http.StatusBadRequest
+	case CodeBodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case CodeUnauthorized:
+		return http.StatusUnauthorized
+	case CodeForbidden:
+		return http.StatusForbidden
+	case CodeNotFound, CodeModelNotFound:
+		return http.StatusNotFound
+	case CodeConflict, CodeVersionConflict:
+		return http.StatusConflict
+	case CodeRateLimited:
+		return http.StatusTooManyRequests
+	case CodeCrashSuspect:
+		return http.StatusUnprocessableEntity
+	case CodeDeadline:
+		return http.StatusGatewayTimeout
+	case CodeBackendLost:
+		return http.StatusBadGateway
+	case CodeInternal:
+		return http.StatusInternalServerError
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// AsRefusal returns the refusal inside err, or wraps err as an internal one whose outcome is unknown.
+func AsRefusal(err error) *Refusal {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return &Refusal{Code: CodeInternal, Message: err.Error(), Outcome: OutcomeUnknown}
+}
