bundle: parse, check, sign, publish by the log's order, follow, replicate

Proposals carry only the sections that differ from their base: a whole bundle of 1,800 teams per change would be hundreds of kilobytes for every entry that tails the stream. Ruled out: checking sign-offs inside Fold, since processes with other settings would then fold other versions; they block the version visibly instead. Checkpoints go to a stream of their own, which only starters read.

--- /dev/null
+++ b/bundle/checkpoint.go
@@ -0,0 +1,206 @@
+package bundle
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"math"
+	mathrand "math/rand/v2"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/event"
+)
+
+// partBytes bounds one record of a checkpoint, well under what log services take.
+const partBytes = 64 << 10
+
+// errNoCheckpoint says that the log begins with a gap and holds no whole checkpoint to bridge it.
+var errNoCheckpoint = errors.New("configuration: the log begins with a gap and no whole checkpoint bridges it")
+
+// readFromLog makes the state from the newest whole checkpoint and the records after it.
+func (k *Keeper) readFromLog(ctx context.Context) (*State, error) {
+	ctx, cancel := context.WithTimeout(ctx, 4*callTimeout)
+	defer cancel()
+	bounds, err := k.Log.Bounds(ctx, Stream)
+	if err != nil {
+		return nil, err
+	}
+	s, err := k.newestCheckpoint(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if s == nil || s.Next < bounds.First {
+		// Offsets begin at 0, so a stream that still has its first record has no gap.
+		if bounds.First > 0 {
+			return nil, errNoCheckpoint
+		}
+		if s == nil {
+			s = &State{}
+		}
+	}
+	for s.Next < bounds.Next {
+		records, err := k.Log.Read(ctx, Stream, s.Next, 0)
+		if err != nil {
+			return nil, err
+		}
+		if len(records) == 0 {
+			break
+		}
+		for _, r := range records {
+			s, _, _ = Fold(s, r)
+			k.noteRecord(r, s.Version)
+		}
+	}
+	return s, nil
+}
+
+// newestCheckpoint looks backwards in ever longer steps, so that a start reads
+// the last checkpoint and not a day of them; nil when there is none.
+func (k *Keeper) newestCheckpoint(ctx context.Context) (*State, error) {
+	bounds, err := k.Log.Bounds(ctx, CheckpointStream)
+	if err != nil {
+		return nil, err
+	}
+	const firstStep = 16
+	for step := int64(firstStep); bounds.Next > bounds.First; step *= 4 {
+		from := max(bounds.First, bounds.Next-step)
+		s, err := k.checkpointFrom(ctx, from, bounds.Next)
+		if err != nil {
+			return nil, err
+		}
+		if s != nil || from == bounds.First || step > math.MaxInt64/8 {
+			return s, nil
+		}
+	}
+	return nil, nil
+}
+
+// checkpointFrom returns the newest whole checkpoint among the records of [from, until).
+func (k *Keeper) checkpointFrom(ctx context.Context, from, until int64) (*State, error) {
+	open := map[string][]*part{}
+	var newest *State
+	for from < until {
+		records, err := k.Log.Read(ctx, CheckpointStream, from, 0)
+		if err != nil {
+			return nil, err
+		}
+		if len(records) == 0 {
+			break
+		}
+		for _, r := range records {
+			from = r.Offset + 1
+			rec, err := decodeRecord(r.Data)
+			if err != nil || rec.Part == nil {
+				continue
+			}
+			if s := collect(open, rec.Part); s != nil && (newest == nil || s.Next >= newest.Next) {
+				newest = s
+			}
+		}
+	}
+	return newest, nil
+}
+
+// collect adds a part and returns the state once all parts of its checkpoint are there.
+func collect(open map[string][]*part, p *part) *State {
+	const maxParts = 4096
+	if p.Count < 1 || p.Count > maxParts || p.Index < 0 || p.Index >= p.Count {
+		return nil
+	}
+	parts := open[p.ID]
+	if parts == nil {
+		parts = make([]*part, p.Count)
+		open[p.ID] = parts
+	}
+	if len(parts) != p.Count {
+		return nil
+	}
+	parts[p.Index] = p
+	var whole []byte
+	for _, q := range parts {
+		if q == nil {
+			return nil
+		}
+		whole = append(whole, q.Data...)
+	}
+	delete(open, p.ID)
+	s, err := decodeState(whole)
+	if err != nil || s.Next != p.AsOf {
+		return nil
+	}
+	return s
+}
+
+// noteRecord remembers that some process has written a checkpoint.
+func (k *Keeper) noteRecord(r sardinerock.LogRecord, version int64) {
+	rec, err := decodeRecord(r.Data)
+	if err != nil || rec.Checkpointed == nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if rec.Checkpointed.AsOf >= k.checkpointAsOf {
+		k.checkpointAsOf, k.checkpointVersion = rec.Checkpointed.AsOf, version
+		k.checkpointSeen = time.Now()
+	}
+}
+
+// checkpointIfDue writes a checkpoint when none was seen for long.
+//
+// Every entry may write one; they all say the same, so that two at once cost
+// bytes and nothing else. Each waits a random time on top, and the first one's
+// marker, which all read, tells the rest not to: at 370 entries one or two
+// write, and no leader has to be chosen.
+func (k *Keeper) checkpointIfDue(ctx context.Context) {
+	k.mu.Lock()
+	s := k.state
+	every := orDefault(k.CheckpointEvery, defaultCheckpointEvery)
+	if k.checkpointSeen.IsZero() {
+		// When the last one was written isn't known after a start; as if it were now, less a random part of the interval.
+		k.checkpointSeen = time.Now().Add(-mathrand.N(every))
+	}
+	changes := s.Version - k.checkpointVersion
+	full := changes >= orDefault(k.CheckpointChanges, defaultCheckpointChanges)
+	due := time.Since(k.checkpointSeen) > every || full
+	if due {
+		// A failed or lost try is not repeated at once.
+		k.checkpointSeen = time.Now().Add(-every + mathrand.N(every/4+1))
+	}
+	k.mu.Unlock()
+	if !due || s.Version == 0 {
+		return
+	}
+	if full && mathrand.N(16) > 0 {
+		return // All entries see the count pass at the same moment.
+	}
+	if err := k.writeCheckpoint(ctx, s); err != nil {
+		k.Events.Warn(event.Checkpointed).Str("stream", CheckpointStream).Err(err).Msg("checkpoint not written; another one follows")
+		return
+	}
+	k.Events.Info(event.Checkpointed).Str("stream", CheckpointStream).Int64("version", s.Version).Int64("asOf", s.Next).Msg("checkpoint of the configuration written")
+}
+
+// writeCheckpoint gives up at the first failure: an incomplete checkpoint counts for nothing, and the next one is whole again.
+func (k *Keeper) writeCheckpoint(ctx context.Context, s *State) error {
+	data := encodeState(s)
+	id := rand.Text()
+	count := (len(data) + partBytes - 1) / partBytes
+	for i := range count {
+		piece := data[i*partBytes : min(len(data), (i+1)*partBytes)]
+		r := record{Part: &part{ID: id, AsOf: s.Next, Index: i, Count: count, Data: piece}}
+		if err := k.append(ctx, CheckpointStream, encodeRecord(r)); err != nil {
+			return merry.Prependf(err, "part %d of %d", i+1, count)
+		}
+	}
+	return k.append(ctx, Stream, encodeRecord(record{Checkpointed: &checkpointed{ID: id, AsOf: s.Next}}))
+}
+
+func (k *Keeper) append(ctx context.Context, stream string, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := k.Log.Append(ctx, stream, data)
+	return err
+}
--- /dev/null
+++ b/bundle/keeper_test.go
@@ -0,0 +1,179 @@
+package bundle
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+func sample(basedOn int64, note string, teams int) *sardinerock.Bundle {
+	b := &sardinerock.Bundle{
+		BasedOn: basedOn, Note: note,
+		Models: []sardinerock.Model{{
+			Name: "draft", Versions: []sardinerock.ModelVersion{{Name: "1", Bytes: 14e9}}, Adapters: []string{"panels"},
+			MinBackends: 1, MinSlots: 1, MaxSlots: 8, FirstTokenMs: 900, MaxTokens: 4096,
+		}},
+		Services: []sardinerock.Service{{Name: "portal", MaxInFlight: 16, TimeoutMs: 5000, NonRepeatable: []sardinerock.CallPattern{{Method: "POST", PathPrefix: "/"}}}},
+		Batch:    sardinerock.Batch{ResultHours: 72, MaxItems: 200000, MaxAttempts: 3},
+	}
+	for i := range teams {
+		name := fmt.Sprintf("team%04d", i)
+		b.Teams = append(b.Teams, sardinerock.Team{Name: name, Weight: 1})
+		b.Callers = append(b.Callers, sardinerock.Caller{
+			Name: name + "-app", Team: name, KeyHashes: []string{hash([]byte(name))}, Weight: 1,
+			Grants:   []sardinerock.Grant{{Model: "draft", Version: "1", Adapters: []string{"panels"}}},
+			Services: []string{"portal"}, RequestsPerMinute: 600, TokensPerMinute: 100000, MaxInFlight: 20,
+		})
+	}
+	return b
+}
+
+func raw(b *sardinerock.Bundle) []byte {
+	data, err := json.Marshal(b)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func startKeeper(t *testing.T, l sardinerock.Log, process string, peers ...*Keeper) *Keeper {
+	t.Helper()
+	k := &Keeper{Log: l, Process: process, PublishTimeout: 3 * time.Second, ReadWait: 200 * time.Millisecond}
+	k.Peers = func(context.Context) (offers []Offer) {
+		for _, p := range peers {
+			if o := p.Offer(); o != nil {
+				offers = append(offers, *o)
+			}
+		}
+		return offers
+	}
+	run(t, k)
+	return k
+}
+
+func run(t *testing.T, k *Keeper) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = k.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+func expectVersion(g Gomega, k *Keeper, version int64) {
+	g.Eventually(func() int64 { return versionOf(k.Current()) }, "10s", "5ms").Should(Equal(version))
+}
+
+func expectRefusal(g Gomega, err error, code sardinerock.Code, outcome sardinerock.Outcome) {
+	var r *sardinerock.Refusal
+	g.ExpectWithOffset(1, errors.As(err, &r)).To(BeTrue(), "%v", err)
+	g.ExpectWithOffset(1, r.Code).To(Equal(code), r.Message)
+	g.ExpectWithOffset(1, r.Outcome).To(Equal(outcome), r.Message)
+}
+
+// Two operators publish different bundles over the same base through two
+// entries at once. Exactly one is accepted; the other operator is told who
+// won, that the own bundle did not run, and both entries run the same bundle.
+func TestRacingOperators(t *testing.T) {
+	g := NewWithT(t)
+	l := &memLog{}
+	keepers := []*Keeper{startKeeper(t, l, "e0"), startKeeper(t, l, "e1")}
+	_, err := keepers[0].Publish(raw(sample(0, "first", 2)), "ann")
+	g.Expect(err).NotTo(HaveOccurred())
+	expectVersion(g, keepers[1], 1)
+	var wg sync.WaitGroup
+	errs := make([]error, 2)
+	for i, k := range keepers {
+		wg.Go(func() {
+			_, errs[i] = k.Publish(raw(sample(1, fmt.Sprintf("by %d", i), 2+i)), fmt.Sprintf("operator%d", i))
+		})
+	}
+	wg.Wait()
+	loser := 0
+	if errs[1] != nil {
+		loser = 1
+	}
+	g.Expect(errs[1-loser]).NotTo(HaveOccurred())
+	expectRefusal(g, errs[loser], sardinerock.CodeVersionConflict, sardinerock.OutcomeNotRun)
+	g.Expect(errs[loser].Error()).To(ContainSubstring(fmt.Sprintf("operator%d", 1-loser)))
+	for _, k := range keepers {
+		expectVersion(g, k, 2)
+		g.Expect(k.Current().Bundle.Note).To(Equal(fmt.Sprintf("by %d", 1-loser)))
+	}
+	_, err = keepers[loser].Publish(raw(sample(1, fmt.Sprintf("by %d", 1-loser), 3-loser)), "again")
+	g.Expect(err).NotTo(HaveOccurred(), "the same bundle again is no second version")
+	expectVersion(g, keepers[loser], 2)
+}
+
+// The log keeps what it is given and never says so. The operator still gets
+// the right answer, because the order is read back; the copies that the
+// repeats leave in the stream make no second version.
+func TestAnswersLost(t *testing.T) {
+	g := NewWithT(t)
+	l := &memLog{loseAnswers: true}
+	k := startKeeper(t, l, "e0")
+	for v := range int64(3) {
+		s, err := k.Publish(raw(sample(v, fmt.Sprint("note ", v), 2)), "ann")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(s.Version).To(Equal(v + 1))
+	}
+	other := startKeeper(t, l, "e1")
+	expectVersion(g, other, 3)
+}
+
+// The log takes nothing: a proved refusal is "not run" with the time to come
+// back; without any answer the outcome is unknown, and is said to be. The
+// version in force stays, and new processes learn it from their peers.
+func TestLogOut(t *testing.T) {
+	g := NewWithT(t)
+	l := &memLog{}
+	k := startKeeper(t, l, "e0")
+	_, err := k.Publish(raw(sample(0, "", 2)), "ann")
+	g.Expect(err).NotTo(HaveOccurred())
+	l.set(func(l *memLog) { l.down = true })
+	_, err = k.Publish(raw(sample(1, "", 3)), "ann")
+	expectRefusal(g, err, sardinerock.CodeLogUnavailable, sardinerock.OutcomeNotRun)
+	g.Expect(sardinerock.AsRefusal(err).RetryAfter).To(BeNumerically(">", 0))
+	replacement := startKeeper(t, l, "e2", k)
+	expectVersion(g, replacement, 1)
+	l.set(func(l *memLog) { l.down, l.dropAppends = false, true })
+	_, err = k.Publish(raw(sample(1, "", 3)), "ann")
+	expectRefusal(g, err, sardinerock.CodeLogUnavailable, sardinerock.OutcomeUnknown)
+	l.set(func(l *memLog) { l.dropAppends = false })
+	_, err = replacement.Publish(raw(sample(1, "", 3)), "ann")
+	g.Expect(err).NotTo(HaveOccurred())
+	expectVersion(g, k, 2)
+}
+
+// Retention takes the early records. A process that starts then needs the
+// checkpoint, and one that finds a gap and no checkpoint is not ready rather
+// than empty, until a peer tells it.
+func TestRetention(t *testing.T) {
+	g := NewWithT(t)
+	l := &memLog{}
+	k := startKeeper(t, l, "e0")
+	for v := range int64(5) {
+		_, err := k.Publish(raw(sample(v, fmt.Sprint(v), 3)), "ann")
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	l.forget(Stream, 4)
+	lost := startKeeper(t, l, "e1")
+	g.Consistently(lost.Current, "500ms").Should(BeNil())
+	fromPeer := startKeeper(t, l, "e2", k)
+	expectVersion(g, fromPeer, 5)
+	g.Expect(k.writeCheckpoint(context.Background(), k.State())).To(Succeed())
+	expectVersion(g, lost, 5)
+	g.Expect(lost.Current().Bundle).To(Equal(k.Current().Bundle))
+}
--- /dev/null
+++ b/bundle/publish.go
@@ -0,0 +1,186 @@
+package bundle
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/event"
+)
+
+// retryAfterOutage is when an operator should come back to a log that is out.
+const retryAfterOutage = 5 * time.Second
+
+// Publish implements sardinerock.Publisher.
+//
+// The answer to an append may be lost although the record is there, or is
+// still to come. So the same record, with the same id, is appended until one
+// copy is acknowledged or the order shows what became of it. If neither
+// happens in time, a withdrawal is tried: when that comes first in the order,
+// "not run" is true; otherwise the outcome is unknown, and publishing the same
+// bundle again is safe, since it is no second version.
+func (k *Keeper) Publish(raw []byte, operator string) (*sardinerock.ConfigSnapshot, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), orDefault(k.PublishTimeout, defaultPublishTimeout))
+	defer cancel()
+	b, faults := Parse(raw)
+	if len(faults) > 0 {
+		return nil, refuseFaults(faults)
+	}
+	c := Split(b)
+	if err := verifySignOffs(c.Digest(), c.SignOffs, k.Signers, k.SignOffsNeeded); err != nil {
+		return nil, notRun(sardinerock.CodeForbidden, err.Error(), 0)
+	}
+	s, err := k.catchUp(ctx, b.BasedOn)
+	if err != nil {
+		return nil, err
+	}
+	if b.BasedOn > s.Version {
+		return nil, notRun(sardinerock.CodeVersionConflict, fmt.Sprintf("based on version %d, but version %d is in force: set basedOn to %d", b.BasedOn, s.Version, s.Version), 0)
+	}
+	if b.BasedOn < s.Version {
+		v, a := s.Resolve("", b.BasedOn, c.Digest())
+		return k.answer(v, a, b.BasedOn, false)
+	}
+	base := s.Content
+	if base == nil {
+		base = &Content{}
+	}
+	p := &proposal{ID: rand.Text(), Operator: operator, BasedOn: b.BasedOn, Digest: c.Digest(), SignOffs: c.SignOffs, change: diff(base, c)}
+	return k.decide(ctx, p)
+}
+
+// catchUp waits until this process has folded all that the log held when it was called.
+func (k *Keeper) catchUp(ctx context.Context, basedOn int64) (*State, error) {
+	s := k.State()
+	if s != nil && s.Version >= basedOn {
+		// If the base is older than the log's newest, the order will say so.
+		return s, nil
+	}
+	bounds, err := k.Log.Bounds(ctx, Stream)
+	if err != nil {
+		return nil, notRun(sardinerock.CodeLogUnavailable, "the log does not answer: "+err.Error(), retryAfterOutage)
+	}
+	for {
+		changed := k.Changed()
+		if s := k.State(); s != nil && (s.Next >= bounds.Next || s.Version >= basedOn) {
+			return s, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, notRun(sardinerock.CodeNotReady, "this process has not read the configuration yet", retryAfterOutage)
+		}
+	}
+}
+
+// decide appends the proposal until the order shows what became of it.
+func (k *Keeper) decide(ctx context.Context, p *proposal) (*sardinerock.ConfigSnapshot, error) {
+	// The last third is for the withdrawal.
+	deadline, _ := ctx.Deadline()
+	appendCtx, cancel := context.WithDeadline(ctx, deadline.Add(-time.Until(deadline)/3))
+	defer cancel()
+	a := &appender{k: k, p: p}
+	verdict, winner := a.until(appendCtx, encodeRecord(record{Proposal: p}))
+	if verdict == Undecided && !a.maybeThere {
+		return nil, notRun(sardinerock.CodeLogUnavailable, "the log takes no records", retryAfterOutage)
+	}
+	if verdict == Undecided {
+		verdict, winner = a.until(ctx, encodeRecord(record{Withdrawal: &withdrawal{ID: p.ID, BasedOn: p.BasedOn}}))
+	}
+	if verdict == Undecided {
+		k.Events.Warn(event.BundleRejected).Int64("basedOn", p.BasedOn).Str("operator", p.Operator).Msg("publishing given up, outcome unknown")
+		return nil, &sardinerock.Refusal{
+			Code: sardinerock.CodeLogUnavailable, Outcome: sardinerock.OutcomeUnknown, RetryAfter: retryAfterOutage,
+			Message: "the log does not say whether the bundle was accepted; publish the same bundle again, it is no second version",
+		}
+	}
+	return k.answer(verdict, winner, p.BasedOn, a.maybeThere)
+}
+
+// appender repeats one record until the order has decided about a proposal.
+type appender struct {
+	k *Keeper
+	p *proposal
+	// maybeThere is set once a copy of the proposal is or may be in the stream.
+	maybeThere bool
+}
+
+func (a *appender) until(ctx context.Context, data []byte) (Verdict, Accepted) {
+	acked := false
+	for {
+		changed := a.k.Changed()
+		if v, w := a.k.State().Resolve(a.p.ID, a.p.BasedOn, a.p.Digest); v != Undecided {
+			return v, w
+		}
+		if !acked {
+			err := a.k.append(ctx, Stream, data)
+			acked = err == nil
+			if !errors.Is(err, sardinerock.ErrLogRefused) {
+				a.maybeThere = true
+			}
+		}
+		timer := time.NewTimer(retryPause)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return a.k.State().Resolve(a.p.ID, a.p.BasedOn, a.p.Digest)
+		}
+		timer.Stop()
+	}
+}
+
+// answer turns the order's verdict into what the operator sees.
+func (k *Keeper) answer(v Verdict, a Accepted, basedOn int64, maybeThere bool) (*sardinerock.ConfigSnapshot, error) {
+	current := k.Current()
+	switch {
+	case v == Same && current != nil && current.Version == a.Version:
+		return current, nil
+	case v == Same:
+		return nil, &sardinerock.Refusal{
+			Code: sardinerock.CodeVersionConflict, Outcome: sardinerock.OutcomeRan,
+			Message: fmt.Sprintf("this bundle was accepted as version %d from %q and has been replaced since; in force here is version %d", a.Version, a.Operator, versionOf(current)),
+		}
+	case v == Voided:
+		return nil, notRun(sardinerock.CodeLogUnavailable, "the log did not confirm in time, and the proposal was withdrawn", retryAfterOutage)
+	case a.ID == "" && maybeThere:
+		return nil, &sardinerock.Refusal{
+			Code: sardinerock.CodeVersionConflict, Outcome: sardinerock.OutcomeUnknown,
+			Message: fmt.Sprintf("many versions came in at once: version %d is in force, and who replaced version %d is no longer known", versionOf(current), basedOn),
+		}
+	default:
+		return nil, notRun(sardinerock.CodeVersionConflict, fmt.Sprintf("version %d was replaced by version %d from %q first; look at that and set basedOn to the version in force, %d", basedOn, a.Version, a.Operator, versionOf(current)), 0)
+	}
+}
+
+func versionOf(s *sardinerock.ConfigSnapshot) int64 {
+	if s == nil {
+		return 0
+	}
+	return s.Version
+}
+
+func notRun(code sardinerock.Code, message string, after time.Duration) *sardinerock.Refusal {
+	return &sardinerock.Refusal{Code: code, Message: message, Outcome: sardinerock.OutcomeNotRun, RetryAfter: after}
+}
+
+// maxFaultsShown bounds the refusal's text; `sardinerock check` shows all.
+const maxFaultsShown = 20
+
+func refuseFaults(faults []Fault) *sardinerock.Refusal {
+	lines := make([]string, 0, len(faults))
+	for _, f := range faults[:min(len(faults), maxFaultsShown)] {
+		lines = append(lines, f.String())
+	}
+	if len(faults) > maxFaultsShown {
+		lines = append(lines, fmt.Sprintf("and %d more; `sardinerock check` shows all", len(faults)-maxFaultsShown))
+	}
+	r := notRun(sardinerock.CodeInvalidRequest, strings.Join(lines, "\n"), 0)
+	r.Param = faults[0].Path
+	return r
+}
