--- /dev/null
+++ b/member/tracker_test.go
@@ -0,0 +1,200 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func entries(n int) []sardinerock.Instance {
+	list := make([]sardinerock.Instance, n)
+	for i := range list {
+		list[i] = sardinerock.Instance{ID: fmt.Sprintf("e%d", i), Role: sardinerock.RoleEntry, Region: "r", Zone: fmt.Sprintf("z%d", i%3)}
+	}
+	return list
+}
+
+// play drives a tracker of e0 over a fleet; each step gives who answers heartbeats, every 400 ms.
+type play struct {
+	t   *Tracker
+	now time.Time
+	all []sardinerock.Instance
+}
+
+func newPlay(n int) *play {
+	p := &play{t: &Tracker{}, now: start, all: entries(n)}
+	p.t.Self = p.all[0]
+	p.t.SetList(p.now, p.all)
+	for _, x := range p.all[1:] {
+		p.t.Watch(p.now, x.ID, x.Role)
+	}
+	return p
+}
+
+func (p *play) run(d time.Duration, answers func(i int) bool) {
+	for end := p.now.Add(d); p.now.Before(end); p.now = p.now.Add(HeartbeatEvery) {
+		for i := 1; i < len(p.all); i++ {
+			if answers(i) {
+				p.t.Heard(p.now, p.all[i].ID)
+			}
+		}
+		p.t.Tick(p.now)
+	}
+}
+
+func all(int) bool  { return true }
+func none(int) bool { return false }
+
+// Instances fall silent, come back, flap, or the process itself is cut off.
+// What the caller would see if the view were wrong: shards claimed from
+// entries that are well, or all work sent to the few that are left.
+func TestView(t *testing.T) {
+	for name, c := range map[string]struct {
+		fleet int
+		play  func(p *play)
+		live  int
+	}{
+		"all answer":                 {9, func(p *play) { p.run(10*time.Second, all) }, 9},
+		"one of two is lost":         {2, func(p *play) { p.run(3*time.Second, none) }, 1},
+		"one of three is lost":       {3, func(p *play) { p.run(3*time.Second, func(i int) bool { return i != 1 }) }, 2},
+		"three missing beats":        {9, func(p *play) { p.run(time.Second, all); p.run(1200*time.Millisecond, none); p.run(time.Second, all) }, 9},
+		"a zone of three is lost":    {9, func(p *play) { p.run(3*time.Second, func(i int) bool { return i%3 != 1 }) }, 6},
+		"cut off from all":           {9, func(p *play) { p.run(time.Second, all); p.run(time.Minute, none) }, 5},
+		"half first, then the rest":  {9, func(p *play) { p.run(3*time.Second, func(i int) bool { return i > 4 }); p.run(time.Minute, none) }, 5},
+		"back, but not for long yet": {9, func(p *play) { p.run(3*time.Second, func(i int) bool { return i != 1 }); p.run(time.Second, all) }, 8},
+		"back":                       {9, func(p *play) { p.run(3*time.Second, func(i int) bool { return i != 1 }); p.run(5*time.Second, all) }, 9},
+		"flapping": {9, func(p *play) {
+			for range 4 {
+				p.run(3*time.Second, func(i int) bool { return i != 1 })
+				p.run(5*time.Second, all)
+			}
+		}, 8},
+		"leaves by its own word": {9, func(p *play) { p.t.Leaving(p.now, "e1"); p.run(time.Minute, all) }, 8},
+		"left stays left":        {9, func(p *play) { p.t.Leaving(p.now, "e1"); p.run(time.Minute, all); p.t.SetList(p.now, p.all) }, 8},
+		"list drops one still heard": {9, func(p *play) {
+			p.run(time.Second, all)
+			p.t.SetList(p.now, append([]sardinerock.Instance{}, p.all[:8]...))
+		}, 8},
+		"list comes empty once": {9, func(p *play) { p.run(time.Second, all); p.t.SetList(p.now, nil) }, 9},
+		"list stays empty": {9, func(p *play) {
+			for range 4 {
+				p.run(5*time.Minute, all)
+				p.t.SetList(p.now, nil)
+			}
+		}, 9},
+		"most are really gone":       {9, func(p *play) { p.run(3*time.Second, func(i int) bool { return i < 3 }); p.t.SetList(p.now, p.all[:3]) }, 3},
+		"list is stale and one died": {9, func(p *play) { p.run(3*time.Second, func(i int) bool { return i != 5 }); p.t.SetList(p.now, p.all) }, 8},
+		"broken connection, answers": {9, func(p *play) {
+			p.run(time.Second, all)
+			p.t.Silent(p.now, "e1")
+			p.t.Heard(p.now, "e1")
+			p.run(time.Second, all)
+		}, 9},
+		"broken connection, no more":  {9, func(p *play) { p.run(time.Second, all); p.t.Silent(p.now, "e1"); p.t.Tick(p.now) }, 8},
+		"not on the list yet oneself": {9, func(p *play) { p.t.Self.ID = "new"; p.run(time.Second, all) }, 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlay(c.fleet)
+			c.play(p)
+			NewWithT(t).Expect(p.t.Live(p.now)).To(HaveLen(c.live))
+		})
+	}
+}
+
+// A cut lets through what e1 sends and nothing that is sent to e1. Its
+// heartbeats keep coming, but it answers none: it must not count as live.
+func TestAsymmetricCut(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlay(5)
+	p.run(3*time.Second, func(i int) bool { return i != 1 })
+	g.Expect(p.t.Usable(p.now, "e1")).To(BeFalse())
+	g.Expect(p.t.Usable(p.now, "e2")).To(BeTrue())
+}
+
+func sides(n int) []sardinerock.Instance {
+	list := make([]sardinerock.Instance, n)
+	for i := range list {
+		list[i] = sardinerock.Instance{ID: fmt.Sprintf("s%d", i), Role: sardinerock.RoleSide, Region: "r", Zone: fmt.Sprintf("z%d", i%3)}
+	}
+	return list
+}
+
+// Every side must have entries in two zones, no entry too many sides, and one
+// entry less must move only the links that it had.
+func TestSubset(t *testing.T) {
+	g := NewWithT(t)
+	near, backends := entries(74), sides(2200)
+	links := func(near []sardinerock.Instance) map[string]map[string]string {
+		of := map[string]map[string]string{}
+		for _, e := range near {
+			for _, s := range Subset(e, near, backends, SubsetSize) {
+				if of[s.ID] == nil {
+					of[s.ID] = map[string]string{}
+				}
+				of[s.ID][e.ID] = e.Zone
+			}
+		}
+		return of
+	}
+	before := links(near)
+	g.Expect(before).To(HaveLen(2200))
+	count := map[string]int{}
+	for _, of := range before {
+		g.Expect(len(of)).To(Or(Equal(2), Equal(3)))
+		zones := map[string]bool{}
+		for id, z := range of {
+			zones[z] = true
+			count[id]++
+		}
+		g.Expect(zones).To(HaveLen(len(of)))
+	}
+	for id, n := range count {
+		g.Expect(n).To(BeNumerically("~", SubsetSize, 30), id)
+	}
+	after := links(near[1:])
+	moved := 0
+	for side, of := range after {
+		for id := range of {
+			if _, ok := before[side][id]; !ok {
+				moved++
+			}
+		}
+	}
+	g.Expect(moved).To(BeNumerically("~", count["e0"], SubsetSize))
+	g.Expect(Subset(near[0], near[:3], backends[:21], SubsetSize)).To(HaveLen(21))
+}
+
+// With 74 entries and 205 shards, a fifth of the target, each entry pings a handful, and for each shard exactly two stand ready.
+func TestWatchList(t *testing.T) {
+	g := NewWithT(t)
+	ids := make([]string, 74)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("e%d", i)
+	}
+	shards := make([]ShardOwner, 205)
+	for i := range shards {
+		shards[i] = ShardOwner{Shard: fmt.Sprintf("jobs/%d", i), Owner: First(fmt.Sprintf("jobs/%d", i), ids, 1)[0]}
+	}
+	ready := map[string]int{}
+	total := 0
+	for _, self := range ids {
+		watched := WatchList(self, shards, ids)
+		total += len(watched)
+		for _, s := range shards {
+			if len(before(self, s, ids)) > 0 {
+				ready[s.Shard]++
+			}
+		}
+	}
+	for _, n := range ready {
+		g.Expect(n).To(Equal(2))
+	}
+	g.Expect(ready).To(HaveLen(205))
+	g.Expect(total / 74).To(BeNumerically("<", 12))
+}
