place: plan by rendezvous, order at the side beside the engine, versions changed without a gap

Ruled out: taking a higher fencing number after a refusal, since an old and a new side would outbid each other; the one with the lower number stops for good. The side plans from the list by itself; entries need not agree on a plan.

--- /dev/null
+++ b/place/place_test.go
@@ -0,0 +1,251 @@
+package place
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func fleet(n int) []sardinerock.Instance {
+	list := make([]sardinerock.Instance, n)
+	for i := range list {
+		list[i] = sardinerock.Instance{ID: fmt.Sprintf("s%03d", i), Role: sardinerock.RoleSide, Region: "r", Zone: fmt.Sprintf("z%d", i%3)}
+	}
+	return list
+}
+
+func model(name string, least, most int, versions ...string) sardinerock.Model {
+	m := sardinerock.Model{Name: name, MinBackends: least, MaxBackends: most}
+	for _, v := range versions {
+		m.Versions = append(m.Versions, sardinerock.ModelVersion{Name: v, Bytes: 10})
+	}
+	return m
+}
+
+func zone(sides []sardinerock.Instance, id string) string {
+	return sides[slices.IndexFunc(sides, func(x sardinerock.Instance) bool { return x.ID == id })].Zone
+}
+
+// Placement is checked by what is left of each model when sides or a zone go,
+// and by how many loads the loss causes.
+func TestPlan(t *testing.T) {
+	for name, c := range map[string]struct {
+		models []sardinerock.Model
+		sides  []sardinerock.Instance
+		each   int // Sides that hold each version.
+		short  int
+	}{
+		"all hold all":        {[]sardinerock.Model{model("a", 1, 0, "1")}, fleet(18), 18, 0},
+		"bounded":             {[]sardinerock.Model{model("a", 3, 9, "1"), model("b", 3, 9, "1")}, fleet(18), 9, 0},
+		"two versions":        {[]sardinerock.Model{model("a", 3, 6, "1", "2")}, fleet(18), 6, 0},
+		"more than there are": {[]sardinerock.Model{model("a", 5, 9, "1")}, fleet(3), 3, 2},
+		"no side":             {[]sardinerock.Model{model("a", 5, 9, "1")}, nil, 0, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := Make(c.models, c.sides)
+			held := map[string]int{}
+			for _, h := range p.Holders {
+				g.Expect(h.Sides).To(HaveLen(c.each))
+				g.Expect(h.Short).To(Equal(c.short))
+				zones := map[string]int{}
+				for _, id := range h.Sides {
+					held[id]++
+					zones[zone(c.sides, id)]++
+				}
+				for _, n := range zones {
+					g.Expect(n).To(BeNumerically("<=", (c.each+2)/3), "zones take turns")
+				}
+			}
+			for _, n := range held {
+				g.Expect(n).To(BeNumerically("<=", (len(p.Holders)*c.each+len(c.sides)-1)/len(c.sides)+1), "no side holds far more than its share")
+			}
+		})
+	}
+}
+
+func TestPlanIsStable(t *testing.T) {
+	g := NewWithT(t)
+	models := []sardinerock.Model{model("a", 10, 40, "1"), model("b", 10, 40, "1"), model("c", 10, 40, "1")}
+	sides := fleet(120)
+	before := Make(models, sides)
+	changed := 0
+	for lost := range sides {
+		after := Make(models, slices.Delete(slices.Clone(sides), lost, lost+1))
+		for i, h := range after.Holders {
+			for _, id := range h.Sides {
+				if !slices.Contains(before.Holders[i].Sides, id) {
+					changed++
+				}
+			}
+		}
+	}
+	t.Logf("loads per lost side: %.2f", float64(changed)/120)
+	// One side of 120 holds one version of 120 held; each loss needs one load, and little more.
+	g.Expect(float64(changed) / 120).To(BeNumerically("<", 5))
+}
+
+func TestRouteVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		enough int
+		held   map[string]int
+		want   string
+	}{
+		"new one nowhere":      {3, map[string]int{"1": 18}, "1"},
+		"new one on too few":   {3, map[string]int{"1": 16, "2": 2}, "1"},
+		"new one on enough":    {3, map[string]int{"1": 15, "2": 3}, "2"},
+		"nothing held at all":  {3, nil, "2"},
+		"only the new one":     {3, map[string]int{"2": 1}, "2"},
+		"two old ones, a draw": {3, map[string]int{"0": 4, "1": 4}, "0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(RouteVersion("2", c.enough, c.held)).To(Equal(c.want))
+		})
+	}
+}
+
+// engine is a model engine in memory that checks fencing numbers or doesn't.
+type engine struct {
+	sardinerock.Engine
+	state  sardinerock.EngineState
+	orders []sardinerock.EngineOrder
+	// before runs once, between a side's look and its order.
+	before func()
+	fails  int
+}
+
+func (e *engine) State(context.Context) (sardinerock.EngineState, error) {
+	s := e.state
+	s.Loaded = slices.Clone(s.Loaded)
+	return s, nil
+}
+
+func (e *engine) Order(_ context.Context, o sardinerock.EngineOrder) error {
+	if before := e.before; before != nil {
+		e.before = nil
+		before()
+	}
+	if e.fails > 0 {
+		e.fails--
+		return errors.New("weight store refuses")
+	}
+	if e.state.ChecksFence && o.Fence < e.state.Fence {
+		return sardinerock.ErrFenced
+	}
+	e.state.Fence = o.Fence
+	e.orders = append(e.orders, o)
+	e.state.Loaded = slices.DeleteFunc(e.state.Loaded, func(m sardinerock.LoadedModel) bool { return m == o.Target })
+	if o.Action == sardinerock.OrderLoad {
+		e.state.Loaded = append(e.state.Loaded, o.Target)
+	}
+	return nil
+}
+
+type config struct{ snapshot *sardinerock.ConfigSnapshot }
+
+func (c *config) Current() *sardinerock.ConfigSnapshot { return c.snapshot }
+
+func (c *config) set(version int64, models ...sardinerock.Model) {
+	c.snapshot = &sardinerock.ConfigSnapshot{Version: version, Bundle: &sardinerock.Bundle{BasedOn: version - 1, Models: models}}
+}
+
+func newKeeper(e *engine, process string, version int64, models ...sardinerock.Model) (*Keeper, *config) {
+	c := &config{}
+	c.set(version, models...)
+	sides := fleet(3)
+	return &Keeper{Engine: e, Self: sides[0].ID, Process: process, Config: c, Sides: func() []sardinerock.Instance { return sides }}, c
+}
+
+// settle takes steps as Run would, a second apart, for some time.
+func settle(k *Keeper, from time.Time, d time.Duration) time.Time {
+	for end := from.Add(d); from.Before(end); from = from.Add(time.Second) {
+		k.Step(context.Background(), from)
+	}
+	return from
+}
+
+func loaded(versions ...string) []sardinerock.LoadedModel {
+	var out []sardinerock.LoadedModel
+	for _, v := range versions {
+		out = append(out, sardinerock.LoadedModel{Model: "a", Version: v})
+	}
+	return out
+}
+
+// A new version replaces the old one while requests for the old one run. The
+// old one must be there until the new one is, the last request for it has
+// ended, and entries have had time to learn of it.
+func TestVersionChangeKeepsTheOldOne(t *testing.T) {
+	g := NewWithT(t)
+	e := &engine{}
+	k, c := newKeeper(e, "p1", 1, model("a", 1, 0, "1"))
+	busy := true
+	k.InUse = func(m sardinerock.LoadedModel) bool { return busy && m.Version == "1" }
+	now := settle(k, start, 3*time.Second)
+	g.Expect(k.Loaded()).To(Equal(loaded("1")))
+	c.set(2, model("a", 1, 0, "2"))
+	e.fails = 2
+	now = settle(k, now, 8*time.Second)
+	g.Expect(k.Loaded()).To(Equal(loaded("1", "2")))
+	now = settle(k, now, time.Minute)
+	g.Expect(k.Loaded()).To(Equal(loaded("1", "2")), "in use")
+	busy = false
+	settle(k, now, 3*time.Second)
+	g.Expect(k.Loaded()).To(Equal(loaded("2")))
+}
+
+// A side is paused between its look at the engine and its order, its
+// replacement takes over, and the old order comes through afterwards. An engine
+// that checks fencing numbers refuses it; one that doesn't obeys, and the new
+// side puts it right at its next look. The old side gives no order after that.
+func TestOldSideBesideNewOne(t *testing.T) {
+	for name, checks := range map[string]bool{"engine checks fencing numbers": true, "engine ignores them": false} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			e := &engine{state: sardinerock.EngineState{ChecksFence: checks}}
+			old, _ := newKeeper(e, "old", 1, model("a", 1, 0, "1"))
+			now := settle(old, start, 3*time.Second)
+			replacement, _ := newKeeper(e, "new", 2, model("a", 1, 0, "2"))
+			// The old one wants its version 1 back, and is paused right before that order.
+			e.state.Loaded = nil
+			e.before = func() { now = settle(replacement, now, 3*time.Second) }
+			old.Step(context.Background(), now)
+			g.Expect(slices.Contains(e.state.Loaded, loaded("1")[0])).To(Equal(!checks))
+			now = settle(replacement, now, 20*time.Second)
+			g.Expect(e.state.Loaded).To(Equal(loaded("2")))
+			orders := len(e.orders)
+			settle(old, now, 20*time.Second)
+			g.Expect(old.Superseded()).To(BeTrue())
+			g.Expect(replacement.Superseded()).To(BeFalse())
+			g.Expect(e.orders).To(HaveLen(orders))
+		})
+	}
+}
+
+// The whole fleet gets a new version: sides start one after the other at the
+// weight store's rate. A newcomer and a replacement load at once.
+func TestLoadsArePaced(t *testing.T) {
+	g := NewWithT(t)
+	e := &engine{}
+	k, c := newKeeper(e, "p", 1, model("a", 1, 0, "1"))
+	k.StoreBytesPerSecond = 1
+	now := settle(k, start, 2*time.Second)
+	g.Expect(k.Loaded()).To(Equal(loaded("1")), "a newcomer")
+	c.set(2, model("a", 1, 0, "2"))
+	p := Make(c.snapshot.Bundle.Models, fleet(3))
+	delay := LoadDelay(p.Target("s000").Rank, 10, 1)
+	g.Expect(delay).To(BeNumerically(">", 0), "the test needs a side that is not the first")
+	now = settle(k, now, delay)
+	g.Expect(k.Loaded()).To(Equal(loaded("1")), "not its turn yet")
+	settle(k, now, 3*time.Second)
+	g.Expect(k.Loaded()).To(ContainElement(loaded("2")[0]))
+}
