Link entries and sides by one long drpc call per pair

Cause: a drpc connection carries one call at a time, so requests as calls would need a pool per pair and a silent connection would be met by each request anew. One long call with frames tagged by attempt is probed once for all. Ruled out: counting silence by the clock, since a process that was stopped would drop every link on waking; ticks are counted instead.

--- /dev/null
+++ b/link/server.go
@@ -0,0 +1,136 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/sardinerock/sardinerock/wire"
+)
+
+// Session is a side's end of the link to one entry.
+type Session struct {
+	// EntryID and Zone are what the entry said of itself.
+	EntryID string
+	Zone    string
+
+	out   *outbox[*wire.SideFrame]
+	heard atomic.Uint64
+}
+
+// Send queues a frame for the entry; frames of a lost link are dropped.
+func (s *Session) Send(frame *wire.SideFrame) {
+	_ = s.out.put(frame)
+}
+
+// SendBeat queues a heartbeat.
+func (s *Session) SendBeat(beat *wire.SideBeat) {
+	s.Send(&wire.SideFrame{Body: &wire.SideFrame_Beat{Beat: beat}})
+}
+
+// SendEnd queues the last frame of an attempt.
+func (s *Session) SendEnd(end *wire.End) {
+	s.Send(&wire.SideFrame{Body: &wire.SideFrame_End{End: end}})
+}
+
+// Handler takes what entries say. Calls of one session come one after another.
+type Handler interface {
+	Opened(s *Session)
+	Beat(s *Session, beat *wire.EntryBeat)
+	Start(s *Session, start *wire.Start)
+	Cancel(s *Session, attempt string)
+	Sections(s *Session, sections *wire.Sections)
+	// Closed is called once the link is lost; nothing more can be told to the entry on it.
+	Closed(s *Session)
+}
+
+// Server accepts links from entries.
+type Server struct {
+	Handler Handler
+	// SilentAfter is how long an entry may say nothing before its link is closed.
+	SilentAfter time.Duration
+}
+
+// Serve accepts links on l until ctx is done.
+func (v *Server) Serve(ctx context.Context, l net.Listener) error {
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterSide(mux, v); err != nil {
+		return err
+	}
+	return drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()}).Serve(ctx, l)
+}
+
+// Attach implements the generated server interface.
+func (v *Server) Attach(stream wire.DRPCSide_AttachStream) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	hello := first.GetHello()
+	s := &Session{EntryID: hello.GetEntryId(), Zone: hello.GetZone(), out: newOutbox[*wire.SideFrame]()}
+	v.Handler.Opened(s)
+	defer v.Handler.Closed(s)
+	defer s.out.close()
+
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	ended := make(chan error, 3)
+	go func() { ended <- s.out.write(ctx.Done(), stream, flusher(stream.(wrapped))) }()
+	go func() { ended <- v.read(stream, s) }()
+	go func() { ended <- v.watch(ctx, s) }()
+	select {
+	case err = <-ended:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	return err
+}
+
+func (v *Server) read(stream wire.DRPCSide_AttachStream, s *Session) error {
+	for {
+		frame, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		s.heard.Add(1)
+		switch body := frame.Body.(type) {
+		case *wire.EntryFrame_Beat:
+			v.Handler.Beat(s, body.Beat)
+		case *wire.EntryFrame_Start:
+			v.Handler.Start(s, body.Start)
+		case *wire.EntryFrame_Cancel:
+			v.Handler.Cancel(s, body.Cancel.Attempt)
+		case *wire.EntryFrame_Sections:
+			v.Handler.Sections(s, body.Sections)
+		}
+	}
+}
+
+// silentTicks divides SilentAfter, so that a side that was paused itself counts one tick and not the whole pause.
+const silentTicks = 10
+
+func (v *Server) watch(ctx context.Context, s *Session) error {
+	ticker := time.NewTicker(v.SilentAfter / silentTicks)
+	defer ticker.Stop()
+	heard := s.heard.Load()
+	quiet := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		quiet++
+		if now := s.heard.Load(); now != heard {
+			heard = now
+			quiet = 0
+		}
+		if quiet > silentTicks {
+			return errSilent
+		}
+	}
+}
--- /dev/null
+++ b/link/tune.go
@@ -0,0 +1,65 @@
+package link
+
+import (
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcstream"
+	"storj.io/drpc/drpcwire"
+)
+
+// Timing says how often a link shows that it is alive.
+type Timing struct {
+	// Tick is the step in which silence is counted.
+	Tick time.Duration
+	// IdleTicks is the number of ticks between heartbeats of a link without attempts in flight.
+	IdleTicks int
+	// ActiveTicks is the same for a link with attempts in flight.
+	ActiveTicks int
+	// SilentTicks is how many ticks after an unanswered heartbeat a link counts as silent.
+	SilentTicks int
+}
+
+// idlePerLink spreads the heartbeats of an entry with many idle links. At 60
+// links of about 100 bytes a heartbeat pair, one every 40 ms is 2.5 KB/s at
+// the entry and its sides together, near the control budget of one node.
+const idlePerLink = 40 * time.Millisecond
+
+// TimingFor returns the timing of an entry with that many links.
+//
+// A link that carries attempts is probed every 300 ms, and given up 900 ms
+// after a probe got no answer: a caller who waits for a first token of 0.95 s
+// must not wait for a connection that lost its state on the way. An idle link
+// has nobody waiting on it, so it only has to be found dead before it is used.
+func TimingFor(links int) Timing {
+	const tick = 100 * time.Millisecond
+	idle := max(5, int(idlePerLink*time.Duration(links)/tick))
+	return Timing{Tick: tick, IdleTicks: idle, ActiveTicks: 3, SilentTicks: 9}
+}
+
+// maxFrame bounds one frame; the largest carries a caller's whole request.
+const maxFrame = 64 << 20
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxFrame},
+		Stream: drpcstream.Options{ManualFlush: true},
+	}
+}
+
+type rawFlusher interface {
+	RawFlush() error
+}
+
+type wrapped interface {
+	GetStream() drpc.Stream
+}
+
+// flusher returns what sends a stream's buffered frames, which drpc keeps outside of its stream interface.
+func flusher(stream wrapped) func() error {
+	if f, ok := stream.GetStream().(rawFlusher); ok {
+		return f.RawFlush
+	}
+	return func() error { return nil }
+}
