--- a/event/event.go
+++ b/event/event.go
@@ -29,6 +29,7 @@
 	Quarantined     ID = 404
 	FrameDropped    ID = 405
 	StreamResumed   ID = 406
+	BackendState    ID = 407
 	JobAccepted     ID = 501
 	JobCancelled    ID = 502
 	JobFinished     ID = 503
--- /dev/null
+++ b/side/attempt.go
@@ -0,0 +1,218 @@
+package side
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/link"
+	"github.com/sardinerock/sardinerock/wire"
+)
+
+// Causes of an attempt's end that come from this side of the backend server.
+var (
+	errPreempted  = errors.New("made room for online work")
+	errCancelled  = errors.New("cancelled by the entry")
+	errNoProgress = errors.New("backend server showed no progress")
+	errLinkLost   = errors.New("link to the entry lost")
+)
+
+// attemptKey tells attempts of different entries apart even if their ids met.
+type attemptKey struct {
+	session *link.Session
+	id      string
+}
+
+// attempt is one attempt at a request, waiting in the gate or running.
+type attempt struct {
+	key   attemptKey
+	start *wire.Start
+	// cancel is nil while the attempt waits.
+	cancel context.CancelCauseFunc
+}
+
+// gateID names an attempt in the gate.
+func (k attemptKey) gateID() string { return k.session.EntryID + "/" + k.id }
+
+// apply carries out what the gate decided. Callers hold s.mu.
+func (s *Side) apply(actions []sardinerock.GateAction) {
+	for _, action := range actions {
+		a := s.byGateID(action.Attempt)
+		if a == nil {
+			continue
+		}
+		switch action.Kind {
+		case sardinerock.GateStart:
+			s.launch(a, action.Waited)
+		case sardinerock.GateRefuse:
+			s.Events.Info(event.GateRefused).Str("attempt", a.key.id).Str("caller", a.start.Caller).
+				Str("code", string(action.Refusal.Code)).Dur("retryAfter", action.Refusal.RetryAfter).Msg(action.Refusal.Message)
+			delete(s.attempts, a.key)
+			a.key.session.SendEnd(refusalEnd(a.key.id, action.Refusal))
+		case sardinerock.GatePreempt:
+			s.Events.Info(event.GatePreempted).Str("attempt", a.key.id).Str("caller", a.start.Caller).Msg(errPreempted.Error())
+			if a.cancel != nil {
+				a.cancel(errPreempted)
+			}
+		}
+	}
+}
+
+// launch starts an admitted attempt. Callers hold s.mu.
+func (s *Side) launch(a *attempt, waited time.Duration) {
+	ctx, cancel := context.WithCancelCause(s.ctx)
+	a.cancel = cancel
+	s.Events.Info(event.GateAdmitted).Str("attempt", a.key.id).Str("caller", a.start.Caller).
+		Bool("batch", a.start.Batch).Dur("waited", waited).Msg("admitted")
+	s.running.Add(1)
+	go func() {
+		defer s.running.Done()
+		defer cancel(nil)
+		s.run(ctx, a)
+	}()
+}
+
+// run runs an attempt at the backend server and sends its one End.
+func (s *Side) run(ctx context.Context, a *attempt) {
+	sample := sardinerock.GateSample{PromptTokens: int(a.start.PromptTokens)}
+	var end *wire.End
+	if s.Plain != nil {
+		end = s.call(ctx, a)
+	} else {
+		end = s.generate(ctx, a, &sample)
+	}
+	end.Attempt = a.key.id
+	sample.Failed = end.Code != ""
+	if end.Crashed {
+		s.crashed(a)
+	}
+	s.mu.Lock()
+	delete(s.attempts, a.key)
+	if !sample.Failed {
+		s.suspects.Ended(time.Now(), a.start.Fingerprint, a.start.Alone)
+	}
+	actions := s.gate.Done(time.Now(), a.key.gateID(), sample)
+	a.key.session.SendEnd(end)
+	s.apply(actions)
+	s.mu.Unlock()
+}
+
+func (s *Side) generate(ctx context.Context, a *attempt, sample *sardinerock.GateSample) *wire.End {
+	watch, cancel := newProgress(ctx, s.FirstProgress, s.Progress)
+	defer cancel()
+	request := &sardinerock.EngineRequest{
+		Attempt:      a.key.id,
+		Path:         a.start.Path,
+		Model:        a.start.Model,
+		Version:      a.start.Version,
+		Adapter:      a.start.Adapter,
+		Body:         a.start.Body,
+		ResumeTokens: int(a.start.ResumeTokens),
+		ResumeText:   a.start.ResumeText,
+	}
+	result, err := s.Engine.Generate(watch.ctx, request, func(t sardinerock.Token) error {
+		sample.CompletionTokens++
+		watch.made()
+		s.emit(a, t)
+		return nil
+	})
+	if err != nil {
+		return s.failedEnd(watch.ctx, err)
+	}
+	return &wire.End{
+		Outcome:          uint32(sardinerock.OutcomeRan),
+		FinishReason:     result.FinishReason,
+		PromptTokens:     uint32(result.PromptTokens),
+		CompletionTokens: uint32(result.CompletionTokens),
+	}
+}
+
+func (s *Side) emit(a *attempt, t sardinerock.Token) {
+	s.mu.Lock()
+	s.gate.Token(time.Now(), a.key.gateID())
+	s.mu.Unlock()
+	tokens := &wire.Tokens{Attempt: a.key.id, Tokens: []*wire.Token{{Index: uint32(t.Index), Text: t.Text}}}
+	a.key.session.Send(&wire.SideFrame{Body: &wire.SideFrame_Tokens{Tokens: tokens}})
+}
+
+func (s *Side) call(ctx context.Context, a *attempt) *wire.End {
+	limit := time.Duration(a.start.LeftMs) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	reply, err := s.Plain.Call(ctx, &sardinerock.ServiceRequest{
+		Method: a.start.Method,
+		Path:   a.start.Path,
+		Header: a.start.Header,
+		Body:   a.start.Body,
+	})
+	if err != nil {
+		return s.failedEnd(ctx, err)
+	}
+	return &wire.End{
+		Outcome: uint32(sardinerock.OutcomeRan),
+		Reply:   &wire.ServiceReply{Status: uint32(reply.Status), Header: reply.Header, Body: reply.Body},
+	}
+}
+
+// failedEnd says how an attempt failed and what is proved about its having run.
+func (s *Side) failedEnd(ctx context.Context, err error) *wire.End {
+	end := &wire.End{Message: err.Error()}
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(err, sardinerock.ErrModelNotLoaded):
+		end.Code = string(sardinerock.CodeNoBackend)
+		end.Outcome = uint32(sardinerock.OutcomeNotRun)
+	case errors.Is(err, sardinerock.ErrNotSent):
+		end.Code = string(sardinerock.CodeBackendLost)
+		end.Outcome = uint32(sardinerock.OutcomeNotRun)
+	case errors.Is(cause, errPreempted):
+		end.Code = string(sardinerock.CodePreempted)
+		end.Message = errPreempted.Error()
+		end.Preempted = true
+	case errors.Is(cause, errCancelled), errors.Is(cause, errLinkLost):
+		end.Code = string(sardinerock.CodeCancelled)
+		end.Message = cause.Error()
+	case errors.Is(cause, errNoProgress):
+		end.Code = string(sardinerock.CodeBackendLost)
+		end.Message = errNoProgress.Error()
+	case errors.Is(cause, context.DeadlineExceeded):
+		end.Code = string(sardinerock.CodeDeadline)
+	default:
+		// The connection broke under the request: the backend server died, or
+		// so it must be taken until the request has finished somewhere alone.
+		end.Code = string(sardinerock.CodeBackendLost)
+		end.Crashed = true
+	}
+	return end
+}
+
+// progress cancels an attempt whose backend server shows none.
+type progress struct {
+	ctx   context.Context
+	timer *time.Timer
+	next  time.Duration
+}
+
+func newProgress(parent context.Context, first, next time.Duration) (*progress, func()) {
+	ctx, cancel := context.WithCancelCause(parent)
+	timer := time.AfterFunc(first, func() { cancel(errNoProgress) })
+	stop := func() {
+		timer.Stop()
+		cancel(nil)
+	}
+	return &progress{ctx: ctx, timer: timer, next: next}, stop
+}
+
+func (p *progress) made() { p.timer.Reset(p.next) }
+
+func refusalEnd(id string, r *sardinerock.Refusal) *wire.End {
+	return &wire.End{
+		Attempt:      id,
+		Code:         string(r.Code),
+		Message:      r.Message,
+		Outcome:      uint32(r.Outcome),
+		RetryAfterMs: uint32(r.RetryAfter.Milliseconds()),
+	}
+}
--- /dev/null
+++ b/side/config.go
@@ -0,0 +1,68 @@
+package side
+
+import (
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/bundle"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/link"
+	"github.com/sardinerock/sardinerock/wire"
+)
+
+// askConfig asks the entry for what this side lacks of the version that the entry runs. Callers hold s.mu.
+func (s *Side) askConfig(session *link.Session, beat *wire.EntryBeat) {
+	behind, have := s.replica.Behind(beat.ConfigVersion)
+	if !behind {
+		return
+	}
+	want := &wire.WantSections{Version: beat.ConfigVersion, Have: have}
+	session.Send(&wire.SideFrame{Body: &wire.SideFrame_Want{Want: want}})
+}
+
+// Sections implements link.Handler.
+func (s *Side) Sections(_ *link.Session, sections *wire.Sections) {
+	received := make([]bundle.Section, 0, len(sections.Sections))
+	for _, section := range sections.Sections {
+		received = append(received, bundle.Section{Name: section.Name, Digest: section.Digest, Content: section.Content})
+	}
+	if err := s.replica.Take(sections.Version, sections.Digest, received); err != nil {
+		s.Events.Warn(event.BundleRejected).Int64("version", sections.Version).Err(err).Msg("configuration from an entry not taken over")
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setLimits()
+	s.beatAll()
+}
+
+// setLimits takes the gate's bounds from the configuration in force. Callers hold s.mu.
+func (s *Side) setLimits() {
+	limits, ok := limitsOf(s.replica.Current(), s.Service)
+	if ok {
+		s.apply(s.gate.SetLimits(time.Now(), limits))
+	}
+}
+
+// limitsOf returns the bounds of one backend server. An engine that may hold
+// several models gets the widest bounds of them; its own slots adapt below.
+func limitsOf(c *sardinerock.ConfigSnapshot, service string) (sardinerock.GateLimits, bool) {
+	var limits sardinerock.GateLimits
+	if c == nil {
+		return limits, false
+	}
+	if service != "" {
+		for _, v := range c.Bundle.Services {
+			if v.Name == service {
+				return sardinerock.GateLimits{MinSlots: v.MaxInFlight, MaxSlots: v.MaxInFlight}, true
+			}
+		}
+		return limits, false
+	}
+	for _, m := range c.Bundle.Models {
+		limits.MinSlots = max(limits.MinSlots, m.MinSlots)
+		limits.MaxSlots = max(limits.MaxSlots, m.MaxSlots)
+		limits.FirstTokenTarget = max(limits.FirstTokenTarget, time.Duration(m.FirstTokenMs)*time.Millisecond)
+	}
+	return limits, len(c.Bundle.Models) > 0
+}
--- /dev/null
+++ b/side/doc.go
@@ -0,0 +1,3 @@
+// Package side runs beside each backend server: all work for it passes through
+// the gate here, and only from here does it get orders.
+package side
--- /dev/null
+++ b/side/handle.go
@@ -0,0 +1,121 @@
+package side
+
+import (
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/link"
+	"github.com/sardinerock/sardinerock/retry"
+	"github.com/sardinerock/sardinerock/wire"
+)
+
+var _ link.Handler = (*Side)(nil)
+
+// Opened implements link.Handler.
+func (s *Side) Opened(session *link.Session) {
+	s.Events.Info(event.PeerUp).Str("entry", session.EntryID).Msg("entry attached")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sessions[session] = struct{}{}
+}
+
+// Closed implements link.Handler: nobody is left to take the answers, so the work stops.
+func (s *Side) Closed(session *link.Session) {
+	s.Events.Info(event.PeerDown).Str("entry", session.EntryID).Msg("entry detached")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, session)
+	for key, a := range s.attempts {
+		if key.session == session {
+			s.stop(a, errLinkLost)
+		}
+	}
+}
+
+// Beat implements link.Handler.
+func (s *Side) Beat(session *link.Session, beat *wire.EntryBeat) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspects.Merge(now, link.FromWire(beat.Quarantined))
+	session.SendBeat(s.beat(beat.Sequence))
+	s.askConfig(session, beat)
+}
+
+// Cancel implements link.Handler.
+func (s *Side) Cancel(session *link.Session, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a := s.attempts[attemptKey{session: session, id: id}]; a != nil {
+		s.stop(a, errCancelled)
+	}
+}
+
+// Start implements link.Handler.
+func (s *Side) Start(session *link.Session, start *wire.Start) {
+	now := time.Now()
+	key := attemptKey{session: session, id: start.Attempt}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if refusal := s.refuse(now, start); refusal != nil {
+		session.SendEnd(refusalEnd(start.Attempt, refusal))
+		return
+	}
+	// The entry may not have heard of a crash yet that this side has.
+	start.Alone = start.Alone || s.suspects.Check(now, start.Fingerprint) == retry.Suspect
+	a := &attempt{key: key, start: start}
+	s.attempts[key] = a
+	s.apply(s.gate.Offer(now, workOf(a, now)))
+}
+
+// refuse turns away what must not reach the backend server. Callers hold s.mu.
+func (s *Side) refuse(now time.Time, start *wire.Start) *sardinerock.Refusal {
+	switch {
+	case s.leaving:
+		return &sardinerock.Refusal{Code: sardinerock.CodeShuttingDown, Message: "the backend server is leaving", Outcome: sardinerock.OutcomeNotRun}
+	case !s.health.up:
+		return &sardinerock.Refusal{Code: sardinerock.CodeNoBackend, Message: "the backend server does not answer", Outcome: sardinerock.OutcomeNotRun}
+	case s.suspects.Check(now, start.Fingerprint) == retry.Guilty:
+		return retry.GuiltyRefusal(sardinerock.OutcomeNotRun)
+	default:
+		return nil
+	}
+}
+
+func workOf(a *attempt, now time.Time) sardinerock.Work {
+	class := sardinerock.ClassOnline
+	if a.start.Batch {
+		class = sardinerock.ClassBatch
+	}
+	return sardinerock.Work{
+		Attempt:      a.key.gateID(),
+		Caller:       a.start.Caller,
+		Key:          a.start.Key,
+		Class:        class,
+		PromptTokens: int(a.start.PromptTokens),
+		MaxTokens:    int(a.start.MaxTokens),
+		Deadline:     now.Add(time.Duration(a.start.LeftMs) * time.Millisecond),
+		Team:         a.start.Team,
+		TeamWeight:   int(a.start.TeamWeight),
+		Weight:       int(a.start.Weight),
+		Alone:        a.start.Alone,
+		Fingerprint:  a.start.Fingerprint,
+	}
+}
+
+// stop ends an attempt that its entry no longer wants. Callers hold s.mu.
+func (s *Side) stop(a *attempt, cause error) {
+	if a.cancel != nil {
+		a.cancel(cause)
+		return
+	}
+	delete(s.attempts, a.key)
+	s.apply(s.gate.Cancel(time.Now(), a.key.gateID()))
+	a.key.session.SendEnd(&wire.End{
+		Attempt: a.key.id,
+		Code:    string(sardinerock.CodeCancelled),
+		Message: cause.Error(),
+		Outcome: uint32(sardinerock.OutcomeNotRun),
+	})
+}
