--- /dev/null
+++ b/admit/estimate.go
@@ -0,0 +1,114 @@
+package admit
+
+import (
+	"math"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+const (
+	// promptTokenCost is what one prompt token costs of a generated one: engines
+	// read a prompt in parallel and generate token by token.
+	promptTokenCost = 0.1
+	// maxWait bounds the wait of work without a deadline.
+	maxWait = time.Minute
+	// minRetryAfter and maxRetryAfter bound what refused callers are told.
+	minRetryAfter = time.Second
+	maxRetryAfter = 30 * time.Second
+	// smoothing is the weight of a new observation: the last twenty or so count.
+	smoothing = 0.1
+	// deviations is how many mean deviations above the mean a service time is
+	// planned with, so that admitted work ends before its deadline and not
+	// around it.
+	deviations = 2
+)
+
+// average is a smoothed mean with its mean deviation, of seconds or ratios.
+type average struct {
+	value     float64
+	deviation float64
+	known     bool
+}
+
+func (a *average) add(x float64) {
+	if !a.known {
+		*a = average{value: x, known: true}
+		return
+	}
+	d := x - a.value
+	a.value += smoothing * d
+	a.deviation += smoothing * (math.Abs(d) - a.deviation)
+}
+
+func (a *average) mean() time.Duration { return seconds(a.value) }
+
+// high is a value that few observations exceed.
+func (a *average) high() float64 { return a.value + deviations*a.deviation }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// estimate learns from finished work how long work takes and how long it waits.
+//
+// Load pattern: saturation. Without an estimate each request waits until its
+// caller gives up, the backend server works on answers that nobody reads, and
+// at 3x load almost nothing comes in time.
+type estimate struct {
+	firstToken average
+	gap        average
+	// used is the part of MaxTokens that answers really have.
+	used average
+	// pace is the cost served per second in one slot.
+	pace average
+}
+
+func (e *estimate) sawFirstToken(s *stream, d time.Duration) {
+	if s.work.Class == sardinerock.ClassOnline {
+		e.firstToken.add(d.Seconds())
+	}
+}
+
+func (e *estimate) sawGap(d time.Duration) { e.gap.add(d.Seconds()) }
+
+func (e *estimate) sawDone(now time.Time, s *stream, sample sardinerock.GateSample) {
+	if s.work.MaxTokens > 0 {
+		e.used.add(min(1, float64(sample.CompletionTokens)/float64(s.work.MaxTokens)))
+	}
+	if d := now.Sub(s.started).Seconds(); d > 0 {
+		e.pace.add(e.realCost(sample) / d)
+	}
+}
+
+// cost is the expected cost of work in tokens.
+func (e *estimate) cost(w sardinerock.Work) float64 {
+	used := 1.0
+	if e.used.known {
+		used = e.used.value
+	}
+	return promptTokenCost*float64(w.PromptTokens) + used*float64(w.MaxTokens)
+}
+
+func (e *estimate) realCost(s sardinerock.GateSample) float64 {
+	return promptTokenCost*float64(s.PromptTokens) + float64(s.CompletionTokens)
+}
+
+// wait is how long it takes until the given cost has been served.
+func (e *estimate) wait(cost float64, slots int) time.Duration {
+	if !e.pace.known || e.pace.value <= 0 {
+		return 0
+	}
+	return seconds(cost / (e.pace.value * float64(slots)))
+}
+
+// latestStart is when work has to start to meet its deadline; zero means any time.
+func (e *estimate) latestStart(w sardinerock.Work) time.Time {
+	if w.Deadline.IsZero() {
+		return time.Time{}
+	}
+	used := 1.0
+	if e.used.known {
+		used = min(1, e.used.high())
+	}
+	service := e.firstToken.high() + used*float64(w.MaxTokens)*e.gap.value
+	return w.Deadline.Add(-seconds(service))
+}
--- /dev/null
+++ b/admit/gate.go
@@ -0,0 +1,342 @@
+package admit
+
+import (
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/sched"
+)
+
+var _ sardinerock.Gate = (*Gate)(nil)
+
+// Gate puts online work ahead of batch work at one backend server; set Limits
+// before the first call and use SetLimits afterwards.
+//
+// Load pattern: online requests come in bursts onto a backend server whose
+// idle slots are filled with batch work, by an engine that knows no priorities.
+// Without the gate the burst queues inside the engine behind batch answers that
+// take half a minute each, and the supervisor's draft comes half a minute late.
+//
+// The rules, in their order:
+//  1. Online work starts whenever fewer online streams run than there are
+//     slots. If batch work holds the slot, its youngest stream is preempted in
+//     the same call: the youngest has the least work to lose.
+//  2. Other online work waits in fair order (package sched), or is refused when
+//     its deadline can't be met (estimate).
+//  3. Batch work takes only slots that online work leaves, less the reserve,
+//     and only as fast as its prompts leave online decoding undisturbed.
+type Gate struct {
+	// Limits are the bounds within which the gate adapts.
+	Limits sardinerock.GateLimits
+
+	running  map[string]*stream
+	online   int
+	batch    []*stream
+	leaving  int
+	waiting  map[string]*waiter
+	queue    sched.Queue
+	deadline waiterHeap
+	backlog  batchLine
+	alone    aloneLine
+	slots    slotControl
+	reserve  reserve
+	prefill  prefill
+	estimate estimate
+	draining bool
+	actions  []sardinerock.GateAction
+}
+
+// stream is an attempt that was started.
+type stream struct {
+	work       sardinerock.Work
+	item       sched.Item
+	started    time.Time
+	firstToken time.Time
+	lastToken  time.Time
+	// busyAtStart is how many streams ran when this one started.
+	busyAtStart int
+	// leaving is set once it was preempted or cancelled and the engine may still run it.
+	leaving bool
+}
+
+// waiter is an online attempt that waits for a slot.
+type waiter struct {
+	work    sardinerock.Work
+	offered time.Time
+	// latestStart is when the deadline becomes hopeless; zero means never.
+	latestStart time.Time
+	index       int
+}
+
+// Offer implements sardinerock.Gate.
+func (g *Gate) Offer(now time.Time, w sardinerock.Work) []sardinerock.GateAction {
+	g.begin()
+	switch {
+	case g.draining:
+		g.refuse(w.Attempt, shuttingDown())
+	case w.Alone:
+		g.offerAlone(w)
+	case w.Class == sardinerock.ClassBatch:
+		g.offerBatch(now, w)
+	default:
+		g.offerOnline(now, w)
+	}
+	return g.advance(now)
+}
+
+func (g *Gate) offerOnline(now time.Time, w sardinerock.Work) {
+	item := g.item(w)
+	if g.online < g.slots.count(g.Limits) && g.queue.Len() == 0 && !g.alone.holds(now) {
+		g.start(now, w, item, 0)
+		return
+	}
+	ahead := g.queue.Ahead(item)
+	wait := g.estimate.wait(ahead, g.slots.count(g.Limits))
+	latest := g.estimate.latestStart(w)
+	if !latest.IsZero() && now.Add(wait).After(latest) {
+		g.refuse(w.Attempt, g.hopeless(sardinerock.CodeOverloaded, "the deadline can't be met: too much online work waits before this request"))
+		return
+	}
+	x := &waiter{work: w, offered: now, latestStart: latest}
+	if latest.IsZero() {
+		x.latestStart = now.Add(maxWait)
+	}
+	g.waiting[w.Attempt] = x
+	g.queue.Push(item)
+	g.deadline.push(x)
+}
+
+// hopeless is the refusal of work that would start too late.
+func (g *Gate) hopeless(code sardinerock.Code, message string) *sardinerock.Refusal {
+	wait := g.estimate.wait(g.queue.Backlog(), g.slots.count(g.Limits))
+	return &sardinerock.Refusal{
+		Code: code, Message: message, Outcome: sardinerock.OutcomeNotRun,
+		RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter),
+	}
+}
+
+// Token implements sardinerock.Gate.
+func (g *Gate) Token(now time.Time, attempt string) {
+	s := g.running[attempt]
+	if s == nil {
+		return
+	}
+	if s.firstToken.IsZero() {
+		s.firstToken = now
+		first := now.Sub(s.started)
+		g.prefill.finished(s, first)
+		g.estimate.sawFirstToken(s, first)
+		if s.work.Class == sardinerock.ClassOnline {
+			g.slots.sawFirstToken(first)
+		}
+	} else {
+		gap := now.Sub(s.lastToken)
+		g.estimate.sawGap(gap)
+		if s.work.Class == sardinerock.ClassOnline {
+			g.slots.sawGap(gap)
+		}
+	}
+	s.lastToken = now
+}
+
+// Done implements sardinerock.Gate.
+func (g *Gate) Done(now time.Time, attempt string, sample sardinerock.GateSample) []sardinerock.GateAction {
+	g.begin()
+	s := g.running[attempt]
+	if s == nil {
+		return g.advance(now)
+	}
+	delete(g.running, attempt)
+	if s.leaving {
+		g.leaving--
+		return g.advance(now)
+	}
+	g.release(s)
+	if !sample.Failed {
+		g.estimate.sawDone(now, s, sample)
+		if s.work.Class == sardinerock.ClassOnline {
+			g.queue.Settle(s.item, g.estimate.realCost(sample)-s.item.Cost)
+		}
+	}
+	return g.advance(now)
+}
+
+// Cancel implements sardinerock.Gate.
+func (g *Gate) Cancel(now time.Time, attempt string) []sardinerock.GateAction {
+	g.begin()
+	if s := g.running[attempt]; s != nil && !s.leaving {
+		g.leave(s)
+	}
+	if x := g.waiting[attempt]; x != nil {
+		g.forget(x)
+	}
+	g.backlog.remove(attempt)
+	g.alone.remove(attempt)
+	return g.advance(now)
+}
+
+// Tick implements sardinerock.Gate.
+func (g *Gate) Tick(now time.Time) []sardinerock.GateAction {
+	g.begin()
+	return g.advance(now)
+}
+
+// SetLimits implements sardinerock.Gate.
+func (g *Gate) SetLimits(now time.Time, l sardinerock.GateLimits) []sardinerock.GateAction {
+	g.begin()
+	g.Limits = l
+	return g.advance(now)
+}
+
+// Drain implements sardinerock.Gate.
+func (g *Gate) Drain(now time.Time) []sardinerock.GateAction {
+	g.begin()
+	g.draining = true
+	for {
+		item, ok := g.queue.Pop()
+		if !ok {
+			break
+		}
+		g.forget(g.waiting[item.ID])
+		g.refuse(item.ID, shuttingDown())
+	}
+	for _, b := range g.backlog.takeAll() {
+		g.refuse(b.work.Attempt, shuttingDown())
+	}
+	for _, w := range g.alone.takeAll() {
+		g.refuse(w.Attempt, shuttingDown())
+	}
+	g.preemptDownTo(0)
+	return g.advance(now)
+}
+
+// State implements sardinerock.Gate.
+func (g *Gate) State() sardinerock.GateState {
+	s := sardinerock.GateState{
+		Slots:         g.slots.count(g.Limits),
+		OnlineRunning: g.online,
+		OnlineWaiting: g.queue.Len() + g.alone.len(),
+		BatchRunning:  len(g.batch),
+		BatchWaiting:  g.backlog.len(),
+		Reserve:       g.reserve.slots(g.slots.count(g.Limits)),
+		FirstToken:    g.estimate.firstToken.mean(),
+		TokenGap:      g.estimate.gap.mean(),
+		Draining:      g.draining,
+	}
+	s.BatchCredit = g.batchCredit()
+	return s
+}
+
+func (g *Gate) begin() {
+	if g.running == nil {
+		g.running = make(map[string]*stream)
+		g.waiting = make(map[string]*waiter)
+	}
+	g.actions = nil
+}
+
+// advance does what has become possible or hopeless by now; every call ends with it.
+func (g *Gate) advance(now time.Time) []sardinerock.GateAction {
+	g.slots.adapt(now, g.Limits, g.online+len(g.batch))
+	g.reserve.observe(now, g.online+g.queue.Len())
+	g.prefill.refill(now)
+	g.dropHopeless(now)
+	g.advanceAlone(now)
+	g.startOnline(now)
+	g.startBatch(now)
+	return g.actions
+}
+
+// dropHopeless gives the final answer to waiting work whose deadline can't be
+// met any more. Left to wait it would take a slot for an answer that nobody
+// reads, and at 3x load soon every slot would.
+func (g *Gate) dropHopeless(now time.Time) {
+	for len(g.deadline) > 0 && now.After(g.deadline[0].latestStart) {
+		x := g.deadline[0]
+		g.queue.Remove(x.work.Attempt)
+		g.forget(x)
+		g.refuse(x.work.Attempt, g.hopeless(sardinerock.CodeDeadline, "the deadline can't be met any more: the request waited in vain for a slot"))
+	}
+}
+
+func (g *Gate) startOnline(now time.Time) {
+	for g.online < g.slots.count(g.Limits) && !g.alone.holds(now) {
+		item, ok := g.queue.Pop()
+		if !ok {
+			return
+		}
+		x := g.waiting[item.ID]
+		g.forget(x)
+		g.start(now, x.work, item, now.Sub(x.offered))
+	}
+}
+
+// start sends an attempt to the engine, and for online work makes room by preempting batch work.
+func (g *Gate) start(now time.Time, w sardinerock.Work, item sched.Item, waited time.Duration) {
+	s := &stream{work: w, item: item, started: now, busyAtStart: g.online + len(g.batch)}
+	g.running[w.Attempt] = s
+	if w.Class == sardinerock.ClassBatch {
+		g.batch = append(g.batch, s)
+		g.prefill.started(s)
+	} else {
+		g.online++
+		g.preemptDownTo(max(0, g.slots.count(g.Limits)-g.online))
+	}
+	g.actions = append(g.actions, sardinerock.GateAction{Kind: sardinerock.GateStart, Attempt: w.Attempt, Waited: waited})
+}
+
+// preemptDownTo cancels the youngest batch streams until at most n run.
+func (g *Gate) preemptDownTo(n int) {
+	for len(g.batch) > n {
+		s := g.batch[len(g.batch)-1]
+		g.leave(s)
+		g.actions = append(g.actions, sardinerock.GateAction{Kind: sardinerock.GatePreempt, Attempt: s.work.Attempt})
+	}
+}
+
+// leave frees the slot of a stream that the engine has still to cancel. Online
+// work may take it at once; batch work waits until the engine is rid of the
+// stream, else a slow cancellation would let batch streams pile up.
+func (g *Gate) leave(s *stream) {
+	s.leaving = true
+	g.leaving++
+	g.release(s)
+}
+
+func (g *Gate) release(s *stream) {
+	g.alone.finished(s.work.Attempt)
+	if s.work.Class == sardinerock.ClassOnline {
+		g.online--
+		return
+	}
+	for i, b := range g.batch {
+		if b == s {
+			g.batch = append(g.batch[:i], g.batch[i+1:]...)
+			return
+		}
+	}
+}
+
+func (g *Gate) forget(x *waiter) {
+	g.queue.Remove(x.work.Attempt)
+	g.deadline.remove(x)
+	delete(g.waiting, x.work.Attempt)
+}
+
+func (g *Gate) refuse(attempt string, r *sardinerock.Refusal) {
+	g.actions = append(g.actions, sardinerock.GateAction{Kind: sardinerock.GateRefuse, Attempt: attempt, Refusal: r})
+}
+
+func (g *Gate) item(w sardinerock.Work) sched.Item {
+	return sched.Item{
+		ID: w.Attempt, Team: w.Team, Caller: w.Caller, Key: w.Key,
+		TeamWeight: w.TeamWeight, Weight: w.Weight, Cost: g.estimate.cost(w),
+	}
+}
+
+func shuttingDown() *sardinerock.Refusal {
+	return &sardinerock.Refusal{
+		Code: sardinerock.CodeShuttingDown, Message: "the backend server is leaving the fleet",
+		Outcome: sardinerock.OutcomeNotRun, RetryAfter: minRetryAfter,
+	}
+}
--- /dev/null
+++ b/admit/line.go
@@ -0,0 +1,132 @@
+package admit
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/sched"
+)
+
+const (
+	// batchWaitMax is how long a batch item may stand at one gate: long enough
+	// to fill the slot that the next finished item leaves, short enough that an
+	// item doesn't stay with a busy backend server while another one idles.
+	batchWaitMax = 2 * time.Second
+	// batchAheadMin is how many batch items may stand at the gate, so that a
+	// freed slot is filled without waiting for an entry to hear of it.
+	batchAheadMin = 1
+	// batchAheadPart adds one more for so many slots.
+	batchAheadPart = 8
+	// batchRetryAfter is when an entry that outran its credit may come back.
+	batchRetryAfter = time.Second
+)
+
+// batchLine is the short line of batch items at the gate, in order of arrival.
+type batchLine struct {
+	items []batchWaiter
+}
+
+type batchWaiter struct {
+	work    sardinerock.Work
+	offered time.Time
+}
+
+func (l *batchLine) len() int { return len(l.items) }
+
+func (l *batchLine) remove(attempt string) {
+	l.items = slices.DeleteFunc(l.items, func(b batchWaiter) bool { return b.work.Attempt == attempt })
+}
+
+func (l *batchLine) takeAll() []batchWaiter {
+	all := l.items
+	l.items = nil
+	return all
+}
+
+func (g *Gate) offerBatch(now time.Time, w sardinerock.Work) {
+	if g.backlog.len() >= g.batchAhead()+max(0, g.batchRoom()) {
+		g.refuse(w.Attempt, &sardinerock.Refusal{
+			Code: sardinerock.CodeOverloaded, Message: "no idle slot for batch work",
+			Outcome: sardinerock.OutcomeNotRun, RetryAfter: batchRetryAfter,
+		})
+		return
+	}
+	g.backlog.items = append(g.backlog.items, batchWaiter{work: w, offered: now})
+}
+
+// startBatch fills the idle slots, and hands back items that have stood too long.
+func (g *Gate) startBatch(now time.Time) {
+	for g.backlog.len() > 0 {
+		next := g.backlog.items[0]
+		switch {
+		case g.batchRoom() > 0 && g.prefill.allows(next.work.PromptTokens, g.online > 0):
+			g.backlog.items = g.backlog.items[1:]
+			g.start(now, next.work, sched.Item{Cost: g.estimate.cost(next.work)}, now.Sub(next.offered))
+		case now.Sub(next.offered) > batchWaitMax:
+			g.backlog.items = g.backlog.items[1:]
+			g.refuse(next.work.Attempt, &sardinerock.Refusal{
+				Code: sardinerock.CodeOverloaded, Message: "no slot became idle for batch work",
+				Outcome: sardinerock.OutcomeNotRun, RetryAfter: batchRetryAfter,
+			})
+		default:
+			return
+		}
+	}
+}
+
+// batchRoom is how many more batch streams may run now.
+func (g *Gate) batchRoom() int {
+	if g.draining || g.queue.Len() > 0 || g.alone.wants() {
+		return 0
+	}
+	slots := g.slots.count(g.Limits)
+	return slots - g.reserve.slots(slots) - g.online - len(g.batch) - g.leaving
+}
+
+func (g *Gate) batchAhead() int {
+	return batchAheadMin + g.slots.count(g.Limits)/batchAheadPart
+}
+
+// batchCredit is how many more items entries may send now.
+func (g *Gate) batchCredit() int {
+	if g.draining || g.queue.Len() > 0 || g.alone.wants() {
+		return 0
+	}
+	room := g.batchRoom()
+	if room <= 0 && len(g.batch) == 0 {
+		return 0
+	}
+	return max(0, max(room, 0)+g.batchAhead()-g.backlog.len())
+}
+
+// waiterHeap orders waiting online work by its latest start.
+type waiterHeap []*waiter
+
+func (h *waiterHeap) push(x *waiter)   { heap.Push(h, x) }
+func (h *waiterHeap) remove(x *waiter) { heap.Remove(h, x.index) }
+
+func (h waiterHeap) Len() int           { return len(h) }
+func (h waiterHeap) Less(i, j int) bool { return h[i].latestStart.Before(h[j].latestStart) }
+
+func (h waiterHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *waiterHeap) Push(x any) {
+	w := x.(*waiter)
+	w.index = len(*h)
+	*h = append(*h, w)
+}
+
+// Pop implements heap.Interface.
+func (h *waiterHeap) Pop() any {
+	old := *h
+	w := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return w
+}
--- /dev/null
+++ b/admit/reserve.go
@@ -0,0 +1,51 @@
+package admit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// burstWindow is the time within which arrivals count as one burst: about
+	// what a preempted engine needs to be rid of batch streams.
+	burstWindow = 250 * time.Millisecond
+	// burstMemory is how long a burst is remembered: idle capacity lasts only
+	// seconds, so remembering for long would leave slots idle for nothing.
+	burstMemory = 20 * time.Second
+	// reserveShare bounds the reserve as a part of the slots; beyond it
+	// preemption does the rest.
+	reserveShare = 0.25
+)
+
+// reserve learns how many slots to keep from batch work for the next burst.
+//
+// Load pattern: bursts of online work onto slots filled with batch work. With
+// no reserve every burst has to preempt, which throws work away and makes the
+// first online tokens wait for the engine to cancel; with a fixed one the
+// slots idle all night.
+type reserve struct {
+	peak   float64
+	at     time.Time
+	start  time.Time
+	low    int
+	demand int
+}
+
+// observe takes the online demand, running and waiting, at a point of time.
+func (r *reserve) observe(now time.Time, demand int) {
+	if now.Sub(r.start) >= burstWindow {
+		r.start = now
+		r.low = r.demand
+	}
+	r.low = min(r.low, demand)
+	r.demand = demand
+	if !r.at.IsZero() {
+		r.peak *= math.Exp(-now.Sub(r.at).Seconds() / burstMemory.Seconds())
+	}
+	r.at = now
+	r.peak = max(r.peak, float64(demand-r.low))
+}
+
+func (r *reserve) slots(total int) int {
+	return min(int(math.Round(r.peak)), int(reserveShare*float64(total)))
+}
--- /dev/null
+++ b/admit/slots.go
@@ -0,0 +1,85 @@
+package admit
+
+import (
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+const (
+	// slotWindow is how often the slots are adapted: a change has to show in
+	// first tokens before the next, else the control swings between the bounds.
+	slotWindow = time.Second
+	// slotDecrease is the factor after a window over target.
+	slotDecrease = 0.85
+	// slotMinSamples is how many observations make a window count.
+	slotMinSamples = 4
+	// lateShare is the part of a window's observations that may be over target:
+	// the users ask for 95 in 100.
+	lateShare = 0.05
+)
+
+// slotControl adapts the number of concurrent streams.
+//
+// Load pattern: saturation, and engines whose capacity differs from what the
+// bundle says. With too many streams every first token and every gap is late;
+// with too few the engine idles while work waits. So the slots grow by one per
+// window while all of them are in use, and shrink by a part when online work
+// is served later than the target.
+type slotControl struct {
+	value float64
+	until time.Time
+	seen  int
+	late  int
+	full  bool
+
+	limits sardinerock.GateLimits
+}
+
+func (c *slotControl) count(l sardinerock.GateLimits) int {
+	low := max(l.MinSlots, 1)
+	high := max(l.MaxSlots, low)
+	if c.value == 0 {
+		return high
+	}
+	return min(max(int(c.value), low), high)
+}
+
+func (c *slotControl) sawFirstToken(d time.Duration) {
+	c.saw(d, c.limits.FirstTokenTarget)
+}
+
+func (c *slotControl) sawGap(d time.Duration) {
+	c.saw(d, c.limits.TokenGapTarget)
+}
+
+func (c *slotControl) saw(d, target time.Duration) {
+	if target <= 0 {
+		return
+	}
+	c.seen++
+	if d > target {
+		c.late++
+	}
+}
+
+func (c *slotControl) adapt(now time.Time, l sardinerock.GateLimits, busy int) {
+	c.limits = l
+	if c.value == 0 {
+		c.value = float64(c.count(l))
+	}
+	c.full = c.full || busy >= c.count(l)
+	if now.Before(c.until) {
+		return
+	}
+	c.until = now.Add(slotWindow)
+	switch {
+	case c.seen >= slotMinSamples && float64(c.late) > lateShare*float64(c.seen):
+		c.value *= slotDecrease
+	case c.full:
+		c.value++
+	}
+	low := float64(max(l.MinSlots, 1))
+	c.value = min(max(c.value, low), max(float64(l.MaxSlots), low))
+	c.seen, c.late, c.full = 0, 0, false
+}
--- /dev/null
+++ b/route/backend.go
@@ -0,0 +1,155 @@
+package route
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// reportMemory is how fast a report loses its weight against the fleet's
+	// mean: heartbeats come several times a second, so one that is two seconds
+	// old says little.
+	reportMemory = time.Second
+	// slowStart is how long a newcomer takes to its full share: its caches are
+	// empty and its first figures are good because nothing runs there yet.
+	slowStart = 10 * time.Second
+	// slowStartFloor is the part of its slots with which it begins.
+	slowStartFloor = 0.1
+	// maxSlowness bounds how much worse than the fleet a backend server can count.
+	maxSlowness = 10
+	// behindPenalty is added to the load score of a side whose configuration is
+	// behind: it catches up first, and the request waits for that.
+	behindPenalty = 0.25
+)
+
+// backend is a report with what this entry knows itself.
+type backend struct {
+	report Backend
+	// own are this entry's online attempts in flight; sent and ended count
+	// since the report.
+	own   int
+	sent  int
+	ended int
+	// others is what other entries had in flight at the report.
+	others    int
+	batchOwn  int
+	batchSent int
+	rampStart time.Time
+	health    health
+	holds     *holds
+}
+
+func (b *backend) update(r Backend) {
+	b.report = r
+	b.others = max(0, r.OnlineRunning+r.OnlineWaiting-b.own)
+	b.sent, b.ended, b.batchSent = 0, 0, 0
+}
+
+func (b *backend) targets() []target {
+	if b.report.Service != "" {
+		return []target{{service: b.report.Service}}
+	}
+	all := make([]target, 0, len(b.report.Loaded))
+	for _, m := range b.report.Loaded {
+		all = append(all, target{model: m})
+	}
+	return all
+}
+
+func (b *backend) usable() bool { return b.report.Up && !b.report.Leaving }
+
+func (b *backend) batchCredit() int { return max(0, b.report.BatchCredit-b.batchSent) }
+
+func (b *backend) slots() float64 { return float64(max(b.report.Slots, 1)) }
+
+// load is the score by which candidates are compared: the part of the slots
+// that online work will hold if the request goes there, times how much slower
+// than the fleet the backend server is. Below 1 there is a free slot.
+func (b *backend) load(now time.Time, f *fleet) float64 {
+	age := now.Sub(b.report.ReportAt).Seconds()
+	weight := math.Exp(-max(age, 0) / reportMemory.Seconds())
+	others := weight*float64(b.others) + (1-weight)*f.meanLoad()*b.slots()
+	return (float64(b.own) + others + 1) / (b.slots() * b.ramp(now))
+}
+
+func (b *backend) ramp(now time.Time) float64 {
+	part := now.Sub(b.rampStart).Seconds() / slowStart.Seconds()
+	return min(1, max(slowStartFloor, part))
+}
+
+// score is the load, made worse for a slow or late backend server.
+func (b *backend) score(now time.Time, f *fleet) float64 {
+	s := b.load(now, f) * f.slowness(b)
+	if b.report.ConfigVersion < f.newest {
+		s += behindPenalty
+	}
+	return s
+}
+
+// fleet sums up the backend servers.
+type fleet struct {
+	slots   float64
+	others  float64
+	newest  int64
+	gap     mean
+	first   mean
+	ejected []*backend
+}
+
+func (f *fleet) add(b *backend) {
+	if !b.usable() {
+		return
+	}
+	f.slots += b.slots()
+	f.others += float64(b.others)
+	f.newest = max(f.newest, b.report.ConfigVersion)
+}
+
+func (f *fleet) subtract(b *backend) {
+	if !b.usable() {
+		return
+	}
+	f.slots -= b.slots()
+	f.others -= float64(b.others)
+}
+
+// meanLoad is the part of a slot that other entries hold on average.
+func (f *fleet) meanLoad() float64 {
+	if f.slots < 1 {
+		return 0
+	}
+	return max(0, f.others) / f.slots
+}
+
+func (f *fleet) saw(s Sample) {
+	f.gap.add(s.TokenGap.Seconds())
+	f.first.add(s.FirstToken.Seconds())
+}
+
+// slowness is how many times slower than the fleet a backend server is, by its
+// own samples and its side's report.
+func (f *fleet) slowness(b *backend) float64 {
+	slow := 1.0
+	gap := max(b.health.gap.value, b.report.TokenGap.Seconds())
+	if f.gap.value > 0 && gap > 0 {
+		slow = max(slow, gap/f.gap.value)
+	}
+	return min(slow, maxSlowness)
+}
+
+// meanSmoothing is the weight of a new sample.
+const meanSmoothing = 0.05
+
+// mean is a smoothed mean of positive figures.
+type mean struct {
+	value float64
+	count int
+}
+
+func (m *mean) add(x float64) {
+	if x <= 0 {
+		return
+	}
+	m.count++
+	m.value += max(meanSmoothing, 1/float64(m.count)) * (x - m.value)
+}
--- /dev/null
+++ b/route/health.go
@@ -0,0 +1,78 @@
+package route
+
+import "time"
+
+const (
+	// failuresToEject is how many failures in a row eject a backend server: one
+	// may be the request's own doing, three in a row of different requests are not.
+	failuresToEject = 3
+	// slowToEject is how many times slower than the fleet a backend server has
+	// to be; between one and that its score does the work.
+	slowToEject = 3.0
+	// slowSamples is how many samples such a verdict needs.
+	slowSamples = 5
+	// ejectFor is how long the first ejection lasts; each further one lasts
+	// longer by as much, up to ejectMax.
+	ejectFor = 10 * time.Second
+	ejectMax = 2 * time.Minute
+	// ejectShare bounds the ejected part of the fleet. If half of it seems bad,
+	// the fault is more likely the network's, or the load's, and ejecting would
+	// push the rest over.
+	ejectShare = 0.2
+)
+
+// health is what this entry has seen of a backend server.
+type health struct {
+	failures int
+	gap      mean
+	ejected  bool
+	until    time.Time
+	times    int
+}
+
+// judge ejects a backend server that fails or is slow, but never more than a part of the fleet.
+//
+// Load pattern: one slow backend server. It holds its requests ten times as
+// long, so a count of requests in flight lets in a tenth of the others' rate,
+// and each of these comes ten times too late. Ejected, it is tried again after
+// a while, from slow start on.
+func (t *Table) judge(now time.Time, b *backend, s Sample) {
+	h := &b.health
+	if s.Failed {
+		h.failures++
+	} else {
+		h.failures = 0
+		h.gap.add(s.TokenGap.Seconds())
+	}
+	slow := h.gap.count >= slowSamples && t.fleet.slowness(b) >= slowToEject
+	if h.ejected || !slow && h.failures < failuresToEject || !t.mayEject() {
+		return
+	}
+	h.ejected = true
+	h.times++
+	h.until = now.Add(min(time.Duration(h.times)*ejectFor, ejectMax))
+	h.failures = 0
+	t.fleet.ejected = append(t.fleet.ejected, b)
+}
+
+func (t *Table) mayEject() bool {
+	most := max(1, int(ejectShare*float64(len(t.backends))))
+	return len(t.backends) > 1 && len(t.fleet.ejected) < most
+}
+
+// restore lets ejected backend servers back in once their time is over.
+func (t *Table) restore(now time.Time) {
+	kept := t.fleet.ejected[:0]
+	for _, b := range t.fleet.ejected {
+		if !b.health.ejected {
+			continue
+		}
+		if now.Before(b.health.until) {
+			kept = append(kept, b)
+			continue
+		}
+		b.health = health{times: b.health.times}
+		b.rampStart = now
+	}
+	t.fleet.ejected = kept
+}
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,239 @@
+package route
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// Backend is one backend server as its side last reported it.
+type Backend struct {
+	ID   string
+	Zone string
+	// Service names a plain service; Loaded is what a model engine holds.
+	Service string
+	Loaded  []sardinerock.LoadedModel
+
+	Slots         int
+	OnlineRunning int
+	OnlineWaiting int
+	BatchRunning  int
+	// BatchCredit is how many more batch items this entry may send.
+	BatchCredit int
+	// FirstToken and TokenGap are smoothed; zero when unknown.
+	FirstToken time.Duration
+	TokenGap   time.Duration
+	// Leaving gets no new work; Up says that the backend server answers its side.
+	Leaving bool
+	Up      bool
+	// ConfigVersion is the bundle version in force at the side.
+	ConfigVersion int64
+	// ReportAt is when the report reached this entry.
+	ReportAt time.Time
+}
+
+// Query asks for a backend server for one attempt.
+type Query struct {
+	Model   string
+	Version string
+	Adapter string
+	// Service is set instead for plain services.
+	Service string
+	// Zone is the entry's availability zone.
+	Zone  string
+	Class sardinerock.Class
+	// Prefixes are hashes of the prompt's leading blocks, the shortest first.
+	Prefixes []uint64
+	// Exclude names backend servers that an earlier attempt was sent to.
+	Exclude []string
+	// Alone asks for the one backend server on which the suspect is tried.
+	Alone       bool
+	Fingerprint uint64
+}
+
+// Reason says why a backend server was chosen, for the log line.
+type Reason string
+
+// The reasons.
+const (
+	ReasonZone   Reason = "zone"
+	ReasonSpill  Reason = "spill"
+	ReasonPrefix Reason = "prefix"
+	ReasonBatch  Reason = "batch"
+	ReasonAlone  Reason = "alone"
+	// ReasonLast is a backend server that was ejected or excluded, for want of a better one.
+	ReasonLast Reason = "lastResort"
+)
+
+// Choice is the backend server chosen.
+type Choice struct {
+	ID     string
+	Reason Reason
+	// Matched is how many of the query's prefixes the backend server is believed to hold.
+	Matched int
+}
+
+// Sample is what an attempt has shown of its backend server.
+type Sample struct {
+	// FirstToken is the time from the engine's start to the first token; zero if none came.
+	FirstToken time.Duration
+	// TokenGap is the mean time between tokens; zero when unknown.
+	TokenGap time.Duration
+	// Failed says that the backend server failed; refusals and cancellations aren't failures.
+	Failed bool
+}
+
+// Table is an entry's view of the backend servers; set Random before the first call.
+//
+// Load pattern: many entries route at once on reports that are up to a
+// heartbeat old. If each sends to the least loaded backend server, all send to
+// the same one until the next report shows it full, and then all to the next:
+// the load swings, and the queue is always where the last report was good. Two
+// random choices, of which the better is taken, spread the load without that;
+// and what an entry has sent itself counts at once, before any report does.
+type Table struct {
+	// Random is the source of the choices.
+	Random *rand.Rand
+
+	backends map[string]*backend
+	groups   map[target]*group
+	prefixes prefixIndex
+	fleet    fleet
+}
+
+// target is what a query asks for.
+type target struct {
+	model   sardinerock.LoadedModel
+	service string
+}
+
+// group holds the backend servers of one target.
+type group struct {
+	zones map[string][]*backend
+	all   []*backend
+}
+
+// Update takes a report.
+func (t *Table) Update(now time.Time, r Backend) {
+	t.init()
+	b := t.backends[r.ID]
+	if b == nil {
+		b = &backend{rampStart: now, holds: newHolds()}
+		t.backends[r.ID] = b
+	}
+	changed := b.report.Service != r.Service || b.report.Zone != r.Zone || !slices.Equal(b.report.Loaded, r.Loaded)
+	if r.Up && !b.report.Up {
+		b.rampStart = now
+		b.health = health{}
+	}
+	if changed {
+		t.unindex(b)
+	}
+	t.fleet.subtract(b)
+	b.update(r)
+	t.fleet.add(b)
+	if changed {
+		t.index(b)
+	}
+}
+
+// Remove forgets a backend server.
+func (t *Table) Remove(id string) {
+	b := t.backends[id]
+	if b == nil {
+		return
+	}
+	t.unindex(b)
+	t.fleet.subtract(b)
+	t.prefixes.drop(b)
+	// A removed backend server doesn't count among the ejected ones any more.
+	b.health.ejected = false
+	delete(t.backends, id)
+}
+
+// Started counts an attempt that was sent, until Finished.
+func (t *Table) Started(now time.Time, id string, q Query) {
+	b := t.backends[id]
+	if b == nil {
+		return
+	}
+	if q.Class == sardinerock.ClassBatch {
+		b.batchSent++
+		b.batchOwn++
+	} else {
+		b.own++
+		b.sent++
+	}
+	t.prefixes.believe(b, q.Prefixes)
+}
+
+// Finished ends what Started began.
+func (t *Table) Finished(now time.Time, id string, class sardinerock.Class, s Sample) {
+	b := t.backends[id]
+	if b == nil {
+		return
+	}
+	if class == sardinerock.ClassBatch {
+		b.batchOwn = max(0, b.batchOwn-1)
+	} else {
+		b.own = max(0, b.own-1)
+		b.ended++
+		t.fleet.saw(s)
+		t.judge(now, b, s)
+	}
+}
+
+// BatchCredit is how many batch items this entry may send now, over all backend servers.
+func (t *Table) BatchCredit() int {
+	n := 0
+	for _, b := range t.backends {
+		if b.usable() {
+			n += b.batchCredit()
+		}
+	}
+	return n
+}
+
+func (t *Table) init() {
+	if t.backends == nil {
+		t.backends = make(map[string]*backend)
+		t.groups = make(map[target]*group)
+		t.prefixes.init()
+	}
+}
+
+func (t *Table) index(b *backend) {
+	for _, k := range b.targets() {
+		g := t.groups[k]
+		if g == nil {
+			g = &group{zones: make(map[string][]*backend)}
+			t.groups[k] = g
+		}
+		g.all = append(g.all, b)
+		g.zones[b.report.Zone] = append(g.zones[b.report.Zone], b)
+	}
+}
+
+func (t *Table) unindex(b *backend) {
+	for _, k := range b.targets() {
+		g := t.groups[k]
+		if g == nil {
+			continue
+		}
+		same := func(x *backend) bool { return x == b }
+		g.all = slices.DeleteFunc(g.all, same)
+		g.zones[b.report.Zone] = slices.DeleteFunc(g.zones[b.report.Zone], same)
+		if len(g.all) == 0 {
+			delete(t.groups, k)
+		}
+	}
+}
+
+func (q *Query) target() target {
+	if q.Service != "" {
+		return target{service: q.Service}
+	}
+	return target{model: sardinerock.LoadedModel{Model: q.Model, Version: q.Version, Adapter: q.Adapter}}
+}
