--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,273 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/link"
+	"github.com/sardinerock/sardinerock/retry"
+	"github.com/sardinerock/sardinerock/route"
+	"github.com/sardinerock/sardinerock/wire"
+)
+
+// failure is an attempt that ended without the whole answer.
+type failure struct {
+	refusal *sardinerock.Refusal
+	crashed bool
+}
+
+func failed(code sardinerock.Code, outcome sardinerock.Outcome, message string) *failure {
+	return &failure{refusal: &sardinerock.Refusal{Code: code, Outcome: outcome, Message: message}}
+}
+
+// attempt runs the request once, on one backend server.
+func (c *course) attempt(ctx context.Context) (sardinerock.Result, *failure) {
+	started := time.Now()
+	l, query, f := c.choose(started)
+	if f != nil {
+		return sardinerock.Result{}, f
+	}
+	start := c.frame(query, started)
+	sample := route.Sample{}
+	defer func() { c.finished(l, start, query.Class, sample) }()
+	a, err := l.client.Start(start)
+	if err != nil {
+		return sardinerock.Result{}, failed(sardinerock.CodeBackendLost, sardinerock.OutcomeNotRun, err.Error())
+	}
+	t := &taker{course: c, started: started}
+	result, f := t.takeAll(ctx, a)
+	sample = t.sample(f)
+	if f == nil {
+		c.entry.remember(c.request)
+	}
+	return result, f
+}
+
+// choose picks a backend server and counts the attempt there.
+func (c *course) choose(now time.Time) (*sideLink, route.Query, *failure) {
+	e, r := c.entry, c.request
+	query := route.Query{
+		Model: r.Model, Version: r.Version, Adapter: r.Adapter, Service: r.Service,
+		Zone: e.Zone, Class: r.Class, Prefixes: r.Prefixes, Exclude: c.tried, Fingerprint: r.Fingerprint,
+	}
+	if c.delivered > 0 {
+		// The rest of an answer comes from the version that began it.
+		query.Version = c.version
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	query.Alone = c.alone || e.suspects.Check(now, r.Fingerprint) == retry.Suspect
+	if query.Alone {
+		// All trials of a suspect meet at one backend server, also those after a failure there.
+		query.Exclude = nil
+	}
+	c.alone = query.Alone
+	choice, ok := e.table.Pick(now, query)
+	if !ok && r.Service == "" {
+		// A version that is not loaded anywhere yet is answered by the one that served until now.
+		if previous := e.served[servedKey{caller: r.Caller, model: r.Model}]; previous != "" {
+			query.Version = previous
+			choice, ok = e.table.Pick(now, query)
+		}
+	}
+	if !ok {
+		e.Events.Warn(event.RouteNone).Str("request", r.ID).Str("model", r.Model).Str("version", r.Version).Str("service", r.Service).Msg("no backend server")
+		f := failed(sardinerock.CodeNoBackend, sardinerock.OutcomeNotRun, "no backend server can take the request now")
+		f.refusal.RetryAfter = noBackendRetry
+		return nil, query, f
+	}
+	l := e.links[choice.ID]
+	c.version = query.Version
+	e.table.Started(now, choice.ID, query)
+	c.tried = append(c.tried, choice.ID)
+	e.Events.Info(event.RouteChosen).Str("request", r.ID).Str("caller", r.Caller).Str("backend", choice.ID).
+		Str("reason", string(choice.Reason)).Int("prefix", choice.Matched).Int("attempt", c.attempts).Msg("routed")
+	return l, query, nil
+}
+
+// noBackendRetry is when to come back if nothing serves the model: a restarted backend server needs about that long.
+const noBackendRetry = 2 * time.Second
+
+// servedKey and Entry.served remember which version last answered a caller, for
+// the time between a new version's acceptance and its first load.
+type servedKey struct {
+	caller string
+	model  string
+}
+
+func (e *Entry) remember(r *sardinerock.Request) {
+	if r.Service != "" {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.served[servedKey{caller: r.Caller, model: r.Model}] = r.Version
+}
+
+// frame builds the attempt's Start and notes it as in flight.
+func (c *course) frame(query route.Query, now time.Time) *wire.Start {
+	e, r := c.entry, c.request
+	start := &wire.Start{
+		RequestId:    r.ID,
+		Caller:       r.Caller,
+		Key:          r.Key,
+		Batch:        r.Class == sardinerock.ClassBatch,
+		Path:         r.Path,
+		Model:        r.Model,
+		Version:      query.Version,
+		Adapter:      r.Adapter,
+		Service:      r.Service,
+		Method:       r.Method,
+		Header:       r.Header,
+		Body:         r.Body,
+		Idempotent:   r.Idempotent,
+		PromptTokens: uint32(r.PromptTokens),
+		MaxTokens:    uint32(r.MaxTokens),
+		Prefixes:     r.Prefixes,
+		Fingerprint:  r.Fingerprint,
+		LeftMs:       uint32(max(0, r.Deadline.Sub(now).Milliseconds())),
+		ResumeTokens: uint32(c.delivered),
+		ResumeText:   string(c.text),
+		Alone:        c.alone,
+	}
+	if current := e.keeper.Current(); current != nil {
+		start.ConfigVersion = current.Version
+		if caller := callerOf(current.Bundle, r.Caller); caller != nil {
+			start.Weight = uint32(caller.Weight)
+			start.Team = caller.Team
+			if team := teamOf(current.Bundle, caller.Team); team != nil {
+				start.TeamWeight = uint32(team.Weight)
+			}
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counter++
+	start.Attempt = strconv.FormatUint(e.counter, 36)
+	if l := e.links[c.tried[len(c.tried)-1]]; l != nil {
+		l.inFlight[start.Attempt] = flight{fingerprint: r.Fingerprint, alone: c.alone}
+	}
+	return start
+}
+
+func (c *course) finished(l *sideLink, start *wire.Start, class sardinerock.Class, sample route.Sample) {
+	e := c.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(l.inFlight, start.Attempt)
+	e.table.Finished(time.Now(), l.instance.ID, class, sample)
+}
+
+// lossID names the loss of an instance, the same in every entry that had work there.
+func lossID(instance string) uint64 { return xxhash.Sum64String(instance) }
+
+// taker takes the frames of one attempt.
+type taker struct {
+	course  *course
+	started time.Time
+	first   time.Time
+	last    time.Time
+	tokens  int
+}
+
+// takeAll passes tokens on until the attempt ends.
+func (t *taker) takeAll(ctx context.Context, a *link.Attempt) (sardinerock.Result, *failure) {
+	for {
+		frame, err := a.Next(ctx)
+		if err != nil {
+			return sardinerock.Result{}, t.broken(ctx, a, err)
+		}
+		if end := frame.GetEnd(); end != nil {
+			return t.ended(end)
+		}
+		for _, token := range frame.GetTokens().GetTokens() {
+			if f := t.take(token); f != nil {
+				a.Cancel()
+				return sardinerock.Result{}, f
+			}
+		}
+	}
+}
+
+// take passes one token on. An index seen before is left out and one too high
+// ends the attempt: with either passed on, the caller would read a sentence with
+// words doubled or missing and could not tell.
+func (t *taker) take(token *wire.Token) *failure {
+	c := t.course
+	index := int(token.Index)
+	if index < c.delivered {
+		return nil
+	}
+	if index > c.delivered {
+		return failed(sardinerock.CodeBackendLost, sardinerock.OutcomeUnknown, "the backend server left out tokens")
+	}
+	t.last = time.Now()
+	if t.tokens == 0 {
+		t.first = t.last
+	}
+	t.tokens++
+	if err := c.emit(sardinerock.Token{Index: index, Text: token.Text}); err != nil {
+		return failed(sardinerock.CodeCancelled, sardinerock.OutcomeRan, "the caller stopped reading")
+	}
+	c.delivered++
+	c.text = append(c.text, token.Text...)
+	return nil
+}
+
+func (t *taker) broken(ctx context.Context, a *link.Attempt, err error) *failure {
+	switch {
+	case errors.Is(err, link.ErrNotSent):
+		return failed(sardinerock.CodeBackendLost, sardinerock.OutcomeNotRun, err.Error())
+	case errors.Is(err, link.ErrLost):
+		return failed(sardinerock.CodeBackendLost, sardinerock.OutcomeUnknown, err.Error())
+	}
+	a.Cancel()
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		f := failed(sardinerock.CodeDeadline, sardinerock.OutcomeUnknown, "no whole answer within the request's time")
+		f.refusal.RetryAfter = noBackendRetry
+		return f
+	}
+	return failed(sardinerock.CodeCancelled, sardinerock.OutcomeUnknown, "the caller has gone")
+}
+
+func (t *taker) ended(end *wire.End) (sardinerock.Result, *failure) {
+	if end.Code != "" {
+		return sardinerock.Result{}, &failure{
+			refusal: &sardinerock.Refusal{
+				Code:       sardinerock.Code(end.Code),
+				Message:    end.Message,
+				Outcome:    sardinerock.Outcome(end.Outcome),
+				RetryAfter: time.Duration(end.RetryAfterMs) * time.Millisecond,
+			},
+			crashed: end.Crashed,
+		}
+	}
+	result := sardinerock.Result{EngineResult: sardinerock.EngineResult{
+		FinishReason:     end.FinishReason,
+		PromptTokens:     int(end.PromptTokens),
+		CompletionTokens: int(end.CompletionTokens),
+	}}
+	if end.Reply != nil {
+		result.Reply = &sardinerock.ServiceReply{Status: int(end.Reply.Status), Header: end.Reply.Header, Body: end.Reply.Body}
+	}
+	return result, nil
+}
+
+// sample is what the attempt showed of its backend server.
+func (t *taker) sample(f *failure) route.Sample {
+	var s route.Sample
+	if t.tokens > 0 {
+		s.FirstToken = t.first.Sub(t.started)
+	}
+	if t.tokens > 1 {
+		s.TokenGap = t.last.Sub(t.first) / time.Duration(t.tokens-1)
+	}
+	s.Failed = f != nil && f.refusal.Code == sardinerock.CodeBackendLost
+	return s
+}
--- /dev/null
+++ b/entry/batch.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// IdleSlots implements sardinerock.BatchRunner.
+func (e *Entry) IdleSlots() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaving {
+		return 0
+	}
+	return e.table.BatchCredit()
+}
+
+// RunItem implements sardinerock.BatchRunner: one attempt, since the job decides about another.
+func (e *Entry) RunItem(ctx context.Context, r *sardinerock.Request) (sardinerock.Result, string, error) {
+	var text []byte
+	collect := func(t sardinerock.Token) error {
+		text = append(text, t.Text...)
+		return nil
+	}
+	c := &course{entry: e, request: r, emit: collect, outcome: sardinerock.OutcomeNotRun, attempts: 1}
+	result, f := c.attempt(ctx)
+	if f != nil {
+		return result, "", f.refusal
+	}
+	return result, string(text), nil
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,202 @@
+package entry
+
+import (
+	"context"
+	"crypto/ed25519"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/admit"
+	"github.com/sardinerock/sardinerock/bundle"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/front"
+	"github.com/sardinerock/sardinerock/jobs"
+	"github.com/sardinerock/sardinerock/member"
+	"github.com/sardinerock/sardinerock/retry"
+	"github.com/sardinerock/sardinerock/route"
+)
+
+// Defaults of the settings that are zero.
+const (
+	DefaultShards          = 16
+	DefaultShutdownTimeout = 30 * time.Second
+	// DefaultLinks is how many sides an entry keeps links to: 11,000 sides known to two of 370 entries each.
+	DefaultLinks = 60
+)
+
+// Entry is one entry process.
+type Entry struct {
+	// ID, Region and Zone say which instance this is and where.
+	ID     string
+	Region string
+	Zone   string
+	// CallerListener takes callers and operators, PeerListener other entries.
+	CallerListener net.Listener
+	PeerListener   net.Listener
+	// Log and Instances are the platform's services.
+	Log       sardinerock.Log
+	Instances sardinerock.InstanceList
+	// Shards is the number of job shards, the same in every entry.
+	Shards int
+	// Links bounds the sides that this entry keeps links to.
+	Links int
+	// Seed makes the random choices of routing repeatable.
+	Seed uint64
+	// Signers holds the public keys whose sign-offs count; SignOffsNeeded is how many a bundle needs.
+	Signers        map[string]ed25519.PublicKey
+	SignOffsNeeded int
+	// Policy is empty, or "fifo" for the baseline.
+	Policy string
+	Events *event.Logger
+	// ShutdownTimeout bounds how long a stop waits for requests that run.
+	ShutdownTimeout time.Duration
+	// AppendBudget is the appends a second that the whole fleet may make.
+	AppendBudget float64
+
+	keeper  *bundle.Keeper
+	manager *jobs.Manager
+	front   *front.Server
+	tracker *member.Tracker
+	metrics metrics.Registry
+
+	mu       sync.Mutex
+	table    route.Table
+	budget   retry.Budget
+	suspects retry.Suspects
+	limiter  admit.Limiter
+	links    map[string]*sideLink
+	peers    map[string]*peer
+	served   map[servedKey]string
+	counter  uint64
+	leaving  bool
+}
+
+// Run serves until ctx is done, then finishes what runs and returns.
+func (e *Entry) Run(ctx context.Context) error {
+	e.prepare()
+	// What runs outlives ctx: a stop lets it finish.
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	owning, stopOwning := context.WithCancel(work)
+	defer stopOwning()
+
+	server := &http.Server{Handler: e.front, ReadHeaderTimeout: 10 * time.Second}
+	failed := make(chan error, 3)
+	go func() { failed <- server.Serve(e.CallerListener) }()
+	go func() { failed <- e.servePeers(work) }()
+	var loops sync.WaitGroup
+	loops.Go(func() { _ = e.keeper.Run(work) })
+	loops.Go(func() { _ = e.tracker.Run(work) })
+	loops.Go(func() { e.linkLoop(work) })
+	loops.Go(func() { e.peerLoop(work) })
+	loops.Go(func() { e.newsLoop(work) })
+	var owner sync.WaitGroup
+	owner.Go(func() { _ = e.manager.Run(owning) })
+	e.Events.Info(event.Started).Str("role", string(sardinerock.RoleEntry)).Str("zone", e.Zone).
+		Str("address", e.CallerListener.Addr().String()).Msg("entry started")
+
+	var err error
+	select {
+	case err = <-failed:
+		err = errors.Join(errors.New("entry: stopped serving before it was told to"), err)
+	case <-ctx.Done():
+		e.drain(server, stopOwning, &owner)
+	}
+	stopOwning()
+	owner.Wait()
+	stopWork()
+	loops.Wait()
+	e.Events.Info(event.Stopped).Msg("entry stopped")
+	return err
+}
+
+func (e *Entry) prepare() {
+	if e.Shards == 0 {
+		e.Shards = DefaultShards
+	}
+	if e.Links == 0 {
+		e.Links = DefaultLinks
+	}
+	if e.ShutdownTimeout == 0 {
+		e.ShutdownTimeout = DefaultShutdownTimeout
+	}
+	e.table.Random = rand.New(rand.NewPCG(e.Seed, e.Seed))
+	e.links = make(map[string]*sideLink)
+	e.peers = make(map[string]*peer)
+	e.served = make(map[servedKey]string)
+	e.metrics = metrics.NewRegistry()
+	e.keeper = &bundle.Keeper{
+		Log:            e.Log,
+		Process:        e.ID,
+		Signers:        e.Signers,
+		SignOffsNeeded: e.SignOffsNeeded,
+		Events:         e.Events,
+		Peers:          e.offers,
+	}
+	e.tracker = e.newTracker()
+	e.manager = &jobs.Manager{
+		Log:     e.Log,
+		Runner:  e,
+		Config:  e.keeper,
+		EntryID: e.ID,
+		Shards:  e.Shards,
+		Live:    e.liveEntries,
+		Events:  e.Events,
+		Seed:    e.Seed,
+		Now:     time.Now,
+	}
+	e.front = &front.Server{
+		Online:    e,
+		Jobs:      e.manager,
+		Files:     e.manager,
+		Publisher: e.keeper,
+		Status:    e.status,
+		Ready:     e.ready,
+		Events:    e.Events,
+		Metrics:   e.metrics,
+		Clock:     time.Now,
+	}
+}
+
+// ready says why this entry should get no requests yet, or no more.
+func (e *Entry) ready() error {
+	e.mu.Lock()
+	leaving := e.leaving
+	e.mu.Unlock()
+	switch {
+	case leaving:
+		return errors.New("the entry is shutting down")
+	case e.keeper.Current() == nil:
+		return errors.New("no configuration is in force yet")
+	default:
+		return nil
+	}
+}
+
+// drainNotice is how long an entry that is stopping still answers before it
+// closes its listener, so that the balancer sees that it is not ready any more.
+const drainNotice = 500 * time.Millisecond
+
+// drain hands the shards to other entries first, then finishes the requests that run.
+func (e *Entry) drain(server *http.Server, stopOwning func(), owner *sync.WaitGroup) {
+	e.Events.Info(event.Stopping).Msg("entry is leaving")
+	e.mu.Lock()
+	e.leaving = true
+	e.mu.Unlock()
+	time.Sleep(drainNotice)
+	stopOwning()
+	ctx, cancel := context.WithTimeout(context.Background(), e.ShutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		e.Events.Error(event.Failed).Err(err).Msg("stopped with requests still running")
+		_ = server.Close()
+	}
+	owner.Wait()
+}
--- /dev/null
+++ b/entry/peer.go
@@ -0,0 +1,240 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/admit"
+	"github.com/sardinerock/sardinerock/bundle"
+	"github.com/sardinerock/sardinerock/wire"
+)
+
+const (
+	pingEvery   = 500 * time.Millisecond
+	pingTimeout = time.Second
+	// maxPeers bounds the entries that one entry pings. With a handful of entries
+	// all know each other; at 370 a full mesh would cost each 740 pings a second.
+	maxPeers = 8
+	// usageKept is how long a peer's usage figures count after its last answer.
+	usageKept = 10 * time.Second
+)
+
+// peer is what this entry knows of another one.
+type peer struct {
+	instance sardinerock.Instance
+	conn     *drpcconn.Conn
+	usage    []*wire.Usage
+	heard    time.Time
+	version  int64
+	since    time.Time
+	leaving  bool
+	busy     bool
+}
+
+// servePeers answers other entries until ctx is done.
+func (e *Entry) servePeers(ctx context.Context) error {
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterPeer(mux, e); err != nil {
+		return err
+	}
+	return drpcserver.New(mux).Serve(ctx, e.PeerListener)
+}
+
+// Ping implements the generated server interface.
+func (e *Entry) Ping(_ context.Context, ping *wire.PeerPing) (*wire.PeerPong, error) {
+	now := time.Now()
+	e.tracker.Heard(now, ping.EntryId)
+	if ping.Leaving {
+		e.tracker.Leaving(now, ping.EntryId)
+	}
+	e.mu.Lock()
+	if p := e.peers[ping.EntryId]; p != nil {
+		p.usage, p.heard, p.leaving = ping.Usage, now, ping.Leaving
+	}
+	pong := &wire.PeerPong{EntryId: e.ID, Leaving: e.leaving, Usage: e.usage(now)}
+	e.mu.Unlock()
+	if current := e.keeper.Current(); current != nil {
+		pong.ConfigVersion, pong.ConfigDigest = current.Version, current.Digest
+	}
+	if offer := e.keeper.Offer(); ping.WantBundle && offer != nil && offer.Version > ping.ConfigVersion {
+		pong.Bundle, pong.BundleOffset = offer.Raw, offer.Next
+		pong.ConfigVersion, pong.ConfigDigest = offer.Version, offer.Digest
+	}
+	return pong, nil
+}
+
+// usage returns this entry's demand figures. Callers hold e.mu.
+func (e *Entry) usage(now time.Time) []*wire.Usage {
+	var all []*wire.Usage
+	for _, u := range e.limiter.Usage(now) {
+		all = append(all, &wire.Usage{Caller: u.Caller, Requests: u.Requests, Tokens: u.Tokens})
+	}
+	return all
+}
+
+// peerLoop pings this entry's share of the others.
+func (e *Entry) peerLoop(ctx context.Context) {
+	every(ctx, pingEvery, func() {
+		for _, p := range e.wantedPeers() {
+			go e.ping(ctx, p, false)
+		}
+		e.sharePeers(time.Now())
+	})
+}
+
+// wantedPeers keeps e.peers at the entries next to this one by rendezvous, and returns those that are not being asked already.
+func (e *Entry) wantedPeers() []*peer {
+	var others []sardinerock.Instance
+	for _, i := range e.tracker.Instances() {
+		if i.Role == sardinerock.RoleEntry && i.ID != e.ID {
+			others = append(others, i)
+		}
+	}
+	slices.SortFunc(others, func(a, b sardinerock.Instance) int {
+		return int(int64(pairRank(e.ID, a.ID)>>1) - int64(pairRank(e.ID, b.ID)>>1))
+	})
+	others = others[:min(len(others), maxPeers)]
+
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	known := e.peers
+	e.peers = make(map[string]*peer)
+	var idle []*peer
+	for _, i := range others {
+		p := known[i.ID]
+		if p == nil {
+			p = &peer{instance: i}
+		}
+		e.peers[i.ID] = p
+		if !p.busy {
+			p.busy = true
+			idle = append(idle, p)
+		}
+	}
+	return idle
+}
+
+// pairRank orders the pairs of entries the same from both ends.
+func pairRank(a, b string) uint64 {
+	return xxhash.Sum64String(min(a, b) + "\x00" + max(a, b))
+}
+
+// ping asks a peer whether it is alive and takes what it tells.
+func (e *Entry) ping(ctx context.Context, p *peer, wantBundle bool) *wire.PeerPong {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	pong, err := e.callPeer(ctx, p, wantBundle)
+	now := time.Now()
+	e.mu.Lock()
+	p.busy = false
+	if err == nil {
+		p.heard, p.usage, p.leaving = now, pong.Usage, pong.Leaving
+		if p.version != pong.ConfigVersion {
+			p.version, p.since = pong.ConfigVersion, now
+		}
+	}
+	e.mu.Unlock()
+	if err != nil {
+		return nil
+	}
+	e.tracker.Heard(now, p.instance.ID)
+	if pong.Leaving {
+		e.tracker.Leaving(now, p.instance.ID)
+	}
+	return pong
+}
+
+func (e *Entry) callPeer(ctx context.Context, p *peer, wantBundle bool) (*wire.PeerPong, error) {
+	conn, err := e.peerConn(ctx, p)
+	if err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	ping := &wire.PeerPing{EntryId: e.ID, Usage: e.usage(time.Now()), Leaving: e.leaving, WantBundle: wantBundle}
+	e.mu.Unlock()
+	if current := e.keeper.Current(); current != nil {
+		ping.ConfigVersion, ping.ConfigDigest = current.Version, current.Digest
+	}
+	pong, err := wire.NewDRPCPeerClient(conn).Ping(ctx, ping)
+	if err != nil {
+		// The next ping opens a new connection: this one may be silent for good.
+		e.mu.Lock()
+		p.conn = nil
+		e.mu.Unlock()
+		_ = conn.Close()
+	}
+	return pong, err
+}
+
+func (e *Entry) peerConn(ctx context.Context, p *peer) (*drpcconn.Conn, error) {
+	e.mu.Lock()
+	conn := p.conn
+	e.mu.Unlock()
+	if conn != nil {
+		return conn, nil
+	}
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp", p.instance.Address)
+	if err != nil {
+		return nil, err
+	}
+	conn = drpcconn.New(raw)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p.conn = conn
+	return conn, nil
+}
+
+// sharePeers tells the limiter what the other entries see of each caller.
+func (e *Entry) sharePeers(now time.Time) {
+	live := len(e.liveEntries())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var usage []admit.Usage
+	for _, p := range e.peers {
+		if now.Sub(p.heard) > usageKept {
+			continue
+		}
+		for _, u := range p.usage {
+			usage = append(usage, admit.Usage{Caller: u.Caller, Requests: u.Requests, Tokens: u.Tokens})
+		}
+	}
+	e.limiter.SetPeers(now, live, usage)
+}
+
+// offers asks the peers for their configuration, for a start while the log is out.
+func (e *Entry) offers(ctx context.Context) []bundle.Offer {
+	e.mu.Lock()
+	peers := make([]*peer, 0, len(e.peers))
+	for _, p := range e.peers {
+		peers = append(peers, p)
+	}
+	e.mu.Unlock()
+	var mu sync.Mutex
+	var offers []bundle.Offer
+	var asked sync.WaitGroup
+	for _, p := range peers {
+		asked.Go(func() {
+			pong := e.ping(ctx, p, true)
+			if pong == nil || len(pong.Bundle) == 0 {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			offers = append(offers, bundle.Offer{
+				Version: pong.ConfigVersion, Digest: pong.ConfigDigest, Next: pong.BundleOffset, Raw: pong.Bundle,
+			})
+		})
+	}
+	asked.Wait()
+	return offers
+}
--- /dev/null
+++ b/entry/serve.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/admit"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/retry"
+)
+
+// Serve implements sardinerock.OnlineServer.
+func (e *Entry) Serve(ctx context.Context, r *sardinerock.Request, emit func(sardinerock.Token) error) (sardinerock.Result, error) {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	estimate := r.PromptTokens + r.MaxTokens
+	if refusal := e.admit(r, estimate); refusal != nil {
+		e.Events.Info(event.RequestRefused).Str("request", r.ID).Str("caller", r.Caller).Str("code", string(refusal.Code)).Msg(refusal.Message)
+		return sardinerock.Result{}, refusal
+	}
+	c := &course{entry: e, request: r, emit: emit, outcome: sardinerock.OutcomeNotRun}
+	result, refusal := c.run(ctx)
+	used := estimate
+	if refusal == nil && r.Service == "" {
+		used = result.PromptTokens + result.CompletionTokens
+	}
+	e.mu.Lock()
+	e.limiter.Finished(time.Now(), r.Caller, estimate, used)
+	e.mu.Unlock()
+	if refusal != nil {
+		return result, refusal
+	}
+	return result, nil
+}
+
+// admit holds a request against the caller's limits and the requests known to crash backend servers.
+func (e *Entry) admit(r *sardinerock.Request, estimate int) *sardinerock.Refusal {
+	now := time.Now()
+	current := e.keeper.Current()
+	if current == nil {
+		return &sardinerock.Refusal{
+			Code: sardinerock.CodeNotReady, Message: "no configuration is in force yet",
+			Outcome: sardinerock.OutcomeNotRun, RetryAfter: time.Second,
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.suspects.Check(now, r.Fingerprint) == retry.Guilty {
+		return retry.GuiltyRefusal(sardinerock.OutcomeNotRun)
+	}
+	if refusal := e.limiter.Allow(now, r.Caller, limitsOf(current.Bundle, r.Caller), estimate); refusal != nil {
+		return refusal
+	}
+	e.budget.Request(now)
+	return nil
+}
+
+func limitsOf(b *sardinerock.Bundle, name string) admit.CallerLimits {
+	c := callerOf(b, name)
+	if c == nil {
+		return admit.CallerLimits{}
+	}
+	return admit.CallerLimits{RequestsPerMinute: c.RequestsPerMinute, TokensPerMinute: c.TokensPerMinute, MaxInFlight: c.MaxInFlight}
+}
+
+func callerOf(b *sardinerock.Bundle, name string) *sardinerock.Caller {
+	for i := range b.Callers {
+		if b.Callers[i].Name == name {
+			return &b.Callers[i]
+		}
+	}
+	return nil
+}
+
+func teamOf(b *sardinerock.Bundle, name string) *sardinerock.Team {
+	for i := range b.Teams {
+		if b.Teams[i].Name == name {
+			return &b.Teams[i]
+		}
+	}
+	return nil
+}
+
+// course is one request's way through its attempts.
+type course struct {
+	entry   *Entry
+	request *sardinerock.Request
+	emit    func(sardinerock.Token) error
+	// delivered and text are what the caller has got.
+	delivered int
+	text      []byte
+	// version is the one that the last attempt asked for.
+	version  string
+	tried    []string
+	attempts int
+	alone    bool
+	// outcome is the worst of all attempts: once one may have run, "not run" is never said.
+	outcome sardinerock.Outcome
+}
+
+// run tries until there is an answer or no further attempt is allowed.
+func (c *course) run(ctx context.Context) (sardinerock.Result, *sardinerock.Refusal) {
+	for {
+		c.attempts++
+		result, failure := c.attempt(ctx)
+		if failure == nil {
+			return result, nil
+		}
+		decision := c.decide(failure)
+		if decision.Action == retry.GiveUp {
+			c.entry.Events.Info(event.RetryDenied).Str("request", c.request.ID).Str("reason", decision.Reason).
+				Str("code", string(decision.Refusal.Code)).Int("attempts", c.attempts).Msg("given up")
+			return result, decision.Refusal
+		}
+		id := event.Retried
+		if decision.Action == retry.Resume {
+			id = event.StreamResumed
+		}
+		c.entry.Events.Info(id).Str("request", c.request.ID).Str("reason", decision.Reason).Str("code", string(failure.refusal.Code)).
+			Int("delivered", c.delivered).Int("attempts", c.attempts).Bool("alone", decision.Alone).Msg("tried again")
+		c.alone = decision.Alone
+		sleep(ctx, decision.Delay)
+	}
+}
+
+func (c *course) decide(f *failure) retry.Decision {
+	now := time.Now()
+	c.outcome = worse(c.outcome, f.refusal.Outcome)
+	refusal := *f.refusal
+	refusal.Outcome = c.outcome
+	e := c.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return retry.Decide(now, retry.Failure{
+		Refusal:    &refusal,
+		Idempotent: c.request.Idempotent,
+		Delivered:  c.delivered,
+		Resumable:  c.request.Service == "",
+		Attempts:   c.attempts,
+		Left:       time.Until(c.request.Deadline),
+		Crashed:    f.crashed,
+		Alone:      c.alone,
+		Verdict:    e.suspects.Check(now, c.request.Fingerprint),
+	}, &e.budget)
+}
+
+// worse orders outcomes by how much may have happened: ran, unknown, not run.
+func worse(a, b sardinerock.Outcome) sardinerock.Outcome {
+	for _, o := range []sardinerock.Outcome{sardinerock.OutcomeRan, sardinerock.OutcomeUnknown} {
+		if a == o || b == o {
+			return o
+		}
+	}
+	return sardinerock.OutcomeNotRun
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
