--- a/refusal.go
+++ b/refusal.go
@@ -62,6 +62,7 @@
 	CodeLogUnavailable  Code = "logUnavailable"
 	CodeCancelled       Code = "cancelled"
 	CodeVersionConflict Code = "versionConflict"
+	CodePreempted       Code = "preempted"
 	CodeInternal        Code = "internal"
 )
 
--- a/side/attempt.go
+++ b/side/attempt.go
@@ -19,27 +19,22 @@
 	errLinkLost   = errors.New("link to the entry lost")
 )
 
-// attemptKey tells attempts of different entries apart even if their ids met.
-type attemptKey struct {
-	session *link.Session
-	id      string
-}
+// attemptName tells attempts of different entries apart, whose ids may meet.
+func attemptName(session *link.Session, id string) string { return session.EntryID + "/" + id }
 
 // attempt is one attempt at a request, waiting in the gate or running.
 type attempt struct {
-	key   attemptKey
-	start *wire.Start
+	name    string
+	session *link.Session
+	start   *wire.Start
 	// cancel is nil while the attempt waits.
 	cancel context.CancelCauseFunc
 }
 
-// gateID names an attempt in the gate.
-func (k attemptKey) gateID() string { return k.session.EntryID + "/" + k.id }
-
 // apply carries out what the gate decided. Callers hold s.mu.
 func (s *Side) apply(actions []sardinerock.GateAction) {
 	for _, action := range actions {
-		a := s.byGateID(action.Attempt)
+		a := s.attempts[action.Attempt]
 		if a == nil {
 			continue
 		}
@@ -47,12 +42,12 @@
 		case sardinerock.GateStart:
 			s.launch(a, action.Waited)
 		case sardinerock.GateRefuse:
-			s.Events.Info(event.GateRefused).Str("attempt", a.key.id).Str("caller", a.start.Caller).
+			s.Events.Info(event.GateRefused).Str("attempt", a.start.Attempt).Str("caller", a.start.Caller).
 				Str("code", string(action.Refusal.Code)).Dur("retryAfter", action.Refusal.RetryAfter).Msg(action.Refusal.Message)
-			delete(s.attempts, a.key)
-			a.key.session.SendEnd(refusalEnd(a.key.id, action.Refusal))
+			delete(s.attempts, a.name)
+			a.session.SendEnd(refusalEnd(a.start.Attempt, action.Refusal))
 		case sardinerock.GatePreempt:
-			s.Events.Info(event.GatePreempted).Str("attempt", a.key.id).Str("caller", a.start.Caller).Msg(errPreempted.Error())
+			s.Events.Info(event.GatePreempted).Str("attempt", a.start.Attempt).Str("caller", a.start.Caller).Msg(errPreempted.Error())
 			if a.cancel != nil {
 				a.cancel(errPreempted)
 			}
@@ -64,7 +59,7 @@
 func (s *Side) launch(a *attempt, waited time.Duration) {
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	a.cancel = cancel
-	s.Events.Info(event.GateAdmitted).Str("attempt", a.key.id).Str("caller", a.start.Caller).
+	s.Events.Info(event.GateAdmitted).Str("attempt", a.start.Attempt).Str("caller", a.start.Caller).
 		Bool("batch", a.start.Batch).Dur("waited", waited).Msg("admitted")
 	s.running.Add(1)
 	go func() {
@@ -83,18 +78,18 @@
 	} else {
 		end = s.generate(ctx, a, &sample)
 	}
-	end.Attempt = a.key.id
+	end.Attempt = a.start.Attempt
 	sample.Failed = end.Code != ""
 	if end.Crashed {
 		s.crashed(a)
 	}
 	s.mu.Lock()
-	delete(s.attempts, a.key)
+	delete(s.attempts, a.name)
 	if !sample.Failed {
 		s.suspects.Ended(time.Now(), a.start.Fingerprint, a.start.Alone)
 	}
-	actions := s.gate.Done(time.Now(), a.key.gateID(), sample)
-	a.key.session.SendEnd(end)
+	actions := s.gate.Done(time.Now(), a.name, sample)
+	a.session.SendEnd(end)
 	s.apply(actions)
 	s.mu.Unlock()
 }
@@ -103,7 +98,7 @@
 	watch, cancel := newProgress(ctx, s.FirstProgress, s.Progress)
 	defer cancel()
 	request := &sardinerock.EngineRequest{
-		Attempt:      a.key.id,
+		Attempt:      a.start.Attempt,
 		Path:         a.start.Path,
 		Model:        a.start.Model,
 		Version:      a.start.Version,
@@ -131,10 +126,10 @@
 
 func (s *Side) emit(a *attempt, t sardinerock.Token) {
 	s.mu.Lock()
-	s.gate.Token(time.Now(), a.key.gateID())
+	s.gate.Token(time.Now(), a.name)
 	s.mu.Unlock()
-	tokens := &wire.Tokens{Attempt: a.key.id, Tokens: []*wire.Token{{Index: uint32(t.Index), Text: t.Text}}}
-	a.key.session.Send(&wire.SideFrame{Body: &wire.SideFrame_Tokens{Tokens: tokens}})
+	tokens := &wire.Tokens{Attempt: a.start.Attempt, Tokens: []*wire.Token{{Index: uint32(t.Index), Text: t.Text}}}
+	a.session.Send(&wire.SideFrame{Body: &wire.SideFrame_Tokens{Tokens: tokens}})
 }
 
 func (s *Side) call(ctx context.Context, a *attempt) *wire.End {
--- a/side/handle.go
+++ b/side/handle.go
@@ -26,8 +26,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.sessions, session)
-	for key, a := range s.attempts {
-		if key.session == session {
+	for _, a := range s.attempts {
+		if a.session == session {
 			s.stop(a, errLinkLost)
 		}
 	}
@@ -47,7 +47,7 @@
 func (s *Side) Cancel(session *link.Session, id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if a := s.attempts[attemptKey{session: session, id: id}]; a != nil {
+	if a := s.attempts[attemptName(session, id)]; a != nil {
 		s.stop(a, errCancelled)
 	}
 }
@@ -55,7 +55,6 @@
 // Start implements link.Handler.
 func (s *Side) Start(session *link.Session, start *wire.Start) {
 	now := time.Now()
-	key := attemptKey{session: session, id: start.Attempt}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if refusal := s.refuse(now, start); refusal != nil {
@@ -64,8 +63,8 @@
 	}
 	// The entry may not have heard of a crash yet that this side has.
 	start.Alone = start.Alone || s.suspects.Check(now, start.Fingerprint) == retry.Suspect
-	a := &attempt{key: key, start: start}
-	s.attempts[key] = a
+	a := &attempt{name: attemptName(session, start.Attempt), session: session, start: start}
+	s.attempts[a.name] = a
 	s.apply(s.gate.Offer(now, workOf(a, now)))
 }
 
@@ -89,7 +88,7 @@
 		class = sardinerock.ClassBatch
 	}
 	return sardinerock.Work{
-		Attempt:      a.key.gateID(),
+		Attempt:      a.name,
 		Caller:       a.start.Caller,
 		Key:          a.start.Key,
 		Class:        class,
@@ -110,10 +109,10 @@
 		a.cancel(cause)
 		return
 	}
-	delete(s.attempts, a.key)
-	s.apply(s.gate.Cancel(time.Now(), a.key.gateID()))
-	a.key.session.SendEnd(&wire.End{
-		Attempt: a.key.id,
+	delete(s.attempts, a.name)
+	s.apply(s.gate.Cancel(time.Now(), a.name))
+	a.session.SendEnd(&wire.End{
+		Attempt: a.start.Attempt,
 		Code:    string(sardinerock.CodeCancelled),
 		Message: cause.Error(),
 		Outcome: uint32(sardinerock.OutcomeNotRun),
--- a/side/health.go
+++ b/side/health.go
@@ -97,7 +97,7 @@
 	if !alive {
 		inFlight = s.fingerprintsRunning()
 	}
-	s.Events.Error(event.BackendCrashed).Str("attempt", a.key.id).Str("caller", a.start.Caller).
+	s.Events.Error(event.BackendCrashed).Str("attempt", a.start.Attempt).Str("caller", a.start.Caller).
 		Bool("alive", alive).Int("inFlight", len(inFlight)).Msg("stream broke under the request")
 	s.suspects.Crashed(time.Now(), s.crashID(), inFlight, a.start.Alone)
 	s.beatAll()
--- a/side/side.go
+++ b/side/side.go
@@ -63,7 +63,7 @@
 	gate     sardinerock.Gate
 	suspects retry.Suspects
 	sessions map[*link.Session]struct{}
-	attempts map[attemptKey]*attempt
+	attempts map[string]*attempt
 	health   health
 	replica  bundle.Replica
 	leaving  bool
@@ -109,7 +109,7 @@
 	setDefault(&s.SilentAfter, DefaultSilentAfter)
 	s.gate = newGate(s.Policy)
 	s.sessions = make(map[*link.Session]struct{})
-	s.attempts = make(map[attemptKey]*attempt)
+	s.attempts = make(map[string]*attempt)
 	s.replica.Signers = s.Signers
 	s.replica.SignOffsNeeded = s.SignOffsNeeded
 	s.replica.Events = s.Events
