link: prove own frames, silence and late frames

Cause: the three failures that a shared connection brings are frames of one attempt in another's answer, waiting on a connection that lost its state, and late frames of a cancelled attempt. Ruled out while writing: silence counted from the last frame, which drops an idle link the moment it gets work.

--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,218 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock/wire"
+)
+
+// echoSide answers each attempt with three tokens that name it.
+type echoSide struct {
+	delay time.Duration
+	mu    sync.Mutex
+	gone  int
+}
+
+func (e *echoSide) Opened(*Session) {}
+
+func (e *echoSide) Closed(*Session) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.gone++
+}
+
+func (e *echoSide) Beat(s *Session, beat *wire.EntryBeat) {
+	s.SendBeat(&wire.SideBeat{Echo: beat.Sequence, BackendUp: true})
+}
+
+func (e *echoSide) Cancel(*Session, string) {}
+
+func (e *echoSide) Sections(*Session, *wire.Sections) {}
+
+func (e *echoSide) Start(s *Session, start *wire.Start) {
+	go func() {
+		time.Sleep(e.delay)
+		for i := range uint32(3) {
+			token := &wire.Token{Index: i, Text: start.RequestId}
+			s.Send(&wire.SideFrame{Body: &wire.SideFrame_Tokens{Tokens: &wire.Tokens{Attempt: start.Attempt, Tokens: []*wire.Token{token}}}})
+		}
+		s.SendEnd(&wire.End{Attempt: start.Attempt})
+	}()
+}
+
+// silencer opens connections that can be made silent: nothing is closed, and nothing is sent any more.
+type silencer struct {
+	mu    sync.Mutex
+	conns []*silentConn
+}
+
+type silentConn struct {
+	net.Conn
+	mute atomic.Bool
+}
+
+func (c *silentConn) Write(b []byte) (int, error) {
+	if c.mute.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (s *silencer) dial(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c := &silentConn{Conn: conn}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns = append(s.conns, c)
+	return c, nil
+}
+
+// silence mutes the connections opened so far and returns their number.
+func (s *silencer) silence() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		c.mute.Store(true)
+	}
+	return len(s.conns)
+}
+
+func (s *silencer) opened() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// startPair runs a server and a client that is up.
+func startPair(t *testing.T, handler Handler, dial func(context.Context, string) (net.Conn, error)) *Client {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	server := &Server{Handler: handler, SilentAfter: 10 * time.Second}
+	go func() { _ = server.Serve(ctx, l) }()
+	c := &Client{
+		SideID:   "side-1",
+		Address:  l.Addr().String(),
+		EntryID:  "entry-1",
+		Beat:     func() *wire.EntryBeat { return &wire.EntryBeat{} },
+		OnBeat:   func(*wire.SideBeat) {},
+		Sections: func(*wire.WantSections) *wire.Sections { return nil },
+		Timing:   func() Timing { return TimingFor(1) },
+		Dial:     dial,
+	}
+	go c.Run(ctx)
+	g.Eventually(c.Up, "10s").Should(BeTrue())
+	return c
+}
+
+// readAll returns the text of an attempt's tokens, or the error that ended it.
+func readAll(a *Attempt) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	text := ""
+	for {
+		frame, err := a.Next(ctx)
+		if err != nil {
+			return text, err
+		}
+		if frame.GetEnd() != nil {
+			return text, nil
+		}
+		for _, token := range frame.GetTokens().Tokens {
+			text += token.Text
+		}
+	}
+}
+
+func TestAttemptsGetTheirOwnFrames(t *testing.T) {
+	g := NewWithT(t)
+	c := startPair(t, &echoSide{delay: 5 * time.Millisecond}, nil)
+	var wait sync.WaitGroup
+	texts := make([]string, 200)
+	for i := range texts {
+		wait.Go(func() {
+			a, err := c.Start(&wire.Start{Attempt: fmt.Sprint(i), RequestId: fmt.Sprintf("<%d>", i)})
+			if err == nil {
+				texts[i], _ = readAll(a)
+			}
+		})
+	}
+	wait.Wait()
+	for i, text := range texts {
+		one := fmt.Sprintf("<%d>", i)
+		g.Expect(text).To(Equal(one + one + one))
+	}
+}
+
+// The caller sees its request end with an unknown outcome instead of waiting for
+// good, and the next request is served. In order: an attempt is in flight, the
+// connection goes silent without being closed, heartbeats get no answer, the
+// connection is replaced. New connections work all the time, so the side is not
+// to blame. Without heartbeats the attempt would wait until its deadline.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	g := NewWithT(t)
+	s := &silencer{}
+	c := startPair(t, &echoSide{delay: 300 * time.Millisecond}, s.dial)
+	before := s.silence()
+
+	a, err := c.Start(&wire.Start{Attempt: "lost", RequestId: "x"})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = readAll(a)
+	g.Expect(err).To(MatchError(ErrLost))
+
+	g.Eventually(c.Up, "10s").Should(BeTrue())
+	g.Expect(s.opened()).To(BeNumerically(">", before))
+	a, err = c.Start(&wire.Start{Attempt: "next", RequestId: "y"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(readAll(a)).To(Equal("yyy"))
+}
+
+// The caller of a cancelled request never sees its late tokens in another
+// answer: the side's frames come after the cancellation and are dropped.
+func TestLateFramesAreDropped(t *testing.T) {
+	g := NewWithT(t)
+	c := startPair(t, &echoSide{delay: 100 * time.Millisecond}, nil)
+	late, err := c.Start(&wire.Start{Attempt: "late", RequestId: "late"})
+	g.Expect(err).NotTo(HaveOccurred())
+	late.Cancel()
+	other, err := c.Start(&wire.Start{Attempt: "other", RequestId: "other"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(readAll(other)).To(Equal("otherotherother"))
+	g.Expect(late.frames).To(BeEmpty())
+}
+
+func TestStartWithoutConnectionIsNotSent(t *testing.T) {
+	g := NewWithT(t)
+	c := &Client{Address: "127.0.0.1:1"}
+	_, err := c.Start(&wire.Start{Attempt: "1"})
+	g.Expect(err).To(MatchError(ErrNotSent))
+}
+
+func BenchmarkAttempt(b *testing.B) {
+	t := &testing.T{}
+	c := startPair(t, &echoSide{}, nil)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		a, err := c.Start(&wire.Start{Attempt: fmt.Sprint(i), RequestId: "x"})
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := readAll(a); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
