front: callers' and operators' HTTP interface over the shared interfaces

Chat and plain completions (whole and as server-sent events), models, files, batches, plain services, operator calls, health, readiness and metrics. Fields that can't be honoured are refused by name. A read deadline holds for the body only and a write deadline for each write, so neither a body that never arrives nor a reader that doesn't read holds a slot.

go test -race -count=3 ./front: passed.

--- /dev/null
+++ b/front/answer.go
@@ -0,0 +1,75 @@
+package front
+
+import (
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// Usage counts the tokens of an answer.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// Message is the message of a chat answer.
+type Message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// Choice is the one choice of an answer, or a piece of it in a stream.
+type Choice struct {
+	Index        int      `json:"index"`
+	Message      *Message `json:"message,omitempty"`
+	Delta        *Message `json:"delta,omitempty"`
+	Text         *string  `json:"text,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+// Answer is the answer to a generation, or one event of its stream.
+type Answer struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+}
+
+// NewAnswer puts a finished generation into the form that callers of the request's path expect.
+func NewAnswer(r *sardinerock.Request, e sardinerock.EngineResult, text string, now time.Time) Answer {
+	c := Choice{FinishReason: &e.FinishReason}
+	a := newAnswer(r, now)
+	if r.Path == PathChat {
+		a.Object = "chat.completion"
+		c.Message = &Message{Role: "assistant", Content: text}
+	} else {
+		a.Object = "text_completion"
+		c.Text = &text
+	}
+	a.Choices = []Choice{c}
+	a.Usage = newUsage(e)
+	return a
+}
+
+func newAnswer(r *sardinerock.Request, now time.Time) Answer {
+	prefix := "cmpl-"
+	if r.Path == PathChat {
+		prefix = "chatcmpl-"
+	}
+	name := r.Model
+	if r.Adapter != "" {
+		name += ":" + r.Adapter
+	}
+	return Answer{ID: prefix + r.ID, Created: now.Unix(), Model: name}
+}
+
+func newUsage(e sardinerock.EngineResult) *Usage {
+	return &Usage{
+		PromptTokens:     e.PromptTokens,
+		CompletionTokens: e.CompletionTokens,
+		TotalTokens:      e.PromptTokens + e.CompletionTokens,
+	}
+}
--- /dev/null
+++ b/front/batches.go
@@ -0,0 +1,214 @@
+package front
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+const (
+	// maxWindow bounds how far off a job may be due.
+	maxWindow = 7 * 24 * time.Hour
+	// listLimit is how many jobs a list has when the caller gives no number, and maxList the most.
+	listLimit = 20
+	maxList   = 100
+	// maxKey bounds an idempotency key, in bytes.
+	maxKey = 256
+)
+
+type batchBody struct {
+	InputFileID      string            `json:"input_file_id"`
+	Endpoint         string            `json:"endpoint"`
+	CompletionWindow string            `json:"completion_window"`
+	Metadata         map[string]string `json:"metadata"`
+}
+
+type batchCounts struct {
+	Total     int `json:"total"`
+	Completed int `json:"completed"`
+	Failed    int `json:"failed"`
+}
+
+type batchObject struct {
+	ID               string            `json:"id"`
+	Object           string            `json:"object"`
+	Endpoint         string            `json:"endpoint"`
+	InputFileID      string            `json:"input_file_id"`
+	CompletionWindow string            `json:"completion_window"`
+	Status           string            `json:"status"`
+	OutputFileID     string            `json:"output_file_id,omitempty"`
+	ErrorFileID      string            `json:"error_file_id,omitempty"`
+	CreatedAt        int64             `json:"created_at"`
+	InProgressAt     int64             `json:"in_progress_at"`
+	ExpiresAt        *int64            `json:"expires_at,omitempty"`
+	CompletedAt      *int64            `json:"completed_at,omitempty"`
+	CancelledAt      *int64            `json:"cancelled_at,omitempty"`
+	ExpiredAt        *int64            `json:"expired_at,omitempty"`
+	RequestCounts    batchCounts       `json:"request_counts"`
+	Metadata         map[string]string `json:"metadata"`
+}
+
+// batchStates gives the usual names of a job's states.
+var batchStates = map[sardinerock.JobState]string{
+	sardinerock.JobUploading:  "validating",
+	sardinerock.JobRunning:    "in_progress",
+	sardinerock.JobCancelling: "cancelling",
+	sardinerock.JobCancelled:  "cancelled",
+	sardinerock.JobFinished:   "completed",
+	sardinerock.JobExpired:    "expired",
+}
+
+func newBatchObject(j *sardinerock.JobStatus) batchObject {
+	b := batchObject{
+		ID: j.ID, Object: "batch", Endpoint: j.Path, Status: batchStates[j.State],
+		CompletionWindow: j.Due.Sub(j.CreatedAt).Round(time.Second).String(),
+		CreatedAt:        j.CreatedAt.Unix(), InProgressAt: j.CreatedAt.Unix(), ExpiresAt: unix(j.Due),
+		RequestCounts: batchCounts{Total: j.Total, Completed: j.Completed, Failed: j.Failed},
+		Metadata:      j.Metadata,
+	}
+	switch j.State {
+	case sardinerock.JobFinished:
+		b.CompletedAt = unix(j.EndedAt)
+	case sardinerock.JobCancelled:
+		b.CancelledAt = unix(j.EndedAt)
+	case sardinerock.JobExpired:
+		b.ExpiredAt = unix(j.EndedAt)
+	default:
+		return b
+	}
+	if j.Completed > 0 {
+		b.OutputFileID = outputPrefix + j.ID
+	}
+	if j.Failed > 0 {
+		b.ErrorFileID = errorPrefix + j.ID
+	}
+	return b
+}
+
+// createBatch accepts a job. It reads the file twice: once to check and digest
+// all of it, once to hand it over.
+func (s *Server) createBatch(x *exchange) error {
+	body, spec, err := s.readBatch(x)
+	if err != nil {
+		return err
+	}
+	found, err := s.inspectFile(x, body.InputFileID, spec.Path)
+	if err != nil {
+		return err
+	}
+	if spec.IdempotencyKey == "" {
+		spec.IdempotencyKey = found.digest
+	}
+	content, _, err := s.Files.Open(x.r.Context(), x.caller.Name, body.InputFileID)
+	if err != nil {
+		return err
+	}
+	defer content.Close()
+	job, err := s.Jobs.Create(x.r.Context(), spec, jobItems(content, spec.Path))
+	if err != nil {
+		return err
+	}
+	b := newBatchObject(job)
+	b.InputFileID = body.InputFileID
+	s.writeJSON(x, http.StatusOK, b)
+	return nil
+}
+
+func (s *Server) readBatch(x *exchange) (*batchBody, sardinerock.JobSpec, error) {
+	var spec sardinerock.JobSpec
+	raw, err := s.readBody(x)
+	if err != nil {
+		return nil, spec, err
+	}
+	var b batchBody
+	if err := json.Unmarshal(raw, &b); err != nil {
+		return nil, spec, jsonFault(err)
+	}
+	if b.InputFileID == "" {
+		return nil, spec, refuse(sardinerock.CodeInvalidRequest, "input_file_id", "the field input_file_id is missing")
+	}
+	if b.Endpoint != PathChat && b.Endpoint != PathCompletions {
+		return nil, spec, refuse(sardinerock.CodeInvalidRequest, "endpoint", "the endpoint must be %s or %s", PathChat, PathCompletions)
+	}
+	window, err := time.ParseDuration(b.CompletionWindow)
+	if err != nil || window <= 0 || window > maxWindow {
+		return nil, spec, refuse(sardinerock.CodeInvalidRequest, "completion_window",
+			"the completion_window must be a duration such as 24h, up to %s", maxWindow)
+	}
+	key := x.r.Header.Get("Idempotency-Key")
+	if len(key) > maxKey {
+		return nil, spec, refuse(sardinerock.CodeInvalidRequest, "Idempotency-Key", "the header Idempotency-Key is over %d bytes", maxKey)
+	}
+	spec = sardinerock.JobSpec{
+		Caller: x.caller.Name, IdempotencyKey: key, Path: b.Endpoint,
+		Due: s.Clock().Add(window), Metadata: b.Metadata,
+	}
+	return &b, spec, nil
+}
+
+func (s *Server) inspectFile(x *exchange, id, path string) (inspection, error) {
+	content, _, err := s.Files.Open(x.r.Context(), x.caller.Name, id)
+	if err != nil {
+		return inspection{}, err
+	}
+	defer content.Close()
+	return inspect(content, path, x.directory.snapshot.Bundle.Batch.MaxItems)
+}
+
+func jobItems(content io.Reader, path string) func(yield func(sardinerock.JobItem) error) error {
+	return func(yield func(sardinerock.JobItem) error) error {
+		return eachLine(content, path, func(_ int, l *Line) error {
+			return yield(sardinerock.JobItem{CustomID: l.CustomID, Body: l.Body})
+		})
+	}
+}
+
+func (s *Server) getBatch(x *exchange) error {
+	job, err := s.Jobs.Get(x.r.Context(), x.caller.Name, x.r.PathValue("id"))
+	return s.writeBatch(x, job, err)
+}
+
+func (s *Server) cancelBatch(x *exchange) error {
+	job, err := s.Jobs.Cancel(x.r.Context(), x.caller.Name, x.r.PathValue("id"))
+	return s.writeBatch(x, job, err)
+}
+
+func (s *Server) writeBatch(x *exchange, job *sardinerock.JobStatus, err error) error {
+	if err != nil {
+		return err
+	}
+	s.writeJSON(x, http.StatusOK, newBatchObject(job))
+	return nil
+}
+
+// listBatches shows the caller's newest jobs; pages beyond them are not offered, and has_more stays false.
+func (s *Server) listBatches(x *exchange) error {
+	limit := listLimit
+	if q := x.r.URL.Query().Get("limit"); q != "" {
+		n, err := strconv.Atoi(q)
+		if err != nil || n < 1 || n > maxList {
+			return refuse(sardinerock.CodeInvalidRequest, "limit", "limit must be a number from 1 to %d", maxList)
+		}
+		limit = n
+	}
+	if x.r.URL.Query().Has("after") {
+		return refuse(sardinerock.CodeInvalidRequest, "after", "pages are not supported; ask for up to %d jobs by limit", maxList)
+	}
+	jobs, err := s.Jobs.List(x.r.Context(), x.caller.Name, limit)
+	if err != nil {
+		return err
+	}
+	batches := list[batchObject]{Object: "list", Data: []batchObject{}}
+	for i := range jobs {
+		batches.Data = append(batches.Data, newBatchObject(&jobs[i]))
+	}
+	if n := len(jobs); n > 0 {
+		batches.FirstID, batches.LastID = jobs[0].ID, jobs[n-1].ID
+	}
+	s.writeJSON(x, http.StatusOK, batches)
+	return nil
+}
--- /dev/null
+++ b/front/line.go
@@ -0,0 +1,119 @@
+package front
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// maxLine bounds one line of an uploaded job: what an online request may have, and some for the frame.
+const maxLine = 9 << 20
+
+// Line is one line of an uploaded job.
+type Line struct {
+	CustomID string          `json:"custom_id"`
+	Method   string          `json:"method"`
+	URL      string          `json:"url"`
+	Body     json.RawMessage `json:"body"`
+}
+
+// ParseLine reads one line of a job for path; number counts from 1 and only serves the message.
+func ParseLine(raw []byte, path string, number int) (*Line, error) {
+	var l Line
+	if err := json.Unmarshal(raw, &l); err != nil {
+		f := jsonFault(err)
+		f.Message = lineMessage(number, f.Message)
+		return nil, f
+	}
+	switch {
+	case l.CustomID == "":
+		return nil, lineFault(number, "custom_id", "custom_id is missing")
+	case l.Method != http.MethodPost:
+		return nil, lineFault(number, "method", "method must be POST")
+	case l.URL != path:
+		return nil, lineFault(number, "url", "url must be the job's endpoint "+path)
+	case len(l.Body) == 0 || l.Body[0] != '{':
+		return nil, lineFault(number, "body", "body must be a JSON object")
+	}
+	return &l, nil
+}
+
+func lineFault(number int, param, text string) *sardinerock.Refusal {
+	return refuse(sardinerock.CodeInvalidRequest, param, "%s", lineMessage(number, text))
+}
+
+func lineMessage(number int, text string) string {
+	return refuse("", "", "line %d of the input file: %s", number, text).Message
+}
+
+// eachLine calls yield for each line of a job's file, in order; empty lines count but are passed over.
+func eachLine(content io.Reader, path string, yield func(number int, l *Line) error) error {
+	lines := bufio.NewScanner(content)
+	lines.Buffer(make([]byte, 0, 64<<10), maxLine)
+	number := 0
+	for lines.Scan() {
+		number++
+		raw := bytes.TrimSpace(lines.Bytes())
+		if len(raw) == 0 {
+			continue
+		}
+		l, err := ParseLine(raw, path, number)
+		if err != nil {
+			return err
+		}
+		if err := yield(number, l); err != nil {
+			return err
+		}
+	}
+	if err := lines.Err(); errors.Is(err, bufio.ErrTooLong) {
+		return lineFault(number+1, "body", "the line is too long")
+	} else if err != nil {
+		return readFault(err)
+	}
+	return nil
+}
+
+// inspection is what a first pass over a job's file finds.
+type inspection struct {
+	items  int
+	digest string
+}
+
+// inspect checks a whole file before any of it is accepted: a fault in the last
+// of 200,000 lines must not leave half a job behind. The custom ids are kept as
+// 8-byte hashes, so memory stays at a few megabytes at that size.
+func inspect(content io.Reader, path string, maxItems int) (inspection, error) {
+	var found inspection
+	sum := sha256.New()
+	sum.Write([]byte(path + "\n"))
+	seen := map[uint64]bool{}
+	err := eachLine(io.TeeReader(content, sum), path, func(number int, l *Line) error {
+		found.items++
+		if maxItems > 0 && found.items > maxItems {
+			return refuse(sardinerock.CodeInvalidRequest, "input_file_id", "the file has over %d items, the most that the bundle allows", maxItems)
+		}
+		id := xxhash.Sum64String(l.CustomID)
+		if seen[id] {
+			return lineFault(number, "custom_id", "custom_id "+l.CustomID+" is there twice")
+		}
+		seen[id] = true
+		return nil
+	})
+	if err != nil {
+		return found, err
+	}
+	if found.items == 0 {
+		return found, refuse(sardinerock.CodeInvalidRequest, "input_file_id", "the file has no items")
+	}
+	found.digest = hex.EncodeToString(sum.Sum(nil))
+	return found, nil
+}
--- /dev/null
+++ b/front/parse.go
@@ -0,0 +1,205 @@
+package front
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// The paths of generations, as callers name them.
+const (
+	PathChat        = "/v1/chat/completions"
+	PathCompletions = "/v1/completions"
+)
+
+// Completion is what the system reads of a generation's body; the engine gets the body as it came.
+type Completion struct {
+	Model         string
+	Prompt        string
+	MaxTokens     int
+	Stream        bool
+	IncludeUsage  bool
+	User          string
+	maxTokenField string
+}
+
+// completionBody lists every field that callers may send. Raw fields are looked at only as far as is told below.
+type completionBody struct {
+	Model               string          `json:"model"`
+	Messages            []message       `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+		// IncludeObfuscation asks for padding against an onlooker; padding is optional in the form, and none is sent.
+		IncludeObfuscation bool `json:"include_obfuscation"`
+	} `json:"stream_options"`
+	User string `json:"user"`
+}
+
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+	Name    string          `json:"name"`
+}
+
+type contentPart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+// read by the system itself, with completionBody.
+var ownFields = map[string]bool{
+	"model": true, "messages": true, "prompt": true, "max_tokens": true, "max_completion_tokens": true,
+	"stream": true, "stream_options": true, "user": true,
+}
+
+// engineFields reach the engine with the body and change nothing for the system.
+var engineFields = map[string]bool{
+	"temperature": true, "top_p": true, "seed": true, "stop": true,
+	"presence_penalty": true, "frequency_penalty": true,
+}
+
+// neutralValues are fields that the system can't honour, with the values that ask for nothing.
+var neutralValues = map[string][]string{
+	"n": {"1"}, "best_of": {"1"}, "echo": {"false"}, "suffix": {`""`}, "logprobs": {"false"},
+	"top_logprobs": {"0"}, "logit_bias": {"{}"}, "tools": {"[]"}, "tool_choice": {`"none"`, `"auto"`},
+	"parallel_tool_calls": {"true", "false"}, "response_format": {`{"type":"text"}`}, "store": {"false"},
+	"metadata": {"{}"}, "service_tier": {`"auto"`, `"default"`}, "modalities": {`["text"]`},
+}
+
+// ParseCompletion reads the body of a generation on path; the error is a *sardinerock.Refusal that names the field at fault.
+func ParseCompletion(path string, raw []byte) (*Completion, error) {
+	if err := checkFields(raw); err != nil {
+		return nil, err
+	}
+	var b completionBody
+	if err := json.Unmarshal(raw, &b); err != nil {
+		return nil, jsonFault(err)
+	}
+	c := &Completion{Model: b.Model, Stream: b.Stream, IncludeUsage: b.StreamOptions.IncludeUsage, User: b.User}
+	if c.Model == "" {
+		return nil, refuse(sardinerock.CodeInvalidRequest, "model", "the field model is missing")
+	}
+	if err := c.readPrompt(path, &b); err != nil {
+		return nil, err
+	}
+	return c, c.readMaxTokens(&b)
+}
+
+// checkFields refuses what the system can't honour: a field that is passed over
+// in silence gives an answer that looks right and is not what was asked for.
+func checkFields(raw []byte) error {
+	fields := map[string]json.RawMessage{}
+	if err := json.Unmarshal(raw, &fields); err != nil {
+		return jsonFault(err)
+	}
+	for name, value := range fields {
+		if ownFields[name] || engineFields[name] || string(value) == "null" {
+			continue
+		}
+		if !isNeutral(name, value) {
+			return refuse(sardinerock.CodeInvalidRequest, name, "the field %s is not supported with this value; leave it out", name)
+		}
+	}
+	return nil
+}
+
+func isNeutral(name string, value json.RawMessage) bool {
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, value); err != nil {
+		return false
+	}
+	for _, v := range neutralValues[name] {
+		if compact.String() == v {
+			return true
+		}
+	}
+	return false
+}
+
+func jsonFault(err error) *sardinerock.Refusal {
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		return refuse(sardinerock.CodeInvalidRequest, "", "malformed JSON at byte %d: %v", syntax.Offset, err)
+	}
+	var kind *json.UnmarshalTypeError
+	if errors.As(err, &kind) {
+		return refuse(sardinerock.CodeInvalidRequest, kind.Field, "the field %s can't be a %s", kind.Field, kind.Value)
+	}
+	return refuse(sardinerock.CodeInvalidRequest, "", "malformed JSON: %v", err)
+}
+
+func (c *Completion) readPrompt(path string, b *completionBody) error {
+	if path == PathCompletions {
+		if err := json.Unmarshal(b.Prompt, &c.Prompt); err != nil || c.Prompt == "" {
+			return refuse(sardinerock.CodeInvalidRequest, "prompt", "the field prompt must be one string that is not empty")
+		}
+		return nil
+	}
+	if len(b.Messages) == 0 {
+		return refuse(sardinerock.CodeInvalidRequest, "messages", "the field messages must hold at least one message")
+	}
+	var text strings.Builder
+	for i, m := range b.Messages {
+		content, err := m.text()
+		if err != nil || m.Role == "" {
+			return refuse(sardinerock.CodeInvalidRequest, "messages", "message %d needs a role, and content that is text", i)
+		}
+		text.WriteString(m.Role + "\n" + content + "\n")
+	}
+	c.Prompt = text.String()
+	return nil
+}
+
+var errNotText = errors.New("content is not text")
+
+func (m *message) text() (string, error) {
+	var s string
+	if err := json.Unmarshal(m.Content, &s); err == nil {
+		return s, nil
+	}
+	var parts []contentPart
+	if err := json.Unmarshal(m.Content, &parts); err != nil {
+		return "", err
+	}
+	for _, p := range parts {
+		if p.Type != "text" {
+			return "", errNotText
+		}
+		s += p.Text
+	}
+	return s, nil
+}
+
+func (c *Completion) readMaxTokens(b *completionBody) error {
+	c.maxTokenField = "max_tokens"
+	asked := b.MaxTokens
+	if b.MaxCompletionTokens != nil {
+		c.maxTokenField = "max_completion_tokens"
+		asked = b.MaxCompletionTokens
+	}
+	if asked == nil {
+		return nil
+	}
+	if *asked <= 0 {
+		return refuse(sardinerock.CodeInvalidRequest, c.maxTokenField, "the field %s must be above 0", c.maxTokenField)
+	}
+	c.MaxTokens = *asked
+	return nil
+}
+
+// readAll reads a body that is bounded already.
+func readAll(r io.Reader) ([]byte, error) {
+	raw, err := io.ReadAll(r)
+	if err != nil {
+		return nil, readFault(err)
+	}
+	return raw, nil
+}
--- /dev/null
+++ b/front/plain.go
@@ -0,0 +1,129 @@
+package front
+
+import (
+	"crypto/rand"
+	"net/http"
+	"path"
+	"slices"
+	"strings"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// connectionHeaders belong to one hop and are not passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Authorization", TimeoutHeader, OutcomeHeader,
+}
+
+// callService passes a call on to a plain service.
+func (s *Server) callService(x *exchange) error {
+	service, err := x.service()
+	if err != nil {
+		return err
+	}
+	until, err := s.deadline(x.r)
+	if err != nil {
+		return err
+	}
+	within, err := innerPath(x.r)
+	if err != nil {
+		return err
+	}
+	body, err := s.readBody(x)
+	if err != nil {
+		return err
+	}
+	r := s.serviceRequest(x, service, within, body)
+	r.Deadline = until
+	result, err := s.Online.Serve(x.r.Context(), r, func(sardinerock.Token) error { return nil })
+	if err != nil {
+		return err
+	}
+	s.writeReply(x, result.Reply)
+	return nil
+}
+
+func (x *exchange) service() (*sardinerock.Service, error) {
+	name := x.r.PathValue("service")
+	service := x.directory.services[name]
+	if service == nil {
+		return nil, refuse(sardinerock.CodeNotFound, "", "no service %q is in the bundle in force", name)
+	}
+	if !slices.Contains(x.caller.Services, name) {
+		return nil, refuse(sardinerock.CodeForbidden, "", "caller %q may not call the service %q", x.caller.Name, name)
+	}
+	return service, nil
+}
+
+// innerPath returns the path that the service sees, decoded.
+//
+// The patterns of calls that may not be repeated are matched against it, so it
+// must be the path that the service will act on. With "/orders/%2e%2e/print"
+// let through, a service that resolves the dots runs "/print", which the
+// patterns forbid to repeat, while the system sees a call below "/orders/".
+func innerPath(r *http.Request) (string, error) {
+	within := "/" + r.PathValue("path")
+	clean := path.Clean(within)
+	if strings.HasSuffix(within, "/") && clean != "/" {
+		clean += "/"
+	}
+	if clean != within || strings.Contains(within, `\`) {
+		return "", refuse(sardinerock.CodeInvalidRequest, "", "the path %q must be written without empty, . or .. parts", within)
+	}
+	return within, nil
+}
+
+func (s *Server) serviceRequest(x *exchange, service *sardinerock.Service, within string, body []byte) *sardinerock.Request {
+	// The path goes on as the caller escaped it, without the part that chose the service.
+	escaped := strings.TrimPrefix(x.r.URL.EscapedPath(), "/services/"+x.r.PathValue("service"))
+	if x.r.URL.RawQuery != "" {
+		escaped += "?" + x.r.URL.RawQuery
+	}
+	return &sardinerock.Request{
+		ID:            rand.Text(),
+		Caller:        x.caller.Name,
+		Path:          escaped,
+		Service:       service.Name,
+		Method:        x.r.Method,
+		Header:        passOn(x.r.Header),
+		Body:          body,
+		Idempotent:    repeatable(service, x.r.Method, within),
+		Fingerprint:   fingerprint(service.Name, x.r.Method, escaped, string(body)),
+		ConfigVersion: x.directory.snapshot.Version,
+	}
+}
+
+// repeatable tells whether the bundle lets a call run twice. It is never
+// guessed from the method: a GET that prints a letter is not idempotent.
+func repeatable(service *sardinerock.Service, method, within string) bool {
+	for _, p := range service.NonRepeatable {
+		sameMethod := p.Method == "" || strings.EqualFold(p.Method, method)
+		if sameMethod && strings.HasPrefix(within, p.PathPrefix) {
+			return false
+		}
+	}
+	return true
+}
+
+func passOn(h http.Header) map[string]string {
+	out := map[string]string{}
+	for name, values := range h {
+		if !slices.Contains(connectionHeaders, name) {
+			out[name] = strings.Join(values, ", ")
+		}
+	}
+	return out
+}
+
+func (s *Server) writeReply(x *exchange, reply *sardinerock.ServiceReply) {
+	h := x.w.Header()
+	for name, value := range reply.Header {
+		if !slices.Contains(connectionHeaders, http.CanonicalHeaderKey(name)) {
+			h.Set(name, value)
+		}
+	}
+	s.extendWrite(x)
+	x.w.WriteHeader(reply.Status)
+	x.w.Write(reply.Body)
+}
--- /dev/null
+++ b/front/server_test.go
@@ -0,0 +1,240 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+const goodChat = `{"model":"drafts:panels","messages":[{"role":"user","content":"draft a panel"}]}`
+
+func TestRefusals(t *testing.T) {
+	manyLines := strings.Repeat(" ", 2048)
+	tests := map[string]struct {
+		method, path, token, body string
+		headers                   []string
+		code                      sardinerock.Code
+		param                     string
+	}{
+		"no token":           {path: PathChat, body: goodChat, code: sardinerock.CodeUnauthorized},
+		"wrong token":        {path: PathChat, token: "x", body: goodChat, code: sardinerock.CodeUnauthorized},
+		"malformed JSON":     {path: PathChat, token: supervisorToken, body: `{"model":`, code: sardinerock.CodeInvalidRequest},
+		"wrong kind":         {path: PathChat, token: supervisorToken, body: `{"model":7}`, code: sardinerock.CodeInvalidRequest, param: "model"},
+		"body over limit":    {path: PathChat, token: supervisorToken, body: manyLines, code: sardinerock.CodeBodyTooLarge},
+		"no model":           {path: PathChat, token: supervisorToken, body: `{"messages":[{"role":"user","content":"x"}]}`, code: sardinerock.CodeInvalidRequest, param: "model"},
+		"no messages":        {path: PathChat, token: supervisorToken, body: `{"model":"drafts"}`, code: sardinerock.CodeInvalidRequest, param: "messages"},
+		"picture":            {path: PathChat, token: supervisorToken, body: `{"model":"drafts","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, code: sardinerock.CodeInvalidRequest, param: "messages"},
+		"unknown model":      {path: PathChat, token: supervisorToken, body: strings.Replace(goodChat, "drafts:panels", "none", 1), code: sardinerock.CodeModelNotFound, param: "model"},
+		"unknown adapter":    {path: PathChat, token: supervisorToken, body: strings.Replace(goodChat, "panels", "none", 1), code: sardinerock.CodeModelNotFound, param: "model"},
+		"no grant":           {path: PathChat, token: supervisorToken, body: strings.Replace(goodChat, "drafts:panels", "secret", 1), code: sardinerock.CodeForbidden, param: "model"},
+		"no adapter grant":   {path: PathChat, token: supervisorToken, body: strings.Replace(goodChat, "panels", "letters", 1), code: sardinerock.CodeForbidden, param: "model"},
+		"two choices":        {path: PathChat, token: supervisorToken, body: `{"n":2,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "n"},
+		"tools":              {path: PathChat, token: supervisorToken, body: `{"tools":[{"type":"function"}],` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "tools"},
+		"logprobs":           {path: PathChat, token: supervisorToken, body: `{"logprobs":true,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "logprobs"},
+		"unheard-of field":   {path: PathChat, token: supervisorToken, body: `{"colour":1,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "colour"},
+		"too many tokens":    {path: PathChat, token: supervisorToken, body: `{"max_completion_tokens":101,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "max_completion_tokens"},
+		"list of prompts":    {path: PathCompletions, token: supervisorToken, body: `{"model":"drafts","prompt":["a","b"]}`, code: sardinerock.CodeInvalidRequest, param: "prompt"},
+		"senseless timeout":  {path: PathChat, token: supervisorToken, body: goodChat, headers: []string{TimeoutHeader, "-1"}, code: sardinerock.CodeInvalidRequest, param: TimeoutHeader},
+		"no operator":        {path: "/operator/bundles", token: supervisorToken, body: `{}`, code: sardinerock.CodeForbidden},
+		"unknown service":    {path: "/services/none/x", token: supervisorToken, code: sardinerock.CodeNotFound},
+		"service not given":  {path: "/services/ledger/x", token: supervisorToken, code: sardinerock.CodeForbidden},
+		"hidden path":        {path: "/services/portal/read/%2e%2e/print", token: supervisorToken, code: sardinerock.CodeInvalidRequest},
+		"unknown path":       {method: http.MethodGet, path: "/v2/x", token: supervisorToken, code: sardinerock.CodeNotFound},
+		"upload that is not": {path: "/v1/files", token: supervisorToken, body: "x", code: sardinerock.CodeInvalidRequest, param: "file"},
+		"no such file":       {path: "/v1/batches", token: supervisorToken, body: `{"input_file_id":"f","endpoint":"/v1/completions","completion_window":"24h"}`, code: sardinerock.CodeNotFound},
+		"senseless window":   {path: "/v1/batches", token: supervisorToken, body: `{"input_file_id":"f","endpoint":"/v1/completions","completion_window":"soon"}`, code: sardinerock.CodeInvalidRequest, param: "completion_window"},
+		"no such job":        {method: http.MethodGet, path: "/v1/batches/x", token: supervisorToken, code: sardinerock.CodeNotFound},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, Limits{OnlineBody: 1024})
+			if tt.method == "" {
+				tt.method = http.MethodPost
+			}
+			answer, raw := b.call(tt.method, tt.path, tt.token, tt.body, tt.headers...)
+			b.expectRefusal(answer, raw, tt.code, sardinerock.OutcomeNotRun, tt.param)
+			b.Expect(b.online.seen).To(BeEmpty())
+		})
+	}
+}
+
+// The caller sees a 503 whose body, header and Retry-After agree, as the path
+// behind the front refused its request before any token went out: the front
+// must pass on the outcome as it was proved, not one of its own.
+func TestRefusalFromBehindIsPassedOnWhole(t *testing.T) {
+	for _, outcome := range []sardinerock.Outcome{sardinerock.OutcomeNotRun, sardinerock.OutcomeRan, sardinerock.OutcomeUnknown} {
+		b := newBench(t, Limits{})
+		b.online.serve = func(context.Context, *sardinerock.Request, func(sardinerock.Token) error) (sardinerock.Result, error) {
+			return sardinerock.Result{}, &sardinerock.Refusal{Code: sardinerock.CodeOverloaded, Outcome: outcome, RetryAfter: 1200 * time.Millisecond}
+		}
+		answer, raw := b.call(http.MethodPost, PathChat, supervisorToken, `{"stream":true,`+goodChat[1:])
+		b.expectRefusal(answer, raw, sardinerock.CodeOverloaded, outcome, "")
+		b.Expect(answer.Header.Get("Retry-After")).To(Equal("2"))
+	}
+}
+
+// The caller sees two tokens and then an error event: the backend server was
+// lost half-way and could not be replaced. Had the stream just ended, the half
+// answer would have passed for a whole one.
+func TestStreamThatBreaksEndsWithAnError(t *testing.T) {
+	b := newBench(t, Limits{})
+	b.online.serve = func(_ context.Context, _ *sardinerock.Request, emit func(sardinerock.Token) error) (sardinerock.Result, error) {
+		if err := emitAll(emit, "half", " an"); err != nil {
+			return sardinerock.Result{}, err
+		}
+		return sardinerock.Result{}, &sardinerock.Refusal{Code: sardinerock.CodeBackendLost, Outcome: sardinerock.OutcomeRan}
+	}
+	_, raw := b.call(http.MethodPost, PathChat, supervisorToken, `{"stream":true,`+goodChat[1:])
+	events := strings.Split(strings.TrimSpace(raw), "\n\n")
+	b.Expect(events).To(HaveLen(3))
+	b.Expect(events[2]).To(And(ContainSubstring(`"code":"backendServerLost"`), ContainSubstring(`"outcome":"ran"`)))
+	b.Expect(raw).NotTo(ContainSubstring("[DONE]"))
+}
+
+// The caller hangs up after the first token, as a dashboard that was closed
+// does. The request's context must end, or its slot would stay taken.
+func TestCallerThatHangsUpHoldsNothing(t *testing.T) {
+	b := newBench(t, Limits{})
+	b.online.serve = endlessTokens("x")
+	ctx, hangUp := context.WithCancel(context.Background())
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, b.url+PathChat, strings.NewReader(`{"stream":true,`+goodChat[1:]))
+	b.Expect(err).NotTo(HaveOccurred())
+	r.Header.Set("Authorization", "Bearer "+supervisorToken)
+	answer, err := http.DefaultClient.Do(r)
+	b.Expect(err).NotTo(HaveOccurred())
+	defer answer.Body.Close()
+	_, err = bufio.NewReader(answer.Body).ReadString('\n')
+	b.Expect(err).NotTo(HaveOccurred())
+	hangUp()
+	b.expectNothingHeld()
+}
+
+// The caller keeps its connection open and reads nothing. Buffers fill, the
+// write blocks, and without a deadline on each write the slot would be held for
+// as long as the caller likes.
+func TestSlowReaderHoldsNothing(t *testing.T) {
+	b := newBench(t, Limits{WriteTimeout: 200 * time.Millisecond})
+	b.online.serve = endlessTokens(strings.Repeat("x", 64<<10))
+	c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	b.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	body := `{"stream":true,` + goodChat[1:]
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", PathChat, supervisorToken, len(body), body)
+	b.Eventually(b.online.running, 10*time.Second).Should(Equal(1))
+	b.expectNothingHeld()
+}
+
+// The caller announces a body and never sends the rest. It gets an error once
+// the read timeout is over, and nothing was held meanwhile.
+func TestBodyThatNeverArrives(t *testing.T) {
+	b := newBench(t, Limits{ReadTimeout: 100 * time.Millisecond})
+	c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	b.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{", PathChat, supervisorToken)
+	b.Expect(c.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+	raw, err := io.ReadAll(c)
+	b.Expect(err).NotTo(HaveOccurred())
+	b.Expect(string(raw)).To(And(HavePrefix("HTTP/1.1 400"), ContainSubstring("did not arrive in time")))
+	b.Expect(b.online.seen).To(BeEmpty())
+}
+
+// An answer takes longer than the read timeout of its request's body. The
+// deadline on reading must be off by then, or it would end the answer.
+func TestAnswerMayOutlastTheReadTimeout(t *testing.T) {
+	b := newBench(t, Limits{ReadTimeout: 50 * time.Millisecond})
+	b.online.serve = func(ctx context.Context, _ *sardinerock.Request, emit func(sardinerock.Token) error) (sardinerock.Result, error) {
+		select {
+		case <-ctx.Done():
+			return sardinerock.Result{}, ctx.Err()
+		case <-time.After(300 * time.Millisecond):
+		}
+		return sardinerock.Result{EngineResult: sardinerock.EngineResult{FinishReason: "stop"}}, emitAll(emit, "late")
+	}
+	answer, raw := b.call(http.MethodPost, PathChat, supervisorToken, goodChat)
+	b.Expect(answer.StatusCode).To(Equal(http.StatusOK), raw)
+}
+
+func endlessTokens(text string) func(context.Context, *sardinerock.Request, func(sardinerock.Token) error) (sardinerock.Result, error) {
+	return func(ctx context.Context, _ *sardinerock.Request, emit func(sardinerock.Token) error) (sardinerock.Result, error) {
+		for ctx.Err() == nil {
+			if err := emit(sardinerock.Token{Text: text}); err != nil {
+				return sardinerock.Result{}, err
+			}
+		}
+		return sardinerock.Result{}, ctx.Err()
+	}
+}
+
+func TestServiceCallsAreIdempotentOnlyWhereTheBundleSays(t *testing.T) {
+	tests := map[string]struct {
+		method, path string
+		idempotent   bool
+	}{
+		"read":               {http.MethodGet, "/packets/7", true},
+		"print":              {http.MethodPost, "/print", false},
+		"print below":        {http.MethodPost, "/print/7?copies=1", false},
+		"other method":       {http.MethodGet, "/print", true},
+		"escaped":            {http.MethodPost, "/%70rint", false},
+		"repeatable posting": {http.MethodPost, "/search", true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, Limits{})
+			b.online.serve = func(context.Context, *sardinerock.Request, func(sardinerock.Token) error) (sardinerock.Result, error) {
+				return sardinerock.Result{Reply: &sardinerock.ServiceReply{Status: http.StatusTeapot, Header: map[string]string{"X-Kind": "tea"}, Body: []byte("short")}}, nil
+			}
+			answer, raw := b.call(tt.method, "/services/portal"+tt.path, supervisorToken, "body", "X-Own", "1")
+			b.Expect(answer.StatusCode).To(Equal(http.StatusTeapot), raw)
+			b.Expect(answer.Header.Get("X-Kind")).To(Equal("tea"))
+			b.Expect(raw).To(Equal("short"))
+			r := b.online.last()
+			b.Expect(r.Idempotent).To(Equal(tt.idempotent))
+			b.Expect(r.Path).To(Equal(tt.path))
+			b.Expect(r.Header).To(And(HaveKeyWithValue("X-Own", "1"), Not(HaveKey("Authorization"))))
+		})
+	}
+}
+
+// A new entry has no configuration: the balancer must not send it callers, and
+// a caller that comes all the same is told when to come back.
+func TestNotReadyWithoutConfiguration(t *testing.T) {
+	b := newBench(t, Limits{})
+	b.publisher.current = nil
+	answer, _ := b.call(http.MethodGet, "/readyz", "", "")
+	b.Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	answer, raw := b.call(http.MethodPost, PathChat, supervisorToken, goodChat)
+	b.expectRefusal(answer, raw, sardinerock.CodeNotReady, sardinerock.OutcomeNotRun, "")
+	b.Expect(answer.Header.Get("Retry-After")).To(Equal("1"))
+	answer, raw = b.call(http.MethodPost, "/operator/bundles", "stranger", `{"callers":[]}`)
+	b.expectRefusal(answer, raw, sardinerock.CodeUnauthorized, sardinerock.OutcomeNotRun, "")
+	first := fmt.Sprintf(`{"callers":[{"name":"operator","operator":true,"keyHashes":[%q]}]}`, HashToken(operatorToken))
+	answer, raw = b.call(http.MethodPost, "/operator/bundles", operatorToken, first)
+	b.Expect(answer.StatusCode).To(Equal(http.StatusOK), raw)
+	answer, _ = b.call(http.MethodGet, "/readyz", "", "")
+	b.Expect(answer.StatusCode).To(Equal(http.StatusOK))
+	answer, raw = b.call(http.MethodPost, "/operator/bundles", operatorToken, first)
+	b.expectRefusal(answer, raw, sardinerock.CodeVersionConflict, sardinerock.OutcomeNotRun, "basedOn")
+}
+
+func TestMetricsAreScrapable(t *testing.T) {
+	b := newBench(t, Limits{})
+	b.call(http.MethodPost, PathChat, supervisorToken, goodChat)
+	b.call(http.MethodPost, PathChat, "", goodChat)
+	_, raw := b.call(http.MethodGet, "/metrics", "", "")
+	b.Expect(raw).To(And(
+		ContainSubstring("sardinerock_front_refused_unauthorized 1\n"),
+		ContainSubstring("sardinerock_front_served_seconds_count 1\n"),
+		ContainSubstring("sardinerock_front_firstToken_seconds{quantile=\"0.99\"}"),
+	))
+}
--- /dev/null
+++ b/front/status.go
@@ -0,0 +1,139 @@
+package front
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// Status is what one process knows of the fleet.
+type Status struct {
+	// Process is the id of the entry that answers.
+	Process string `json:"process"`
+	// Version and Digest are those of the bundle in force here; Since is when it came into force.
+	Version   int64           `json:"version"`
+	Digest    string          `json:"digest,omitempty"`
+	Since     time.Time       `json:"since,omitzero"`
+	Backends  []BackendStatus `json:"backends"`
+	Processes []ProcessStatus `json:"processes"`
+	// Jobs are the newest jobs of all callers.
+	Jobs []sardinerock.JobStatus `json:"jobs"`
+}
+
+// BackendStatus is one backend server as an entry sees it.
+type BackendStatus struct {
+	ID   string `json:"id"`
+	Zone string `json:"zone"`
+	// Service is empty for model engines.
+	Service string `json:"service,omitempty"`
+	// State is up, down, silent, ejected or leaving.
+	State         string                    `json:"state"`
+	Slots         int                       `json:"slots"`
+	OnlineRunning int                       `json:"onlineRunning"`
+	OnlineWaiting int                       `json:"onlineWaiting"`
+	BatchRunning  int                       `json:"batchRunning"`
+	Loaded        []sardinerock.LoadedModel `json:"loaded,omitempty"`
+}
+
+// ProcessStatus is one process of the system and the bundle version that it runs.
+type ProcessStatus struct {
+	ID      string           `json:"id"`
+	Role    sardinerock.Role `json:"role"`
+	Zone    string           `json:"zone"`
+	State   string           `json:"state"`
+	Version int64            `json:"version"`
+	Since   time.Time        `json:"since,omitzero"`
+}
+
+// statusJobs bounds the jobs that a status shows.
+const statusJobs = 100
+
+func (x *exchange) needOperator() error {
+	if !x.caller.Operator {
+		return refuse(sardinerock.CodeForbidden, "", "caller %q is no operator", x.caller.Name)
+	}
+	return nil
+}
+
+func (s *Server) showStatus(x *exchange) error {
+	if err := x.needOperator(); err != nil {
+		return err
+	}
+	var st Status
+	if s.Status != nil {
+		st = s.Status()
+	}
+	c := x.directory.snapshot
+	st.Version, st.Digest, st.Since = c.Version, c.Digest, c.Since
+	jobs, err := s.Jobs.List(x.r.Context(), "", statusJobs)
+	if err != nil {
+		return err
+	}
+	st.Jobs = jobs
+	s.writeJSON(x, http.StatusOK, st)
+	return nil
+}
+
+func (s *Server) cancelJob(x *exchange) error {
+	if err := x.needOperator(); err != nil {
+		return err
+	}
+	job, err := s.Jobs.Cancel(x.r.Context(), "", x.r.PathValue("id"))
+	if err != nil {
+		return err
+	}
+	s.writeJSON(x, http.StatusOK, job)
+	return nil
+}
+
+// Published answers an operator whose bundle is in force.
+type Published struct {
+	Version int64     `json:"version"`
+	Digest  string    `json:"digest"`
+	Since   time.Time `json:"since"`
+}
+
+func (s *Server) publish(x *exchange) error {
+	raw, err := s.readBody(x)
+	if err != nil {
+		return err
+	}
+	operator, err := s.operator(x, raw)
+	if err != nil {
+		return err
+	}
+	c, err := s.Publisher.Publish(raw, operator)
+	if err != nil {
+		return err
+	}
+	s.writeJSON(x, http.StatusOK, Published{Version: c.Version, Digest: c.Digest, Since: c.Since})
+	return nil
+}
+
+// operator returns who publishes.
+//
+// Before the first bundle nobody is known. The first bundle is then taken from
+// a token that the bundle itself gives to an operator; whoever wants more than
+// that has the sign-offs demanded by the settings.
+func (s *Server) operator(x *exchange, raw []byte) (string, error) {
+	if s.current() == nil {
+		var first sardinerock.Bundle
+		if err := json.Unmarshal(raw, &first); err != nil {
+			return "", jsonFault(err)
+		}
+		x.directory = newDirectory(&sardinerock.ConfigSnapshot{Bundle: &first})
+		token, err := bearer(x)
+		if err != nil {
+			return "", err
+		}
+		x.caller = x.directory.callersByKey[HashToken(token)]
+		if x.caller == nil {
+			return "", refuse(sardinerock.CodeUnauthorized, "", "the first bundle must name your bearer token as that of an operator")
+		}
+	} else if err := s.authenticate(x); err != nil {
+		return "", err
+	}
+	return x.caller.Name, x.needOperator()
+}
