--- a/entry/entry.go
+++ b/entry/entry.go
@@ -140,7 +140,7 @@
 		Events:         e.Events,
 		Peers:          e.offers,
 	}
-	e.tracker = e.newTracker()
+	e.tracker = &member.Tracker{Self: e.self(), List: e.Instances, Events: e.Events}
 	e.manager = &jobs.Manager{
 		Log:     e.Log,
 		Runner:  e,
@@ -150,7 +150,8 @@
 		Live:    e.liveEntries,
 		Events:  e.Events,
 		Seed:    e.Seed,
-		Now:     time.Now,
+
+		AppendsPerSecond: e.AppendBudget,
 	}
 	e.front = &front.Server{
 		Online:    e,
--- a/entry/links.go
+++ b/entry/links.go
@@ -7,6 +7,7 @@
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/bundle"
 	"github.com/sardinerock/sardinerock/link"
+	"github.com/sardinerock/sardinerock/member"
 	"github.com/sardinerock/sardinerock/route"
 	"github.com/sardinerock/sardinerock/wire"
 )
@@ -52,17 +53,11 @@
 
 // wantedSides picks this entry's share of the sides.
 func (e *Entry) wantedSides() map[string]sardinerock.Instance {
-	sides := make(map[string]sardinerock.Instance)
-	var ids []string
-	for _, i := range e.tracker.Instances() {
-		if i.Role == sardinerock.RoleSide {
-			sides[i.ID] = i
-			ids = append(ids, i.ID)
-		}
-	}
+	entries := e.tracker.Instances(sardinerock.RoleEntry)
+	sides := e.tracker.Instances(sardinerock.RoleSide)
 	wanted := make(map[string]sardinerock.Instance)
-	for _, id := range route.Subset(e.ID, e.liveEntries(), ids, e.Links) {
-		wanted[id] = sides[id]
+	for _, i := range member.Subset(e.self(), entries, sides, e.Links) {
+		wanted[i.ID] = i
 	}
 	return wanted
 }
@@ -120,7 +115,6 @@
 // onBeat takes a side's heartbeat into the routing table.
 func (e *Entry) onBeat(l *sideLink, beat *wire.SideBeat) {
 	now := time.Now()
-	e.tracker.Heard(now, l.instance.ID)
 	if beat.Leaving {
 		e.tracker.Leaving(now, l.instance.ID)
 	}
@@ -157,7 +151,7 @@
 		BatchCredit:   int(beat.BatchCredit),
 		FirstToken:    time.Duration(beat.FirstTokenMs) * time.Millisecond,
 		TokenGap:      time.Duration(beat.TokenGapUs) * time.Microsecond,
-		Leaving:       beat.Leaving || e.tracker.IsLeaving(now, l.instance.ID),
+		Leaving:       beat.Leaving || !e.tracker.Usable(now, l.instance.ID),
 		Up:            beat.BackendUp,
 		ConfigVersion: beat.ConfigVersion,
 		ReportAt:      now,
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"slices"
@@ -15,11 +16,12 @@
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/admit"
 	"github.com/sardinerock/sardinerock/bundle"
+	"github.com/sardinerock/sardinerock/member"
 	"github.com/sardinerock/sardinerock/wire"
 )
 
 const (
-	pingEvery   = 500 * time.Millisecond
+	pingEvery   = member.HeartbeatEvery
 	pingTimeout = time.Second
 	// maxPeers bounds the entries that one entry pings. With a handful of entries
 	// all know each other; at 370 a full mesh would cost each 740 pings a second.
@@ -52,7 +54,6 @@
 // Ping implements the generated server interface.
 func (e *Entry) Ping(_ context.Context, ping *wire.PeerPing) (*wire.PeerPong, error) {
 	now := time.Now()
-	e.tracker.Heard(now, ping.EntryId)
 	if ping.Leaving {
 		e.tracker.Leaving(now, ping.EntryId)
 	}
@@ -93,14 +94,9 @@
 
 // wantedPeers keeps e.peers at the entries next to this one by rendezvous, and returns those that are not being asked already.
 func (e *Entry) wantedPeers() []*peer {
-	var others []sardinerock.Instance
-	for _, i := range e.tracker.Instances() {
-		if i.Role == sardinerock.RoleEntry && i.ID != e.ID {
-			others = append(others, i)
-		}
-	}
+	others := slices.DeleteFunc(e.tracker.Instances(sardinerock.RoleEntry), func(i sardinerock.Instance) bool { return i.ID == e.ID })
 	slices.SortFunc(others, func(a, b sardinerock.Instance) int {
-		return int(int64(pairRank(e.ID, a.ID)>>1) - int64(pairRank(e.ID, b.ID)>>1))
+		return cmp.Compare(pairRank(e.ID, a.ID), pairRank(e.ID, b.ID))
 	})
 	others = others[:min(len(others), maxPeers)]
 
@@ -113,13 +109,18 @@
 		p := known[i.ID]
 		if p == nil {
 			p = &peer{instance: i}
+			e.tracker.Watch(time.Now(), i.ID, i.Role)
 		}
 		e.peers[i.ID] = p
+		delete(known, i.ID)
 		if !p.busy {
 			p.busy = true
 			idle = append(idle, p)
 		}
 	}
+	for id := range known {
+		e.tracker.Unwatch(id)
+	}
 	return idle
 }
 
@@ -144,6 +145,7 @@
 	}
 	e.mu.Unlock()
 	if err != nil {
+		e.tracker.Silent(now, p.instance.ID)
 		return nil
 	}
 	e.tracker.Heard(now, p.instance.ID)
@@ -238,3 +240,13 @@
 	asked.Wait()
 	return offers
 }
+
+// self is this entry as the instance list has it.
+func (e *Entry) self() sardinerock.Instance {
+	return sardinerock.Instance{
+		ID: e.ID, Role: sardinerock.RoleEntry, Region: e.Region, Zone: e.Zone, Address: e.PeerListener.Addr().String(),
+	}
+}
+
+// liveEntries returns the entries that may own shards, this one included.
+func (e *Entry) liveEntries() []string { return e.tracker.Live(time.Now()) }
