front: take the first bundle only over version 0; colons in model names

A starting entry has no configuration either and would have let a stranger's token, named in his own bundle, publish over a version it had yet to read.

--- a/front/caller.go
+++ b/front/caller.go
@@ -69,6 +69,12 @@
 	return hex.EncodeToString(sum[:])
 }
 
+func notReady() error {
+	f := refuse(sardinerock.CodeNotReady, "", "no configuration is in force here yet")
+	f.RetryAfter = comeBackReady
+	return f
+}
+
 func bearer(x *exchange) (string, error) {
 	scheme, token, found := strings.Cut(x.r.Header.Get("Authorization"), " ")
 	if !found || !strings.EqualFold(scheme, "Bearer") || token == "" {
@@ -81,9 +87,7 @@
 func (s *Server) authenticate(x *exchange) error {
 	x.directory = s.current()
 	if x.directory == nil {
-		f := refuse(sardinerock.CodeNotReady, "", "no configuration is in force here yet")
-		f.RetryAfter = comeBackReady
-		return f
+		return notReady()
 	}
 	token, err := bearer(x)
 	if err != nil {
@@ -105,7 +109,7 @@
 
 // resolve turns "model" or "model:adapter" into what the caller's grants make of it.
 func (d *directory) resolve(c *sardinerock.Caller, name string) (target, error) {
-	modelName, adapter, _ := strings.Cut(name, ":")
+	modelName, adapter := d.split(name)
 	m := d.models[modelName]
 	if m == nil || adapter != "" && !slices.Contains(m.Adapters, adapter) {
 		return target{}, refuse(sardinerock.CodeModelNotFound, "model", "no model %q is in the bundle in force", name)
@@ -117,3 +121,12 @@
 	}
 	return target{}, refuse(sardinerock.CodeForbidden, "model", "caller %q has no grant for %q", c.Name, name)
 }
+
+// split cuts the adapter off a name; a model's own name may hold colons too.
+func (d *directory) split(name string) (model, adapter string) {
+	i := strings.LastIndexByte(name, ':')
+	if i < 0 || d.models[name] != nil {
+		return name, ""
+	}
+	return name[:i], name[i+1:]
+}
--- a/front/client_test.go
+++ b/front/client_test.go
@@ -52,14 +52,15 @@
 	b.Expect(gathered.Usage.CompletionTokens).To(BeEquivalentTo(2))
 
 	legacy, err := client.Completions.New(ctx, openai.CompletionNewParams{
-		Model: "drafts", Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String("draft")},
+		Model: "tiny:8b", Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String("draft")},
 	})
 	b.Expect(err).NotTo(HaveOccurred())
 	b.Expect(legacy.Choices[0].Text).To(Equal("panel draft"))
+	b.Expect(b.online.last().Model).To(Equal("tiny:8b"), "a colon in a model's own name is no adapter")
 
 	models, err := client.Models.List(ctx)
 	b.Expect(err).NotTo(HaveOccurred())
-	b.Expect(models.Data).To(HaveLen(2))
+	b.Expect(models.Data).To(HaveLen(3))
 }
 
 func TestClientLibrarySeesTheErrorOfABrokenStream(t *testing.T) {
--- a/front/fakes_test.go
+++ b/front/fakes_test.go
@@ -214,6 +214,7 @@
 		Models: []sardinerock.Model{
 			{Name: "drafts", Adapters: []string{"panels", "letters"}, MaxTokens: 100},
 			{Name: "secret", MaxTokens: 100},
+			{Name: "tiny:8b", MaxTokens: 100},
 		},
 		Services: []sardinerock.Service{
 			{Name: "portal", NonRepeatable: []sardinerock.CallPattern{{Method: "POST", PathPrefix: "/print"}}},
@@ -222,7 +223,10 @@
 		Callers: []sardinerock.Caller{
 			{
 				Name: "supervisor", KeyHashes: []string{HashToken(supervisorToken)}, Services: []string{"portal"},
-				Grants: []sardinerock.Grant{{Model: "drafts", Version: "v2", Adapters: []string{"panels"}}},
+				Grants: []sardinerock.Grant{
+					{Model: "drafts", Version: "v2", Adapters: []string{"panels"}},
+					{Model: "tiny:8b", Version: "v1"},
+				},
 			},
 			{Name: "operator", KeyHashes: []string{HashToken(operatorToken)}, Operator: true},
 		},
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -216,9 +216,11 @@
 	answer, raw := b.call(http.MethodPost, PathChat, supervisorToken, goodChat)
 	b.expectRefusal(answer, raw, sardinerock.CodeNotReady, sardinerock.OutcomeNotRun, "")
 	b.Expect(answer.Header.Get("Retry-After")).To(Equal("1"))
-	answer, raw = b.call(http.MethodPost, "/operator/bundles", "stranger", `{"callers":[]}`)
+	first := firstBundle(0)
+	answer, raw = b.call(http.MethodPost, "/operator/bundles", "stranger", first)
 	b.expectRefusal(answer, raw, sardinerock.CodeUnauthorized, sardinerock.OutcomeNotRun, "")
-	first := fmt.Sprintf(`{"callers":[{"name":"operator","operator":true,"keyHashes":[%q]}]}`, HashToken(operatorToken))
+	answer, raw = b.call(http.MethodPost, "/operator/bundles", operatorToken, firstBundle(7))
+	b.expectRefusal(answer, raw, sardinerock.CodeNotReady, sardinerock.OutcomeNotRun, "")
 	answer, raw = b.call(http.MethodPost, "/operator/bundles", operatorToken, first)
 	b.Expect(answer.StatusCode).To(Equal(http.StatusOK), raw)
 	answer, _ = b.call(http.MethodGet, "/readyz", "", "")
@@ -227,6 +229,11 @@
 	b.expectRefusal(answer, raw, sardinerock.CodeVersionConflict, sardinerock.OutcomeNotRun, "basedOn")
 }
 
+func firstBundle(basedOn int) string {
+	return fmt.Sprintf(`{"basedOn":%d,"models":[],"services":[{"name":"portal","maxInFlight":8,"timeoutMs":1000}],"teams":[{"name":"office","weight":1}],"batch":{"resultHours":24,"maxItems":1000,"maxAttempts":3},
+		"callers":[{"name":"operator","team":"office","weight":1,"grants":[],"operator":true,"keyHashes":[%q]}]}`, basedOn, HashToken(operatorToken))
+}
+
 func TestMetricsAreScrapable(t *testing.T) {
 	b := newBench(t, Limits{})
 	b.call(http.MethodPost, PathChat, supervisorToken, goodChat)
--- a/front/status.go
+++ b/front/status.go
@@ -1,11 +1,11 @@
 package front
 
 import (
-	"encoding/json"
 	"net/http"
 	"time"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/bundle"
 )
 
 // Status is what one process knows of the fleet.
@@ -116,14 +116,19 @@
 //
 // Before the first bundle nobody is known. The first bundle is then taken from
 // a token that the bundle itself gives to an operator; whoever wants more than
-// that has the sign-offs demanded by the settings.
+// that has the sign-offs demanded by the settings. It must be based on version
+// 0: an entry that has only just started has no configuration either, and would
+// otherwise let a stranger publish over a bundle that it has yet to read.
 func (s *Server) operator(x *exchange, raw []byte) (string, error) {
 	if s.current() == nil {
-		var first sardinerock.Bundle
-		if err := json.Unmarshal(raw, &first); err != nil {
-			return "", jsonFault(err)
+		first, faults := bundle.Parse(raw)
+		if len(faults) > 0 {
+			return "", refuse(sardinerock.CodeInvalidRequest, faults[0].Path, "%s", faults[0])
 		}
-		x.directory = newDirectory(&sardinerock.ConfigSnapshot{Bundle: &first})
+		if first.BasedOn != 0 {
+			return "", notReady()
+		}
+		x.directory = newDirectory(&sardinerock.ConfigSnapshot{Bundle: first})
 		token, err := bearer(x)
 		if err != nil {
 			return "", err
