--- /dev/null
+++ b/clis/roles.go
@@ -0,0 +1,106 @@
+package clis
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+
+	"github.com/phuslu/log"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/conf"
+	"github.com/sardinerock/sardinerock/entry"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/remote"
+	"github.com/sardinerock/sardinerock/side"
+)
+
+func (p *Program) addRoles() {
+	e := &conf.Entry{}
+	p.add(&p.parser.Subcommand, "entry", "run an entry: takes callers' requests and jobs", e,
+		func(ctx context.Context) error { return p.runEntry(ctx, e) })
+	s := &conf.Side{}
+	p.add(&p.parser.Subcommand, "side", "run a side: the gate beside one backend server", s,
+		func(ctx context.Context) error { return p.runSide(ctx, s) })
+}
+
+func newLogger(w io.Writer, level, process string) *event.Logger {
+	return &event.Logger{
+		Process: process,
+		Sink: &log.Logger{
+			Level:  log.ParseLevel(level),
+			Writer: &log.IOWriter{Writer: w},
+		},
+	}
+}
+
+func listen(flag, address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("--%s: %w", flag, err)
+	}
+	return l, nil
+}
+
+func (p *Program) runEntry(ctx context.Context, s *conf.Entry) error {
+	callers, err := listen("caller-address", s.CallerAddress)
+	if err != nil {
+		return err
+	}
+	peers, err := listen("peer-address", s.PeerAddress)
+	if err != nil {
+		return err
+	}
+	e := &entry.Entry{
+		ID:              s.ID,
+		Region:          s.Region,
+		Zone:            s.Zone,
+		CallerListener:  callers,
+		PeerListener:    peers,
+		Log:             &remote.Log{Sender: remote.Sender{URL: s.LogURL}},
+		Instances:       &remote.Instances{Sender: remote.Sender{URL: s.InstancesURL}},
+		Shards:          s.Shards,
+		Seed:            s.Seed,
+		Signers:         s.Keys,
+		SignOffsNeeded:  s.SignOffsNeeded,
+		Policy:          s.Policy,
+		Events:          newLogger(p.Err, s.LogLevel, s.ID),
+		ShutdownTimeout: s.ShutdownTimeout,
+		AppendBudget:    s.AppendBudget,
+	}
+	return e.Run(ctx)
+}
+
+func (p *Program) runSide(ctx context.Context, s *conf.Side) error {
+	l, err := listen("address", s.Address)
+	if err != nil {
+		return err
+	}
+	r := &side.Side{
+		ID:              s.ID,
+		Region:          s.Region,
+		Zone:            s.Zone,
+		Listener:        l,
+		Service:         s.ServiceName,
+		Instances:       instances(s.InstancesURL),
+		Signers:         s.Keys,
+		SignOffsNeeded:  s.SignOffsNeeded,
+		Policy:          s.Policy,
+		Events:          newLogger(p.Err, s.LogLevel, s.ID),
+		ShutdownTimeout: s.ShutdownTimeout,
+	}
+	if s.ServiceURL != "" {
+		r.Plain = &remote.Service{Sender: remote.Sender{URL: s.ServiceURL}}
+	} else {
+		r.Engine = &remote.Engine{Sender: remote.Sender{URL: s.EngineURL}}
+	}
+	return r.Run(ctx)
+}
+
+func instances(url string) sardinerock.InstanceList {
+	if url == "" {
+		return nil
+	}
+	return &remote.Instances{Sender: remote.Sender{URL: url}}
+}
