entry: take the subset from the tracker, encode an offer only for who wants it (for the lead to take or drop)

Cause: the link loop chose its sides anew every 250 ms (39 ms at 74 entries and 2,220 sides), and each answer to a ping encoded the whole configuration.

--- a/entry/links.go
+++ b/entry/links.go
@@ -7,7 +7,6 @@
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/bundle"
 	"github.com/sardinerock/sardinerock/link"
-	"github.com/sardinerock/sardinerock/member"
 	"github.com/sardinerock/sardinerock/route"
 	"github.com/sardinerock/sardinerock/wire"
 )
@@ -53,10 +52,8 @@
 
 // wantedSides picks this entry's share of the sides.
 func (e *Entry) wantedSides() map[string]sardinerock.Instance {
-	entries := e.tracker.Instances(sardinerock.RoleEntry)
-	sides := e.tracker.Instances(sardinerock.RoleSide)
 	wanted := make(map[string]sardinerock.Instance)
-	for _, i := range member.Subset(e.self(), entries, sides, e.Links) {
+	for _, i := range e.tracker.Subset(e.Links) {
 		wanted[i.ID] = i
 	}
 	return wanted
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -66,7 +66,10 @@
 	if current := e.keeper.Current(); current != nil {
 		pong.ConfigVersion, pong.ConfigDigest = current.Version, current.Digest
 	}
-	if offer := e.keeper.Offer(); ping.WantBundle && offer != nil && offer.Version > ping.ConfigVersion {
+	if !ping.WantBundle {
+		return pong, nil
+	}
+	if offer := e.keeper.Offer(); offer != nil && offer.Version > ping.ConfigVersion {
 		pong.Bundle, pong.BundleOffset = offer.Raw, offer.Next
 		pong.ConfigVersion, pong.ConfigDigest = offer.Version, offer.Digest
 	}
