admit: slots begin at the bundle's bound, not at one

Cause: the gate ticks before the side has its configuration; bounds of zero were taken for one slot, from which it grew by one a second. Found on the first run of the whole path: eight slots took eight seconds to open. Ran: go test ./admit.

--- a/admit/slots.go
+++ b/admit/slots.go
@@ -64,6 +64,11 @@
 }
 
 func (c *slotControl) adapt(now time.Time, l sardinerock.GateLimits, busy int) {
+	// Until the bundle has come there are no bounds. Taken for bounds of one, the
+	// slots would begin at one and grow by one a second afterwards.
+	if l.MaxSlots == 0 {
+		return
+	}
 	c.limits = l
 	if c.value == 0 {
 		c.value = float64(c.count(l))
