--- a/clis/standin.go
+++ b/clis/standin.go
@@ -36,7 +36,7 @@
 		func(ctx context.Context) error { return runWeights(ctx, w) })
 	e := &conf.StandinEngine{}
 	p.add(parent, "engine", "stand-in of a model engine", e,
-		func(ctx context.Context) error { return runEngine(ctx, e) })
+		func(ctx context.Context) error { return p.runEngine(ctx, e) })
 	s := &conf.StandinService{}
 	p.add(parent, "service", "stand-in of a plain service", s,
 		func(ctx context.Context) error { return runService(ctx, s) })
@@ -113,7 +113,7 @@
 	return serve(ctx, s.Address, list)
 }
 
-func runEngine(ctx context.Context, s *conf.StandinEngine) error {
+func (p *Program) runEngine(ctx context.Context, s *conf.StandinEngine) error {
 	knobs, err := parseKnobs[fakes.EngineKnobs](s.Knobs)
 	if err != nil {
 		return err
@@ -127,6 +127,7 @@
 	}
 	host := &fakes.Host{Handler: e, Address: s.Address, ReviveAfter: s.ReviveAfter}
 	e.OnCrash = func() {
+		fmt.Fprintln(p.Err, "crashed")
 		if s.ReviveAfter == 0 {
 			os.Exit(exitCrashed)
 		}
--- /dev/null
+++ b/proof/batch_test.go
@@ -0,0 +1,258 @@
+package proof
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/front"
+)
+
+// logLine is how an event shows in a process's log.
+func logLine(id event.ID) string { return fmt.Sprintf(`"event":%d,`, id) }
+
+// owner returns the entry that has claimed the most shards, and the others.
+func (f *fleet) owner() (*node, []*node) {
+	f.t.Helper()
+	best, most := 0, 0
+	f.Eventually(func() int {
+		best, most = 0, 0
+		for i, n := range f.entries {
+			if claims := strings.Count(n.logged(), logLine(event.ShardClaimed)); claims > most {
+				best, most = i, claims
+			}
+		}
+		return most
+	}, patience, 100*time.Millisecond).Should(BeNumerically(">", 0), "no entry has claimed a shard")
+	var others []*node
+	for i, n := range f.entries {
+		if i != best {
+			others = append(others, n)
+		}
+	}
+	return f.entries[best], others
+}
+
+// A clerk hands in jobs and gets them acknowledged; right then the instance
+// that acknowledged them, and owned some of their shards, is lost. Nothing of
+// it was on a disk. The other entries must find the jobs in the log, claim the
+// shards and finish each item once.
+func TestOwnerKilledRightAfterTheAcknowledgement(t *testing.T) {
+	f := newFleet(t, shape{entries: 3, sides: 3})
+	owner, others := f.owner()
+	const jobs, items = 6, 20
+	var accepted []*job
+	for i := range jobs {
+		accepted = append(accepted, f.submit(owner, fmt.Sprintf("killed%d", i), items))
+	}
+	owner.kill()
+	f.remove(owner)
+	for i, j := range accepted {
+		done := f.waitJob(others[0], j.ID, "completed", patience)
+		f.expectResults(done, fmt.Sprintf("killed%d", i), items, others...)
+	}
+}
+
+// The owner of a running job is paused, as by a hypervisor, until others have
+// taken over and finished; then it goes on with what it believed. What it still
+// writes carries an old epoch: every entry, it too, must show one result for
+// each item, and the same one.
+func TestOwnerPausedPastTheTakeOver(t *testing.T) {
+	f := newFleet(t, shape{entries: 3, sides: 3, engine: slowEngine})
+	owner, others := f.owner()
+	const items = 150
+	j := f.submit(owner, "paused", items)
+	f.waitCompleted(owner, j.ID, 1)
+	owner.signal(syscall.SIGSTOP)
+	done := f.waitJob(others[0], j.ID, "completed", patience)
+	owner.signal(syscall.SIGCONT)
+	f.waitJob(owner, j.ID, "completed", patience)
+	time.Sleep(2 * time.Second)
+	f.expectResults(done, "paused", items, f.entries...)
+}
+
+// Two of four sides die with items in flight. Their items were never recorded,
+// so they are run again elsewhere; those recorded are not.
+func TestSidesKilledWithItemsInFlight(t *testing.T) {
+	f := newFleet(t, shape{entries: 2, sides: 4, engine: slowEngine})
+	const items = 300
+	j := f.submit(f.entries[0], "sides", items)
+	f.waitCompleted(f.entries[1], j.ID, 10)
+	for _, n := range f.sides[:2] {
+		n.kill()
+	}
+	done := f.waitJob(f.entries[1], j.ID, "completed", patience)
+	f.expectResults(done, "sides", items, f.entries...)
+}
+
+// The platform's log is out for long, while a job runs and callers ask. Online
+// callers must not notice. A new job is refused as not run, with the time to
+// come back. What finishes meanwhile waits and is recorded once afterwards.
+func TestLogOutage(t *testing.T) {
+	for _, outage := range []string{"refuse", "hang"} {
+		t.Run(outage, func(t *testing.T) {
+			f := newFleet(t, shape{entries: 2, sides: 2, engine: slowEngine})
+			const items = 300
+			j := f.submit(f.entries[0], "outage", items)
+			f.waitCompleted(f.entries[0], j.ID, 10)
+			file, err := f.upload(f.entries[0], "later", 5)
+			f.Expect(err).NotTo(HaveOccurred())
+			f.knobs(f.logURL, fmt.Sprintf(`{"outage":%q}`, outage))
+			callers := f.startLoad(4, f.entries...)
+			time.Sleep(5 * time.Second)
+			f.expectJobRefusedAsNotRun(f.entries[1], file)
+			time.Sleep(3 * time.Second)
+			f.expectAllWhole(callers.finish())
+			f.knobs(f.logURL, `{"outage":""}`)
+			done := f.waitJob(f.entries[1], j.ID, "completed", patience)
+			f.expectResults(done, "outage", items, f.entries...)
+			f.Eventually(func() error {
+				_, err := f.create(f.entries[1], file, "later")
+				return err
+			}, patience, 500*time.Millisecond).Should(Succeed())
+		})
+	}
+}
+
+func (f *fleet) expectJobRefusedAsNotRun(n *node, file string) {
+	f.t.Helper()
+	body := fmt.Appendf(nil, `{"input_file_id":%q,"endpoint":%q,"completion_window":"24h"}`, file, front.PathChat)
+	answer, raw, err := f.call(n, http.MethodPost, "/v1/batches", callerToken, body, "Idempotency-Key", "later")
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable), raw)
+	f.Expect(answer.Header.Get(front.OutcomeHeader)).To(Equal("notRun"), raw)
+	f.Expect(answer.Header.Get("Retry-After")).NotTo(BeEmpty())
+}
+
+// The log takes records and its answers are lost on the way back. The appender
+// can't know, appends again, and the record is there twice: the caller must
+// still have one job, and one result for each item.
+func TestAnswersOfTheLogAreLost(t *testing.T) {
+	f := newFleet(t, shape{entries: 2, sides: 2})
+	const items = 100
+	f.knobs(f.logURL, `{"loseAnswers":5,"lateMs":50}`)
+	var j *job
+	f.Eventually(func() error {
+		file, err := f.upload(f.entries[0], "lost", items)
+		if err != nil {
+			return err
+		}
+		f.knobs(f.logURL, `{"loseAnswers":5}`)
+		j, err = f.create(f.entries[0], file, "lost")
+		return err
+	}, patience, 500*time.Millisecond).Should(Succeed())
+	for range 10 {
+		f.knobs(f.logURL, `{"loseAnswers":3}`)
+		time.Sleep(100 * time.Millisecond)
+	}
+	done := f.waitJob(f.entries[1], j.ID, "completed", patience)
+	f.expectResults(done, "lost", items, f.entries...)
+	f.Expect(f.countJobs(f.entries[0])).To(Equal(1))
+}
+
+func (f *fleet) countJobs(n *node) int {
+	f.t.Helper()
+	st, err := f.status(n)
+	f.Expect(err).NotTo(HaveOccurred())
+	return len(st.Jobs)
+}
+
+// A client that saw no answer sends its job ten times, to every entry at once.
+// Each time it must be told of the same job, which runs once. The same key with
+// other content is a mistake of the client, and refused.
+func TestJobResentTenTimes(t *testing.T) {
+	f := newFleet(t, shape{entries: 3, sides: 2})
+	const items, resends = 40, 10
+	files := make([]string, len(f.entries))
+	for i, n := range f.entries {
+		file, err := f.upload(n, "resent", items)
+		f.Expect(err).NotTo(HaveOccurred())
+		files[i] = file
+	}
+	ids := make([]string, resends)
+	var all sync.WaitGroup
+	for i := range resends {
+		all.Go(func() {
+			j, err := f.create(f.entries[i%len(f.entries)], files[i%len(files)], "resent")
+			if err == nil {
+				ids[i] = j.ID
+			}
+		})
+	}
+	all.Wait()
+	for _, id := range ids {
+		f.Expect(id).To(Equal(ids[0]), "each resend is told of the same job")
+	}
+	done := f.waitJob(f.entries[2], ids[0], "completed", patience)
+	f.expectResults(done, "resent", items, f.entries...)
+	f.Expect(f.countJobs(f.entries[1])).To(Equal(1))
+	other, err := f.upload(f.entries[0], "other", items)
+	f.Expect(err).NotTo(HaveOccurred())
+	_, err = f.create(f.entries[0], other, "resent")
+	f.Expect(err).To(MatchError(ContainSubstring("409")))
+}
+
+// A clerk cancels a job through one entry, and its owner dies just then. Once
+// the cancellation is acknowledged, no item may complete any more, whoever owns
+// the job.
+func TestCancelHoldsAlthoughTheOwnerDies(t *testing.T) {
+	f := newFleet(t, shape{entries: 3, sides: 2, engine: slowEngine})
+	owner, others := f.owner()
+	j := f.submit(owner, "cancelled", 500)
+	f.waitCompleted(others[0], j.ID, 5)
+	_, err := f.jobCall(others[0], http.MethodPost, "/v1/batches/"+j.ID+"/cancel", nil)
+	f.Expect(err).NotTo(HaveOccurred())
+	owner.kill()
+	f.remove(owner)
+	atCancel := f.waitJob(others[1], j.ID, "cancelled", patience)
+	f.Expect(atCancel.RequestCounts.Completed).To(BeNumerically("<", 500))
+	time.Sleep(4 * time.Second)
+	for _, n := range others {
+		later, err := f.get(n, j.ID)
+		f.Expect(err).NotTo(HaveOccurred())
+		f.Expect(later).To(Equal(atCancel))
+	}
+}
+
+// All at once: a job is resent to every entry while answers of the log are
+// lost, its owner and a side are killed, and the log goes out for a while, with
+// callers asking all the time. Callers get whole answers, the clerk one result
+// for each item.
+func TestJobThroughEverythingAtOnce(t *testing.T) {
+	f := newFleet(t, shape{entries: 3, sides: 4, engine: slowEngine})
+	owner, others := f.owner()
+	const items = 300
+	callers := f.startLoad(4, others...)
+	f.knobs(f.logURL, `{"loseAnswers":2}`)
+	j := f.submit(owner, "all", items)
+	f.waitCompleted(others[0], j.ID, 5)
+	owner.kill()
+	f.sides[0].kill()
+	f.knobs(f.logURL, `{"loseAnswers":4}`)
+	for _, n := range others {
+		f.Eventually(func() (string, error) {
+			file, err := f.upload(n, "all", items)
+			if err != nil {
+				return "", err
+			}
+			again, err := f.create(n, file, "all")
+			if err != nil {
+				return "", err
+			}
+			return again.ID, nil
+		}, patience, 500*time.Millisecond).Should(Equal(j.ID))
+	}
+	f.knobs(f.logURL, `{"outage":"refuse"}`)
+	time.Sleep(3 * time.Second)
+	f.knobs(f.logURL, `{"outage":""}`)
+	done := f.waitJob(others[1], j.ID, "completed", patience)
+	f.expectAllWhole(callers.finish())
+	f.expectResults(done, "all", items, others...)
+}
--- /dev/null
+++ b/proof/calls_test.go
@@ -0,0 +1,258 @@
+package proof
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"mime/multipart"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock/fakes"
+	"github.com/sardinerock/sardinerock/front"
+)
+
+// outcome is what a caller got for one request.
+type outcome struct {
+	prompt string
+	status int
+	header http.Header
+	text   string
+	code   string
+	err    error
+}
+
+// whole tells whether the caller got the whole answer to its own request.
+func (o *outcome) whole() bool {
+	return o.err == nil && o.status == http.StatusOK && o.text == expectedText(o.prompt, onlineTokens)
+}
+
+// String returns what a failed test shows.
+func (o *outcome) String() string {
+	return fmt.Sprintf("prompt %q: status %d code %q error %v text %q", o.prompt, o.status, o.code, o.err, o.text)
+}
+
+const (
+	onlineTokens = 24
+	itemTokens   = 8
+)
+
+func chatBody(prompt string, tokens int) []byte {
+	return fmt.Appendf(nil, `{"model":%q,"messages":[{"role":"user","content":%q}],"max_tokens":%d}`, modelName, prompt, tokens)
+}
+
+func expectedText(prompt string, tokens int) string {
+	return fakes.AnswerText(front.PathChat, chatBody(prompt, tokens))
+}
+
+// chat sends one online request and waits for the answer.
+func (f *fleet) chat(n *node, prompt string) *outcome {
+	o := &outcome{prompt: prompt}
+	answer, body, err := f.call(n, http.MethodPost, front.PathChat, callerToken, chatBody(prompt, onlineTokens))
+	if err != nil {
+		o.err = err
+		return o
+	}
+	o.status, o.header = answer.StatusCode, answer.Header
+	if o.status != http.StatusOK {
+		var refusal front.ErrorBody
+		o.err = json.Unmarshal([]byte(body), &refusal)
+		o.code = string(refusal.Error.Code)
+		return o
+	}
+	var a front.Answer
+	if o.err = json.Unmarshal([]byte(body), &a); o.err == nil {
+		o.text = a.Choices[0].Message.Content
+	}
+	return o
+}
+
+// load sends online requests one after the other from several callers at once, until stopped.
+type load struct {
+	mu       sync.Mutex
+	outcomes []*outcome
+	stop     chan struct{}
+	done     sync.WaitGroup
+}
+
+// startLoad spreads callers over the entries; each goes on to the next entry when its own is gone, as a balancer would have it.
+func (f *fleet) startLoad(callers int, entries ...*node) *load {
+	l := &load{stop: make(chan struct{})}
+	for i := range callers {
+		l.done.Go(func() {
+			for k := 0; ; k++ {
+				select {
+				case <-l.stop:
+					return
+				default:
+				}
+				l.add(f.chat(entries[i%len(entries)], fmt.Sprintf("comment %d of tutor %d", k, i)))
+			}
+		})
+	}
+	return l
+}
+
+func (l *load) add(o *outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outcomes = append(l.outcomes, o)
+}
+
+func (l *load) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.outcomes)
+}
+
+// finish stops the load and returns what the callers got.
+func (l *load) finish() []*outcome {
+	close(l.stop)
+	l.done.Wait()
+	return l.outcomes
+}
+
+// expectAllWhole fails for each caller that did not get the whole answer to its own request.
+func (f *fleet) expectAllWhole(outcomes []*outcome) {
+	f.t.Helper()
+	f.Expect(outcomes).NotTo(BeEmpty())
+	for _, o := range outcomes {
+		f.Expect(o.whole()).To(BeTrue(), o.String())
+	}
+}
+
+// job is a batch job as the tests know it.
+type job struct {
+	ID            string `json:"id"`
+	Status        string `json:"status"`
+	OutputFileID  string `json:"output_file_id"`
+	ErrorFileID   string `json:"error_file_id"`
+	RequestCounts struct {
+		Total     int `json:"total"`
+		Completed int `json:"completed"`
+		Failed    int `json:"failed"`
+	} `json:"request_counts"`
+}
+
+func itemPrompt(name string, i int) string { return fmt.Sprintf("letter %d of %s", i, name) }
+
+// upload puts a job's file at an entry and returns its id; the error is the caller's to retry.
+func (f *fleet) upload(n *node, name string, items int) (string, error) {
+	var lines bytes.Buffer
+	for i := range items {
+		fmt.Fprintf(&lines, `{"custom_id":"item%d","method":"POST","url":%q,"body":%s}`+"\n", i, front.PathChat, chatBody(itemPrompt(name, i), itemTokens))
+	}
+	var form bytes.Buffer
+	w := multipart.NewWriter(&form)
+	f.Expect(w.WriteField("purpose", "batch")).To(Succeed())
+	part, err := w.CreateFormFile("file", name+".jsonl")
+	f.Expect(err).NotTo(HaveOccurred())
+	_, err = part.Write(lines.Bytes())
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(w.Close()).To(Succeed())
+	answer, body, err := f.call(n, http.MethodPost, "/v1/files", callerToken, form.Bytes(), "Content-Type", w.FormDataContentType())
+	if err != nil {
+		return "", err
+	}
+	if answer.StatusCode != http.StatusOK {
+		return "", fmt.Errorf("upload: %s", body)
+	}
+	var file struct {
+		ID string `json:"id"`
+	}
+	return file.ID, json.Unmarshal([]byte(body), &file)
+}
+
+// create makes a job of an uploaded file.
+func (f *fleet) create(n *node, file, key string) (*job, error) {
+	body := fmt.Appendf(nil, `{"input_file_id":%q,"endpoint":%q,"completion_window":"24h"}`, file, front.PathChat)
+	return f.jobCall(n, http.MethodPost, "/v1/batches", body, "Idempotency-Key", key)
+}
+
+func (f *fleet) jobCall(n *node, method, path string, body []byte, headers ...string) (*job, error) {
+	answer, raw, err := f.call(n, method, path, callerToken, body, headers...)
+	if err != nil {
+		return nil, err
+	}
+	if answer.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s %s: status %d: %s", method, path, answer.StatusCode, raw)
+	}
+	var j job
+	return &j, json.Unmarshal([]byte(raw), &j)
+}
+
+func (f *fleet) get(n *node, id string) (*job, error) {
+	return f.jobCall(n, http.MethodGet, "/v1/batches/"+id, nil)
+}
+
+// submit uploads and creates a job of so many items, which must work at once.
+func (f *fleet) submit(n *node, name string, items int) *job {
+	f.t.Helper()
+	file, err := f.upload(n, name, items)
+	f.Expect(err).NotTo(HaveOccurred())
+	j, err := f.create(n, file, name)
+	f.Expect(err).NotTo(HaveOccurred())
+	return j
+}
+
+// waitJob waits until an entry shows the job in a state.
+func (f *fleet) waitJob(n *node, id, state string, within time.Duration) *job {
+	f.t.Helper()
+	var last *job
+	f.Eventually(func() (string, error) {
+		j, err := f.get(n, id)
+		if err != nil {
+			return "", err
+		}
+		last = j
+		return j.Status, nil
+	}, within, 100*time.Millisecond).Should(Equal(state))
+	return last
+}
+
+// waitCompleted waits until at least so many items of a job have completed.
+func (f *fleet) waitCompleted(n *node, id string, items int) {
+	f.t.Helper()
+	f.Eventually(func() (int, error) {
+		j, err := f.get(n, id)
+		if err != nil {
+			return 0, err
+		}
+		return j.RequestCounts.Completed, nil
+	}, patience, 50*time.Millisecond).Should(BeNumerically(">=", items))
+}
+
+// expectResults checks on every given entry that each item of a finished job has its one right result.
+func (f *fleet) expectResults(j *job, name string, items int, entries ...*node) {
+	f.t.Helper()
+	for _, n := range entries {
+		answer, body, err := f.call(n, http.MethodGet, "/v1/files/"+j.OutputFileID+"/content", callerToken, nil)
+		f.Expect(err).NotTo(HaveOccurred())
+		f.Expect(answer.StatusCode).To(Equal(http.StatusOK), body)
+		f.expectLines(strings.Split(strings.TrimSpace(body), "\n"), name, items)
+	}
+}
+
+func (f *fleet) expectLines(lines []string, name string, items int) {
+	f.t.Helper()
+	seen := map[string]string{}
+	for _, raw := range lines {
+		var line struct {
+			CustomID string `json:"custom_id"`
+			Response struct {
+				Body front.Answer `json:"body"`
+			} `json:"response"`
+		}
+		f.Expect(json.Unmarshal([]byte(raw), &line)).To(Succeed(), raw)
+		f.Expect(seen).NotTo(HaveKey(line.CustomID), "an item has two results")
+		seen[line.CustomID] = line.Response.Body.Choices[0].Message.Content
+	}
+	f.Expect(seen).To(HaveLen(items))
+	for i := range items {
+		f.Expect(seen[fmt.Sprintf("item%d", i)]).To(Equal(expectedText(itemPrompt(name, i), itemTokens)))
+	}
+}
--- /dev/null
+++ b/proof/config_test.go
@@ -0,0 +1,132 @@
+package proof
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// next returns the bundle that follows a version, told apart by its note.
+func (f *fleet) next(basedOn int64, note string) sardinerock.Bundle {
+	b := f.bundle
+	b.BasedOn, b.Note = basedOn, note
+	return b
+}
+
+// waitVersion waits until an entry sees every process of the fleet at a version.
+func (f *fleet) waitVersion(n *node, version int64, processes int) {
+	f.t.Helper()
+	f.Eventually(func() string { return f.behind(n, version, processes) }, patience, 50*time.Millisecond).Should(BeEmpty())
+}
+
+// behind names the processes that are not at a version.
+func (f *fleet) behind(n *node, version int64, processes int) string {
+	st, err := f.status(n)
+	if err != nil {
+		return err.Error()
+	}
+	var late []string
+	for _, p := range st.Processes {
+		if p.Version != version {
+			late = append(late, fmt.Sprintf("%s at %d", p.ID, p.Version))
+		}
+	}
+	if len(st.Processes) < processes {
+		late = append(late, fmt.Sprintf("%d processes of %d", len(st.Processes), processes))
+	}
+	return strings.Join(late, ", ")
+}
+
+// Two operators publish different bundles over the same version, through
+// different entries, at the same moment. In each round exactly one may win; the
+// other is told that it lost, and the winner's is in force everywhere.
+func TestTwoOperatorsRace(t *testing.T) {
+	f := newFleet(t, shape{entries: 3, sides: 2})
+	for round := range 5 {
+		basedOn := int64(round + 1)
+		statuses := make([]int, 2)
+		bodies := make([]string, 2)
+		var both sync.WaitGroup
+		for i := range 2 {
+			both.Go(func() {
+				statuses[i], bodies[i] = f.publish(f.entries[i], f.next(basedOn, fmt.Sprintf("operator %d round %d", i, round)))
+			})
+		}
+		both.Wait()
+		f.Expect(statuses).To(ConsistOf(http.StatusOK, http.StatusConflict), strings.Join(bodies, "\n"))
+		f.waitVersion(f.entries[2], basedOn+1, 5)
+	}
+}
+
+// The log takes a bundle and its answer is lost. The operator must be told in
+// the end that it is in force, and it must be one version, not two.
+func TestPublishWithTheAnswerOfTheLogLost(t *testing.T) {
+	f := newFleet(t, shape{entries: 2, sides: 1})
+	f.knobs(f.logURL, `{"loseAnswers":2,"lateMs":200}`)
+	status, body := f.publish(f.entries[0], f.next(1, "lost"))
+	f.Expect(status).To(Equal(http.StatusOK), body)
+	f.waitVersion(f.entries[1], 2, 3)
+	status, body = f.publish(f.entries[1], f.next(2, "next"))
+	f.Expect(status).To(Equal(http.StatusOK), body)
+	f.waitVersion(f.entries[0], 3, 3)
+}
+
+// A side is paused while two versions go by. When it goes on it must come to
+// the newest, and callers get whole answers all the time.
+func TestSidePausedOverTwoVersions(t *testing.T) {
+	f := newFleet(t, shape{entries: 2, sides: 2})
+	f.sides[0].signal(syscall.SIGSTOP)
+	for version := int64(1); version <= 2; version++ {
+		status, body := f.publish(f.entries[0], f.next(version, "paused"))
+		f.Expect(status).To(Equal(http.StatusOK), body)
+	}
+	f.sides[0].signal(syscall.SIGCONT)
+	f.waitVersion(f.entries[1], 3, 4)
+	o := f.chat(f.entries[1], "after the pause")
+	f.Expect(o.whole()).To(BeTrue(), o.String())
+}
+
+// An entry starts where no bundle was ever published: it must be live but not
+// ready, and turn callers away as not run.
+func TestNewInstanceIsNotReadyWithoutConfiguration(t *testing.T) {
+	f := &fleet{GomegaWithT: NewWithT(t), t: t}
+	f.startPlatform()
+	n := f.addEntry(0)
+	f.Consistently(func() bool { return f.isReady(n) }, 2*time.Second, 100*time.Millisecond).Should(BeFalse())
+	o := f.chat(n, "too early")
+	f.Expect(o.code).To(Equal(string(sardinerock.CodeNotReady)), o.String())
+	f.Expect(o.header.Get("Sardinerock-Outcome")).To(Equal("notRun"))
+	f.Expect(o.header.Get("Retry-After")).NotTo(BeEmpty())
+}
+
+// The log is out while the platform replaces an entry. The new one has nothing
+// on disk and can't read the log: it must learn the version in force from its
+// peers, not begin at none, and serve.
+func TestEntryReplacedWhileTheLogIsOut(t *testing.T) {
+	f := newFleet(t, shape{entries: 2, sides: 2})
+	status, body := f.publish(f.entries[0], f.next(1, "second"))
+	f.Expect(status).To(Equal(http.StatusOK), body)
+	f.waitVersion(f.entries[0], 2, 4)
+	f.knobs(f.logURL, `{"outage":"refuse"}`)
+	f.entries[1].kill()
+	f.remove(f.entries[1])
+	n := f.addEntry(7)
+	f.Eventually(func() bool { return f.isReady(n) }, patience, 100*time.Millisecond).Should(BeTrue())
+	f.Eventually(func() error { return f.serving(n, 2) }, patience, 100*time.Millisecond).Should(Succeed())
+	st, err := f.status(n)
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(st.Version).To(BeEquivalentTo(2))
+	o := f.chat(n, "during the outage")
+	f.Expect(o.whole()).To(BeTrue(), o.String())
+	f.knobs(f.logURL, `{"outage":""}`)
+	status, body = f.publish(n, f.next(2, "third"))
+	f.Expect(status).To(Equal(http.StatusOK), body)
+}
--- /dev/null
+++ b/proof/fleet_test.go
@@ -0,0 +1,274 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/front"
+	"github.com/sardinerock/sardinerock/remote"
+)
+
+const (
+	callerToken   = "tutor-token"
+	operatorToken = "operator-token"
+	crashMarker   = "CRASHES-THE-ENGINE"
+	modelName     = "letters"
+	serviceName   = "portal"
+	// patience bounds waits for what comes within seconds on an idle machine.
+	patience = 40 * time.Second
+)
+
+// node is one instance: its process, and for sides the backend server beside it.
+type node struct {
+	*process
+	instance sardinerock.Instance
+	// url is where callers reach an entry.
+	url string
+	// backend and backendURL are those of the stand-in beside a side.
+	backend    *process
+	backendURL string
+	args       []string
+}
+
+// fleet is a set of separate processes on loopback.
+type fleet struct {
+	*GomegaWithT
+	t        *testing.T
+	logURL   string
+	listURL  string
+	list     *remote.Instances
+	entries  []*node
+	sides    []*node
+	services []*node
+	bundle   sardinerock.Bundle
+}
+
+// shape says how many of each a fleet has, and what its engines are like.
+type shape struct {
+	entries, sides, services int
+	// engine is the engines' knobs, as JSON; empty for a fast engine.
+	engine string
+}
+
+const (
+	fastEngine = `{"slots":8,"stepUs":2000,"crashMarker":"` + crashMarker + `","crashMs":5,"cacheBlocks":4096}`
+	slowEngine = `{"slots":8,"stepUs":20000,"crashMarker":"` + crashMarker + `","crashMs":5,"cacheBlocks":4096}`
+)
+
+// newFleet starts a fleet and waits until its bundle is in force and its models are served.
+func newFleet(t *testing.T, s shape) *fleet {
+	t.Helper()
+	f := &fleet{GomegaWithT: NewWithT(t), t: t}
+	f.startPlatform()
+	if s.engine == "" {
+		s.engine = fastEngine
+	}
+	for i := range s.entries {
+		f.addEntry(i)
+	}
+	for i := range s.sides {
+		f.addSide(i, s.engine)
+	}
+	for i := range s.services {
+		f.addService(i)
+	}
+	f.bundle = firstBundle()
+	f.Eventually(func() int {
+		status, _ := f.publish(f.entries[0], f.bundle)
+		return status
+	}, patience, 200*time.Millisecond).Should(Equal(http.StatusOK))
+	f.waitServing(s.entries, s.sides+s.services)
+	return f
+}
+
+func (f *fleet) startPlatform() {
+	logAddress, listAddress := freeAddress(f.t), freeAddress(f.t)
+	start(f.t, "log", "standin", "log", "--address", logAddress)
+	start(f.t, "instances", "standin", "instances", "--address", listAddress)
+	f.logURL, f.listURL = "http://"+logAddress, "http://"+listAddress
+	f.list = &remote.Instances{Sender: remote.Sender{URL: f.listURL}}
+	f.waitListening(f.logURL + "/knobs")
+	f.waitListening(f.listURL + "/knobs")
+}
+
+func (f *fleet) waitListening(url string) {
+	f.t.Helper()
+	f.Eventually(func() error {
+		answer, err := http.Get(url)
+		if err == nil {
+			answer.Body.Close()
+		}
+		return err
+	}, patience, 20*time.Millisecond).Should(Succeed())
+}
+
+func zone(i int) string { return "zone" + strconv.Itoa(i%3+1) }
+
+func (f *fleet) addEntry(i int) *node {
+	callers, peers := freeAddress(f.t), freeAddress(f.t)
+	id := fmt.Sprintf("entry%d", i)
+	n := &node{url: "http://" + callers}
+	n.instance = sardinerock.Instance{ID: id, Role: sardinerock.RoleEntry, Region: "region1", Zone: zone(i), Address: peers}
+	n.args = []string{
+		"entry", "--id", id, "--zone", zone(i), "--caller-address", callers, "--peer-address", peers,
+		"--log-url", f.logURL, "--instances-url", f.listURL, "--shards", "4", "--shutdown-timeout", "20s",
+	}
+	n.process = start(f.t, id, n.args...)
+	f.put(n)
+	f.waitListening(n.url + "/healthz")
+	f.entries = append(f.entries, n)
+	return n
+}
+
+func (f *fleet) addSide(i int, knobs string) {
+	address := freeAddress(f.t)
+	id := fmt.Sprintf("side%d", i)
+	n := &node{backendURL: "http://" + address}
+	n.backend = start(f.t, "engine"+strconv.Itoa(i), "standin", "engine", "--address", address, "--knobs", knobs, "--revive-after", "1s")
+	f.startSide(n, id, i, "--engine-url", n.backendURL)
+	f.sides = append(f.sides, n)
+}
+
+func (f *fleet) addService(i int) {
+	address := freeAddress(f.t)
+	id := fmt.Sprintf("service%d", i)
+	n := &node{backendURL: "http://" + address}
+	n.backend = start(f.t, "backend-"+id, "standin", "service", "--address", address, "--name", serviceName)
+	n.instance.Service = serviceName
+	f.startSide(n, id, i, "--service-name", serviceName, "--service-url", n.backendURL)
+	f.services = append(f.services, n)
+}
+
+func (f *fleet) startSide(n *node, id string, i int, flags ...string) {
+	f.waitListening(n.backendURL + "/knobs")
+	address := freeAddress(f.t)
+	n.instance.ID, n.instance.Role, n.instance.Region = id, sardinerock.RoleSide, "region1"
+	n.instance.Zone, n.instance.Address = zone(i), address
+	n.args = append([]string{
+		"side", "--id", id, "--zone", zone(i), "--address", address,
+		"--instances-url", f.listURL, "--shutdown-timeout", "20s",
+	}, flags...)
+	n.process = start(f.t, id, n.args...)
+	f.put(n)
+}
+
+func (f *fleet) put(n *node) {
+	f.Expect(f.list.Put(context.Background(), n.instance)).To(Succeed())
+}
+
+// replace starts a lost instance anew, under a new id, as the platform does.
+func (f *fleet) remove(n *node) {
+	f.Expect(f.list.Remove(context.Background(), n.instance.ID)).To(Succeed())
+}
+
+func firstBundle() sardinerock.Bundle {
+	return sardinerock.Bundle{
+		Models: []sardinerock.Model{{
+			Name: modelName, Versions: []sardinerock.ModelVersion{{Name: "v1", Bytes: 1 << 20}},
+			MinBackends: 1, MinSlots: 1, MaxSlots: 8, FirstTokenMs: 500, MaxTokens: 256,
+		}},
+		Services: []sardinerock.Service{{
+			Name: serviceName, MaxInFlight: 16, TimeoutMs: 5000,
+			NonRepeatable: []sardinerock.CallPattern{{Method: http.MethodPost, PathPrefix: "/print"}},
+		}},
+		Teams: []sardinerock.Team{{Name: "tutors", Weight: 1}},
+		Callers: []sardinerock.Caller{
+			{
+				Name: "tutor", Team: "tutors", Weight: 1, KeyHashes: []string{front.HashToken(callerToken)},
+				Grants: []sardinerock.Grant{{Model: modelName, Version: "v1"}}, Services: []string{serviceName},
+			},
+			{
+				Name: "operator", Team: "tutors", Weight: 1, KeyHashes: []string{front.HashToken(operatorToken)},
+				Grants: []sardinerock.Grant{}, Operator: true,
+			},
+		},
+		Batch: sardinerock.Batch{ResultHours: 24, MaxItems: 10000, MaxAttempts: 3},
+	}
+}
+
+// publish sends a bundle through an entry and returns the status and the answer.
+func (f *fleet) publish(n *node, b sardinerock.Bundle) (int, string) {
+	raw, err := json.Marshal(b)
+	f.Expect(err).NotTo(HaveOccurred())
+	answer, body, err := f.call(n, http.MethodPost, "/operator/bundles", operatorToken, raw)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return answer.StatusCode, body
+}
+
+func (f *fleet) status(n *node) (front.Status, error) {
+	var st front.Status
+	answer, body, err := f.call(n, http.MethodGet, "/operator/status", operatorToken, nil)
+	if err != nil {
+		return st, err
+	}
+	if answer.StatusCode != http.StatusOK {
+		return st, fmt.Errorf("%s", body)
+	}
+	return st, json.Unmarshal([]byte(body), &st)
+}
+
+// waitServing waits until every entry has the bundle and sees so many backend servers up and loaded.
+func (f *fleet) waitServing(entries, backends int) {
+	f.t.Helper()
+	for _, n := range f.entries[:entries] {
+		f.Eventually(func() error { return f.serving(n, backends) }, patience, 100*time.Millisecond).Should(Succeed())
+	}
+}
+
+func (f *fleet) serving(n *node, backends int) error {
+	st, err := f.status(n)
+	if err != nil {
+		return err
+	}
+	up := 0
+	for _, b := range st.Backends {
+		if b.State == "up" && (b.Service != "" || len(b.Loaded) > 0) {
+			up++
+		}
+	}
+	if up < backends {
+		return fmt.Errorf("%s sees %d of %d backend servers up", n.name, up, backends)
+	}
+	return nil
+}
+
+var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
+func (f *fleet) call(n *node, method, path, token string, body []byte, headers ...string) (*http.Response, string, error) {
+	r, err := http.NewRequest(method, n.url+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, "", err
+	}
+	r.Header.Set("Authorization", "Bearer "+token)
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	answer, err := client.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer answer.Body.Close()
+	raw, err := io.ReadAll(answer.Body)
+	return answer, string(raw), err
+}
+
+// knobs changes the faults of a stand-in.
+func (f *fleet) knobs(url, change string) {
+	f.t.Helper()
+	answer, err := http.Post(url+"/knobs", "application/json", bytes.NewBufferString(change))
+	f.Expect(err).NotTo(HaveOccurred())
+	answer.Body.Close()
+	f.Expect(answer.StatusCode).To(Equal(http.StatusOK))
+}
--- /dev/null
+++ b/proof/online_test.go
@@ -0,0 +1,226 @@
+package proof
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/fakes"
+	"github.com/sardinerock/sardinerock/front"
+)
+
+// Sides are killed under load. A stream that was half delivered must go on
+// from another backend server, with no word missing or doubled: the caller sees
+// one whole answer, only later.
+func TestSidesKilledUnderOnlineLoad(t *testing.T) {
+	f := newFleet(t, shape{entries: 2, sides: 4, engine: slowEngine})
+	callers := f.startLoad(8, f.entries...)
+	time.Sleep(2 * time.Second)
+	f.sides[0].kill()
+	time.Sleep(2 * time.Second)
+	f.sides[1].kill()
+	time.Sleep(2 * time.Second)
+	f.expectAllWhole(callers.finish())
+}
+
+// A side freezes with streams in flight: its connections stay open and say
+// nothing. Callers must not wait for it, but get the rest from elsewhere.
+func TestSideFreezesUnderOnlineLoad(t *testing.T) {
+	f := newFleet(t, shape{entries: 2, sides: 3, engine: slowEngine})
+	callers := f.startLoad(6, f.entries...)
+	time.Sleep(2 * time.Second)
+	f.sides[0].signal(syscall.SIGSTOP)
+	time.Sleep(6 * time.Second)
+	f.sides[0].signal(syscall.SIGCONT)
+	time.Sleep(2 * time.Second)
+	f.expectAllWhole(callers.finish())
+}
+
+// Every connection that is open to one engine goes silent for good, while new
+// ones work. The requests on them must be tried over new ones, and the backend
+// server must not be given up for it.
+func TestOpenConnectionsToAnEngineGoSilent(t *testing.T) {
+	f := newFleet(t, shape{entries: 1, sides: 2, engine: slowEngine})
+	callers := f.startLoad(8, f.entries...)
+	time.Sleep(2 * time.Second)
+	f.knobs(f.sides[0].backendURL, `{"silence":1000}`)
+	time.Sleep(6 * time.Second)
+	f.expectAllWhole(callers.finish())
+	f.Eventually(func() error { return f.serving(f.entries[0], 2) }, patience, 100*time.Millisecond).Should(Succeed())
+}
+
+// maxCrashes is how many backend servers one crashing request may take, however
+// often and through however many entries it is sent.
+const maxCrashes = 3
+
+// A request that crashes each backend server that runs it is sent ten times,
+// through all entries, while others ask. At most maxCrashes crashes may follow;
+// then it is refused everywhere, with a code of its own. Everybody else gets a
+// whole answer, also those who were on the crashed backend servers.
+func TestCrashingRequestSentTenTimes(t *testing.T) {
+	f := newFleet(t, shape{entries: 3, sides: 5, engine: slowEngine})
+	callers := f.startLoad(6, f.entries...)
+	time.Sleep(time.Second)
+	var last *outcome
+	for i := range 10 {
+		last = f.chat(f.entries[i%len(f.entries)], crashMarker)
+		f.Expect(last.err).NotTo(HaveOccurred())
+		f.Expect(last.status).NotTo(Equal(http.StatusOK))
+	}
+	f.Expect(last.code).To(Equal(string(sardinerock.CodeCrashSuspect)), last.String())
+	f.expectAllWhole(callers.finish())
+	crashes := 0
+	for _, n := range f.sides {
+		crashes += strings.Count(n.backend.logged(), "crashed")
+	}
+	f.Expect(crashes).To(And(BeNumerically(">", 0), BeNumerically("<=", maxCrashes)))
+}
+
+// The platform stops a side under load, as at every replacement. It must finish
+// what it has, take nothing new, and end with code 0 within the set time; no
+// caller may notice.
+func TestStoppingASideCutsNothing(t *testing.T) {
+	f := newFleet(t, shape{entries: 2, sides: 3, engine: slowEngine})
+	const items = 200
+	j := f.submit(f.entries[0], "drained", items)
+	callers := f.startLoad(8, f.entries...)
+	time.Sleep(2 * time.Second)
+	f.sides[0].signal(syscall.SIGTERM)
+	f.Expect(f.sides[0].waitExit(t, 20*time.Second)).To(Equal(0))
+	time.Sleep(time.Second)
+	f.expectAllWhole(callers.finish())
+	done := f.waitJob(f.entries[1], j.ID, "completed", patience)
+	f.expectResults(done, "drained", items, f.entries...)
+}
+
+// An entry is stopped under load. As soon as it says that it is not ready, the
+// balancer sends it nothing new; what it has taken, it must answer whole.
+func TestStoppingAnEntryCutsNothing(t *testing.T) {
+	f := newFleet(t, shape{entries: 2, sides: 3, engine: slowEngine})
+	var l load
+	var all sync.WaitGroup
+	stopping := f.entries[0]
+	for i := range 6 {
+		all.Go(func() {
+			for k := 0; f.isReady(stopping); k++ {
+				l.add(f.chat(stopping, fmt.Sprintf("draft %d of supervisor %d", k, i)))
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	stopping.signal(syscall.SIGTERM)
+	all.Wait()
+	f.Expect(stopping.waitExit(t, 20*time.Second)).To(Equal(0))
+	f.expectAllWhole(l.outcomes)
+}
+
+func (f *fleet) isReady(n *node) bool {
+	answer, err := client.Get(n.url + "/readyz")
+	if err != nil {
+		return false
+	}
+	answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+// Clerks print letters through a plain service; printing twice sends a family
+// two letters. The side before one of two backend servers is killed while calls
+// run, and answers get lost. Each call may run at most once, and where the
+// caller is told "not run", it did not.
+func TestNonRepeatableCallRunsAtMostOnce(t *testing.T) {
+	f := newFleet(t, shape{entries: 2, sides: 1, services: 2})
+	for _, n := range f.services {
+		f.knobs(n.backendURL, `{"slowMs":300}`)
+	}
+	const calls = 40
+	outcomes := make([]string, calls)
+	var all sync.WaitGroup
+	for i := range calls {
+		all.Go(func() {
+			time.Sleep(time.Duration(i) * 30 * time.Millisecond)
+			outcomes[i] = f.print(f.entries[i%2], i)
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	f.knobs(f.services[1].backendURL, `{"loseAnswers":3}`)
+	time.Sleep(200 * time.Millisecond)
+	f.services[0].kill()
+	all.Wait()
+	runs := f.runs()
+	answered := 0
+	for i, o := range outcomes {
+		n := runs[printPath(i)]
+		f.Expect(n).To(BeNumerically("<=", 1), "call %d, told %s", i, o)
+		switch o {
+		case "answered":
+			answered++
+			f.Expect(n).To(Equal(1), "call %d was answered", i)
+		case sardinerock.OutcomeNotRun.String():
+			f.Expect(n).To(BeZero(), "call %d was told that it did not run", i)
+		}
+	}
+	f.Expect(answered).To(BeNumerically(">", calls/4))
+}
+
+func printPath(i int) string { return fmt.Sprintf("/print/%d", i) }
+
+// print makes one call that may not be repeated and returns "answered" or the outcome that the caller is told.
+func (f *fleet) print(n *node, i int) string {
+	answer, _, err := f.call(n, http.MethodPost, "/services/"+serviceName+printPath(i), callerToken, []byte("letter"))
+	if err != nil {
+		return err.Error()
+	}
+	if answer.StatusCode == http.StatusOK {
+		return "answered"
+	}
+	return answer.Header.Get(front.OutcomeHeader)
+}
+
+// runs counts how often each call ran, over all backend servers of the plain service.
+func (f *fleet) runs() map[string]int {
+	total := map[string]int{}
+	for _, n := range f.services {
+		answer, err := http.Get(n.backendURL + "/ran")
+		f.Expect(err).NotTo(HaveOccurred())
+		var ran fakes.ServiceRuns
+		f.Expect(json.NewDecoder(answer.Body).Decode(&ran)).To(Succeed())
+		answer.Body.Close()
+		for _, r := range ran.Runs {
+			total[r.Path] += r.Runs
+		}
+	}
+	return total
+}
+
+// A supervisor asks while a large job fills the fleet. The first tokens must
+// not wait for bulk work: the slowest of the answers may take no longer than
+// some way over what it takes alone, in the same run.
+func TestOnlineDoesNotWaitBehindBatch(t *testing.T) {
+	f := newFleet(t, shape{entries: 2, sides: 2, engine: slowEngine})
+	alone := f.timeChats("alone")
+	j := f.submit(f.entries[0], "bulk", 1000)
+	f.waitCompleted(f.entries[0], j.ID, 20)
+	beside := f.timeChats("beside")
+	t.Logf("slowest of 20 whole answers: alone %s, beside a job %s", alone, beside)
+	f.Expect(beside).To(BeNumerically("<", 2*alone+500*time.Millisecond))
+}
+
+// timeChats sends requests one after the other and returns the slowest time.
+func (f *fleet) timeChats(name string) time.Duration {
+	var slowest time.Duration
+	for i := range 20 {
+		started := time.Now()
+		o := f.chat(f.entries[i%len(f.entries)], fmt.Sprintf("%s %d", name, i))
+		slowest = max(slowest, time.Since(started))
+		f.Expect(o.whole()).To(BeTrue(), o.String())
+	}
+	return slowest
+}
