side: place models by plan and instance list

Cause: the first form loaded every model of the bundle on every engine. The keeper of package place orders what the plan gives this side, keeps the old version while it is in use and spreads loads over the store's rate. The side reads the instance list itself: entries know only their subset of sides, and two entries with different lists would give different targets.

--- a/side/place.go
+++ b/side/place.go
@@ -2,47 +2,58 @@
 
 import (
 	"context"
-	"slices"
-	"time"
+	"sync"
+
+	"github.com/phuslu/log"
 
 	"github.com/sardinerock/sardinerock"
-	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/member"
+	"github.com/sardinerock/sardinerock/place"
 )
 
-const placeEvery = time.Second
-
-// placeLoop keeps the engine at what the configuration in force asks for.
+// placeLoop keeps the engine at what the configuration in force asks of it.
 func (s *Side) placeLoop(ctx context.Context) {
 	if s.Engine == nil {
 		return
 	}
-	every(ctx, placeEvery, func() { s.place(ctx) })
+	keeper := &place.Keeper{
+		Engine:              s.Engine,
+		Self:                s.ID,
+		Process:             log.NewXID().String(),
+		Config:              &s.replica,
+		Sides:               s.onlySelf,
+		InUse:               s.inUse,
+		Events:              s.Events,
+		StoreBytesPerSecond: s.StoreBytesPerSecond,
+	}
+	var tracking sync.WaitGroup
+	defer tracking.Wait()
+	if s.Instances != nil {
+		tracker := &member.Tracker{Self: s.self(), List: s.Instances, Events: s.Events}
+		keeper.Sides = func() []sardinerock.Instance { return tracker.Instances(sardinerock.RoleSide) }
+		tracking.Go(func() { _ = tracker.Run(ctx) })
+	}
+	_ = keeper.Run(ctx)
 }
 
-func (s *Side) place(ctx context.Context) {
-	current := s.replica.Current()
-	if current == nil {
-		return
+// self is this side as the instance list has it.
+func (s *Side) self() sardinerock.Instance {
+	return sardinerock.Instance{
+		ID: s.ID, Role: sardinerock.RoleSide, Region: s.Region, Zone: s.Zone,
+		Address: s.Listener.Addr().String(), Service: s.Service,
 	}
-	state, err := s.Engine.State(ctx)
-	if err != nil {
-		return
-	}
-	for _, m := range current.Bundle.Models {
-		for _, v := range m.Versions {
-			for _, adapter := range append([]string{""}, m.Adapters...) {
-				target := sardinerock.LoadedModel{Model: m.Name, Version: v.Name, Adapter: adapter}
-				if slices.Contains(state.Loaded, target) {
-					continue
-				}
-				order := sardinerock.EngineOrder{Action: sardinerock.OrderLoad, Target: target, Fence: current.Version}
-				if err := s.Engine.Order(ctx, order); err != nil {
-					s.Events.Warn(event.OrderRefused).Str("model", m.Name).Str("version", v.Name).Err(err).Msg("load refused")
-					continue
-				}
-				s.Events.Info(event.ModelLoaded).Str("model", m.Name).Str("version", v.Name).Str("adapter", adapter).Msg("loaded")
-			}
+}
+
+func (s *Side) onlySelf() []sardinerock.Instance { return []sardinerock.Instance{s.self()} }
+
+// inUse tells whether requests for a model wait or run here.
+func (s *Side) inUse(m sardinerock.LoadedModel) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.attempts {
+		if a.start.Model == m.Model && a.start.Version == m.Version && a.start.Adapter == m.Adapter {
+			return true
 		}
 	}
-	s.probe(ctx, probeTimeout)
+	return false
 }
--- a/side/side.go
+++ b/side/side.go
@@ -48,6 +48,8 @@
 	// Signers holds the public keys whose sign-offs count; SignOffsNeeded is how many a bundle needs.
 	Signers        map[string]ed25519.PublicKey
 	SignOffsNeeded int
+	// StoreBytesPerSecond is the weight store's rate for the whole fleet; 0 spreads no loads.
+	StoreBytesPerSecond int64
 	// Policy is empty, or "fifo" for the baseline without gate and priorities.
 	Policy string
 	Events *event.Logger
