--- a/bundle/checkpoint.go
+++ b/bundle/checkpoint.go
@@ -24,37 +24,29 @@
 func (k *Keeper) readFromLog(ctx context.Context) (*State, error) {
 	ctx, cancel := context.WithTimeout(ctx, 4*callTimeout)
 	defer cancel()
-	bounds, err := k.Log.Bounds(ctx, Stream)
-	if err != nil {
-		return nil, err
-	}
 	s, err := k.newestCheckpoint(ctx)
 	if err != nil {
 		return nil, err
 	}
-	if s == nil || s.Next < bounds.First {
-		// Offsets begin at 0, so a stream that still has its first record has no gap.
-		if bounds.First > 0 {
-			return nil, errNoCheckpoint
-		}
-		if s == nil {
-			s = &State{}
-		}
+	if s == nil {
+		s = &State{}
 	}
-	for s.Next < bounds.Next {
+	for {
 		records, err := k.Log.Read(ctx, Stream, s.Next, 0)
+		if errors.Is(err, sardinerock.ErrLogGap) {
+			return nil, errNoCheckpoint
+		}
 		if err != nil {
 			return nil, err
 		}
 		if len(records) == 0 {
-			break
+			return s, nil
 		}
 		for _, r := range records {
 			s, _, _ = Fold(s, r)
 			k.noteRecord(r, s.Version)
 		}
 	}
-	return s, nil
 }
 
 // newestCheckpoint looks backwards in ever longer steps, so that a start reads
--- a/bundle/publish.go
+++ b/bundle/publish.go
@@ -60,14 +60,18 @@
 		// If the base is older than the log's newest, the order will say so.
 		return s, nil
 	}
-	bounds, err := k.Log.Bounds(ctx, Stream)
-	if err != nil {
-		return nil, notRun(sardinerock.CodeLogUnavailable, "the log does not answer: "+err.Error(), retryAfterOutage)
-	}
 	for {
 		changed := k.Changed()
-		if s := k.State(); s != nil && (s.Next >= bounds.Next || s.Version >= basedOn) {
-			return s, nil
+		s := k.State()
+		if s != nil {
+			// Offsets have holes, so only an empty read tells that nothing is left.
+			records, err := k.Log.Read(ctx, Stream, s.Next, 0)
+			if err != nil {
+				return nil, notRun(sardinerock.CodeLogUnavailable, "the log does not answer: "+err.Error(), retryAfterOutage)
+			}
+			if len(records) == 0 || s.Version >= basedOn {
+				return s, nil
+			}
 		}
 		select {
 		case <-changed:
--- /dev/null
+++ b/capa/route.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/admit"
+	"github.com/sardinerock/sardinerock/route"
+)
+
+// measureRouting gives what a routing decision and a report cost, by the backend servers that the entry knows.
+func measureRouting(r *report) error {
+	var pick, update, mem []point
+	for _, n := range []int{60, 250, 1000} {
+		before := memory()
+		table := &route.Table{Random: rand.New(rand.NewPCG(1, 2))}
+		now := time.Now()
+		backend := func(i int) route.Backend {
+			return route.Backend{
+				ID: fmt.Sprint("side-", i), Zone: fmt.Sprint("zone-", i%3), Slots: 24, OnlineRunning: i % 20, Up: true, ConfigVersion: 1,
+				Loaded:     []sardinerock.LoadedModel{{Model: "draft", Version: "1"}},
+				FirstToken: 300 * time.Millisecond, TokenGap: 30 * time.Millisecond, ReportAt: now,
+			}
+		}
+		for i := range n {
+			b := backend(i)
+			table.Update(now, b)
+			prefixes := make([]uint64, 100)
+			for j := range prefixes {
+				prefixes[j] = rand.Uint64()
+			}
+			table.CacheEvent(b.ID, prefixes, nil)
+		}
+		size := float64(n)
+		mem = append(mem, point{size, memory() - before})
+		query := route.Query{Model: "draft", Version: "1", Zone: "zone-1", Prefixes: []uint64{1, 2, 3, 4, 5, 6, 7, 8}}
+		pick = append(pick, point{size, timed(func() { table.Pick(now, query) })})
+		b := backend(n / 2)
+		update = append(update, point{size, timed(func() { table.Update(now, b) })})
+	}
+	r.slope("routing decision: CPU", "us", "candidate", pick...)
+	r.slope("report taken into the routing table: CPU", "us", "backend server", update...)
+	r.slope("backend server in the routing table, 100 prefixes: memory", "B", "backend server", mem...)
+	return nil
+}
+
+// measureGate gives what a request costs in the gate of a side, by the requests that wait, and what one caller's limits cost at an entry.
+func measureGate(r *report) error {
+	var decision, mem, callers, callersMem []point
+	for _, n := range []int{100, 1000, 10000} {
+		before := memory()
+		now := time.Now()
+		gate := &admit.Gate{Limits: sardinerock.GateLimits{MinSlots: 1, MaxSlots: 24, FirstTokenTarget: time.Second}}
+		work := func(i int) sardinerock.Work {
+			return sardinerock.Work{
+				Attempt: fmt.Sprint("attempt-", i), Caller: fmt.Sprint("caller-", i%100), Key: "k", Class: sardinerock.ClassOnline,
+				PromptTokens: 500, MaxTokens: 300, Deadline: now.Add(24 * time.Hour), Weight: 1,
+			}
+		}
+		for i := range n {
+			gate.Offer(now, work(i))
+		}
+		mem = append(mem, point{float64(n), memory() - before})
+		i := n
+		decision = append(decision, point{float64(n), timed(func() {
+			i++
+			w := work(i)
+			gate.Offer(now, w)
+			gate.Cancel(now, w.Attempt)
+		})})
+	}
+	for _, n := range []int{50, 200, 1800} {
+		before := memory()
+		now := time.Now()
+		limiter := &admit.Limiter{}
+		for i := range n {
+			limiter.Allow(now, fmt.Sprint("caller-", i), admit.CallerLimits{RequestsPerMinute: 600, TokensPerMinute: 1e6}, 500)
+		}
+		callersMem = append(callersMem, point{float64(n), memory() - before})
+		callers = append(callers, point{float64(n), timed(func() { limiter.Usage(now) })})
+	}
+	r.slope("arrival and end of a request at the gate: CPU", "us", "waiting request", decision...)
+	r.slope("request that waits at the gate: memory", "B", "waiting request", mem...)
+	r.slope("demand figures for one ping: CPU", "us", "caller", callers...)
+	r.slope("caller's limits at an entry: memory", "B", "caller", callersMem...)
+	return nil
+}
