--- a/capa/bundle.go
+++ b/capa/bundle.go
@@ -116,15 +116,14 @@
 		return err
 	}
 	first := k.State()
-	_, bytesBefore, _ := l.last(bundle.Stream)
+	_, bytesBefore := l.last(bundle.Stream)
 	second := s.document(sampleBundle(1, teams, 601))
 	m.document = append(m.document, point{size, float64(len(second))})
 	if _, err := k.Publish(second, "ann"); err != nil {
 		return err
 	}
-	record, bytesAfter, _ := l.last(bundle.Stream)
+	record, bytesAfter := l.last(bundle.Stream)
 	m.record = append(m.record, point{size, float64(bytesAfter - bytesBefore)})
-	second = nil
 	// The records of the log are the platform's memory, and the first state's content is shared.
 	m.memory = append(m.memory, point{size, memory() - before - float64(bytesAfter)})
 
--- a/capa/log.go
+++ b/capa/log.go
@@ -70,24 +70,13 @@
 	return sardinerock.LogBounds{Next: int64(len(l.streams[stream]))}, nil
 }
 
-// last returns a stream's newest record, and the bytes and appends of the stream so far.
-func (l *countingLog) last(stream string) (r sardinerock.LogRecord, bytes, appends int) {
+// last returns a stream's newest record, and the bytes of the stream so far.
+func (l *countingLog) last(stream string) (sardinerock.LogRecord, int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	records := l.streams[stream]
-	if len(records) > 0 {
-		r = records[len(records)-1]
+	if len(records) == 0 {
+		return sardinerock.LogRecord{}, 0
 	}
-	return r, l.bytes[stream], l.appends[stream]
-}
-
-// total returns the bytes and appends of all streams.
-func (l *countingLog) total() (bytes, appends int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for stream := range l.bytes {
-		bytes += l.bytes[stream]
-		appends += l.appends[stream]
-	}
-	return bytes, appends
+	return records[len(records)-1], l.bytes[stream]
 }
--- a/capa/ping.go
+++ b/capa/ping.go
@@ -40,7 +40,7 @@
 	}
 	var sent atomic.Int64
 	conn := drpcconn.New(counted{raw, &sent})
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	client := wire.NewDRPCPeerClient(conn)
 	var bytes, cpuTime []point
 	for _, callers := range []int{0, 50, 200, 1800} {
--- a/capa/route.go
+++ b/capa/route.go
@@ -98,7 +98,7 @@
 		now := time.Now()
 		limiter := &admit.Limiter{}
 		for i := range n {
-			limiter.Allow(now, fmt.Sprint("caller-", i), admit.CallerLimits{RequestsPerMinute: 600, TokensPerMinute: 1e6}, 500)
+			_ = limiter.Allow(now, fmt.Sprint("caller-", i), admit.CallerLimits{RequestsPerMinute: 600, TokensPerMinute: 1e6}, 500)
 		}
 		callersMem = append(callersMem, point{float64(n), memory() - before})
 		callers = append(callers, point{float64(n), timed(func() { limiter.Usage(now) })})
