--- a/bundle/check.go
+++ b/bundle/check.go
@@ -58,7 +58,7 @@
 
 // fault leaves out fields that the reader has reported already.
 func (c *checker) fault(path, message, hint string) {
-	if c.r.unread[path] {
+	if c.r.reported(path) {
 		return
 	}
 	c.faults = append(c.faults, Fault{Path: path, Line: c.r.line(path), Message: message, Hint: hint})
--- a/bundle/parse.go
+++ b/bundle/parse.go
@@ -33,16 +33,49 @@
 }
 
 // MaxBytes bounds a bundle's document.
-const MaxBytes = 32 << 20
+const MaxBytes = 8 << 20
 
 // maxDepth bounds nesting; the deepest field of a bundle is at 6.
 const maxDepth = 16
 
+// maxOpen bounds the brackets and list marks that are open at once.
+//
+// The parser calls itself for each, and looks back over all of them: 30,000
+// opening brackets, 30 KB, take it 1.6 s, and a few megabytes of them would
+// take an entry's stack and with it the process. Brackets inside of texts
+// count as well, which no name or note comes near.
+const maxOpen = 200
+
+func tooDeep(raw []byte) bool {
+	open, marks := 0, 0
+	for i, c := range raw {
+		switch c {
+		case '[', '{':
+			open++
+		case ']', '}':
+			open = max(0, open-1)
+		case '-', '?':
+			if i+1 < len(raw) && raw[i+1] == ' ' {
+				marks++
+			}
+		case '\n':
+			marks = 0
+		}
+		if open > maxOpen || marks > maxOpen {
+			return true
+		}
+	}
+	return false
+}
+
 // Parse reads a bundle in JSON or YAML and returns it, or every fault that it has.
 func Parse(raw []byte) (*sardinerock.Bundle, []Fault) {
 	if len(raw) > MaxBytes {
 		return nil, []Fault{{Path: "bundle", Message: "document is too large", Hint: fmt.Sprintf("at most %d bytes", MaxBytes)}}
 	}
+	if tooDeep(raw) {
+		return nil, []Fault{{Path: "bundle", Line: 1, Message: "nested too deeply", Hint: "no field lies deeper than 6"}}
+	}
 	file, err := parser.ParseBytes(raw, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		return nil, []Fault{syntaxFault(err)}
@@ -87,11 +120,24 @@
 		if n, ok := r.lines[path]; ok {
 			return n
 		}
-		path = path[:max(strings.LastIndexAny(path, ".["), 0)]
+		path = parent(path)
 	}
 	return 1
 }
 
+// reported tells whether the field, or one around it, was at fault already.
+func (r *reader) reported(path string) bool {
+	for path != "" {
+		if r.unread[path] {
+			return true
+		}
+		path = parent(path)
+	}
+	return false
+}
+
+func parent(path string) string { return path[:max(strings.LastIndexAny(path, ".["), 0)] }
+
 func (r *reader) fault(path string, message, hint string) {
 	if r.unread == nil {
 		r.unread = map[string]bool{}
@@ -152,6 +198,7 @@
 		case !known:
 			r.fault(at, "unknown field", nearest(name, fieldNames(v.Type())))
 		case seen[name]:
+			r.lines[at] = p.Key.GetToken().Position.Line
 			r.fault(at, "field stands twice", "")
 		default:
 			r.read(v.Field(i), p.Value, at, depth+1)
--- /dev/null
+++ b/bundle/parse_test.go
@@ -0,0 +1,214 @@
+package bundle
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+const plain = `basedOn: 3
+models:
+  - name: draft
+    versions: [{name: "1", bytes: 10}]
+    adapters: [panels]
+    minBackends: 1
+    minSlots: 1
+    maxSlots: 4
+    firstTokenMs: 900
+    maxTokens: 100
+services:
+  - {name: portal, maxInFlight: 4, timeoutMs: 100, nonRepeatable: [{method: POST, pathPrefix: /orders}]}
+teams:
+  - {name: floor, weight: 1}
+callers:
+  - name: dashboard
+    team: floor
+    weight: 1
+    keyHashes: ["9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"]
+    grants: [{model: draft, version: "1", adapters: [panels]}]
+    services: [portal]
+batch: {resultHours: 24, maxItems: 1000, maxAttempts: 3}
+`
+
+// An operator's slips: each must be named with its path and its line.
+func TestFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		old, new string
+		want     []string
+	}{
+		"unknown field":         {"minSlots: 1", "minSlots: 1\n    slots: 2", []string{"line 8: models[0].slots: unknown field"}},
+		"wrong case":            {"maxTokens", "maxtokens", []string{"line 10: models[0].maxtokens: unknown field (did you mean maxTokens?)", "models[0].maxTokens: is 0"}},
+		"field twice":           {"minSlots: 1", "minSlots: 1\n    minSlots: 2", []string{"line 8: models[0].minSlots: field stands twice"}},
+		"number for a name":     {`name: "1"`, "name: 1", []string{"line 4: models[0].versions[0].name: want text, have a number (put it in quotes)", "callers[0].grants[0].version"}},
+		"text for a number":     {"weight: 1}", "weight: high}", []string{"line 14: teams[0].weight: want a whole number"}},
+		"list for an object":    {"batch: {resultHours: 24, maxItems: 1000, maxAttempts: 3}", "batch: [1]", []string{"line 22: batch: want an object, have a list"}},
+		"unknown model":         {"model: draft", "model: other", []string{`line 20: callers[0].grants[0].model: no model "other"`}},
+		"unknown version":       {`version: "1"`, `version: "2"`, []string{`callers[0].grants[0].version: model "draft" has no version "2"`}},
+		"unknown adapter":       {"adapters: [panels]}", "adapters: [other]}", []string{`callers[0].grants[0].adapters[0]: model "draft" has no adapter "other"`}},
+		"unknown service":       {"services: [portal]", "services: [other]", []string{`line 21: callers[0].services[0]: no service "other"`}},
+		"unknown team":          {"team: floor", "team: other", []string{`line 17: callers[0].team: no team "other"`}},
+		"key instead of a hash": {"9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08", "sk-secret", []string{"line 19: callers[0].keyHashes[0]: is no SHA-256 hash"}},
+		"bounds crossed":        {"maxSlots: 4", "maxSlots: 0", []string{"line 8: models[0].maxSlots: is 0 (at least 1)"}},
+		"two faults":            {"weight: 1}", "weight: 0, size: 1}", []string{"teams[0].size: unknown field", "teams[0].weight: is 0"}},
+		"no path":               {"pathPrefix: /orders", "pathPrefix: orders", []string{`services[0].nonRepeatable[0].pathPrefix: "orders" is no path`}},
+		"reference":             {"maxSlots: 4", "maxSlots: &x 4", []string{"line 8: models[0].maxSlots: want a whole number, have a YAML reference"}},
+		"brackets":              {plain, strings.Repeat("[", 1_000_000), []string{"nested too deeply"}},
+		"list marks":            {plain, strings.Repeat("- ", 1_000_000), []string{"nested too deeply"}},
+		"no document":           {plain, "", []string{"want exactly one document"}},
+		"no YAML":               {plain, "a: [", []string{"not JSON or YAML"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			b, faults := Parse([]byte(strings.Replace(plain, c.old, c.new, 1)))
+			g.Expect(b).To(BeNil())
+			var lines []string
+			for _, f := range faults {
+				lines = append(lines, f.String())
+			}
+			g.Expect(lines).To(HaveLen(len(c.want)))
+			for i, want := range c.want {
+				g.Expect(lines[i]).To(ContainSubstring(want))
+			}
+		})
+	}
+}
+
+// The digest must not depend on the form of the document or the order of its
+// lists, and must depend on everything else.
+func TestDigestIsCanonical(t *testing.T) {
+	g := NewWithT(t)
+	b := sample(3, "x", 5)
+	data, err := yaml.JSONToYAML(raw(b))
+	g.Expect(err).NotTo(HaveOccurred())
+	fromYAML, faults := Parse(data)
+	g.Expect(faults).To(BeEmpty())
+	g.Expect(Digest(fromYAML)).To(Equal(Digest(b)))
+	b.Teams[0], b.Teams[3] = b.Teams[3], b.Teams[0]
+	b.Callers[1], b.Callers[2] = b.Callers[2], b.Callers[1]
+	g.Expect(Digest(b)).To(Equal(Digest(fromYAML)))
+	for name, change := range map[string]func(b *sardinerock.Bundle){
+		"base":    func(b *sardinerock.Bundle) { b.BasedOn++ },
+		"note":    func(b *sardinerock.Bundle) { b.Note = "y" },
+		"model":   func(b *sardinerock.Bundle) { b.Models[0].MaxSlots++ },
+		"service": func(b *sardinerock.Bundle) { b.Services[0].NonRepeatable = nil },
+		"caller":  func(b *sardinerock.Bundle) { b.Callers[4].Operator = true },
+		"team":    func(b *sardinerock.Bundle) { b.Teams = b.Teams[:4] },
+		"batch":   func(b *sardinerock.Bundle) { b.Batch.MaxItems++ },
+	} {
+		other := sample(3, "x", 5)
+		change(other)
+		g.Expect(Digest(other)).NotTo(Equal(Digest(fromYAML)), name)
+	}
+}
+
+// A bundle without the sign-offs that the settings ask for must not come into
+// force, whichever way it lacks them.
+func TestSignOffs(t *testing.T) {
+	g := NewWithT(t)
+	public, private, err := GenerateKey()
+	g.Expect(err).NotTo(HaveOccurred())
+	annPublic, err := ParsePublicKey(public)
+	g.Expect(err).NotTo(HaveOccurred())
+	ann, err := ParsePrivateKey(private)
+	g.Expect(err).NotTo(HaveOccurred())
+	l := &memLog{}
+	k := &Keeper{Log: l, Signers: map[string]ed25519.PublicKey{"ann": annPublic, "bob": annPublic}, SignOffsNeeded: 1}
+	run(t, k)
+	b := sample(0, "", 1)
+	signed := Sign(b, "ann", ann)
+	for name, offs := range map[string][]sardinerock.SignOff{
+		"missing":              nil,
+		"over another digest":  {Sign(sample(0, "other", 1), "ann", ann)},
+		"of somebody unknown":  {{Signer: "eve", Signature: signed.Signature}},
+		"not base64":           {{Signer: "ann", Signature: "?"}},
+		"one right, one wrong": {signed, {Signer: "bob", Signature: base64.StdEncoding.EncodeToString(make([]byte, 64))}},
+	} {
+		b.SignOffs = offs
+		_, err = k.Publish(raw(b), "ann")
+		g.Expect(err).To(HaveOccurred(), name)
+		expectRefusal(g, err, sardinerock.CodeForbidden, sardinerock.OutcomeNotRun)
+	}
+	b.SignOffs = []sardinerock.SignOff{signed, Sign(b, "bob", ann)}
+	g.Expect(Verify(b, k.Signers, 2)).NotTo(Succeed(), "one key under two names is one sign-off")
+	_, err = k.Publish(raw(b), "ann")
+	g.Expect(err).NotTo(HaveOccurred())
+
+	// A process with other settings keeps out what the order accepted, and shows it.
+	strict := &Keeper{Log: l, Signers: k.Signers, SignOffsNeeded: 2}
+	run(t, strict)
+	g.Eventually(strict.Blocked, "5s").Should(Equal(int64(1)))
+	g.Expect(strict.Current()).To(BeNil())
+}
+
+// A side gets only what changed, checks all of it, and never goes back.
+func TestReplica(t *testing.T) {
+	g := NewWithT(t)
+	versions := make([]*Content, 4)
+	for i := range versions {
+		b := sample(int64(i), "", 3+i)
+		if i >= 2 {
+			b.Models[0].MaxSlots = 16
+		}
+		versions[i] = Split(b)
+	}
+	r := &Replica{}
+	take := func(i int) error {
+		_, have := r.Behind(int64(i) + 1)
+		return r.Take(int64(i)+1, versions[i].Digest(), Missing(SideSections(versions[i]), have))
+	}
+	g.Expect(take(0)).To(Succeed())
+	_, have := r.Behind(2)
+	g.Expect(Missing(SideSections(versions[1]), have)).To(HaveLen(1), "only the head, when a caller's team was added")
+	g.Expect(take(3)).To(Succeed(), "two versions missed")
+	g.Expect(r.Current().Bundle.Models[0].MaxSlots).To(Equal(16))
+	g.Expect(r.Current().Bundle.Callers).To(BeEmpty())
+	g.Expect(take(1)).To(Succeed())
+	g.Expect(r.Current().Version).To(Equal(int64(4)), "never back")
+	forged := SideSections(Split(sample(4, "", 3)))
+	g.Expect(r.Take(5, versions[3].Digest(), forged)).NotTo(Succeed())
+	forged[1].Content = json.RawMessage(`[]`)
+	g.Expect(r.Take(5, forged[0].Digest, forged)).NotTo(Succeed())
+	g.Expect(r.Current().Version).To(Equal(int64(4)))
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(plain))
+	f.Add(raw(sample(1, "x", 2)))
+	f.Add([]byte("a: &x [*x]\n? {b: 1}\n: c\n--- \n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		b, faults := Parse(data)
+		if (b == nil) != (len(faults) > 0) {
+			t.Fatalf("bundle %v with faults %v", b, faults)
+		}
+		if b == nil {
+			return
+		}
+		again, faults := Parse(raw(b))
+		if len(faults) > 0 || Digest(again) != Digest(b) {
+			t.Fatalf("%s does not read back: %v", raw(b), faults)
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	p := &proposal{ID: "1", change: diff(&Content{}, Split(sample(0, "", 1)))}
+	f.Add(encodeRecord(record{Proposal: p}))
+	f.Add(encodeRecord(record{Withdrawal: &withdrawal{ID: "1"}}))
+	f.Add(encodeState(&State{}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, _, _ := Fold(&State{}, sardinerock.LogRecord{Data: data})
+		if s.Version > 1 {
+			t.Fatal(fmt.Sprint("one record made version ", s.Version))
+		}
+		_, _ = decodeState(data)
+		_, _ = decodeImage(data)
+	})
+}
