bundle, place, member: tests that catch every piece left out

Trials, one piece left out at a time, each now failing its test: place: hold and use before an unload, a higher fencing number seen, the number grown from the engine's, turns at the weight store, zones in turn, cap, enough holders before requests move. member: bound on suspicion and its rounding, delay and doubling on return, doubt of a short list, leaving remembered, zones and rounding of links, two successors. bundle: sign-offs on publishing, withdrawal, gap not taken for empty, repeats. Three trials weren't caught before: the grace, the fencing number at the same configuration, the cap; their tests are sharper now.

--- a/bundle/keeper_test.go
+++ b/bundle/keeper_test.go
@@ -117,7 +117,7 @@
 	expectVersion(g, keepers[loser], 2)
 }
 
-// The log keeps what it is given and never says so. The operator still gets
+// The log keeps what it is given, or not, and never says so. The operator still gets
 // the right answer, because the order is read back; the copies that the
 // repeats leave in the stream make no second version.
 func TestAnswersLost(t *testing.T) {
@@ -125,6 +125,7 @@
 	l := &memLog{loseAnswers: true}
 	k := startKeeper(t, l, "e0")
 	for v := range int64(3) {
+		l.set(func(l *memLog) { l.dropNext = int(v) })
 		s, err := k.Publish(raw(sample(v, fmt.Sprint("note ", v), 2)), "ann")
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(s.Version).To(Equal(v + 1))
@@ -171,6 +172,8 @@
 	l.forget(Stream, 4)
 	lost := startKeeper(t, l, "e1")
 	g.Consistently(lost.Current, "500ms").Should(BeNil())
+	_, err := lost.Publish(raw(sample(0, "again from the start", 3)), "ann")
+	expectRefusal(g, err, sardinerock.CodeNotReady, sardinerock.OutcomeNotRun)
 	fromPeer := startKeeper(t, l, "e2", k)
 	expectVersion(g, fromPeer, 5)
 	g.Expect(k.writeCheckpoint(context.Background(), k.State())).To(Succeed())
--- a/bundle/memlog_test.go
+++ b/bundle/memlog_test.go
@@ -20,6 +20,8 @@
 	down    bool
 	// loseAnswers takes effect but answers with an error; dropAppends errs without effect.
 	loseAnswers, dropAppends bool
+	// dropNext is how many of the next appends err without effect.
+	dropNext int
 	appends, bytes           int
 }
 
@@ -29,6 +31,10 @@
 	if l.down {
 		return 0, sardinerock.ErrLogRefused
 	}
+	if l.dropNext > 0 {
+		l.dropNext--
+		return 0, errNoAnswer
+	}
 	if l.dropAppends {
 		return 0, errNoAnswer
 	}
--- a/member/tracker_test.go
+++ b/member/tracker_test.go
@@ -129,7 +129,7 @@
 // entry less must move only the links that it had.
 func TestSubset(t *testing.T) {
 	g := NewWithT(t)
-	near, backends := entries(24), sides(720)
+	near, backends := entries(24), sides(700)
 	links := func(near []sardinerock.Instance) map[string]map[string]string {
 		of := map[string]map[string]string{}
 		for _, e := range near {
@@ -143,7 +143,7 @@
 		return of
 	}
 	before := links(near)
-	g.Expect(before).To(HaveLen(720))
+	g.Expect(before).To(HaveLen(700))
 	count := map[string]int{}
 	for _, of := range before {
 		g.Expect(len(of)).To(Or(Equal(2), Equal(3)))
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -47,6 +47,7 @@
 		"all hold all":        {[]sardinerock.Model{model("a", 1, 0, "1")}, fleet(18), 18, 0},
 		"bounded":             {[]sardinerock.Model{model("a", 3, 9, "1"), model("b", 3, 9, "1")}, fleet(18), 9, 0},
 		"two versions":        {[]sardinerock.Model{model("a", 3, 6, "1", "2")}, fleet(18), 6, 0},
+		"many small models":   {[]sardinerock.Model{model("a", 1, 3, "1"), model("b", 1, 3, "1"), model("c", 1, 3, "1"), model("d", 1, 3, "1"), model("e", 1, 3, "1"), model("f", 1, 3, "1"), model("g", 1, 3, "1"), model("h", 1, 3, "1"), model("i", 1, 3, "1"), model("j", 1, 3, "1"), model("k", 1, 3, "1"), model("l", 1, 3, "1")}, fleet(18), 3, 0},
 		"more than there are": {[]sardinerock.Model{model("a", 5, 9, "1")}, fleet(3), 3, 2},
 		"no side":             {[]sardinerock.Model{model("a", 5, 9, "1")}, nil, 0, 5},
 	} {
@@ -188,14 +189,15 @@
 	g := NewWithT(t)
 	e := &engine{}
 	k, c := newKeeper(e, "p1", 1, model("a", 1, 0, "1"))
-	busy := true
+	busy := false
 	k.InUse = func(m sardinerock.LoadedModel) bool { return busy && m.Version == "1" }
 	now := settle(k, start, 3*time.Second)
 	g.Expect(k.Loaded()).To(Equal(loaded("1")))
 	c.set(2, model("a", 1, 0, "2"))
 	e.fails = 2
 	now = settle(k, now, 8*time.Second)
-	g.Expect(k.Loaded()).To(Equal(loaded("1", "2")))
+	g.Expect(k.Loaded()).To(Equal(loaded("1", "2")), "entries may not know yet")
+	busy = true
 	now = settle(k, now, time.Minute)
 	g.Expect(k.Loaded()).To(Equal(loaded("1", "2")), "in use")
 	busy = false
@@ -208,18 +210,26 @@
 // that checks fencing numbers refuses it; one that doesn't obeys, and the new
 // side puts it right at its next look. The old side gives no order after that.
 func TestOldSideBesideNewOne(t *testing.T) {
-	for name, checks := range map[string]bool{"engine checks fencing numbers": true, "engine ignores them": false} {
+	for name, c := range map[string]struct {
+		checks  bool
+		version int64 // The new side's configuration; the old one has version 1.
+	}{
+		"engine checks fencing numbers":               {true, 2},
+		"engine checks them, same configuration":      {true, 1},
+		"engine ignores them":                         {false, 2},
+		"engine ignores them, no newer configuration": {false, 1},
+	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			e := &engine{state: sardinerock.EngineState{ChecksFence: checks}}
+			e := &engine{state: sardinerock.EngineState{ChecksFence: c.checks}}
 			old, _ := newKeeper(e, "old", 1, model("a", 1, 0, "1"))
 			now := settle(old, start, 3*time.Second)
-			replacement, _ := newKeeper(e, "new", 2, model("a", 1, 0, "2"))
+			replacement, _ := newKeeper(e, "new", c.version, model("a", 1, 0, "2"))
 			// The old one wants its version 1 back, and is paused right before that order.
 			e.state.Loaded = nil
 			e.before = func() { now = settle(replacement, now, 3*time.Second) }
 			old.Step(context.Background(), now)
-			g.Expect(slices.Contains(e.state.Loaded, loaded("1")[0])).To(Equal(!checks))
+			g.Expect(slices.Contains(e.state.Loaded, loaded("1")[0])).To(Equal(!c.checks))
 			now = settle(replacement, now, 20*time.Second)
 			g.Expect(e.state.Loaded).To(Equal(loaded("2")))
 			orders := len(e.orders)
