--- a/bundle/memlog_test.go
+++ b/bundle/memlog_test.go
@@ -21,8 +21,8 @@
 	// loseAnswers takes effect but answers with an error; dropAppends errs without effect.
 	loseAnswers, dropAppends bool
 	// dropNext is how many of the next appends err without effect.
-	dropNext int
-	appends, bytes           int
+	dropNext       int
+	appends, bytes int
 }
 
 func (l *memLog) Append(_ context.Context, stream string, data []byte) (int64, error) {
