Streams over the log, the fold of a shard, the queue of jobs: first form

Envelopes number the records of one writer, so that a copy of an append whose answer was lost is told by one number per writer; the fold of a shard is a pure function of the records.

--- /dev/null
+++ b/queue/doc.go
@@ -0,0 +1,2 @@
+// Package queue decides which batch job's item starts next.
+package queue
--- /dev/null
+++ b/shard/state.go
@@ -0,0 +1,283 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/looplab/fsm"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/stream"
+)
+
+// NoEpoch is the epoch of a shard that nobody ever claimed.
+const NoEpoch = -1
+
+// State is what a shard's records so far come to.
+type State struct {
+	// Owner is the entry that dispatches the shard's items; empty when there is none.
+	Owner string
+	// Epoch is the offset of the record that last changed the owner: the fencing number of what an owner writes.
+	Epoch    int64
+	Jobs     map[string]*Job
+	Numbers  map[uint32]*Job
+	Uploads  map[uint64]*Upload
+	Voided   int
+	nextJob  uint32
+	life     *fsm.FSM
+	onChange func(*Job)
+}
+
+// NewState returns the state of an empty stream.
+func NewState() *State {
+	return &State{
+		Epoch: NoEpoch, nextJob: 1, life: newLife(),
+		Jobs: map[string]*Job{}, Numbers: map[uint32]*Job{}, Uploads: map[uint64]*Upload{},
+	}
+}
+
+// OnChange sets what is called after a record changed a job.
+func (s *State) OnChange(f func(*Job)) { s.onChange = f }
+
+// Apply folds one entry of the stream.
+func (s *State) Apply(e *stream.Entry) {
+	for i, data := range e.Records {
+		if data == nil {
+			continue
+		}
+		r := &Record{}
+		if proto.Unmarshal(data, r) != nil {
+			continue
+		}
+		s.apply(e, uint32(i), r)
+	}
+}
+
+func (s *State) apply(e *stream.Entry, index uint32, r *Record) {
+	at := Location{Offset: e.Offset, Record: index, AtMs: e.AtMs}
+	switch k := r.GetKind().(type) {
+	case *Record_Claim:
+		s.claim(e.Offset, k.Claim)
+	case *Record_Release:
+		s.release(e.Offset, k.Release)
+	case *Record_Chunk:
+		s.chunk(at, k.Chunk)
+	case *Record_Seal:
+		s.seal(at, k.Seal)
+	case *Record_Cancel:
+		s.cancel(at, k.Cancel)
+	case *Record_Stopped:
+		s.stopped(k.Stopped)
+	case *Record_Done:
+		s.done(at, k.Done)
+	case *Record_Failures:
+		s.failures(k.Failures)
+	case *Record_Expire:
+		s.expire(k.Expire)
+	}
+}
+
+// claim takes the shard over, unless another claim came in between: a claim
+// that a paused process sends late names an epoch that is gone and takes nothing back.
+func (s *State) claim(offset int64, c *Claim) {
+	if c.GetReplaces() != s.Epoch || c.GetOwner() == "" {
+		s.Voided++
+		return
+	}
+	s.Owner, s.Epoch = c.GetOwner(), offset
+}
+
+func (s *State) release(offset int64, r *Release) {
+	if !s.owns(r.GetEpoch()) {
+		return
+	}
+	s.Owner, s.Epoch = "", offset
+}
+
+// owns says whether a record of an owner counts. An owner that was paused past
+// its replacement goes on writing; with its results counted, two owners would
+// both believe in what they did, and the items it started again would run
+// beside the new owner's for as long as it doesn't read.
+func (s *State) owns(epoch int64) bool {
+	if s.Owner != "" && epoch == s.Epoch {
+		return true
+	}
+	s.Voided++
+	return false
+}
+
+func (s *State) chunk(at Location, c *Chunk) {
+	at.First, at.Count = c.GetFirst(), uint32(len(c.GetItems()))
+	if c.GetJob() != 0 {
+		s.moveChunk(at, c)
+		return
+	}
+	u := s.Uploads[c.GetUpload()]
+	if u == nil {
+		u = &Upload{}
+		s.Uploads[c.GetUpload()] = u
+	}
+	if c.GetFirst() != u.Total {
+		return
+	}
+	u.Chunks = append(u.Chunks, at)
+	u.Total += at.Count
+	u.AtMs = at.AtMs
+}
+
+func (s *State) moveChunk(at Location, c *Chunk) {
+	j := s.Numbers[c.GetJob()]
+	if !s.owns(c.GetEpoch()) || j == nil {
+		return
+	}
+	for i, old := range j.Chunks {
+		if old.First == at.First && old.Count == at.Count {
+			j.Chunks[i] = at
+		}
+	}
+}
+
+// seal accepts a job. A resend finds the first copy's job and adds nothing.
+func (s *State) seal(at Location, r *Seal) {
+	u := s.Uploads[r.GetUpload()]
+	delete(s.Uploads, r.GetUpload())
+	if s.Jobs[r.GetJob()] != nil || u == nil || u.Total != r.GetTotal() || u.Total == 0 {
+		return
+	}
+	j := &Job{
+		ID: r.GetJob(), Number: s.nextJob, Caller: r.GetCaller(), Key: r.GetKey(), Path: r.GetPath(),
+		Metadata: r.GetMetadata(), Digest: r.GetDigest(), Total: u.Total, Chunks: u.Chunks,
+		Due: time.UnixMilli(r.GetDueMs()).UTC(), Created: time.UnixMilli(at.AtMs).UTC(),
+		State: sardinerock.JobUploading, items: make([]item, u.Total),
+	}
+	s.nextJob++
+	s.fire(j, eventSeal)
+	s.Jobs[j.ID], s.Numbers[j.Number] = j, j
+	s.changed(j)
+}
+
+func (s *State) cancel(at Location, r *Cancel) {
+	j := s.Jobs[r.GetJob()]
+	if j == nil || !s.fire(j, eventCancel) {
+		return
+	}
+	j.Ended = time.UnixMilli(at.AtMs).UTC()
+	j.Chunks, j.Failures = nil, nil
+	s.changed(j)
+}
+
+func (s *State) stopped(r *Stopped) {
+	j := s.Numbers[r.GetJob()]
+	if !s.owns(r.GetEpoch()) || j == nil || !s.fire(j, eventStop) {
+		return
+	}
+	s.changed(j)
+}
+
+// done records results: the first one of an item stands, and none after a cancellation.
+func (s *State) done(at Location, r *Done) {
+	j := s.Numbers[r.GetJob()]
+	if !s.owns(r.GetEpoch()) || j == nil {
+		return
+	}
+	if r.GetCopy() {
+		s.moveAnswers(at, j, r)
+		return
+	}
+	if !j.Runs() {
+		s.Voided++
+		return
+	}
+	place := uint32(len(j.Answers)) + 1
+	for i, d := range r.GetItems() {
+		if i > maxPosition || !j.Open(d.GetIndex()) {
+			s.Voided++
+			continue
+		}
+		j.complete(d, item{place: place, position: uint16(i), failed: failedStatus(d.GetStatus())})
+		at.Count++
+	}
+	if at.Count == 0 {
+		return
+	}
+	j.Answers = append(j.Answers, at)
+	if j.Completed+j.Failed == j.Total && s.fire(j, eventFinish) {
+		j.Ended = time.UnixMilli(at.AtMs).UTC()
+		j.Chunks, j.Failures = nil, nil
+	}
+	s.changed(j)
+}
+
+func (j *Job) complete(d *ItemDone, it item) {
+	j.items[d.GetIndex()] = it
+	if it.failed {
+		j.Failed++
+	} else {
+		j.Completed++
+	}
+	delete(j.Failures, d.GetIndex())
+}
+
+func failedStatus(status uint32) bool { return status != 0 && status/100 != 2 }
+
+// moveAnswers points items that have a result to a copy of it, before the log drops the first.
+func (s *State) moveAnswers(at Location, j *Job, r *Done) {
+	place := uint32(len(j.Answers)) + 1
+	for i, d := range r.GetItems() {
+		index := d.GetIndex()
+		if i > maxPosition || index >= uint32(len(j.items)) || j.items[index].place == 0 {
+			continue
+		}
+		j.Answers[j.items[index].place-1].Count--
+		j.items[index].place, j.items[index].position = place, uint16(i)
+		at.Count++
+	}
+	if at.Count > 0 {
+		j.Answers = append(j.Answers, at)
+	}
+}
+
+func (s *State) failures(r *Failures) {
+	j := s.Numbers[r.GetJob()]
+	if !s.owns(r.GetEpoch()) || j == nil || !j.Runs() {
+		return
+	}
+	for _, index := range r.GetItems() {
+		if !j.Open(index) {
+			continue
+		}
+		if j.Failures == nil {
+			j.Failures = map[uint32]uint32{}
+		}
+		j.Failures[index]++
+	}
+}
+
+func (s *State) expire(r *Expire) {
+	if !s.owns(r.GetEpoch()) {
+		return
+	}
+	if r.GetUpload() != 0 {
+		delete(s.Uploads, r.GetUpload())
+		return
+	}
+	j := s.Numbers[r.GetJob()]
+	if j == nil {
+		return
+	}
+	if r.GetForget() && j.State == sardinerock.JobExpired {
+		delete(s.Jobs, j.ID)
+		delete(s.Numbers, j.Number)
+		return
+	}
+	if s.fire(j, eventExpire) {
+		j.items, j.Answers = nil, nil
+		s.changed(j)
+	}
+}
+
+func (s *State) changed(j *Job) {
+	if s.onChange != nil {
+		s.onChange(j)
+	}
+}
--- /dev/null
+++ b/stream/seen.go
@@ -0,0 +1,92 @@
+package stream
+
+import "slices"
+
+// Seen knows which records of which writers have come by.
+//
+// A writer has one append per stream under way and starts the next only when
+// the fate of the last is known. All copies of an envelope that may still turn
+// up therefore carry numbers at or below the highest number seen, and one
+// number per writer is all that has to be remembered. Without it a copy of an
+// append whose answer was lost would count a second time, possibly hours later.
+type Seen struct {
+	writers map[uint64]*writerSeen
+}
+
+type writerSeen struct {
+	upto      uint64
+	withdrawn []uint64
+	atMs      int64
+}
+
+// Verdict says what an envelope's records and withdrawals came to.
+type Verdict struct {
+	// Counts has one element per record.
+	Counts []bool
+	// Withdrawn lists the numbers whose withdrawal came before their record.
+	Withdrawn []uint64
+}
+
+// Admit folds one envelope and tells which of its records count.
+func (s *Seen) Admit(e *Envelope) Verdict {
+	w := s.writer(e.GetWriter())
+	w.atMs = max(w.atMs, e.GetAtMs())
+	v := Verdict{Counts: make([]bool, len(e.GetRecords()))}
+	for _, n := range e.GetWithdrawn() {
+		if n <= w.upto {
+			continue
+		}
+		if !slices.Contains(w.withdrawn, n) {
+			w.withdrawn = append(w.withdrawn, n)
+		}
+		v.Withdrawn = append(v.Withdrawn, n)
+	}
+	for i := range e.GetRecords() {
+		n := e.GetFirst() + uint64(i)
+		if n <= w.upto {
+			continue
+		}
+		w.upto = n
+		v.Counts[i] = !slices.Contains(w.withdrawn, n)
+	}
+	w.withdrawn = slices.DeleteFunc(w.withdrawn, func(n uint64) bool { return n <= w.upto })
+	return v
+}
+
+func (s *Seen) writer(id uint64) *writerSeen {
+	if s.writers == nil {
+		s.writers = map[uint64]*writerSeen{}
+	}
+	w := s.writers[id]
+	if w == nil {
+		w = &writerSeen{}
+		s.writers[id] = w
+	}
+	return w
+}
+
+// snapshot returns the writers that wrote at or after sinceMs, in a fixed order.
+func (s *Seen) snapshot(sinceMs int64) []*WriterSeen {
+	var all []*WriterSeen
+	for id, w := range s.writers {
+		if w.atMs < sinceMs {
+			continue
+		}
+		all = append(all, &WriterSeen{Writer: id, Upto: w.upto, Withdrawn: w.withdrawn, AtMs: w.atMs})
+	}
+	slices.SortFunc(all, func(a, b *WriterSeen) int {
+		if a.GetWriter() < b.GetWriter() {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+func restoreSeen(all []*WriterSeen) Seen {
+	var s Seen
+	for _, w := range all {
+		*s.writer(w.GetWriter()) = writerSeen{upto: w.GetUpto(), withdrawn: slices.Clone(w.GetWithdrawn()), atMs: w.GetAtMs()}
+	}
+	return s
+}
