--- /dev/null
+++ b/jobs/claim.go
@@ -0,0 +1,127 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/shard"
+)
+
+const (
+	// drainTime is how long an owner that is to hand a shard over lets its running items end.
+	drainTime = 5 * time.Second
+	// handOverTime is how long the new owner waits for the hand-over before it
+	// claims all the same: the old owner may not see it as live.
+	handOverTime = 15 * time.Second
+	// controlTimeout bounds the wait for one of an owner's own records.
+	controlTimeout = 10 * time.Second
+)
+
+// tick moves the shard's ownership on. Time and liveness decide only who tries; the log's order decides who owns.
+func (p *part) tick(wanted bool, preferred string, isLive func(string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.state == nil || p.tail == nil {
+		return
+	}
+	if p.owns() {
+		p.tickOwned(wanted, preferred, isLive)
+		return
+	}
+	if !wanted || p.appending || !p.atEnd || p.readErr != nil || p.m.handBack.Load() {
+		p.waitingSince = time.Time{}
+		return
+	}
+	now := p.m.Now()
+	if p.state.Owner != "" && p.state.Owner != p.m.EntryID && isLive(p.state.Owner) {
+		if p.waitingSince.IsZero() {
+			p.waitingSince = now
+		}
+		if now.Sub(p.waitingSince) < handOverTime {
+			return
+		}
+	}
+	p.send(&shard.Record{Kind: &shard.Record_Claim{Claim: &shard.Claim{Owner: p.m.EntryID, Replaces: p.state.Epoch}}}, nil)
+}
+
+func (p *part) tickOwned(wanted bool, preferred string, isLive func(string) bool) {
+	p.retryDue()
+	if p.results.Ready() {
+		p.writer.Wake()
+	}
+	if wanted || preferred == "" || !isLive(preferred) {
+		p.drainSince = time.Time{}
+		p.stopCancelled()
+		p.keepUp()
+		return
+	}
+	now := p.m.Now()
+	if p.drainSince.IsZero() {
+		p.drainSince = now
+	}
+	if now.Sub(p.drainSince) > drainTime {
+		p.cancelRunning()
+	}
+	if p.inHand() == 0 && !p.appending {
+		p.send(&shard.Record{Kind: &shard.Record_Release{Release: &shard.Release{Epoch: p.mine}}}, nil)
+	}
+}
+
+// stopCancelled ends cancelled jobs of which nothing runs any more; p.mu is held.
+func (p *part) stopCancelled() {
+	if p.appending {
+		return
+	}
+	for _, j := range p.state.Numbers {
+		if j.State != sardinerock.JobCancelling || p.works[j.Number] != nil {
+			continue
+		}
+		p.send(&shard.Record{Kind: &shard.Record_Stopped{Stopped: &shard.Stopped{Epoch: p.mine, Job: j.Number}}}, nil)
+		return
+	}
+}
+
+// send appends one of the owner's own records beside everything else, one at a time; p.mu is held.
+func (p *part) send(r *shard.Record, after func()) {
+	p.appending = true
+	p.done.Go(func() {
+		// The record may be dropped if its fate is open when we stop waiting: what it asks for is asked again.
+		ctx, cancel := context.WithTimeout(p.m.base, controlTimeout)
+		defer cancel()
+		offset, err := p.append(ctx, r, p.m.Now().Add(controlTimeout/2))
+		if err == nil {
+			_ = p.reach(ctx, offset)
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.appending = false
+		if after != nil && err == nil {
+			after()
+		}
+	})
+}
+
+// handBack records what is in hand and leaves the shard to others.
+func (p *part) handBack(ctx context.Context) {
+	p.mu.Lock()
+	if !p.owns() {
+		p.mu.Unlock()
+		return
+	}
+	p.cancelRunning()
+	epoch := p.mine
+	p.mu.Unlock()
+	for ctx.Err() == nil && !p.recorded() {
+		p.writer.Wake()
+		rest(ctx, tickEvery)
+	}
+	r := &shard.Record{Kind: &shard.Record_Release{Release: &shard.Release{Epoch: epoch}}}
+	_, _ = p.append(ctx, r, p.m.Now().Add(handBackTime/2))
+}
+
+func (p *part) recorded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.owns() || p.results.len() == 0
+}
--- /dev/null
+++ b/jobs/dispatch.go
@@ -0,0 +1,178 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/shard"
+)
+
+// dispatch starts items whenever the fleet has room for them.
+func (m *Manager) dispatch(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-m.kick:
+		}
+		m.fill(ctx)
+	}
+}
+
+// fill starts items until the idle slots, the buffer of unrecorded results or the items run out.
+func (m *Manager) fill(ctx context.Context) {
+	slots := m.Runner.IdleSlots()
+	for slots > 0 && ctx.Err() == nil && int(m.unrecorded.Load()) < m.MaxUnrecorded {
+		w := m.pick()
+		if w == nil {
+			return
+		}
+		if w.start() {
+			slots--
+		}
+	}
+}
+
+func (m *Manager) pick() *work {
+	m.queueMu.Lock()
+	defer m.queueMu.Unlock()
+	j := m.queue.Next()
+	if j == nil {
+		return nil
+	}
+	return m.works[j.ID]
+}
+
+// start starts the job's next item, or takes the job out of the queue if none may start now.
+func (w *work) start() bool {
+	p := w.p
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.works[w.job.Number] != w || !p.owns() {
+		p.m.dequeue(w)
+		return false
+	}
+	if !p.drainSince.IsZero() {
+		p.m.pause(w)
+		return false
+	}
+	index, ok := w.next(p.m.Now())
+	if !ok {
+		p.m.pause(w)
+		return false
+	}
+	ctx, cancel := context.WithTimeout(p.m.base, p.m.ItemTimeout)
+	w.inHand[index] = cancel
+	p.m.running.Go(func() {
+		defer cancel()
+		p.run(ctx, w, index)
+	})
+	return true
+}
+
+// pause takes the job out of the queue until an item of it may start.
+func (m *Manager) pause(w *work) {
+	m.queueMu.Lock()
+	defer m.queueMu.Unlock()
+	m.queue.Remove(w.job.ID)
+}
+
+// run runs one item and says what came of it.
+func (p *part) run(ctx context.Context, w *work, index uint32) {
+	it, err := p.item(ctx, w.job, index)
+	if err != nil {
+		p.end(w, index, "", inputRefusal(err), p.judge(w, index, inputRefusal(err)))
+		return
+	}
+	r := p.request(w.job, index, it)
+	result, text, err := p.m.Runner.RunItem(ctx, r)
+	if err != nil {
+		refusal := sardinerock.AsRefusal(err)
+		p.end(w, index, it.GetCustomId(), refusal, p.judge(w, index, refusal))
+		return
+	}
+	body := answerBody(r, result, text)
+	p.succeed(w, index, &shard.ItemDone{Index: index, CustomId: it.GetCustomId(), Body: body}, result)
+}
+
+// inputRefusal tells an input that can't be read now from one that the log no longer has.
+func inputRefusal(err error) *sardinerock.Refusal {
+	if errors.Is(err, sardinerock.ErrLogGap) || errors.Is(err, sardinerock.ErrNotFound) {
+		return &sardinerock.Refusal{Code: sardinerock.CodeInternal, Message: "the log no longer has the item's input"}
+	}
+	return &sardinerock.Refusal{Code: sardinerock.CodeLogUnavailable, Outcome: sardinerock.OutcomeNotRun, Message: err.Error(), RetryAfter: readRetryWait}
+}
+
+// judge decides what happens to an item that was refused.
+func (p *part) judge(w *work, index uint32, refusal *sardinerock.Refusal) verdict {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w.notRun[index]++
+	return judge(refusal, attempts{
+		failed: max(w.job.Failures[index], w.failed[index]), notRun: w.notRun[index], due: w.job.Due, now: p.m.Now(), most: p.m.maxAttempts(),
+	})
+}
+
+func (p *part) succeed(w *work, index uint32, done *shard.ItemDone, result sardinerock.Result) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.works[w.job.Number] != w || !p.owns() {
+		return
+	}
+	w.learnCost(float64(result.PromptTokens + result.CompletionTokens))
+	p.results.add(outcome{job: w.job.Number, index: index, done: done})
+	p.afterItem()
+}
+
+// end takes an item back that did not succeed, or records its failure.
+func (p *part) end(w *work, index uint32, customID string, refusal *sardinerock.Refusal, v verdict) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.works[w.job.Number] != w || !p.owns() {
+		return
+	}
+	if !v.again {
+		p.m.Events.Warn(event.ItemFailed).Str("job", w.job.ID).Int("item", int(index)).
+			Str("code", string(refusal.Code)).Str("reason", refusal.Message).Msg("item can't be done")
+		p.results.add(outcome{job: w.job.Number, index: index, done: failedItem(index, customID, refusal)})
+		p.afterItem()
+		return
+	}
+	if v.counts {
+		// Counted at once here, and in the log for the next owner.
+		w.failed[index] = max(w.job.Failures[index], w.failed[index]) + 1
+		p.results.add(outcome{job: w.job.Number, index: index, failure: true})
+	}
+	delete(w.inHand, index)
+	w.again(index, p.m.Now().Add(v.wait))
+	p.afterItem()
+}
+
+// afterItem lets the freed slot be used, and results be recorded; p.mu is held.
+func (p *part) afterItem() {
+	if p.results.ready() {
+		p.writer.Wake()
+	}
+	p.m.poke()
+}
+
+// costSmoothing is how much one item moves the cost expected of the next.
+const costSmoothing = 0.1
+
+func (w *work) learnCost(tokens float64) {
+	w.p.m.queueMu.Lock()
+	defer w.p.m.queueMu.Unlock()
+	w.queued.Cost += costSmoothing * (tokens - w.queued.Cost)
+}
+
+func (m *Manager) maxAttempts() uint32 {
+	if m.Config == nil || m.Config.Current() == nil {
+		return defaultMaxAttempts
+	}
+	if n := m.Config.Current().Bundle.Batch.MaxAttempts; n > 0 {
+		return uint32(n)
+	}
+	return defaultMaxAttempts
+}
--- /dev/null
+++ b/jobs/manager.go
@@ -0,0 +1,314 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/queue"
+	"github.com/sardinerock/sardinerock/stream"
+)
+
+// The defaults of Manager's fields, and the bounds that need no setting.
+const (
+	defaultShards          = 16
+	defaultAppendsASecond  = 300
+	defaultRetention       = 24 * time.Hour
+	defaultMaxUnrecorded   = 4096
+	defaultItemTimeout     = 10 * time.Minute
+	defaultIdle            = time.Minute
+	defaultChunkBytes      = 256 << 10
+	defaultCheckpointEvery = 10 * time.Minute
+
+	tickEvery = 50 * time.Millisecond
+	// handBackTime bounds how long a stopping entry records results and releases its shards.
+	handBackTime = 5 * time.Second
+	// logRetryAfter is when a caller comes back that was refused in an outage of the log.
+	logRetryAfter = 5 * time.Second
+)
+
+// Manager is one entry's part in the batch work of the fleet.
+type Manager struct {
+	// Log is the platform's log, Runner the fleet's idle capacity, Config the bundle in force.
+	Log    sardinerock.Log
+	Runner sardinerock.BatchRunner
+	Config sardinerock.ConfigSource
+	// EntryID names this entry among those that Live returns.
+	EntryID string
+	// Shards is the number of shards of the whole fleet; all entries must agree on it; 0 means 16.
+	Shards int
+	// Live returns the ids of the entries that are believed to live, this one among them; nil means this one alone.
+	Live   func() []string
+	Events *event.Logger
+	// Seed feeds what is drawn at random; 0 draws it anew.
+	Seed uint64
+	// Now may be nil.
+	Now func() time.Time
+	// AppendsPerSecond is the fleet's budget of appends for batch work; 0 means 300.
+	AppendsPerSecond float64
+	// Retention is how long the log keeps records at least; 0 means 24 h.
+	Retention time.Duration
+	// CheckpointEvery is how often the owner of a shard with news writes a checkpoint; 0 means 10 min.
+	CheckpointEvery time.Duration
+	// MaxUnrecorded bounds the results that wait for the log; 0 means 4096.
+	MaxUnrecorded int
+	// ItemTimeout bounds one try at an item; 0 means 10 min.
+	ItemTimeout time.Duration
+	// IdleFollow is how long a shard is still followed after the last question about it; 0 means 1 min.
+	IdleFollow time.Duration
+	// ChunkBytes bounds the items of one record; 0 means 256 KiB.
+	ChunkBytes int
+
+	once   sync.Once
+	random *rand.Rand
+	budget *stream.Budget
+	health stream.Health
+	chunks *recordCache
+	loads  singleflight.Group
+	kick   chan struct{}
+
+	randomMu sync.Mutex
+
+	// mu guards parts, and is taken before a part's own mutex.
+	mu      sync.Mutex
+	parts   map[int]*part
+	base    context.Context
+	stopped bool
+	owners  ownership
+
+	// queueMu guards queue, and is taken after a part's mutex.
+	queueMu sync.Mutex
+	queue   *queue.Queue
+	works   map[string]*work
+
+	unrecorded atomic.Int64
+	running    sync.WaitGroup
+	ready      atomic.Bool
+	handBack   atomic.Bool
+	outage     bool
+}
+
+func (m *Manager) setUp() {
+	m.once.Do(func() {
+		setDefault(&m.Shards, defaultShards)
+		setDefault(&m.AppendsPerSecond, defaultAppendsASecond)
+		setDefault(&m.Retention, defaultRetention)
+		setDefault(&m.CheckpointEvery, min(defaultCheckpointEvery, m.Retention/checkpointsPerRetention))
+		setDefault(&m.MaxUnrecorded, defaultMaxUnrecorded)
+		setDefault(&m.ItemTimeout, defaultItemTimeout)
+		setDefault(&m.IdleFollow, defaultIdle)
+		setDefault(&m.ChunkBytes, defaultChunkBytes)
+		if m.Now == nil {
+			m.Now = time.Now
+		}
+		if m.Live == nil {
+			m.Live = func() []string { return []string{m.EntryID} }
+		}
+		if m.Seed == 0 {
+			m.Seed = rand.Uint64()
+		}
+		m.random = rand.New(rand.NewPCG(m.Seed, m.Seed^0x9e3779b97f4a7c15))
+		m.budget = stream.NewBudget(m.AppendsPerSecond)
+		m.chunks = newRecordCache()
+		m.kick = make(chan struct{}, 1)
+		m.parts = map[int]*part{}
+		m.queue = queue.New()
+		m.works = map[string]*work{}
+	})
+}
+
+func setDefault[T int | float64 | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// Run claims shards and runs their items until ctx is done; then it records
+// what is in hand and hands the shards back.
+func (m *Manager) Run(ctx context.Context) error {
+	m.setUp()
+	base, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	m.mu.Lock()
+	m.base = base
+	for _, p := range m.parts {
+		p.start(base)
+	}
+	m.mu.Unlock()
+	g, gctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return m.tend(gctx) })
+	g.Go(func() error { return m.dispatch(gctx) })
+	err := g.Wait()
+	m.handBackAll()
+	m.mu.Lock()
+	m.stopped = true
+	m.mu.Unlock()
+	stop()
+	m.running.Wait()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// Ready says that this entry reaches the log and has caught up with the shards that it is to own.
+func (m *Manager) Ready() bool { return m.ready.Load() }
+
+// tend does what time calls for: ownership, checkpoints, results that waited long enough.
+func (m *Manager) tend(ctx context.Context) error {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		m.tick()
+	}
+}
+
+func (m *Manager) tick() {
+	live := m.Live()
+	m.budget.SetLive(len(live))
+	m.noteOutage()
+	preferred := m.owners.preferred(m.EntryID, m.Shards, live)
+	for shard := range preferred {
+		m.keep(shard)
+	}
+	caughtUp := true
+	for _, p := range m.allParts() {
+		wanted := preferred[p.id]
+		p.tick(wanted, m.owners.rival(p.id), m.owners.isLive)
+		if wanted && !p.caughtUp() {
+			caughtUp = false
+		}
+		if !wanted {
+			m.dropIdle(p)
+		}
+	}
+	m.ready.Store(caughtUp)
+	m.poke()
+}
+
+func (m *Manager) allParts() []*part {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := make([]*part, 0, len(m.parts))
+	for _, p := range m.parts {
+		all = append(all, p)
+	}
+	return all
+}
+
+// poke makes the dispatcher look for work.
+func (m *Manager) poke() {
+	select {
+	case m.kick <- struct{}{}:
+	default:
+	}
+}
+
+// keep makes sure that the shard is followed, without counting as a user of it.
+func (m *Manager) keep(shard int) *part {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.partLocked(shard)
+}
+
+func (m *Manager) partLocked(shard int) *part {
+	p := m.parts[shard]
+	if p == nil {
+		p = newPart(m, shard)
+		m.parts[shard] = p
+		if m.base != nil && !m.stopped {
+			p.start(m.base)
+		}
+	}
+	return p
+}
+
+// use returns the shard, followed until release is called and some time beyond.
+func (m *Manager) use(shard int) (p *part, release func()) {
+	m.setUp()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p = m.partLocked(shard)
+	p.users++
+	return p, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		p.users--
+		p.lastUsed = m.Now()
+	}
+}
+
+// dropIdle stops following a shard that nobody asks about: with hundreds of
+// entries, each that was asked once would otherwise read every stream for good.
+func (m *Manager) dropIdle(p *part) {
+	m.mu.Lock()
+	idle := p.users == 0 && m.Now().Sub(p.lastUsed) > m.IdleFollow && !p.busy()
+	if idle {
+		delete(m.parts, p.id)
+	}
+	m.mu.Unlock()
+	if idle {
+		p.stop()
+	}
+}
+
+func (m *Manager) draw() uint64 {
+	m.randomMu.Lock()
+	defer m.randomMu.Unlock()
+	return m.random.Uint64() | 1
+}
+
+func streamName(shard int) string { return fmt.Sprintf("jobs-%d", shard) }
+
+// logFailing returns a refusal while the log takes no appends: the job was not touched.
+func (m *Manager) logFailing() *sardinerock.Refusal {
+	if m.health.FailingSince(m.Now()).IsZero() {
+		return nil
+	}
+	return logRefusal(sardinerock.OutcomeNotRun, "the log takes no records at the moment; nothing was accepted")
+}
+
+func logRefusal(o sardinerock.Outcome, message string) *sardinerock.Refusal {
+	return &sardinerock.Refusal{Code: sardinerock.CodeLogUnavailable, Outcome: o, Message: message, RetryAfter: logRetryAfter}
+}
+
+func (m *Manager) noteOutage() {
+	failing := !m.health.FailingSince(m.Now()).IsZero()
+	if failing == m.outage {
+		return
+	}
+	m.outage = failing
+	if failing {
+		m.Events.Warn(event.LogOutage).Int64("unrecorded", m.unrecorded.Load()).Msg("the log takes no appends")
+		return
+	}
+	m.Events.Info(event.LogBack).Int64("unrecorded", m.unrecorded.Load()).Msg("the log takes appends again")
+}
+
+// handBackAll records the results in hand and releases the shards, within handBackTime.
+func (m *Manager) handBackAll() {
+	m.handBack.Store(true)
+	ctx, cancel := context.WithTimeout(m.base, handBackTime)
+	defer cancel()
+	var g errgroup.Group
+	for _, p := range m.allParts() {
+		g.Go(func() error {
+			p.handBack(ctx)
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
--- /dev/null
+++ b/jobs/manager_test.go
@@ -0,0 +1,203 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+const patience = 20 * time.Second
+
+// fakeRunner answers each item after a delay, in a bounded number of slots.
+type fakeRunner struct {
+	slots   int
+	delay   time.Duration
+	running atomic.Int64
+	// refuse may turn an item away.
+	refuse func(r *sardinerock.Request) error
+
+	mu  sync.Mutex
+	ran map[string]int
+}
+
+func (r *fakeRunner) IdleSlots() int { return r.slots - int(r.running.Load()) }
+
+func (r *fakeRunner) RunItem(ctx context.Context, q *sardinerock.Request) (sardinerock.Result, string, error) {
+	r.running.Add(1)
+	defer r.running.Add(-1)
+	r.mu.Lock()
+	if r.ran == nil {
+		r.ran = map[string]int{}
+	}
+	r.ran[q.ID]++
+	r.mu.Unlock()
+	if r.refuse != nil {
+		if err := r.refuse(q); err != nil {
+			return sardinerock.Result{}, "", err
+		}
+	}
+	if r.delay > 0 {
+		select {
+		case <-time.After(r.delay):
+		case <-ctx.Done():
+			return sardinerock.Result{}, "", &sardinerock.Refusal{Code: sardinerock.CodeCancelled, Outcome: sardinerock.OutcomeRan, Message: "cancelled"}
+		}
+	}
+	return sardinerock.Result{EngineResult: sardinerock.EngineResult{FinishReason: "stop", PromptTokens: 3, CompletionTokens: 2}}, "answer to " + string(q.Body), nil
+}
+
+func (r *fakeRunner) runs(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ran[id]
+}
+
+// fleet is some entries on one log.
+type fleet struct {
+	t    *testing.T
+	log  sardinerock.Log
+	mu   sync.Mutex
+	live []string
+	all  map[string]*entry
+}
+
+type entry struct {
+	*Manager
+	runner *fakeRunner
+	stop   context.CancelFunc
+	done   chan struct{}
+}
+
+func newFleet(t *testing.T, log sardinerock.Log) *fleet {
+	return &fleet{t: t, log: log, all: map[string]*entry{}}
+}
+
+func (f *fleet) liveIDs() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.live...)
+}
+
+func (f *fleet) setLive(ids ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.live = ids
+}
+
+// start adds an entry; it is live from now on.
+func (f *fleet) start(id string, change func(*Manager)) *entry {
+	runner := &fakeRunner{slots: 16}
+	m := &Manager{Log: f.log, Runner: runner, EntryID: id, Shards: 4, Live: f.liveIDs, AppendsPerSecond: 5000}
+	if change != nil {
+		change(m)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &entry{Manager: m, runner: runner, stop: cancel, done: make(chan struct{})}
+	f.mu.Lock()
+	f.live = append(f.live, id)
+	f.all[id] = e
+	f.mu.Unlock()
+	go func() {
+		defer close(e.done)
+		_ = m.Run(ctx)
+	}()
+	f.t.Cleanup(func() { e.end() })
+	return e
+}
+
+func (e *entry) end() {
+	e.stop()
+	<-e.done
+}
+
+func spec(key string) sardinerock.JobSpec {
+	return sardinerock.JobSpec{Caller: "finance", IdempotencyKey: key, Path: chatPath, Due: time.Now().Add(time.Hour)}
+}
+
+func items(n int) func(yield func(sardinerock.JobItem) error) error {
+	return func(yield func(sardinerock.JobItem) error) error {
+		for i := range n {
+			it := sardinerock.JobItem{CustomID: fmt.Sprintf("report-%d", i), Body: fmt.Appendf(nil, `{"model":"m","messages":[%d]}`, i)}
+			if err := yield(it); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+func (f *fleet) expectState(e *entry, id string, state sardinerock.JobState) *sardinerock.JobStatus {
+	g := NewWithT(f.t)
+	var last *sardinerock.JobStatus
+	g.Eventually(func() sardinerock.JobState {
+		s, err := e.Get(context.Background(), "finance", id)
+		if err != nil {
+			return sardinerock.JobState(err.Error())
+		}
+		last = s
+		return s.State
+	}, patience, 20*time.Millisecond).Should(Equal(state))
+	return last
+}
+
+func (f *fleet) expectResults(e *entry, id string, n int) {
+	g := NewWithT(f.t)
+	seen := map[string]int{}
+	err := e.Results(context.Background(), "finance", id, func(r sardinerock.ItemResult) error {
+		seen[r.CustomID]++
+		return nil
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(seen).To(HaveLen(n))
+	for name, times := range seen {
+		g.Expect(times).To(Equal(1), name)
+	}
+}
+
+func TestJobRunsFromEntryToResults(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, newFakeLog())
+	one := f.start("entry1", nil)
+	two := f.start("entry2", nil)
+	s, err := two.Create(context.Background(), spec("k"), items(1000))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.State).To(Equal(sardinerock.JobRunning))
+	done := f.expectState(one, s.ID, sardinerock.JobFinished)
+	g.Expect(done.Completed).To(Equal(1000))
+	f.expectResults(one, s.ID, 1000)
+	f.expectResults(two, s.ID, 1000)
+
+	again, err := one.Create(context.Background(), spec("k"), items(1000))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(again.ID).To(Equal(s.ID))
+	_, err = one.Create(context.Background(), spec("k"), items(999))
+	g.Expect(sardinerock.AsRefusal(err).Code).To(Equal(sardinerock.CodeConflict))
+	all, err := one.List(context.Background(), "finance", 10)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(all).To(HaveLen(1))
+}
+
+func TestCancelledJobStopsAndKeepsItsResults(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, newFakeLog())
+	one := f.start("entry1", nil)
+	one.runner.delay = 20 * time.Millisecond
+	s, err := one.Create(context.Background(), spec("k"), items(2000))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(func() int {
+		s, _ := one.Get(context.Background(), "finance", s.ID)
+		return s.Completed
+	}, patience).Should(BeNumerically(">", 0))
+	_, err = one.Cancel(context.Background(), "finance", s.ID)
+	g.Expect(err).NotTo(HaveOccurred())
+	done := f.expectState(one, s.ID, sardinerock.JobCancelled)
+	g.Expect(one.runner.running.Load()).To(BeZero())
+	f.expectResults(one, s.ID, done.Completed)
+}
--- /dev/null
+++ b/jobs/store.go
@@ -0,0 +1,207 @@
+package jobs
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/shard"
+)
+
+const (
+	// syncTimeout bounds the wait for the end of a stream before a question is answered from what is known.
+	syncTimeout = 3 * time.Second
+	// resultBatch is how many results are looked up at once.
+	resultBatch     = 256
+	defaultListSize = 20
+)
+
+// Get returns one job of the caller.
+func (m *Manager) Get(ctx context.Context, caller, id string) (*sardinerock.JobStatus, error) {
+	m.setUp()
+	number, ok := m.shardOf(id)
+	if !ok {
+		return nil, notFound(id)
+	}
+	p, release := m.use(number)
+	defer release()
+	if err := p.current(ctx); err != nil {
+		return nil, err
+	}
+	return p.status(caller, id)
+}
+
+// List returns the caller's jobs, the newest first.
+func (m *Manager) List(ctx context.Context, caller string, limit int) ([]sardinerock.JobStatus, error) {
+	m.setUp()
+	if limit <= 0 {
+		limit = defaultListSize
+	}
+	var all []sardinerock.JobStatus
+	seen := map[int]bool{}
+	for i := range callerShards {
+		number := m.callerShard(caller, i)
+		if seen[number] {
+			continue
+		}
+		seen[number] = true
+		jobs, err := m.listShard(ctx, number, caller)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, jobs...)
+	}
+	slices.SortFunc(all, func(a, b sardinerock.JobStatus) int {
+		return cmp.Or(b.CreatedAt.Compare(a.CreatedAt), cmp.Compare(a.ID, b.ID))
+	})
+	return all[:min(limit, len(all))], nil
+}
+
+func (m *Manager) listShard(ctx context.Context, number int, caller string) ([]sardinerock.JobStatus, error) {
+	p, release := m.use(number)
+	defer release()
+	if err := p.current(ctx); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []sardinerock.JobStatus
+	for _, j := range p.state.Jobs {
+		if j.Caller == caller {
+			all = append(all, *j.Status())
+		}
+	}
+	return all, nil
+}
+
+// Cancel records that the job is to stop, and returns once that is in the log.
+func (m *Manager) Cancel(ctx context.Context, caller, id string) (*sardinerock.JobStatus, error) {
+	m.setUp()
+	number, ok := m.shardOf(id)
+	if !ok {
+		return nil, notFound(id)
+	}
+	p, release := m.use(number)
+	defer release()
+	if err := p.current(ctx); err != nil {
+		return nil, err
+	}
+	status, err := p.status(caller, id)
+	if err != nil || status.State != sardinerock.JobRunning {
+		return status, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
+	defer cancel()
+	offset, err := p.append(ctx, &shard.Record{Kind: &shard.Record_Cancel{Cancel: &shard.Cancel{Job: id}}}, m.Now().Add(sealGiveUp))
+	if err == nil {
+		err = p.reach(ctx, offset)
+	}
+	if err != nil {
+		return nil, appendRefusal(err, "the cancellation")
+	}
+	return p.status(caller, id)
+}
+
+// Results calls yield for each recorded result, in the order of the items.
+func (m *Manager) Results(ctx context.Context, caller, id string, yield func(sardinerock.ItemResult) error) error {
+	status, err := m.Get(ctx, caller, id)
+	if err != nil {
+		return err
+	}
+	if status.State == sardinerock.JobExpired {
+		return &sardinerock.Refusal{Code: sardinerock.CodeNotFound, Outcome: sardinerock.OutcomeNotRun, Message: "the results of job " + id + " are no longer kept"}
+	}
+	number, _ := m.shardOf(id)
+	p, release := m.use(number)
+	defer release()
+	for from := 0; from < status.Total; from += resultBatch {
+		if err := p.yieldResults(ctx, id, from, min(from+resultBatch, status.Total), yield); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type answerPlace struct {
+	at       shard.Location
+	position int
+}
+
+func (p *part) yieldResults(ctx context.Context, id string, from, to int, yield func(sardinerock.ItemResult) error) error {
+	for _, a := range p.answers(id, from, to) {
+		d, err := p.answer(ctx, a.at, a.position)
+		if err != nil {
+			return logRefusal(sardinerock.OutcomeNotRun, "results can't be read from the log: "+err.Error())
+		}
+		r := sardinerock.ItemResult{CustomID: d.GetCustomId(), Status: int(d.GetStatus()), Body: d.GetBody()}
+		if r.Status == 0 {
+			r.Status = 200
+		}
+		if err := yield(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *part) answers(id string, from, to int) []answerPlace {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	j := p.state.Jobs[id]
+	if j == nil {
+		return nil
+	}
+	var all []answerPlace
+	for i := from; i < to; i++ {
+		if at, position, ok := j.Answer(uint32(i)); ok {
+			all = append(all, answerPlace{at: at, position: position})
+		}
+	}
+	return all
+}
+
+// current brings the shard up to the end of its stream. In an outage of the
+// log what is known already is good enough to look at: it only can be old.
+func (p *part) current(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	err := p.sync(ctx)
+	if err == nil {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.state != nil && p.atEnd {
+		return nil
+	}
+	return logRefusal(sardinerock.OutcomeNotRun, "the log can't be read: "+err.Error())
+}
+
+func (p *part) status(caller, id string) (*sardinerock.JobStatus, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	j := p.state.Jobs[id]
+	if j == nil || (j.Caller != caller && !p.m.isOperator(caller)) {
+		return nil, notFound(id)
+	}
+	return j.Status(), nil
+}
+
+func (m *Manager) isOperator(caller string) bool {
+	if m.Config == nil {
+		return false
+	}
+	snapshot := m.Config.Current()
+	if snapshot == nil {
+		return false
+	}
+	return slices.ContainsFunc(snapshot.Bundle.Callers, func(c sardinerock.Caller) bool {
+		return c.Name == caller && c.Operator
+	})
+}
+
+func notFound(id string) *sardinerock.Refusal {
+	return &sardinerock.Refusal{Code: sardinerock.CodeNotFound, Outcome: sardinerock.OutcomeNotRun, Message: "no job " + id}
+}
--- a/stream/check.go
+++ b/stream/check.go
@@ -56,20 +56,27 @@
 	if err != nil {
 		return err
 	}
+	_, err = AppendAnyCopy(ctx, log, budget, name, data)
+	return err
+}
+
+// AppendAnyCopy appends data until the log acknowledges it, and returns the
+// offset of that copy. It is for records of which more copies do no harm.
+func AppendAnyCopy(ctx context.Context, log sardinerock.Log, budget *Budget, name string, data []byte) (int64, error) {
 	pause := backoffFirst
 	for {
 		if err := budget.Wait(ctx); err != nil {
-			return err
+			return 0, err
 		}
-		_, err := appendOnce(ctx, log, name, data)
+		offset, err := appendOnce(ctx, log, name, data)
 		if err == nil {
-			return nil
+			return offset, nil
 		}
 		t := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
 			t.Stop()
-			return err
+			return 0, err
 		case <-t.C:
 		}
 		pause = min(2*pause, backoffLast)
--- a/stream/writer.go
+++ b/stream/writer.go
@@ -23,9 +23,9 @@
 
 const (
 	// appendTimeout bounds one append: a connection that went silent must not hold the queue.
-	appendTimeout = 3 * time.Second
-	backoffFirst  = 50 * time.Millisecond
-	backoffLast   = 2 * time.Second
+	appendTimeout   = 3 * time.Second
+	backoffFirst    = 50 * time.Millisecond
+	backoffLast     = 2 * time.Second
 	defaultMaxBytes = 512 << 10
 )
 
@@ -99,20 +99,37 @@
 	decided map[uint64]bool
 }
 
-// Append queues one record and returns the offset of a copy of it in the log.
-// The error wraps ErrNotAppended or ErrUnresolved. A record whose fate is open
-// at giveUp is withdrawn if the log lets us; a zero giveUp never withdraws.
+// Append queues one record and waits for it.
 func (w *Writer) Append(ctx context.Context, data []byte, giveUp time.Time) (int64, error) {
+	return w.Queue(data, giveUp).Wait(ctx)
+}
+
+// Queue queues one record; records reach the stream in the order in which they
+// were queued. A record whose fate is open at giveUp is withdrawn if the log
+// lets us; a zero giveUp never withdraws.
+func (w *Writer) Queue(data []byte, giveUp time.Time) *Ticket {
 	p := &pending{data: data, giveUp: giveUp, done: make(chan struct{})}
 	w.mu.Lock()
 	w.queue = append(w.queue, p)
 	w.mu.Unlock()
 	w.Wake()
+	return &Ticket{w: w, p: p}
+}
+
+// Ticket stands for one queued record.
+type Ticket struct {
+	w *Writer
+	p *pending
+}
+
+// Wait returns the offset of a copy of the record in the log. The error wraps
+// ErrNotAppended or ErrUnresolved.
+func (t *Ticket) Wait(ctx context.Context) (int64, error) {
 	select {
-	case <-p.done:
-		return p.offset, p.err
+	case <-t.p.done:
+		return t.p.offset, t.p.err
 	case <-ctx.Done():
-		return w.abandon(p)
+		return t.w.abandon(t.p)
 	}
 }
 
