--- a/jobs/claim.go
+++ b/jobs/claim.go
@@ -47,7 +47,7 @@
 
 func (p *part) tickOwned(wanted bool, preferred string, isLive func(string) bool) {
 	p.retryDue()
-	if p.results.Ready() {
+	if p.results.ready() {
 		p.writer.Wake()
 	}
 	if wanted || preferred == "" || !isLive(preferred) {
