--- a/jobs/claim.go
+++ b/jobs/claim.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/shard"
 )
 
@@ -42,7 +41,7 @@
 			return
 		}
 	}
-	p.send(&shard.Record{Kind: &shard.Record_Claim{Claim: &shard.Claim{Owner: p.m.EntryID, Replaces: p.state.Epoch}}}, nil)
+	p.send(&shard.Record{Kind: &shard.Record_Claim{Claim: &shard.Claim{Owner: p.m.EntryID, Replaces: p.state.Epoch}}})
 }
 
 func (p *part) tickOwned(wanted bool, preferred string, isLive func(string) bool) {
@@ -64,7 +63,7 @@
 		p.cancelRunning()
 	}
 	if p.inHand() == 0 && !p.appending {
-		p.send(&shard.Record{Kind: &shard.Record_Release{Release: &shard.Release{Epoch: p.mine}}}, nil)
+		p.send(&shard.Record{Kind: &shard.Record_Release{Release: &shard.Release{Epoch: p.mine}}})
 	}
 }
 
@@ -73,32 +72,36 @@
 	if p.appending {
 		return
 	}
-	for _, j := range p.state.Numbers {
-		if j.State != sardinerock.JobCancelling || p.works[j.Number] != nil {
+	for number, running := range p.stopping {
+		if running.Load() > 0 {
 			continue
 		}
-		p.send(&shard.Record{Kind: &shard.Record_Stopped{Stopped: &shard.Stopped{Epoch: p.mine, Job: j.Number}}}, nil)
+		p.send(&shard.Record{Kind: &shard.Record_Stopped{Stopped: &shard.Stopped{Epoch: p.mine, Job: number}}})
 		return
 	}
 }
 
 // send appends one of the owner's own records beside everything else, one at a time; p.mu is held.
-func (p *part) send(r *shard.Record, after func()) {
+func (p *part) send(r *shard.Record) {
+	p.sendMade(func() *shard.Record { return r })
+}
+
+// sendMade is send for a record that takes reading the log to make.
+func (p *part) sendMade(make func() *shard.Record) {
 	p.appending = true
 	p.done.Go(func() {
 		// The record may be dropped if its fate is open when we stop waiting: what it asks for is asked again.
 		ctx, cancel := context.WithTimeout(p.m.base, controlTimeout)
 		defer cancel()
-		offset, err := p.append(ctx, r, p.m.Now().Add(controlTimeout/2))
-		if err == nil {
-			_ = p.reach(ctx, offset)
+		if r := make(); r != nil {
+			offset, err := p.append(ctx, r, p.m.Now().Add(controlTimeout/2))
+			if err == nil {
+				_ = p.reach(ctx, offset)
+			}
 		}
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.appending = false
-		if after != nil && err == nil {
-			after()
-		}
 	})
 }
 
--- a/jobs/dispatch.go
+++ b/jobs/dispatch.go
@@ -65,8 +65,10 @@
 	}
 	ctx, cancel := context.WithTimeout(p.m.base, p.m.ItemTimeout)
 	w.inHand[index] = cancel
+	w.running.Add(1)
 	p.m.running.Go(func() {
 		defer cancel()
+		defer w.running.Add(-1)
 		p.run(ctx, w, index)
 	})
 	return true
--- /dev/null
+++ b/jobs/fault_test.go
@@ -0,0 +1,313 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// cable is one entry's way to the log: it can be paused, as a stopped process is, or cut.
+type cable struct {
+	sardinerock.Log
+	mu     sync.Mutex
+	paused chan struct{}
+	cut    bool
+}
+
+var errCut = errors.New("cable cut")
+
+func (c *cable) pause() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.paused = make(chan struct{})
+}
+
+func (c *cable) resume() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.paused)
+	c.paused = nil
+}
+
+func (c *cable) sever() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = true
+}
+
+// pass waits out a pause whatever the deadline: a stopped process sees none go by.
+func (c *cable) pass() error {
+	c.mu.Lock()
+	paused, cut := c.paused, c.cut
+	c.mu.Unlock()
+	if cut {
+		return errCut
+	}
+	if paused != nil {
+		<-paused
+	}
+	return nil
+}
+
+func (c *cable) Append(ctx context.Context, name string, data []byte) (int64, error) {
+	if err := c.pass(); err != nil {
+		return 0, err
+	}
+	// What a stopped process was about to send goes out when it goes on, whatever the time.
+	return c.Log.Append(context.WithoutCancel(ctx), name, data)
+}
+
+func (c *cable) Read(ctx context.Context, name string, from int64, wait time.Duration) ([]sardinerock.LogRecord, error) {
+	if err := c.pass(); err != nil {
+		return nil, err
+	}
+	return c.Log.Read(ctx, name, from, wait)
+}
+
+func (c *cable) Bounds(ctx context.Context, name string) (sardinerock.LogBounds, error) {
+	if err := c.pass(); err != nil {
+		return sardinerock.LogBounds{}, err
+	}
+	return c.Log.Bounds(ctx, name)
+}
+
+// owns counts the shards that the entry owns.
+func (e *entry) owns() int {
+	n := 0
+	for _, p := range e.allParts() {
+		p.mu.Lock()
+		if p.owns() {
+			n++
+		}
+		p.mu.Unlock()
+	}
+	return n
+}
+
+func (f *fleet) expectOwned(counts map[*entry]int) {
+	g := NewWithT(f.t)
+	for e, n := range counts {
+		g.Eventually(e.owns, patience).Should(Equal(n), e.EntryID)
+	}
+}
+
+// The caller sees its job finish, each item once. The owner is lost right
+// after the acknowledgement: it never writes again, and the list says so some
+// time later. The others claim its shards, which they can read whole from the log.
+func TestOwnerLostAfterAcknowledgement(t *testing.T) {
+	g := NewWithT(t)
+	log := newFakeLog()
+	f := newFleet(t, log)
+	wire := &cable{Log: log}
+	one := f.start("entry1", func(m *Manager) { m.Log = wire; m.Shards = 1 })
+	one.runner.delay = 5 * time.Millisecond
+	f.expectOwned(map[*entry]int{one: 1})
+	s, err := one.Create(context.Background(), spec("k"), items(500))
+	g.Expect(err).NotTo(HaveOccurred())
+	wire.sever()
+	two := f.start("entry2", func(m *Manager) { m.Shards = 1 })
+	f.setLive("entry2")
+	f.expectState(two, s.ID, sardinerock.JobFinished)
+	f.expectResults(two, s.ID, 500)
+}
+
+// The caller sees each item once although two entries believe that they own
+// the shard. The owner stops for longer than the list needs to drop it, with
+// results in hand; the other claims and runs the rest; then the first goes on
+// and writes with its old epoch. Those records are void, and it reads so.
+func TestPausedOwnerComesBack(t *testing.T) {
+	g := NewWithT(t)
+	log := newFakeLog()
+	f := newFleet(t, log)
+	wire := &cable{Log: log}
+	one := f.start("entry1", func(m *Manager) { m.Log = wire; m.Shards = 1 })
+	one.runner.delay = 2 * time.Millisecond
+	f.expectOwned(map[*entry]int{one: 1})
+	s, err := one.Create(context.Background(), spec("k"), items(3000))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(func() int { n := one.runner.count(); return n }, patience).Should(BeNumerically(">", 100))
+	wire.pause()
+	two := f.start("entry2", func(m *Manager) { m.Shards = 1 })
+	f.setLive("entry2")
+	f.expectOwned(map[*entry]int{two: 1})
+	wire.resume()
+	f.expectOwned(map[*entry]int{one: 0})
+	f.expectState(two, s.ID, sardinerock.JobFinished)
+	f.expectResults(two, s.ID, 3000)
+	f.expectResults(one, s.ID, 3000)
+}
+
+// Callers see new jobs refused at once as not run, with the time to come back,
+// while the log is down. Running items go on until the buffer of results is
+// full. When the log is back all results are recorded, each once.
+func TestLogOutage(t *testing.T) {
+	g := NewWithT(t)
+	log := newFakeLog()
+	f := newFleet(t, log)
+	one := f.start("entry1", func(m *Manager) { m.MaxUnrecorded = 300 })
+	one.runner.delay = time.Millisecond
+	s, err := one.Create(context.Background(), spec("k"), items(2000))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(one.runner.count, patience).Should(BeNumerically(">", 50))
+	log.set(func(l *fakeLog) { l.down = true })
+	g.Eventually(func() sardinerock.Code {
+		_, err := one.Create(context.Background(), spec("k2"), items(10))
+		r := sardinerock.AsRefusal(err)
+		g.Expect(r.RetryAfter).To(BeNumerically(">", 0))
+		g.Expect(r.Outcome).To(Equal(sardinerock.OutcomeNotRun))
+		return r.Code
+	}, patience).Should(Equal(sardinerock.CodeLogUnavailable))
+	g.Eventually(one.unrecorded.Load, patience).Should(BeNumerically(">=", 300))
+	g.Consistently(one.unrecorded.Load, 300*time.Millisecond).Should(BeNumerically("<=", 300+16))
+	started := time.Now()
+	_, err = one.Create(context.Background(), spec("k2"), items(10))
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(time.Since(started)).To(BeNumerically("<", 2*time.Second))
+	log.set(func(l *fakeLog) { l.down = false })
+	f.expectState(one, s.ID, sardinerock.JobFinished)
+	f.expectResults(one, s.ID, 2000)
+	for id, n := range one.runner.all() {
+		g.Expect(n).To(Equal(1), id)
+	}
+}
+
+// The caller sends the same job ten times to different entries while a third
+// of the log's answers are lost after the append took effect and others are
+// refused. It gets one job, and each item's result once.
+func TestResentJobWithLostAnswers(t *testing.T) {
+	g := NewWithT(t)
+	log := newFakeLog()
+	log.lose, log.refuse = 0.3, 0.2
+	f := newFleet(t, log)
+	entries := []*entry{f.start("entry1", nil), f.start("entry2", nil), f.start("entry3", nil)}
+	var wait sync.WaitGroup
+	ids := make([]string, 10)
+	for i := range ids {
+		wait.Go(func() {
+			for range 20 {
+				s, err := entries[i%3].Create(context.Background(), spec("k"), items(300))
+				if err == nil {
+					ids[i] = s.ID
+					return
+				}
+			}
+		})
+	}
+	wait.Wait()
+	for _, id := range ids {
+		g.Expect(id).To(Equal(ids[0]))
+		g.Expect(id).NotTo(BeEmpty())
+	}
+	f.expectState(entries[0], ids[0], sardinerock.JobFinished)
+	for _, e := range entries {
+		f.expectResults(e, ids[0], 300)
+	}
+}
+
+// An entry that starts long after reads all results although the log has
+// dropped the records that first held them: the owner wrote checkpoints and
+// copied what is still promised before that.
+func TestResultsOutliveRetention(t *testing.T) {
+	g := NewWithT(t)
+	log := newFakeLog()
+	f := newFleet(t, log)
+	short := func(m *Manager) { m.Shards = 1; m.Retention = 2 * time.Second }
+	one := f.start("entry1", short)
+	s, err := one.Create(context.Background(), spec("k"), items(400))
+	g.Expect(err).NotTo(HaveOccurred())
+	f.expectState(one, s.ID, sardinerock.JobFinished)
+	until := time.Now().Add(5 * time.Second)
+	for time.Now().Before(until) {
+		cut := log.ages(2 * time.Second)
+		for name, before := range cut {
+			log.trim(name, before)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	g.Expect(log.firstOf("jobs-0")).To(BeNumerically(">", 0))
+	two := f.start("entry2", func(m *Manager) { m.Shards = 1; m.Retention = time.Hour })
+	f.expectResults(two, s.ID, 400)
+}
+
+// A stream whose beginning is gone, with no checkpoint, is no proof that
+// nothing was accepted: the entry refuses instead of starting anew.
+func TestGapWithoutCheckpointIsNotEmpty(t *testing.T) {
+	g := NewWithT(t)
+	log := newFakeLog()
+	f := newFleet(t, log)
+	one := f.start("entry1", func(m *Manager) { m.Shards = 1 })
+	_, err := one.Create(context.Background(), spec("k"), items(10))
+	g.Expect(err).NotTo(HaveOccurred())
+	one.end()
+	log.trim("jobs-0", log.nextOf("jobs-0"))
+	f.setLive()
+	two := f.start("entry2", func(m *Manager) { m.Shards = 1 })
+	_, err = two.Create(context.Background(), spec("k"), items(10))
+	g.Expect(sardinerock.AsRefusal(err).Code).To(Equal(sardinerock.CodeLogUnavailable))
+	g.Expect(sardinerock.AsRefusal(err).Outcome).To(Equal(sardinerock.OutcomeNotRun))
+	g.Expect(two.owns()).To(BeZero())
+}
+
+// Shards move to a newcomer and back while a job runs, and no item is lost or run for nothing by it.
+func TestRebalancingStopsNoWork(t *testing.T) {
+	g := NewWithT(t)
+	log := newFakeLog()
+	f := newFleet(t, log)
+	one := f.start("entry1", func(m *Manager) { m.Shards = 8 })
+	one.runner.delay = 5 * time.Millisecond
+	f.expectOwned(map[*entry]int{one: 8})
+	var ids []string
+	for i := range 8 {
+		s, err := one.Create(context.Background(), spec(fmt.Sprint("k", i)), items(300))
+		g.Expect(err).NotTo(HaveOccurred())
+		ids = append(ids, s.ID)
+	}
+	two := f.start("entry2", func(m *Manager) { m.Shards = 8 })
+	two.runner.delay = 5 * time.Millisecond
+	g.Eventually(func() bool { return two.owns() > 0 && one.owns()+two.owns() == 8 }, patience).Should(BeTrue())
+	f.setLive("entry1")
+	two.end()
+	for _, id := range ids {
+		f.expectState(one, id, sardinerock.JobFinished)
+		f.expectResults(one, id, 300)
+	}
+	for id, n := range one.runner.all() {
+		g.Expect(n+two.runner.runs(id)).To(Equal(1), id)
+	}
+}
+
+// Three kinds of items that don't succeed: one that never can, one whose every
+// run comes to nothing, and all others preempted once. The first two end as
+// failed with the reason, the others are done, and the job ends.
+func TestItemsThatCannotBeDone(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, newFakeLog())
+	one := f.start("entry1", nil)
+	one.runner.refuse = func(r *sardinerock.Request) error {
+		switch {
+		case strings.Contains(string(r.Body), "[7]"):
+			return &sardinerock.Refusal{Code: sardinerock.CodeInvalidRequest, Outcome: sardinerock.OutcomeNotRun, Message: "no such thing"}
+		case strings.Contains(string(r.Body), "[8]"):
+			return &sardinerock.Refusal{Code: sardinerock.CodeBackendLost, Outcome: sardinerock.OutcomeUnknown, Message: "backend server lost"}
+		case one.runner.runs(r.ID) == 1:
+			return &sardinerock.Refusal{Code: sardinerock.CodePreempted, Outcome: sardinerock.OutcomeRan, Message: "made room"}
+		default:
+			return nil
+		}
+	}
+	s, err := one.Create(context.Background(), spec("k"), items(50))
+	g.Expect(err).NotTo(HaveOccurred())
+	done := f.expectState(one, s.ID, sardinerock.JobFinished)
+	g.Expect(done.Failed).To(Equal(2))
+	g.Expect(one.runner.runs(s.ID + "-8")).To(Equal(defaultMaxAttempts))
+	g.Expect(one.runner.runs(s.ID + "-7")).To(Equal(1))
+	f.expectResults(one, s.ID, 50)
+}
--- a/jobs/log_test.go
+++ b/jobs/log_test.go
@@ -30,6 +30,7 @@
 
 type fakeStream struct {
 	records []sardinerock.LogRecord
+	times   []time.Time
 	first   int64
 	next    int64
 }
@@ -73,6 +74,7 @@
 	s := l.stream(name)
 	offset := s.next
 	s.records = append(s.records, sardinerock.LogRecord{Offset: offset, Data: append([]byte(nil), data...)})
+	s.times = append(s.times, time.Now())
 	s.next = offset + 1 + int64(l.random.IntN(3))
 	close(l.changed)
 	l.changed = make(chan struct{})
@@ -139,10 +141,37 @@
 	defer l.mu.Unlock()
 	s := l.stream(name)
 	for len(s.records) > 0 && s.records[0].Offset < before {
-		s.records = s.records[1:]
+		s.records, s.times = s.records[1:], s.times[1:]
 	}
 	s.first = max(s.first, min(before, s.next))
 	if len(s.records) > 0 {
 		s.first = s.records[0].Offset
 	}
 }
+
+// ages returns, by stream, the offset before which records are older than age.
+func (l *fakeLog) ages(age time.Duration) map[string]int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	cut := map[string]int64{}
+	for name, s := range l.streams {
+		for i, at := range s.times {
+			if time.Since(at) > age {
+				cut[name] = s.records[i].Offset + 1
+			}
+		}
+	}
+	return cut
+}
+
+func (l *fakeLog) firstOf(name string) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stream(name).first
+}
+
+func (l *fakeLog) nextOf(name string) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stream(name).next
+}
--- a/jobs/manager_test.go
+++ b/jobs/manager_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -59,6 +60,14 @@
 	return r.ran[id]
 }
 
+func (r *fakeRunner) count() int { return len(r.all()) }
+
+func (r *fakeRunner) all() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.ran)
+}
+
 // fleet is some entries on one log.
 type fleet struct {
 	t    *testing.T
--- a/jobs/part.go
+++ b/jobs/part.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -55,12 +56,14 @@
 	waitingSince time.Time
 	drainSince   time.Time
 	works        map[uint32]*work
-	results      results
-	keeper       keeper
+	// stopping holds the cancelled jobs whose end is to be recorded, with what still runs of them.
+	stopping map[uint32]*atomic.Int64
+	results  results
+	keeper   keeper
 }
 
 func newPart(m *Manager, id int) *part {
-	p := &part{m: m, id: id, name: streamName(id), changed: make(chan struct{}), works: map[uint32]*work{}, lastUsed: m.Now()}
+	p := &part{m: m, id: id, name: streamName(id), changed: make(chan struct{}), works: map[uint32]*work{}, stopping: map[uint32]*atomic.Int64{}, lastUsed: m.Now()}
 	p.results.p = p
 	p.writer = &stream.Writer{
 		Log: m.Log, Stream: p.name, ID: m.draw(), Budget: m.budget, Now: m.Now, Health: &m.health,
@@ -239,26 +242,35 @@
 		p.dropWork(w)
 	}
 	p.results.clear()
+	clear(p.stopping)
 	p.drainSince = time.Time{}
 }
 
 // jobChanged follows a job's life where it concerns dispatch; p.mu is held.
 func (p *part) jobChanged(j *shard.Job) {
-	w := p.works[j.Number]
 	if !p.owns() {
 		return
 	}
+	w := p.works[j.Number]
 	if w == nil && j.Runs() {
 		p.m.Events.Info(event.JobAccepted).Str("job", j.ID).Str("caller", j.Caller).Int("items", int(j.Total)).Msg("job is dispatched")
 		p.addWork(j)
 		return
 	}
-	if w != nil {
+	if w != nil && j.Runs() {
 		w.settle()
+		return
 	}
-	if w == nil || j.Runs() {
+	delete(p.stopping, j.Number)
+	if j.State == sardinerock.JobCancelling {
+		p.stopping[j.Number] = &atomic.Int64{}
+	}
+	if w == nil {
 		return
 	}
+	if j.State == sardinerock.JobCancelling {
+		p.stopping[j.Number] = &w.running
+	}
 	id := event.JobFinished
 	if j.State != sardinerock.JobFinished {
 		id = event.JobCancelled
--- a/jobs/retry.go
+++ b/jobs/retry.go
@@ -73,6 +73,10 @@
 	if !a.due.IsZero() && a.now.After(a.due.Add(lateGrace)) {
 		return verdict{}
 	}
+	if r.Code == sardinerock.CodePreempted {
+		// Another backend server may be idle at once.
+		return verdict{again: true, wait: max(notRunWaitFirst, r.RetryAfter)}
+	}
 	wait := notRunWaitMost
 	if a.notRun < 8 {
 		wait = notRunWaitFirst << max(a.notRun-1, 0)
--- a/jobs/work.go
+++ b/jobs/work.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sardinerock/sardinerock/queue"
@@ -23,6 +24,9 @@
 	// failed counts failed attempts of this process; the log may not have them yet.
 	failed map[uint32]uint32
 	queued *queue.Job
+	// running counts the items at the runner; it outlives the work itself, so
+	// that a cancelled job is called stopped only once nothing of it runs.
+	running atomic.Int64
 }
 
 type retry struct {
@@ -35,7 +39,11 @@
 func (h retryHeap) Len() int           { return len(h) }
 func (h retryHeap) Less(a, b int) bool { return h[a].at.Before(h[b].at) }
 func (h retryHeap) Swap(a, b int)      { h[a], h[b] = h[b], h[a] }
-func (h *retryHeap) Push(x any)        { *h = append(*h, x.(retry)) }
+
+// Push implements heap.Interface.
+func (h *retryHeap) Push(x any) { *h = append(*h, x.(retry)) }
+
+// Pop implements heap.Interface.
 func (h *retryHeap) Pop() any {
 	old := *h
 	x := old[len(old)-1]
--- a/shard/job.go
+++ b/shard/job.go
@@ -88,6 +88,16 @@
 	return j.Chunks[low], true
 }
 
+// OpenIn says that an item of the chunk has no result yet.
+func (j *Job) OpenIn(chunk Location) bool {
+	for i := chunk.First; i < chunk.First+chunk.Count; i++ {
+		if j.Open(i) {
+			return true
+		}
+	}
+	return false
+}
+
 // Status returns the job as callers see it.
 func (j *Job) Status() *sardinerock.JobStatus {
 	return &sardinerock.JobStatus{
--- a/stream/seen.go
+++ b/stream/seen.go
@@ -1,6 +1,9 @@
 package stream
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // Seen knows which records of which writers have come by.
 //
@@ -83,6 +86,9 @@
 	return all
 }
 
+// Clone returns a copy that later records don't change.
+func (s *Seen) Clone() Seen { return restoreSeen(s.snapshot(math.MinInt64)) }
+
 func restoreSeen(all []*WriterSeen) Seen {
 	var s Seen
 	for _, w := range all {
