Stand-ins of the platform and the adapters that meet it by HTTP

The adapters say ErrNotSent only when nothing of a request was written and nothing can be any more: http.Transport's own errors can't tell, and it sends GETs and calls with an Idempotency-Key again by itself on a pooled connection that ends. A request that timed out as sent closes the idle connections, as they may have gone silent with it; without that the next call hung on another silent one.

--- /dev/null
+++ b/fakes/answer.go
@@ -0,0 +1,52 @@
+package fakes
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// defaultMaxTokens is the length bound of requests that set none.
+const defaultMaxTokens = 16
+
+type answerRequest struct {
+	MaxTokens           int `json:"max_tokens"`
+	MaxCompletionTokens int `json:"max_completion_tokens"`
+}
+
+// Answer returns the tokens that every engine answers to the request, so that
+// tests can tell a whole, own, ordered answer from any other.
+func Answer(path string, body []byte) []string {
+	seed := xxhash.Sum64String(path) ^ xxhash.Sum64(sardinerock.Prompt(body))
+	tokens := make([]string, answerLength(body, seed))
+	for i := range tokens {
+		word := xxhash.Sum64String(strconv.FormatUint(seed, 16) + "." + strconv.Itoa(i))
+		tokens[i] = " " + strconv.FormatUint(word>>44, 36)
+	}
+	return tokens
+}
+
+// AnswerText returns the whole text of Answer.
+func AnswerText(path string, body []byte) string {
+	return strings.Join(Answer(path, body), "")
+}
+
+// answerLength lies between half of the request's bound and the bound.
+func answerLength(body []byte, seed uint64) int {
+	bound := maxTokens(body)
+	return bound/2 + 1 + int(seed%uint64((bound+1)/2))
+}
+
+func maxTokens(body []byte) int {
+	var r answerRequest
+	// A body that isn't JSON has no bound of its own.
+	_ = json.Unmarshal(body, &r)
+	if n := max(r.MaxTokens, r.MaxCompletionTokens); n > 0 {
+		return n
+	}
+	return defaultMaxTokens
+}
--- /dev/null
+++ b/fakes/enginecache.go
@@ -0,0 +1,101 @@
+package fakes
+
+import (
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// maxCacheEvents bounds the events that the engine keeps for readers.
+const maxCacheEvents = 4096
+
+type datedEvent struct {
+	sardinerock.CacheEvent
+	at time.Time
+}
+
+// newCache makes an empty prefix cache; the mutex is held.
+func (e *Engine) newCache() {
+	e.cache = nil
+	if e.Knobs.CacheBlocks <= 0 {
+		return
+	}
+	cache, err := lru.NewWithEvict(e.Knobs.CacheBlocks, func(prefix uint64, _ struct{}) {
+		e.cacheEvent(prefix, true)
+	})
+	if err == nil {
+		e.cache = cache
+	}
+}
+
+// cached returns how many of the leading blocks the cache holds.
+func (e *Engine) cached(prefixes []uint64) int {
+	if e.cache == nil {
+		return 0
+	}
+	for i, prefix := range prefixes {
+		if _, ok := e.cache.Get(prefix); !ok {
+			return i
+		}
+	}
+	return len(prefixes)
+}
+
+// store keeps the blocks, the longest first, so that the cache drops a prompt from its end.
+func (e *Engine) store(prefixes []uint64) {
+	if e.cache == nil {
+		return
+	}
+	for i := len(prefixes) - 1; i >= 0; i-- {
+		if _, ok := e.cache.Get(prefixes[i]); ok {
+			continue
+		}
+		e.cache.Add(prefixes[i], struct{}{})
+		e.cacheEvent(prefixes[i], false)
+	}
+}
+
+func (e *Engine) cacheEvent(prefix uint64, dropped bool) {
+	e.sequence++
+	if gap := int64(e.Knobs.CacheEventGap); gap > 0 && e.sequence%gap == 0 {
+		return
+	}
+	event := sardinerock.CacheEvent{Sequence: e.sequence, Prefix: prefix, Dropped: dropped}
+	e.events = append(e.events, datedEvent{event, time.Now()})
+	if len(e.events) > 2*maxCacheEvents {
+		e.events = append([]datedEvent(nil), e.events[maxCacheEvents:]...)
+	}
+}
+
+// eventsAfter returns the events that are old enough to be shown.
+func (e *Engine) eventsAfter(after int64) []sardinerock.CacheEvent {
+	horizon := time.Now().Add(-milliseconds(e.Knobs.CacheEventLagMs))
+	events := []sardinerock.CacheEvent{}
+	for _, event := range e.events {
+		if event.Sequence > after && !event.at.After(horizon) {
+			events = append(events, event.CacheEvent)
+		}
+	}
+	return events
+}
+
+// sample takes a load report; readers get the one before it, so that reports lag.
+func (e *Engine) sample(now time.Time) {
+	lag := milliseconds(e.Knobs.ReportLagMs)
+	if now.Sub(e.sampled.MeasuredAt) < lag {
+		return
+	}
+	fresh := sardinerock.EngineReport{
+		Running: len(e.running), Waiting: len(e.waiting), MeasuredAt: now, CacheSequence: e.sequence,
+	}
+	if e.cache != nil {
+		fresh.CacheUsed = float64(e.cache.Len()) / float64(e.Knobs.CacheBlocks)
+	}
+	e.report = e.sampled
+	if lag == 0 || e.report.MeasuredAt.IsZero() {
+		e.report = fresh
+	}
+	e.sampled = fresh
+}
--- /dev/null
+++ b/fakes/enginehttp.go
@@ -0,0 +1,228 @@
+package fakes
+
+import (
+	"bytes"
+	"encoding/base64"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// The headers of the engine protocol.
+const (
+	HeaderAttempt      = "Sardinerock-Attempt"
+	HeaderModel        = "Sardinerock-Model"
+	HeaderVersion      = "Sardinerock-Model-Version"
+	HeaderAdapter      = "Sardinerock-Adapter"
+	HeaderResumeTokens = "Sardinerock-Resume-Tokens"
+	// HeaderResumeText holds the text so far in URL-safe base64.
+	HeaderResumeText = "Sardinerock-Resume-Text"
+)
+
+// StatusModelNotLoaded is the status of a request for a model that the engine does not hold.
+const StatusModelNotLoaded = http.StatusFailedDependency
+
+// maxPromptBytes bounds one request.
+const maxPromptBytes = 16 << 20
+
+// CacheEventLines is the answer to a question for cache events.
+type CacheEventLines struct {
+	Events []sardinerock.CacheEvent `json:"events"`
+}
+
+// KVBlocks names the cached blocks of one prompt, the shortest prefix first.
+type KVBlocks struct {
+	Prefixes []uint64 `json:"prefixes"`
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/knobs" && e.silent(r.RemoteAddr) {
+		<-r.Context().Done()
+		return
+	}
+	e.mux.once.Do(func() { e.routes(&e.mux) })
+	e.mux.ServeHTTP(w, r)
+}
+
+func (e *Engine) routes(mux *router) {
+	mux.HandleFunc("POST /v1/{rest...}", e.serveGenerate)
+	mux.HandleFunc("GET /report", e.serveReport)
+	mux.HandleFunc("GET /cache-events", e.serveCacheEvents)
+	mux.HandleFunc("GET /state", e.serveState)
+	mux.HandleFunc("POST /orders", e.serveOrder)
+	mux.HandleFunc("GET /kv", e.serveExport)
+	mux.HandleFunc("POST /kv", e.serveImport)
+	mux.HandleFunc("/knobs", func(w http.ResponseWriter, r *http.Request) {
+		serveKnobs(w, r, &e.mu, &e.Knobs, e.knobsChanged)
+	})
+}
+
+// silent reports whether the connection has gone silent, and remembers the
+// others: they are the ones that go silent next.
+func (e *Engine) silent(remote string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.start()
+	if _, ok := e.remotes[remote]; !ok {
+		e.remotes[remote] = false
+	}
+	return e.remotes[remote]
+}
+
+// knobsChanged puts into effect what doesn't work by itself; the mutex is held.
+func (e *Engine) knobsChanged() {
+	if e.Knobs.Silence > e.silenced {
+		for remote := range e.remotes {
+			e.remotes[remote] = true
+		}
+	}
+	e.silenced = e.Knobs.Silence
+	if e.cache == nil && e.Knobs.CacheBlocks > 0 {
+		e.newCache()
+	}
+}
+
+func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPromptBytes))
+	if err != nil {
+		replyError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	s, status, message := e.newStream(r, body)
+	if status != http.StatusOK {
+		replyError(w, status, message)
+		return
+	}
+	e.crashIfMarked(body)
+	e.submit(s)
+	defer e.cancel(s)
+	e.write(w, r, s)
+}
+
+func (e *Engine) crashIfMarked(body []byte) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if marker := e.Knobs.CrashMarker; marker != "" && bytes.Contains(body, []byte(marker)) {
+		time.AfterFunc(milliseconds(e.Knobs.CrashMs), e.Crash)
+	}
+}
+
+// newStream checks a request; a status other than 200 refuses it.
+func (e *Engine) newStream(r *http.Request, body []byte) (*stream, int, string) {
+	prompt := sardinerock.Prompt(body)
+	if len(prompt) == 0 {
+		return nil, http.StatusBadRequest, "the body has neither messages nor a prompt"
+	}
+	s := &stream{
+		attempt: r.Header.Get(HeaderAttempt),
+		answer:  Answer(r.URL.Path, body),
+		target: sardinerock.LoadedModel{
+			Model:   r.Header.Get(HeaderModel),
+			Version: r.Header.Get(HeaderVersion),
+			Adapter: r.Header.Get(HeaderAdapter),
+		},
+	}
+	if resume := r.Header.Get(HeaderResumeTokens); resume != "" {
+		text, err := base64.URLEncoding.DecodeString(r.Header.Get(HeaderResumeText))
+		n, numberErr := strconv.Atoi(resume)
+		if err != nil || numberErr != nil || n < 0 || n >= len(s.answer) {
+			return nil, http.StatusBadRequest, "resumption: not a place within the answer"
+		}
+		if string(text) != strings.Join(s.answer[:n], "") {
+			return nil, http.StatusUnprocessableEntity, "resumption: the text so far is not this answer's"
+		}
+		s.next = n
+	}
+	s.bound = maxTokens(body)
+	s.prompt = sardinerock.PromptTokens(prompt)
+	s.blocks = sardinerock.PrefixHashes(s.target, prompt)
+	s.tokens = make(chan int, len(s.answer))
+
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	// Without a header the request comes from a test or a benchmark that goes straight to the engine.
+	if s.target.Model != "" && !e.holds(s.target) {
+		return nil, StatusModelNotLoaded, sardinerock.ErrModelNotLoaded.Error()
+	}
+	return s, http.StatusOK, ""
+}
+
+// write streams the tokens as server-sent events until the end, a crash or the caller's hanging up.
+func (e *Engine) write(w http.ResponseWriter, r *http.Request, s *stream) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	out := newChunkWriter(w, r.URL.Path, s)
+	for {
+		select {
+		case <-r.Context().Done():
+			return
+		case index, ok := <-s.tokens:
+			if e.silent(r.RemoteAddr) {
+				<-r.Context().Done()
+				return
+			}
+			if !ok {
+				out.end()
+				return
+			}
+			out.token(s.answer[index])
+		}
+	}
+}
+
+func (e *Engine) serveReport(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	e.sample(time.Now())
+	report := e.report
+	e.mu.Unlock()
+	replyJSON(w, http.StatusOK, report)
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.FormValue("after"), 10, 64)
+	if err != nil {
+		replyError(w, http.StatusBadRequest, "after: "+err.Error())
+		return
+	}
+	e.mu.Lock()
+	events := e.eventsAfter(after)
+	e.mu.Unlock()
+	replyJSON(w, http.StatusOK, CacheEventLines{Events: events})
+}
+
+func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	state := e.orders.state(e.Knobs.ChecksFence)
+	e.mu.Unlock()
+	replyJSON(w, http.StatusOK, state)
+}
+
+// serveExport returns the cached blocks of a running stream's prompt.
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.running {
+		if s.attempt == r.FormValue("attempt") {
+			replyJSON(w, http.StatusOK, KVBlocks{Prefixes: s.blocks})
+			return
+		}
+	}
+	replyError(w, http.StatusNotFound, "kv: no running stream of that attempt")
+}
+
+// serveImport puts blocks exported elsewhere into the cache, so that a moved stream needn't read its prompt again.
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	var blocks KVBlocks
+	if err := decodeStrict(r.Body, &blocks); err != nil {
+		replyError(w, http.StatusBadRequest, "kv: "+err.Error())
+		return
+	}
+	e.mu.Lock()
+	e.store(blocks.Prefixes)
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/fakes/host.go
@@ -0,0 +1,93 @@
+package fakes
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// reviveRetry is how often a crashed host tries to get its port back.
+const reviveRetry = 20 * time.Millisecond
+
+// Host serves a stand-in on a loopback port within this process, and can die and come back on the same port.
+type Host struct {
+	Handler http.Handler
+	// ReviveAfter is how long the host stays dead after a crash; 0 means for good.
+	ReviveAfter time.Duration
+
+	mu      sync.Mutex
+	address string
+	server  *http.Server
+	stopped bool
+}
+
+// Start listens on a free loopback port.
+func (h *Host) Start() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	h.address = listener.Addr().String()
+	h.serve(listener)
+	return nil
+}
+
+// URL returns the base URL, the same before and after crashes.
+func (h *Host) URL() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return "http://" + h.address
+}
+
+// Crash ends the listener and all connections at once.
+func (h *Host) Crash() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.server == nil {
+		return
+	}
+	h.server.Close()
+	h.server = nil
+	if h.ReviveAfter > 0 {
+		time.AfterFunc(h.ReviveAfter, h.revive)
+	}
+}
+
+// Stop ends the host for good.
+func (h *Host) Stop() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopped = true
+	if h.server != nil {
+		h.server.Close()
+		h.server = nil
+	}
+}
+
+func (h *Host) revive() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.stopped || h.server != nil {
+		return
+	}
+	listener, err := net.Listen("tcp", h.address)
+	if err != nil {
+		time.AfterFunc(reviveRetry, h.revive)
+		return
+	}
+	h.serve(listener)
+}
+
+func (h *Host) serve(listener net.Listener) {
+	server := &http.Server{Handler: h.Handler, ReadHeaderTimeout: 10 * time.Second}
+	h.server = server
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			h.Crash()
+		}
+	}()
+}
--- /dev/null
+++ b/fakes/list.go
@@ -0,0 +1,137 @@
+package fakes
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// ErrListDown is what readers of the instance list get during an outage.
+var ErrListDown = errors.New("instance list: out of service")
+
+// InstancesKnobs are the faults of the instance list.
+type InstancesKnobs struct {
+	Outage Outage `json:"outage"`
+	// LagMs is how old the list is that readers get.
+	LagMs int `json:"lagMs"`
+}
+
+// Instances is a stand-in of the platform's lagging instance list.
+type Instances struct {
+	Knobs InstancesKnobs
+
+	mux router
+	mu  sync.Mutex
+	// history holds the list after each change, the oldest first.
+	history []listVersion
+}
+
+type listVersion struct {
+	at        time.Time
+	instances []sardinerock.Instance
+}
+
+// InstanceLines is the list on the wire.
+type InstanceLines struct {
+	Instances []sardinerock.Instance `json:"instances"`
+}
+
+// Put adds an instance or replaces the one of the same id.
+func (l *Instances) Put(i sardinerock.Instance) {
+	l.change(i.ID, func(list []sardinerock.Instance) []sardinerock.Instance {
+		return append(list, i)
+	})
+}
+
+// Remove takes an instance off the list.
+func (l *Instances) Remove(id string) {
+	l.change(id, func(list []sardinerock.Instance) []sardinerock.Instance { return list })
+}
+
+// change applies add to the newest list without the instance of that id.
+func (l *Instances) change(id string, add func([]sardinerock.Instance) []sardinerock.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []sardinerock.Instance
+	if n := len(l.history); n > 0 {
+		list = slices.Clone(l.history[n-1].instances)
+	}
+	list = slices.DeleteFunc(list, func(i sardinerock.Instance) bool { return i.ID == id })
+	l.history = append(l.history, listVersion{at: time.Now(), instances: add(list)})
+	l.forget()
+}
+
+// Instances implements sardinerock.InstanceList.
+func (l *Instances) Instances(ctx context.Context) ([]sardinerock.Instance, error) {
+	l.mu.Lock()
+	outage := l.Knobs.Outage
+	l.mu.Unlock()
+	if err := pass(ctx, outage, 0, ErrListDown); err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.forget()
+	if len(l.history) == 0 || l.history[0].at.After(l.horizon()) {
+		return nil, nil
+	}
+	return slices.Clone(l.history[0].instances), nil
+}
+
+func (l *Instances) horizon() time.Time {
+	return time.Now().Add(-milliseconds(l.Knobs.LagMs))
+}
+
+// forget drops the versions that are no longer shown.
+func (l *Instances) forget() {
+	horizon := l.horizon()
+	for len(l.history) > 1 && !l.history[1].at.After(horizon) {
+		l.history = l.history[1:]
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (l *Instances) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	l.mux.once.Do(func() { l.routes(&l.mux) })
+	l.mux.ServeHTTP(w, r)
+}
+
+func (l *Instances) routes(mux *router) {
+	mux.HandleFunc("GET /instances", l.serveList)
+	mux.HandleFunc("PUT /instances/{id}", l.servePut)
+	mux.HandleFunc("DELETE /instances/{id}", func(w http.ResponseWriter, r *http.Request) {
+		l.Remove(r.PathValue("id"))
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("/knobs", func(w http.ResponseWriter, r *http.Request) {
+		serveKnobs(w, r, &l.mu, &l.Knobs, func() {})
+	})
+}
+
+func (l *Instances) serveList(w http.ResponseWriter, r *http.Request) {
+	list, err := l.Instances(r.Context())
+	if err != nil {
+		replyError(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	replyJSON(w, http.StatusOK, InstanceLines{Instances: list})
+}
+
+func (l *Instances) servePut(w http.ResponseWriter, r *http.Request) {
+	var i sardinerock.Instance
+	if err := decodeStrict(r.Body, &i); err != nil {
+		replyError(w, http.StatusBadRequest, "instance: "+err.Error())
+		return
+	}
+	if i.ID != r.PathValue("id") {
+		replyError(w, http.StatusBadRequest, "instance: id differs from the one in the path")
+		return
+	}
+	l.Put(i)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/fakes/log.go
@@ -0,0 +1,257 @@
+package fakes
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// readLimit and readBytes bound the records of one read.
+const (
+	readLimit = 1000
+	readBytes = 4 << 20
+)
+
+// ErrAnswerLost is what an appender sees whose answer was lost.
+var ErrAnswerLost = errors.New("log: connection lost before the answer")
+
+// LogKnobs are the faults of the log service.
+type LogKnobs struct {
+	Outage Outage `json:"outage"`
+	// SlowMs is added to each call.
+	SlowMs int `json:"slowMs"`
+	// LoseAnswers is how many of the next appends take effect without an answer.
+	LoseAnswers int `json:"loseAnswers"`
+	// LateMs is how long after its lost answer such an append takes effect.
+	LateMs int `json:"lateMs"`
+	// KeepRecords and KeepMs bound what each stream keeps; 0 means all.
+	KeepRecords int `json:"keepRecords"`
+	KeepMs      int `json:"keepMs"`
+	// AppendsPerSecond bounds the appends to all streams together; 0 means no bound.
+	AppendsPerSecond int `json:"appendsPerSecond"`
+	// OffsetStep is the largest distance of two offsets; below 2 they are contiguous.
+	OffsetStep int64 `json:"offsetStep"`
+}
+
+// Log is a stand-in of the platform's log service.
+type Log struct {
+	Knobs LogKnobs
+
+	mux      router
+	mu       sync.Mutex
+	streams  map[string]*logStream
+	limiter  *rate.Limiter
+	appended int64
+}
+
+type logStream struct {
+	records []keptRecord
+	next    int64
+	// lost is one more than the offset of the last record that retention took.
+	lost  int64
+	grown chan struct{}
+}
+
+type keptRecord struct {
+	sardinerock.LogRecord
+	at time.Time
+}
+
+// SetKnobs changes the knobs at run time.
+func (l *Log) SetKnobs(k LogKnobs) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Knobs = k
+	l.knobsChanged()
+}
+
+// Appended returns how many records were ever appended, to all streams.
+func (l *Log) Appended() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appended
+}
+
+// Append implements sardinerock.Log.
+func (l *Log) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	if err := l.pass(ctx); err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.Knobs.AppendsPerSecond > 0 {
+		if l.limiter == nil {
+			l.knobsChanged()
+		}
+		if !l.limiter.Allow() {
+			return 0, sardinerock.ErrLogRefused
+		}
+	}
+	if l.Knobs.LoseAnswers > 0 {
+		l.Knobs.LoseAnswers--
+		l.appendLost(stream, slices.Clone(data))
+		return 0, ErrAnswerLost
+	}
+	return l.add(stream, slices.Clone(data)), nil
+}
+
+// appendLost lets the append take effect, late if so set; the mutex is held.
+func (l *Log) appendLost(stream string, data []byte) {
+	if l.Knobs.LateMs == 0 {
+		l.add(stream, data)
+		return
+	}
+	time.AfterFunc(milliseconds(l.Knobs.LateMs), func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.add(stream, data)
+	})
+}
+
+func (l *Log) add(stream string, data []byte) int64 {
+	s := l.stream(stream)
+	offset := s.next
+	s.records = append(s.records, keptRecord{sardinerock.LogRecord{Offset: offset, Data: data}, time.Now()})
+	step := int64(1)
+	if l.Knobs.OffsetStep > 1 {
+		step += offset % l.Knobs.OffsetStep
+	}
+	s.next = offset + step
+	l.appended++
+	close(s.grown)
+	s.grown = make(chan struct{})
+	return offset
+}
+
+// Read implements sardinerock.Log.
+func (l *Log) Read(ctx context.Context, stream string, from int64, wait time.Duration) ([]sardinerock.LogRecord, error) {
+	if err := l.pass(ctx); err != nil {
+		return nil, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		records, grown, err := l.kept(stream, from)
+		if err != nil || len(records) > 0 {
+			return records, err
+		}
+		select {
+		case <-grown:
+		case <-timer.C:
+			return nil, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (l *Log) kept(stream string, from int64) ([]sardinerock.LogRecord, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(stream)
+	l.retain(s)
+	if from < s.lost {
+		return nil, nil, sardinerock.ErrLogGap
+	}
+	start, _ := slices.BinarySearchFunc(s.records, from, func(r keptRecord, offset int64) int {
+		return int(r.Offset - offset)
+	})
+	var records []sardinerock.LogRecord
+	size := 0
+	for _, r := range s.records[start:] {
+		if len(records) == readLimit || size > readBytes {
+			break
+		}
+		records = append(records, r.LogRecord)
+		size += len(r.Data)
+	}
+	return records, s.grown, nil
+}
+
+// Bounds implements sardinerock.Log.
+func (l *Log) Bounds(ctx context.Context, stream string) (sardinerock.LogBounds, error) {
+	if err := l.pass(ctx); err != nil {
+		return sardinerock.LogBounds{}, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(stream)
+	l.retain(s)
+	bounds := sardinerock.LogBounds{First: s.next, Next: s.next}
+	if len(s.records) > 0 {
+		bounds.First = s.records[0].Offset
+	}
+	return bounds, nil
+}
+
+// pass waits or fails as the outage and slowness of the moment ask for.
+func (l *Log) pass(ctx context.Context) error {
+	l.mu.Lock()
+	outage, slow := l.Knobs.Outage, milliseconds(l.Knobs.SlowMs)
+	l.mu.Unlock()
+	return pass(ctx, outage, slow, sardinerock.ErrLogRefused)
+}
+
+// pass is the outage and slowness of any stand-in.
+func pass(ctx context.Context, outage Outage, slow time.Duration, refused error) error {
+	switch outage {
+	case OutageRefuse:
+		return refused
+	case OutageHang:
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if slow == 0 {
+		return ctx.Err()
+	}
+	select {
+	case <-time.After(slow):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *Log) stream(name string) *logStream {
+	if l.streams == nil {
+		l.streams = make(map[string]*logStream)
+	}
+	s, ok := l.streams[name]
+	if !ok {
+		s = &logStream{grown: make(chan struct{})}
+		l.streams[name] = s
+	}
+	return s
+}
+
+// retain drops what the retention no longer covers.
+func (l *Log) retain(s *logStream) {
+	drop := 0
+	if n := l.Knobs.KeepRecords; n > 0 && len(s.records) > n {
+		drop = len(s.records) - n
+	}
+	if l.Knobs.KeepMs > 0 {
+		oldest := time.Now().Add(-milliseconds(l.Knobs.KeepMs))
+		for drop < len(s.records) && s.records[drop].at.Before(oldest) {
+			drop++
+		}
+	}
+	if drop == 0 {
+		return
+	}
+	s.lost = s.records[drop-1].Offset + 1
+	s.records = slices.Delete(s.records, 0, drop)
+}
+
+func (l *Log) knobsChanged() {
+	l.limiter = nil
+	if n := l.Knobs.AppendsPerSecond; n > 0 {
+		l.limiter = rate.NewLimiter(rate.Limit(n), max(1, n/10))
+	}
+}
--- /dev/null
+++ b/fakes/loghttp.go
@@ -0,0 +1,108 @@
+package fakes
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// maxRecordBytes bounds one record.
+const maxRecordBytes = 8 << 20
+
+// LogAppended is the answer to an append.
+type LogAppended struct {
+	Offset int64 `json:"offset"`
+}
+
+// LogRecords is the answer to a read.
+type LogRecords struct {
+	Records []LogLine `json:"records"`
+}
+
+// LogLine is one record on the wire; Data travels as base64.
+type LogLine struct {
+	Offset int64  `json:"offset"`
+	Data   []byte `json:"data"`
+}
+
+// LogRange is the answer to a question for a stream's bounds.
+type LogRange struct {
+	First int64 `json:"first"`
+	Next  int64 `json:"next"`
+}
+
+// ServeHTTP implements http.Handler.
+func (l *Log) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	l.mux.once.Do(func() { l.routes(&l.mux) })
+	l.mux.ServeHTTP(w, r)
+}
+
+func (l *Log) routes(mux *router) {
+	mux.HandleFunc("POST /streams/{stream}/records", l.serveAppend)
+	mux.HandleFunc("GET /streams/{stream}/records", l.serveRead)
+	mux.HandleFunc("GET /streams/{stream}/bounds", l.serveBounds)
+	mux.HandleFunc("/knobs", func(w http.ResponseWriter, r *http.Request) {
+		serveKnobs(w, r, &l.mu, &l.Knobs, l.knobsChanged)
+	})
+}
+
+func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecordBytes))
+	if err != nil {
+		replyError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	offset, err := l.Append(r.Context(), r.PathValue("stream"), data)
+	if err != nil {
+		replyLogError(w, err)
+		return
+	}
+	replyJSON(w, http.StatusOK, LogAppended{Offset: offset})
+}
+
+func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseInt(r.FormValue("from"), 10, 64)
+	if err != nil {
+		replyError(w, http.StatusBadRequest, "from: "+err.Error())
+		return
+	}
+	wait, err := strconv.Atoi(r.FormValue("waitMs"))
+	if err != nil {
+		replyError(w, http.StatusBadRequest, "waitMs: "+err.Error())
+		return
+	}
+	records, err := l.Read(r.Context(), r.PathValue("stream"), from, milliseconds(wait))
+	if err != nil {
+		replyLogError(w, err)
+		return
+	}
+	reply := LogRecords{Records: make([]LogLine, len(records))}
+	for i, record := range records {
+		reply.Records[i] = LogLine(record)
+	}
+	replyJSON(w, http.StatusOK, reply)
+}
+
+func (l *Log) serveBounds(w http.ResponseWriter, r *http.Request) {
+	bounds, err := l.Bounds(r.Context(), r.PathValue("stream"))
+	if err != nil {
+		replyLogError(w, err)
+		return
+	}
+	replyJSON(w, http.StatusOK, LogRange(bounds))
+}
+
+// replyLogError says "refused" only when the record is not there.
+func replyLogError(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, sardinerock.ErrLogRefused):
+		replyError(w, http.StatusServiceUnavailable, err.Error())
+	case errors.Is(err, sardinerock.ErrLogGap):
+		replyError(w, http.StatusGone, err.Error())
+	default:
+		dropConnection(w)
+	}
+}
--- /dev/null
+++ b/fakes/service.go
@@ -0,0 +1,140 @@
+package fakes
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ServiceKnobs are the faults of a plain service.
+type ServiceKnobs struct {
+	Outage Outage `json:"outage"`
+	// SlowMs is the time of one call.
+	SlowMs int `json:"slowMs"`
+	// LoseAnswers is how many of the next calls run without an answer.
+	LoseAnswers int `json:"loseAnswers"`
+	// Status is the status of answers; 0 means 200.
+	Status int `json:"status"`
+}
+
+// ServiceRun is the answer to a call and what GET /ran lists: how often a call ran.
+type ServiceRun struct {
+	Service string `json:"service"`
+	Method  string `json:"method"`
+	Path    string `json:"path"`
+	Runs    int    `json:"runs"`
+	// BodyHash is the xxhash of the call's body in hex.
+	BodyHash string `json:"bodyHash"`
+}
+
+// ServiceRuns lists all calls that ran.
+type ServiceRuns struct {
+	Runs []ServiceRun `json:"runs"`
+}
+
+// Service is a stand-in of a plain service that counts how often each call ran.
+type Service struct {
+	Knobs ServiceKnobs
+	// Name is the service's name in the bundle.
+	Name string
+
+	mu   sync.Mutex
+	runs map[string]*ServiceRun
+}
+
+// Runs returns how often a call ran.
+func (s *Service) Runs(method, path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if run := s.runs[method+" "+path]; run != nil {
+		return run.Runs
+	}
+	return 0
+}
+
+// ServeHTTP implements http.Handler; /knobs and /ran are the stand-in's own, all else is a call.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/knobs":
+		serveKnobs(w, r, &s.mu, &s.Knobs, func() {})
+	case "/ran":
+		s.serveRan(w)
+	default:
+		s.serveCall(w, r)
+	}
+}
+
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPromptBytes))
+	if err != nil {
+		replyError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	s.mu.Lock()
+	knobs := s.Knobs
+	s.mu.Unlock()
+	if knobs.Outage == OutageRefuse {
+		replyError(w, http.StatusServiceUnavailable, "out of service")
+		return
+	}
+	if knobs.Outage == OutageHang {
+		<-r.Context().Done()
+		return
+	}
+	run, lost := s.ran(r, body)
+	// The call has taken effect whether or not its caller waits for the answer.
+	select {
+	case <-time.After(milliseconds(knobs.SlowMs)):
+	case <-r.Context().Done():
+		return
+	}
+	if lost {
+		dropConnection(w)
+	}
+	status := http.StatusOK
+	if knobs.Status != 0 {
+		status = knobs.Status
+	}
+	replyJSON(w, status, run)
+}
+
+// ran counts a call and says whether its answer is to be lost.
+func (s *Service) ran(r *http.Request, body []byte) (ServiceRun, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runs == nil {
+		s.runs = make(map[string]*ServiceRun)
+	}
+	key := r.Method + " " + r.URL.Path
+	run := s.runs[key]
+	if run == nil {
+		run = &ServiceRun{Service: s.Name, Method: r.Method, Path: r.URL.Path}
+		s.runs[key] = run
+	}
+	run.Runs++
+	run.BodyHash = fmt.Sprintf("%016x", xxhash.Sum64(body))
+	lost := s.Knobs.LoseAnswers > 0
+	if lost {
+		s.Knobs.LoseAnswers--
+	}
+	return *run, lost
+}
+
+func (s *Service) serveRan(w http.ResponseWriter) {
+	s.mu.Lock()
+	reply := ServiceRuns{Runs: []ServiceRun{}}
+	for _, run := range s.runs {
+		reply.Runs = append(reply.Runs, *run)
+	}
+	s.mu.Unlock()
+	sort.Slice(reply.Runs, func(i, j int) bool {
+		a, b := reply.Runs[i], reply.Runs[j]
+		return a.Path+a.Method < b.Path+b.Method
+	})
+	replyJSON(w, http.StatusOK, reply)
+}
--- /dev/null
+++ b/fakes/weights.go
@@ -0,0 +1,96 @@
+package fakes
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// ErrWeightsDown is what loaders get while the weight store is down.
+var ErrWeightsDown = errors.New("weight store: out of service")
+
+// WeightsKnobs are the speed and the faults of the weight store.
+type WeightsKnobs struct {
+	Outage Outage `json:"outage"`
+	// BytesPerSecond is shared by all loads, which are served one after the other; 0 means at once.
+	BytesPerSecond int64 `json:"bytesPerSecond"`
+	// BytesPerModel is the size of each model's weights.
+	BytesPerModel int64 `json:"bytesPerModel"`
+}
+
+// WeightFetches counts what the store gave out.
+type WeightFetches struct {
+	Fetches int `json:"fetches"`
+}
+
+// Weights is a stand-in of the rate-limited weight store; no bytes travel, only their time passes.
+type Weights struct {
+	Knobs WeightsKnobs
+
+	mux     router
+	mu      sync.Mutex
+	busy    time.Time
+	fetches int
+}
+
+// Fetches returns how many loads were asked for.
+func (s *Weights) Fetches() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fetches
+}
+
+// Fetch implements WeightSource.
+func (s *Weights) Fetch(ctx context.Context, _ sardinerock.LoadedModel) error {
+	s.mu.Lock()
+	s.fetches++
+	outage, wait := s.Knobs.Outage, s.reserve(time.Now())
+	s.mu.Unlock()
+	return pass(ctx, outage, wait, ErrWeightsDown)
+}
+
+// reserve returns how long the load takes, behind those before it.
+func (s *Weights) reserve(now time.Time) time.Duration {
+	if s.Knobs.BytesPerSecond <= 0 {
+		return 0
+	}
+	if s.busy.Before(now) {
+		s.busy = now
+	}
+	seconds := float64(s.Knobs.BytesPerModel) / float64(s.Knobs.BytesPerSecond)
+	s.busy = s.busy.Add(time.Duration(seconds * float64(time.Second)))
+	return s.busy.Sub(now)
+}
+
+// ServeHTTP implements http.Handler: POST /fetch with the model answers once the weights are there.
+func (s *Weights) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.once.Do(func() { s.routes(&s.mux) })
+	s.mux.ServeHTTP(w, r)
+}
+
+func (s *Weights) routes(mux *router) {
+	mux.HandleFunc("POST /fetch", s.serveFetch)
+	mux.HandleFunc("GET /fetches", func(w http.ResponseWriter, _ *http.Request) {
+		replyJSON(w, http.StatusOK, WeightFetches{Fetches: s.Fetches()})
+	})
+	mux.HandleFunc("/knobs", func(w http.ResponseWriter, r *http.Request) {
+		serveKnobs(w, r, &s.mu, &s.Knobs, func() {})
+	})
+}
+
+func (s *Weights) serveFetch(w http.ResponseWriter, r *http.Request) {
+	var target sardinerock.LoadedModel
+	if err := decodeStrict(r.Body, &target); err != nil {
+		replyError(w, http.StatusBadRequest, "fetch: "+err.Error())
+		return
+	}
+	if err := s.Fetch(r.Context(), target); err != nil {
+		replyError(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/remote/engine_test.go
@@ -0,0 +1,202 @@
+package remote
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/fakes"
+)
+
+const chatPath = "/v1/chat/completions"
+
+var drafter = sardinerock.LoadedModel{Model: "drafter", Version: "v1"}
+
+func chat(content string, maxTokens int) []byte {
+	return fmt.Appendf(nil, `{"model":"drafter","max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, maxTokens, content)
+}
+
+func request(body []byte) *sardinerock.EngineRequest {
+	return &sardinerock.EngineRequest{Attempt: "a1", Path: chatPath, Model: "drafter", Version: "v1", Body: body}
+}
+
+// startEngine serves a stand-in engine that holds drafter, and returns an adapter to it.
+func startEngine(t *testing.T, knobs fakes.EngineKnobs) (*Engine, *fakes.Engine, *fakes.Host) {
+	t.Helper()
+	stand := &fakes.Engine{Knobs: knobs, Preloaded: []sardinerock.LoadedModel{drafter}}
+	host := &fakes.Host{Handler: stand}
+	stand.OnCrash = host.Crash
+	NewWithT(t).Expect(host.Start()).To(Succeed())
+	t.Cleanup(host.Stop)
+	engine := &Engine{Sender{URL: host.URL()}}
+	t.Cleanup(engine.Close)
+	return engine, stand, host
+}
+
+func collect(tokens *[]string) func(sardinerock.Token) error {
+	return func(t sardinerock.Token) error {
+		*tokens = append(*tokens, t.Text)
+		return nil
+	}
+}
+
+func TestAnswersAreWholeAndOwnAlsoWhenResumed(t *testing.T) {
+	g := NewWithT(t)
+	engine, _, _ := startEngine(t, fakes.EngineKnobs{})
+	for path, body := range map[string][]byte{
+		chatPath:          chat("hello", 40),
+		"/v1/completions": []byte(`{"model":"drafter","prompt":"hello"}`),
+	} {
+		want := fakes.Answer(path, body)
+		for _, from := range []int{0, 1, len(want) - 1} {
+			var got []string
+			r := request(body)
+			r.Path, r.ResumeTokens, r.ResumeText = path, from, strings.Join(want[:from], "")
+			result, err := engine.Generate(t.Context(), r, collect(&got))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(got).To(Equal(want[from:]))
+			g.Expect(result.CompletionTokens).To(Equal(len(want)))
+			g.Expect(result.FinishReason).To(BeElementOf("stop", "length"))
+		}
+	}
+}
+
+func TestEngineRefusals(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(*sardinerock.EngineRequest)
+		status int
+		wraps  error
+	}{
+		"version not loaded": {
+			change: func(r *sardinerock.EngineRequest) { r.Version = "v2" },
+			status: http.StatusFailedDependency, wraps: sardinerock.ErrModelNotLoaded,
+		},
+		"adapter not loaded": {
+			change: func(r *sardinerock.EngineRequest) { r.Adapter = "finance" },
+			status: http.StatusFailedDependency, wraps: sardinerock.ErrModelNotLoaded,
+		},
+		"resumption of another answer": {
+			change: func(r *sardinerock.EngineRequest) { r.ResumeTokens, r.ResumeText = 2, "not this" },
+			status: http.StatusUnprocessableEntity,
+		},
+		"no prompt": {
+			change: func(r *sardinerock.EngineRequest) { r.Body = []byte(`{}`) },
+			status: http.StatusBadRequest,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			engine, _, _ := startEngine(t, fakes.EngineKnobs{})
+			r := request(chat("hello", 40))
+			test.change(r)
+			_, err := engine.Generate(t.Context(), r, collect(new([]string)))
+			var status *StatusError
+			g.Expect(asStatus(err, &status)).To(BeTrue(), "%v", err)
+			g.Expect(status.Status).To(Equal(test.status))
+			if test.wraps != nil {
+				g.Expect(err).To(MatchError(test.wraps))
+			}
+			g.Expect(err).NotTo(MatchError(sardinerock.ErrNotSent))
+		})
+	}
+}
+
+// A marked request kills the engine in mid-answer: what runs there breaks off,
+// and nobody may call it not run. While the engine is dead new requests can't
+// be sent, which is proof; then it is back on the same port.
+func TestCrashBreaksStreamsOffAndLaterDialsAreNotSent(t *testing.T) {
+	g := NewWithT(t)
+	engine, stand, host := startEngine(t, fakes.EngineKnobs{StepUs: 5000, CrashMarker: "boom", CrashMs: 30})
+	host.ReviveAfter = 300 * time.Millisecond
+	var got []string
+	_, err := engine.Generate(t.Context(), request(chat("boom", 1000)), collect(&got))
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(err).NotTo(MatchError(sardinerock.ErrNotSent))
+	g.Expect(got).NotTo(BeEmpty())
+	g.Expect(stand.Crashes()).To(Equal(1))
+
+	_, err = engine.Generate(t.Context(), request(chat("hello", 4)), collect(&got))
+	g.Expect(err).To(MatchError(sardinerock.ErrNotSent))
+	g.Eventually(func() error {
+		_, err := engine.Generate(t.Context(), request(chat("hello", 4)), collect(&got))
+		return err
+	}).WithTimeout(10 * time.Second).Should(Succeed())
+}
+
+// Something between the two ends loses track of the open connections: they
+// take requests and never answer. The request that was caught times out as
+// sent; the next one must not get another silent connection from the pool.
+func TestSilentConnectionsAreNotReused(t *testing.T) {
+	g := NewWithT(t)
+	engine, stand, _ := startEngine(t, fakes.EngineKnobs{StepUs: 2000})
+	done := make(chan error, 4)
+	for range cap(done) {
+		go func() {
+			_, err := engine.Generate(t.Context(), request(chat("warm", 20)), collect(new([]string)))
+			done <- err
+		}()
+	}
+	for range cap(done) {
+		g.Expect(<-done).To(Succeed())
+	}
+	stand.SetKnobs(fakes.EngineKnobs{Silence: 1})
+
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err := engine.Generate(ctx, request(chat("hello", 4)), collect(new([]string)))
+	g.Expect(err).To(MatchError(context.DeadlineExceeded))
+	g.Expect(err).NotTo(MatchError(sardinerock.ErrNotSent))
+	ctx, cancel = context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	_, err = engine.Generate(ctx, request(chat("hello", 4)), collect(new([]string)))
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+func TestCancelFreesTheSlot(t *testing.T) {
+	g := NewWithT(t)
+	engine, _, _ := startEngine(t, fakes.EngineKnobs{StepUs: 2000, Slots: 1})
+	ctx, cancel := context.WithCancel(t.Context())
+	_, err := engine.Generate(ctx, request(chat("long", 100000)), func(sardinerock.Token) error {
+		cancel()
+		return nil
+	})
+	g.Expect(err).To(HaveOccurred())
+	_, err = engine.Generate(t.Context(), request(chat("short", 4)), collect(new([]string)))
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+func TestOrdersAndFencing(t *testing.T) {
+	next := sardinerock.LoadedModel{Model: "drafter", Version: "v2"}
+	for name, test := range map[string]struct {
+		checks bool
+		want   error
+	}{
+		"fenced":   {checks: true, want: sardinerock.ErrFenced},
+		"unfenced": {checks: false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			engine, _, _ := startEngine(t, fakes.EngineKnobs{ChecksFence: test.checks})
+			load := sardinerock.EngineOrder{Action: sardinerock.OrderLoad, Target: next, Fence: 7}
+			g.Expect(engine.Order(t.Context(), load)).To(Succeed())
+			unload := sardinerock.EngineOrder{Action: sardinerock.OrderUnload, Target: next, Fence: 6}
+			err := engine.Order(t.Context(), unload)
+			state, stateErr := engine.State(t.Context())
+			g.Expect(stateErr).NotTo(HaveOccurred())
+			g.Expect(state.ChecksFence).To(Equal(test.checks))
+			if test.want != nil {
+				g.Expect(err).To(MatchError(test.want))
+				g.Expect(state.Loaded).To(ConsistOf(drafter, next))
+				return
+			}
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(state.Loaded).To(ConsistOf(drafter))
+		})
+	}
+}
--- /dev/null
+++ b/remote/log.go
@@ -0,0 +1,97 @@
+package remote
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// readGrace is how much longer than its wait a read may take.
+const readGrace = 5 * time.Second
+
+// Log speaks to the platform's log service.
+type Log struct {
+	Sender
+	// Timeout bounds an append and each other call beyond its own wait; 0 means 5 s.
+	Timeout time.Duration
+}
+
+type logAppended struct {
+	Offset int64 `json:"offset"`
+}
+
+type logRecords struct {
+	Records []logLine `json:"records"`
+}
+
+type logLine struct {
+	Offset int64  `json:"offset"`
+	Data   []byte `json:"data"`
+}
+
+type logRange struct {
+	First int64 `json:"first"`
+	Next  int64 `json:"next"`
+}
+
+// Append implements sardinerock.Log.
+func (l *Log) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.timeout())
+	defer cancel()
+	answer, err := call[logAppended](ctx, &l.Sender, http.MethodPost, streamPath(stream, "records"), data)
+	if err != nil {
+		return 0, logError(err)
+	}
+	return answer.Offset, nil
+}
+
+// Read implements sardinerock.Log.
+func (l *Log) Read(ctx context.Context, stream string, from int64, wait time.Duration) ([]sardinerock.LogRecord, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+l.timeout())
+	defer cancel()
+	path := fmt.Sprintf("%s?from=%d&waitMs=%d", streamPath(stream, "records"), from, wait.Milliseconds())
+	answer, err := call[logRecords](ctx, &l.Sender, http.MethodGet, path, nil)
+	if err != nil {
+		return nil, logError(err)
+	}
+	records := make([]sardinerock.LogRecord, len(answer.Records))
+	for i, line := range answer.Records {
+		records[i] = sardinerock.LogRecord(line)
+	}
+	return records, nil
+}
+
+// Bounds implements sardinerock.Log.
+func (l *Log) Bounds(ctx context.Context, stream string) (sardinerock.LogBounds, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.timeout())
+	defer cancel()
+	answer, err := call[logRange](ctx, &l.Sender, http.MethodGet, streamPath(stream, "bounds"), nil)
+	if err != nil {
+		return sardinerock.LogBounds{}, logError(err)
+	}
+	return sardinerock.LogBounds(answer), nil
+}
+
+func (l *Log) timeout() time.Duration {
+	if l.Timeout > 0 {
+		return l.Timeout
+	}
+	return readGrace
+}
+
+func streamPath(stream, part string) string {
+	return "/streams/" + url.PathEscape(stream) + "/" + part
+}
+
+// logError maps what is proved: the service's own refusal, a request that was
+// never sent, and a gap. All else leaves open whether a record is there.
+func logError(err error) error {
+	err = withStatus(err, http.StatusServiceUnavailable, sardinerock.ErrLogRefused)
+	err = withStatus(err, http.StatusTooManyRequests, sardinerock.ErrLogRefused)
+	err = withStatus(err, http.StatusGone, sardinerock.ErrLogGap)
+	return withSentinel(err, sardinerock.ErrNotSent, sardinerock.ErrLogRefused)
+}
