--- /dev/null
+++ b/side/place.go
@@ -0,0 +1,59 @@
+package side
+
+import (
+	"context"
+	"sync"
+
+	"github.com/phuslu/log"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/member"
+	"github.com/sardinerock/sardinerock/place"
+)
+
+// placeLoop keeps the engine at what the configuration in force asks of it.
+func (s *Side) placeLoop(ctx context.Context) {
+	if s.Engine == nil {
+		return
+	}
+	keeper := &place.Keeper{
+		Engine:              s.Engine,
+		Self:                s.ID,
+		Process:             log.NewXID().String(),
+		Config:              &s.replica,
+		Sides:               s.onlySelf,
+		InUse:               s.inUse,
+		Events:              s.Events,
+		StoreBytesPerSecond: s.StoreBytesPerSecond,
+	}
+	var tracking sync.WaitGroup
+	defer tracking.Wait()
+	if s.Instances != nil {
+		tracker := &member.Tracker{Self: s.self(), List: s.Instances, Events: s.Events}
+		keeper.Sides = func() []sardinerock.Instance { return tracker.Instances(sardinerock.RoleSide) }
+		tracking.Go(func() { _ = tracker.Run(ctx) })
+	}
+	_ = keeper.Run(ctx)
+}
+
+// self is this side as the instance list has it.
+func (s *Side) self() sardinerock.Instance {
+	return sardinerock.Instance{
+		ID: s.ID, Role: sardinerock.RoleSide, Region: s.Region, Zone: s.Zone,
+		Address: s.Listener.Addr().String(), Service: s.Service,
+	}
+}
+
+func (s *Side) onlySelf() []sardinerock.Instance { return []sardinerock.Instance{s.self()} }
+
+// inUse tells whether requests for a model wait or run here.
+func (s *Side) inUse(m sardinerock.LoadedModel) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.attempts {
+		if a.start.Model == m.Model && a.start.Version == m.Version && a.start.Adapter == m.Adapter {
+			return true
+		}
+	}
+	return false
+}
