--- a/fakes/answer.go
+++ b/fakes/answer.go
@@ -21,7 +21,7 @@
 // Answer returns the tokens that every engine answers to the request, so that
 // tests can tell a whole, own, ordered answer from any other.
 func Answer(path string, body []byte) []string {
-	seed := xxhash.Sum64String(path) ^ xxhash.Sum64(sardinerock.Prompt(body))
+	seed := xxhash.Sum64String(path) ^ xxhash.Sum64String(sardinerock.Prompt(body))
 	tokens := make([]string, answerLength(body, seed))
 	for i := range tokens {
 		word := xxhash.Sum64String(strconv.FormatUint(seed, 16) + "." + strconv.Itoa(i))
--- a/fakes/engine_test.go
+++ b/fakes/engine_test.go
@@ -96,7 +96,7 @@
 	source, target := httptest.NewServer(from), httptest.NewServer(to)
 	defer source.Close()
 	defer target.Close()
-	body := prompt(strings.Repeat("b", 1024), 400)
+	body := prompt(strings.Repeat("b", 2048), 400)
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, source.URL+"/v1/completions", strings.NewReader(body))
 	g.Expect(err).NotTo(HaveOccurred())
 	r.Header.Set(HeaderAttempt, "a1")
--- a/fakes/host.go
+++ b/fakes/host.go
@@ -11,27 +11,33 @@
 // reviveRetry is how often a crashed host tries to get its port back.
 const reviveRetry = 20 * time.Millisecond
 
-// Host serves a stand-in on a loopback port within this process, and can die and come back on the same port.
+// Host serves a stand-in on one port within this process, and can die and come back on the same port.
 type Host struct {
 	Handler http.Handler
+	// Address is the host:port to listen on; empty means a free loopback port.
+	Address string
 	// ReviveAfter is how long the host stays dead after a crash; 0 means for good.
 	ReviveAfter time.Duration
 
 	mu      sync.Mutex
-	address string
+	bound   string
 	server  *http.Server
 	stopped bool
 }
 
-// Start listens on a free loopback port.
+// Start listens.
 func (h *Host) Start() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address := h.Address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	h.address = listener.Addr().String()
+	h.bound = listener.Addr().String()
 	h.serve(listener)
 	return nil
 }
@@ -40,7 +46,7 @@
 func (h *Host) URL() string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return "http://" + h.address
+	return "http://" + h.bound
 }
 
 // Crash ends the listener and all connections at once.
@@ -74,7 +80,7 @@
 	if h.stopped || h.server != nil {
 		return
 	}
-	listener, err := net.Listen("tcp", h.address)
+	listener, err := net.Listen("tcp", h.bound)
 	if err != nil {
 		time.AfterFunc(reviveRetry, h.revive)
 		return
