--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -353,14 +353,19 @@
 
 // poll calls try until it succeeds; at the end of ctx it returns the last failure.
 func poll(ctx context.Context, try func() error) error {
+	var last error
 	for {
 		err := try()
 		if err == nil {
 			return nil
 		}
+		// What fails because time is up tells less than the failure before it.
+		if last == nil || ctx.Err() == nil {
+			last = err
+		}
 		select {
 		case <-ctx.Done():
-			return err
+			return last
 		case <-time.After(readyPoll):
 		}
 	}
--- a/fleet/mortal.go
+++ b/fleet/mortal.go
@@ -53,7 +53,7 @@
 }
 
 func (l *mortal) die() {
-	l.Close()
+	l.Listener.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.killed = true
