jobs: an item runs under the version that its caller is granted (for the lead to take or drop)

Cause: requests of items went out with an empty version, so that no backend server was a candidate: the demo's job stood at 0 of 400 items with 3,600 "no backend server" lines in 90 s, while online answers went on.

--- a/jobs/body.go
+++ b/jobs/body.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,11 +43,28 @@
 	if p.m.Config != nil {
 		if c := p.m.Config.Current(); c != nil {
 			r.ConfigVersion = c.Version
+			r.Version = grantedVersion(c.Bundle, j.Caller, model, adapter)
 		}
 	}
 	return r
 }
 
+// grantedVersion returns the version that serves a caller's model, or nothing
+// if none does. It is looked up for each try: a job may run on under a newer bundle.
+func grantedVersion(b *sardinerock.Bundle, caller, model, adapter string) string {
+	for _, c := range b.Callers {
+		if c.Name != caller {
+			continue
+		}
+		for _, g := range c.Grants {
+			if g.Model == model && (adapter == "" || slices.Contains(g.Adapters, adapter)) {
+				return g.Version
+			}
+		}
+	}
+	return ""
+}
+
 type completion struct {
 	ID      string   `json:"id"`
 	Object  string   `json:"object"`
