--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,8 @@
 	GOBIN=$(TOOLS) $(GO) install storj.io/drpc/cmd/protoc-gen-go-drpc@$(PROTOC_DRPC)
 	PATH="$(TOOLS):$$PATH" protoc --go_out=. --go_opt=paths=source_relative \
 	  --go-drpc_out=. --go-drpc_opt=paths=source_relative $(shell git ls-files '*.proto')
+
+# The slopes that docs/CAPACITY.md works with; two minutes. `capa --only link,bundle` runs parts of it.
+.PHONY: capacity
+capacity:
+	$(GO) run ./capa
--- a/capa/log.go
+++ b/capa/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sardinerock/sardinerock"
@@ -17,6 +18,7 @@
 	bytes   map[string]int
 	// appendedAt is when the last record came.
 	appendedAt time.Time
+	reads      atomic.Int64
 }
 
 func newCountingLog() *countingLog {
@@ -41,6 +43,7 @@
 
 // Read implements sardinerock.Log.
 func (l *countingLog) Read(ctx context.Context, stream string, from int64, wait time.Duration) ([]sardinerock.LogRecord, error) {
+	l.reads.Add(1)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -80,3 +83,14 @@
 	}
 	return records[len(records)-1], l.bytes[stream]
 }
+
+// total returns the bytes and appends of all streams.
+func (l *countingLog) total() (bytes, appends int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for stream := range l.bytes {
+		bytes += l.bytes[stream]
+		appends += l.appends[stream]
+	}
+	return bytes, appends
+}
--- a/capa/main.go
+++ b/capa/main.go
@@ -26,6 +26,7 @@
 	{"place", measurePlacement},
 	{"route", measureRouting},
 	{"gate", measureGate},
+	{"jobs", measureJobs},
 	{"spread", measureSpread},
 }
 
