--- a/capa/bundle.go
+++ b/capa/bundle.go
@@ -11,6 +11,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/bundle"
+	"github.com/sardinerock/sardinerock/front"
 	"github.com/sardinerock/sardinerock/wire"
 )
 
@@ -35,7 +36,7 @@
 		b.Teams = append(b.Teams, sardinerock.Team{Name: name, Weight: 1})
 		for j := range callersPerTeam {
 			a := sardinerock.Caller{
-				Name: fmt.Sprintf("%s-app%d", name, j), Team: name, KeyHashes: []string{fmt.Sprintf("%064x", i*10+j)}, Weight: 1,
+				Name: fmt.Sprintf("%s-app%d", name, j), Team: name, KeyHashes: []string{front.HashToken(fmt.Sprint(name, j))}, Weight: 1,
 				Grants:   []sardinerock.Grant{{Model: "model-0", Version: "2026-11", Adapters: []string{"panels"}}, {Model: "model-1", Version: "2026-11"}},
 				Services: []string{"portal"}, RequestsPerMinute: 600, TokensPerMinute: 100000, MaxInFlight: 20,
 			}
--- a/capa/jobs.go
+++ b/capa/jobs.go
@@ -10,6 +10,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/jobs"
+	"github.com/sardinerock/sardinerock/stream"
 )
 
 // answerBytes and bodyBytes are the payload of an item, which no bookkeeping can save.
@@ -57,11 +58,12 @@
 	stop    func()
 }
 
-func startJobs(shards int, takes time.Duration, budget float64) *jobOwner {
+func startJobs(shards int, takes time.Duration, budget float64, checkpointEvery time.Duration) *jobOwner {
 	o := &jobOwner{log: newCountingLog(), runner: &steadyRunner{takes: takes}}
 	o.manager = &jobs.Manager{
 		Log: o.log, Runner: o.runner, EntryID: "entry-1", Shards: shards, AppendsPerSecond: budget,
-		Config: fixedConfig{&sardinerock.ConfigSnapshot{Version: 1, Bundle: sampleBundle(0, 10, 600)}},
+		CheckpointEvery: checkpointEvery,
+		Config:          fixedConfig{&sardinerock.ConfigSnapshot{Version: 1, Bundle: sampleBundle(0, 10, 600)}},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -115,6 +117,11 @@
 			return err
 		}
 	}
+	for _, items := range []int{2000, 10000, 50000} {
+		if err := m.measureCheckpoint(items); err != nil {
+			return err
+		}
+	}
 	for _, n := range []int{50, 200, 800} {
 		if err := m.measureSmallJobs(n); err != nil {
 			return err
@@ -132,6 +139,8 @@
 	r.slope("job handed in: appends", "appends", "item", m.inAppends...)
 	r.slope("job handed in: CPU", "us", "item", m.inCPU...)
 	r.slope("open items: memory", "B", "item", m.memory...)
+	r.slope("finished items whose results stay readable: memory", "B", "item", m.kept...)
+	r.slope("checkpoint of a shard, half of its items finished: bytes", "B", "item", m.checkpoint...)
 	r.slope("items run to their end, 10,000/s: bytes in the log beside answers", "B", "item", m.outBytes...)
 	r.slope("items run to their end, 10,000/s: appends", "appends", "item", m.outAppends...)
 	r.slope("items run to their end: CPU without the run itself", "us", "item", m.outCPU...)
@@ -145,6 +154,7 @@
 }
 
 type jobPoints struct {
+	kept, checkpoint                  []point
 	inBytes, inAppends, inCPU, memory []point
 	outBytes, outAppends, outCPU      []point
 	jobAppends, jobBytes, jobCPU      []point
@@ -154,7 +164,7 @@
 const customIDBytes = len("item-000000")
 
 func (m *jobPoints) measureItems(items int) error {
-	o := startJobs(1, 10*time.Millisecond, 5000)
+	o := startJobs(1, 10*time.Millisecond, 5000, time.Hour)
 	defer o.stop()
 	// The first job claims the shard and warms up what is made once.
 	first, err := o.create("first", 1)
@@ -189,13 +199,42 @@
 	m.outCPU = append(m.outCPU, point{size, float64((cpu() - used).Microseconds())})
 	m.outBytes = append(m.outBytes, point{size, float64(outBytes - inBytes - items*answerBytes)})
 	m.outAppends = append(m.outAppends, point{size, float64(outAppends - inAppends)})
+	m.kept = append(m.kept, point{size, memory() - before - float64(outBytes-bytes)})
 	runtime.KeepAlive(o)
 	return nil
 }
 
+// measureCheckpoint stops half-way through a job and waits for the next checkpoint.
+func (m *jobPoints) measureCheckpoint(items int) error {
+	o := startJobs(1, 10*time.Millisecond, 5000, 3*time.Second)
+	defer o.stop()
+	job, err := o.create("large", items)
+	if err != nil {
+		return err
+	}
+	o.runner.slots.Store(100)
+	for o.runner.done.Load() < int64(items/2) {
+		time.Sleep(time.Millisecond)
+	}
+	o.runner.slots.Store(0)
+	name := stream.CheckpointStream("jobs-0")
+	settled := time.Now().Add(2 * o.manager.CheckpointEvery)
+	_, bytes := o.log.last(name)
+	for last := bytes; time.Now().Before(settled); time.Sleep(50 * time.Millisecond) {
+		if _, now := o.log.last(name); now != last {
+			bytes, last = now-last, now
+		}
+	}
+	if bytes == 0 {
+		return fmt.Errorf("no checkpoint of %s was written", job.ID)
+	}
+	m.checkpoint = append(m.checkpoint, point{float64(items), float64(bytes)})
+	return nil
+}
+
 func (m *jobPoints) measureSmallJobs(n int) error {
 	const items = 10
-	o := startJobs(16, 10*time.Millisecond, 5000)
+	o := startJobs(16, 10*time.Millisecond, 5000, time.Hour)
 	defer o.stop()
 	o.runner.slots.Store(100)
 	ids := make([]string, n)
@@ -223,7 +262,7 @@
 
 func (m *jobPoints) measureRate(rate int) error {
 	const window = 10 * time.Second
-	o := startJobs(1, time.Second, 300)
+	o := startJobs(1, time.Second, 300, time.Hour)
 	defer o.stop()
 	if _, err := o.create("steady", rate*20); err != nil {
 		return err
@@ -239,7 +278,7 @@
 
 func (m *jobPoints) measureQuiet(shards int) {
 	const window = 4 * time.Second
-	o := startJobs(shards, time.Second, 5000)
+	o := startJobs(shards, time.Second, 5000, time.Hour)
 	defer o.stop()
 	time.Sleep(3 * time.Second)
 	used, reads := cpu(), o.log.reads.Load()
--- a/capa/main.go
+++ b/capa/main.go
@@ -26,8 +26,10 @@
 	{"place", measurePlacement},
 	{"route", measureRouting},
 	{"gate", measureGate},
+	{"log", measureLog},
 	{"jobs", measureJobs},
 	{"spread", measureSpread},
+	{"whole", measureWhole},
 }
 
 func main() {
