--- a/jobs/part.go
+++ b/jobs/part.go
@@ -172,7 +172,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, 4*readTimeout)
 	defer cancel()
-	c, err := stream.LoadCheckpoint(ctx, p.m.Log, p.name)
+	b, err := p.m.Log.Bounds(ctx, p.name)
+	if err != nil {
+		return err
+	}
+	c, err := stream.LoadCheckpoint(ctx, p.m.Log, p.name, b.First)
 	if err != nil {
 		return err
 	}
--- a/stream/check.go
+++ b/stream/check.go
@@ -92,13 +92,16 @@
 // firstWindow is how far before the end the search for a checkpoint starts, in offsets.
 const firstWindow = 16
 
-// LoadCheckpoint returns the newest whole checkpoint of name, or nil if there is none.
+// LoadCheckpoint returns a whole checkpoint of name that resumes at or after
+// least, the newest one as a rule, or nil if there is none. One that a slow
+// process wrote late may hide a newer one; it is as true, and least keeps out
+// those that the log no longer reaches back to.
 //
 // The log can only be read forward, and all checkpoints that it keeps may be
 // many megabytes. So we look at the last few offsets and double the window
 // until a whole checkpoint is in it. Offsets need not be contiguous, so an
 // empty window means nothing.
-func LoadCheckpoint(ctx context.Context, log sardinerock.Log, name string) (*Checkpoint, error) {
+func LoadCheckpoint(ctx context.Context, log sardinerock.Log, name string, least int64) (*Checkpoint, error) {
 	name = CheckpointStream(name)
 	b, err := log.Bounds(ctx, name)
 	if err != nil {
@@ -106,7 +109,7 @@
 	}
 	for window := int64(firstWindow); ; window *= 2 {
 		from := max(b.First, b.Next-window)
-		c, err := newestCheckpoint(ctx, log, name, from, b.Next)
+		c, err := newestCheckpoint(ctx, log, name, from, b.Next, least)
 		if errors.Is(err, sardinerock.ErrLogGap) {
 			if b, err = log.Bounds(ctx, name); err == nil {
 				continue
@@ -119,7 +122,7 @@
 }
 
 // newestCheckpoint reads from up to the end and returns the whole checkpoint that resumes last.
-func newestCheckpoint(ctx context.Context, log sardinerock.Log, name string, from, end int64) (*Checkpoint, error) {
+func newestCheckpoint(ctx context.Context, log sardinerock.Log, name string, from, end, least int64) (*Checkpoint, error) {
 	parts := map[uint64]map[uint32]*Part{}
 	for from < end {
 		records, err := log.Read(ctx, name, from, 0)
@@ -144,7 +147,7 @@
 	var newest *Checkpoint
 	for _, set := range parts {
 		c := assemble(set)
-		if c != nil && (newest == nil || c.Resume > newest.Resume) {
+		if c != nil && c.Resume >= least && (newest == nil || c.Resume > newest.Resume) {
 			newest = c
 		}
 	}
--- a/stream/seen.go
+++ b/stream/seen.go
@@ -28,18 +28,26 @@
 	Counts []bool
 	// Withdrawn lists the numbers whose withdrawal came before their record.
 	Withdrawn []uint64
+	// TooLate lists the numbers whose withdrawal came after their record.
+	TooLate []uint64
 }
 
+// withdrawnMemory is how many withdrawals of one writer are remembered, to
+// answer it again; a writer has fewer of them open at a time.
+const withdrawnMemory = 256
+
 // Admit folds one envelope and tells which of its records count.
 func (s *Seen) Admit(e *Envelope) Verdict {
 	w := s.writer(e.GetWriter())
 	w.atMs = max(w.atMs, e.GetAtMs())
 	v := Verdict{Counts: make([]bool, len(e.GetRecords()))}
 	for _, n := range e.GetWithdrawn() {
-		if n <= w.upto {
+		known := slices.Contains(w.withdrawn, n)
+		if n <= w.upto && !known {
+			v.TooLate = append(v.TooLate, n)
 			continue
 		}
-		if !slices.Contains(w.withdrawn, n) {
+		if !known {
 			w.withdrawn = append(w.withdrawn, n)
 		}
 		v.Withdrawn = append(v.Withdrawn, n)
@@ -52,7 +60,7 @@
 		w.upto = n
 		v.Counts[i] = !slices.Contains(w.withdrawn, n)
 	}
-	w.withdrawn = slices.DeleteFunc(w.withdrawn, func(n uint64) bool { return n <= w.upto })
+	w.withdrawn = w.withdrawn[max(0, len(w.withdrawn)-withdrawnMemory):]
 	return v
 }
 
--- a/stream/tail.go
+++ b/stream/tail.go
@@ -18,8 +18,9 @@
 	AtMs   int64
 	// Records keeps the places of the envelope; a record that doesn't count is nil.
 	Records [][]byte
-	// Withdrawn lists the numbers whose withdrawal came before their record.
+	// Withdrawn and TooLate list the numbers whose withdrawal came before and after their record.
 	Withdrawn []uint64
+	TooLate   []uint64
 }
 
 // Tail reads one stream in order and hands on each record that counts, once.
@@ -61,7 +62,7 @@
 // Entry folds one envelope found at offset.
 func (s *Seen) Entry(offset int64, e *Envelope) *Entry {
 	v := s.Admit(e)
-	out := &Entry{Offset: offset, Writer: e.GetWriter(), First: e.GetFirst(), AtMs: e.GetAtMs(), Withdrawn: v.Withdrawn}
+	out := &Entry{Offset: offset, Writer: e.GetWriter(), First: e.GetFirst(), AtMs: e.GetAtMs(), Withdrawn: v.Withdrawn, TooLate: v.TooLate}
 	out.Records = make([][]byte, len(e.GetRecords()))
 	for i, r := range e.GetRecords() {
 		if v.Counts[i] {
--- a/stream/writer.go
+++ b/stream/writer.go
@@ -27,6 +27,8 @@
 	backoffFirst    = 50 * time.Millisecond
 	backoffLast     = 2 * time.Second
 	defaultMaxBytes = 512 << 10
+	// maxGroup bounds the records of one group that may have to be withdrawn.
+	maxGroup = withdrawnMemory / 2
 )
 
 // BulkSource is a buffer that the writer empties into its appends.
@@ -93,7 +95,7 @@
 	// seen says that a copy is there, at seenAt.
 	seen   bool
 	seenAt int64
-	// withdrawn has a number once its withdrawal was tried; true once that is in the log.
+	// withdrawn has a number once its withdrawal was tried.
 	withdrawn map[uint64]bool
 	// decided has a number once the tail has read which came first, the record (true) or its withdrawal.
 	decided map[uint64]bool
@@ -204,7 +206,7 @@
 	}
 	w.mu.Lock()
 	g := &group{decided: map[uint64]bool{}, withdrawn: map[uint64]bool{}}
-	for len(w.queue) > 0 && (len(g.pending) == 0 || len(w.queue[0].data) <= room) {
+	for len(w.queue) > 0 && len(g.pending) < maxGroup && (len(g.pending) == 0 || len(w.queue[0].data) <= room) {
 		p := w.queue[0]
 		w.queue = w.queue[1:]
 		room -= len(p.data)
@@ -251,9 +253,7 @@
 		if w.settle(g) {
 			return
 		}
-		if err := w.try(ctx, g); err == nil {
-			pause = backoffFirst
-		}
+		_ = w.try(ctx, g)
 		if w.settle(g) {
 			return
 		}
@@ -296,47 +296,44 @@
 	if len(e.GetRecords()) > 0 {
 		g.seen, g.seenAt = true, offset
 	}
-	for _, n := range e.GetWithdrawn() {
-		g.withdrawn[n] = true
-	}
 	return nil
 }
 
-// envelope returns what to append next, or nil if there is only to wait for what the tail reads.
+// envelope returns what to append next, or nil if there is nothing. Withdrawals
+// are repeated until the tail has read what came first: the copy that it would
+// have read may be hidden behind a checkpoint that it started from again.
 func (w *Writer) envelope(g *group) *Envelope {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	e := &Envelope{Writer: w.ID, AtMs: w.now().UnixMilli()}
 	for _, p := range g.pending {
 		if w.mustWithdraw(g, p) {
-			g.withdrawn[p.number] = false
+			g.withdrawn[p.number] = true
 			e.Withdrawn = append(e.Withdrawn, p.number)
 		}
 	}
-	if len(e.GetWithdrawn()) > 0 {
-		return e
+	if !g.seen && (g.bulk != nil || len(g.withdrawn) < len(g.pending)) {
+		e.First = g.first
+		for _, p := range g.pending {
+			e.Records = append(e.Records, p.data)
+		}
+		if g.bulk != nil {
+			e.Records = append(e.Records, g.bulk.Records...)
+		}
 	}
-	if g.seen || (g.bulk == nil && len(g.withdrawn) == len(g.pending)) {
+	if len(e.GetRecords()) == 0 && len(e.GetWithdrawn()) == 0 {
 		return nil
 	}
-	e.First = g.first
-	for _, p := range g.pending {
-		e.Records = append(e.Records, p.data)
-	}
-	if g.bulk != nil {
-		e.Records = append(e.Records, g.bulk.Records...)
-	}
 	return e
 }
 
-// mustWithdraw says that p's fate is open, that it is given up, and that the log has no withdrawal of it yet.
+// mustWithdraw says that p's fate is open and that it is given up.
 func (w *Writer) mustWithdraw(g *group, p *pending) bool {
-	if !w.ReadsBack || !g.ambiguous || !w.givenUp(p) || g.withdrawn[p.number] {
+	if !w.ReadsBack || !g.ambiguous || !w.givenUp(p) {
 		return false
 	}
 	_, known := g.decided[p.number]
-	_, tried := g.withdrawn[p.number]
-	return !known && (tried || !g.seen)
+	return !known && (g.withdrawn[p.number] || !g.seen)
 }
 
 func (w *Writer) givenUp(p *pending) bool {
@@ -365,6 +362,14 @@
 	for _, n := range e.Withdrawn {
 		g.decided[n] = false
 	}
+	for _, n := range e.TooLate {
+		if n < g.first {
+			// An answer about an earlier group says nothing about this one's records.
+			continue
+		}
+		g.decided[n] = true
+		g.seen, g.seenAt = true, e.Offset
+	}
 }
 
 // settle answers what is decided and reports whether the whole group is.
@@ -374,11 +379,10 @@
 	var refused []*pending
 	for _, p := range g.pending {
 		counted, known := g.decided[p.number]
-		_, withdrawn := g.withdrawn[p.number]
 		switch {
 		case known && !counted:
 			p.finish(0, ErrNotAppended)
-		case known, g.seen && !withdrawn:
+		case known, g.seen && !g.withdrawn[p.number]:
 			p.finish(g.seenAt, nil)
 		case !g.ambiguous && !g.seen && w.givenUp(p):
 			refused = append(refused, p)
