--- a/jobs/fault_test.go
+++ b/jobs/fault_test.go
@@ -104,6 +104,7 @@
 // after the acknowledgement: it never writes again, and the list says so some
 // time later. The others claim its shards, which they can read whole from the log.
 func TestOwnerLostAfterAcknowledgement(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	log := newFakeLog()
 	f := newFleet(t, log)
@@ -125,6 +126,7 @@
 // results in hand; the other claims and runs the rest; then the first goes on
 // and writes with its old epoch. Those records are void, and it reads so.
 func TestPausedOwnerComesBack(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	log := newFakeLog()
 	f := newFleet(t, log)
@@ -150,6 +152,7 @@
 // while the log is down. Running items go on until the buffer of results is
 // full. When the log is back all results are recorded, each once.
 func TestLogOutage(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	log := newFakeLog()
 	f := newFleet(t, log)
@@ -184,6 +187,7 @@
 // of the log's answers are lost after the append took effect and others are
 // refused. It gets one job, and each item's result once.
 func TestResentJobWithLostAnswers(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	log := newFakeLog()
 	log.lose, log.refuse = 0.3, 0.2
@@ -217,6 +221,7 @@
 // dropped the records that first held them: the owner wrote checkpoints and
 // copied what is still promised before that.
 func TestResultsOutliveRetention(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	log := newFakeLog()
 	f := newFleet(t, log)
@@ -241,6 +246,7 @@
 // A stream whose beginning is gone, with no checkpoint, is no proof that
 // nothing was accepted: the entry refuses instead of starting anew.
 func TestGapWithoutCheckpointIsNotEmpty(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	log := newFakeLog()
 	f := newFleet(t, log)
@@ -259,6 +265,7 @@
 
 // Shards move to a newcomer and back while a job runs, and no item is lost or run for nothing by it.
 func TestRebalancingStopsNoWork(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	log := newFakeLog()
 	f := newFleet(t, log)
@@ -289,6 +296,7 @@
 // run comes to nothing, and all others preempted once. The first two end as
 // failed with the reason, the others are done, and the job ends.
 func TestItemsThatCannotBeDone(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	f := newFleet(t, newFakeLog())
 	one := f.start("entry1", nil)
