--- a/route/table.go
+++ b/route/table.go
@@ -185,11 +185,15 @@
 	}
 }
 
-// BatchCredit is how many batch items this entry may send now, over all backend servers.
+// BatchCredit is how many batch items this entry may send now, over all
+// backend servers with model engines. The idle slots of plain services must not
+// count: no item can take them, so they never go down, and an owner that goes by
+// them starts all its items at once, has them refused, and backs off for half a
+// minute while the engines idle.
 func (t *Table) BatchCredit() int {
 	n := 0
 	for _, b := range t.backends {
-		if b.usable() {
+		if b.usable() && b.report.Service == "" {
 			n += b.batchCredit()
 		}
 	}
