--- /dev/null
+++ b/bench/bundle.go
@@ -0,0 +1,43 @@
+package bench
+
+import (
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/front"
+)
+
+// The callers that every bundle of this package has.
+const (
+	operatorName = "operator"
+	modelVersion = "v1"
+)
+
+// Token returns the bearer token of a caller in the bundles of this package.
+func Token(caller string) string { return "replay-" + caller }
+
+// BundleOf returns the bundle under which a trace is played: all callers may use its one model and all services.
+func BundleOf(h Header) sardinerock.Bundle {
+	b := sardinerock.Bundle{
+		Note: "replay of " + h.Deployment,
+		Models: []sardinerock.Model{{
+			Name: h.Model, Versions: []sardinerock.ModelVersion{{Name: modelVersion, Bytes: 1 << 30}},
+			MinBackends: 1, MinSlots: 1, MaxSlots: h.Slots, FirstTokenMs: h.FirstTokenMs, MaxTokens: maxAnswer,
+		}},
+		Teams: []sardinerock.Team{{Name: h.Deployment, Weight: 1}},
+		Batch: sardinerock.Batch{ResultHours: 24, MaxItems: 200000, MaxAttempts: 3},
+	}
+	for _, name := range h.ServiceNames {
+		b.Services = append(b.Services, sardinerock.Service{Name: name, MaxInFlight: 64, TimeoutMs: 10000})
+	}
+	for _, name := range h.Callers {
+		b.Callers = append(b.Callers, sardinerock.Caller{
+			Name: name, Team: h.Deployment, Weight: 1, KeyHashes: []string{front.HashToken(Token(name))},
+			Grants:   []sardinerock.Grant{{Model: h.Model, Version: modelVersion}},
+			Services: h.ServiceNames,
+		})
+	}
+	b.Callers = append(b.Callers, sardinerock.Caller{
+		Name: operatorName, Team: h.Deployment, Weight: 1, KeyHashes: []string{front.HashToken(Token(operatorName))},
+		Grants: []sardinerock.Grant{}, Operator: true,
+	})
+	return b
+}
--- /dev/null
+++ b/bench/demo.go
@@ -0,0 +1,210 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/sardinerock/sardinerock/fakes"
+	"github.com/sardinerock/sardinerock/fleet"
+)
+
+// The sizes of the demo: a few seconds of work for a small fleet.
+const (
+	demoItems   = 300
+	demoCallers = 6
+	demoTimeout = 90 * time.Second
+	// demoKillAt is how many items are done when the backend server is killed.
+	demoKillAt = demoItems / 4
+	demoPoll   = 100 * time.Millisecond
+	// demoRetry is how long a refused caller waits before it comes back.
+	demoRetry = 200 * time.Millisecond
+)
+
+// DemoResult is the last line of the demo.
+type DemoResult struct {
+	OnlineAnswers int `json:"onlineAnswers"`
+	BatchItems    int `json:"batchItems"`
+	Lost          int `json:"lost"`
+	Doubled       int `json:"doubled"`
+}
+
+// demo is one run.
+type demo struct {
+	out    io.Writer
+	fleet  *fleet.Fleet
+	http   *http.Client
+	header Header
+
+	mu      sync.Mutex
+	result  DemoResult
+	refused int
+	slowest time.Duration
+}
+
+// Demo starts a fleet in this process, answers online requests while a batch job
+// runs, kills one backend server on the way and prints what it saw. The error is
+// nil only if nothing was lost and nothing doubled.
+func Demo(ctx context.Context, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
+	defer cancel()
+	h := profiles[KesslingMarrow].header
+	h.Entries, h.Sides, h.Services = 2, 4, 1
+	d := &demo{out: out, header: h, http: newHTTPClient(2 * demoCallers)}
+	d.fleet = &fleet.Fleet{
+		Entries: h.Entries, Sides: h.Sides, Services: h.Services, Zones: h.Zones, Seed: 1,
+		Bundle: BundleOf(h), Operator: Token(operatorName),
+		Engine: fakes.EngineKnobs{Slots: h.Slots, StepUs: 10000, PrefillTokensPerSecond: 40000, CacheBlocks: 512},
+	}
+	fmt.Fprintf(out, "Starting %d entries and %d backend servers with model engines on loopback.\n", h.Entries, h.Sides)
+	if err := d.fleet.Start(ctx); err != nil {
+		return err
+	}
+	defer d.fleet.Stop()
+	fmt.Fprintln(out, "The first bundle is in force everywhere: every engine holds the model that it names.")
+	if err := d.run(ctx); err != nil {
+		return err
+	}
+	return d.report()
+}
+
+// client returns a client of an entry, in turn.
+func (d *demo) client(i int, caller string) *client {
+	urls := d.fleet.URLs()
+	return &client{url: urls[i%len(urls)], token: Token(caller), http: d.http}
+}
+
+func (d *demo) run(ctx context.Context) error {
+	j, err := demoJob(d.header.Model)
+	if err != nil {
+		return err
+	}
+	clerk := d.client(0, "finance")
+	accepted, err := clerk.submit(ctx, j.key, chatPath, j.lines.Bytes())
+	if err != nil {
+		return merry.Prepend(err, "demo: job")
+	}
+	fmt.Fprintf(d.out, "A batch job of %d items is accepted as %s; %d callers ask online beside it.\n", demoItems, accepted.ID, demoCallers)
+
+	asking, stopAsking := context.WithCancel(ctx)
+	defer stopAsking()
+	var callers sync.WaitGroup
+	for i := range demoCallers {
+		callers.Go(func() { d.askUntil(ctx, asking, i) })
+	}
+	finished, err := d.follow(ctx, accepted.ID)
+	stopAsking()
+	callers.Wait()
+	if err != nil {
+		return err
+	}
+	v, err := j.check(ctx, d.client(1, "finance"), finished)
+	if err != nil {
+		return merry.Prepend(err, "demo: results")
+	}
+	fmt.Fprintf(d.out, "The job is done. Its results, read from the other entry: %s.\n", v)
+	d.result.BatchItems = v.right
+	d.result.Lost += v.lost
+	d.result.Doubled += v.doubled
+	return nil
+}
+
+func demoJob(model string) (*job, error) {
+	j := &job{key: "demo"}
+	line := Line{Prefix: "report", PrefixTokens: 32, PromptTokens: 64, MaxTokens: 64}
+	for i := range demoItems {
+		id := fmt.Sprintf("report-%04d", i)
+		if err := j.add(id, line.body(model, id)); err != nil {
+			return nil, err
+		}
+	}
+	return j, nil
+}
+
+// follow waits for the job's end and kills a backend server on the way.
+func (d *demo) follow(ctx context.Context, id string) (batch, error) {
+	killed := false
+	for {
+		b, err := d.client(0, "finance").job(ctx, id)
+		if err == nil && b.ended() {
+			return b, nil
+		}
+		if err == nil && !killed && b.RequestCounts.Completed >= demoKillAt {
+			killed = true
+			d.fleet.KillSide(0)
+			fmt.Fprintf(d.out, "With %d items done, a backend server is killed with all its connections.\n", b.RequestCounts.Completed)
+		}
+		select {
+		case <-ctx.Done():
+			return b, errors.Join(merry.Errorf("demo: the job did not end in time; %d of %d items are done", b.RequestCounts.Completed, demoItems), err)
+		case <-time.After(demoPoll):
+		}
+	}
+}
+
+// askUntil asks one request after the other until asking ends; each is waited for.
+func (d *demo) askUntil(ctx, asking context.Context, caller int) {
+	line := profiles[KesslingMarrow].online
+	for i := 0; asking.Err() == nil; i++ {
+		body := line.body(d.header.Model, fmt.Sprintf("panel-%d-%d", caller, i))
+		body.Stream = true
+		raw, err := json.Marshal(body)
+		if err != nil {
+			return
+		}
+		d.ask(ctx, asking, caller+i, raw)
+	}
+}
+
+// ask asks until it is answered; a refusal that says notRun is asked again, as a caller would.
+func (d *demo) ask(ctx, asking context.Context, turn int, raw []byte) {
+	for {
+		a, err := d.client(turn, "supervisors").stream(ctx, chatPath, raw)
+		if err == nil && a.status != http.StatusOK && a.outcome == "notRun" {
+			d.mu.Lock()
+			d.refused++
+			d.mu.Unlock()
+			select {
+			case <-asking.Done():
+				return
+			case <-time.After(demoRetry):
+				continue
+			}
+		}
+		d.count(a, err, raw)
+		return
+	}
+}
+
+func (d *demo) count(a answer, err error, raw []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err != nil || !a.whole || a.text != fakes.AnswerText(chatPath, raw) {
+		d.result.Lost++
+		fmt.Fprintf(d.out, "An online answer is not whole: status %d, outcome %q, %v\n", a.status, a.outcome, err)
+		return
+	}
+	d.result.OnlineAnswers++
+	d.slowest = max(d.slowest, a.first)
+}
+
+func (d *demo) report() error {
+	fmt.Fprintf(d.out, "Online: %d answers, each whole and the caller's own; %d refused as not run and asked again; the slowest first token took %d ms.\n",
+		d.result.OnlineAnswers, d.refused, d.slowest.Milliseconds())
+	line, err := json.Marshal(d.result)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(d.out, string(line))
+	if d.result.Lost > 0 || d.result.Doubled > 0 {
+		return merry.Errorf("demo: %d lost, %d doubled", d.result.Lost, d.result.Doubled)
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/demo_test.go
@@ -0,0 +1,22 @@
+package bench
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// A new user runs the demo: while a job runs and callers ask, a backend server
+// is killed in the middle of both. Every item must have its one result and
+// every caller its whole answer.
+func TestDemoLosesNothing(t *testing.T) {
+	g := NewWithT(t)
+	var out strings.Builder
+	err := Demo(t.Context(), &out)
+	t.Log(out.String())
+	g.Expect(err).NotTo(HaveOccurred())
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	g.Expect(lines[len(lines)-1]).To(MatchRegexp(`^\{"onlineAnswers":\d+,"batchItems":300,"lost":0,"doubled":0\}$`))
+	g.Expect(out.String()).To(ContainSubstring("killed"))
+}
--- /dev/null
+++ b/bench/trace.go
@@ -0,0 +1,132 @@
+package bench
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// maxAnswer bounds the tokens of one answer.
+const maxAnswer = 1024
+
+// Header is the first line of a trace: the fleet that it was recorded on.
+type Header struct {
+	Deployment string `json:"deployment"`
+	Seed       uint64 `json:"seed"`
+	// DurationMs is the length of the trace.
+	DurationMs int64 `json:"durationMs"`
+	// Entries, Sides and Services are the instances of each kind; Zones the availability zones.
+	Entries  int      `json:"entries"`
+	Sides    int      `json:"sides"`
+	Services int      `json:"services"`
+	Zones    []string `json:"zones"`
+	// Model is the one model; Slots is how many streams one engine of the deployment runs at once.
+	Model string `json:"model"`
+	Slots int    `json:"slots"`
+	// FirstTokenMs is the time to first token that the deployment steers for.
+	FirstTokenMs int      `json:"firstTokenMs"`
+	ServiceNames []string `json:"serviceNames"`
+	Callers      []string `json:"callers"`
+}
+
+// Kind says what a line of a trace is.
+type Kind string
+
+// The kinds of lines.
+const (
+	// KindOnline is a request for a streamed answer.
+	KindOnline Kind = "online"
+	// KindCall is a call of a plain service.
+	KindCall Kind = "call"
+	// KindJob is a batch job.
+	KindJob Kind = "job"
+)
+
+// Line is one recorded request or job. Prompts are not recorded, only their
+// sizes: the replay makes text of the size, the same for the same line.
+type Line struct {
+	// AtMs is when it came, from the start of the trace.
+	AtMs   int64  `json:"atMs"`
+	Kind   Kind   `json:"kind"`
+	Caller string `json:"caller"`
+	// User tells the caller's own keys apart.
+	User string `json:"user,omitempty"`
+	// Prefix names the text that prompts have in common at their start, PrefixTokens its length.
+	Prefix       string `json:"prefix,omitempty"`
+	PrefixTokens int    `json:"prefixTokens,omitempty"`
+	// PromptTokens is the length of the rest of the prompt, for jobs of each item's.
+	PromptTokens int `json:"promptTokens,omitempty"`
+	MaxTokens    int `json:"maxTokens,omitempty"`
+	// Items is the number of a job's items.
+	Items int `json:"items,omitempty"`
+	// Service and Path name a call.
+	Service string `json:"service,omitempty"`
+	Path    string `json:"path,omitempty"`
+}
+
+// Trace is a recorded trace, its lines in the order of time.
+type Trace struct {
+	Header Header
+	Lines  []Line
+}
+
+// Write writes a trace as JSONL: the header, then a line for each request and job.
+func (t *Trace) Write(w io.Writer) error {
+	buffered := bufio.NewWriter(w)
+	encoder := json.NewEncoder(buffered)
+	if err := encoder.Encode(t.Header); err != nil {
+		return err
+	}
+	for i := range t.Lines {
+		if err := encoder.Encode(&t.Lines[i]); err != nil {
+			return err
+		}
+	}
+	return buffered.Flush()
+}
+
+// ReadTrace reads a trace; errors tell the line.
+func ReadTrace(r io.Reader) (*Trace, error) {
+	decoder := json.NewDecoder(bufio.NewReader(r))
+	decoder.DisallowUnknownFields()
+	var t Trace
+	if err := decoder.Decode(&t.Header); err != nil {
+		return nil, merry.Prepend(err, "trace: line 1: header")
+	}
+	last := int64(0)
+	for number := 2; ; number++ {
+		var line Line
+		err := decoder.Decode(&line)
+		if err == io.EOF {
+			return &t, nil
+		}
+		if err == nil {
+			err = line.check(last)
+		}
+		if err != nil {
+			return nil, merry.Prependf(err, "trace: line %d", number)
+		}
+		last = line.AtMs
+		t.Lines = append(t.Lines, line)
+	}
+}
+
+func (l *Line) check(last int64) error {
+	switch {
+	case l.AtMs < last:
+		return merry.Errorf("atMs %d is before the line above, sort the lines by time", l.AtMs)
+	case l.Kind != KindOnline && l.Kind != KindCall && l.Kind != KindJob:
+		return merry.Errorf("kind %q is none of online, call, job", l.Kind)
+	case l.Kind == KindJob && l.Items <= 0:
+		return merry.New("a job needs items")
+	case l.Kind != KindCall && (l.MaxTokens <= 0 || l.MaxTokens > maxAnswer):
+		return merry.Errorf("maxTokens %d is not within 1 and %d", l.MaxTokens, maxAnswer)
+	}
+	return nil
+}
+
+// Duration returns the length of the trace.
+func (h *Header) Duration() time.Duration { return time.Duration(h.DurationMs) * time.Millisecond }
