--- a/route/table.go
+++ b/route/table.go
@@ -186,10 +186,11 @@
 }
 
 // BatchCredit is how many batch items this entry may send now, over all backend servers.
-func (t *Table) BatchCredit() int {
+func (t *Table) BatchCredit(now time.Time) int {
+	t.restore(now)
 	n := 0
 	for _, b := range t.backends {
-		if b.usable() {
+		if b.usable() && !b.health.ejected {
 			n += b.batchCredit()
 		}
 	}
