--- a/side/side.go
+++ b/side/side.go
@@ -48,6 +48,8 @@
 	// Signers holds the public keys whose sign-offs count; SignOffsNeeded is how many a bundle needs.
 	Signers        map[string]ed25519.PublicKey
 	SignOffsNeeded int
+	// StoreBytesPerSecond is the weight store's rate for the whole fleet; 0 spreads no loads.
+	StoreBytesPerSecond int64
 	// Policy is empty, or "fifo" for the baseline without gate and priorities.
 	Policy string
 	Events *event.Logger
@@ -63,7 +65,7 @@
 	gate     sardinerock.Gate
 	suspects retry.Suspects
 	sessions map[*link.Session]struct{}
-	attempts map[attemptKey]*attempt
+	attempts map[string]*attempt
 	health   health
 	replica  bundle.Replica
 	leaving  bool
@@ -109,7 +111,7 @@
 	setDefault(&s.SilentAfter, DefaultSilentAfter)
 	s.gate = newGate(s.Policy)
 	s.sessions = make(map[*link.Session]struct{})
-	s.attempts = make(map[attemptKey]*attempt)
+	s.attempts = make(map[string]*attempt)
 	s.replica.Signers = s.Signers
 	s.replica.SignOffsNeeded = s.SignOffsNeeded
 	s.replica.Events = s.Events
