route: offer no batch credit where nothing would be sent

Cause: BatchCredit counted ejected backend servers, Pick did not. Both now leave out the same ones, and BatchCredit also lets those back in whose time is over, so that an entry with batch work only gets them back.

--- a/entry/batch.go
+++ b/entry/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sardinerock/sardinerock"
 )
@@ -13,7 +14,7 @@
 	if e.leaving {
 		return 0
 	}
-	return e.table.BatchCredit()
+	return e.table.BatchCredit(time.Now())
 }
 
 // RunItem implements sardinerock.BatchRunner: one attempt, since the job decides about another.
