side, entry: hold waiting work against late verdicts, share out batch credit

- side: a heartbeat gives each entry its part of the batch credit, rounded up.
- limiter: figures of a few peers stand for all; with eight peers of 370 the fleet would have let in some 40 times the limit.
- retry: a pause before the next attempt also when no backend server takes the request; five attempts in a millisecond find nothing new.
- gate: calls of plain services have no tokens, so their time is learned by itself.
- route: time to first token is not used, so it isn't asked for any more.

--- a/admit/estimate.go
+++ b/admit/estimate.go
@@ -59,6 +59,8 @@
 	// streams give the last twenty within two steps of the engine, and the
 	// estimate would hang on whether a prompt was read just then.
 	gap average
+	// call is the time of a call that has no tokens, of a plain service.
+	call average
 	// used is the part of MaxTokens that answers really have.
 	used average
 	// pace is the cost served per second in one slot.
@@ -75,6 +77,9 @@
 	if s.work.MaxTokens > 0 {
 		e.used.add(min(1, float64(sample.CompletionTokens)/float64(s.work.MaxTokens)))
 	}
+	if s.work.MaxTokens == 0 {
+		e.call.add(now.Sub(s.started).Seconds())
+	}
 	if s.tokens > 1 {
 		e.gap.add(s.lastToken.Sub(s.firstToken).Seconds() / float64(s.tokens-1))
 	}
@@ -89,11 +94,11 @@
 	if e.used.known {
 		used = e.used.value
 	}
-	return promptTokenCost*float64(w.PromptTokens) + used*float64(w.MaxTokens)
+	return max(1, promptTokenCost*float64(w.PromptTokens)+used*float64(w.MaxTokens))
 }
 
 func (e *estimate) realCost(s sardinerock.GateSample) float64 {
-	return promptTokenCost*float64(s.PromptTokens) + float64(s.CompletionTokens)
+	return max(1, promptTokenCost*float64(s.PromptTokens)+float64(s.CompletionTokens))
 }
 
 // wait is how long it takes until the given cost has been served.
@@ -109,6 +114,9 @@
 	if w.Deadline.IsZero() {
 		return now.Add(maxWait)
 	}
+	if w.MaxTokens == 0 {
+		return w.Deadline.Add(-seconds(e.call.high()))
+	}
 	used := 1.0
 	if e.used.known {
 		used = min(1, e.used.high())
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -291,7 +291,7 @@
 	s := &stream{work: w, item: item, started: now, busyAtStart: g.online + len(g.batch)}
 	g.running[w.Attempt] = s
 	if w.Class == sardinerock.ClassBatch {
-		s.prefilling = true
+		s.prefilling = w.PromptTokens > 0
 		g.batch = append(g.batch, s)
 		g.prefill.started(s)
 	} else {
--- a/admit/limiter.go
+++ b/admit/limiter.go
@@ -94,16 +94,25 @@
 	c.demand[1].add(now, float64(used-estimated))
 }
 
-// SetPeers takes the demand figures of the n-1 other live entries, summed or one by one.
-func (l *Limiter) SetPeers(now time.Time, n int, usage []Usage) {
-	l.peers = max(n-1, 0)
+// SetPeers takes the demand figures of heard peers, one by one, and how many
+// entries are live in all, this one included.
+//
+// In a large fleet an entry hears of a few peers only and takes them for
+// typical. Taken for all, eight peers of 370 would leave each entry a ninth of
+// the limit, and the fleet would let in 40 times as much.
+func (l *Limiter) SetPeers(now time.Time, live, heard int, usage []Usage) {
+	l.peers = max(live-1, 0)
 	for _, c := range l.callers {
 		c.peers = [2]float64{}
 	}
+	scale := 1.0
+	if heard > 0 && heard < l.peers {
+		scale = float64(l.peers) / float64(heard)
+	}
 	for _, u := range usage {
 		c := l.caller(now, u.Caller)
-		c.peers[0] += float64(u.Requests)
-		c.peers[1] += float64(u.Tokens)
+		c.peers[0] += scale * float64(u.Requests)
+		c.peers[1] += scale * float64(u.Tokens)
 	}
 }
 
--- a/admit/prefill.go
+++ b/admit/prefill.go
@@ -55,7 +55,9 @@
 }
 
 func (p *prefill) started(s *stream) {
-	p.unread++
+	if s.prefilling {
+		p.unread++
+	}
 	p.budget -= p.takes(s.work.PromptTokens)
 }
 
--- a/admit/sim_test.go
+++ b/admit/sim_test.go
@@ -215,7 +215,6 @@
 	sample := route.Sample{Failed: refusal != nil && refusal.Code == sardinerock.CodeBackendLost}
 	if t.n > 1 {
 		sample.TokenGap = t.last.Sub(t.first) / time.Duration(t.n-1)
-		sample.FirstToken = t.first.Sub(t.begun)
 	}
 	now, r := e.w.now, t.r
 	e.table.Finished(now, t.side.id, r.class, sample)
@@ -278,7 +277,7 @@
 	b := route.Backend{
 		ID: s.id, Zone: s.zone, Loaded: []sardinerock.LoadedModel{{Model: "m"}}, Slots: st.Slots, OnlineRunning: st.OnlineRunning,
 		OnlineWaiting: st.OnlineWaiting, BatchRunning: st.BatchRunning, BatchCredit: (st.BatchCredit + len(s.w.entries) - 1) / len(s.w.entries),
-		FirstToken: st.FirstToken, TokenGap: st.TokenGap, Up: !s.down, Leaving: st.Draining,
+		TokenGap: st.TokenGap, Up: !s.down, Leaving: st.Draining,
 	}
 	marks := s.suspects.Snapshot(s.w.now)
 	s.w.after(hop, func() {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return sardinerock.Result{}, failed(sardinerock.CodeBackendLost, sardinerock.OutcomeNotRun, err.Error())
 	}
-	t := &taker{course: c, started: started}
+	t := &taker{course: c}
 	result, f := t.takeAll(ctx, a)
 	sample = t.sample(f)
 	if f == nil {
@@ -170,7 +170,6 @@
 // taker takes the frames of one attempt.
 type taker struct {
 	course  *course
-	started time.Time
 	first   time.Time
 	last    time.Time
 	tokens  int
@@ -262,9 +261,6 @@
 // sample is what the attempt showed of its backend server.
 func (t *taker) sample(f *failure) route.Sample {
 	var s route.Sample
-	if t.tokens > 0 {
-		s.FirstToken = t.first.Sub(t.started)
-	}
 	if t.tokens > 1 {
 		s.TokenGap = t.last.Sub(t.first) / time.Duration(t.tokens-1)
 	}
--- a/entry/links.go
+++ b/entry/links.go
@@ -146,7 +146,6 @@
 		OnlineWaiting: int(beat.OnlineWaiting),
 		BatchRunning:  int(beat.BatchRunning),
 		BatchCredit:   int(beat.BatchCredit),
-		FirstToken:    time.Duration(beat.FirstTokenMs) * time.Millisecond,
 		TokenGap:      time.Duration(beat.TokenGapUs) * time.Microsecond,
 		Leaving:       beat.Leaving || !e.tracker.Usable(now, l.instance.ID),
 		Up:            beat.BackendUp,
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -205,15 +205,17 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var usage []admit.Usage
+	heard := 0
 	for _, p := range e.peers {
 		if now.Sub(p.heard) > usageKept {
 			continue
 		}
+		heard++
 		for _, u := range p.usage {
 			usage = append(usage, admit.Usage{Caller: u.Caller, Requests: u.Requests, Tokens: u.Tokens})
 		}
 	}
-	e.limiter.SetPeers(now, live, usage)
+	e.limiter.SetPeers(now, live, heard, usage)
 }
 
 // offers asks the peers for their configuration, for a start while the log is out.
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -12,7 +12,7 @@
 	maxAttempts = 5
 	// minLeft is the least time that makes another attempt worth it.
 	minLeft = 50 * time.Millisecond
-	// baseDelay and maxDelay bound the pause before a retry after an overload.
+	// baseDelay and maxDelay bound the pause before a retry after an overload or for want of a backend server.
 	baseDelay = 20 * time.Millisecond
 	maxDelay  = 500 * time.Millisecond
 	// giveUpAfter is when a caller may come back after its request was given up.
@@ -97,7 +97,7 @@
 	if f.Delivered > 0 {
 		d.Action, d.Reason = Resume, "resume"
 	}
-	if r.Code == sardinerock.CodeOverloaded {
+	if waits(r.Code) {
 		d.Delay = min(baseDelay<<(f.Attempts-1), maxDelay, f.Left/4)
 	}
 	if handedBack(r) {
@@ -116,6 +116,12 @@
 	return r.Code == sardinerock.CodeShuttingDown && r.Outcome == sardinerock.OutcomeNotRun
 }
 
+// waits tells refusals after which a moment helps more than haste: tried again
+// at once, five attempts are over within a millisecond and nothing has changed.
+func waits(c sardinerock.Code) bool {
+	return c == sardinerock.CodeOverloaded || c == sardinerock.CodeNoBackend || c == sardinerock.CodeNotReady
+}
+
 // final tells refusals that another backend server would only repeat.
 func final(c sardinerock.Code) bool {
 	switch c {
--- a/route/backend.go
+++ b/route/backend.go
@@ -110,7 +110,6 @@
 	others  float64
 	newest  int64
 	gap     mean
-	first   mean
 	ejected []*backend
 }
 
@@ -141,7 +140,6 @@
 
 func (f *fleet) saw(s Sample) {
 	f.gap.add(s.TokenGap.Seconds())
-	f.first.add(s.FirstToken.Seconds())
 }
 
 // slowness is how many times slower than the fleet a backend server is, by its
--- a/route/table.go
+++ b/route/table.go
@@ -22,9 +22,8 @@
 	BatchRunning  int
 	// BatchCredit is how many more batch items this entry may send.
 	BatchCredit int
-	// FirstToken and TokenGap are smoothed; zero when unknown.
-	FirstToken time.Duration
-	TokenGap   time.Duration
+	// TokenGap is smoothed; zero when unknown.
+	TokenGap time.Duration
 	// Leaving gets no new work; Up says that the backend server answers its side.
 	Leaving bool
 	Up      bool
@@ -77,8 +76,6 @@
 
 // Sample is what an attempt has shown of its backend server.
 type Sample struct {
-	// FirstToken is the time from the engine's start to the first token; zero if none came.
-	FirstToken time.Duration
 	// TokenGap is the mean time between tokens; zero when unknown.
 	TokenGap time.Duration
 	// Failed says that the backend server failed; refusals and cancellations aren't failures.
--- a/side/handle.go
+++ b/side/handle.go
@@ -38,7 +38,10 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.suspects.Merge(now, link.FromWire(beat.Quarantined))
+	if len(beat.Quarantined) > 0 {
+		s.suspects.Merge(now, link.FromWire(beat.Quarantined))
+		s.quarantine(now)
+	}
 	session.SendBeat(s.beat(beat.Sequence))
 	s.askConfig(session, beat)
 }
@@ -68,6 +71,23 @@
 	s.apply(s.gate.Offer(now, workOf(a, now)))
 }
 
+// quarantine holds what waits in the gate against verdicts that came after it
+// was let in. Without that, ten copies of a crashing request that wait here
+// would be started one after another and kill the backend server ten times.
+// Callers hold s.mu.
+func (s *Side) quarantine(now time.Time) {
+	for _, a := range s.attempts {
+		if a.cancel != nil {
+			continue
+		}
+		verdict := s.suspects.Check(now, a.start.Fingerprint)
+		if verdict == retry.Guilty || verdict == retry.Suspect && !a.start.Alone {
+			a.start.Alone = true
+			s.apply(s.gate.Quarantine(now, a.start.Fingerprint, verdict == retry.Guilty))
+		}
+	}
+}
+
 // refuse turns away what must not reach the backend server. Callers hold s.mu.
 func (s *Side) refuse(now time.Time, start *wire.Start) *sardinerock.Refusal {
 	switch {
--- a/side/health.go
+++ b/side/health.go
@@ -100,6 +100,7 @@
 	s.Events.Error(event.BackendCrashed).Str("attempt", a.start.Attempt).Str("caller", a.start.Caller).
 		Bool("alive", alive).Int("inFlight", len(inFlight)).Msg("stream broke under the request")
 	s.suspects.Crashed(time.Now(), s.crashID(), inFlight, a.start.Alone)
+	s.quarantine(time.Now())
 	s.beatAll()
 }
 
@@ -168,7 +169,7 @@
 		OnlineRunning:     uint32(state.OnlineRunning),
 		OnlineWaiting:     uint32(state.OnlineWaiting),
 		BatchRunning:      uint32(state.BatchRunning),
-		BatchCredit:       uint32(max(0, state.BatchCredit)),
+		BatchCredit:       uint32(s.share(state.BatchCredit)),
 		FirstTokenMs:      uint32(state.FirstToken.Milliseconds()),
 		TokenGapUs:        uint32(state.TokenGap.Microseconds()),
 		Quarantined:       link.ToWire(s.suspects.Snapshot(now)),
@@ -183,6 +184,14 @@
 	return beat
 }
 
+// share is one entry's part of the batch items that are welcome, rounded up.
+// Told the whole, each of 30 entries would send that many, and all but a few
+// items would come back refused. Callers hold s.mu.
+func (s *Side) share(credit int) int {
+	n := max(1, len(s.sessions))
+	return (max(0, credit) + n - 1) / n
+}
+
 // beatAll tells all entries at once. Callers hold s.mu.
 func (s *Side) beatAll() {
 	for session := range s.sessions {
