--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -169,10 +169,10 @@
 
 // taker takes the frames of one attempt.
 type taker struct {
-	course  *course
-	first   time.Time
-	last    time.Time
-	tokens  int
+	course *course
+	first  time.Time
+	last   time.Time
+	tokens int
 }
 
 // takeAll passes tokens on until the attempt ends.
