--- a/front/complete.go
+++ b/front/complete.go
@@ -26,6 +26,7 @@
 		return err
 	}
 	r.Deadline = until
+	x.request = r.ID
 	if parsed.Stream {
 		return s.stream(x, r, parsed.IncludeUsage)
 	}
--- a/front/plain.go
+++ b/front/plain.go
@@ -36,6 +36,7 @@
 	}
 	r := s.serviceRequest(x, service, within, body)
 	r.Deadline = until
+	x.request = r.ID
 	result, err := s.Online.Serve(x.r.Context(), r, func(sardinerock.Token) error { return nil })
 	if err != nil {
 		return err
--- a/front/refuse.go
+++ b/front/refuse.go
@@ -73,7 +73,7 @@
 // writeRefusal gives the caller the final answer to a request that was not wholly served.
 func (s *Server) writeRefusal(x *exchange, f *sardinerock.Refusal) {
 	metrics.GetOrRegisterCounter("front.refused."+string(f.Code), s.Metrics).Inc(1)
-	s.Events.Warn(event.RequestRefused).Str("caller", x.callerName()).Str("path", x.r.URL.Path).
+	s.Events.Warn(event.RequestRefused).Str("request", x.request).Str("caller", x.callerName()).Str("path", x.r.URL.Path).
 		Str("code", string(f.Code)).Str("outcome", f.Outcome.String()).Dur("retryAfter", f.RetryAfter).
 		Str("reason", f.Message).Msg("request refused")
 	if x.answering {
--- a/front/server.go
+++ b/front/server.go
@@ -121,6 +121,8 @@
 	// caller and directory are nil where none are needed.
 	caller    *sardinerock.Caller
 	directory *directory
+	// request is the id under which the lines of other events tell of the same request; empty for calls that run nothing.
+	request string
 	// answering is set once the answer's header is out; errors then need a form of their own.
 	answering bool
 }
@@ -148,7 +150,7 @@
 			return
 		}
 		metrics.GetOrRegisterTimer("front.served", s.Metrics).Update(s.Clock().Sub(started))
-		s.Events.Info(event.RequestServed).Str("caller", x.callerName()).Str("path", r.URL.Path).
+		s.Events.Info(event.RequestServed).Str("request", x.request).Str("caller", x.callerName()).Str("path", r.URL.Path).
 			Dur("took", s.Clock().Sub(started)).Msg("request served")
 	}
 }
