--- a/clis/clis.go
+++ b/clis/clis.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
 	"github.com/integrii/flaggy"
@@ -15,6 +16,8 @@
 	"github.com/sardinerock/sardinerock/conf"
 )
 
+const programName = "sardinerock"
+
 // The exit codes of the program.
 const (
 	exitOK     = 0
@@ -39,6 +42,8 @@
 
 // command is one subcommand.
 type command struct {
+	// name is how the command is called, with those above it.
+	name string
 	sub *flaggy.Subcommand
 	// bound is nil for a command without settings.
 	bound *conf.Bound
@@ -71,7 +76,7 @@
 }
 
 func (p *Program) complain(err error, code int) int {
-	fmt.Fprintf(p.Err, "sardinerock: %v\n", err)
+	fmt.Fprintf(p.Err, programName+": %v\n", err)
 	return code
 }
 
@@ -112,7 +117,7 @@
 }
 
 func (p *Program) prepare() {
-	p.parser = flaggy.NewParser("sardinerock")
+	p.parser = flaggy.NewParser(programName)
 	p.parser.Description = "Serves online and batch inference of language models on one fleet."
 	p.parser.Version = version()
 	p.parser.ShowCompletion = false
@@ -125,7 +130,7 @@
 
 // add attaches a subcommand to the program or, for stand-ins, to another subcommand.
 func (p *Program) add(parent *flaggy.Subcommand, name, description string, settings any, run func(context.Context) error) *command {
-	c := &command{sub: flaggy.NewSubcommand(name), run: run}
+	c := &command{name: strings.TrimPrefix(parent.Name+" "+name, programName+" "), sub: flaggy.NewSubcommand(name), run: run}
 	c.sub.Description = description
 	if settings != nil {
 		c.bound = conf.Bind(c.sub, settings)
