--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -26,6 +26,8 @@
 	serviceName   = "portal"
 	// patience bounds waits for what comes within seconds on an idle machine.
 	patience = 40 * time.Second
+	// shutdownTimeout is what every process is given to finish what runs.
+	shutdownTimeout = 15 * time.Second
 )
 
 // node is one instance: its process, and for sides the backend server beside it.
@@ -121,7 +123,7 @@
 	n.instance = sardinerock.Instance{ID: id, Role: sardinerock.RoleEntry, Region: "region1", Zone: zone(i), Address: peers}
 	n.args = []string{
 		"entry", "--id", id, "--zone", zone(i), "--caller-address", callers, "--peer-address", peers,
-		"--log-url", f.logURL, "--instances-url", f.listURL, "--shards", "4", "--shutdown-timeout", "20s",
+		"--log-url", f.logURL, "--instances-url", f.listURL, "--shards", "4", "--shutdown-timeout", shutdownTimeout.String(),
 	}
 	n.process = start(f.t, id, n.args...)
 	f.put(n)
@@ -156,7 +158,7 @@
 	n.instance.Zone, n.instance.Address = zone(i), address
 	n.args = append([]string{
 		"side", "--id", id, "--zone", zone(i), "--address", address,
-		"--instances-url", f.listURL, "--shutdown-timeout", "20s",
+		"--instances-url", f.listURL, "--shutdown-timeout", shutdownTimeout.String(),
 	}, flags...)
 	n.process = start(f.t, id, n.args...)
 	f.put(n)
@@ -166,7 +168,7 @@
 	f.Expect(f.list.Put(context.Background(), n.instance)).To(Succeed())
 }
 
-// replace starts a lost instance anew, under a new id, as the platform does.
+// remove takes a lost instance off the list, as the platform does in time.
 func (f *fleet) remove(n *node) {
 	f.Expect(f.list.Remove(context.Background(), n.instance.ID)).To(Succeed())
 }
--- a/proof/online_test.go
+++ b/proof/online_test.go
@@ -94,7 +94,7 @@
 	callers := f.startLoad(8, f.entries...)
 	time.Sleep(2 * time.Second)
 	f.sides[0].signal(syscall.SIGTERM)
-	f.Expect(f.sides[0].waitExit(t, 20*time.Second)).To(Equal(0))
+	f.Expect(f.sides[0].waitExit(t, shutdownTimeout+5*time.Second)).To(Equal(0))
 	time.Sleep(time.Second)
 	f.expectAllWhole(callers.finish())
 	done := f.waitJob(f.entries[1], j.ID, "completed", patience)
@@ -118,10 +118,27 @@
 	time.Sleep(2 * time.Second)
 	stopping.signal(syscall.SIGTERM)
 	all.Wait()
-	f.Expect(stopping.waitExit(t, 20*time.Second)).To(Equal(0))
+	f.Expect(stopping.waitExit(t, shutdownTimeout+5*time.Second)).To(Equal(0))
 	f.expectAllWhole(l.outcomes)
 }
 
+// An entry is stopped while the log does not answer. What it would still like to
+// write can't be written; waiting for that must not hold its exit beyond the set
+// time, after which the platform would kill it.
+func TestStoppingAnEntryWhileTheLogIsOut(t *testing.T) {
+	f := newFleet(t, shape{entries: 2, sides: 2, engine: slowEngine})
+	j := f.submit(f.entries[0], "stopped", 200)
+	f.waitCompleted(f.entries[0], j.ID, 5)
+	f.knobs(f.logURL, `{"outage":"hang"}`)
+	time.Sleep(time.Second)
+	for _, n := range f.entries {
+		n.signal(syscall.SIGTERM)
+	}
+	for _, n := range f.entries {
+		f.Expect(n.waitExit(t, shutdownTimeout+5*time.Second)).To(Equal(0))
+	}
+}
+
 func (f *fleet) isReady(n *node) bool {
 	answer, err := client.Get(n.url + "/readyz")
 	if err != nil {
