--- a/front/request.go
+++ b/front/request.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sardinerock/sardinerock"
 )
 
@@ -40,7 +42,7 @@
 	if parsed.MaxTokens == 0 {
 		parsed.MaxTokens = t.model.MaxTokens
 	}
-	holder := t.model.Name + "\x00" + t.version + "\x00" + t.adapter
+	loaded := sardinerock.LoadedModel{Model: t.model.Name, Version: t.version, Adapter: t.adapter}
 	return &sardinerock.Request{
 		ID:            rand.Text(),
 		Caller:        c.Name,
@@ -52,14 +54,25 @@
 		Method:        http.MethodPost,
 		Body:          body,
 		Idempotent:    true,
-		PromptTokens:  EstimateTokens(parsed.Prompt),
+		PromptTokens:  sardinerock.PromptTokens(parsed.Prompt),
 		MaxTokens:     parsed.MaxTokens,
-		Prefixes:      PrefixBlocks(holder, parsed.Prompt),
-		Fingerprint:   fingerprint(holder, parsed.Prompt),
+		Prefixes:      sardinerock.PrefixHashes(loaded, parsed.Prompt),
+		Fingerprint:   fingerprint(loaded.Model, loaded.Version, loaded.Adapter, parsed.Prompt),
 		ConfigVersion: d.snapshot.Version,
 	}, parsed, nil
 }
 
+// fingerprint is the same for every resend of the same content, whoever sends it.
+func fingerprint(parts ...string) uint64 {
+	d := xxhash.New()
+	for _, p := range parts {
+		_, _ = d.WriteString(p)
+		// A separator keeps ("ab", "c") apart from ("a", "bc").
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
 // deadline reads until when the caller waits.
 func (s *Server) deadline(r *http.Request) (time.Time, error) {
 	wait := s.limits.DefaultDeadline
