--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,9 @@
 PROTOC_GEN_GO := v1.36.12
 PROTOC_DRPC   := v1.1.0
 
-.PHONY: build demo test lint format fuzz generate bench
+FUZZ_TIME     ?= 30s
+
+.PHONY: build demo fleet test lint format fuzz generate bench
 
 build:
 	$(GO) build -o bin/sardinerock ./cmd/sardinerock
@@ -13,6 +15,10 @@
 demo: build
 	bin/sardinerock demo
 
+# A small fleet of separate processes on loopback, for trying by hand; Ctrl-C ends it.
+fleet: build
+	tools/fleet.sh
+
 test:
 	$(GO) vet ./...
 	$(GO) test -race -timeout 20m ./...
@@ -20,6 +26,12 @@
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
+# Each fuzz target for FUZZ_TIME.
+fuzz:
+	@set -e; for f in $$(git grep -ho 'func Fuzz[A-Za-z]*' -- '*_test.go' | cut -c6-); do \
+	  package=./$$(dirname "$$(git grep -l "func $$f(" -- '*_test.go')"); \
+	  $(GO) test -run '^$$' -fuzz "^$$f$$" -fuzztime $(FUZZ_TIME) "$$package"; done
+
 lint: $(TOOLS)/golangci-lint
 	$(TOOLS)/golangci-lint run ./...
 	$(TOOLS)/golangci-lint fmt --diff
--- a/front/parse.go
+++ b/front/parse.go
@@ -138,11 +138,17 @@
 
 func (c *Completion) readPrompt(path string, b *completionBody) error {
 	if path == PathCompletions {
+		if len(b.Messages) > 0 {
+			return refuse(sardinerock.CodeInvalidRequest, "messages", "the field messages belongs to %s", PathChat)
+		}
 		if err := json.Unmarshal(b.Prompt, &c.Prompt); err != nil || c.Prompt == "" {
 			return refuse(sardinerock.CodeInvalidRequest, "prompt", "the field prompt must be one string that is not empty")
 		}
 		return nil
 	}
+	if len(b.Prompt) > 0 {
+		return refuse(sardinerock.CodeInvalidRequest, "prompt", "the field prompt belongs to %s", PathCompletions)
+	}
 	if len(b.Messages) == 0 {
 		return refuse(sardinerock.CodeInvalidRequest, "messages", "the field messages must hold at least one message")
 	}
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -44,6 +44,7 @@
 		"unheard-of field":   {path: PathChat, token: supervisorToken, body: `{"colour":1,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "colour"},
 		"too many tokens":    {path: PathChat, token: supervisorToken, body: `{"max_completion_tokens":101,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "max_completion_tokens"},
 		"list of prompts":    {path: PathCompletions, token: supervisorToken, body: `{"model":"drafts","prompt":["a","b"]}`, code: sardinerock.CodeInvalidRequest, param: "prompt"},
+		"both prompts":       {path: PathChat, token: supervisorToken, body: `{"prompt":"x",` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "prompt"},
 		"senseless timeout":  {path: PathChat, token: supervisorToken, body: goodChat, headers: []string{TimeoutHeader, "-1"}, code: sardinerock.CodeInvalidRequest, param: TimeoutHeader},
 		"no operator":        {path: "/operator/bundles", token: supervisorToken, body: `{}`, code: sardinerock.CodeForbidden},
 		"unknown service":    {path: "/services/none/x", token: supervisorToken, code: sardinerock.CodeNotFound},
