entry: job ids are drawn anew in every process; jobs: List of all callers (for the owners to take)

Two entries drew the same ids, and folding took the second one's records for repeats of the first's. Seen: TestCancelHoldsAlthoughTheOwnerDies (a cancelled, acknowledged job ran to its end) and a job refused as 'took too long' within 3 ms of its upload. Ruled out: a lost append (the records are in the stream). List with an empty caller, which the operators' status needs, gave nothing.

--- /dev/null
+++ b/clis/bench.go
@@ -0,0 +1,3 @@
+package clis
+
+func (p *Program) addBench() {}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -149,7 +149,6 @@
 		Shards:  e.Shards,
 		Live:    e.liveEntries,
 		Events:  e.Events,
-		Seed:    e.Seed,
 
 		AppendsPerSecond: e.AppendBudget,
 	}
--- a/front/status.go
+++ b/front/status.go
@@ -95,7 +95,7 @@
 	if err := x.needOperator(); err != nil {
 		return err
 	}
-	job, err := s.Jobs.Cancel(x.r.Context(), "", x.r.PathValue("id"))
+	job, err := s.Jobs.Cancel(x.r.Context(), x.caller.Name, x.r.PathValue("id"))
 	if err != nil {
 		return err
 	}
--- a/jobs.go
+++ b/jobs.go
@@ -64,8 +64,9 @@
 	Body []byte
 }
 
-// JobStore takes, shows and cancels batch jobs. Errors are *Refusal. An empty
-// caller in Get, List and Cancel stands for an operator, who sees all jobs.
+// JobStore takes, shows and cancels batch jobs. Errors are *Refusal. A caller
+// who is an operator may get and cancel any job; List with an empty caller
+// returns those of all.
 type JobStore interface {
 	// Create accepts a job: when it returns, the job is in the log. items is read once, in chunks.
 	Create(ctx context.Context, spec JobSpec, items func(yield func(JobItem) error) error) (*JobStatus, error)
--- a/jobs/store.go
+++ b/jobs/store.go
@@ -33,7 +33,7 @@
 	return p.status(caller, id)
 }
 
-// List returns the caller's jobs, the newest first.
+// List returns the caller's jobs, the newest first; an empty caller, those of all.
 func (m *Manager) List(ctx context.Context, caller string, limit int) ([]sardinerock.JobStatus, error) {
 	m.setUp()
 	if limit <= 0 {
@@ -41,8 +41,7 @@
 	}
 	var all []sardinerock.JobStatus
 	seen := map[int]bool{}
-	for i := range callerShards {
-		number := m.callerShard(caller, i)
+	for _, number := range m.shardsOf(caller) {
 		if seen[number] {
 			continue
 		}
@@ -59,6 +58,19 @@
 	return all[:min(limit, len(all))], nil
 }
 
+// shardsOf returns the shards that may hold a caller's jobs.
+func (m *Manager) shardsOf(caller string) []int {
+	count := callerShards
+	if caller == "" {
+		count = m.Shards
+	}
+	numbers := make([]int, count)
+	for i := range numbers {
+		numbers[i] = m.callerShard(caller, i)
+	}
+	return numbers
+}
+
 func (m *Manager) listShard(ctx context.Context, number int, caller string) ([]sardinerock.JobStatus, error) {
 	p, release := m.use(number)
 	defer release()
@@ -69,7 +81,7 @@
 	defer p.mu.Unlock()
 	var all []sardinerock.JobStatus
 	for _, j := range p.state.Jobs {
-		if j.Caller == caller {
+		if j.Caller == caller || caller == "" {
 			all = append(all, *j.Status())
 		}
 	}
