--- a/clis/clis.go
+++ b/clis/clis.go
@@ -44,7 +44,7 @@
 type command struct {
 	// name is how the command is called, with those above it.
 	name string
-	sub *flaggy.Subcommand
+	sub  *flaggy.Subcommand
 	// bound is nil for a command without settings.
 	bound *conf.Bound
 	run   func(ctx context.Context) error
--- a/proof/batch_test.go
+++ b/proof/batch_test.go
@@ -45,7 +45,7 @@
 // it was on a disk. The other entries must find the jobs in the log, claim the
 // shards and finish each item once.
 func TestOwnerKilledRightAfterTheAcknowledgement(t *testing.T) {
-	f := newFleet(t, shape{entries: 3, sides: 3})
+	f := newParallel(t, shape{entries: 3, sides: 3})
 	owner, others := f.owner()
 	const jobs, items = 6, 20
 	var accepted []*job
@@ -65,7 +65,7 @@
 // writes carries an old epoch: every entry, it too, must show one result for
 // each item, and the same one.
 func TestOwnerPausedPastTheTakeOver(t *testing.T) {
-	f := newFleet(t, shape{entries: 3, sides: 3, engine: slowEngine})
+	f := newParallel(t, shape{entries: 3, sides: 3, engine: slowEngine})
 	owner, others := f.owner()
 	const items = 150
 	j := f.submit(owner, "paused", items)
@@ -81,7 +81,7 @@
 // Two of four sides die with items in flight. Their items were never recorded,
 // so they are run again elsewhere; those recorded are not.
 func TestSidesKilledWithItemsInFlight(t *testing.T) {
-	f := newFleet(t, shape{entries: 2, sides: 4, engine: slowEngine})
+	f := newParallel(t, shape{entries: 2, sides: 4, engine: slowEngine})
 	const items = 300
 	j := f.submit(f.entries[0], "sides", items)
 	f.waitCompleted(f.entries[1], j.ID, 10)
@@ -98,7 +98,7 @@
 func TestLogOutage(t *testing.T) {
 	for _, outage := range []string{"refuse", "hang"} {
 		t.Run(outage, func(t *testing.T) {
-			f := newFleet(t, shape{entries: 2, sides: 2, engine: slowEngine})
+			f := newParallel(t, shape{entries: 2, sides: 2, engine: slowEngine})
 			const items = 300
 			j := f.submit(f.entries[0], "outage", items)
 			f.waitCompleted(f.entries[0], j.ID, 10)
@@ -135,7 +135,7 @@
 // can't know, appends again, and the record is there twice: the caller must
 // still have one job, and one result for each item.
 func TestAnswersOfTheLogAreLost(t *testing.T) {
-	f := newFleet(t, shape{entries: 2, sides: 2})
+	f := newParallel(t, shape{entries: 2, sides: 2})
 	const items = 100
 	f.knobs(f.logURL, `{"loseAnswers":5,"lateMs":50}`)
 	var j *job
@@ -168,7 +168,7 @@
 // Each time it must be told of the same job, which runs once. The same key with
 // other content is a mistake of the client, and refused.
 func TestJobResentTenTimes(t *testing.T) {
-	f := newFleet(t, shape{entries: 3, sides: 2})
+	f := newParallel(t, shape{entries: 3, sides: 2})
 	const items, resends = 40, 10
 	files := make([]string, len(f.entries))
 	for i, n := range f.entries {
@@ -203,7 +203,7 @@
 // the cancellation is acknowledged, no item may complete any more, whoever owns
 // the job.
 func TestCancelHoldsAlthoughTheOwnerDies(t *testing.T) {
-	f := newFleet(t, shape{entries: 3, sides: 2, engine: slowEngine})
+	f := newParallel(t, shape{entries: 3, sides: 2, engine: slowEngine})
 	owner, others := f.owner()
 	j := f.submit(owner, "cancelled", 500)
 	f.waitCompleted(others[0], j.ID, 5)
@@ -227,7 +227,7 @@
 // callers asking all the time. Callers get whole answers, the clerk one result
 // for each item.
 func TestJobThroughEverythingAtOnce(t *testing.T) {
-	f := newFleet(t, shape{entries: 3, sides: 4, engine: slowEngine})
+	f := newParallel(t, shape{entries: 3, sides: 4, engine: slowEngine})
 	owner, others := f.owner()
 	const items = 300
 	callers := f.startLoad(4, others...)
--- a/proof/calls_test.go
+++ b/proof/calls_test.go
@@ -79,7 +79,7 @@
 	done     sync.WaitGroup
 }
 
-// startLoad spreads callers over the entries; each goes on to the next entry when its own is gone, as a balancer would have it.
+// startLoad spreads callers over the entries.
 func (f *fleet) startLoad(callers int, entries ...*node) *load {
 	l := &load{stop: make(chan struct{})}
 	for i := range callers {
@@ -97,16 +97,44 @@
 	return l
 }
 
-func (l *load) add(o *outcome) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.outcomes = append(l.outcomes, o)
+// startBalancedLoad is startLoad with callers behind a balancer, which sends each
+// request to an entry that has just said that it is ready.
+func (f *fleet) startBalancedLoad(callers int) *load {
+	l := &load{stop: make(chan struct{})}
+	for i := range callers {
+		l.done.Go(func() {
+			for k := 0; ; k++ {
+				select {
+				case <-l.stop:
+					return
+				default:
+				}
+				if n := f.anyReady(i + k); n != nil {
+					l.add(f.chat(n, fmt.Sprintf("draft %d of supervisor %d", k, i)))
+				}
+			}
+		})
+	}
+	return l
 }
 
-func (l *load) count() int {
+// anyReady returns a ready entry, beginning the search at a place in the list.
+func (f *fleet) anyReady(from int) *node {
+	f.mu.Lock()
+	entries := append([]*node{}, f.entries...)
+	f.mu.Unlock()
+	for i := range entries {
+		if n := entries[(from+i)%len(entries)]; f.isReady(n) {
+			return n
+		}
+	}
+	return nil
+}
+
+func (l *load) add(o *outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.outcomes)
+	l.outcomes = append(l.outcomes, o)
 }
 
 // finish stops the load and returns what the callers got.
--- a/proof/config_test.go
+++ b/proof/config_test.go
@@ -49,7 +49,7 @@
 // different entries, at the same moment. In each round exactly one may win; the
 // other is told that it lost, and the winner's is in force everywhere.
 func TestTwoOperatorsRace(t *testing.T) {
-	f := newFleet(t, shape{entries: 3, sides: 2})
+	f := newParallel(t, shape{entries: 3, sides: 2})
 	for round := range 5 {
 		basedOn := int64(round + 1)
 		statuses := make([]int, 2)
@@ -69,7 +69,7 @@
 // The log takes a bundle and its answer is lost. The operator must be told in
 // the end that it is in force, and it must be one version, not two.
 func TestPublishWithTheAnswerOfTheLogLost(t *testing.T) {
-	f := newFleet(t, shape{entries: 2, sides: 1})
+	f := newParallel(t, shape{entries: 2, sides: 1})
 	f.knobs(f.logURL, `{"loseAnswers":2,"lateMs":200}`)
 	status, body := f.publish(f.entries[0], f.next(1, "lost"))
 	f.Expect(status).To(Equal(http.StatusOK), body)
@@ -82,7 +82,7 @@
 // A side is paused while two versions go by. When it goes on it must come to
 // the newest, and callers get whole answers all the time.
 func TestSidePausedOverTwoVersions(t *testing.T) {
-	f := newFleet(t, shape{entries: 2, sides: 2})
+	f := newParallel(t, shape{entries: 2, sides: 2})
 	f.sides[0].signal(syscall.SIGSTOP)
 	for version := int64(1); version <= 2; version++ {
 		status, body := f.publish(f.entries[0], f.next(version, "paused"))
@@ -97,6 +97,7 @@
 // An entry starts where no bundle was ever published: it must be live but not
 // ready, and turn callers away as not run.
 func TestNewInstanceIsNotReadyWithoutConfiguration(t *testing.T) {
+	t.Parallel()
 	f := &fleet{GomegaWithT: NewWithT(t), t: t}
 	f.startPlatform()
 	n := f.addEntry(0)
@@ -111,7 +112,7 @@
 // on disk and can't read the log: it must learn the version in force from its
 // peers, not begin at none, and serve.
 func TestEntryReplacedWhileTheLogIsOut(t *testing.T) {
-	f := newFleet(t, shape{entries: 2, sides: 2})
+	f := newParallel(t, shape{entries: 2, sides: 2})
 	status, body := f.publish(f.entries[0], f.next(1, "second"))
 	f.Expect(status).To(Equal(http.StatusOK), body)
 	f.waitVersion(f.entries[0], 2, 4)
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -45,10 +46,11 @@
 // fleet is a set of separate processes on loopback.
 type fleet struct {
 	*GomegaWithT
-	t        *testing.T
+	t        testing.TB
 	logURL   string
 	listURL  string
 	list     *remote.Instances
+	mu       sync.Mutex
 	entries  []*node
 	sides    []*node
 	services []*node
@@ -67,8 +69,20 @@
 	slowEngine = `{"slots":8,"stepUs":20000,"crashMarker":"` + crashMarker + `","crashMs":5,"cacheBlocks":4096}`
 )
 
+// fleets bounds how many fleets run at once: more would slow each other down on a small machine.
+var fleets = make(chan struct{}, 3)
+
+// newParallel is newFleet for tests that may run beside others.
+func newParallel(t *testing.T, s shape) *fleet {
+	t.Helper()
+	t.Parallel()
+	fleets <- struct{}{}
+	t.Cleanup(func() { <-fleets })
+	return newFleet(t, s)
+}
+
 // newFleet starts a fleet and waits until its bundle is in force and its models are served.
-func newFleet(t *testing.T, s shape) *fleet {
+func newFleet(t testing.TB, s shape) *fleet {
 	t.Helper()
 	f := &fleet{GomegaWithT: NewWithT(t), t: t}
 	f.startPlatform()
@@ -128,6 +142,8 @@
 	n.process = start(f.t, id, n.args...)
 	f.put(n)
 	f.waitListening(n.url + "/healthz")
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.entries = append(f.entries, n)
 	return n
 }
--- a/proof/online_test.go
+++ b/proof/online_test.go
@@ -21,7 +21,7 @@
 // from another backend server, with no word missing or doubled: the caller sees
 // one whole answer, only later.
 func TestSidesKilledUnderOnlineLoad(t *testing.T) {
-	f := newFleet(t, shape{entries: 2, sides: 4, engine: slowEngine})
+	f := newParallel(t, shape{entries: 2, sides: 4, engine: slowEngine})
 	callers := f.startLoad(8, f.entries...)
 	time.Sleep(2 * time.Second)
 	f.sides[0].kill()
@@ -34,7 +34,7 @@
 // A side freezes with streams in flight: its connections stay open and say
 // nothing. Callers must not wait for it, but get the rest from elsewhere.
 func TestSideFreezesUnderOnlineLoad(t *testing.T) {
-	f := newFleet(t, shape{entries: 2, sides: 3, engine: slowEngine})
+	f := newParallel(t, shape{entries: 2, sides: 3, engine: slowEngine})
 	callers := f.startLoad(6, f.entries...)
 	time.Sleep(2 * time.Second)
 	f.sides[0].signal(syscall.SIGSTOP)
@@ -48,7 +48,7 @@
 // ones work. The requests on them must be tried over new ones, and the backend
 // server must not be given up for it.
 func TestOpenConnectionsToAnEngineGoSilent(t *testing.T) {
-	f := newFleet(t, shape{entries: 1, sides: 2, engine: slowEngine})
+	f := newParallel(t, shape{entries: 1, sides: 2, engine: slowEngine})
 	callers := f.startLoad(8, f.entries...)
 	time.Sleep(2 * time.Second)
 	f.knobs(f.sides[0].backendURL, `{"silence":1000}`)
@@ -66,7 +66,7 @@
 // then it is refused everywhere, with a code of its own. Everybody else gets a
 // whole answer, also those who were on the crashed backend servers.
 func TestCrashingRequestSentTenTimes(t *testing.T) {
-	f := newFleet(t, shape{entries: 3, sides: 5, engine: slowEngine})
+	f := newParallel(t, shape{entries: 3, sides: 5, engine: slowEngine})
 	callers := f.startLoad(6, f.entries...)
 	time.Sleep(time.Second)
 	var last *outcome
@@ -88,7 +88,7 @@
 // what it has, take nothing new, and end with code 0 within the set time; no
 // caller may notice.
 func TestStoppingASideCutsNothing(t *testing.T) {
-	f := newFleet(t, shape{entries: 2, sides: 3, engine: slowEngine})
+	f := newParallel(t, shape{entries: 2, sides: 3, engine: slowEngine})
 	const items = 200
 	j := f.submit(f.entries[0], "drained", items)
 	callers := f.startLoad(8, f.entries...)
@@ -104,7 +104,7 @@
 // An entry is stopped under load. As soon as it says that it is not ready, the
 // balancer sends it nothing new; what it has taken, it must answer whole.
 func TestStoppingAnEntryCutsNothing(t *testing.T) {
-	f := newFleet(t, shape{entries: 2, sides: 3, engine: slowEngine})
+	f := newParallel(t, shape{entries: 2, sides: 3, engine: slowEngine})
 	var l load
 	var all sync.WaitGroup
 	stopping := f.entries[0]
@@ -126,7 +126,7 @@
 // write can't be written; waiting for that must not hold its exit beyond the set
 // time, after which the platform would kill it.
 func TestStoppingAnEntryWhileTheLogIsOut(t *testing.T) {
-	f := newFleet(t, shape{entries: 2, sides: 2, engine: slowEngine})
+	f := newParallel(t, shape{entries: 2, sides: 2, engine: slowEngine})
 	j := f.submit(f.entries[0], "stopped", 200)
 	f.waitCompleted(f.entries[0], j.ID, 5)
 	f.knobs(f.logURL, `{"outage":"hang"}`)
@@ -139,6 +139,31 @@
 	}
 }
 
+// The platform replaces every instance, one after the other, under load, as at
+// each release. New ones are started first; old ones get SIGTERM. Callers follow
+// the balancer, which asks who is ready; none of them may notice anything.
+func TestEveryInstanceIsReplacedUnderLoad(t *testing.T) {
+	f := newParallel(t, shape{entries: 2, sides: 2, engine: slowEngine})
+	callers := f.startBalancedLoad(6)
+	old := append(append([]*node{}, f.sides...), f.entries...)
+	for i := range 2 {
+		f.addSide(10+i, slowEngine)
+		f.addEntry(10 + i)
+	}
+	f.waitServing(len(f.entries), len(f.sides))
+	for _, n := range old {
+		n.instance.Leaving = true
+		f.put(n)
+		n.signal(syscall.SIGTERM)
+		f.Expect(n.waitExit(t, shutdownTimeout+5*time.Second)).To(Equal(0), n.name)
+		f.remove(n)
+	}
+	time.Sleep(time.Second)
+	outcomes := callers.finish()
+	f.expectAllWhole(outcomes)
+	f.Expect(len(outcomes)).To(BeNumerically(">", 50))
+}
+
 func (f *fleet) isReady(n *node) bool {
 	answer, err := client.Get(n.url + "/readyz")
 	if err != nil {
@@ -153,7 +178,7 @@
 // run, and answers get lost. Each call may run at most once, and where the
 // caller is told "not run", it did not.
 func TestNonRepeatableCallRunsAtMostOnce(t *testing.T) {
-	f := newFleet(t, shape{entries: 2, sides: 1, services: 2})
+	f := newParallel(t, shape{entries: 2, sides: 1, services: 2})
 	for _, n := range f.services {
 		f.knobs(n.backendURL, `{"slowMs":300}`)
 	}
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -63,7 +63,7 @@
 }
 
 // start runs the program with a subcommand and its flags, until the test ends.
-func start(t *testing.T, name string, args ...string) *process {
+func start(t testing.TB, name string, args ...string) *process {
 	t.Helper()
 	p := &process{name: name, exited: make(chan struct{})}
 	p.cmd = exec.Command(program, args...)
@@ -84,7 +84,7 @@
 }
 
 // end kills what still runs, also if it is stopped, and shows the log's end if the test failed.
-func (p *process) end(t *testing.T) {
+func (p *process) end(t testing.TB) {
 	p.signal(syscall.SIGKILL)
 	<-p.exited
 	if !t.Failed() {
@@ -107,7 +107,7 @@
 }
 
 // waitExit returns the exit code, or fails the test.
-func (p *process) waitExit(t *testing.T, within time.Duration) int {
+func (p *process) waitExit(t testing.TB, within time.Duration) int {
 	t.Helper()
 	select {
 	case <-p.exited:
@@ -131,7 +131,7 @@
 }
 
 // freeAddress returns a loopback address on which nothing listens.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	ports.Lock()
 	defer ports.Unlock()
