--- a/capa/route.go
+++ b/capa/route.go
@@ -21,8 +21,8 @@
 		backend := func(i int) route.Backend {
 			return route.Backend{
 				ID: fmt.Sprint("side-", i), Zone: fmt.Sprint("zone-", i%3), Slots: 24, OnlineRunning: i % 20, Up: true, ConfigVersion: 1,
-				Loaded:     []sardinerock.LoadedModel{{Model: "draft", Version: "1"}},
-				FirstToken: 300 * time.Millisecond, TokenGap: 30 * time.Millisecond, ReportAt: now,
+				Loaded:   []sardinerock.LoadedModel{{Model: "draft", Version: "1"}},
+				TokenGap: 30 * time.Millisecond, ReportAt: now,
 			}
 		}
 		for i := range n {
