--- a/clis/bench.go
+++ b/clis/bench.go
@@ -1,3 +1,24 @@
 package clis
 
-func (p *Program) addBench() {}
+import (
+	"context"
+
+	"github.com/sardinerock/sardinerock/bench"
+	"github.com/sardinerock/sardinerock/conf"
+)
+
+func (p *Program) addBench() {
+	p.add(&p.parser.Subcommand, "demo", "show a whole fleet in one process on loopback, with a backend server killed on the way", nil,
+		func(ctx context.Context) error { return bench.Demo(ctx, p.Out) })
+	t := &conf.Traces{}
+	p.add(&p.parser.Subcommand, "traces", "print a generated trace, the same for the same seed", t,
+		func(context.Context) error { return p.traces(t) })
+}
+
+func (p *Program) traces(s *conf.Traces) error {
+	t, err := bench.Generate(s.Deployment, s.Seed, s.Length)
+	if err != nil {
+		return err
+	}
+	return t.Write(p.Out)
+}
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -191,3 +191,24 @@
 	c.notEmpty("key-file", s.KeyFile, "give the file with the private key")
 	return c.err()
 }
+
+// The deployments that traces are generated for.
+const (
+	KesslingMarrow = "kessling-marrow"
+	Goldfields     = "goldfields"
+)
+
+// Traces holds the settings of the generator of traces.
+type Traces struct {
+	Deployment string   `flag:"deployment" env:"DEPLOYMENT" envDefault:"kessling-marrow" help:"whose load: kessling-marrow or goldfields"`
+	Seed       uint64   `flag:"seed" env:"SEED" envDefault:"1" help:"seed of the generator"`
+	Length     Duration `flag:"length" env:"LENGTH" envDefault:"30s" help:"length of the trace"`
+}
+
+// Check returns what is wrong, setting by setting.
+func (s *Traces) Check() error {
+	c := newChecker(s)
+	c.oneOf("deployment", s.Deployment, KesslingMarrow, Goldfields)
+	c.span("length", s.Length, time.Second, maxShutdownTimeout)
+	return c.err()
+}
