entry, clis: items by the callers' rules, callers by index, logs in the background

Cause: an item's request was made by rules of its own, which knew neither colons in model names nor prompt prefixes; the entry looked callers up by walking all of them, twice a request; and a log line was written in place, under the entry's lock, so that whoever stops reading the log would stop the entry.

--- a/clis/roles.go
+++ b/clis/roles.go
@@ -25,14 +25,19 @@
 		func(ctx context.Context) error { return p.runSide(ctx, s) })
 }
 
-func newLogger(w io.Writer, level, process string) *event.Logger {
-	return &event.Logger{
+// logQueue is how many lines may wait for whoever reads them.
+const logQueue = 16 << 10
+
+// newLogger writes lines in the background. Written in place, a reader of the
+// log that stops would stop the process with it: each routing decision writes
+// one. Lines that find the queue full are dropped; stop writes the rest.
+func newLogger(w io.Writer, level, process string) (events *event.Logger, stop func()) {
+	writer := &log.AsyncWriter{Writer: &log.IOWriter{Writer: w}, ChannelSize: logQueue, DiscardOnFull: true}
+	events = &event.Logger{
 		Process: process,
-		Sink: &log.Logger{
-			Level:  log.ParseLevel(level),
-			Writer: &log.IOWriter{Writer: w},
-		},
+		Sink:    &log.Logger{Level: log.ParseLevel(level), Writer: writer},
 	}
+	return events, func() { _ = writer.Close() }
 }
 
 func listen(flag, address string) (net.Listener, error) {
@@ -52,6 +57,8 @@
 	if err != nil {
 		return err
 	}
+	events, stop := newLogger(p.Err, s.LogLevel, s.ID)
+	defer stop()
 	e := &entry.Entry{
 		ID:              s.ID,
 		Region:          s.Region,
@@ -65,7 +72,7 @@
 		Signers:         s.Keys,
 		SignOffsNeeded:  s.SignOffsNeeded,
 		Policy:          s.Policy,
-		Events:          newLogger(p.Err, s.LogLevel, s.ID),
+		Events:          events,
 		ShutdownTimeout: s.ShutdownTimeout,
 		AppendBudget:    s.AppendBudget,
 	}
@@ -77,6 +84,8 @@
 	if err != nil {
 		return err
 	}
+	events, stop := newLogger(p.Err, s.LogLevel, s.ID)
+	defer stop()
 	r := &side.Side{
 		ID:              s.ID,
 		Region:          s.Region,
@@ -87,7 +96,7 @@
 		Signers:         s.Keys,
 		SignOffsNeeded:  s.SignOffsNeeded,
 		Policy:          s.Policy,
-		Events:          newLogger(p.Err, s.LogLevel, s.ID),
+		Events:          events,
 		ShutdownTimeout: s.ShutdownTimeout,
 	}
 	if s.ServiceURL != "" {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -138,13 +138,7 @@
 	}
 	if current := e.keeper.Current(); current != nil {
 		start.ConfigVersion = current.Version
-		if caller := callerOf(current.Bundle, r.Caller); caller != nil {
-			start.Weight = uint32(caller.Weight)
-			start.Team = caller.Team
-			if team := teamOf(current.Bundle, caller.Team); team != nil {
-				start.TeamWeight = uint32(team.Weight)
-			}
-		}
+		e.callers.of(current).weigh(start)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -18,7 +18,13 @@
 }
 
 // RunItem implements sardinerock.BatchRunner: one attempt, since the job decides about another.
-func (e *Entry) RunItem(ctx context.Context, r *sardinerock.Request) (sardinerock.Result, string, error) {
+func (e *Entry) RunItem(ctx context.Context, item *sardinerock.Request) (sardinerock.Result, string, error) {
+	r, err := e.front.NewRequest(item.Caller, item.Path, item.Body)
+	if err != nil {
+		return sardinerock.Result{}, "", err
+	}
+	r.ID, r.Key, r.Class, r.Deadline = item.ID, item.Key, item.Class, item.Deadline
+	*item = *r
 	var text []byte
 	collect := func(t sardinerock.Token) error {
 		text = append(text, t.Text...)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -65,6 +65,7 @@
 	front   *front.Server
 	tracker *member.Tracker
 	metrics metrics.Registry
+	callers callerCache
 
 	mu       sync.Mutex
 	table    route.Table
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
-	"github.com/sardinerock/sardinerock/admit"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/retry"
 )
@@ -49,39 +48,13 @@
 	if e.suspects.Check(now, r.Fingerprint) == retry.Guilty {
 		return retry.GuiltyRefusal(sardinerock.OutcomeNotRun)
 	}
-	if refusal := e.limiter.Allow(now, r.Caller, limitsOf(current.Bundle, r.Caller), estimate); refusal != nil {
+	if refusal := e.limiter.Allow(now, r.Caller, e.callers.of(current).limits(r.Caller), estimate); refusal != nil {
 		return refusal
 	}
 	e.budget.Request(now)
 	return nil
 }
 
-func limitsOf(b *sardinerock.Bundle, name string) admit.CallerLimits {
-	c := callerOf(b, name)
-	if c == nil {
-		return admit.CallerLimits{}
-	}
-	return admit.CallerLimits{RequestsPerMinute: c.RequestsPerMinute, TokensPerMinute: c.TokensPerMinute, MaxInFlight: c.MaxInFlight}
-}
-
-func callerOf(b *sardinerock.Bundle, name string) *sardinerock.Caller {
-	for i := range b.Callers {
-		if b.Callers[i].Name == name {
-			return &b.Callers[i]
-		}
-	}
-	return nil
-}
-
-func teamOf(b *sardinerock.Bundle, name string) *sardinerock.Team {
-	for i := range b.Teams {
-		if b.Teams[i].Name == name {
-			return &b.Teams[i]
-		}
-	}
-	return nil
-}
-
 // course is one request's way through its attempts.
 type course struct {
 	entry   *Entry
--- a/front/request.go
+++ b/front/request.go
@@ -14,10 +14,13 @@
 // TimeoutHeader carries how long the caller waits for the whole answer, in milliseconds.
 const TimeoutHeader = "Sardinerock-Timeout-Ms"
 
-// NewRequest makes the request of a generation: for a caller's own call and, by
-// the owner of a batch job, for an item. The error is a *sardinerock.Refusal.
-func NewRequest(c *sardinerock.ConfigSnapshot, caller, path string, body []byte) (*sardinerock.Request, error) {
-	d := newDirectory(c)
+// NewRequest makes the request of one batch item, under the configuration in
+// force and by the same rules as a caller's own call. The error is a *sardinerock.Refusal.
+func (s *Server) NewRequest(caller, path string, body []byte) (*sardinerock.Request, error) {
+	d := s.current()
+	if d == nil {
+		return nil, notReady()
+	}
 	found := d.callers[caller]
 	if found == nil {
 		return nil, refuse(sardinerock.CodeForbidden, "", "caller %q is not in the bundle in force", caller)
