--- a/bench/generate.go
+++ b/bench/generate.go
@@ -16,6 +16,12 @@
 	Goldfields     = "goldfields"
 )
 
+// The seed and the length of the traces in traces/.
+const (
+	TraceSeed   = 1
+	TraceLength = 20 * time.Second
+)
+
 // profile is what a deployment's traffic is like.
 type profile struct {
 	header Header
--- a/bench/items.go
+++ b/bench/items.go
@@ -17,6 +17,7 @@
 	Messages  []chatMessage `json:"messages"`
 	MaxTokens int           `json:"max_tokens"`
 	Stream    bool          `json:"stream,omitempty"`
+	User      string        `json:"user,omitempty"`
 }
 
 type chatMessage struct {
--- /dev/null
+++ b/bench/play.go
@@ -0,0 +1,240 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/ansel1/merry/v2"
+)
+
+// The parts of a run.
+const (
+	phaseWarm   = "warmUp"
+	phaseOnline = "onlineAlone"
+	phaseBatch  = "batchAlone"
+	phaseBoth   = "both"
+
+	warmLength   = 2 * time.Second
+	jobPoll      = 250 * time.Millisecond
+	drainTimeout = 60 * time.Second
+	answerBound  = 60 * time.Second
+	// maxMicros bounds the histograms at two minutes.
+	maxMicros = int64(2 * time.Minute / time.Microsecond)
+	digits    = 3
+)
+
+// row is one request as it went.
+type row struct {
+	policy, phase string
+	kind          Kind
+	caller        string
+	at            time.Duration
+	status        int
+	outcome       string
+	first, last   time.Duration
+	whole         bool
+}
+
+// progress is how many items were done at a time of a phase.
+type progress struct {
+	policy, phase string
+	at            time.Duration
+	done          int
+}
+
+// measured is what a phase has shown.
+type measured struct {
+	first   *hdrhistogram.Histogram
+	calls   *hdrhistogram.Histogram
+	answers int
+	refused int
+	lost    int
+	doubled int
+	// itemsPerSecond is the rate at which items were done while the trace ran.
+	itemsPerSecond float64
+	items          int
+	unfinished     int
+}
+
+// player plays one phase after the other against one fleet.
+type player struct {
+	plan   *plan
+	policy string
+	urls   []string
+	http   *http.Client
+	run    string
+
+	mu       sync.Mutex
+	rows     []row
+	progress []progress
+}
+
+func newMeasured() *measured {
+	return &measured{
+		first: hdrhistogram.New(1, maxMicros, digits),
+		calls: hdrhistogram.New(1, maxMicros, digits),
+	}
+}
+
+func (p *player) client(i int, caller string) *client {
+	return &client{url: p.urls[i%len(p.urls)], token: Token(caller), http: p.http}
+}
+
+// play plays a phase; jobs are waited for beyond its end, so that each item can be checked.
+func (p *player) play(ctx context.Context, phase string, length time.Duration) (*measured, error) {
+	m := newMeasured()
+	start := time.Now()
+	var requests sync.WaitGroup
+	if phase != phaseBatch {
+		requests.Go(func() { p.send(ctx, phase, start, length, p.plan.online, m, p.ask) })
+		requests.Go(func() { p.send(ctx, phase, start, length, p.plan.calls, m, p.call) })
+	}
+	var err error
+	if phase == phaseBatch || phase == phaseBoth {
+		err = p.playJobs(ctx, phase, start, m)
+	}
+	requests.Wait()
+	return m, err
+}
+
+// send sends each request at its time, whether or not those before it were
+// answered: callers don't wait for each other, and a load that slows down with
+// the fleet would hide what it does to them.
+func (p *player) send(
+	ctx context.Context, phase string, start time.Time, length time.Duration, lines []planned, m *measured,
+	do func(context.Context, *client, *planned) row,
+) {
+	var sent sync.WaitGroup
+	defer sent.Wait()
+	for i := range lines {
+		line := &lines[i]
+		if line.at >= length || ctx.Err() != nil {
+			return
+		}
+		time.Sleep(time.Until(start.Add(line.at)))
+		sent.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, answerBound)
+			defer cancel()
+			r := do(ctx, p.client(i, line.Caller), line)
+			r.policy, r.phase, r.kind, r.caller, r.at = p.policy, phase, line.Kind, line.Caller, line.at
+			p.count(m, r)
+		})
+	}
+}
+
+func (p *player) ask(ctx context.Context, c *client, line *planned) row {
+	a, err := c.stream(ctx, chatPath, line.body)
+	return row{
+		status: a.status, outcome: a.outcome, first: a.first, last: a.last,
+		whole: err == nil && a.whole && a.text == line.want,
+	}
+}
+
+func (p *player) call(ctx context.Context, c *client, line *planned) row {
+	start := time.Now()
+	response, err := c.send(ctx, http.MethodGet, "/services/"+line.Service+line.Path, nil, nil)
+	if err != nil {
+		return row{}
+	}
+	defer response.Body.Close()
+	took := time.Since(start)
+	return row{
+		status: response.StatusCode, outcome: response.Header.Get("Sardinerock-Outcome"),
+		first: took, last: took, whole: response.StatusCode == http.StatusOK,
+	}
+}
+
+// count takes a row; an answer that began and isn't the whole one is lost, a refusal is not.
+func (p *player) count(m *measured, r row) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rows = append(p.rows, r)
+	switch {
+	case r.whole && r.kind == KindOnline:
+		m.answers++
+		_ = m.first.RecordValue(r.first.Microseconds())
+	case r.whole:
+		_ = m.calls.RecordValue(r.first.Microseconds())
+	case r.status == http.StatusOK || r.status == 0:
+		m.lost++
+	default:
+		m.refused++
+	}
+}
+
+// accepted is a job that an entry has accepted.
+type accepted struct {
+	*plannedJob
+	id   string
+	last batch
+}
+
+func (p *player) playJobs(ctx context.Context, phase string, start time.Time, m *measured) error {
+	var jobs []*accepted
+	for i := range p.plan.jobs {
+		line := &p.plan.jobs[i]
+		time.Sleep(time.Until(start.Add(line.at)))
+		// Each phase's jobs are new ones: the same key would find the job of the phase before.
+		key := fmt.Sprintf("%s-%s-%s-%s", p.run, p.policy, phase, line.job.key)
+		b, err := p.client(i, line.Caller).submit(ctx, key, chatPath, line.job.lines.Bytes())
+		if err != nil {
+			return merry.Prependf(err, "%s: job %d", phase, i)
+		}
+		jobs = append(jobs, &accepted{plannedJob: line, id: b.ID})
+	}
+	if err := p.follow(ctx, phase, start, jobs, m); err != nil {
+		return err
+	}
+	for i, j := range jobs {
+		if !j.last.ended() {
+			m.unfinished++
+			continue
+		}
+		v, err := j.job.check(ctx, p.client(i, j.Caller), j.last)
+		if err != nil {
+			return merry.Prependf(err, "%s: results of %s", phase, j.id)
+		}
+		m.lost += v.lost
+		m.doubled += v.doubled
+		m.items += v.right
+	}
+	return nil
+}
+
+// follow looks at the jobs until all have ended, and takes the rate while the trace ran.
+func (p *player) follow(ctx context.Context, phase string, start time.Time, jobs []*accepted, m *measured) error {
+	deadline := start.Add(p.plan.length + drainTimeout)
+	inTrace := true
+	for {
+		done, ended := 0, true
+		for i, j := range jobs {
+			if !j.last.ended() {
+				b, err := p.client(i, j.Caller).job(ctx, j.id)
+				if err != nil {
+					return merry.Prependf(err, "%s: %s", phase, j.id)
+				}
+				j.last = b
+			}
+			done += j.last.RequestCounts.Completed + j.last.RequestCounts.Failed
+			ended = ended && j.last.ended()
+		}
+		passed := time.Since(start)
+		p.progress = append(p.progress, progress{policy: p.policy, phase: phase, at: passed, done: done})
+		if inTrace && (ended || passed >= p.plan.length) {
+			inTrace = false
+			m.itemsPerSecond = float64(done) / passed.Seconds()
+		}
+		if ended || time.Now().After(deadline) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(jobPoll):
+		}
+	}
+}
--- /dev/null
+++ b/bench/replay.go
@@ -0,0 +1,219 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/phuslu/log"
+
+	"github.com/sardinerock/sardinerock/fakes"
+	"github.com/sardinerock/sardinerock/fleet"
+)
+
+const (
+	// DefaultLength is how much of a trace is played in each phase.
+	DefaultLength = 8 * time.Second
+	// PolicyFifo is the baseline without gate and priorities.
+	PolicyFifo = "fifo"
+	// connections is enough for every request of a burst to have its own.
+	connections = 1024
+)
+
+// DefaultEngine is what the engines of an embedded fleet are like: a step of 12
+// ms and a little more for each stream, prompts at 40,000 tokens a second in
+// chunks of 512, a small prefix cache, and reports and cache events that lag.
+func DefaultEngine(slots int) fakes.EngineKnobs {
+	return fakes.EngineKnobs{
+		Slots: slots, StepUs: 12000, PerStreamUs: 100, PrefillTokensPerSecond: 40000, PrefillChunk: 512,
+		CacheBlocks: 512, CacheEventLagMs: 300, CacheEventGap: 50, ReportLagMs: 500,
+	}
+}
+
+// Replay plays a recorded trace and reports what it shows.
+type Replay struct {
+	// Trace is the trace's file, Report the folder for rows and pictures.
+	Trace  string
+	Report string
+	// Entries are base URLs of a running fleet's entries, whose bundle is
+	// BundleOf the trace's header; none means a fleet embedded on loopback.
+	Entries []string
+	// Policy is the baseline that is played after; empty means none. A running
+	// fleet has one policy, so a baseline needs BaselineEntries then.
+	Policy          string
+	BaselineEntries []string
+	// Length is how much of the trace each phase plays; 0 means DefaultLength.
+	Length time.Duration
+	// Engine is what embedded engines are like; zero means DefaultEngine.
+	Engine fakes.EngineKnobs
+	Out    io.Writer
+}
+
+// Figures are what one policy has shown; times are in milliseconds.
+type Figures struct {
+	BatchItemsPerSecond      float64 `json:"batchItemsPerSecond"`
+	BatchItemsPerSecondAlone float64 `json:"batchItemsPerSecondAlone"`
+	OnlineFirstTokenP50Ms    float64 `json:"onlineFirstTokenP50Ms"`
+	OnlineFirstTokenP99Ms    float64 `json:"onlineFirstTokenP99Ms"`
+	// The figures of online work alone.
+	OnlineFirstTokenP50AloneMs float64 `json:"onlineFirstTokenP50AloneMs"`
+	OnlineFirstTokenP99AloneMs float64 `json:"onlineFirstTokenP99AloneMs"`
+	// HarmRatio is the P99 with batch work over the P99 alone.
+	HarmRatio float64 `json:"harmRatio"`
+	// CallP99Ms and CallP99AloneMs are of plain services.
+	CallP99Ms      float64 `json:"callP99Ms"`
+	CallP99AloneMs float64 `json:"callP99AloneMs"`
+	OnlineAnswers  int     `json:"onlineAnswers"`
+	BatchItems     int     `json:"batchItems"`
+	Lost           int     `json:"lost"`
+	Doubled        int     `json:"doubled"`
+	Refused        int     `json:"refused"`
+	// UnfinishedJobs had not ended a minute after the trace.
+	UnfinishedJobs int `json:"unfinishedJobs"`
+}
+
+// Summary is the last line of a replay.
+type Summary struct {
+	Trace string `json:"trace"`
+	Figures
+	Baseline *Baseline `json:"baseline,omitempty"`
+}
+
+// Baseline is the same under another policy.
+type Baseline struct {
+	Policy string `json:"policy"`
+	Figures
+}
+
+// Run plays the trace, writes the report and prints the summary as the last line.
+// The error is nil only if nothing was lost or doubled under the system's own policy.
+func (r *Replay) Run(ctx context.Context) error {
+	trace, err := r.read()
+	if err != nil {
+		return err
+	}
+	length := r.Length
+	if length == 0 {
+		length = DefaultLength
+	}
+	plan, err := makePlan(trace, min(length, trace.Header.Duration()))
+	if err != nil {
+		return err
+	}
+	report := &report{header: trace.Header}
+	summary := Summary{Trace: trace.Header.Deployment}
+	summary.Figures, err = r.policy(ctx, plan, "", r.Entries, report)
+	if err != nil {
+		return err
+	}
+	if r.Policy != "" && (len(r.Entries) == 0 || len(r.BaselineEntries) > 0) {
+		figures, err := r.policy(ctx, plan, r.Policy, r.BaselineEntries, report)
+		if err != nil {
+			return merry.Prepend(err, "baseline "+r.Policy)
+		}
+		summary.Baseline = &Baseline{Policy: r.Policy, Figures: figures}
+	}
+	if err := report.write(r.Report, summary); err != nil {
+		return err
+	}
+	line, err := json.Marshal(summary)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(r.Out, string(line))
+	if summary.Lost > 0 || summary.Doubled > 0 {
+		return merry.Errorf("replay: %d lost, %d doubled", summary.Lost, summary.Doubled)
+	}
+	return nil
+}
+
+func (r *Replay) read() (*Trace, error) {
+	raw, err := os.ReadFile(r.Trace)
+	if err != nil {
+		return nil, err
+	}
+	trace, err := ReadTrace(bytes.NewReader(raw))
+	return trace, merry.Prepend(err, r.Trace)
+}
+
+// policy plays all phases on one fleet.
+func (r *Replay) policy(ctx context.Context, plan *plan, policy string, entries []string, report *report) (Figures, error) {
+	if len(entries) == 0 {
+		embedded := r.embedded(plan.header, policy)
+		if err := embedded.Start(ctx); err != nil {
+			embedded.Stop()
+			return Figures{}, err
+		}
+		defer embedded.Stop()
+		entries = embedded.URLs()
+	}
+	p := &player{plan: plan, policy: policy, urls: entries, http: newHTTPClient(connections), run: log.NewXID().String()}
+	defer p.http.CloseIdleConnections()
+	phases := make(map[string]*measured)
+	for _, phase := range []string{phaseWarm, phaseOnline, phaseBatch, phaseBoth} {
+		phaseLength := plan.length
+		if phase == phaseWarm {
+			phaseLength = warmLength
+		}
+		m, err := p.play(ctx, phase, phaseLength)
+		if err != nil {
+			return Figures{}, err
+		}
+		phases[phase] = m
+		r.say(policy, phase, m)
+	}
+	report.rows = append(report.rows, p.rows...)
+	report.progress = append(report.progress, p.progress...)
+	return figuresOf(phases), nil
+}
+
+func (r *Replay) embedded(h Header, policy string) *fleet.Fleet {
+	engine := r.Engine
+	if engine == (fakes.EngineKnobs{}) {
+		engine = DefaultEngine(h.Slots)
+	}
+	return &fleet.Fleet{
+		Entries: h.Entries, Sides: h.Sides, Services: h.Services, Zones: h.Zones, Policy: policy,
+		Engine: engine, Bundle: BundleOf(h), Operator: Token(operatorName), Seed: h.Seed,
+	}
+}
+
+func (r *Replay) say(policy, phase string, m *measured) {
+	if policy == "" {
+		policy = "sardinerock"
+	}
+	fmt.Fprintf(r.Out, "%s, %s: %d answers, first token P50 %.1f ms, P99 %.1f ms; %.1f items/s, %d items; %d refused, %d lost, %d doubled, %d jobs unfinished\n",
+		policy, phase, m.answers, quantile(m.first, 50), quantile(m.first, 99), m.itemsPerSecond, m.items,
+		m.refused, m.lost, m.doubled, m.unfinished)
+}
+
+func figuresOf(phases map[string]*measured) Figures {
+	alone, batch, both := phases[phaseOnline], phases[phaseBatch], phases[phaseBoth]
+	f := Figures{
+		BatchItemsPerSecond:        round(both.itemsPerSecond),
+		BatchItemsPerSecondAlone:   round(batch.itemsPerSecond),
+		OnlineFirstTokenP50Ms:      quantile(both.first, 50),
+		OnlineFirstTokenP99Ms:      quantile(both.first, 99),
+		OnlineFirstTokenP50AloneMs: quantile(alone.first, 50),
+		OnlineFirstTokenP99AloneMs: quantile(alone.first, 99),
+		CallP99Ms:                  quantile(both.calls, 99),
+		CallP99AloneMs:             quantile(alone.calls, 99),
+		OnlineAnswers:              alone.answers + both.answers,
+		BatchItems:                 batch.items + both.items,
+	}
+	for _, m := range phases {
+		f.Lost += m.lost
+		f.Doubled += m.doubled
+		f.Refused += m.refused
+		f.UnfinishedJobs += m.unfinished
+	}
+	if f.OnlineFirstTokenP99AloneMs > 0 {
+		f.HarmRatio = round(f.OnlineFirstTokenP99Ms / f.OnlineFirstTokenP99AloneMs)
+	}
+	return f
+}
--- a/bench/trace.go
+++ b/bench/trace.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"io"
 	"time"
 
@@ -100,7 +101,7 @@
 	for number := 2; ; number++ {
 		var line Line
 		err := decoder.Decode(&line)
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return &t, nil
 		}
 		if err == nil {
--- a/fleet/mortal.go
+++ b/fleet/mortal.go
@@ -53,7 +53,8 @@
 }
 
 func (l *mortal) die() {
-	l.Listener.Close()
+	// Closing twice is harmless, and what dies can't tell.
+	_ = l.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.killed = true
--- /dev/null
+++ b/traces/gen/main.go
@@ -0,0 +1,45 @@
+// Command gen writes the traces of both deployments anew, each with the bundle
+// under which it is played: go run ./traces/gen traces
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/sardinerock/sardinerock/bench"
+)
+
+func main() {
+	folder := "traces"
+	if len(os.Args) > 1 {
+		folder = os.Args[1]
+	}
+	for _, deployment := range []string{bench.KesslingMarrow, bench.Goldfields} {
+		if err := write(folder, deployment); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+}
+
+func write(folder, deployment string) error {
+	trace, err := bench.Generate(deployment, bench.TraceSeed, bench.TraceLength)
+	if err != nil {
+		return err
+	}
+	var lines bytes.Buffer
+	if err := trace.Write(&lines); err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(folder, deployment+".jsonl"), lines.Bytes(), 0o644); err != nil {
+		return err
+	}
+	raw, err := json.MarshalIndent(bench.BundleOf(trace.Header), "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(folder, deployment+".bundle.json"), append(raw, '\n'), 0o644)
+}
