--- /dev/null
+++ b/bench/overhead_test.go
@@ -0,0 +1,65 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/sardinerock/sardinerock/fakes"
+	"github.com/sardinerock/sardinerock/fleet"
+)
+
+// BenchmarkAddedTimeToFirstToken asks the same idle engines through entry and
+// side and straight, in turn, and reports the medians and their difference. The
+// bound is 1 ms.
+func BenchmarkAddedTimeToFirstToken(b *testing.B) {
+	h := profiles[KesslingMarrow].header
+	h.Entries, h.Sides, h.Services = 1, 1, 0
+	f := &fleet.Fleet{
+		Entries: 1, Sides: 1, Zones: h.Zones[:1], Seed: 1, Bundle: BundleOf(h), Operator: Token(operatorName),
+		Engine: fakes.EngineKnobs{Slots: h.Slots, StepUs: 1000},
+	}
+	if err := f.Start(b.Context()); err != nil {
+		b.Fatal(err)
+	}
+	defer f.Stop()
+	web := newHTTPClient(connections)
+	through := &client{url: f.URLs()[0], token: Token("supervisors"), http: web}
+	straight := &client{url: f.EngineURL(0), http: web}
+	var added, direct []time.Duration
+	line := profiles[KesslingMarrow].online
+	line.MaxTokens = 2
+	for i := 0; b.Loop(); i++ {
+		body := line.body(h.Model, fmt.Sprintf("request-%d", i))
+		body.Stream = true
+		raw, err := json.Marshal(body)
+		if err != nil {
+			b.Fatal(err)
+		}
+		direct = append(direct, firstOf(b, straight, raw))
+		added = append(added, firstOf(b, through, raw))
+	}
+	slices.Sort(added)
+	slices.Sort(direct)
+	middle := len(added) / 2
+	b.ReportMetric(ms(direct[middle]), "straight-ms")
+	b.ReportMetric(ms(added[middle]), "through-ms")
+	b.ReportMetric(ms(added[middle]-direct[middle]), "added-ms")
+	if over := added[middle] - direct[middle]; over > time.Millisecond {
+		b.Errorf("entry and side add %v to the first token at the median; the bound is 1 ms", over)
+	}
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func firstOf(b *testing.B, c *client, raw []byte) time.Duration {
+	b.Helper()
+	a, err := c.stream(context.Background(), chatPath, raw)
+	if err != nil || !a.whole {
+		b.Fatalf("status %d: %s: %v", a.status, a.text, err)
+	}
+	return a.first
+}
