--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,6 +27,8 @@
 	serviceName   = "portal"
 	// patience bounds waits for what comes within seconds on an idle machine.
 	patience = 40 * time.Second
+	// shutdownTimeout is what every process is given to finish what runs.
+	shutdownTimeout = 15 * time.Second
 )
 
 // node is one instance: its process, and for sides the backend server beside it.
@@ -43,10 +46,11 @@
 // fleet is a set of separate processes on loopback.
 type fleet struct {
 	*GomegaWithT
-	t        *testing.T
+	t        testing.TB
 	logURL   string
 	listURL  string
 	list     *remote.Instances
+	mu       sync.Mutex
 	entries  []*node
 	sides    []*node
 	services []*node
@@ -65,8 +69,20 @@
 	slowEngine = `{"slots":8,"stepUs":20000,"crashMarker":"` + crashMarker + `","crashMs":5,"cacheBlocks":4096}`
 )
 
+// fleets bounds how many fleets run at once: more would slow each other down on a small machine.
+var fleets = make(chan struct{}, 3)
+
+// newParallel is newFleet for tests that may run beside others.
+func newParallel(t *testing.T, s shape) *fleet {
+	t.Helper()
+	t.Parallel()
+	fleets <- struct{}{}
+	t.Cleanup(func() { <-fleets })
+	return newFleet(t, s)
+}
+
 // newFleet starts a fleet and waits until its bundle is in force and its models are served.
-func newFleet(t *testing.T, s shape) *fleet {
+func newFleet(t testing.TB, s shape) *fleet {
 	t.Helper()
 	f := &fleet{GomegaWithT: NewWithT(t), t: t}
 	f.startPlatform()
@@ -121,11 +137,13 @@
 	n.instance = sardinerock.Instance{ID: id, Role: sardinerock.RoleEntry, Region: "region1", Zone: zone(i), Address: peers}
 	n.args = []string{
 		"entry", "--id", id, "--zone", zone(i), "--caller-address", callers, "--peer-address", peers,
-		"--log-url", f.logURL, "--instances-url", f.listURL, "--shards", "4", "--shutdown-timeout", "20s",
+		"--log-url", f.logURL, "--instances-url", f.listURL, "--shards", "4", "--shutdown-timeout", shutdownTimeout.String(),
 	}
 	n.process = start(f.t, id, n.args...)
 	f.put(n)
 	f.waitListening(n.url + "/healthz")
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.entries = append(f.entries, n)
 	return n
 }
@@ -156,7 +174,7 @@
 	n.instance.Zone, n.instance.Address = zone(i), address
 	n.args = append([]string{
 		"side", "--id", id, "--zone", zone(i), "--address", address,
-		"--instances-url", f.listURL, "--shutdown-timeout", "20s",
+		"--instances-url", f.listURL, "--shutdown-timeout", shutdownTimeout.String(),
 	}, flags...)
 	n.process = start(f.t, id, n.args...)
 	f.put(n)
@@ -166,7 +184,7 @@
 	f.Expect(f.list.Put(context.Background(), n.instance)).To(Succeed())
 }
 
-// replace starts a lost instance anew, under a new id, as the platform does.
+// remove takes a lost instance off the list, as the platform does in time.
 func (f *fleet) remove(n *node) {
 	f.Expect(f.list.Remove(context.Background(), n.instance.ID)).To(Succeed())
 }
