--- a/proof/online_test.go
+++ b/proof/online_test.go
@@ -101,6 +101,31 @@
 	f.expectResults(done, "drained", items, f.entries...)
 }
 
+// A side is stopped while calls run at its plain service that may not be
+// repeated. A broken stream could go on elsewhere, these calls can't: each must be
+// waited for and answered, and run once.
+func TestStoppingASideAnswersCallsThatMayNotBeRepeated(t *testing.T) {
+	f := newParallel(t, shape{entries: 1, sides: 1, services: 2})
+	for _, n := range f.services {
+		f.knobs(n.backendURL, `{"slowMs":1500}`)
+	}
+	const calls = 12
+	outcomes := make([]string, calls)
+	var all sync.WaitGroup
+	for i := range calls {
+		all.Go(func() { outcomes[i] = f.print(f.entries[0], i) })
+	}
+	time.Sleep(500 * time.Millisecond)
+	f.services[0].signal(syscall.SIGTERM)
+	all.Wait()
+	f.Expect(f.services[0].waitExit(t, shutdownTimeout+5*time.Second)).To(Equal(0))
+	runs := f.runs()
+	for i, o := range outcomes {
+		f.Expect(o).To(Equal("answered"), "call %d", i)
+		f.Expect(runs[printPath(i)]).To(Equal(1), "call %d", i)
+	}
+}
+
 // An entry is stopped under load. As soon as it says that it is not ready, the
 // balancer sends it nothing new; what it has taken, it must answer whole.
 func TestStoppingAnEntryCutsNothing(t *testing.T) {
