--- a/entry/entry.go
+++ b/entry/entry.go
@@ -65,6 +65,7 @@
 	front   *front.Server
 	tracker *member.Tracker
 	metrics metrics.Registry
+	callers callerCache
 
 	mu       sync.Mutex
 	table    route.Table
@@ -149,7 +150,6 @@
 		Shards:  e.Shards,
 		Live:    e.liveEntries,
 		Events:  e.Events,
-		Seed:    e.Seed,
 
 		AppendsPerSecond: e.AppendBudget,
 	}
--- a/front/request.go
+++ b/front/request.go
@@ -6,16 +6,21 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sardinerock/sardinerock"
 )
 
 // TimeoutHeader carries how long the caller waits for the whole answer, in milliseconds.
 const TimeoutHeader = "Sardinerock-Timeout-Ms"
 
-// NewRequest makes the request of a generation: for a caller's own call and, by
-// the owner of a batch job, for an item. The error is a *sardinerock.Refusal.
-func NewRequest(c *sardinerock.ConfigSnapshot, caller, path string, body []byte) (*sardinerock.Request, error) {
-	d := newDirectory(c)
+// NewRequest makes the request of one batch item, under the configuration in
+// force and by the same rules as a caller's own call. The error is a *sardinerock.Refusal.
+func (s *Server) NewRequest(caller, path string, body []byte) (*sardinerock.Request, error) {
+	d := s.current()
+	if d == nil {
+		return nil, notReady()
+	}
 	found := d.callers[caller]
 	if found == nil {
 		return nil, refuse(sardinerock.CodeForbidden, "", "caller %q is not in the bundle in force", caller)
@@ -40,7 +45,7 @@
 	if parsed.MaxTokens == 0 {
 		parsed.MaxTokens = t.model.MaxTokens
 	}
-	holder := t.model.Name + "\x00" + t.version + "\x00" + t.adapter
+	loaded := sardinerock.LoadedModel{Model: t.model.Name, Version: t.version, Adapter: t.adapter}
 	return &sardinerock.Request{
 		ID:            rand.Text(),
 		Caller:        c.Name,
@@ -52,14 +57,25 @@
 		Method:        http.MethodPost,
 		Body:          body,
 		Idempotent:    true,
-		PromptTokens:  EstimateTokens(parsed.Prompt),
+		PromptTokens:  sardinerock.PromptTokens(parsed.Prompt),
 		MaxTokens:     parsed.MaxTokens,
-		Prefixes:      PrefixBlocks(holder, parsed.Prompt),
-		Fingerprint:   fingerprint(holder, parsed.Prompt),
+		Prefixes:      sardinerock.PrefixHashes(loaded, parsed.Prompt),
+		Fingerprint:   fingerprint(loaded.Model, loaded.Version, loaded.Adapter, parsed.Prompt),
 		ConfigVersion: d.snapshot.Version,
 	}, parsed, nil
 }
 
+// fingerprint is the same for every resend of the same content, whoever sends it.
+func fingerprint(parts ...string) uint64 {
+	d := xxhash.New()
+	for _, p := range parts {
+		_, _ = d.WriteString(p)
+		// A separator keeps ("ab", "c") apart from ("a", "bc").
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
 // deadline reads until when the caller waits.
 func (s *Server) deadline(r *http.Request) (time.Time, error) {
 	wait := s.limits.DefaultDeadline
--- a/route/table.go
+++ b/route/table.go
@@ -22,9 +22,8 @@
 	BatchRunning  int
 	// BatchCredit is how many more batch items this entry may send.
 	BatchCredit int
-	// FirstToken and TokenGap are smoothed; zero when unknown.
-	FirstToken time.Duration
-	TokenGap   time.Duration
+	// TokenGap is smoothed; zero when unknown.
+	TokenGap time.Duration
 	// Leaving gets no new work; Up says that the backend server answers its side.
 	Leaving bool
 	Up      bool
@@ -77,8 +76,6 @@
 
 // Sample is what an attempt has shown of its backend server.
 type Sample struct {
-	// FirstToken is the time from the engine's start to the first token; zero if none came.
-	FirstToken time.Duration
 	// TokenGap is the mean time between tokens; zero when unknown.
 	TokenGap time.Duration
 	// Failed says that the backend server failed; refusals and cancellations aren't failures.
@@ -185,11 +182,16 @@
 	}
 }
 
-// BatchCredit is how many batch items this entry may send now, over all backend servers.
-func (t *Table) BatchCredit() int {
+// BatchCredit is how many batch items this entry may send now, over all
+// backend servers with model engines. The idle slots of plain services must not
+// count: no item can take them, so they never go down, and an owner that goes by
+// them starts all its items at once, has them refused, and backs off for half a
+// minute while the engines idle.
+func (t *Table) BatchCredit(now time.Time) int {
+	t.restore(now)
 	n := 0
 	for _, b := range t.backends {
-		if b.usable() {
+		if b.usable() && !b.health.ejected && b.report.Service == "" {
 			n += b.batchCredit()
 		}
 	}
