--- a/capa/link.go
+++ b/capa/link.go
@@ -36,6 +36,8 @@
 	gap    time.Duration
 	tokens int
 	beats  atomic.Int64
+	// ended stops the answers, which would else go on into the next measurement.
+	ended chan struct{}
 }
 
 func (a *answering) Opened(*link.Session)                   {}
@@ -57,7 +59,11 @@
 		ticker := time.NewTicker(a.gap)
 		defer ticker.Stop()
 		for i := range a.tokens {
-			<-ticker.C
+			select {
+			case <-ticker.C:
+			case <-a.ended:
+				return
+			}
 			token := &wire.Token{Index: uint32(i), Text: " word"}
 			s.Send(&wire.SideFrame{Body: &wire.SideFrame_Tokens{Tokens: &wire.Tokens{Attempt: start.Attempt, Tokens: []*wire.Token{token}}}})
 		}
@@ -75,6 +81,7 @@
 
 func startLinks(n int, side *answering, timing link.Timing) (*linked, error) {
 	ctx, cancel := context.WithCancel(context.Background())
+	side.ended = make(chan struct{})
 	l := &linked{side: side}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -104,6 +111,7 @@
 	}
 	l.stop = func() {
 		cancel()
+		close(side.ended)
 		_ = listener.Close()
 		running.Wait()
 	}
--- a/capa/main.go
+++ b/capa/main.go
@@ -30,6 +30,7 @@
 	{"jobs", measureJobs},
 	{"spread", measureSpread},
 	{"whole", measureWhole},
+	{"processes", measureProcesses},
 }
 
 func main() {
@@ -37,6 +38,7 @@
 	flaggy.SetName("capa")
 	flaggy.SetDescription("measures the slopes of docs/CAPACITY.md")
 	flaggy.String(&only, "o", "only", "comma-separated parts to run: "+partNames()+"; all when empty")
+	flaggy.String(&program, "p", "program", "path of the program whose processes are measured; that part is left out when empty")
 	flaggy.Parse()
 	r := &report{out: os.Stdout}
 	for _, p := range parts {
