Tests for safeguards whose lack no test had shown

Trials on a scratch copy left out one piece at a time. Five went unnoticed: the refusal on arrival, the dropping of waiting work, the ageing of reports, the penalty of stale ones, the counting of own requests. Each has a test now that fails without it. The sixth was a line that did nothing (sched: a node's tag was raised in two places); it is gone.

Found on the way: work that would wait only for running answers was let in whatever its deadline, since the estimate counted waiting work alone. The item's own cost now stands for what still runs in its slot.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -94,7 +94,8 @@
 		g.start(now, w, item, 0)
 		return
 	}
-	ahead := g.queue.Ahead(item)
+	// The item's own cost stands for what still runs in the slot that it will get.
+	ahead := g.queue.Ahead(item) + item.Cost
 	wait := g.estimate.wait(ahead, g.slots.count(g.Limits))
 	latest := g.estimate.latestStart(now, w)
 	if now.Add(wait).After(latest) {
--- a/admit/gate_test.go
+++ b/admit/gate_test.go
@@ -47,6 +47,96 @@
 	x.Expect(fill(epoch.Add(3 * time.Minute))).To(Equal(32))
 }
 
+// One slot, answers of ten seconds. What would start too late is refused on
+// arrival, with when to come back; what waits and turns hopeless, because the
+// slot was not freed in time, is refused at that moment and not at its deadline.
+func TestHopelessWorkIsRefusedAtOnce(t *testing.T) {
+	x := NewWithT(t)
+	g := &admit.Gate{Limits: sardinerock.GateLimits{MinSlots: 1, MaxSlots: 1}}
+	at := func(s int) time.Time { return epoch.Add(time.Duration(s) * time.Second) }
+	work := func(id string, deadline int) sardinerock.Work {
+		return sardinerock.Work{Attempt: id, MaxTokens: 11, Deadline: at(deadline)}
+	}
+	g.Offer(epoch, work("learn", 100))
+	for i := range 11 {
+		g.Token(at(i), "learn")
+	}
+	g.Done(at(10), "learn", sardinerock.GateSample{CompletionTokens: 11})
+
+	g.Offer(at(10), work("running", 100))
+	x.Expect(kinds(g.Offer(at(10), work("too late", 25)))).To(Equal([]string{"refuse too late"}))
+	x.Expect(g.Offer(at(10), work("waits", 35))).To(BeEmpty())
+	x.Expect(g.Tick(at(24))).To(BeEmpty())
+	late := g.Tick(at(26))
+	x.Expect(kinds(late)).To(Equal([]string{"refuse waits"}))
+	x.Expect(late[0].Refusal.Outcome).To(Equal(sardinerock.OutcomeNotRun))
+	x.Expect(late[0].Refusal.RetryAfter).To(BeNumerically(">=", time.Second))
+}
+
+// A suspect comes to a backend server that is never empty. Batch work makes
+// room, running drafts end, new ones wait for some seconds and no longer; the
+// suspect runs with nothing beside it, and then the others go on.
+func TestSuspectRunsAlone(t *testing.T) {
+	x := NewWithT(t)
+	g := &admit.Gate{Limits: sardinerock.GateLimits{MinSlots: 4, MaxSlots: 4}}
+	at := func(s float64) time.Time { return epoch.Add(time.Duration(s * float64(time.Second))) }
+	g.Offer(at(0), sardinerock.Work{Attempt: "draft"})
+	g.Offer(at(0), sardinerock.Work{Attempt: "item", Class: sardinerock.ClassBatch})
+	x.Expect(kinds(g.Offer(at(1), sardinerock.Work{Attempt: "suspect", Alone: true}))).To(Equal([]string{"preempt item"}))
+	x.Expect(g.Offer(at(1.5), sardinerock.Work{Attempt: "next"})).To(BeEmpty(), "held back")
+	x.Expect(kinds(g.Done(at(2), "draft", sardinerock.GateSample{}))).To(BeEmpty(), "the engine still cancels the item")
+	x.Expect(kinds(g.Done(at(2.1), "item", sardinerock.GateSample{Failed: true}))).To(Equal([]string{"start suspect"}))
+	x.Expect(g.Offer(at(2.2), sardinerock.Work{Attempt: "third"})).To(BeEmpty(), "nothing beside it")
+	x.Expect(kinds(g.Done(at(2.5), "suspect", sardinerock.GateSample{}))).To(ConsistOf("start next", "start third"))
+
+	x.Expect(g.Offer(at(20), sardinerock.Work{Attempt: "suspect 2", Alone: true})).To(BeEmpty())
+	x.Expect(g.Offer(at(21), sardinerock.Work{Attempt: "fourth"})).To(BeEmpty(), "held back")
+	x.Expect(kinds(g.Tick(at(23.1)))).To(Equal([]string{"start fourth"}), "but not for longer")
+}
+
+// First tokens come later than the target while all slots are in use: the slots
+// shrink to the lower bound, and grow again once the engine keeps up.
+func TestSlotsFollowFirstTokens(t *testing.T) {
+	x := NewWithT(t)
+	g := &admit.Gate{Limits: sardinerock.GateLimits{MinSlots: 4, MaxSlots: 16, FirstTokenTarget: time.Second}}
+	now, n := epoch, 0
+	var running []string
+	play := func(seconds int, first time.Duration) int {
+		for range seconds * 8 {
+			now = now.Add(125 * time.Millisecond)
+			n++
+			actions := g.Offer(now, sardinerock.Work{Attempt: strconv.Itoa(n)})
+			if len(running) > 0 && g.State().OnlineWaiting > 0 {
+				actions = append(actions, g.Done(now, running[0], sardinerock.GateSample{})...)
+				running = running[1:]
+			}
+			for _, a := range actions {
+				running = append(running, a.Attempt)
+				g.Token(now.Add(first), a.Attempt)
+			}
+		}
+		return g.State().Slots
+	}
+	x.Expect(play(10, 500*time.Millisecond)).To(Equal(16))
+	x.Expect(play(20, 1500*time.Millisecond)).To(Equal(4))
+	x.Expect(play(20, 500*time.Millisecond)).To(Equal(16))
+}
+
+// A side that leaves hands back what waits and all batch work as not run, takes
+// nothing new and lets its online answers end.
+func TestDrainCutsNothing(t *testing.T) {
+	x := NewWithT(t)
+	g := &admit.Gate{Limits: sardinerock.GateLimits{MinSlots: 1, MaxSlots: 2}}
+	g.Offer(epoch, sardinerock.Work{Attempt: "item", Class: sardinerock.ClassBatch})
+	for _, id := range []string{"a", "b", "waits"} {
+		g.Offer(epoch, sardinerock.Work{Attempt: id})
+	}
+	x.Expect(kinds(g.Drain(epoch))).To(Equal([]string{"refuse waits"}))
+	x.Expect(kinds(g.Offer(epoch, sardinerock.Work{Attempt: "new"}))).To(Equal([]string{"refuse new"}))
+	x.Expect(g.State().OnlineRunning).To(Equal(2))
+	x.Expect(g.State().BatchCredit).To(BeZero())
+}
+
 func kinds(actions []sardinerock.GateAction) []string {
 	names := map[sardinerock.GateActionKind]string{
 		sardinerock.GateStart: "start", sardinerock.GateRefuse: "refuse", sardinerock.GatePreempt: "preempt",
--- a/route/health.go
+++ b/route/health.go
@@ -32,10 +32,11 @@
 
 // judge ejects a backend server that fails or is slow, but never more than a part of the fleet.
 //
-// Load pattern: one slow backend server. It holds its requests ten times as
-// long, so a count of requests in flight lets in a tenth of the others' rate,
-// and each of these comes ten times too late. Ejected, it is tried again after
-// a while, from slow start on.
+// Load pattern: one backend server fails each request at once. It always looks
+// idle, so the load score sends it more than any other, and most of the fleet's
+// requests fail. One that is merely slow is left out mostly by its score, which
+// counts how much slower it is; ejection takes the rest. Ejected, it is tried
+// again after a while, from slow start on.
 func (t *Table) judge(now time.Time, b *backend, s Sample) {
 	h := &b.health
 	if s.Failed {
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -236,3 +236,51 @@
 		})
 	}
 }
+
+// Between two reports an entry sends 20 requests. Counted only by reports, all
+// would go to the backend server that was reported a little emptier.
+func TestOwnRequestsCountAtOnce(t *testing.T) {
+	x, table := NewWithT(t), newTable()
+	now := warm(table, report("a", "z1", 4), report("b", "z1", 5))
+	sent := make(map[string]int)
+	for range 20 {
+		c, _ := table.Pick(now, route.Query{Model: "m", Zone: "z1"})
+		table.Started(now, c.ID, route.Query{})
+		sent[c.ID]++
+	}
+	x.Expect(sent["b"]).To(BeNumerically("~", 9, 2))
+}
+
+// No report comes any more, from anybody: what was said long ago decides
+// nothing. If only one backend server is silent, it counts as full.
+func TestReportsAge(t *testing.T) {
+	for name, c := range map[string]struct {
+		last map[string]time.Duration
+		part float64
+	}{
+		"all silent": {part: 0.5},
+		"a silent":   {last: map[string]time.Duration{"b": time.Minute}, part: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x, table := NewWithT(t), newTable()
+			update := func(b route.Backend, at time.Duration) {
+				b.ReportAt = epoch.Add(at)
+				table.Update(b.ReportAt, b)
+			}
+			for _, at := range []time.Duration{0, time.Second, 2 * time.Second} {
+				update(report("a", "z1", 0), at)
+				update(report("b", "z1", 8), at)
+			}
+			for id, at := range c.last {
+				update(report(id, "z1", 8), at)
+			}
+			a := 0
+			for range 400 {
+				if c, _ := table.Pick(epoch.Add(time.Minute), route.Query{Model: "m", Zone: "z1"}); c.ID == "a" {
+					a++
+				}
+			}
+			x.Expect(float64(a) / 400).To(BeNumerically("~", c.part, 0.1))
+		})
+	}
+}
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -217,6 +217,8 @@
 func (n *node) child(name string, weight int) *node {
 	c := n.children[name]
 	if c == nil {
+		// A newcomer joins level with the one served last; idle nodes whose tag
+		// was lower than that are forgotten, so a known one is never lower.
 		c = &node{name: name, parent: n, tag: n.virtual}
 		if n.children == nil {
 			n.children = make(map[string]*node)
@@ -240,7 +242,6 @@
 	if n.place == placeOwing {
 		heap.Remove(&p.owing, n.index)
 	}
-	n.tag = max(n.tag, p.virtual)
 	n.place = placeActive
 	p.activeWeight += n.weight
 	heap.Push(&p.active, n)
