route, entry: shift callers to a new version as engines load it

Cause: a grant that moves to a new version found no engine that holds it and was refused until the first load; with a plain fallback to the old version all requests then went to the first engine that had the new one. Chosen: the part of the requests that shifts is the part of the engines that have loaded; a version that the bundle no longer lists is withdrawn and never falls back. Ruled out: waiting for all engines, since one that can't load would hold up the change.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -44,7 +44,7 @@
 	result, f := t.takeAll(ctx, a)
 	sample = t.sample(f)
 	if f == nil {
-		c.entry.remember(c.request)
+		c.entry.remember(c.request, c.version)
 	}
 	return result, f
 }
@@ -56,10 +56,6 @@
 		Model: r.Model, Version: r.Version, Adapter: r.Adapter, Service: r.Service,
 		Zone: e.Zone, Class: r.Class, Prefixes: r.Prefixes, Exclude: c.tried, Fingerprint: r.Fingerprint,
 	}
-	if c.delivered > 0 {
-		// The rest of an answer comes from the version that began it.
-		query.Version = c.version
-	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	query.Alone = c.alone || e.suspects.Check(now, r.Fingerprint) == retry.Suspect
@@ -68,14 +64,8 @@
 		query.Exclude = nil
 	}
 	c.alone = query.Alone
+	query.Version = c.pickVersion(query)
 	choice, ok := e.table.Pick(now, query)
-	if !ok && r.Service == "" {
-		// A version that is not loaded anywhere yet is answered by the one that served until now.
-		if previous := e.served[servedKey{caller: r.Caller, model: r.Model}]; previous != "" {
-			query.Version = previous
-			choice, ok = e.table.Pick(now, query)
-		}
-	}
 	if !ok {
 		e.Events.Warn(event.RouteNone).Str("request", r.ID).Str("model", r.Model).Str("version", r.Version).Str("service", r.Service).Msg("no backend server")
 		f := failed(sardinerock.CodeNoBackend, sardinerock.OutcomeNotRun, "no backend server can take the request now")
@@ -94,20 +84,69 @@
 // noBackendRetry is when to come back if nothing serves the model: a restarted backend server needs about that long.
 const noBackendRetry = 2 * time.Second
 
-// servedKey and Entry.served remember which version last answered a caller, for
-// the time between a new version's acceptance and its first load.
+// servedKey names a grant: a caller's use of a model.
 type servedKey struct {
 	caller string
 	model  string
 }
 
-func (e *Entry) remember(r *sardinerock.Request) {
+// pickVersion returns the version that answers, which is for a while the
+// previous one after a change. The rest of an answer comes from the version that
+// began it. Callers hold e.mu.
+func (c *course) pickVersion(query route.Query) string {
+	if c.delivered > 0 {
+		return c.version
+	}
+	e := c.entry
+	older := query
+	older.Version = e.previousVersion(c.request)
+	if older.Version == "" || older.Version == query.Version {
+		return query.Version
+	}
+	shift, complete := e.table.Shift(query, older, c.request.ID)
+	if complete {
+		e.served[servedKey{caller: c.request.Caller, model: c.request.Model}] = query.Version
+	}
+	if !shift {
+		return older.Version
+	}
+	return query.Version
+}
+
+// previousVersion returns the version that last answered the grant, if the
+// bundle in force still lists it. Callers hold e.mu.
+//
+// A bundle moves a caller from version 1 to version 2, and the weight store
+// needs two minutes until the first engine holds version 2. Refusing for two
+// minutes would turn each change of version into an outage. A bundle that
+// doesn't list version 1 any more has withdrawn it, though: then nothing may be
+// answered by it, and refusing is right.
+func (e *Entry) previousVersion(r *sardinerock.Request) string {
+	current := e.keeper.Current()
+	if r.Service != "" || current == nil {
+		return ""
+	}
+	previous := e.served[servedKey{caller: r.Caller, model: r.Model}]
+	for _, m := range current.Bundle.Models {
+		for _, v := range m.Versions {
+			if m.Name == r.Model && v.Name == previous {
+				return previous
+			}
+		}
+	}
+	return ""
+}
+
+// remember notes the version that answered; during a change that is left to pickVersion.
+func (e *Entry) remember(r *sardinerock.Request, version string) {
 	if r.Service != "" {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.served[servedKey{caller: r.Caller, model: r.Model}] = r.Version
+	if e.previousVersion(r) == "" {
+		e.served[servedKey{caller: r.Caller, model: r.Model}] = version
+	}
 }
 
 // frame builds the attempt's Start and notes it as in flight.
