--- a/member/bench_test.go
+++ b/member/bench_test.go
@@ -48,3 +48,11 @@
 		sink = t.Subset(SubsetSize)
 	}
 }
+// The cost of asking who may own shards, at the target's fleet; it is asked some twenty times a second.
+func BenchmarkLive(b *testing.B) {
+	t := &Tracker{Self: entries(1)[0]}
+	t.SetList(start, append(entries(370), sides(11000)...))
+	for b.Loop() {
+		t.Live(start)
+	}
+}
--- a/member/tracker.go
+++ b/member/tracker.go
@@ -45,6 +45,8 @@
 	// sorted keeps what Instances returns until the view changes.
 	sorted     map[sardinerock.Role][]sardinerock.Instance
 	sortedOf   uint64
+	live       []string
+	liveOf     uint64
 	generation uint64
 }
 
@@ -202,6 +204,9 @@
 func (t *Tracker) Unwatch(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if p := t.peers[id]; p != nil && p.state.Is(stateSuspected) {
+		t.wake()
+	}
 	delete(t.peers, id)
 }
 
@@ -338,7 +343,14 @@
 	defer t.mu.Unlock()
 	t.init()
 	t.tickLocked(now)
-	var ids []string
+	if t.live == nil || t.liveOf != t.generation {
+		t.live, t.liveOf = t.liveLocked(), t.generation
+	}
+	return slices.Clone(t.live)
+}
+
+func (t *Tracker) liveLocked() []string {
+	ids := []string{}
 	for id, x := range t.listed {
 		if x.Role == sardinerock.RoleEntry && t.usableLocked(id) {
 			ids = append(ids, id)
--- a/member/tracker_test.go
+++ b/member/tracker_test.go
@@ -45,6 +45,7 @@
 			}
 		}
 		p.t.Tick(p.now)
+		p.t.Live(p.now)
 	}
 }
 
@@ -97,6 +98,7 @@
 			p.run(time.Second, all)
 		}, 9},
 		"broken connection, no more":  {9, func(p *play) { p.run(time.Second, all); p.t.Silent(p.now, "e1"); p.t.Tick(p.now) }, 8},
+		"no longer watched":           {9, func(p *play) { p.run(3*time.Second, func(i int) bool { return i != 1 }); p.t.Unwatch("e1") }, 9},
 		"not on the list yet oneself": {9, func(p *play) { p.t.Self.ID = "new"; p.run(time.Second, all) }, 10},
 	} {
 		t.Run(name, func(t *testing.T) {
