Split bundle: strict reads documents, bundle has sections and signatures, order folds, config keeps

Entries use config.Keeper and config.Offer in place of bundle's; nothing else moved for other packages.

--- a/bundle/check.go
+++ b/bundle/check.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/strict"
 )
 
 // Bounds of single fields, wide enough for any use and tight enough to catch a slip of the hand.
@@ -19,16 +20,32 @@
 
 // checker looks at a bundle whose fields are already of the right kind.
 type checker struct {
-	r        *reader
+	d        *strict.Document
 	b        *sardinerock.Bundle
-	faults   []Fault
+	faults   []strict.Fault
 	models   map[string]*sardinerock.Model
 	services map[string]bool
 	teams    map[string]bool
 }
 
-func check(b *sardinerock.Bundle, r *reader) []Fault {
-	c := &checker{r: r, b: b, models: map[string]*sardinerock.Model{}, services: map[string]bool{}, teams: map[string]bool{}}
+// Parse reads a bundle in JSON or YAML and returns it, or every fault that it has.
+func Parse(raw []byte) (*sardinerock.Bundle, []strict.Fault) {
+	b := &sardinerock.Bundle{}
+	d := strict.Read(raw, b)
+	faults := d.Faults
+	if d.Readable {
+		// References are checked also when fields are at fault, so that one run of
+		// check shows everything; what a faulty field left empty is reported once.
+		faults = append(faults, check(b, d)...)
+	}
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return b, nil
+}
+
+func check(b *sardinerock.Bundle, d *strict.Document) []strict.Fault {
+	c := &checker{d: d, b: b, models: map[string]*sardinerock.Model{}, services: map[string]bool{}, teams: map[string]bool{}}
 	c.atLeast("basedOn", b.BasedOn, 0)
 	if len(b.Models) == 0 && len(b.Services) == 0 {
 		c.fault("models", "names neither a model nor a plain service", "a bundle serves at least one")
@@ -58,10 +75,10 @@
 
 // fault leaves out fields that the reader has reported already.
 func (c *checker) fault(path, message, hint string) {
-	if c.r.reported(path) {
+	if c.d.Reported(path) {
 		return
 	}
-	c.faults = append(c.faults, Fault{Path: path, Line: c.r.line(path), Message: message, Hint: hint})
+	c.faults = append(c.faults, strict.Fault{Path: path, Line: c.d.Line(path), Message: message, Hint: hint})
 }
 
 func (c *checker) name(path, name string, twice bool) {
--- a/bundle/content.go
+++ b/bundle/content.go
@@ -144,9 +144,10 @@
 }
 
 // Sections returns all sections of a bundle, the head first.
-func Sections(b *sardinerock.Bundle) []Section { return Split(b).sections() }
+func Sections(b *sardinerock.Bundle) []Section { return Split(b).All() }
 
-func (c *Content) sections() []Section {
+// All returns all sections, the head first.
+func (c *Content) All() []Section {
 	return append([]Section{c.Head, c.Models, c.Services, c.Batch}, c.Teams...)
 }
 
@@ -186,15 +187,15 @@
 // Digest returns the hash over the canonical form of all but the sign-offs.
 func Digest(b *sardinerock.Bundle) string { return Split(b).Digest() }
 
-// change is what differs between two contents.
-type change struct {
+// Change is what differs between two contents.
+type Change struct {
 	Changed []Section `json:"changed"`
 	Removed []string  `json:"removed,omitempty"`
 }
 
-// diff returns what makes next out of base; the head always differs by its basedOn.
-func diff(base, next *Content) change {
-	d := change{Changed: []Section{next.Head}}
+// Diff returns what makes next out of base; the head always differs by its basedOn.
+func Diff(base, next *Content) Change {
+	d := Change{Changed: []Section{next.Head}}
 	for _, p := range [][2]*Section{{&base.Models, &next.Models}, {&base.Services, &next.Services}, {&base.Batch, &next.Batch}} {
 		if p[0].Digest != p[1].Digest {
 			d.Changed = append(d.Changed, *p[1])
@@ -223,8 +224,8 @@
 	return d
 }
 
-// apply returns base changed by d, or an error if the parts don't hash to the digest.
-func apply(base *Content, d change, digest string, signOffs []sardinerock.SignOff) (*Content, error) {
+// Apply returns base changed by d, or an error if the parts don't hash to the digest.
+func Apply(base *Content, d Change, digest string, signOffs []sardinerock.SignOff) (*Content, error) {
 	c := &Content{Models: base.Models, Services: base.Services, Batch: base.Batch, SignOffs: signOffs}
 	teams := map[string]*Section{}
 	for i := range d.Changed {
@@ -289,8 +290,8 @@
 	return nil
 }
 
-// basedOn returns the version that the head names, or -1 when it does not read.
-func (c *Content) basedOn() int64 {
+// BasedOn returns the version that the head names, or -1 when it does not read.
+func (c *Content) BasedOn() int64 {
 	var h head
 	if err := json.Unmarshal(c.Head.Content, &h); err != nil {
 		return -1
--- a/bundle/replica.go
+++ b/bundle/replica.go
@@ -17,17 +17,6 @@
 	return []Section{c.Head, c.Models, c.Services, c.Batch, newSection(SectionSignOffs, c.SignOffs)}
 }
 
-// SideSections returns what sides need of the configuration in force, and its version and digest; nil when there is none.
-func (k *Keeper) SideSections() (sections []Section, version int64, digest string) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	// What is blocked here is not handed on either.
-	if k.current == nil || k.current.Version != k.state.Version {
-		return nil, 0, ""
-	}
-	return SideSections(k.state.Content), k.current.Version, k.current.Digest
-}
-
 // Want returns the digests of the sections held, for the one who has a newer version.
 func Want(have []Section) []string {
 	digests := make([]string, len(have))
@@ -114,7 +103,7 @@
 	if b.Version() != version {
 		return merry.Errorf("version %d is offered with the content of version %d", version, b.Version())
 	}
-	if err := verifySignOffs(digest, b.SignOffs, r.Signers, r.SignOffsNeeded); err != nil {
+	if err := VerifySignOffs(digest, b.SignOffs, r.Signers, r.SignOffsNeeded); err != nil {
 		return err
 	}
 	r.sections = sections
--- a/bundle/sign.go
+++ b/bundle/sign.go
@@ -48,12 +48,12 @@
 
 // Verify returns an error unless at least needed of the known signers have signed off the bundle.
 func Verify(b *sardinerock.Bundle, keys map[string]ed25519.PublicKey, needed int) error {
-	return verifySignOffs(Digest(b), b.SignOffs, keys, needed)
+	return VerifySignOffs(Digest(b), b.SignOffs, keys, needed)
 }
 
-// verifySignOffs refuses also a single wrong signature: it was made over
+// VerifySignOffs is Verify for a digest that is known already. It refuses also a single wrong signature: it was made over
 // another digest, so somebody believes that other content was signed off.
-func verifySignOffs(digest string, signOffs []sardinerock.SignOff, keys map[string]ed25519.PublicKey, needed int) error {
+func VerifySignOffs(digest string, signOffs []sardinerock.SignOff, keys map[string]ed25519.PublicKey, needed int) error {
 	valid := map[string]bool{}
 	for _, s := range signOffs {
 		key, ok := keys[s.Signer]
--- a/capa/bundle.go
+++ b/capa/bundle.go
@@ -11,7 +11,9 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/bundle"
+	"github.com/sardinerock/sardinerock/config"
 	"github.com/sardinerock/sardinerock/front"
+	"github.com/sardinerock/sardinerock/order"
 	"github.com/sardinerock/sardinerock/wire"
 )
 
@@ -72,8 +74,8 @@
 	return data
 }
 
-func (s *signer) keeper(l sardinerock.Log, process string) *bundle.Keeper {
-	return &bundle.Keeper{Log: l, Process: process, Signers: s.public, SignOffsNeeded: 1}
+func (s *signer) keeper(l sardinerock.Log, process string) *config.Keeper {
+	return &config.Keeper{Log: l, Process: process, Signers: s.public, SignOffsNeeded: 1}
 }
 
 // measureBundles gives what one change of one team costs, by the number of teams.
@@ -117,19 +119,19 @@
 		return err
 	}
 	first := k.State()
-	_, bytesBefore := l.last(bundle.Stream)
+	_, bytesBefore := l.last(order.Stream)
 	second := s.document(sampleBundle(1, teams, 601))
 	m.document = append(m.document, point{size, float64(len(second))})
 	if _, err := k.Publish(second, "ann"); err != nil {
 		return err
 	}
-	record, bytesAfter := l.last(bundle.Stream)
+	record, bytesAfter := l.last(order.Stream)
 	m.record = append(m.record, point{size, float64(bytesAfter - bytesBefore)})
 	// The records of the log are the platform's memory, and the first state's content is shared.
 	m.memory = append(m.memory, point{size, memory() - before - float64(bytesAfter)})
 
 	m.fold = append(m.fold, point{size, timed(func() {
-		next, _, _ := bundle.Fold(first, record)
+		next, _, _ := order.Fold(first, record)
 		if _, err := next.Content.Bundle(); err != nil {
 			panic(err)
 		}
@@ -160,7 +162,7 @@
 }
 
 // measureSide gives what the second version costs a side that has the first.
-func (m *bundlePoints) measureSide(s *signer, size float64, first, second *bundle.State) error {
+func (m *bundlePoints) measureSide(s *signer, size float64, first, second *order.State) error {
 	old := bundle.SideSections(first.Content)
 	missing := bundle.Missing(bundle.SideSections(second.Content), bundle.Want(old))
 	frame := &wire.Sections{Version: second.Version, Digest: second.Content.Digest()}
--- a/capa/spread.go
+++ b/capa/spread.go
@@ -11,6 +11,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/bundle"
+	"github.com/sardinerock/sardinerock/config"
 	"github.com/sardinerock/sardinerock/link"
 	"github.com/sardinerock/sardinerock/member"
 	"github.com/sardinerock/sardinerock/wire"
@@ -51,7 +52,7 @@
 type spreadFleet struct {
 	signer  *signer
 	log     *countingLog
-	keepers []*bundle.Keeper
+	keepers []*config.Keeper
 	nodes   []spreadNode
 	clients []*link.Client
 	bytes   atomic.Int64
@@ -95,7 +96,7 @@
 }
 
 // linkEntry gives an entry its links, and has it tell its sides of each version at once.
-func (f *spreadFleet) linkEntry(ctx context.Context, running *sync.WaitGroup, k *bundle.Keeper, sides []sardinerock.Instance) {
+func (f *spreadFleet) linkEntry(ctx context.Context, running *sync.WaitGroup, k *config.Keeper, sides []sardinerock.Instance) {
 	own := make([]*link.Client, 0, len(sides))
 	for _, x := range sides {
 		c := &link.Client{
@@ -135,7 +136,7 @@
 	})
 }
 
-func offered(k *bundle.Keeper, want *wire.WantSections) *wire.Sections {
+func offered(k *config.Keeper, want *wire.WantSections) *wire.Sections {
 	all, version, digest := k.SideSections()
 	if version < want.Version || version == 0 {
 		return nil
--- a/bundle/checkpoint.go
+++ b/config/checkpoint.go
@@ -1,4 +1,4 @@
-package bundle
+package config
 
 import (
 	"context"
@@ -12,6 +12,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/order"
 )
 
 // partBytes bounds one record of a checkpoint, well under what log services take.
@@ -21,7 +22,7 @@
 var errNoCheckpoint = errors.New("configuration: the log begins with a gap and no whole checkpoint bridges it")
 
 // readFromLog makes the state from the newest whole checkpoint and the records after it.
-func (k *Keeper) readFromLog(ctx context.Context) (*State, error) {
+func (k *Keeper) readFromLog(ctx context.Context) (*order.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, 4*callTimeout)
 	defer cancel()
 	s, err := k.newestCheckpoint(ctx)
@@ -29,10 +30,10 @@
 		return nil, err
 	}
 	if s == nil {
-		s = &State{}
+		s = &order.State{}
 	}
 	for {
-		records, err := k.Log.Read(ctx, Stream, s.Next, 0)
+		records, err := k.Log.Read(ctx, order.Stream, s.Next, 0)
 		if errors.Is(err, sardinerock.ErrLogGap) {
 			return nil, errNoCheckpoint
 		}
@@ -43,7 +44,7 @@
 			return s, nil
 		}
 		for _, r := range records {
-			s, _, _ = Fold(s, r)
+			s, _, _ = order.Fold(s, r)
 			k.noteRecord(r, s.Version)
 		}
 	}
@@ -51,8 +52,8 @@
 
 // newestCheckpoint looks backwards in ever longer steps, so that a start reads
 // the last checkpoint and not a day of them; nil when there is none.
-func (k *Keeper) newestCheckpoint(ctx context.Context) (*State, error) {
-	bounds, err := k.Log.Bounds(ctx, CheckpointStream)
+func (k *Keeper) newestCheckpoint(ctx context.Context) (*order.State, error) {
+	bounds, err := k.Log.Bounds(ctx, order.CheckpointStream)
 	if err != nil {
 		return nil, err
 	}
@@ -71,11 +72,11 @@
 }
 
 // checkpointFrom returns the newest whole checkpoint among the records of [from, until).
-func (k *Keeper) checkpointFrom(ctx context.Context, from, until int64) (*State, error) {
-	open := map[string][]*part{}
-	var newest *State
+func (k *Keeper) checkpointFrom(ctx context.Context, from, until int64) (*order.State, error) {
+	open := map[string][]*order.Part{}
+	var newest *order.State
 	for from < until {
-		records, err := k.Log.Read(ctx, CheckpointStream, from, 0)
+		records, err := k.Log.Read(ctx, order.CheckpointStream, from, 0)
 		if err != nil {
 			return nil, err
 		}
@@ -84,7 +85,7 @@
 		}
 		for _, r := range records {
 			from = r.Offset + 1
-			rec, err := decodeRecord(r.Data)
+			rec, err := order.DecodeRecord(r.Data)
 			if err != nil || rec.Part == nil {
 				continue
 			}
@@ -97,14 +98,14 @@
 }
 
 // collect adds a part and returns the state once all parts of its checkpoint are there.
-func collect(open map[string][]*part, p *part) *State {
+func collect(open map[string][]*order.Part, p *order.Part) *order.State {
 	const maxParts = 4096
 	if p.Count < 1 || p.Count > maxParts || p.Index < 0 || p.Index >= p.Count {
 		return nil
 	}
 	parts := open[p.ID]
 	if parts == nil {
-		parts = make([]*part, p.Count)
+		parts = make([]*order.Part, p.Count)
 		open[p.ID] = parts
 	}
 	if len(parts) != p.Count {
@@ -119,7 +120,7 @@
 		whole = append(whole, q.Data...)
 	}
 	delete(open, p.ID)
-	s, err := decodeState(whole)
+	s, err := order.DecodeState(whole)
 	if err != nil || s.Next != p.AsOf {
 		return nil
 	}
@@ -128,7 +129,7 @@
 
 // noteRecord remembers that some process has written a checkpoint.
 func (k *Keeper) noteRecord(r sardinerock.LogRecord, version int64) {
-	rec, err := decodeRecord(r.Data)
+	rec, err := order.DecodeRecord(r.Data)
 	if err != nil || rec.Checkpointed == nil {
 		return
 	}
@@ -169,25 +170,25 @@
 		return // All entries see the count pass at the same moment.
 	}
 	if err := k.writeCheckpoint(ctx, s); err != nil {
-		k.Events.Warn(event.Checkpointed).Str("stream", CheckpointStream).Err(err).Msg("checkpoint not written; another one follows")
+		k.Events.Warn(event.Checkpointed).Str("stream", order.CheckpointStream).Err(err).Msg("checkpoint not written; another one follows")
 		return
 	}
-	k.Events.Info(event.Checkpointed).Str("stream", CheckpointStream).Int64("version", s.Version).Int64("asOf", s.Next).Msg("checkpoint of the configuration written")
+	k.Events.Info(event.Checkpointed).Str("stream", order.CheckpointStream).Int64("version", s.Version).Int64("asOf", s.Next).Msg("checkpoint of the configuration written")
 }
 
 // writeCheckpoint gives up at the first failure: an incomplete checkpoint counts for nothing, and the next one is whole again.
-func (k *Keeper) writeCheckpoint(ctx context.Context, s *State) error {
-	data := encodeState(s)
+func (k *Keeper) writeCheckpoint(ctx context.Context, s *order.State) error {
+	data := order.EncodeState(s)
 	id := rand.Text()
 	count := (len(data) + partBytes - 1) / partBytes
 	for i := range count {
 		piece := data[i*partBytes : min(len(data), (i+1)*partBytes)]
-		r := record{Part: &part{ID: id, AsOf: s.Next, Index: i, Count: count, Data: piece}}
-		if err := k.append(ctx, CheckpointStream, encodeRecord(r)); err != nil {
+		r := order.Record{Part: &order.Part{ID: id, AsOf: s.Next, Index: i, Count: count, Data: piece}}
+		if err := k.append(ctx, order.CheckpointStream, order.EncodeRecord(r)); err != nil {
 			return merry.Prependf(err, "part %d of %d", i+1, count)
 		}
 	}
-	return k.append(ctx, Stream, encodeRecord(record{Checkpointed: &checkpointed{ID: id, AsOf: s.Next}}))
+	return k.append(ctx, order.Stream, order.EncodeRecord(order.Record{Checkpointed: &order.Checkpointed{ID: id, AsOf: s.Next}}))
 }
 
 func (k *Keeper) append(ctx context.Context, stream string, data []byte) error {
--- a/bundle/keeper.go
+++ b/config/keeper.go
@@ -1,4 +1,4 @@
-package bundle
+package config
 
 import (
 	"context"
@@ -11,7 +11,9 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/bundle"
 	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/order"
 )
 
 // Offer is a configuration that a peer has in force, with its place in the log's order.
@@ -45,7 +47,7 @@
 	CheckpointChanges int64
 
 	mu      sync.Mutex
-	state   *State
+	state   *order.State
 	current *sardinerock.ConfigSnapshot
 	// blocked is the version that the order accepted and this process's settings do not.
 	blocked int64
@@ -53,7 +55,7 @@
 	outage  bool
 	// offer is the encoded form of the state offered.
 	offers  sync.Mutex
-	offered *State
+	offered *order.State
 	offer   Offer
 	// The newest whole checkpoint that this process knows of.
 	checkpointAsOf    int64
@@ -120,14 +122,14 @@
 	}
 	if k.offered != s {
 		k.offered = s
-		k.offer = Offer{Version: s.Version, Digest: s.Content.Digest(), Next: s.Next, Raw: encodeState(s)}
+		k.offer = Offer{Version: s.Version, Digest: s.Content.Digest(), Next: s.Next, Raw: order.EncodeState(s)}
 	}
 	o := k.offer
 	return &o
 }
 
 // State returns what this process has folded, or nil before the start.
-func (k *Keeper) State() *State {
+func (k *Keeper) State() *order.State {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.state
@@ -139,7 +141,7 @@
 	if s := k.State(); s != nil && o.Version <= s.Version {
 		return nil
 	}
-	s, err := decodeState(o.Raw)
+	s, err := order.DecodeState(o.Raw)
 	if err != nil {
 		return merry.Prepend(err, "offer of a peer")
 	}
@@ -148,7 +150,7 @@
 	}
 	// A state that this process would refuse is not taken over either: the
 	// order of the log will bring the version again, and block it visibly.
-	if err := verifySignOffs(s.Content.Digest(), s.Content.SignOffs, k.Signers, k.SignOffsNeeded); err != nil {
+	if err := bundle.VerifySignOffs(s.Content.Digest(), s.Content.SignOffs, k.Signers, k.SignOffsNeeded); err != nil {
 		return merry.Prepend(err, "offer of a peer")
 	}
 	k.install(s, "peer")
@@ -156,7 +158,7 @@
 }
 
 // install takes a state over unless it is older than the present one in any respect.
-func (k *Keeper) install(s *State, source string) {
+func (k *Keeper) install(s *order.State, source string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	old := k.state
@@ -172,14 +174,14 @@
 }
 
 // enforceLocked brings a newer version into force in this process.
-func (k *Keeper) enforceLocked(s *State, source string) {
+func (k *Keeper) enforceLocked(s *order.State, source string) {
 	if s.Version == 0 {
 		return
 	}
 	// The order is a function of the records alone, or processes with other
 	// settings would come to other versions. So a version without the sign-offs
 	// that these settings ask for keeps its number, and is not run here.
-	if err := verifySignOffs(s.Content.Digest(), s.Content.SignOffs, k.Signers, k.SignOffsNeeded); err != nil {
+	if err := bundle.VerifySignOffs(s.Content.Digest(), s.Content.SignOffs, k.Signers, k.SignOffsNeeded); err != nil {
 		k.blocked = s.Version
 		k.Events.Error(event.BundleRejected).Int64("version", s.Version).Err(err).Msg("accepted version is not run here: sign-offs")
 		return
@@ -193,7 +195,7 @@
 	k.blocked = 0
 	k.current = &sardinerock.ConfigSnapshot{Bundle: b, Version: s.Version, Digest: s.Content.Digest(), Since: time.Now()}
 	k.Events.Info(event.BundleInForce).Int64("version", s.Version).Str("digest", k.current.Digest).
-		Str("operator", s.last().Operator).Str("source", source).Msg("configuration in force")
+		Str("operator", s.Last().Operator).Str("source", source).Msg("configuration in force")
 }
 
 // Run keeps the configuration up to date until ctx ends.
@@ -234,7 +236,7 @@
 	wait := orDefault(k.ReadWait, defaultReadWait)
 	readCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	records, err := k.Log.Read(readCtx, Stream, s.Next, wait)
+	records, err := k.Log.Read(readCtx, order.Stream, s.Next, wait)
 	if ctx.Err() != nil {
 		return
 	}
@@ -255,16 +257,16 @@
 }
 
 // foldAll folds on from s; a state taken from a peer in between is newer and stays.
-func (k *Keeper) foldAll(s *State, records []sardinerock.LogRecord) {
+func (k *Keeper) foldAll(s *order.State, records []sardinerock.LogRecord) {
 	for _, r := range records {
-		var v Verdict
-		var a Accepted
-		s, v, a = Fold(s, r)
+		var v order.Verdict
+		var a order.Accepted
+		s, v, a = order.Fold(s, r)
 		k.noteRecord(r, s.Version)
 		switch v {
-		case AcceptedNow:
+		case order.AcceptedNow:
 			k.Events.Info(event.BundleAccepted).Int64("version", a.Version).Str("operator", a.Operator).Int64("offset", r.Offset).Msg("bundle accepted by the log's order")
-		case Conflict, Voided:
+		case order.Conflict, order.Voided:
 			k.Events.Info(event.BundleRejected).Int64("inForce", s.Version).Str("winner", a.Operator).Int64("offset", r.Offset).Msg("proposal does not count")
 		}
 	}
@@ -306,10 +308,10 @@
 	k.outage = err != nil
 	k.mu.Unlock()
 	if err != nil && !was {
-		k.Events.Warn(event.LogOutage).Str("stream", Stream).Err(err).Msg("the log does not answer; the configuration in force stays")
+		k.Events.Warn(event.LogOutage).Str("stream", order.Stream).Err(err).Msg("the log does not answer; the configuration in force stays")
 	}
 	if err == nil && was {
-		k.Events.Info(event.LogBack).Str("stream", Stream).Msg("the log answers again")
+		k.Events.Info(event.LogBack).Str("stream", order.Stream).Msg("the log answers again")
 	}
 }
 
@@ -321,3 +323,14 @@
 	case <-t.C:
 	}
 }
+
+// SideSections returns what sides need of the configuration in force, and its version and digest; nil when there is none.
+func (k *Keeper) SideSections() (sections []bundle.Section, version int64, digest string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	// What is blocked here is not handed on either.
+	if k.current == nil || k.current.Version != k.state.Version {
+		return nil, 0, ""
+	}
+	return bundle.SideSections(k.state.Content), k.current.Version, k.current.Digest
+}
--- a/bundle/memlog_test.go
+++ b/config/memlog_test.go
@@ -1,4 +1,4 @@
-package bundle
+package config
 
 import (
 	"context"
--- a/bundle/publish.go
+++ b/config/publish.go
@@ -1,4 +1,4 @@
-package bundle
+package config
 
 import (
 	"context"
@@ -9,7 +9,10 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/bundle"
 	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/order"
+	"github.com/sardinerock/sardinerock/strict"
 )
 
 // retryAfterOutage is when an operator should come back to a log that is out.
@@ -26,12 +29,12 @@
 func (k *Keeper) Publish(raw []byte, operator string) (*sardinerock.ConfigSnapshot, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), orDefault(k.PublishTimeout, defaultPublishTimeout))
 	defer cancel()
-	b, faults := Parse(raw)
+	b, faults := bundle.Parse(raw)
 	if len(faults) > 0 {
 		return nil, refuseFaults(faults)
 	}
-	c := Split(b)
-	if err := verifySignOffs(c.Digest(), c.SignOffs, k.Signers, k.SignOffsNeeded); err != nil {
+	c := bundle.Split(b)
+	if err := bundle.VerifySignOffs(c.Digest(), c.SignOffs, k.Signers, k.SignOffsNeeded); err != nil {
 		return nil, notRun(sardinerock.CodeForbidden, err.Error(), 0)
 	}
 	s, err := k.catchUp(ctx, b.BasedOn)
@@ -47,14 +50,14 @@
 	}
 	base := s.Content
 	if base == nil {
-		base = &Content{}
+		base = &bundle.Content{}
 	}
-	p := &proposal{ID: rand.Text(), Operator: operator, BasedOn: b.BasedOn, Digest: c.Digest(), SignOffs: c.SignOffs, change: diff(base, c)}
+	p := &order.Proposal{ID: rand.Text(), Operator: operator, BasedOn: b.BasedOn, Digest: c.Digest(), SignOffs: c.SignOffs, Change: bundle.Diff(base, c)}
 	return k.decide(ctx, p)
 }
 
 // catchUp waits until this process has folded all that the log held when it was called.
-func (k *Keeper) catchUp(ctx context.Context, basedOn int64) (*State, error) {
+func (k *Keeper) catchUp(ctx context.Context, basedOn int64) (*order.State, error) {
 	s := k.State()
 	if s != nil && s.Version >= basedOn {
 		// If the base is older than the log's newest, the order will say so.
@@ -65,7 +68,7 @@
 		s := k.State()
 		if s != nil {
 			// Offsets have holes, so only an empty read tells that nothing is left.
-			records, err := k.Log.Read(ctx, Stream, s.Next, 0)
+			records, err := k.Log.Read(ctx, order.Stream, s.Next, 0)
 			if err != nil {
 				return nil, notRun(sardinerock.CodeLogUnavailable, "the log does not answer: "+err.Error(), retryAfterOutage)
 			}
@@ -82,20 +85,20 @@
 }
 
 // decide appends the proposal until the order shows what became of it.
-func (k *Keeper) decide(ctx context.Context, p *proposal) (*sardinerock.ConfigSnapshot, error) {
+func (k *Keeper) decide(ctx context.Context, p *order.Proposal) (*sardinerock.ConfigSnapshot, error) {
 	// The last third is for the withdrawal.
 	deadline, _ := ctx.Deadline()
 	appendCtx, cancel := context.WithDeadline(ctx, deadline.Add(-time.Until(deadline)/3))
 	defer cancel()
 	a := &appender{k: k, p: p}
-	verdict, winner := a.until(appendCtx, encodeRecord(record{Proposal: p}))
-	if verdict == Undecided && !a.maybeThere {
+	verdict, winner := a.until(appendCtx, order.EncodeRecord(order.Record{Proposal: p}))
+	if verdict == order.Undecided && !a.maybeThere {
 		return nil, notRun(sardinerock.CodeLogUnavailable, "the log takes no records", retryAfterOutage)
 	}
-	if verdict == Undecided {
-		verdict, winner = a.until(ctx, encodeRecord(record{Withdrawal: &withdrawal{ID: p.ID, BasedOn: p.BasedOn}}))
+	if verdict == order.Undecided {
+		verdict, winner = a.until(ctx, order.EncodeRecord(order.Record{Withdrawal: &order.Withdrawal{ID: p.ID, BasedOn: p.BasedOn}}))
 	}
-	if verdict == Undecided {
+	if verdict == order.Undecided {
 		k.Events.Warn(event.BundleRejected).Int64("basedOn", p.BasedOn).Str("operator", p.Operator).Msg("publishing given up, outcome unknown")
 		return nil, &sardinerock.Refusal{
 			Code: sardinerock.CodeLogUnavailable, Outcome: sardinerock.OutcomeUnknown, RetryAfter: retryAfterOutage,
@@ -108,20 +111,20 @@
 // appender repeats one record until the order has decided about a proposal.
 type appender struct {
 	k *Keeper
-	p *proposal
+	p *order.Proposal
 	// maybeThere is set once a copy of the proposal is or may be in the stream.
 	maybeThere bool
 }
 
-func (a *appender) until(ctx context.Context, data []byte) (Verdict, Accepted) {
+func (a *appender) until(ctx context.Context, data []byte) (order.Verdict, order.Accepted) {
 	acked := false
 	for {
 		changed := a.k.Changed()
-		if v, w := a.k.State().Resolve(a.p.ID, a.p.BasedOn, a.p.Digest); v != Undecided {
+		if v, w := a.k.State().Resolve(a.p.ID, a.p.BasedOn, a.p.Digest); v != order.Undecided {
 			return v, w
 		}
 		if !acked {
-			err := a.k.append(ctx, Stream, data)
+			err := a.k.append(ctx, order.Stream, data)
 			acked = err == nil
 			if !errors.Is(err, sardinerock.ErrLogRefused) {
 				a.maybeThere = true
@@ -140,17 +143,17 @@
 }
 
 // answer turns the order's verdict into what the operator sees.
-func (k *Keeper) answer(v Verdict, a Accepted, basedOn int64, maybeThere bool) (*sardinerock.ConfigSnapshot, error) {
+func (k *Keeper) answer(v order.Verdict, a order.Accepted, basedOn int64, maybeThere bool) (*sardinerock.ConfigSnapshot, error) {
 	current := k.Current()
 	switch {
-	case v == Same && current != nil && current.Version == a.Version:
+	case v == order.Same && current != nil && current.Version == a.Version:
 		return current, nil
-	case v == Same:
+	case v == order.Same:
 		return nil, &sardinerock.Refusal{
 			Code: sardinerock.CodeVersionConflict, Outcome: sardinerock.OutcomeRan,
 			Message: fmt.Sprintf("this bundle was accepted as version %d from %q and has been replaced since; in force here is version %d", a.Version, a.Operator, versionOf(current)),
 		}
-	case v == Voided:
+	case v == order.Voided:
 		return nil, notRun(sardinerock.CodeLogUnavailable, "the log did not confirm in time, and the proposal was withdrawn", retryAfterOutage)
 	case a.ID == "" && maybeThere:
 		return nil, &sardinerock.Refusal{
@@ -176,7 +179,7 @@
 // maxFaultsShown bounds the refusal's text; `sardinerock check` shows all.
 const maxFaultsShown = 20
 
-func refuseFaults(faults []Fault) *sardinerock.Refusal {
+func refuseFaults(faults []strict.Fault) *sardinerock.Refusal {
 	lines := make([]string, 0, len(faults))
 	for _, f := range faults[:min(len(faults), maxFaultsShown)] {
 		lines = append(lines, f.String())
--- /dev/null
+++ b/config/sign_test.go
@@ -0,0 +1,51 @@
+package config
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/bundle"
+)
+
+// A bundle without the sign-offs that the settings ask for must not come into
+// force, whichever way it lacks them.
+func TestSignOffs(t *testing.T) {
+	g := NewWithT(t)
+	public, private, err := bundle.GenerateKey()
+	g.Expect(err).NotTo(HaveOccurred())
+	annPublic, err := bundle.ParsePublicKey(public)
+	g.Expect(err).NotTo(HaveOccurred())
+	ann, err := bundle.ParsePrivateKey(private)
+	g.Expect(err).NotTo(HaveOccurred())
+	l := &memLog{}
+	k := &Keeper{Log: l, Signers: map[string]ed25519.PublicKey{"ann": annPublic, "bob": annPublic}, SignOffsNeeded: 1}
+	run(t, k)
+	b := sample(0, "", 1)
+	signed := bundle.Sign(b, "ann", ann)
+	for name, offs := range map[string][]sardinerock.SignOff{
+		"missing":              nil,
+		"over another digest":  {bundle.Sign(sample(0, "other", 1), "ann", ann)},
+		"of somebody unknown":  {{Signer: "eve", Signature: signed.Signature}},
+		"not base64":           {{Signer: "ann", Signature: "?"}},
+		"one right, one wrong": {signed, {Signer: "bob", Signature: base64.StdEncoding.EncodeToString(make([]byte, 64))}},
+	} {
+		b.SignOffs = offs
+		_, err = k.Publish(raw(b), "ann")
+		g.Expect(err).To(HaveOccurred(), name)
+		expectRefusal(g, err, sardinerock.CodeForbidden, sardinerock.OutcomeNotRun)
+	}
+	b.SignOffs = []sardinerock.SignOff{signed, bundle.Sign(b, "bob", ann)}
+	g.Expect(bundle.Verify(b, k.Signers, 2)).NotTo(Succeed(), "one key under two names is one sign-off")
+	_, err = k.Publish(raw(b), "ann")
+	g.Expect(err).NotTo(HaveOccurred())
+
+	// A process with other settings keeps out what the order accepted, and shows it.
+	strict := &Keeper{Log: l, Signers: k.Signers, SignOffsNeeded: 2}
+	run(t, strict)
+	g.Eventually(strict.Blocked, "5s").Should(Equal(int64(1)))
+	g.Expect(strict.Current()).To(BeNil())
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,7 +14,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/admit"
-	"github.com/sardinerock/sardinerock/bundle"
+	"github.com/sardinerock/sardinerock/config"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/front"
 	"github.com/sardinerock/sardinerock/jobs"
@@ -60,7 +60,7 @@
 	// AppendBudget is the appends a second that the whole fleet may make.
 	AppendBudget float64
 
-	keeper  *bundle.Keeper
+	keeper  *config.Keeper
 	manager *jobs.Manager
 	front   *front.Server
 	tracker *member.Tracker
@@ -133,7 +133,7 @@
 	e.peers = make(map[string]*peer)
 	e.served = make(map[servedKey]string)
 	e.metrics = metrics.NewRegistry()
-	e.keeper = &bundle.Keeper{
+	e.keeper = &config.Keeper{
 		Log:            e.Log,
 		Process:        e.ID,
 		Signers:        e.Signers,
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -15,7 +15,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/admit"
-	"github.com/sardinerock/sardinerock/bundle"
+	"github.com/sardinerock/sardinerock/config"
 	"github.com/sardinerock/sardinerock/member"
 	"github.com/sardinerock/sardinerock/wire"
 )
@@ -219,7 +219,7 @@
 }
 
 // offers asks the peers for their configuration, for a start while the log is out.
-func (e *Entry) offers(ctx context.Context) []bundle.Offer {
+func (e *Entry) offers(ctx context.Context) []config.Offer {
 	e.mu.Lock()
 	peers := make([]*peer, 0, len(e.peers))
 	for _, p := range e.peers {
@@ -227,7 +227,7 @@
 	}
 	e.mu.Unlock()
 	var mu sync.Mutex
-	var offers []bundle.Offer
+	var offers []config.Offer
 	var asked sync.WaitGroup
 	for _, p := range peers {
 		asked.Go(func() {
@@ -237,7 +237,7 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			offers = append(offers, bundle.Offer{
+			offers = append(offers, config.Offer{
 				Version: pong.ConfigVersion, Digest: pong.ConfigDigest, Next: pong.BundleOffset, Raw: pong.Bundle,
 			})
 		})
--- a/bundle/fold.go
+++ b/order/fold.go
@@ -1,10 +1,11 @@
-package bundle
+package order
 
 import (
 	"maps"
 	"slices"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/bundle"
 )
 
 // State is what the records of the stream before Next have decided. It is never changed once made.
@@ -14,7 +15,7 @@
 	// Next is the offset from which folding goes on.
 	Next int64
 	// Content is nil at version 0.
-	Content *Content
+	Content *bundle.Content
 	// Recent holds the last accepted bundles, the newest last.
 	Recent []Accepted
 	// Void holds ids of proposals that must not count, each with the version that it is based on.
@@ -65,7 +66,7 @@
 	}
 	n := *s
 	n.Next = r.Offset + 1
-	rec, err := decodeRecord(r.Data)
+	rec, err := DecodeRecord(r.Data)
 	if err != nil {
 		return &n, Ignored, Accepted{}
 	}
@@ -79,7 +80,7 @@
 	return &n, Ignored, Accepted{}
 }
 
-func (s *State) propose(p *proposal, offset int64) (Verdict, Accepted) {
+func (s *State) propose(p *Proposal, offset int64) (Verdict, Accepted) {
 	if v, a := s.Resolve(p.ID, p.BasedOn, p.Digest); v != Undecided {
 		return v, a
 	}
@@ -87,16 +88,16 @@
 		// A base that does not exist yet: were the record only skipped, a late
 		// copy of it would be accepted once that version is there.
 		s.void(p.ID, p.BasedOn)
-		return Conflict, s.last()
+		return Conflict, s.Last()
 	}
 	base := s.Content
 	if base == nil {
-		base = &Content{}
+		base = &bundle.Content{}
 	}
-	content, err := apply(base, p.change, p.Digest, p.SignOffs)
-	if err != nil || content.basedOn() != p.BasedOn {
+	content, err := bundle.Apply(base, p.Change, p.Digest, p.SignOffs)
+	if err != nil || content.BasedOn() != p.BasedOn {
 		s.void(p.ID, p.BasedOn)
-		return Voided, s.last()
+		return Voided, s.Last()
 	}
 	s.Version++
 	s.Content = content
@@ -106,7 +107,7 @@
 	return AcceptedNow, a
 }
 
-func (s *State) withdraw(w *withdrawal) {
+func (s *State) withdraw(w *Withdrawal) {
 	if w.BasedOn >= s.Version {
 		s.void(w.ID, w.BasedOn)
 	}
@@ -128,7 +129,8 @@
 	maps.DeleteFunc(s.Void, func(_ string, basedOn int64) bool { return basedOn < s.Version })
 }
 
-func (s *State) last() Accepted {
+// Last returns the proposal that made the version in force.
+func (s *State) Last() Accepted {
 	if len(s.Recent) == 0 {
 		return Accepted{}
 	}
@@ -139,7 +141,7 @@
 // once its base's successor is there, no copy of it can ever count.
 func (s *State) Resolve(id string, basedOn int64, digest string) (Verdict, Accepted) {
 	if _, ok := s.Void[id]; ok {
-		return Voided, s.last()
+		return Voided, s.Last()
 	}
 	if basedOn >= s.Version {
 		return Undecided, Accepted{}
--- a/bundle/record.go
+++ b/order/record.go
@@ -1,4 +1,4 @@
-package bundle
+package order
 
 import (
 	"bytes"
@@ -9,6 +9,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/bundle"
 )
 
 // Streams of the log service that this package writes.
@@ -22,40 +23,40 @@
 // recordFormat is the version of the records' encoding.
 const recordFormat = 1
 
-// record is one record of either stream; exactly one of its parts is set.
-type record struct {
+// Record is one record of either stream; exactly one of its parts is set.
+type Record struct {
 	Format       int           `json:"format"`
-	Proposal     *proposal     `json:"proposal,omitempty"`
-	Withdrawal   *withdrawal   `json:"withdrawal,omitempty"`
-	Checkpointed *checkpointed `json:"checkpointed,omitempty"`
-	Part         *part         `json:"part,omitempty"`
+	Proposal     *Proposal     `json:"proposal,omitempty"`
+	Withdrawal   *Withdrawal   `json:"withdrawal,omitempty"`
+	Checkpointed *Checkpointed `json:"checkpointed,omitempty"`
+	Part         *Part         `json:"part,omitempty"`
 }
 
-// proposal asks for a new version; it carries only what differs from its base.
-type proposal struct {
+// Proposal asks for a new version; it carries only what differs from its base.
+type Proposal struct {
 	// ID is the same in every copy of the record.
 	ID       string                `json:"id"`
 	Operator string                `json:"operator"`
 	BasedOn  int64                 `json:"basedOn"`
 	Digest   string                `json:"digest"`
 	SignOffs []sardinerock.SignOff `json:"signOffs,omitempty"`
-	change
+	bundle.Change
 }
 
-// withdrawal makes a proposal void that comes after it.
-type withdrawal struct {
+// Withdrawal makes a proposal void that comes after it.
+type Withdrawal struct {
 	ID      string `json:"id"`
 	BasedOn int64  `json:"basedOn"`
 }
 
-// checkpointed tells all entries that a whole checkpoint is in the other stream.
-type checkpointed struct {
+// Checkpointed tells all entries that a whole checkpoint is in the other stream.
+type Checkpointed struct {
 	ID   string `json:"id"`
 	AsOf int64  `json:"asOf"`
 }
 
-// part is one piece of a checkpoint, which counts only once all pieces are there.
-type part struct {
+// Part is one piece of a checkpoint, which counts only once all pieces are there.
+type Part struct {
 	ID    string `json:"id"`
 	AsOf  int64  `json:"asOf"`
 	Index int    `json:"index"`
@@ -63,7 +64,8 @@
 	Data  []byte `json:"data"`
 }
 
-func encodeRecord(r record) []byte {
+// EncodeRecord returns the form of a record in the log.
+func EncodeRecord(r Record) []byte {
 	r.Format = recordFormat
 	data, err := json.Marshal(r)
 	if err != nil {
@@ -73,8 +75,9 @@
 	return data
 }
 
-func decodeRecord(data []byte) (*record, error) {
-	r := &record{}
+// DecodeRecord reads a record of the log.
+func DecodeRecord(data []byte) (*Record, error) {
+	r := &Record{}
 	if err := json.Unmarshal(data, r); err != nil {
 		return nil, merry.Prepend(err, "configuration record")
 	}
@@ -92,14 +95,14 @@
 	Recent   []Accepted            `json:"recent"`
 	Void     map[string]int64      `json:"void,omitempty"`
 	SignOffs []sardinerock.SignOff `json:"signOffs,omitempty"`
-	Sections []Section             `json:"sections"`
+	Sections []bundle.Section      `json:"sections"`
 }
 
 // maxImage bounds what a peer or a checkpoint may unpack to.
 const maxImage = 256 << 20
 
-// encodeState packs a state for a checkpoint or a peer.
-func encodeState(s *State) []byte {
+// EncodeState packs a state for a checkpoint or a peer.
+func EncodeState(s *State) []byte {
 	var out bytes.Buffer
 	// The fastest level: the hashes of the callers' keys are most of the text, and do not pack at any.
 	w, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
@@ -115,8 +118,8 @@
 	return out.Bytes()
 }
 
-// decodeState checks the hashes on the way: a damaged image is an error, never a configuration.
-func decodeState(data []byte) (*State, error) {
+// DecodeState checks the hashes on the way: a damaged image is an error, never a configuration.
+func DecodeState(data []byte) (*State, error) {
 	r, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
 		return nil, merry.Prepend(err, "configuration image")
@@ -132,7 +135,7 @@
 	m := image{Version: s.Version, Next: s.Next, Recent: s.Recent, Void: s.Void}
 	if s.Content != nil {
 		m.Digest, m.SignOffs = s.Content.Digest(), s.Content.SignOffs
-		m.Sections = s.Content.sections()
+		m.Sections = s.Content.All()
 		for i := range m.Sections {
 			m.Sections[i].Digest = ""
 		}
@@ -153,7 +156,7 @@
 	if m.Version == 0 {
 		return s, nil
 	}
-	content, err := apply(&Content{}, change{Changed: m.Sections}, m.Digest, m.SignOffs)
+	content, err := bundle.Apply(&bundle.Content{}, bundle.Change{Changed: m.Sections}, m.Digest, m.SignOffs)
 	if err != nil {
 		return nil, merry.Prepend(err, "configuration image")
 	}
--- a/bundle/parse.go
+++ b/strict/strict.go
@@ -1,4 +1,4 @@
-package bundle
+package strict
 
 import (
 	"fmt"
@@ -8,13 +8,11 @@
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
-
-	"github.com/sardinerock/sardinerock"
 )
 
-// Fault is one thing that is wrong with a bundle.
+// Fault is one thing that is wrong with a document.
 type Fault struct {
-	// Path is the field, for example callers[2].grants[0].model.
+	// Path is the field, for example callers[2].grants[0].model; "document" stands for the whole.
 	Path string `json:"path"`
 	// Line counts from 1; 0 when it isn't known.
 	Line    int    `json:"line"`
@@ -32,10 +30,10 @@
 	return text + " (" + f.Hint + ")"
 }
 
-// MaxBytes bounds a bundle's document.
+// MaxBytes bounds a document.
 const MaxBytes = 8 << 20
 
-// maxDepth bounds nesting; the deepest field of a bundle is at 6.
+// maxDepth bounds nesting.
 const maxDepth = 16
 
 // maxOpen bounds the brackets and list marks that are open at once.
@@ -68,35 +66,38 @@
 	return false
 }
 
-// Parse reads a bundle in JSON or YAML and returns it, or every fault that it has.
-func Parse(raw []byte) (*sardinerock.Bundle, []Fault) {
+// whole is the path of faults that concern the document as such.
+const whole = "document"
+
+// Read copies a document in JSON or YAML into the struct that into points to,
+// by the names of its json tags, and returns every fault that it meets. What
+// was at fault stays empty.
+func Read(raw []byte, into any) *Document {
+	d := &Document{lines: map[string]int{}, unread: map[string]bool{}}
 	if len(raw) > MaxBytes {
-		return nil, []Fault{{Path: "bundle", Message: "document is too large", Hint: fmt.Sprintf("at most %d bytes", MaxBytes)}}
+		d.Faults = []Fault{{Path: whole, Message: "is too large", Hint: fmt.Sprintf("at most %d bytes", MaxBytes)}}
+		return d
 	}
 	if tooDeep(raw) {
-		return nil, []Fault{{Path: "bundle", Line: 1, Message: "nested too deeply", Hint: "no field lies deeper than 6"}}
+		d.Faults = []Fault{{Path: whole, Line: 1, Message: "nested too deeply"}}
+		return d
 	}
 	file, err := parser.ParseBytes(raw, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
-		return nil, []Fault{syntaxFault(err)}
+		d.Faults = []Fault{syntaxFault(err)}
+		return d
 	}
 	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
-		return nil, []Fault{{Path: "bundle", Line: 1, Message: "want exactly one document"}}
-	}
-	b := &sardinerock.Bundle{}
-	r := &reader{lines: map[string]int{}}
-	r.read(reflect.ValueOf(b).Elem(), file.Docs[0].Body, "", 0)
-	// References are checked also when fields are at fault, so that one run of
-	// check shows everything; what a faulty field left empty is reported once.
-	r.faults = append(r.faults, check(b, r)...)
-	if len(r.faults) > 0 {
-		return nil, r.faults
+		d.Faults = []Fault{{Path: whole, Line: 1, Message: "want exactly one document"}}
+		return d
 	}
-	return b, nil
+	d.Readable = true
+	d.read(reflect.ValueOf(into).Elem(), file.Docs[0].Body, "", 0)
+	return d
 }
 
 func syntaxFault(err error) Fault {
-	f := Fault{Path: "bundle", Line: 1, Message: "not JSON or YAML: " + err.Error()}
+	f := Fault{Path: whole, Line: 1, Message: "not JSON or YAML: " + err.Error()}
 	if e, ok := err.(yaml.Error); ok { //nolint:errorlint // the parser returns its own type unwrapped
 		f.Message = "not JSON or YAML: " + e.GetMessage()
 		if t := e.GetToken(); t != nil {
@@ -106,18 +107,21 @@
 	return f
 }
 
-// reader copies a parsed document into plain structs and notes faults and lines.
-type reader struct {
-	faults []Fault
-	lines  map[string]int
+// Document is what was read, with the places of its fields.
+type Document struct {
+	Faults []Fault
+	// Readable is false when the document as a whole is no JSON or YAML.
+	Readable bool
+
+	lines map[string]int
 	// unread holds the paths that were there but at fault.
 	unread map[string]bool
 }
 
-// line returns the line of the field, or of the nearest one around it.
-func (r *reader) line(path string) int {
+// Line returns the line of the field, or of the nearest one around it.
+func (d *Document) Line(path string) int {
 	for path != "" {
-		if n, ok := r.lines[path]; ok {
+		if n, ok := d.lines[path]; ok {
 			return n
 		}
 		path = parent(path)
@@ -125,10 +129,10 @@
 	return 1
 }
 
-// reported tells whether the field, or one around it, was at fault already.
-func (r *reader) reported(path string) bool {
+// Reported tells whether the field, or one around it, was at fault already.
+func (d *Document) Reported(path string) bool {
 	for path != "" {
-		if r.unread[path] {
+		if d.unread[path] {
 			return true
 		}
 		path = parent(path)
@@ -138,49 +142,46 @@
 
 func parent(path string) string { return path[:max(strings.LastIndexAny(path, ".["), 0)] }
 
-func (r *reader) fault(path string, message, hint string) {
-	if r.unread == nil {
-		r.unread = map[string]bool{}
-	}
-	r.unread[path] = true
+func (d *Document) fault(path string, message, hint string) {
+	d.unread[path] = true
 	name := path
 	if name == "" {
-		name = "bundle"
+		name = whole
 	}
-	r.faults = append(r.faults, Fault{Path: name, Line: r.line(path), Message: message, Hint: hint})
+	d.Faults = append(d.Faults, Fault{Path: name, Line: d.Line(path), Message: message, Hint: hint})
 }
 
-func (r *reader) read(v reflect.Value, n ast.Node, path string, depth int) {
+func (d *Document) read(v reflect.Value, n ast.Node, path string, depth int) {
 	if depth > maxDepth {
-		r.fault(path, "nested too deeply", "")
+		d.fault(path, "nested too deeply", "")
 		return
 	}
-	if t := n.GetToken(); t != nil && r.lines[path] == 0 {
-		r.lines[path] = t.Position.Line
+	if t := n.GetToken(); t != nil && d.lines[path] == 0 {
+		d.lines[path] = t.Position.Line
 	}
 	switch v.Kind() {
 	case reflect.Struct:
-		r.readStruct(v, n, path, depth)
+		d.readStruct(v, n, path, depth)
 	case reflect.Slice:
-		r.readSlice(v, n, path, depth)
+		d.readSlice(v, n, path, depth)
 	case reflect.String:
-		r.readString(v, n, path)
+		d.readString(v, n, path)
 	case reflect.Int, reflect.Int64:
-		r.readInt(v, n, path)
+		d.readInt(v, n, path)
 	case reflect.Bool:
 		b, ok := n.(*ast.BoolNode)
 		if !ok {
-			r.fault(path, "want true or false, have "+kind(n), "")
+			d.fault(path, "want true or false, have "+kind(n), "")
 			return
 		}
 		v.SetBool(b.Value)
 	}
 }
 
-func (r *reader) readStruct(v reflect.Value, n ast.Node, path string, depth int) {
+func (d *Document) readStruct(v reflect.Value, n ast.Node, path string, depth int) {
 	pairs, ok := mapping(n)
 	if !ok {
-		r.fault(path, "want an object, have "+kind(n), "fields: "+strings.Join(fieldNames(v.Type()), ", "))
+		d.fault(path, "want an object, have "+kind(n), "fields: "+strings.Join(fieldNames(v.Type()), ", "))
 		return
 	}
 	seen := map[string]bool{}
@@ -190,37 +191,37 @@
 		if path != "" {
 			at = path + "." + name
 		}
-		if t := p.Key.GetToken(); t != nil && r.lines[at] == 0 {
-			r.lines[at] = t.Position.Line
+		if t := p.Key.GetToken(); t != nil && d.lines[at] == 0 {
+			d.lines[at] = t.Position.Line
 		}
 		i, known := fieldIndex(v.Type(), name)
 		switch {
 		case !known:
-			r.fault(at, "unknown field", nearest(name, fieldNames(v.Type())))
+			d.fault(at, "unknown field", nearest(name, fieldNames(v.Type())))
 		case seen[name]:
-			r.lines[at] = p.Key.GetToken().Position.Line
-			r.fault(at, "field stands twice", "")
+			d.lines[at] = p.Key.GetToken().Position.Line
+			d.fault(at, "field stands twice", "")
 		default:
-			r.read(v.Field(i), p.Value, at, depth+1)
+			d.read(v.Field(i), p.Value, at, depth+1)
 		}
 		seen[name] = true
 	}
 }
 
-func (r *reader) readSlice(v reflect.Value, n ast.Node, path string, depth int) {
+func (d *Document) readSlice(v reflect.Value, n ast.Node, path string, depth int) {
 	list, ok := n.(*ast.SequenceNode)
 	if !ok {
-		r.fault(path, "want a list, have "+kind(n), "")
+		d.fault(path, "want a list, have "+kind(n), "")
 		return
 	}
 	out := reflect.MakeSlice(v.Type(), len(list.Values), len(list.Values))
 	for i, e := range list.Values {
-		r.read(out.Index(i), e, fmt.Sprintf("%s[%d]", path, i), depth+1)
+		d.read(out.Index(i), e, fmt.Sprintf("%s[%d]", path, i), depth+1)
 	}
 	v.Set(out)
 }
 
-func (r *reader) readString(v reflect.Value, n ast.Node, path string) {
+func (d *Document) readString(v reflect.Value, n ast.Node, path string) {
 	switch s := n.(type) {
 	case *ast.StringNode:
 		v.SetString(s.Value)
@@ -228,14 +229,14 @@
 		v.SetString(s.Value.Value)
 	default:
 		// In YAML a version named 1.10 would silently become the number 1.1.
-		r.fault(path, "want text, have "+kind(n), "put it in quotes")
+		d.fault(path, "want text, have "+kind(n), "put it in quotes")
 	}
 }
 
-func (r *reader) readInt(v reflect.Value, n ast.Node, path string) {
+func (d *Document) readInt(v reflect.Value, n ast.Node, path string) {
 	i, ok := n.(*ast.IntegerNode)
 	if !ok {
-		r.fault(path, "want a whole number, have "+kind(n), "")
+		d.fault(path, "want a whole number, have "+kind(n), "")
 		return
 	}
 	switch x := i.Value.(type) {
@@ -243,12 +244,12 @@
 		v.SetInt(x)
 	case uint64:
 		if x > 1<<62 {
-			r.fault(path, "number is too large", "")
+			d.fault(path, "number is too large", "")
 			return
 		}
 		v.SetInt(int64(x))
 	default:
-		r.fault(path, "number is too large", "")
+		d.fault(path, "number is too large", "")
 	}
 }
 
