--- a/capa/adapter.go
+++ b/capa/batch/adapter.go
@@ -1,4 +1,4 @@
-package main
+package batch
 
 import (
 	"context"
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sardinerock/sardinerock/capa/meter"
+	"github.com/sardinerock/sardinerock/capa/sample"
 	"github.com/sardinerock/sardinerock/fakes"
 	"github.com/sardinerock/sardinerock/remote"
 )
@@ -23,11 +25,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return counted{conn, &l.bytes}, nil
+	return sample.Count(conn, &l.bytes), nil
 }
 
-// measureLog gives what the adapter of the log service adds to a read or an append, by the record's length.
-func measureLog(r *report) error {
+// Adapter gives what the adapter of the log service adds to a read or an append, by the record's length.
+func Adapter(r *meter.Report) error {
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -38,7 +40,7 @@
 	defer func() { _ = server.Close() }()
 	log := &remote.Log{Sender: remote.Sender{URL: "http://" + raw.Addr().String()}}
 	ctx := context.Background()
-	var appendBytes, readBytes, readCPU []point
+	var appendBytes, readBytes, readCPU []meter.Point
 	const calls = 200
 	for _, size := range []int{0, 1451, 15000} {
 		next := int64(0)
@@ -48,18 +50,18 @@
 				return err
 			}
 		}
-		appendBytes = append(appendBytes, point{float64(size), float64(listener.bytes.Load()-before) / calls})
-		before, used := listener.bytes.Load(), cpu()
+		appendBytes = append(appendBytes, meter.At(float64(size), float64(listener.bytes.Load()-before)/calls))
+		before, used := listener.bytes.Load(), meter.CPU()
 		for range calls {
 			if _, err := log.Read(ctx, "s", next, 0); err != nil {
 				return err
 			}
 		}
-		readBytes = append(readBytes, point{float64(size), float64(listener.bytes.Load()-before) / calls})
-		readCPU = append(readCPU, point{float64(size), float64((cpu() - used).Microseconds()) / calls})
+		readBytes = append(readBytes, meter.At(float64(size), float64(listener.bytes.Load()-before)/calls))
+		readCPU = append(readCPU, meter.At(float64(size), float64((meter.CPU()-used).Microseconds())/calls))
 	}
-	r.slope("append through the log's adapter: bytes, both directions", "B", "byte of the record", appendBytes...)
-	r.slope("read of one record through the log's adapter: bytes, both directions", "B", "byte of the record", readBytes...)
-	r.slope("read of one record through the log's adapter: CPU, both ends", "us", "byte of the record", readCPU...)
+	r.Slope("append through the log's adapter: bytes, both directions", "B", "byte of the record", appendBytes...)
+	r.Slope("read of one record through the log's adapter: bytes, both directions", "B", "byte of the record", readBytes...)
+	r.Slope("read of one record through the log's adapter: CPU, both ends", "us", "byte of the record", readCPU...)
 	return nil
 }
--- /dev/null
+++ b/capa/batch/doc.go
@@ -0,0 +1,2 @@
+// Package batch measures what items, jobs and shards cost, and the adapter of the log.
+package batch
--- a/capa/jobs.go
+++ b/capa/batch/jobs.go
@@ -1,4 +1,4 @@
-package main
+package batch
 
 import (
 	"context"
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/capa/meter"
+	"github.com/sardinerock/sardinerock/capa/sample"
 	"github.com/sardinerock/sardinerock/jobs"
 	"github.com/sardinerock/sardinerock/stream"
 )
@@ -52,18 +54,18 @@
 
 // jobOwner is one entry's batch work, with a log that counts.
 type jobOwner struct {
-	log     *countingLog
+	log     *sample.Log
 	runner  *steadyRunner
 	manager *jobs.Manager
 	stop    func()
 }
 
 func startJobs(shards int, takes time.Duration, budget float64, checkpointEvery time.Duration) *jobOwner {
-	o := &jobOwner{log: newCountingLog(), runner: &steadyRunner{takes: takes}}
+	o := &jobOwner{log: sample.NewLog(), runner: &steadyRunner{takes: takes}}
 	o.manager = &jobs.Manager{
 		Log: o.log, Runner: o.runner, EntryID: "entry-1", Shards: shards, AppendsPerSecond: budget,
 		CheckpointEvery: checkpointEvery,
-		Config:          fixedConfig{&sardinerock.ConfigSnapshot{Version: 1, Bundle: sampleBundle(0, 10, 600)}},
+		Config:          fixedConfig{&sardinerock.ConfigSnapshot{Version: 1, Bundle: sample.Bundle(0, 10, 600)}},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -109,8 +111,8 @@
 	}
 }
 
-// measureJobs gives what items, jobs and quiet shards cost in the log, in processor time and in memory.
-func measureJobs(r *report) error {
+// Jobs gives what items, jobs and quiet shards cost in the log, in processor time and in memory.
+func Jobs(r *meter.Report) error {
 	var m jobPoints
 	for _, items := range []int{2000, 10000, 50000} {
 		if err := m.measureItems(items); err != nil {
@@ -135,30 +137,30 @@
 	for _, shards := range []int{4, 16, 64} {
 		m.measureQuiet(shards)
 	}
-	r.slope("job handed in: bytes in the log beside bodies and custom ids", "B", "item", m.inBytes...)
-	r.slope("job handed in: appends", "appends", "item", m.inAppends...)
-	r.slope("job handed in: CPU", "us", "item", m.inCPU...)
-	r.slope("open items: memory", "B", "item", m.memory...)
-	r.slope("finished items whose results stay readable: memory", "B", "item", m.kept...)
-	r.slope("checkpoint of a shard, half of its items finished: bytes", "B", "item", m.checkpoint...)
-	r.slope("items run to their end, 10,000/s: bytes in the log beside answers", "B", "item", m.outBytes...)
-	r.slope("items run to their end, 10,000/s: appends", "appends", "item", m.outAppends...)
-	r.slope("items run to their end: CPU without the run itself", "us", "item", m.outCPU...)
-	r.slope("jobs of 10 items, from hand-in to end: appends", "appends", "job", m.jobAppends...)
-	r.slope("jobs of 10 items, from hand-in to end: bytes beside payload", "B", "job", m.jobBytes...)
-	r.slope("jobs of 10 items, from hand-in to end: CPU", "us", "job", m.jobCPU...)
-	r.values("appends a second of one shard, by items a second", "appends/s", m.rateAppends...)
-	r.slope("quiet shards that an entry owns: CPU", "us per s", "shard", m.quietCPU...)
-	r.slope("quiet shards that an entry owns: reads of the log", "reads per s", "shard", m.quietReads...)
+	r.Slope("job handed in: bytes in the log beside bodies and custom ids", "B", "item", m.inBytes...)
+	r.Slope("job handed in: appends", "appends", "item", m.inAppends...)
+	r.Slope("job handed in: CPU", "us", "item", m.inCPU...)
+	r.Slope("open items: memory", "B", "item", m.memory...)
+	r.Slope("finished items whose results stay readable: memory", "B", "item", m.kept...)
+	r.Slope("checkpoint of a shard, half of its items finished: bytes", "B", "item", m.checkpoint...)
+	r.Slope("items run to their end, 10,000/s: bytes in the log beside answers", "B", "item", m.outBytes...)
+	r.Slope("items run to their end, 10,000/s: appends", "appends", "item", m.outAppends...)
+	r.Slope("items run to their end: CPU without the run itself", "us", "item", m.outCPU...)
+	r.Slope("jobs of 10 items, from hand-in to end: appends", "appends", "job", m.jobAppends...)
+	r.Slope("jobs of 10 items, from hand-in to end: bytes beside payload", "B", "job", m.jobBytes...)
+	r.Slope("jobs of 10 items, from hand-in to end: CPU", "us", "job", m.jobCPU...)
+	r.Values("appends a second of one shard, by items a second", "appends/s", m.rateAppends...)
+	r.Slope("quiet shards that an entry owns: CPU", "us per s", "shard", m.quietCPU...)
+	r.Slope("quiet shards that an entry owns: reads of the log", "reads per s", "shard", m.quietReads...)
 	return nil
 }
 
 type jobPoints struct {
-	kept, checkpoint                  []point
-	inBytes, inAppends, inCPU, memory []point
-	outBytes, outAppends, outCPU      []point
-	jobAppends, jobBytes, jobCPU      []point
-	rateAppends, quietCPU, quietReads []point
+	kept, checkpoint                  []meter.Point
+	inBytes, inAppends, inCPU, memory []meter.Point
+	outBytes, outAppends, outCPU      []meter.Point
+	jobAppends, jobBytes, jobCPU      []meter.Point
+	rateAppends, quietCPU, quietReads []meter.Point
 }
 
 const customIDBytes = len("item-000000")
@@ -177,29 +179,29 @@
 	}
 	o.runner.slots.Store(0)
 	size := float64(items)
-	before, used := memory(), cpu()
-	bytes, appends := o.log.total()
+	before, used := meter.Memory(), meter.CPU()
+	bytes, appends := o.log.Total()
 	job, err := o.create("large", items)
 	if err != nil {
 		return err
 	}
-	inBytes, inAppends := o.log.total()
-	m.inCPU = append(m.inCPU, point{size, float64((cpu() - used).Microseconds())})
-	m.inBytes = append(m.inBytes, point{size, float64(inBytes - bytes - items*(bodyBytes+customIDBytes))})
-	m.inAppends = append(m.inAppends, point{size, float64(inAppends - appends)})
+	inBytes, inAppends := o.log.Total()
+	m.inCPU = append(m.inCPU, meter.At(size, float64((meter.CPU()-used).Microseconds())))
+	m.inBytes = append(m.inBytes, meter.At(size, float64(inBytes-bytes-items*(bodyBytes+customIDBytes))))
+	m.inAppends = append(m.inAppends, meter.At(size, float64(inAppends-appends)))
 	// What the log holds is the platform's memory.
-	m.memory = append(m.memory, point{size, memory() - before - float64(inBytes-bytes)})
+	m.memory = append(m.memory, meter.At(size, meter.Memory()-before-float64(inBytes-bytes)))
 
-	used = cpu()
+	used = meter.CPU()
 	o.runner.slots.Store(100)
 	if err := o.await(job.ID, items); err != nil {
 		return err
 	}
-	outBytes, outAppends := o.log.total()
-	m.outCPU = append(m.outCPU, point{size, float64((cpu() - used).Microseconds())})
-	m.outBytes = append(m.outBytes, point{size, float64(outBytes - inBytes - items*answerBytes)})
-	m.outAppends = append(m.outAppends, point{size, float64(outAppends - inAppends)})
-	m.kept = append(m.kept, point{size, memory() - before - float64(outBytes-bytes)})
+	outBytes, outAppends := o.log.Total()
+	m.outCPU = append(m.outCPU, meter.At(size, float64((meter.CPU()-used).Microseconds())))
+	m.outBytes = append(m.outBytes, meter.At(size, float64(outBytes-inBytes-items*answerBytes)))
+	m.outAppends = append(m.outAppends, meter.At(size, float64(outAppends-inAppends)))
+	m.kept = append(m.kept, meter.At(size, meter.Memory()-before-float64(outBytes-bytes)))
 	runtime.KeepAlive(o)
 	return nil
 }
@@ -219,16 +221,16 @@
 	o.runner.slots.Store(0)
 	name := stream.CheckpointStream("jobs-0")
 	settled := time.Now().Add(2 * o.manager.CheckpointEvery)
-	_, bytes := o.log.last(name)
+	_, bytes := o.log.Last(name)
 	for last := bytes; time.Now().Before(settled); time.Sleep(50 * time.Millisecond) {
-		if _, now := o.log.last(name); now != last {
+		if _, now := o.log.Last(name); now != last {
 			bytes, last = now-last, now
 		}
 	}
 	if bytes == 0 {
 		return fmt.Errorf("no checkpoint of %s was written", job.ID)
 	}
-	m.checkpoint = append(m.checkpoint, point{float64(items), float64(bytes)})
+	m.checkpoint = append(m.checkpoint, meter.At(float64(items), float64(bytes)))
 	return nil
 }
 
@@ -238,8 +240,8 @@
 	defer o.stop()
 	o.runner.slots.Store(100)
 	ids := make([]string, n)
-	used := cpu()
-	bytes, appends := o.log.total()
+	used := meter.CPU()
+	bytes, appends := o.log.Total()
 	for i := range n {
 		job, err := o.create(fmt.Sprint("job", i), items)
 		if err != nil {
@@ -252,11 +254,11 @@
 			return err
 		}
 	}
-	endBytes, endAppends := o.log.total()
+	endBytes, endAppends := o.log.Total()
 	size := float64(n)
-	m.jobCPU = append(m.jobCPU, point{size, float64((cpu() - used).Microseconds())})
-	m.jobAppends = append(m.jobAppends, point{size, float64(endAppends - appends)})
-	m.jobBytes = append(m.jobBytes, point{size, float64(endBytes - bytes - n*items*(bodyBytes+customIDBytes+answerBytes))})
+	m.jobCPU = append(m.jobCPU, meter.At(size, float64((meter.CPU()-used).Microseconds())))
+	m.jobAppends = append(m.jobAppends, meter.At(size, float64(endAppends-appends)))
+	m.jobBytes = append(m.jobBytes, meter.At(size, float64(endBytes-bytes-n*items*(bodyBytes+customIDBytes+answerBytes))))
 	return nil
 }
 
@@ -269,10 +271,10 @@
 	}
 	o.runner.slots.Store(int64(rate))
 	time.Sleep(3 * time.Second)
-	_, before := o.log.total()
+	_, before := o.log.Total()
 	time.Sleep(window)
-	_, after := o.log.total()
-	m.rateAppends = append(m.rateAppends, point{float64(rate), float64(after-before) / window.Seconds()})
+	_, after := o.log.Total()
+	m.rateAppends = append(m.rateAppends, meter.At(float64(rate), float64(after-before)/window.Seconds()))
 	return nil
 }
 
@@ -281,9 +283,9 @@
 	o := startJobs(shards, time.Second, 5000, time.Hour)
 	defer o.stop()
 	time.Sleep(3 * time.Second)
-	used, reads := cpu(), o.log.reads.Load()
+	used, reads := meter.CPU(), o.log.Reads()
 	time.Sleep(window)
 	size := float64(shards)
-	m.quietCPU = append(m.quietCPU, point{size, float64((cpu() - used).Microseconds()) / window.Seconds()})
-	m.quietReads = append(m.quietReads, point{size, float64(o.log.reads.Load()-reads) / window.Seconds()})
+	m.quietCPU = append(m.quietCPU, meter.At(size, float64((meter.CPU()-used).Microseconds())/window.Seconds()))
+	m.quietReads = append(m.quietReads, meter.At(size, float64(o.log.Reads()-reads)/window.Seconds()))
 }
--- /dev/null
+++ b/capa/fleets/doc.go
@@ -0,0 +1,3 @@
+// Package fleets measures fleets: how fast a configuration spreads, and what idle
+// nodes cost, in one process and as separate ones.
+package fleets
--- a/capa/processes.go
+++ b/capa/fleets/processes.go
@@ -1,4 +1,4 @@
-package main
+package fleets
 
 import (
 	"bufio"
@@ -19,14 +19,13 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/capa/meter"
+	"github.com/sardinerock/sardinerock/capa/sample"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/front"
 	"github.com/sardinerock/sardinerock/remote"
 )
 
-// program is the path of the program whose processes are measured; without it that part is left out.
-var program string
-
 // child is one process of the program.
 type child struct {
 	cmd *exec.Cmd
@@ -44,7 +43,7 @@
 	Version int64     `json:"version"`
 }
 
-func startChild(args ...string) (*child, error) {
+func startChild(program string, args ...string) (*child, error) {
 	c := &child{cmd: exec.Command(program, args...), inForce: map[int64]time.Time{}, accepted: map[int64]time.Time{}}
 	c.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := c.cmd.StderrPipe()
@@ -111,6 +110,7 @@
 
 // processes is a fleet of separate processes on loopback.
 type processes struct {
+	program        string
 	all            []*child
 	entries, sides []*child
 	listURL        string
@@ -133,7 +133,7 @@
 	if err != nil {
 		return "", err
 	}
-	c, err := startChild("standin", kind, "--address", address)
+	c, err := startChild(f.program, "standin", kind, "--address", address)
 	if err != nil {
 		return "", err
 	}
@@ -208,7 +208,7 @@
 		x.Service = "portal"
 		args = append(args, "--address", peers, "--service-name", x.Service, "--service-url", f.serviceURL)
 	}
-	c, err := startChild(args...)
+	c, err := startChild(f.program, args...)
 	if err != nil {
 		return err
 	}
@@ -235,7 +235,7 @@
 	if err := document.Close(); err != nil {
 		return err
 	}
-	out, err := exec.Command(program, "publish", document.Name(), "--entry", through.url, "--token", operatorToken).CombinedOutput()
+	out, err := exec.Command(f.program, "publish", document.Name(), "--entry", through.url, "--token", operatorToken).CombinedOutput()
 	if err != nil {
 		return fmt.Errorf("%w: %s", err, out)
 	}
@@ -265,39 +265,35 @@
 
 // processPoints are what fleets of separate processes showed.
 type processPoints struct {
-	median, worst, entryCPU, sideCPU, entryMem, sideMem []point
+	median, worst, entryCPU, sideCPU, entryMem, sideMem []meter.Point
 }
 
-// measureProcesses starts fleets of separate processes and publishes to them.
-func measureProcesses(r *report) error {
-	if program == "" {
-		fmt.Fprintln(os.Stderr, "capa: part processes left out: --program names no program")
-		return nil
-	}
+// Processes starts fleets of separate processes and publishes to them.
+func Processes(r *meter.Report, program string) error {
 	var m processPoints
 	for _, n := range []int{10, 50, 200} {
-		if err := m.measure(n); err != nil {
+		if err := m.measure(program, n); err != nil {
 			return fmt.Errorf("%d processes: %w", n, err)
 		}
 	}
-	r.values("separate processes, acceptance to in force on every one, 200 teams: median of 10", "ms", m.median...)
-	r.values("separate processes, acceptance to in force on every one, 200 teams: worst of 10", "ms", m.worst...)
-	r.values("separate processes, idle entry: CPU, by processes", "us per s", m.entryCPU...)
-	r.values("separate processes, idle side: CPU, by processes", "us per s", m.sideCPU...)
-	r.values("separate processes, idle entry: resident anonymous memory, by processes", "B", m.entryMem...)
-	r.values("separate processes, idle side: resident anonymous memory, by processes", "B", m.sideMem...)
+	r.Values("separate processes, acceptance to in force on every one, 200 teams: median of 10", "ms", m.median...)
+	r.Values("separate processes, acceptance to in force on every one, 200 teams: worst of 10", "ms", m.worst...)
+	r.Values("separate processes, idle entry: CPU, by processes", "us per s", m.entryCPU...)
+	r.Values("separate processes, idle side: CPU, by processes", "us per s", m.sideCPU...)
+	r.Values("separate processes, idle entry: resident anonymous memory, by processes", "B", m.entryMem...)
+	r.Values("separate processes, idle side: resident anonymous memory, by processes", "B", m.sideMem...)
 	return nil
 }
 
-func (m *processPoints) measure(n int) error {
+func (m *processPoints) measure(program string, n int) error {
 	const changes, teams = 10, 200
-	f := &processes{}
+	f := &processes{program: program}
 	defer f.stop()
 	if err := f.start(n); err != nil {
 		return err
 	}
 	next := func(basedOn int64) *sardinerock.Bundle {
-		b := sampleBundle(basedOn, teams, 600+int(basedOn))
+		b := sample.Bundle(basedOn, teams, 600+int(basedOn))
 		b.Callers[1].Operator = true
 		b.Callers[1].KeyHashes = []string{front.HashToken(operatorToken)}
 		return b
@@ -321,8 +317,8 @@
 	}
 	slices.Sort(took)
 	size := float64(n)
-	m.median = append(m.median, point{size, took[changes/2]})
-	m.worst = append(m.worst, point{size, took[changes-1]})
+	m.median = append(m.median, meter.At(size, took[changes/2]))
+	m.worst = append(m.worst, meter.At(size, took[changes-1]))
 	const window = 10 * time.Second
 	before := make([]time.Duration, len(f.all))
 	for i, c := range f.all {
@@ -339,7 +335,7 @@
 	}
 	entryCPU, entryMem := mean(f.entries)
 	sideCPU, sideMem := mean(f.sides)
-	m.entryCPU, m.entryMem = append(m.entryCPU, point{size, entryCPU}), append(m.entryMem, point{size, entryMem})
-	m.sideCPU, m.sideMem = append(m.sideCPU, point{size, sideCPU}), append(m.sideMem, point{size, sideMem})
+	m.entryCPU, m.entryMem = append(m.entryCPU, meter.At(size, entryCPU)), append(m.entryMem, meter.At(size, entryMem))
+	m.sideCPU, m.sideMem = append(m.sideCPU, meter.At(size, sideCPU)), append(m.sideMem, meter.At(size, sideMem))
 	return nil
 }
--- a/capa/spread.go
+++ b/capa/fleets/spread.go
@@ -1,4 +1,4 @@
-package main
+package fleets
 
 import (
 	"context"
@@ -11,6 +11,8 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/bundle"
+	"github.com/sardinerock/sardinerock/capa/meter"
+	"github.com/sardinerock/sardinerock/capa/sample"
 	"github.com/sardinerock/sardinerock/config"
 	"github.com/sardinerock/sardinerock/link"
 	"github.com/sardinerock/sardinerock/member"
@@ -27,10 +29,19 @@
 	bundle.Replica
 }
 
-func (s *spreadSide) Opened(*link.Session)             {}
-func (s *spreadSide) Closed(*link.Session)             {}
+// Opened implements link.Handler.
+func (s *spreadSide) Opened(*link.Session) {}
+
+// Closed implements link.Handler.
+func (s *spreadSide) Closed(*link.Session) {}
+
+// Start implements link.Handler.
 func (s *spreadSide) Start(*link.Session, *wire.Start) {}
-func (s *spreadSide) Cancel(*link.Session, string)     {}
+
+// Cancel implements link.Handler.
+func (s *spreadSide) Cancel(*link.Session, string) {}
+
+// Sections implements link.Handler.
 func (s *spreadSide) Sections(_ *link.Session, x *wire.Sections) {
 	received := make([]bundle.Section, len(x.Sections))
 	for i, y := range x.Sections {
@@ -41,6 +52,7 @@
 	}
 }
 
+// Beat implements link.Handler.
 func (s *spreadSide) Beat(session *link.Session, beat *wire.EntryBeat) {
 	if behind, have := s.Behind(beat.ConfigVersion); behind {
 		session.Send(&wire.SideFrame{Body: &wire.SideFrame_Want{Want: &wire.WantSections{Version: beat.ConfigVersion, Have: have}}})
@@ -50,8 +62,8 @@
 
 // spreadFleet is a fleet whose nodes talk over loopback, all in this process.
 type spreadFleet struct {
-	signer  *signer
-	log     *countingLog
+	signer  *sample.Signer
+	log     *sample.Log
 	keepers []*config.Keeper
 	nodes   []spreadNode
 	clients []*link.Client
@@ -60,19 +72,19 @@
 }
 
 func startFleet(n int) (*spreadFleet, error) {
-	s, err := newSigner()
+	s, err := sample.NewSigner()
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &spreadFleet{signer: s, log: newCountingLog()}
+	f := &spreadFleet{signer: s, log: sample.NewLog()}
 	var running sync.WaitGroup
 	f.stop = func() {
 		cancel()
 		running.Wait()
 	}
 	entries := max(3, (n+30)/31)
-	_, near, backends := instances(entries, n-entries)
+	_, near, backends := sample.Instances(entries, n-entries)
 	for i := range backends {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -80,13 +92,13 @@
 			return nil, err
 		}
 		backends[i].Address = listener.Addr().String()
-		side := &spreadSide{Replica: bundle.Replica{Signers: s.public, SignOffsNeeded: 1}}
+		side := &spreadSide{Replica: bundle.Replica{Signers: s.Public, SignOffsNeeded: 1}}
 		f.nodes = append(f.nodes, side)
 		server := &link.Server{Handler: side, SilentAfter: time.Minute}
 		running.Go(func() { _ = server.Serve(ctx, listener) })
 	}
 	for _, x := range near {
-		k := s.keeper(f.log, x.ID)
+		k := s.Keeper(f.log, x.ID)
 		f.keepers = append(f.keepers, k)
 		f.nodes = append(f.nodes, k)
 		running.Go(func() { _ = k.Run(ctx) })
@@ -114,7 +126,7 @@
 			Dial: func(ctx context.Context, address string) (net.Conn, error) {
 				var d net.Dialer
 				conn, err := d.DialContext(ctx, "tcp", address)
-				return counted{conn, &f.bytes}, err
+				return sample.Count(conn, &f.bytes), err
 			},
 		}
 		own = append(own, c)
@@ -169,10 +181,10 @@
 	return last, nil
 }
 
-// measureSpread gives the time from the log's acceptance of a bundle until it is in force on every node.
-func measureSpread(r *report) error {
+// Spread gives the time from the log's acceptance of a bundle until it is in force on every node.
+func Spread(r *meter.Report) error {
 	const changes, teams = 20, 200
-	var median, worst, bytes, cpuTime []point
+	var median, worst, bytes, cpuTime []meter.Point
 	for _, n := range []int{10, 50, 200} {
 		f, err := startFleet(n)
 		if err != nil {
@@ -184,16 +196,16 @@
 			return err
 		}
 		size := float64(n)
-		median = append(median, point{size, times.took[len(times.took)/2]})
-		worst = append(worst, point{size, times.took[len(times.took)-1]})
-		bytes = append(bytes, point{size, times.bytes / changes / size})
-		cpuTime = append(cpuTime, point{size, times.cpu / changes / size})
+		median = append(median, meter.At(size, times.took[len(times.took)/2]))
+		worst = append(worst, meter.At(size, times.took[len(times.took)-1]))
+		bytes = append(bytes, meter.At(size, times.bytes/changes/size))
+		cpuTime = append(cpuTime, meter.At(size, times.cpu/changes/size))
 		f.stop()
 	}
-	r.values("acceptance to in force on every node, 200 teams: median of 20", "ms", median...)
-	r.values("acceptance to in force on every node, 200 teams: worst of 20", "ms", worst...)
-	r.values("change: bytes on links, with the heartbeats that tell of it", "B per node", bytes...)
-	r.values("change: CPU of all nodes, and of the publishing", "us per node", cpuTime...)
+	r.Values("acceptance to in force on every node, 200 teams: median of 20", "ms", median...)
+	r.Values("acceptance to in force on every node, 200 teams: worst of 20", "ms", worst...)
+	r.Values("change: bytes on links, with the heartbeats that tell of it", "B per node", bytes...)
+	r.Values("change: CPU of all nodes, and of the publishing", "us per node", cpuTime...)
 	return nil
 }
 
@@ -204,29 +216,27 @@
 
 func (f *spreadFleet) publish(changes, teams int) (*spreadTimes, error) {
 	t := &spreadTimes{}
-	if _, err := f.keepers[0].Publish(f.signer.document(sampleBundle(0, teams, 600)), "ann"); err != nil {
+	if _, err := f.keepers[0].Publish(f.signer.Document(sample.Bundle(0, teams, 600)), "ann"); err != nil {
 		return nil, err
 	}
 	if _, err := f.await(1); err != nil {
 		return nil, err
 	}
 	for i := range changes {
-		document := f.signer.document(sampleBundle(int64(i)+1, teams, 601+i))
+		document := f.signer.Document(sample.Bundle(int64(i)+1, teams, 601+i))
 		k := f.keepers[i%len(f.keepers)]
-		sent, used := f.bytes.Load(), cpu()
+		sent, used := f.bytes.Load(), meter.CPU()
 		if _, err := k.Publish(document, "ann"); err != nil {
 			return nil, err
 		}
-		f.log.mu.Lock()
-		accepted := f.log.appendedAt
-		f.log.mu.Unlock()
+		accepted := f.log.AppendedAt()
 		last, err := f.await(int64(i) + 2)
 		if err != nil {
 			return nil, err
 		}
 		t.took = append(t.took, float64(last.Sub(accepted).Microseconds())/1000)
 		t.bytes += float64(f.bytes.Load() - sent)
-		t.cpu += float64((cpu() - used).Microseconds())
+		t.cpu += float64((meter.CPU() - used).Microseconds())
 	}
 	slices.Sort(t.took)
 	return t, nil
--- a/capa/whole.go
+++ b/capa/fleets/whole.go
@@ -1,4 +1,4 @@
-package main
+package fleets
 
 import (
 	"context"
@@ -7,6 +7,8 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/sardinerock/sardinerock/capa/meter"
+	"github.com/sardinerock/sardinerock/capa/sample"
 	"github.com/sardinerock/sardinerock/fleet"
 	"github.com/sardinerock/sardinerock/front"
 )
@@ -14,31 +16,31 @@
 // operatorToken is the key of the one caller that may publish.
 const operatorToken = "sk-operator"
 
-// measureWhole gives what whole idle entries and sides cost, with all their
+// Whole gives what whole idle entries and sides cost, with all their
 // loops. Each side's figure has its stand-in engine in it, which is asked for
 // its state, load and cache events, and both ends of its connections.
-func measureWhole(r *report) error {
-	var sideCPU, sideMem, entryCPU, entryMem []point
+func Whole(r *meter.Report) error {
+	var sideCPU, sideMem, entryCPU, entryMem []meter.Point
 	for _, n := range []int{10, 30, 60} {
 		used, mem, err := idleFleet(3, n)
 		if err != nil {
 			return err
 		}
-		sideCPU = append(sideCPU, point{float64(n), used})
-		sideMem = append(sideMem, point{float64(n), mem})
+		sideCPU = append(sideCPU, meter.At(float64(n), used))
+		sideMem = append(sideMem, meter.At(float64(n), mem))
 	}
 	for _, n := range []int{3, 6, 12} {
 		used, mem, err := idleFleet(n, 12)
 		if err != nil {
 			return err
 		}
-		entryCPU = append(entryCPU, point{float64(n), used})
-		entryMem = append(entryMem, point{float64(n), mem})
+		entryCPU = append(entryCPU, meter.At(float64(n), used))
+		entryMem = append(entryMem, meter.At(float64(n), mem))
 	}
-	r.slope("idle side, linked to 3 entries, with its stand-in engine: CPU", "us per s", "side", sideCPU...)
-	r.slope("idle side, linked to 3 entries, with its stand-in engine: memory", "B", "side", sideMem...)
-	r.slope("idle entry, linked to 12 sides and up to 8 entries: CPU, with the other ends", "us per s", "entry", entryCPU...)
-	r.slope("idle entry, linked to 12 sides and up to 8 entries: memory, with the other ends", "B", "entry", entryMem...)
+	r.Slope("idle side, linked to 3 entries, with its stand-in engine: CPU", "us per s", "side", sideCPU...)
+	r.Slope("idle side, linked to 3 entries, with its stand-in engine: memory", "B", "side", sideMem...)
+	r.Slope("idle entry, linked to 12 sides and up to 8 entries: CPU, with the other ends", "us per s", "entry", entryCPU...)
+	r.Slope("idle entry, linked to 12 sides and up to 8 entries: memory, with the other ends", "B", "entry", entryMem...)
 	return nil
 }
 
@@ -46,8 +48,8 @@
 func idleFleet(entries, sides int) (used, mem float64, err error) {
 	const window = 5 * time.Second
 	debug.FreeOSMemory()
-	before := memory()
-	b := sampleBundle(0, 50, 600)
+	before := meter.Memory()
+	b := sample.Bundle(0, 50, 600)
 	operator := &b.Callers[0]
 	operator.Operator = true
 	operator.KeyHashes = []string{front.HashToken(operatorToken)}
@@ -59,10 +61,10 @@
 	}
 	defer f.Stop()
 	time.Sleep(3 * time.Second)
-	cpuBefore := cpu()
+	cpuBefore := meter.CPU()
 	time.Sleep(window)
-	used = float64((cpu() - cpuBefore).Microseconds()) / window.Seconds()
-	mem = memory() - before
+	used = float64((meter.CPU() - cpuBefore).Microseconds()) / window.Seconds()
+	mem = meter.Memory() - before
 	runtime.KeepAlive(f)
 	return used, mem, nil
 }
--- /dev/null
+++ b/capa/meter/doc.go
@@ -0,0 +1,3 @@
+// Package meter measures processor time and memory, and prints measurements with the line
+// through them.
+package meter
--- a/capa/report.go
+++ b/capa/meter/meter.go
@@ -1,4 +1,4 @@
-package main
+package meter
 
 import (
 	"fmt"
@@ -9,43 +9,46 @@
 	"time"
 )
 
-// point is one size with what was measured at it.
-type point struct {
-	size  float64
-	value float64
+// Point is one size with what was measured at it.
+type Point struct {
+	Size  float64
+	Value float64
 }
 
-// report prints measurements as lines of a table.
-type report struct {
-	out    io.Writer
+// At returns the point of a size and its value.
+func At(size, value float64) Point { return Point{Size: size, Value: value} }
+
+// Report prints measurements as lines of a table.
+type Report struct {
+	Out    io.Writer
 	headed bool
 }
 
-// slope prints the points and the line through them, by least squares.
-func (r *report) slope(name, unit, per string, points ...point) {
+// Slope prints the points and the line through them, by least squares.
+func (r *Report) Slope(name, unit, per string, points ...Point) {
 	r.head()
 	a, b := fit(points)
-	fmt.Fprintf(r.out, "| %s | %s | %s | %s per %s | %s |\n", name, unit, listPoints(points), number(b), per, number(a))
+	fmt.Fprintf(r.Out, "| %s | %s | %s | %s per %s | %s |\n", name, unit, listPoints(points), number(b), per, number(a))
 }
 
-// values prints points that lie on no line.
-func (r *report) values(name, unit string, points ...point) {
+// Values prints points that lie on no line.
+func (r *Report) Values(name, unit string, points ...Point) {
 	r.head()
-	fmt.Fprintf(r.out, "| %s | %s | %s | - | - |\n", name, unit, listPoints(points))
+	fmt.Fprintf(r.Out, "| %s | %s | %s | - | - |\n", name, unit, listPoints(points))
 }
 
-func (r *report) head() {
+func (r *Report) head() {
 	if r.headed {
 		return
 	}
 	r.headed = true
-	fmt.Fprintf(r.out, "| what | unit | size: value | slope | at 0 |\n|---|---|---|---|---|\n")
+	fmt.Fprintf(r.Out, "| what | unit | size: value | slope | at 0 |\n|---|---|---|---|---|\n")
 }
 
-func listPoints(points []point) string {
+func listPoints(points []Point) string {
 	parts := make([]string, len(points))
 	for i, p := range points {
-		parts[i] = number(p.size) + ": " + number(p.value)
+		parts[i] = number(p.Size) + ": " + number(p.Value)
 	}
 	return strings.Join(parts, ", ")
 }
@@ -65,21 +68,21 @@
 }
 
 // fit returns the line a + b*size through the points.
-func fit(points []point) (a, b float64) {
+func fit(points []Point) (a, b float64) {
 	n := float64(len(points))
 	var sx, sy, sxx, sxy float64
 	for _, p := range points {
-		sx += p.size
-		sy += p.value
-		sxx += p.size * p.size
-		sxy += p.size * p.value
+		sx += p.Size
+		sy += p.Value
+		sxx += p.Size * p.Size
+		sxy += p.Size * p.Value
 	}
 	b = (n*sxy - sx*sy) / (n*sxx - sx*sx)
 	return (sy - b*sx) / n, b
 }
 
-// cpu returns the processor time that this process has used.
-func cpu() time.Duration {
+// CPU returns the processor time that this process has used.
+func CPU() time.Duration {
 	var u syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
 		return 0
@@ -87,8 +90,8 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// memory returns the heap and the stacks in use once garbage is gone.
-func memory() float64 {
+// Memory returns the heap and the stacks in use once garbage is gone.
+func Memory() float64 {
 	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
@@ -96,8 +99,8 @@
 	return float64(m.HeapAlloc + m.StackInuse)
 }
 
-// timed returns the mean time of one call in microseconds, over a fifth of a second at least.
-func timed(f func()) float64 {
+// Timed returns the mean time of one call in microseconds, over a fifth of a second at least.
+func Timed(f func()) float64 {
 	f()
 	const atLeast = 200 * time.Millisecond
 	n := 0
--- a/capa/link.go
+++ b/capa/nodes/link.go
@@ -1,4 +1,4 @@
-package main
+package nodes
 
 import (
 	"context"
@@ -9,28 +9,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sardinerock/sardinerock/capa/meter"
+	"github.com/sardinerock/sardinerock/capa/sample"
 	"github.com/sardinerock/sardinerock/link"
 	"github.com/sardinerock/sardinerock/wire"
 )
 
-// counted is a connection whose payload bytes in both directions are counted.
-type counted struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c counted) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c counted) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // answering is a side that answers heartbeats, and attempts with tokens at a fixed rate.
 type answering struct {
 	gap    time.Duration
@@ -40,11 +24,19 @@
 	ended chan struct{}
 }
 
-func (a *answering) Opened(*link.Session)                   {}
-func (a *answering) Closed(*link.Session)                   {}
-func (a *answering) Cancel(*link.Session, string)           {}
+// Opened implements link.Handler.
+func (a *answering) Opened(*link.Session) {}
+
+// Closed implements link.Handler.
+func (a *answering) Closed(*link.Session) {}
+
+// Cancel implements link.Handler.
+func (a *answering) Cancel(*link.Session, string) {}
+
+// Sections implements link.Handler.
 func (a *answering) Sections(*link.Session, *wire.Sections) {}
 
+// Beat implements link.Handler.
 func (a *answering) Beat(s *link.Session, beat *wire.EntryBeat) {
 	a.beats.Add(1)
 	s.SendBeat(&wire.SideBeat{
@@ -54,6 +46,7 @@
 	})
 }
 
+// Start implements link.Handler.
 func (a *answering) Start(s *link.Session, start *wire.Start) {
 	go func() {
 		ticker := time.NewTicker(a.gap)
@@ -103,7 +96,7 @@
 			Dial: func(ctx context.Context, address string) (net.Conn, error) {
 				var d net.Dialer
 				conn, err := d.DialContext(ctx, "tcp", address)
-				return counted{conn, &l.bytes}, err
+				return sample.Count(conn, &l.bytes), err
 			},
 		}
 		l.clients = append(l.clients, c)
@@ -131,35 +124,35 @@
 // beatTiming is ten heartbeats a second on each link, so that a short window has many.
 var beatTiming = link.Timing{Tick: 100 * time.Millisecond, IdleTicks: 1, ActiveTicks: 1, SilentTicks: 50}
 
-// measureLinks gives what heartbeats and idle links cost.
-func measureLinks(r *report) error {
+// Links gives what heartbeats and idle links cost.
+func Links(r *meter.Report) error {
 	const window = 3 * time.Second
-	var bytes, cpuTime, mem []point
+	var bytes, cpuTime, mem []meter.Point
 	for _, n := range []int{15, 30, 60, 120} {
-		before := memory()
+		before := meter.Memory()
 		l, err := startLinks(n, &answering{}, beatTiming)
 		if err != nil {
 			return err
 		}
 		time.Sleep(time.Second)
-		beats, sent, used := l.side.beats.Load(), l.bytes.Load(), cpu()
+		beats, sent, used := l.side.beats.Load(), l.bytes.Load(), meter.CPU()
 		time.Sleep(window)
-		beats, sent, used = l.side.beats.Load()-beats, l.bytes.Load()-sent, cpu()-used
+		beats, sent, used = l.side.beats.Load()-beats, l.bytes.Load()-sent, meter.CPU()-used
 		size := float64(n)
-		bytes = append(bytes, point{float64(beats), float64(sent)})
-		cpuTime = append(cpuTime, point{float64(beats), float64(used.Microseconds())})
-		mem = append(mem, point{size, memory() - before})
+		bytes = append(bytes, meter.At(float64(beats), float64(sent)))
+		cpuTime = append(cpuTime, meter.At(float64(beats), float64(used.Microseconds())))
+		mem = append(mem, meter.At(size, meter.Memory()-before))
 		l.stop()
 	}
-	r.slope("heartbeat and answer: payload bytes, both directions", "B in 3 s", "heartbeat pair", bytes...)
-	r.slope("heartbeat and answer: CPU, both ends", "us in 3 s", "heartbeat pair", cpuTime...)
-	r.slope("idle link: memory, both ends", "B", "link", mem...)
+	r.Slope("heartbeat and answer: payload bytes, both directions", "B in 3 s", "heartbeat pair", bytes...)
+	r.Slope("heartbeat and answer: CPU, both ends", "us in 3 s", "heartbeat pair", cpuTime...)
+	r.Slope("idle link: memory, both ends", "B", "link", mem...)
 	return nil
 }
 
-// measureTokens gives what passing tokens from side to entry costs, at 20 tokens a second and stream.
-func measureTokens(r *report) error {
-	var cpuTime, bytes, mem []point
+// Tokens gives what passing tokens from side to entry costs, at 20 tokens a second and stream.
+func Tokens(r *meter.Report) error {
+	var cpuTime, bytes, mem []meter.Point
 	const window = 3 * time.Second
 	for _, streams := range []int{20, 80, 240} {
 		const links = 20
@@ -168,7 +161,7 @@
 		if err != nil {
 			return err
 		}
-		before := memory()
+		before := meter.Memory()
 		ctx, cancel := context.WithCancel(context.Background())
 		var tokens atomic.Int64
 		var reading sync.WaitGroup
@@ -189,18 +182,18 @@
 			})
 		}
 		time.Sleep(time.Second)
-		got, sent, used := tokens.Load(), l.bytes.Load(), cpu()
+		got, sent, used := tokens.Load(), l.bytes.Load(), meter.CPU()
 		time.Sleep(window)
-		got, sent, used = tokens.Load()-got, l.bytes.Load()-sent, cpu()-used
-		bytes = append(bytes, point{float64(got), float64(sent)})
-		cpuTime = append(cpuTime, point{float64(got), float64(used.Microseconds())})
-		mem = append(mem, point{float64(streams), memory() - before})
+		got, sent, used = tokens.Load()-got, l.bytes.Load()-sent, meter.CPU()-used
+		bytes = append(bytes, meter.At(float64(got), float64(sent)))
+		cpuTime = append(cpuTime, meter.At(float64(got), float64(used.Microseconds())))
+		mem = append(mem, meter.At(float64(streams), meter.Memory()-before))
 		cancel()
 		l.stop()
 		reading.Wait()
 	}
-	r.slope("token from side to entry: payload bytes", "B in 3 s", "token", bytes...)
-	r.slope("token from side to entry: CPU, both ends, without the HTTP side", "us in 3 s", "token", cpuTime...)
-	r.slope("attempt in flight: memory on the link, both ends", "B", "attempt", mem...)
+	r.Slope("token from side to entry: payload bytes", "B in 3 s", "token", bytes...)
+	r.Slope("token from side to entry: CPU, both ends, without the HTTP side", "us in 3 s", "token", cpuTime...)
+	r.Slope("attempt in flight: memory on the link, both ends", "B", "attempt", mem...)
 	return nil
 }
--- a/capa/ping.go
+++ b/capa/nodes/ping.go
@@ -1,4 +1,4 @@
-package main
+package nodes
 
 import (
 	"context"
@@ -10,6 +10,8 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/sardinerock/sardinerock/capa/meter"
+	"github.com/sardinerock/sardinerock/capa/sample"
 	"github.com/sardinerock/sardinerock/wire"
 )
 
@@ -21,8 +23,8 @@
 	return &wire.PeerPong{EntryId: p.EntryId, ConfigVersion: p.ConfigVersion, ConfigDigest: p.ConfigDigest, Usage: p.Usage}, nil
 }
 
-// measurePings gives what a ping between entries costs, by the callers whose use it tells.
-func measurePings(r *report) error {
+// Pings gives what a ping between entries costs, by the callers whose use it tells.
+func Pings(r *meter.Report) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -39,26 +41,26 @@
 		return err
 	}
 	var sent atomic.Int64
-	conn := drpcconn.New(counted{raw, &sent})
+	conn := drpcconn.New(sample.Count(raw, &sent))
 	defer func() { _ = conn.Close() }()
 	client := wire.NewDRPCPeerClient(conn)
-	var bytes, cpuTime []point
+	var bytes, cpuTime []meter.Point
 	for _, callers := range []int{0, 50, 200, 1800} {
 		ping := &wire.PeerPing{EntryId: "entry-0001", ConfigVersion: 38000, ConfigDigest: fmt.Sprintf("%064x", 1)}
 		for i := range callers {
 			ping.Usage = append(ping.Usage, &wire.Usage{Caller: fmt.Sprintf("team%04d-app", i), Requests: 600, Tokens: 300000})
 		}
 		const pings = 500
-		before, used := sent.Load(), cpu()
+		before, used := sent.Load(), meter.CPU()
 		for range pings {
 			if _, err := client.Ping(ctx, ping); err != nil {
 				return err
 			}
 		}
-		bytes = append(bytes, point{float64(callers), float64(sent.Load()-before) / pings})
-		cpuTime = append(cpuTime, point{float64(callers), float64((cpu() - used).Microseconds()) / pings})
+		bytes = append(bytes, meter.At(float64(callers), float64(sent.Load()-before)/pings))
+		cpuTime = append(cpuTime, meter.At(float64(callers), float64((meter.CPU()-used).Microseconds())/pings))
 	}
-	r.slope("ping between entries and answer: payload bytes", "B", "caller told", bytes...)
-	r.slope("ping between entries and answer: CPU, both ends", "us", "caller told", cpuTime...)
+	r.Slope("ping between entries and answer: payload bytes", "B", "caller told", bytes...)
+	r.Slope("ping between entries and answer: CPU, both ends", "us", "caller told", cpuTime...)
 	return nil
 }
--- a/capa/route.go
+++ b/capa/nodes/route.go
@@ -1,4 +1,4 @@
-package main
+package nodes
 
 import (
 	"fmt"
@@ -8,14 +8,15 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/admit"
+	"github.com/sardinerock/sardinerock/capa/meter"
 	"github.com/sardinerock/sardinerock/route"
 )
 
-// measureRouting gives what a routing decision and a report cost, by the backend servers that the entry knows.
-func measureRouting(r *report) error {
-	var pick, update, mem []point
+// Routing gives what a routing decision and a report cost, by the backend servers that the entry knows.
+func Routing(r *meter.Report) error {
+	var pick, update, mem []meter.Point
 	for _, n := range []int{60, 250, 1000} {
-		before := memory()
+		before := meter.Memory()
 		table := &route.Table{Random: rand.New(rand.NewPCG(1, 2))}
 		now := time.Now()
 		backend := func(i int) route.Backend {
@@ -35,25 +36,25 @@
 			table.CacheEvent(b.ID, prefixes, nil)
 		}
 		size := float64(n)
-		mem = append(mem, point{size, memory() - before})
+		mem = append(mem, meter.At(size, meter.Memory()-before))
 		query := route.Query{Model: "draft", Version: "1", Zone: "zone-1", Prefixes: []uint64{1, 2, 3, 4, 5, 6, 7, 8}}
-		pick = append(pick, point{size, timed(func() { table.Pick(now, query) })})
+		pick = append(pick, meter.At(size, meter.Timed(func() { table.Pick(now, query) })))
 		b := backend(n / 2)
-		update = append(update, point{size, timed(func() { table.Update(now, b) })})
+		update = append(update, meter.At(size, meter.Timed(func() { table.Update(now, b) })))
 	}
-	r.slope("routing decision: CPU", "us", "candidate", pick...)
-	r.slope("report taken into the routing table: CPU", "us", "backend server", update...)
-	r.slope("backend server in the routing table, 100 prefixes: memory", "B", "backend server", mem...)
+	r.Slope("routing decision: CPU", "us", "candidate", pick...)
+	r.Slope("report taken into the routing table: CPU", "us", "backend server", update...)
+	r.Slope("backend server in the routing table, 100 prefixes: memory", "B", "backend server", mem...)
 	measurePrefixes(r)
 	return nil
 }
 
 // measurePrefixes gives what a prefix in the cache of a backend server costs an entry that knows 65 of them.
-func measurePrefixes(r *report) {
-	var mem []point
+func measurePrefixes(r *meter.Report) {
+	var mem []meter.Point
 	const backends = 65
 	for _, n := range []int{100, 400, 1600, 6400} {
-		before := memory()
+		before := meter.Memory()
 		table := &route.Table{Random: rand.New(rand.NewPCG(1, 2))}
 		for i := range backends {
 			id := fmt.Sprint("side-", i)
@@ -62,17 +63,17 @@
 				table.CacheEvent(id, []uint64{rand.Uint64()}, nil)
 			}
 		}
-		mem = append(mem, point{float64(n), memory() - before})
+		mem = append(mem, meter.At(float64(n), meter.Memory()-before))
 		runtime.KeepAlive(table)
 	}
-	r.values("prefixes of 65 backend servers, by prefixes each: memory", "B", mem...)
+	r.Values("prefixes of 65 backend servers, by prefixes each: memory", "B", mem...)
 }
 
-// measureGate gives what a request costs in the gate of a side, by the requests that wait, and what one caller's limits cost at an entry.
-func measureGate(r *report) error {
-	var decision, mem, callers, callersMem []point
+// Gate gives what a request costs in the gate of a side, by the requests that wait, and what one caller's limits cost at an entry.
+func Gate(r *meter.Report) error {
+	var decision, mem, callers, callersMem []meter.Point
 	for _, n := range []int{100, 1000, 10000} {
-		before := memory()
+		before := meter.Memory()
 		now := time.Now()
 		gate := &admit.Gate{Limits: sardinerock.GateLimits{MinSlots: 1, MaxSlots: 24, FirstTokenTarget: time.Second}}
 		work := func(i int) sardinerock.Work {
@@ -84,28 +85,28 @@
 		for i := range n {
 			gate.Offer(now, work(i))
 		}
-		mem = append(mem, point{float64(n), memory() - before})
+		mem = append(mem, meter.At(float64(n), meter.Memory()-before))
 		i := n
-		decision = append(decision, point{float64(n), timed(func() {
+		decision = append(decision, meter.At(float64(n), meter.Timed(func() {
 			i++
 			w := work(i)
 			gate.Offer(now, w)
 			gate.Cancel(now, w.Attempt)
-		})})
+		})))
 	}
 	for _, n := range []int{50, 200, 1800} {
-		before := memory()
+		before := meter.Memory()
 		now := time.Now()
 		limiter := &admit.Limiter{}
 		for i := range n {
 			_ = limiter.Allow(now, fmt.Sprint("caller-", i), admit.CallerLimits{RequestsPerMinute: 600, TokensPerMinute: 1e6}, 500)
 		}
-		callersMem = append(callersMem, point{float64(n), memory() - before})
-		callers = append(callers, point{float64(n), timed(func() { limiter.Usage(now) })})
+		callersMem = append(callersMem, meter.At(float64(n), meter.Memory()-before))
+		callers = append(callers, meter.At(float64(n), meter.Timed(func() { limiter.Usage(now) })))
 	}
-	r.slope("arrival and end of a request at the gate: CPU", "us", "waiting request", decision...)
-	r.slope("request that waits at the gate: memory", "B", "waiting request", mem...)
-	r.slope("demand figures for one ping: CPU", "us", "caller", callers...)
-	r.slope("caller's limits at an entry: memory", "B", "caller", callersMem...)
+	r.Slope("arrival and end of a request at the gate: CPU", "us", "waiting request", decision...)
+	r.Slope("request that waits at the gate: memory", "B", "waiting request", mem...)
+	r.Slope("demand figures for one ping: CPU", "us", "caller", callers...)
+	r.Slope("caller's limits at an entry: memory", "B", "caller", callersMem...)
 	return nil
 }
--- a/capa/log.go
+++ b/capa/sample/log.go
@@ -1,4 +1,4 @@
-package main
+package sample
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 	"github.com/sardinerock/sardinerock"
 )
 
-// countingLog is a log service in memory that counts what is appended.
-type countingLog struct {
+// Log is a log service in memory that counts what is appended.
+type Log struct {
 	mu      sync.Mutex
 	streams map[string][]sardinerock.LogRecord
 	grown   chan struct{}
@@ -21,14 +21,15 @@
 	reads      atomic.Int64
 }
 
-func newCountingLog() *countingLog {
-	return &countingLog{
+// NewLog returns an empty log.
+func NewLog() *Log {
+	return &Log{
 		streams: map[string][]sardinerock.LogRecord{}, grown: make(chan struct{}), appends: map[string]int{}, bytes: map[string]int{},
 	}
 }
 
 // Append implements sardinerock.Log.
-func (l *countingLog) Append(_ context.Context, stream string, data []byte) (int64, error) {
+func (l *Log) Append(_ context.Context, stream string, data []byte) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	offset := int64(len(l.streams[stream]))
@@ -42,7 +43,7 @@
 }
 
 // Read implements sardinerock.Log.
-func (l *countingLog) Read(ctx context.Context, stream string, from int64, wait time.Duration) ([]sardinerock.LogRecord, error) {
+func (l *Log) Read(ctx context.Context, stream string, from int64, wait time.Duration) ([]sardinerock.LogRecord, error) {
 	l.reads.Add(1)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -67,14 +68,14 @@
 }
 
 // Bounds implements sardinerock.Log.
-func (l *countingLog) Bounds(_ context.Context, stream string) (sardinerock.LogBounds, error) {
+func (l *Log) Bounds(_ context.Context, stream string) (sardinerock.LogBounds, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return sardinerock.LogBounds{Next: int64(len(l.streams[stream]))}, nil
 }
 
-// last returns a stream's newest record, and the bytes of the stream so far.
-func (l *countingLog) last(stream string) (sardinerock.LogRecord, int) {
+// Last returns a stream's newest record, and the bytes of the stream so far.
+func (l *Log) Last(stream string) (sardinerock.LogRecord, int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	records := l.streams[stream]
@@ -84,8 +85,8 @@
 	return records[len(records)-1], l.bytes[stream]
 }
 
-// total returns the bytes and appends of all streams.
-func (l *countingLog) total() (bytes, appends int) {
+// Total returns the bytes and appends of all streams.
+func (l *Log) Total() (bytes, appends int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for stream := range l.bytes {
@@ -94,3 +95,13 @@
 	}
 	return bytes, appends
 }
+
+// Reads returns how often the log was read.
+func (l *Log) Reads() int64 { return l.reads.Load() }
+
+// AppendedAt returns when the last record came.
+func (l *Log) AppendedAt() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appendedAt
+}
