config: entries don't write the next checkpoint all at once

Cause: every entry counted from the marker that all read at the same moment, so all were due at the same moment. 12 entries wrote 67 checkpoints in 8 intervals; with a wait of its own for each at most 24, and the test now says so.

--- a/config/checkpoint.go
+++ b/config/checkpoint.go
@@ -137,7 +137,9 @@
 	defer k.mu.Unlock()
 	if rec.Checkpointed.AsOf >= k.checkpointAsOf {
 		k.checkpointAsOf, k.checkpointVersion = rec.Checkpointed.AsOf, version
-		k.checkpointSeen = time.Now()
+		// All entries read the marker at the same moment, and without a wait of
+		// its own each would write the next checkpoint at the same moment, too.
+		k.checkpointSeen = time.Now().Add(mathrand.N(orDefault(k.CheckpointEvery, defaultCheckpointEvery) / 2))
 	}
 }
 
--- a/config/keeper_test.go
+++ b/config/keeper_test.go
@@ -182,3 +182,24 @@
 	expectVersion(g, lost, 5)
 	g.Expect(lost.Current().Bundle).To(Equal(k.Current().Bundle))
 }
+
+// Twelve entries keep up checkpoints for one another. One or two of them may
+// write each time, not all: at 370 entries that would be 370 times the bytes.
+func TestCheckpointsAreShared(t *testing.T) {
+	g := NewWithT(t)
+	l := &memLog{}
+	const every = 400 * time.Millisecond
+	for i := range 12 {
+		k := &Keeper{Log: l, Process: fmt.Sprint("e", i), ReadWait: 20 * time.Millisecond, CheckpointEvery: every}
+		run(t, k)
+		if i == 0 {
+			_, err := k.Publish(raw(sample(0, "", 2)), "ann")
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+	}
+	const watched = 8
+	time.Sleep(watched * every)
+	records, err := l.Read(context.Background(), order.CheckpointStream, 0, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(records)).To(And(BeNumerically(">=", watched/3), BeNumerically("<=", watched*3)))
+}
