side: the gate hears of a first token at once

Cause: a batch prompt that the engine has read lets the next one start, which waited for the gate's tick of 20 ms.

--- a/side/attempt.go
+++ b/side/attempt.go
@@ -110,7 +110,7 @@
 	result, err := s.Engine.Generate(watch.ctx, request, func(t sardinerock.Token) error {
 		sample.CompletionTokens++
 		watch.made()
-		s.emit(a, t)
+		s.emit(a, t, sample.CompletionTokens == 1)
 		return nil
 	})
 	if err != nil {
@@ -124,9 +124,15 @@
 	}
 }
 
-func (s *Side) emit(a *attempt, t sardinerock.Token) {
+func (s *Side) emit(a *attempt, t sardinerock.Token, first bool) {
+	now := time.Now()
 	s.mu.Lock()
-	s.gate.Token(time.Now(), a.name)
+	s.gate.Token(now, a.name)
+	if first {
+		// The prompt is read, so that the next batch prompt may start at once; up
+		// to the next tick the engine would read none.
+		s.apply(s.gate.Tick(now))
+	}
 	s.mu.Unlock()
 	tokens := &wire.Tokens{Attempt: a.start.Attempt, Tokens: []*wire.Token{{Index: uint32(t.Index), Text: t.Text}}}
 	a.session.Send(&wire.SideFrame{Body: &wire.SideFrame_Tokens{Tokens: tokens}})
