--- a/admit/gate.go
+++ b/admit/gate.go
@@ -321,7 +321,7 @@
 	s := g.batch[len(g.batch)-1]
 	unread := g.prefill.takes(s.work.PromptTokens) - now.Sub(s.started)
 	if s.prefilling && unread > prefillYield {
-		g.prefill.budget += unread
+		g.prefill.budget += time.Duration(prefillRefund * float64(unread))
 		g.preempt(s)
 	}
 }
--- a/admit/prefill.go
+++ b/admit/prefill.go
@@ -5,14 +5,17 @@
 const (
 	// prefillShare is the part of the engine's time that batch prompts may take
 	// while online work decodes.
-	prefillShare = 0.07
+	prefillShare = 0.1
 	// prefillBurst is how much unused time batch prompts may save up.
 	prefillBurst = 50 * time.Millisecond
 	// prefillPace is the prompt tokens per second assumed until some were seen.
 	prefillPace = 5000
 	// prefillYield is how much of a batch prompt may still be unread when online
 	// work starts; more is preempted, as online work would wait for it.
-	prefillYield = 100 * time.Millisecond
+	prefillYield = 20 * time.Millisecond
+	// prefillRefund is the part of the unread rest that the budget gets back
+	// then; the other part stands for what the cancelled reading has cost others.
+	prefillRefund = 0.75
 	// prefillLeast is the part of a first token's time that is prefill at least.
 	prefillLeast = 10
 	// prefillSeen is the least prompt whose time to first token tells the pace.
--- a/route/backend.go
+++ b/route/backend.go
@@ -26,6 +26,10 @@
 	intervalMin = 100 * time.Millisecond
 	// stalePenalty is added to the load then; when all are stale it cancels out.
 	stalePenalty = 1.0
+	// batchPenalty is added to the score of a backend server whose slots all run
+	// batch work, and in part for fewer. Half of the slots is what online work
+	// may hold elsewhere before it goes there.
+	batchPenalty = 0.5
 	// behindPenalty is added to the load score of a side whose configuration is
 	// behind: it catches up first, and the request waits for that.
 	behindPenalty = 0.25
@@ -74,6 +78,9 @@
 
 func (b *backend) batchCredit() int { return max(0, b.report.BatchCredit-b.batchSent) }
 
+// online is the part of the slots that online work holds.
+func (b *backend) online() float64 { return float64(b.own+b.others) / b.slots() }
+
 func (b *backend) slots() float64 { return float64(max(b.report.Slots, 1)) }
 
 // load is the score by which candidates are compared: the part of the slots
@@ -98,6 +105,7 @@
 // score is the load, made worse for a slow or late backend server.
 func (b *backend) score(now time.Time, f *fleet) float64 {
 	s := b.load(now, f) * f.slowness(b)
+	s += batchPenalty * min(1, float64(b.report.BatchRunning)/b.slots())
 	if b.report.ConfigVersion < f.newest {
 		s += behindPenalty
 	}
--- a/route/pick.go
+++ b/route/pick.go
@@ -12,6 +12,8 @@
 const (
 	// choices is how many random candidates are compared.
 	choices = 2
+	// batchChoices is the same for batch work, which has the time to look for idle ones.
+	batchChoices = 4
 	// draws is how often an unfit candidate is drawn again before all are looked at.
 	draws = 8
 	// spillLoad is the load score above which a request would queue: rather
@@ -150,11 +152,11 @@
 			return
 		}
 		found++
-		if best == nil || b.batchCredit() > best.batchCredit() {
+		if best == nil || b.online() < best.online() || b.online() == best.online() && b.batchCredit() > best.batchCredit() {
 			best = b
 		}
 	}
-	for i := 0; i < draws && found < choices; i++ {
+	for i := 0; i < draws && found < batchChoices; i++ {
 		consider(g.all[t.Random.IntN(len(g.all))])
 	}
 	for i := 0; i < len(g.all) && best == nil; i++ {
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -36,6 +36,8 @@
 func TestPick(t *testing.T) {
 	leaving, down := report("leaving", "z1", 0), report("down", "z1", 0)
 	leaving.Leaving, down.Up = true, false
+	laden := report("laden", "z1", 0)
+	laden.BatchRunning = 10
 	behind := report("behind", "z1", 4)
 	behind.ConfigVersion = 1
 	ahead := report("ahead", "z1", 5)
@@ -59,7 +61,9 @@
 			backends: []route.Backend{report("a", "z1", 11), report("b", "z1", 9)}, cached: map[string][]uint64{"a": {7, 8}},
 			query: route.Query{Model: "m", Zone: "z1", Prefixes: []uint64{7, 8}}, want: "b", reason: route.ReasonZone,
 		},
-		"configuration behind": {backends: []route.Backend{behind, ahead}, query: online, want: "ahead", reason: route.ReasonZone},
+		"away from batch work, though it would yield": {backends: []route.Backend{laden, report("b", "z1", 4)}, query: online, want: "b", reason: route.ReasonZone},
+		"batch work where least online work is":       {backends: []route.Backend{report("a", "z1", 3), laden}, query: route.Query{Model: "m", Class: sardinerock.ClassBatch}, want: "laden", reason: route.ReasonBatch},
+		"configuration behind":                        {backends: []route.Backend{behind, ahead}, query: online, want: "ahead", reason: route.ReasonZone},
 		"already tried, for want of a better one": {
 			backends: []route.Backend{report("a", "z1", 0)}, query: route.Query{Model: "m", Exclude: []string{"a"}}, want: "a", reason: route.ReasonLast,
 		},
