--- a/admit/online_test.go
+++ b/admit/online_test.go
@@ -247,8 +247,9 @@
 		apart time.Duration
 		most  int
 	}{
-		"each after the answer": {apart: 15 * time.Second, most: 2},
-		"twice per heartbeat":   {apart: 100 * time.Millisecond, most: 4},
+		"at once after the answer, through the next entry": {most: 3},
+		"each long after the answer":                       {apart: 15 * time.Second, most: 2},
+		"twice per heartbeat":                              {apart: 100 * time.Millisecond, most: 4},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -257,10 +258,23 @@
 			for seed := range uint64(seeds) {
 				w := newWorld(seed, 3, 6)
 				w.arrive(0, span, 6, draft(w, "a"))
-				for i := range 10 {
+				send := func(i int, then func()) {
 					r := draft(w, "poison")()
-					r.poison, r.fingerprint, r.patience = true, 99, span
-					w.after(5*time.Second+time.Duration(i)*c.apart, func() { w.entries[i%3].serve(r) })
+					r.poison, r.fingerprint, r.patience, r.then = true, 99, span, then
+					w.entries[i%3].serve(r)
+				}
+				var again func(i int)
+				again = func(i int) {
+					if i < 10 {
+						send(i, func() { w.after(hop, func() { again(i + 1) }) })
+					}
+				}
+				if c.apart == 0 {
+					w.after(5*time.Second, func() { again(0) })
+				} else {
+					for i := range 10 {
+						w.after(5*time.Second+time.Duration(i)*c.apart, func() { send(i, nil) })
+					}
 				}
 				w.run(4 * span)
 				crashes := 0
@@ -270,12 +284,15 @@
 				worst = max(worst, crashes)
 				others := w.sum(isCaller("a"))
 				bystanders += float64(others.ok) / float64(others.sent) / seeds
+				sent := 0
 				for _, r := range w.all {
 					if r.poison {
+						sent++
 						x.Expect(r.refusal).NotTo(BeNil())
 						x.Expect(r.refusal.Code).To(Equal(sardinerock.CodeCrashSuspect))
 					}
 				}
+				x.Expect(sent).To(Equal(10))
 			}
 			t.Logf("backend servers lost at worst %d, others answered %.3f", worst, bystanders)
 			x.Expect(worst).To(BeNumerically("<=", c.most))
--- a/admit/sim_test.go
+++ b/admit/sim_test.go
@@ -137,6 +137,8 @@
 	started, ok           bool
 	refusal               *sardinerock.Refusal
 	poison                bool
+	// then is called when the request was refused.
+	then func()
 }
 
 func (r *request) deadline() time.Time { return r.arrived.Add(r.patience) }
@@ -204,6 +206,9 @@
 
 func (e *entry) refuse(r *request, refusal *sardinerock.Refusal) {
 	r.refusal, r.ended = refusal, e.w.now
+	if r.then != nil {
+		r.then()
+	}
 }
 
 // end takes the end of a try at the entry; a nil refusal means that it ran to its end.
