--- a/jobs/bench_test.go
+++ b/jobs/bench_test.go
@@ -81,7 +81,7 @@
 // the same runner does without jobs around it.
 func BenchmarkItems(b *testing.B) {
 	const (
-		itemsOfJob = 20000
+		itemsOfJob = 64000
 		slots      = 64
 		delay      = 5 * time.Millisecond
 	)
--- a/jobs/create.go
+++ b/jobs/create.go
@@ -37,7 +37,7 @@
 	if err := p.reachable(ctx); err != nil {
 		return nil, err
 	}
-	u := &uploader{p: p, ctx: ctx, id: m.draw(), digest: xxhash.New(), names: map[uint64]struct{}{}, most: m.maxItems()}
+	u := &uploader{p: p, ctx: ctx, id: draw(), digest: xxhash.New(), names: map[uint64]struct{}{}, most: m.maxItems()}
 	_, _ = u.digest.WriteString(spec.Path + "\x00")
 	// The first copy of a resent job is in the log already: only compare.
 	_, err := p.status(spec.Caller, id)
--- a/jobs/file.go
+++ b/jobs/file.go
@@ -24,7 +24,7 @@
 		return sardinerock.FileInfo{}, refusal
 	}
 	number := m.callerShard(caller, 0)
-	end := &FileEnd{Caller: caller, Name: name, CreatedMs: m.Now().UnixMilli(), Key: m.draw()}
+	end := &FileEnd{Caller: caller, Name: name, CreatedMs: m.Now().UnixMilli(), Key: draw()}
 	piece := make([]byte, m.ChunkBytes)
 	for {
 		n, err := io.ReadFull(content, piece)
--- a/jobs/keep.go
+++ b/jobs/keep.go
@@ -88,7 +88,7 @@
 	defer cancel()
 	c, err := p.snapshot(ctx)
 	if err == nil {
-		err = stream.SaveCheckpoint(ctx, p.m.Log, p.m.budget, p.name, p.m.draw(), c)
+		err = stream.SaveCheckpoint(ctx, p.m.Log, p.m.budget, p.name, draw(), c)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -48,8 +48,6 @@
 	// Live returns the ids of the entries that are believed to live, this one among them; nil means this one alone.
 	Live   func() []string
 	Events *event.Logger
-	// Seed feeds what is drawn at random; 0 draws it anew.
-	Seed uint64
 	// Now may be nil.
 	Now func() time.Time
 	// AppendsPerSecond is the fleet's budget of appends for batch work; 0 means 300.
@@ -68,15 +66,12 @@
 	ChunkBytes int
 
 	once   sync.Once
-	random *rand.Rand
 	budget *stream.Budget
 	health stream.Health
 	chunks *recordCache
 	loads  singleflight.Group
 	kick   chan struct{}
 
-	randomMu sync.Mutex
-
 	// mu guards parts, and is taken before a part's own mutex.
 	mu      sync.Mutex
 	parts   map[int]*part
@@ -114,10 +109,6 @@
 		if m.Live == nil {
 			m.Live = func() []string { return []string{m.EntryID} }
 		}
-		if m.Seed == 0 {
-			m.Seed = rand.Uint64()
-		}
-		m.random = rand.New(rand.NewPCG(m.Seed, m.Seed^0x9e3779b97f4a7c15))
 		m.budget = stream.NewBudget(m.AppendsPerSecond)
 		m.chunks = newRecordCache()
 		m.kick = make(chan struct{}, 1)
@@ -267,11 +258,11 @@
 	}
 }
 
-func (m *Manager) draw() uint64 {
-	m.randomMu.Lock()
-	defer m.randomMu.Unlock()
-	return m.random.Uint64() | 1
-}
+// draw returns the id of a writer, an upload or a checkpoint. It comes from the
+// system's own source and never from a seed in the settings: two processes with
+// one seed would draw the same ids, and folding would take what the second
+// writes for copies of what the first wrote.
+func draw() uint64 { return rand.Uint64() | 1 }
 
 func streamName(shard int) string { return fmt.Sprintf("jobs-%d", shard) }
 
--- a/jobs/part.go
+++ b/jobs/part.go
@@ -66,7 +66,7 @@
 	p := &part{m: m, id: id, name: streamName(id), changed: make(chan struct{}), works: map[uint32]*work{}, stopping: map[uint32]*atomic.Int64{}, lastUsed: m.Now()}
 	p.results.p = p
 	p.writer = &stream.Writer{
-		Log: m.Log, Stream: p.name, ID: m.draw(), Budget: m.budget, Now: m.Now, Health: &m.health,
+		Log: m.Log, Stream: p.name, ID: draw(), Budget: m.budget, Now: m.Now, Health: &m.health,
 		Bulk: &p.results, ReadsBack: true,
 	}
 	return p
