--- a/jobs/create.go
+++ b/jobs/create.go
@@ -23,6 +23,9 @@
 	// sealGiveUp leaves time to withdraw a seal whose fate is open, so that "not run" can be said for certain.
 	sealGiveUp      = 6 * time.Second
 	defaultMaxItems = 200_000
+	// maxItemBytes bounds one item and one result: a record that the log always
+	// refuses would be repeated for good and hold up all that comes after it.
+	maxItemBytes = 1 << 20
 )
 
 // Create accepts a job: chunks first, then the seal, which alone makes it count.
@@ -98,6 +101,12 @@
 	if it.CustomID == "" {
 		return invalid(fmt.Sprintf("item %d has no custom_id", u.total+1))
 	}
+	if len(it.Body)+len(it.CustomID) > maxItemBytes {
+		return &sardinerock.Refusal{
+			Code: sardinerock.CodeBodyTooLarge, Outcome: sardinerock.OutcomeNotRun,
+			Message: fmt.Sprintf("item %d has more than %d bytes", u.total+1, maxItemBytes),
+		}
+	}
 	name := xxhash.Sum64String(it.CustomID)
 	if _, double := u.names[name]; double {
 		return invalid(fmt.Sprintf("item %d: custom_id %q is there twice", u.total+1, it.CustomID))
--- a/jobs/dispatch.go
+++ b/jobs/dispatch.go
@@ -103,6 +103,11 @@
 		return
 	}
 	body := answerBody(r, result, text)
+	if len(body) > maxItemBytes {
+		refusal := &sardinerock.Refusal{Code: sardinerock.CodeBodyTooLarge, Outcome: sardinerock.OutcomeRan, Message: "the answer is too large to be kept"}
+		p.end(w, index, it.GetCustomId(), refusal, verdict{})
+		return
+	}
 	p.succeed(w, index, &shard.ItemDone{Index: index, CustomId: it.GetCustomId(), Body: body}, result)
 }
 
--- a/jobs/manager_test.go
+++ b/jobs/manager_test.go
@@ -240,3 +240,38 @@
 	g.Expect(one.runner.running.Load()).To(BeZero())
 	f.expectResults(one, s.ID, done.Completed)
 }
+
+func TestJobsThatAreRefused(t *testing.T) {
+	f := newFleet(t, newFakeLog())
+	one := f.start("entry1", nil)
+	list := func(all ...sardinerock.JobItem) func(func(sardinerock.JobItem) error) error {
+		return func(yield func(sardinerock.JobItem) error) error {
+			for _, it := range all {
+				if err := yield(it); err != nil {
+					return err
+				}
+			}
+			return nil
+		}
+	}
+	tables := map[string]struct {
+		items func(func(sardinerock.JobItem) error) error
+		code  sardinerock.Code
+	}{
+		"no items":        {list(), sardinerock.CodeInvalidRequest},
+		"no custom id":    {list(sardinerock.JobItem{}), sardinerock.CodeInvalidRequest},
+		"custom id twice": {list(sardinerock.JobItem{CustomID: "a"}, sardinerock.JobItem{CustomID: "a"}), sardinerock.CodeInvalidRequest},
+		"item too large":  {list(sardinerock.JobItem{CustomID: "a", Body: make([]byte, maxItemBytes)}), sardinerock.CodeBodyTooLarge},
+		"too many items":  {items(defaultMaxItems + 1), sardinerock.CodeInvalidRequest},
+	}
+	for name, c := range tables {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, err := one.Create(context.Background(), spec(name), c.items)
+			g.Expect(sardinerock.AsRefusal(err).Code).To(Equal(c.code))
+			g.Expect(sardinerock.AsRefusal(err).Outcome).To(Equal(sardinerock.OutcomeNotRun))
+			_, err = one.Get(context.Background(), "finance", "batch_0_none")
+			g.Expect(sardinerock.AsRefusal(err).Code).To(Equal(sardinerock.CodeNotFound))
+		})
+	}
+}
--- a/stream/writer.go
+++ b/stream/writer.go
@@ -72,6 +72,7 @@
 	last     uint64
 	wake     chan struct{}
 	inFlight *group
+	stopped  bool
 }
 
 type pending struct {
@@ -112,7 +113,11 @@
 func (w *Writer) Queue(data []byte, giveUp time.Time) *Ticket {
 	p := &pending{data: data, giveUp: giveUp, done: make(chan struct{})}
 	w.mu.Lock()
-	w.queue = append(w.queue, p)
+	if w.stopped {
+		p.finish(0, ErrNotAppended)
+	} else {
+		w.queue = append(w.queue, p)
+	}
 	w.mu.Unlock()
 	w.Wake()
 	return &Ticket{w: w, p: p}
@@ -170,8 +175,9 @@
 	return w.wake
 }
 
-// Run appends what is queued until ctx is done.
+// Run appends what is queued until ctx is done; what then was never sent is answered as not appended.
 func (w *Writer) Run(ctx context.Context) error {
+	defer w.stop()
 	for {
 		if !w.hasWork() {
 			select {
@@ -191,6 +197,16 @@
 	}
 }
 
+func (w *Writer) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	for _, p := range w.queue {
+		p.finish(0, ErrNotAppended)
+	}
+	w.queue = nil
+}
+
 func (w *Writer) hasWork() bool {
 	w.mu.Lock()
 	queued := len(w.queue) > 0
--- a/stream/writer_test.go
+++ b/stream/writer_test.go
@@ -310,3 +310,17 @@
 	p.poll(10)
 	g.Expect(p.applied).To(BeEmpty())
 }
+
+// Callers that wait when an entry stops are told so at once, not at their deadline.
+func TestStoppedWriterAnswersWhatWaits(t *testing.T) {
+	g := NewWithT(t)
+	p := newProcess(&stepLog{}, 1, time.Now)
+	before := p.w.Queue([]byte("a"), time.Time{})
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = p.w.Run(over)
+	after := p.w.Queue([]byte("b"), time.Time{})
+	for _, ticket := range []*Ticket{before, after} {
+		g.Expect(ticket.p.done).To(BeClosed())
+	}
+}
