follow: the reading of one shard is a package of its own; a shard read again from a gap is not known

After a reader lost its place it still said that it had reached the end, and for a moment a question for a job met the empty state of a stream whose beginning is gone.

--- a/jobs/claim.go
+++ b/jobs/claim.go
@@ -21,21 +21,21 @@
 
 // tick moves the shard's ownership on. Time and liveness decide only who tries; the log's order decides who owns.
 func (p *part) tick(wanted bool, preferred string, isLive func(string) bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.state == nil || p.tail == nil {
+	p.Lock()
+	defer p.Unlock()
+	if p.State == nil {
 		return
 	}
 	if p.owns() {
 		p.tickOwned(wanted, preferred, isLive)
 		return
 	}
-	if !wanted || p.appending || !p.atEnd || p.readErr != nil || p.m.handBack.Load() {
+	if !wanted || p.appending || !p.Current() || p.m.handBack.Load() {
 		p.waitingSince = time.Time{}
 		return
 	}
 	now := p.m.Now()
-	if p.state.Owner != "" && p.state.Owner != p.m.EntryID && isLive(p.state.Owner) {
+	if p.State.Owner != "" && p.State.Owner != p.m.EntryID && isLive(p.State.Owner) {
 		if p.waitingSince.IsZero() {
 			p.waitingSince = now
 		}
@@ -43,7 +43,7 @@
 			return
 		}
 	}
-	p.send(&shard.Record{Kind: &shard.Record_Claim{Claim: &shard.Claim{Owner: p.m.EntryID, Replaces: p.state.Epoch}}})
+	p.send(&shard.Record{Kind: &shard.Record_Claim{Claim: &shard.Claim{Owner: p.m.EntryID, Replaces: p.State.Epoch}}})
 }
 
 func (p *part) tickOwned(wanted bool, preferred string, isLive func(string) bool) {
@@ -72,7 +72,7 @@
 }
 
 // callOffDrain goes on with a shard whose new owner went away before the
-// hand-over: its jobs were taken out of the queue and would never run again; p.mu is held.
+// hand-over: its jobs were taken out of the queue and would never run again; the lock is held.
 func (p *part) callOffDrain() {
 	p.drainSince = time.Time{}
 	for _, w := range p.works {
@@ -80,7 +80,7 @@
 	}
 }
 
-// stopCancelled ends cancelled jobs of which nothing runs any more; p.mu is held.
+// stopCancelled ends cancelled jobs of which nothing runs any more; the lock is held.
 func (p *part) stopCancelled() {
 	if p.appending {
 		return
@@ -94,7 +94,7 @@
 	}
 }
 
-// send appends one of the owner's own records beside everything else, one at a time; p.mu is held.
+// send appends one of the owner's own records beside everything else, one at a time; the lock is held.
 func (p *part) send(r *shard.Record) {
 	p.sendMade(func() *shard.Record { return r })
 }
@@ -109,29 +109,29 @@
 		if r := make(); r != nil {
 			offset, err := p.append(ctx, r, p.m.Now().Add(controlTimeout/2))
 			if err == nil {
-				_ = p.reach(ctx, offset)
+				_ = p.Reach(ctx, offset)
 			}
 		}
-		p.mu.Lock()
-		defer p.mu.Unlock()
+		p.Lock()
+		defer p.Unlock()
 		p.appending = false
 	})
 }
 
 // handBack lets running items end for a while, records what is in hand and leaves the shard to others.
 func (p *part) handBack(ctx context.Context) {
-	p.mu.Lock()
+	p.Lock()
 	owned, epoch := p.owns(), p.mine
-	p.mu.Unlock()
+	p.Unlock()
 	if !owned {
 		return
 	}
 	deadline := p.m.Now().Add(handBackRunning)
 	for ctx.Err() == nil && !p.recorded() {
 		if !p.m.Now().Before(deadline) {
-			p.mu.Lock()
+			p.Lock()
 			p.cancelRunning()
-			p.mu.Unlock()
+			p.Unlock()
 		}
 		p.writer.Wake()
 		rest(ctx, tickEvery)
@@ -141,7 +141,7 @@
 }
 
 func (p *part) recorded() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.Lock()
+	defer p.Unlock()
 	return !p.owns() || (p.inHand() == 0 && p.results.len() == 0)
 }
--- a/jobs/create.go
+++ b/jobs/create.go
@@ -62,7 +62,7 @@
 func (p *part) reachable(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	if err := p.sync(ctx); err != nil {
+	if err := p.Sync(ctx); err != nil {
 		return logRefusal(sardinerock.OutcomeNotRun, "the log can't be read, nothing was accepted: "+err.Error())
 	}
 	return nil
@@ -178,7 +178,7 @@
 	defer cancel()
 	offset, err := u.p.append(ctx, &shard.Record{Kind: &shard.Record_Seal{Seal: s}}, u.p.m.Now().Add(sealGiveUp))
 	if err == nil {
-		err = u.p.reach(ctx, offset)
+		err = u.p.Reach(ctx, offset)
 	}
 	if err != nil {
 		return nil, appendRefusal(err, "the job")
@@ -188,9 +188,9 @@
 
 // verdict says what the log's order made of a job that was sent: accepted, met by its first copy, or in conflict.
 func (p *part) verdict(spec sardinerock.JobSpec, id string, digest uint64) (*sardinerock.JobStatus, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	j := p.state.Jobs[id]
+	p.Lock()
+	defer p.Unlock()
+	j := p.State.Jobs[id]
 	if j == nil {
 		return nil, logRefusal(sardinerock.OutcomeNotRun, "the upload took too long and was dropped; nothing was accepted")
 	}
--- a/jobs/dispatch.go
+++ b/jobs/dispatch.go
@@ -51,8 +51,8 @@
 // start starts the job's next item, or takes the job out of the queue if none may start now.
 func (w *work) start() bool {
 	p := w.p
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.Lock()
+	defer p.Unlock()
 	if p.works[w.job.Number] != w || !p.owns() {
 		p.m.dequeue(w)
 		return false
@@ -121,8 +121,8 @@
 
 // judge decides what happens to an item that was refused.
 func (p *part) judge(w *work, index uint32, refusal *sardinerock.Refusal) verdict {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.Lock()
+	defer p.Unlock()
 	w.notRun[index]++
 	return judge(refusal, attempts{
 		failed: max(w.job.Failures[index], w.failed[index]), notRun: w.notRun[index], due: w.job.Due, now: p.m.Now(), most: p.m.maxAttempts(),
@@ -130,8 +130,8 @@
 }
 
 func (p *part) succeed(w *work, index uint32, done *shard.ItemDone, result sardinerock.Result) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.Lock()
+	defer p.Unlock()
 	if p.works[w.job.Number] != w || !p.owns() {
 		return
 	}
@@ -142,8 +142,8 @@
 
 // end takes an item back that did not succeed, or records its failure.
 func (p *part) end(w *work, index uint32, customID string, refusal *sardinerock.Refusal, v verdict) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.Lock()
+	defer p.Unlock()
 	if p.works[w.job.Number] != w || !p.owns() {
 		return
 	}
@@ -164,7 +164,7 @@
 	p.afterItem()
 }
 
-// afterItem lets the freed slot be used, and results be recorded; p.mu is held.
+// afterItem lets the freed slot be used, and results be recorded; the lock is held.
 func (p *part) afterItem() {
 	if p.results.ready() {
 		p.writer.Wake()
--- a/jobs/fault_test.go
+++ b/jobs/fault_test.go
@@ -91,11 +91,11 @@
 	e.setUp()
 	n := 0
 	for _, p := range e.allParts() {
-		p.mu.Lock()
+		p.Lock()
 		if p.owns() {
 			n++
 		}
-		p.mu.Unlock()
+		p.Unlock()
 	}
 	return n
 }
@@ -103,10 +103,10 @@
 // stale counts the shard's records that came under an epoch that was gone.
 func (e *entry) stale(name string) int {
 	for _, p := range e.allParts() {
-		if p.name == name {
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			return p.state.Stale
+		if p.Stream == name {
+			p.Lock()
+			defer p.Unlock()
+			return p.State.Stale
 		}
 	}
 	return 0
--- a/jobs/file.go
+++ b/jobs/file.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/follow"
 	"github.com/sardinerock/sardinerock/stream"
 )
 
@@ -86,7 +87,7 @@
 }
 
 func (m *Manager) fileRecord(ctx context.Context, number int, offset int64) (*FileRecord, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, follow.ReadTimeout)
 	defer cancel()
 	records, err := m.Log.Read(ctx, fileStream(number), offset, 0)
 	if err != nil {
--- a/jobs/keep.go
+++ b/jobs/keep.go
@@ -49,7 +49,7 @@
 	}
 }
 
-// keepUp starts what is due; p.mu is held.
+// keepUp starts what is due; the lock is held.
 func (p *part) keepUp() {
 	k, now := &p.keeper, p.m.Now()
 	if k.lastAt.IsZero() {
@@ -86,12 +86,15 @@
 func (p *part) checkpoint() {
 	ctx, cancel := context.WithTimeout(p.m.base, checkpointTimeout)
 	defer cancel()
-	c, err := p.snapshot(ctx)
+	c, err := p.Checkpoint(ctx)
 	if err == nil {
-		err = stream.SaveCheckpoint(ctx, p.m.Log, p.m.budget, p.name, draw(), c)
+		p.Lock()
+		p.keeper.entries = 0
+		p.Unlock()
+		err = stream.SaveCheckpoint(ctx, p.m.Log, p.m.budget, p.Stream, draw(), c)
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.Lock()
+	defer p.Unlock()
 	p.keeper.saving = false
 	// Also after a failure the next try waits its turn; there are several before records vanish.
 	p.keeper.lastAt = p.m.Now()
@@ -102,42 +105,16 @@
 	p.m.Events.Info(event.Checkpointed).Int("shard", p.id).Int64("resume", c.Resume).Int("bytes", len(c.State)).Msg("checkpoint written")
 }
 
-// snapshot returns the state up to the end of the stream. All records before
-// the end as it was when we asked are folded, so a reader may go on from there
-// even if offsets jump.
-func (p *part) snapshot(ctx context.Context) (*stream.Checkpoint, error) {
-	b, err := p.m.Log.Bounds(ctx, p.name)
-	if err != nil {
-		return nil, err
-	}
-	if err := p.sync(ctx); err != nil {
-		return nil, err
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.tail == nil {
-		return nil, sardinerock.ErrLogGap
-	}
-	state, err := p.state.Encode()
-	if err != nil {
-		return nil, err
-	}
-	p.keeper.entries = 0
-	return &stream.Checkpoint{
-		Resume: max(p.tail.Next, b.Next), State: state, Seen: p.tail.Seen.Clone(), AtMs: p.m.Now().UnixMilli(),
-	}, nil
-}
-
-// sweep lists what is to be expired and what is to be copied; p.mu is held.
+// sweep lists what is to be expired and what is to be copied; the lock is held.
 func (p *part) sweep(now time.Time) {
-	for id, u := range p.state.Uploads {
+	for id, u := range p.State.Uploads {
 		if now.Sub(time.UnixMilli(u.AtMs)) > uploadLife {
 			p.keeper.add(func() *shard.Record {
 				return expire(&shard.Expire{Epoch: p.mine, Upload: id})
 			})
 		}
 	}
-	for _, j := range p.state.Numbers {
+	for _, j := range p.State.Numbers {
 		p.sweepJob(j, now)
 	}
 }
@@ -201,9 +178,9 @@
 	if err != nil || r.GetDone() == nil {
 		return nil
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	j := p.state.Numbers[job]
+	p.Lock()
+	defer p.Unlock()
+	j := p.State.Numbers[job]
 	if j == nil {
 		return nil
 	}
@@ -221,7 +198,7 @@
 }
 
 func (p *part) epoch() int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.Lock()
+	defer p.Unlock()
 	return p.mine
 }
--- a/jobs/manager_test.go
+++ b/jobs/manager_test.go
@@ -175,13 +175,13 @@
 func (f *fleet) dump() {
 	for id, e := range f.all {
 		for _, p := range e.allParts() {
-			p.mu.Lock()
-			f.t.Logf("%s shard %d: owner %q epoch %d mine %d claimed %v drain %v appending %v in hand %d buffered %d at end %v error %v",
-				id, p.id, p.state.Owner, p.state.Epoch, p.mine, p.claimed, p.drainSince, p.appending, p.inHand(), p.results.len(), p.atEnd, p.readErr)
+			p.Lock()
+			f.t.Logf("%s shard %d: owner %q epoch %d mine %d claimed %v drain %v appending %v in hand %d buffered %d current %v",
+				id, p.id, p.State.Owner, p.State.Epoch, p.mine, p.claimed, p.drainSince, p.appending, p.inHand(), p.results.len(), p.Current())
 			for n, w := range p.works {
 				f.t.Logf("  job %d: cursor %d of %d, %d done, %d retries, %d in hand", n, w.cursor, w.job.Total, w.job.Completed, len(w.retries), len(w.inHand))
 			}
-			p.mu.Unlock()
+			p.Unlock()
 		}
 		f.t.Logf("  running %d unrecorded %d starting %d queue %d", e.atRunner.Load(), e.unrecorded.Load(), e.starting.Load(), e.queue.Len())
 	}
--- a/jobs/part.go
+++ b/jobs/part.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,24 +10,16 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/follow"
 	"github.com/sardinerock/sardinerock/shard"
 	"github.com/sardinerock/sardinerock/stream"
 )
 
-const (
-	// pollWait bounds one read at the end of a stream.
-	pollWait = time.Second
-	// readPause keeps a reader from spinning on a log that is down.
-	readPause = 200 * time.Millisecond
-	// readTimeout bounds one read beside pollWait: a connection that went silent must not hold the reader.
-	readTimeout = 5 * time.Second
-)
-
-// part is what this entry holds of one shard while it follows it.
+// part is what this entry holds of one shard while it follows it. The
+// follower's lock guards all that is below it.
 type part struct {
 	m      *Manager
 	id     int
-	name   string
 	writer *stream.Writer
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -37,20 +28,11 @@
 	users    int
 	lastUsed time.Time
 
-	mu sync.Mutex
-	// state is nil until the shard has been read from a checkpoint or its beginning.
-	state *shard.State
-	tail  *stream.Tail
+	follow.Follower
+	loaded bool
 	// mine is the epoch that a claim of this process made, if it made one.
 	mine    int64
 	claimed bool
-	// changed is closed and replaced whenever the reader got on.
-	changed    chan struct{}
-	cancelPoll context.CancelFunc
-	// probe and probed count questions for the end of the stream, asked and answered.
-	probe, probed int
-	readErr       error
-	atEnd         bool
 
 	appending    bool
 	waitingSince time.Time
@@ -63,10 +45,11 @@
 }
 
 func newPart(m *Manager, id int) *part {
-	p := &part{m: m, id: id, name: streamName(id), changed: make(chan struct{}), works: map[uint32]*work{}, stopping: map[uint32]*atomic.Int64{}, lastUsed: m.Now()}
+	p := &part{m: m, id: id, works: map[uint32]*work{}, stopping: map[uint32]*atomic.Int64{}, lastUsed: m.Now()}
+	p.Log, p.Stream, p.Now, p.Apply, p.Loaded = m.Log, streamName(id), m.Now, p.apply, p.load
 	p.results.p = p
 	p.writer = &stream.Writer{
-		Log: m.Log, Stream: p.name, ID: draw(), Budget: m.budget, Now: m.Now, Health: &m.health,
+		Log: m.Log, Stream: p.Stream, ID: draw(), Budget: m.budget, Now: m.Now, Health: &m.health,
 		Bulk: &p.results, ReadsBack: true,
 	}
 	return p
@@ -78,7 +61,7 @@
 	}
 	ctx, cancel := context.WithCancel(base)
 	p.cancel = cancel
-	p.done.Go(func() { p.follow(ctx) })
+	p.done.Go(func() { p.Run(ctx) })
 	p.done.Go(func() { _ = p.writer.Run(ctx) })
 }
 
@@ -89,132 +72,30 @@
 	p.done.Wait()
 }
 
-// follow reads the stream until ctx is done.
-func (p *part) follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := p.read(ctx); err != nil {
-			p.failed(err)
-			rest(ctx, readPause)
-		}
-	}
-}
-
-func rest(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
-func (p *part) read(ctx context.Context) error {
-	if err := p.load(ctx); err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, pollWait+readTimeout)
-	defer cancel()
-	p.mu.Lock()
-	probe, wait := p.probe, pollWait
-	if probe > p.probed {
-		wait = 0
-	}
-	p.cancelPoll = cancel
-	p.mu.Unlock()
-	records, err := p.tail.Read(ctx, wait)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.cancelPoll = nil
-	if err != nil && p.probe > probe && errors.Is(err, context.Canceled) {
-		return nil
-	}
-	if errors.Is(err, sardinerock.ErrLogGap) {
-		// What we stood on is gone: only a checkpoint can tell what it said.
-		p.tail = nil
-	}
-	if err != nil {
-		return err
-	}
-	p.tail.Fold(records)
-	p.readErr = nil
-	if len(records) == 0 {
-		p.atEnd = true
-		if wait == 0 {
-			p.probed = probe
-		}
-	}
-	p.notify()
-	return nil
-}
-
-// notify wakes those that wait for the reader; p.mu is held.
-func (p *part) notify() {
-	close(p.changed)
-	p.changed = make(chan struct{})
-}
-
-func (p *part) failed(err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.readErr = err
-	p.notify()
-}
-
-// load starts from the newest whole checkpoint, or from the beginning if there
-// is none. If the beginning is gone as well the next read says so, and we try
-// again: a stream without its beginning doesn't prove that nothing was accepted.
-func (p *part) load(ctx context.Context) error {
-	p.mu.Lock()
-	loaded := p.tail != nil
-	p.mu.Unlock()
-	if loaded {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, 4*readTimeout)
-	defer cancel()
-	b, err := p.m.Log.Bounds(ctx, p.name)
-	if err != nil {
-		return err
-	}
-	c, err := stream.LoadCheckpoint(ctx, p.m.Log, p.name, b.First)
-	if err != nil {
-		return err
-	}
-	state, tail := shard.NewState(), &stream.Tail{Log: p.m.Log, Stream: p.name}
-	if c != nil {
-		if state, err = shard.Decode(c.State); err != nil {
-			return err
-		}
-		tail.Next, tail.Seen = c.Resume, c.Seen
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.state != nil && p.tail == nil {
+// load goes on from the state of a checkpoint; the lock is held.
+func (p *part) load(c *stream.Checkpoint) {
+	if p.loaded && p.claimed {
 		p.lose("read again from a checkpoint")
 	}
-	p.state, p.tail = state, tail
-	// The first read is to say at once whether there is more.
-	p.probe++
+	p.loaded = true
 	p.keeper.loaded(c)
-	tail.Apply = p.apply
-	state.OnChange(p.jobChanged)
+	p.State.OnChange(p.jobChanged)
 	if p.owns() {
 		p.gain()
 	}
-	return nil
 }
 
-// apply folds one entry; p.mu is held.
+// apply folds one entry; the lock is held.
 func (p *part) apply(e *stream.Entry) {
-	owned, epoch := p.owns(), p.state.Epoch
+	owned, epoch := p.owns(), p.State.Epoch
 	p.writer.Observe(e)
-	p.state.Apply(e)
+	p.State.Apply(e)
 	p.keeper.entries++
-	if p.state.Epoch == epoch {
+	if p.State.Epoch == epoch {
 		return
 	}
-	if p.state.Owner == p.m.EntryID && e.Writer == p.writer.ID {
-		p.mine, p.claimed = p.state.Epoch, true
+	if p.State.Owner == p.m.EntryID && e.Writer == p.writer.ID {
+		p.mine, p.claimed = p.State.Epoch, true
 	}
 	if owned {
 		p.lose("another owner in the log")
@@ -224,24 +105,24 @@
 	}
 }
 
-// owns says that this process made the last claim; p.mu is held. A claim of an
+// owns says that this process made the last claim; the lock is held. A claim of an
 // earlier process with the same id doesn't count: what that one had under way
 // may still turn up in the log.
 func (p *part) owns() bool {
-	return p.state != nil && p.claimed && p.state.Epoch == p.mine && p.state.Owner == p.m.EntryID
+	return p.State != nil && p.claimed && p.State.Epoch == p.mine && p.State.Owner == p.m.EntryID
 }
 
-// gain starts to dispatch the shard; p.mu is held.
+// gain starts to dispatch the shard; the lock is held.
 func (p *part) gain() {
 	p.drainSince, p.waitingSince = time.Time{}, time.Time{}
-	p.m.Events.Info(event.ShardClaimed).Int("shard", p.id).Int64("epoch", p.mine).Int("jobs", len(p.state.Jobs)).Msg("owns the shard")
-	for _, j := range p.state.Numbers {
+	p.m.Events.Info(event.ShardClaimed).Int("shard", p.id).Int64("epoch", p.mine).Int("jobs", len(p.State.Jobs)).Msg("owns the shard")
+	for _, j := range p.State.Numbers {
 		p.jobChanged(j)
 	}
 	p.m.poke()
 }
 
-// lose stops what runs and forgets results that are not in the log: the new owner runs those items again; p.mu is held.
+// lose stops what runs and forgets results that are not in the log: the new owner runs those items again; the lock is held.
 func (p *part) lose(reason string) {
 	p.m.Events.Info(event.ShardLost).Int("shard", p.id).Int64("epoch", p.mine).Str("reason", reason).Msg("no longer owns the shard")
 	for _, w := range p.works {
@@ -252,7 +133,7 @@
 	p.drainSince = time.Time{}
 }
 
-// jobChanged follows a job's life where it concerns dispatch; p.mu is held.
+// jobChanged follows a job's life where it concerns dispatch; the lock is held.
 func (p *part) jobChanged(j *shard.Job) {
 	if !p.owns() {
 		return
@@ -286,58 +167,18 @@
 }
 
 func (p *part) caughtUp() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.state != nil && p.tail != nil && p.atEnd && p.readErr == nil
+	p.Lock()
+	defer p.Unlock()
+	return p.Current()
 }
 
 // busy says that dropping the shard would lose work in hand.
 func (p *part) busy() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.Lock()
+	defer p.Unlock()
 	return p.appending || p.owns() || p.results.len() > 0
 }
 
-// sync waits until all that is in the log now is folded. While the log can't
-// be read it fails; the state as it was may still be looked at.
-func (p *part) sync(ctx context.Context) error {
-	b, err := p.m.Log.Bounds(ctx, p.name)
-	if err != nil {
-		return err
-	}
-	p.mu.Lock()
-	p.probe++
-	probe := p.probe
-	if p.cancelPoll != nil {
-		p.cancelPoll()
-	}
-	p.mu.Unlock()
-	return p.wait(ctx, func() bool { return p.tail.Next >= b.Next || p.probed >= probe })
-}
-
-// reach waits until the record at offset is folded.
-func (p *part) reach(ctx context.Context, offset int64) error {
-	return p.wait(ctx, func() bool { return p.tail.Next > offset })
-}
-
-// wait goes on through read errors until ctx is done: the log may be back by then.
-func (p *part) wait(ctx context.Context, there func() bool) error {
-	for {
-		p.mu.Lock()
-		if p.tail != nil && there() {
-			p.mu.Unlock()
-			return nil
-		}
-		readErr, changed := p.readErr, p.changed
-		p.mu.Unlock()
-		select {
-		case <-ctx.Done():
-			return errors.Join(ctx.Err(), readErr)
-		case <-changed:
-		}
-	}
-}
-
 // append puts one record into the shard's stream.
 func (p *part) append(ctx context.Context, r *shard.Record, giveUp time.Time) (int64, error) {
 	data, err := proto.Marshal(r)
@@ -346,3 +187,12 @@
 	}
 	return p.writer.Append(ctx, data, giveUp)
 }
+
+func rest(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/jobs/payload.go
+++ b/jobs/payload.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/follow"
 	"github.com/sardinerock/sardinerock/shard"
 	"github.com/sardinerock/sardinerock/stream"
 )
@@ -33,15 +34,15 @@
 
 // record returns one record of the shard's stream, read from the log again unless it was of late.
 func (p *part) record(ctx context.Context, at shard.Location) (*shard.Record, error) {
-	key := recordKey{stream: p.name, offset: at.Offset, record: at.Record}
+	key := recordKey{stream: p.Stream, offset: at.Offset, record: at.Record}
 	if r, ok := p.m.chunks.Get(key); ok {
 		return r, nil
 	}
 	// Many items of one chunk start together: one read is enough for all.
 	v, err, _ := p.m.loads.Do(fmt.Sprint(key), func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), follow.ReadTimeout)
 		defer cancel()
-		data, err := stream.ReadAt(ctx, p.m.Log, p.name, at.Offset, at.Record)
+		data, err := stream.ReadAt(ctx, p.m.Log, p.Stream, at.Offset, at.Record)
 		if err != nil {
 			return nil, err
 		}
@@ -60,9 +61,9 @@
 
 // item returns an item's input.
 func (p *part) item(ctx context.Context, j *shard.Job, index uint32) (*shard.Item, error) {
-	p.mu.Lock()
+	p.Lock()
 	at, ok := j.Chunk(index)
-	p.mu.Unlock()
+	p.Unlock()
 	if !ok {
 		return nil, sardinerock.ErrNotFound
 	}
--- a/jobs/results.go
+++ b/jobs/results.go
@@ -43,7 +43,7 @@
 
 func (r *results) len() int { return len(r.all) + r.sent }
 
-// add takes one outcome; p.mu is held.
+// add takes one outcome; the lock is held.
 func (r *results) add(o outcome) {
 	if len(r.all) == 0 {
 		r.oldest = r.p.m.Now()
@@ -60,7 +60,7 @@
 	return len(o.done.GetBody()) + len(o.done.GetCustomId()) + itemOverhead
 }
 
-// clear forgets what is not under way; p.mu is held.
+// clear forgets what is not under way; the lock is held.
 func (r *results) clear() {
 	r.p.m.unrecorded.Add(-int64(len(r.all)))
 	r.all, r.bytes = nil, 0
@@ -77,8 +77,8 @@
 // Ready says that the results are worth an append: there are many, they waited
 // long, or nothing that could join them runs.
 func (r *results) Ready() bool {
-	r.p.mu.Lock()
-	defer r.p.mu.Unlock()
+	r.p.Lock()
+	defer r.p.Unlock()
 	return r.ready()
 }
 
@@ -92,7 +92,7 @@
 	return r.p.m.handBack.Load() || r.p.m.Now().Sub(r.oldest) >= r.linger() || r.p.quiet()
 }
 
-// quiet says that the results in the buffer are all that the shard's items come to for now; p.mu is held.
+// quiet says that the results in the buffer are all that the shard's items come to for now; the lock is held.
 func (p *part) quiet() bool {
 	hand := 0
 	for _, w := range p.works {
@@ -106,8 +106,8 @@
 
 // Fetch takes results for one append, one record per job.
 func (r *results) Fetch(maxBytes int) *stream.Bulk {
-	r.p.mu.Lock()
-	defer r.p.mu.Unlock()
+	r.p.Lock()
+	defer r.p.Unlock()
 	if !r.p.owns() {
 		r.clear()
 	}
@@ -135,9 +135,9 @@
 }
 
 func (r *results) acked(n int) {
-	r.p.mu.Lock()
+	r.p.Lock()
 	r.sent -= n
-	r.p.mu.Unlock()
+	r.p.Unlock()
 	r.p.m.unrecorded.Add(-int64(n))
 	r.p.m.poke()
 }
--- a/jobs/store.go
+++ b/jobs/store.go
@@ -77,10 +77,10 @@
 	if err := p.current(ctx); err != nil {
 		return nil, err
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.Lock()
+	defer p.Unlock()
 	var all []sardinerock.JobStatus
-	for _, j := range p.state.Jobs {
+	for _, j := range p.State.Jobs {
 		if j.Caller == caller || caller == "" {
 			all = append(all, *j.Status())
 		}
@@ -108,7 +108,7 @@
 	defer cancel()
 	offset, err := p.append(ctx, &shard.Record{Kind: &shard.Record_Cancel{Cancel: &shard.Cancel{Job: id}}}, m.Now().Add(sealGiveUp))
 	if err == nil {
-		err = p.reach(ctx, offset)
+		err = p.Reach(ctx, offset)
 	}
 	if err != nil {
 		return nil, appendRefusal(err, "the cancellation")
@@ -159,9 +159,9 @@
 }
 
 func (p *part) answers(id string, from, to int) []answerPlace {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	j := p.state.Jobs[id]
+	p.Lock()
+	defer p.Unlock()
+	j := p.State.Jobs[id]
 	if j == nil {
 		return nil
 	}
@@ -179,22 +179,22 @@
 func (p *part) current(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	err := p.sync(ctx)
+	err := p.Sync(ctx)
 	if err == nil {
 		return nil
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.state != nil && p.atEnd {
+	p.Lock()
+	defer p.Unlock()
+	if p.Known() {
 		return nil
 	}
 	return logRefusal(sardinerock.OutcomeNotRun, "the log can't be read: "+err.Error())
 }
 
 func (p *part) status(caller, id string) (*sardinerock.JobStatus, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	j := p.state.Jobs[id]
+	p.Lock()
+	defer p.Unlock()
+	j := p.State.Jobs[id]
 	if j == nil || (j.Caller != caller && !p.m.isOperator(caller)) {
 		return nil, notFound(id)
 	}
--- a/jobs/work.go
+++ b/jobs/work.go
@@ -141,7 +141,7 @@
 // idle says that nothing of the job may start until something that runs ends.
 func (w *work) idle() bool { return w.cursor >= w.job.Total && len(w.retries) == 0 }
 
-// retryDue puts jobs back into the queue whose waiting items may start; p.mu is held.
+// retryDue puts jobs back into the queue whose waiting items may start; the lock is held.
 func (p *part) retryDue() {
 	now := p.m.Now()
 	for _, w := range p.works {
@@ -151,7 +151,7 @@
 	}
 }
 
-// inHand counts the items that run or whose result is on its way to the log; p.mu is held.
+// inHand counts the items that run or whose result is on its way to the log; the lock is held.
 func (p *part) inHand() int {
 	n := 0
 	for _, w := range p.works {
@@ -160,7 +160,7 @@
 	return n
 }
 
-// cancelRunning stops all items of the shard; p.mu is held.
+// cancelRunning stops all items of the shard; the lock is held.
 func (p *part) cancelRunning() {
 	for _, w := range p.works {
 		for _, cancel := range w.inHand {
