--- a/jobs/dispatch.go
+++ b/jobs/dispatch.go
@@ -3,12 +3,20 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/queue"
 	"github.com/sardinerock/sardinerock/shard"
 )
 
+const (
+	defaultMaxAttempts = 3
+	// readRetryWait is how long an item waits whose input can't be read from the log.
+	readRetryWait = time.Second
+)
+
 // dispatch starts items whenever the fleet has room for them.
 func (m *Manager) dispatch(ctx context.Context) error {
 	for {
@@ -105,7 +113,7 @@
 	body := answerBody(r, result, text)
 	if len(body) > maxItemBytes {
 		refusal := &sardinerock.Refusal{Code: sardinerock.CodeBodyTooLarge, Outcome: sardinerock.OutcomeRan, Message: "the answer is too large to be kept"}
-		p.end(w, index, it.GetCustomId(), refusal, verdict{})
+		p.end(w, index, it.GetCustomId(), refusal, queue.Verdict{})
 		return
 	}
 	p.succeed(w, index, &shard.ItemDone{Index: index, CustomId: it.GetCustomId(), Body: body}, result)
@@ -120,12 +128,12 @@
 }
 
 // judge decides what happens to an item that was refused.
-func (p *part) judge(w *work, index uint32, refusal *sardinerock.Refusal) verdict {
+func (p *part) judge(w *work, index uint32, refusal *sardinerock.Refusal) queue.Verdict {
 	p.Lock()
 	defer p.Unlock()
 	w.notRun[index]++
-	return judge(refusal, attempts{
-		failed: max(w.job.Failures[index], w.failed[index]), notRun: w.notRun[index], due: w.job.Due, now: p.m.Now(), most: p.m.maxAttempts(),
+	return queue.Judge(refusal, queue.Attempts{
+		Failed: max(w.job.Failures[index], w.failed[index]), NotRun: w.notRun[index], Due: w.job.Due, Now: p.m.Now(), Most: p.m.maxAttempts(),
 	})
 }
 
@@ -141,26 +149,26 @@
 }
 
 // end takes an item back that did not succeed, or records its failure.
-func (p *part) end(w *work, index uint32, customID string, refusal *sardinerock.Refusal, v verdict) {
+func (p *part) end(w *work, index uint32, customID string, refusal *sardinerock.Refusal, v queue.Verdict) {
 	p.Lock()
 	defer p.Unlock()
 	if p.works[w.job.Number] != w || !p.owns() {
 		return
 	}
-	if !v.again {
+	if !v.Again {
 		p.m.Events.Warn(event.ItemFailed).Str("job", w.job.ID).Int("item", int(index)).
 			Str("code", string(refusal.Code)).Str("reason", refusal.Message).Msg("item can't be done")
 		p.results.add(outcome{job: w.job.Number, index: index, done: failedItem(index, customID, refusal)})
 		p.afterItem()
 		return
 	}
-	if v.counts {
+	if v.Counts {
 		// Counted at once here, and in the log for the next owner.
 		w.failed[index] = max(w.job.Failures[index], w.failed[index]) + 1
 		p.results.add(outcome{job: w.job.Number, index: index, failure: true})
 	}
 	delete(w.inHand, index)
-	w.again(index, p.m.Now().Add(v.wait))
+	w.again(index, p.m.Now().Add(v.Wait))
 	p.afterItem()
 }
 
--- a/jobs/retry.go
+++ b/queue/judge.go
@@ -1,4 +1,4 @@
-package jobs
+package queue
 
 import (
 	"time"
@@ -7,9 +7,6 @@
 )
 
 const (
-	defaultMaxAttempts = 3
-	// readRetryWait is how long an item waits whose input can't be read from the log.
-	readRetryWait = time.Second
 	// notRunWaitFirst and notRunWaitMost bound the wait of an item that found no
 	// room: it doubles, so that thousands of items that can't run don't crowd out those that can.
 	notRunWaitFirst = 200 * time.Millisecond
@@ -21,28 +18,28 @@
 	lateGrace = 24 * time.Hour
 )
 
-// attempts is what is known of an item's tries when the last was refused.
-type attempts struct {
-	// failed counts those before that failed by the item's own doing; the log has it.
-	failed uint32
-	// notRun counts the refusals in this process, the last one among them.
-	notRun int
-	due    time.Time
-	now    time.Time
-	// most bounds the failed attempts.
-	most uint32
+// Attempts is what is known of an item's tries when the last was refused.
+type Attempts struct {
+	// Failed counts those before that failed by the item's own doing; the log has it.
+	Failed uint32
+	// NotRun counts the refusals in this process, the last one among them.
+	NotRun int
+	Due    time.Time
+	Now    time.Time
+	// Most bounds the failed attempts.
+	Most uint32
 }
 
-// verdict is what happens to an item after a refusal.
-type verdict struct {
-	// again says that the item is tried again after wait; otherwise it ends as failed.
-	again bool
-	wait  time.Duration
-	// counts says that the attempt counts against the item.
-	counts bool
+// Verdict is what happens to an item after a refusal.
+type Verdict struct {
+	// Again says that the item is tried again after Wait; otherwise it ends as failed.
+	Again bool
+	Wait  time.Duration
+	// Counts says that the attempt counts against the item.
+	Counts bool
 }
 
-// judge decides by the class of the error.
+// Judge decides by the class of the error.
 //
 //   - The item itself is at fault and always will be: it fails at once.
 //   - The attempt ran and came to nothing, or may have: it counts, and the item
@@ -51,35 +48,35 @@
 //   - The item found no room, was preempted or handed back: that says nothing
 //     about the item and doesn't count. Bursts of online work preempt items
 //     again and again; with these counted a busy day would fail whole jobs.
-func judge(r *sardinerock.Refusal, a attempts) verdict {
+func Judge(r *sardinerock.Refusal, a Attempts) Verdict {
 	switch r.Code {
 	case sardinerock.CodeInvalidRequest, sardinerock.CodeBodyTooLarge, sardinerock.CodeUnauthorized,
 		sardinerock.CodeForbidden, sardinerock.CodeNotFound, sardinerock.CodeModelNotFound, sardinerock.CodeConflict:
-		return verdict{}
+		return Verdict{}
 	case sardinerock.CodeBackendLost, sardinerock.CodeInternal, sardinerock.CodeDeadline, sardinerock.CodeCrashSuspect:
 		if r.Outcome == sardinerock.OutcomeNotRun && r.Code != sardinerock.CodeCrashSuspect {
 			return notCounted(r, a)
 		}
-		if a.failed+1 >= a.most {
-			return verdict{counts: true}
+		if a.Failed+1 >= a.Most {
+			return Verdict{Counts: true}
 		}
-		return verdict{again: true, counts: true, wait: max(r.RetryAfter, failedWait*time.Duration(a.failed+1))}
+		return Verdict{Again: true, Counts: true, Wait: max(r.RetryAfter, failedWait*time.Duration(a.Failed+1))}
 	default:
 		return notCounted(r, a)
 	}
 }
 
-func notCounted(r *sardinerock.Refusal, a attempts) verdict {
-	if !a.due.IsZero() && a.now.After(a.due.Add(lateGrace)) {
-		return verdict{}
+func notCounted(r *sardinerock.Refusal, a Attempts) Verdict {
+	if !a.Due.IsZero() && a.Now.After(a.Due.Add(lateGrace)) {
+		return Verdict{}
 	}
 	if r.Code == sardinerock.CodePreempted {
 		// Another backend server may be idle at once.
-		return verdict{again: true, wait: max(notRunWaitFirst, r.RetryAfter)}
+		return Verdict{Again: true, Wait: max(notRunWaitFirst, r.RetryAfter)}
 	}
 	wait := notRunWaitMost
-	if a.notRun < 8 {
-		wait = notRunWaitFirst << max(a.notRun-1, 0)
+	if a.NotRun < 8 {
+		wait = notRunWaitFirst << max(a.NotRun-1, 0)
 	}
-	return verdict{again: true, wait: min(max(wait, r.RetryAfter), notRunWaitMost)}
+	return Verdict{Again: true, Wait: min(max(wait, r.RetryAfter), notRunWaitMost)}
 }
