--- a/jobs/fault_test.go
+++ b/jobs/fault_test.go
@@ -22,8 +22,8 @@
 	mu     sync.Mutex
 	paused chan struct{}
 	cut    bool
-	// held counts the appends that wait for the pause to end.
-	held atomic.Int64
+	// held and heldReads count the appends and reads that wait for the pause to end.
+	held, heldReads atomic.Int64
 }
 
 var errCut = errors.New("cable cut")
@@ -73,7 +73,10 @@
 }
 
 func (c *cable) Read(ctx context.Context, name string, from int64, wait time.Duration) ([]sardinerock.LogRecord, error) {
-	if err := c.pass(); err != nil {
+	c.heldReads.Add(1)
+	err := c.pass()
+	c.heldReads.Add(-1)
+	if err != nil {
 		return nil, err
 	}
 	return c.Log.Read(ctx, name, from, wait)
@@ -439,3 +442,35 @@
 	_, _, err = two.Open(context.Background(), "finance", "file_9_zz")
 	g.Expect(sardinerock.AsRefusal(err).Code).To(Equal(sardinerock.CodeNotFound))
 }
+
+// An entry is stopped for so long that the log drops what it would read next,
+// and no checkpoint is there. It must say that it doesn't know, not that the
+// caller's job doesn't exist.
+func TestReaderThatLostItsPlaceDoesNotDenyJobs(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	log := newFakeLog()
+	f := newFleet(t, log)
+	wire := &cable{Log: log}
+	one := f.start("entry1", func(m *Manager) { m.Log = wire; m.Shards = 1 })
+	s, err := one.Create(context.Background(), spec("k"), items(10))
+	g.Expect(err).NotTo(HaveOccurred())
+	f.expectState(one, s.ID, sardinerock.JobFinished)
+	wire.pause()
+	// Its last read ends, and the next one is held.
+	g.Eventually(wire.heldReads.Load, patience).Should(BeNumerically(">", 0))
+	two := f.start("entry2", func(m *Manager) { m.Shards = 1 })
+	_, err = two.Create(context.Background(), spec("k2"), items(10))
+	g.Expect(err).NotTo(HaveOccurred())
+	log.trim("jobs-0", log.nextOf("jobs-0"))
+	wire.resume()
+	for range 50 {
+		_, err = one.Get(context.Background(), "finance", s.ID)
+		if err != nil {
+			g.Expect(sardinerock.AsRefusal(err).Code).To(Equal(sardinerock.CodeLogUnavailable))
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	g.Expect(err).To(HaveOccurred())
+}
