queue: fair among teams, and within a team among callers, as the bundle weighs them

The bundle gives teams a weight and callers one within their team; the queue knew the caller's alone, so a team with nine callers had nine shares.

--- a/jobs/work.go
+++ b/jobs/work.go
@@ -56,7 +56,7 @@
 
 func (p *part) addWork(j *shard.Job) {
 	w := &work{p: p, job: j, inHand: map[uint32]context.CancelFunc{}, notRun: map[uint32]int{}, failed: map[uint32]uint32{}}
-	w.queued = &queue.Job{ID: j.ID, Caller: j.Caller, Weight: p.m.weight(j.Caller), Due: j.Due, Cost: defaultCost}
+	w.queued = &queue.Job{ID: j.ID, Share: p.m.share(j.Caller), Due: j.Due, Cost: defaultCost}
 	p.works[j.Number] = w
 	p.m.enqueue(w)
 }
@@ -86,21 +86,27 @@
 	}
 }
 
-// weight is the caller's share by the bundle: the team's weight split by the caller's own.
-func (m *Manager) weight(caller string) float64 {
+// share is the caller's part by the bundle in force; a caller that it no longer has counts as a team of its own.
+func (m *Manager) share(caller string) queue.Share {
+	share := queue.Share{Team: "caller " + caller, Caller: caller}
 	if m.Config == nil {
-		return 1
+		return share
 	}
 	snapshot := m.Config.Current()
 	if snapshot == nil {
-		return 1
+		return share
 	}
 	for _, c := range snapshot.Bundle.Callers {
 		if c.Name == caller {
-			return float64(max(c.Weight, 1))
+			share.Team, share.Weight = c.Team, float64(c.Weight)
 		}
 	}
-	return 1
+	for _, t := range snapshot.Bundle.Teams {
+		if t.Name == share.Team {
+			share.TeamWeight = float64(t.Weight)
+		}
+	}
+	return share
 }
 
 // next takes the item that starts next, if one may start now.
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -27,18 +27,18 @@
 		want map[string][2]int
 	}{
 		"alone": {
-			jobs: []*Job{{ID: "a", Caller: "finance", Due: noon}},
+			jobs: []*Job{{ID: "a", Share: Share{Team: "finance", Caller: "finance"}, Due: noon}},
 			want: map[string][2]int{"finance": {1000, 1000}},
 		},
 		"the earliest due time gets half and its share of the rest": {
-			jobs: []*Job{{ID: "a", Caller: "finance", Due: noon}, {ID: "b", Caller: "letters", Due: noon.Add(time.Hour)}},
+			jobs: []*Job{{ID: "a", Share: Share{Team: "finance", Caller: "finance"}, Due: noon}, {ID: "b", Share: Share{Team: "letters", Caller: "letters"}, Due: noon.Add(time.Hour)}},
 			want: map[string][2]int{"finance": {500, 510}, "letters": {490, 500}},
 		},
 		"one caller of many that always names now leaves the others half": {
 			jobs: func() []*Job {
-				all := []*Job{{ID: "now", Caller: "greedy", Due: noon.Add(-time.Hour)}}
+				all := []*Job{{ID: "now", Share: Share{Team: "greedy", Caller: "greedy"}, Due: noon.Add(-time.Hour)}}
 				for i := range 9 {
-					all = append(all, &Job{ID: fmt.Sprint("j", i), Caller: fmt.Sprint("other", i), Due: noon})
+					all = append(all, &Job{ID: fmt.Sprint("j", i), Share: Share{Team: fmt.Sprint("other", i), Caller: fmt.Sprint("other", i)}, Due: noon})
 				}
 				return all
 			}(),
@@ -46,17 +46,27 @@
 		},
 		"long items among short count by their tokens": {
 			jobs: []*Job{
-				{ID: "a", Caller: "long", Due: noon.Add(time.Hour), Cost: 9000},
-				{ID: "b", Caller: "short", Due: noon.Add(time.Hour), Cost: 1000},
-				{ID: "c", Caller: "urgent", Due: noon, Cost: 1000},
+				{ID: "a", Share: Share{Team: "long", Caller: "long"}, Due: noon.Add(time.Hour), Cost: 9000},
+				{ID: "b", Share: Share{Team: "short", Caller: "short"}, Due: noon.Add(time.Hour), Cost: 1000},
+				{ID: "c", Share: Share{Team: "urgent", Caller: "urgent"}, Due: noon, Cost: 1000},
 			},
 			want: map[string][2]int{"urgent": {500, 520}, "short": {420, 455}, "long": {45, 60}},
 		},
+		"a team with many callers gets a team's share": {
+			jobs: func() []*Job {
+				all := []*Job{{ID: "u", Share: Share{Team: "urgent", Caller: "urgent"}, Due: noon}, {ID: "s", Share: Share{Team: "small", Caller: "single"}, Due: noon.Add(time.Hour)}}
+				for i := range 9 {
+					all = append(all, &Job{ID: fmt.Sprint("j", i), Share: Share{Team: "large", Caller: fmt.Sprint("large", i)}, Due: noon.Add(time.Hour)})
+				}
+				return all
+			}(),
+			want: map[string][2]int{"urgent": {500, 505}, "single": {245, 255}, "large0": {25, 30}},
+		},
 		"weights": {
 			jobs: []*Job{
-				{ID: "a", Caller: "heavy", Due: noon.Add(time.Hour), Weight: 3},
-				{ID: "b", Caller: "light", Due: noon.Add(time.Hour)},
-				{ID: "c", Caller: "urgent", Due: noon},
+				{ID: "a", Share: Share{Team: "heavy", Caller: "heavy", TeamWeight: 3}, Due: noon.Add(time.Hour)},
+				{ID: "b", Share: Share{Team: "light", Caller: "light"}, Due: noon.Add(time.Hour)},
+				{ID: "c", Share: Share{Team: "urgent", Caller: "urgent"}, Due: noon},
 			},
 			want: map[string][2]int{"urgent": {500, 505}, "heavy": {370, 380}, "light": {120, 130}},
 		},
@@ -80,12 +90,12 @@
 func TestNoCreditForIdleTime(t *testing.T) {
 	g := NewWithT(t)
 	q := New()
-	q.Put(&Job{ID: "a", Caller: "steady", Due: noon})
-	q.Put(&Job{ID: "b", Caller: "back", Due: noon.Add(time.Hour)})
+	q.Put(&Job{ID: "a", Share: Share{Team: "steady", Caller: "steady"}, Due: noon})
+	q.Put(&Job{ID: "b", Share: Share{Team: "back", Caller: "back"}, Due: noon.Add(time.Hour)})
 	turns(q, 10)
 	q.Remove("b")
 	turns(q, 1000)
-	q.Put(&Job{ID: "b", Caller: "back", Due: noon.Add(time.Hour)})
+	q.Put(&Job{ID: "b", Share: Share{Team: "back", Caller: "back"}, Due: noon.Add(time.Hour)})
 	g.Expect(turns(q, 100)["back"]).To(BeNumerically("<=", 52))
 }
 
@@ -93,7 +103,7 @@
 	g := NewWithT(t)
 	q := New()
 	for _, hours := range []int{3, 1, 2} {
-		q.Put(&Job{ID: fmt.Sprint(hours), Caller: "finance", Due: noon.Add(time.Duration(hours) * time.Hour)})
+		q.Put(&Job{ID: fmt.Sprint(hours), Share: Share{Team: "finance", Caller: "finance"}, Due: noon.Add(time.Duration(hours) * time.Hour)})
 	}
 	for _, want := range []string{"1", "2", "3"} {
 		g.Expect(q.Next().ID).To(Equal(want))
@@ -105,7 +115,7 @@
 func BenchmarkNext(b *testing.B) {
 	q := New()
 	for i := range 1800 {
-		q.Put(&Job{ID: fmt.Sprint(i), Caller: fmt.Sprint("caller", i), Due: noon.Add(time.Duration(i) * time.Second)})
+		q.Put(&Job{ID: fmt.Sprint(i), Share: Share{Team: fmt.Sprint("caller", i), Caller: fmt.Sprint("caller", i)}, Due: noon.Add(time.Duration(i) * time.Second)})
 	}
 	for b.Loop() {
 		q.Next()
