--- a/jobs/fault_test.go
+++ b/jobs/fault_test.go
@@ -176,7 +176,19 @@
 // while the log is down. Running items go on until the buffer of results is
 // full. When the log is back all results are recorded, each once.
 func TestLogOutage(t *testing.T) {
-	t.Parallel()
+	tables := map[string]func(l *fakeLog, out bool){
+		"no answer to anything": func(l *fakeLog, out bool) { l.down = out },
+		"reads go on":           func(l *fakeLog, out bool) { l.noAppends = out },
+	}
+	for name, outage := range tables {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			playOutage(t, outage)
+		})
+	}
+}
+
+func playOutage(t *testing.T, outage func(l *fakeLog, out bool)) {
 	g := NewWithT(t)
 	log := newFakeLog()
 	f := newFleet(t, log)
@@ -185,7 +197,8 @@
 	s, err := one.Create(context.Background(), spec("k"), items(2000))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Eventually(one.runner.count, patience).Should(BeNumerically(">", 50))
-	log.set(func(l *fakeLog) { l.down = true })
+	log.set(func(l *fakeLog) { outage(l, true) })
+	g.Eventually(one.logFailing, patience).ShouldNot(BeNil())
 	g.Eventually(func() sardinerock.Code {
 		_, err := one.Create(context.Background(), spec("k2"), items(10))
 		r := sardinerock.AsRefusal(err)
@@ -199,7 +212,7 @@
 	_, err = one.Create(context.Background(), spec("k2"), items(10))
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(time.Since(started)).To(BeNumerically("<", 2*time.Second))
-	log.set(func(l *fakeLog) { l.down = false })
+	log.set(func(l *fakeLog) { outage(l, false) })
 	f.expectState(one, s.ID, sardinerock.JobFinished)
 	f.expectResults(one, s.ID, 2000)
 	for id, n := range one.runner.all() {
--- a/jobs/log_test.go
+++ b/jobs/log_test.go
@@ -19,13 +19,15 @@
 	random  *rand.Rand
 	changed chan struct{}
 
-	// down makes every call fail; lose and refuse are shares of the appends.
-	down    bool
-	lose    float64
-	refuse  float64
-	latency time.Duration
-	appends int
-	bytes   int
+	// down makes every call fail, noAppends every append; lose and refuse are shares of the appends.
+	down bool
+
+	noAppends bool
+	lose      float64
+	refuse    float64
+	latency   time.Duration
+	appends   int
+	bytes     int
 }
 
 type fakeStream struct {
@@ -63,7 +65,7 @@
 	if err := ctx.Err(); err != nil {
 		return 0, err
 	}
-	if l.down {
+	if l.down || l.noAppends {
 		return 0, errLost
 	}
 	if l.random.Float64() < l.refuse {
