--- /dev/null
+++ b/proof/client_test.go
@@ -0,0 +1,62 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"github.com/sardinerock/sardinerock/front"
+)
+
+// A caller uses a client library for the usual forms against a whole fleet: a
+// streamed answer, and a job through one entry whose results it reads from the
+// other. The library retries nothing, so that what it gets is what was sent.
+func TestClientLibraryAgainstAFleet(t *testing.T) {
+	f := newParallel(t, shape{entries: 2, sides: 2})
+	ctx := context.Background()
+	first, second := f.library(f.entries[0]), f.library(f.entries[1])
+
+	stream := first.Chat.Completions.NewStreaming(ctx, openai.ChatCompletionNewParams{
+		Model:     modelName,
+		Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage("margin comment")},
+		MaxTokens: openai.Int(onlineTokens),
+	})
+	gathered := openai.ChatCompletionAccumulator{}
+	for stream.Next() {
+		gathered.AddChunk(stream.Current())
+	}
+	f.Expect(stream.Err()).NotTo(HaveOccurred())
+	f.Expect(gathered.Choices[0].Message.Content).To(Equal(expectedText("margin comment", onlineTokens)))
+
+	const items = 10
+	var lines strings.Builder
+	for i := range items {
+		fmt.Fprintf(&lines, `{"custom_id":"item%d","method":"POST","url":%q,"body":%s}`+"\n", i, front.PathChat, chatBody(itemPrompt("library", i), f.itemTokens))
+	}
+	file, err := first.Files.New(ctx, openai.FileNewParams{
+		File: openai.File(strings.NewReader(lines.String()), "letters.jsonl", "application/jsonl"), Purpose: openai.FilePurposeBatch,
+	})
+	f.Expect(err).NotTo(HaveOccurred())
+	batch, err := first.Batches.New(ctx, openai.BatchNewParams{
+		InputFileID: file.ID, Endpoint: openai.BatchNewParamsEndpointV1ChatCompletions,
+		CompletionWindow: openai.BatchNewParamsCompletionWindow24h,
+	})
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Eventually(func() (openai.BatchStatus, error) {
+		batch, err = second.Batches.Get(ctx, batch.ID)
+		if err != nil {
+			return "", err
+		}
+		return batch.Status, nil
+	}, patience).Should(Equal(openai.BatchStatusCompleted))
+	f.expectResults(&job{OutputFileID: batch.OutputFileID}, "library", items, f.entries...)
+}
+
+func (f *fleet) library(n *node) openai.Client {
+	return openai.NewClient(option.WithBaseURL(n.url+"/v1/"), option.WithAPIKey(callerToken), option.WithMaxRetries(0))
+}
