--- a/front/batches.go
+++ b/front/batches.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sardinerock/sardinerock"
@@ -62,10 +63,22 @@
 	sardinerock.JobExpired:    "expired",
 }
 
+// window writes 24h0m0s as callers gave it, 24h.
+func window(j *sardinerock.JobStatus) string {
+	text := j.Due.Sub(j.CreatedAt).Round(time.Second).String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
+}
+
 func newBatchObject(j *sardinerock.JobStatus) batchObject {
 	b := batchObject{
 		ID: j.ID, Object: "batch", Endpoint: j.Path, Status: batchStates[j.State],
-		CompletionWindow: j.Due.Sub(j.CreatedAt).Round(time.Second).String(),
+		CompletionWindow: window(j),
 		CreatedAt:        j.CreatedAt.Unix(), InProgressAt: j.CreatedAt.Unix(), ExpiresAt: unix(j.Due),
 		RequestCounts: batchCounts{Total: j.Total, Completed: j.Completed, Failed: j.Failed},
 		Metadata:      j.Metadata,
--- /dev/null
+++ b/proof/links_test.go
@@ -0,0 +1,28 @@
+package proof
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// relativeLink is a link of a page to a file of the project.
+var relativeLink = regexp.MustCompile(`\]\(([^):#]+)\)`)
+
+func TestLinksOfThePagesResolve(t *testing.T) {
+	g := NewWithT(t)
+	for _, pattern := range []string{"../*.md", "../docs/*.md", "../docs/design/*.md"} {
+		pages, err := filepath.Glob(pattern)
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, page := range pages {
+			text, err := os.ReadFile(page)
+			g.Expect(err).NotTo(HaveOccurred())
+			for _, link := range relativeLink.FindAllStringSubmatch(string(text), -1) {
+				g.Expect(filepath.Join(filepath.Dir(page), link[1])).To(BeAnExistingFile(), page)
+			}
+		}
+	}
+}
--- a/proof/page_test.go
+++ b/proof/page_test.go
@@ -17,6 +17,11 @@
 	testFunc = regexp.MustCompile(`(?m)^func ((?:Test|Fuzz|Benchmark)\w+)\(`)
 )
 
+// notProofs are tests of this package that hold pages, not promises.
+var notProofs = map[string]bool{
+	"proof.TestMain": true, "proof.TestPageNamesTestsThatExist": true, "proof.TestLinksOfThePagesResolve": true,
+}
+
 func TestPageNamesTestsThatExist(t *testing.T) {
 	g := NewWithT(t)
 	page, err := os.ReadFile("../docs/PROOFS.md")
@@ -28,7 +33,7 @@
 		g.Expect(declared[match[1]]).To(BeTrue(), "no such test: "+match[1])
 	}
 	for name := range declared {
-		if strings.HasPrefix(name, "proof.Test") && name != "proof.TestMain" && name != "proof.TestPageNamesTestsThatExist" {
+		if strings.HasPrefix(name, "proof.Test") && !notProofs[name] {
 			g.Expect(named[name]).To(BeTrue(), "a proof that the page doesn't tell of: "+name)
 		}
 	}
