route: an item that ended gives its batch credit back (for the owners to take)

Cause: credit was counted down with each item sent and renewed only by the next heartbeat (300 ms), a third of it for each of three entries: items of 0.16 s ran at 26/s on 24 idle slots that could do 150/s, without any fault.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -297,6 +297,7 @@
 	if t.tokens > 1 {
 		s.TokenGap = t.last.Sub(t.first) / time.Duration(t.tokens-1)
 	}
+	s.Whole = f == nil
 	s.Failed = f != nil && f.refusal.Code == sardinerock.CodeBackendLost
 	return s
 }
--- a/route/table.go
+++ b/route/table.go
@@ -76,6 +76,8 @@
 
 // Sample is what an attempt has shown of its backend server.
 type Sample struct {
+	// Whole says that the attempt ran to its end.
+	Whole bool
 	// TokenGap is the mean time between tokens; zero when unknown.
 	TokenGap time.Duration
 	// Failed says that the backend server failed; refusals and cancellations aren't failures.
@@ -174,6 +176,11 @@
 	}
 	if class == sardinerock.ClassBatch {
 		b.batchOwn = max(0, b.batchOwn-1)
+		if s.Whole {
+			// The item leaves its slot free. Were that only known from the next
+			// heartbeat, short items would run at the heartbeats' pace.
+			b.batchSent--
+		}
 	} else {
 		b.own = max(0, b.own-1)
 		b.ended++
