--- a/jobs/create.go
+++ b/jobs/create.go
@@ -23,6 +23,9 @@
 	// sealGiveUp leaves time to withdraw a seal whose fate is open, so that "not run" can be said for certain.
 	sealGiveUp      = 6 * time.Second
 	defaultMaxItems = 200_000
+	// maxItemBytes bounds one item and one result: a record that the log always
+	// refuses would be repeated for good and hold up all that comes after it.
+	maxItemBytes = 1 << 20
 )
 
 // Create accepts a job: chunks first, then the seal, which alone makes it count.
@@ -34,10 +37,10 @@
 	number, id := m.place(spec.Caller, spec.IdempotencyKey)
 	p, release := m.use(number)
 	defer release()
-	if err := p.current(ctx); err != nil {
+	if err := p.reachable(ctx); err != nil {
 		return nil, err
 	}
-	u := &uploader{p: p, ctx: ctx, id: m.draw(), digest: xxhash.New(), names: map[uint64]struct{}{}, most: m.maxItems()}
+	u := &uploader{p: p, ctx: ctx, id: draw(), digest: xxhash.New(), names: map[uint64]struct{}{}, most: m.maxItems()}
 	_, _ = u.digest.WriteString(spec.Path + "\x00")
 	// The first copy of a resent job is in the log already: only compare.
 	_, err := p.status(spec.Caller, id)
@@ -54,6 +57,17 @@
 	return u.seal(spec, id)
 }
 
+// reachable brings the shard up to the end of its stream, or refuses: with a log
+// that can't even be read an append would only end with an answer that is open.
+func (p *part) reachable(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	if err := p.Sync(ctx); err != nil {
+		return logRefusal(sardinerock.OutcomeNotRun, "the log can't be read, nothing was accepted: "+err.Error())
+	}
+	return nil
+}
+
 func (m *Manager) maxItems() int {
 	if m.Config != nil {
 		if c := m.Config.Current(); c != nil && c.Bundle.Batch.MaxItems > 0 {
@@ -87,6 +101,12 @@
 	if it.CustomID == "" {
 		return invalid(fmt.Sprintf("item %d has no custom_id", u.total+1))
 	}
+	if len(it.Body)+len(it.CustomID) > maxItemBytes {
+		return &sardinerock.Refusal{
+			Code: sardinerock.CodeBodyTooLarge, Outcome: sardinerock.OutcomeNotRun,
+			Message: fmt.Sprintf("item %d has more than %d bytes", u.total+1, maxItemBytes),
+		}
+	}
 	name := xxhash.Sum64String(it.CustomID)
 	if _, double := u.names[name]; double {
 		return invalid(fmt.Sprintf("item %d: custom_id %q is there twice", u.total+1, it.CustomID))
@@ -158,7 +178,7 @@
 	defer cancel()
 	offset, err := u.p.append(ctx, &shard.Record{Kind: &shard.Record_Seal{Seal: s}}, u.p.m.Now().Add(sealGiveUp))
 	if err == nil {
-		err = u.p.reach(ctx, offset)
+		err = u.p.Reach(ctx, offset)
 	}
 	if err != nil {
 		return nil, appendRefusal(err, "the job")
@@ -168,9 +188,9 @@
 
 // verdict says what the log's order made of a job that was sent: accepted, met by its first copy, or in conflict.
 func (p *part) verdict(spec sardinerock.JobSpec, id string, digest uint64) (*sardinerock.JobStatus, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	j := p.state.Jobs[id]
+	p.Lock()
+	defer p.Unlock()
+	j := p.State.Jobs[id]
 	if j == nil {
 		return nil, logRefusal(sardinerock.OutcomeNotRun, "the upload took too long and was dropped; nothing was accepted")
 	}
