--- a/member/bench_test.go
+++ b/member/bench_test.go
@@ -48,6 +48,7 @@
 		sink = t.Subset(SubsetSize)
 	}
 }
+
 // The cost of asking who may own shards, at the target's fleet; it is asked some twenty times a second.
 func BenchmarkLive(b *testing.B) {
 	t := &Tracker{Self: entries(1)[0]}
