--- a/capa/fleets/spread.go
+++ b/capa/fleets/spread.go
@@ -116,7 +116,7 @@
 			Beat: func() *wire.EntryBeat {
 				beat := &wire.EntryBeat{Sequence: 1000}
 				if s := k.Current(); s != nil {
-					beat.ConfigVersion, beat.ConfigDigest = s.Version, s.Digest
+					beat.ConfigVersion = s.Version
 				}
 				return beat
 			},
--- a/capa/nodes/link.go
+++ b/capa/nodes/link.go
@@ -40,9 +40,9 @@
 func (a *answering) Beat(s *link.Session, beat *wire.EntryBeat) {
 	a.beats.Add(1)
 	s.SendBeat(&wire.SideBeat{
-		Sequence: beat.Sequence, Echo: beat.Sequence, ConfigVersion: beat.ConfigVersion, ConfigDigest: beat.ConfigDigest,
+		Sequence: beat.Sequence, Echo: beat.Sequence, ConfigVersion: beat.ConfigVersion,
 		BackendUp: true, Slots: 24, OnlineRunning: 10, BatchRunning: 12, BatchCredit: 2, FirstTokenMs: 400, TokenGapUs: 30000,
-		BackendGeneration: 1, Loaded: []*wire.Loaded{{Model: "draft-large", Version: "2026-11"}, {Model: "draft-large", Version: "2026-11", Adapter: "panels"}},
+		BackendGeneration: 1, LoadedSame: true, // What is loaded travels only when it has changed.
 	})
 }
 
@@ -88,7 +88,7 @@
 		c := &link.Client{
 			SideID: fmt.Sprint("side", i), Address: listener.Addr().String(), EntryID: "entry-0001", Zone: "zone-a",
 			Beat: func() *wire.EntryBeat {
-				return &wire.EntryBeat{Sequence: 1000, ConfigVersion: 38000, ConfigDigest: fmt.Sprintf("%064x", i)}
+				return &wire.EntryBeat{Sequence: 1000, ConfigVersion: 38000}
 			},
 			OnBeat:   func(*wire.SideBeat) {},
 			Sections: func(*wire.WantSections) *wire.Sections { return nil },
--- a/capa/nodes/ping.go
+++ b/capa/nodes/ping.go
@@ -20,7 +20,7 @@
 
 // Ping implements the generated server interface.
 func (answeringPeer) Ping(_ context.Context, p *wire.PeerPing) (*wire.PeerPong, error) {
-	return &wire.PeerPong{EntryId: p.EntryId, ConfigVersion: p.ConfigVersion, ConfigDigest: p.ConfigDigest, Usage: p.Usage}, nil
+	return &wire.PeerPong{EntryId: p.EntryId, ConfigVersion: p.ConfigVersion, Usage: p.Usage}, nil
 }
 
 // Pings gives what a ping between entries costs, by the callers whose use it tells.
@@ -46,7 +46,7 @@
 	client := wire.NewDRPCPeerClient(conn)
 	var bytes, cpuTime []meter.Point
 	for _, callers := range []int{0, 50, 200, 1800} {
-		ping := &wire.PeerPing{EntryId: "entry-0001", ConfigVersion: 38000, ConfigDigest: fmt.Sprintf("%064x", 1)}
+		ping := &wire.PeerPing{EntryId: "entry-0001", ConfigVersion: 38000}
 		for i := range callers {
 			ping.Usage = append(ping.Usage, &wire.Usage{Caller: fmt.Sprintf("team%04d-app", i), Requests: 600, Tokens: 300000})
 		}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -35,14 +35,15 @@
 	}
 	start := c.frame(query, started)
 	sample := route.Sample{}
-	defer func() { c.finished(l, start, query.Class, sample) }()
+	var load *wire.Load
+	defer func() { c.finished(l, start, query.Class, sample, load) }()
 	a, err := l.client.Start(start)
 	if err != nil {
 		return sardinerock.Result{}, failed(sardinerock.CodeBackendLost, sardinerock.OutcomeNotRun, err.Error())
 	}
 	t := &taker{course: c}
 	result, f := t.takeAll(ctx, a)
-	sample = t.sample(f)
+	sample, load = t.sample(f), t.load
 	if f == nil {
 		c.entry.remember(c.request, c.version)
 	}
@@ -189,12 +190,22 @@
 	return start
 }
 
-func (c *course) finished(l *sideLink, start *wire.Start, class sardinerock.Class, sample route.Sample) {
+func (c *course) finished(l *sideLink, start *wire.Start, class sardinerock.Class, sample route.Sample, load *wire.Load) {
 	e := c.entry
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(l.inFlight, start.Attempt)
 	e.table.Finished(time.Now(), l.instance.ID, class, sample)
+	if load == nil {
+		return
+	}
+	e.table.UpdateLoad(l.instance.ID, route.Load{
+		Slots:         int(load.Slots),
+		OnlineRunning: int(load.OnlineRunning),
+		OnlineWaiting: int(load.OnlineWaiting),
+		BatchRunning:  int(load.BatchRunning),
+		BatchCredit:   int(load.BatchCredit),
+	})
 }
 
 // lossID names the loss of an instance, the same in every entry that had work there.
@@ -206,6 +217,8 @@
 	first  time.Time
 	last   time.Time
 	tokens int
+	// load is what the attempt's end told of the side.
+	load *wire.Load
 }
 
 // takeAll passes tokens on until the attempt ends.
@@ -269,6 +282,7 @@
 }
 
 func (t *taker) ended(end *wire.End) (sardinerock.Result, *failure) {
+	t.load = end.Load
 	if end.Code != "" {
 		return sardinerock.Result{}, &failure{
 			refusal: &sardinerock.Refusal{
--- a/entry/links.go
+++ b/entry/links.go
@@ -104,7 +104,6 @@
 	}
 	if current := e.keeper.Current(); current != nil {
 		beat.ConfigVersion = current.Version
-		beat.ConfigDigest = current.Digest
 	}
 	return beat
 }
@@ -127,6 +126,9 @@
 	if l.last == nil || l.last.ConfigVersion != beat.ConfigVersion {
 		l.since = now
 	}
+	if beat.LoadedSame && l.last != nil {
+		beat.Loaded = l.last.Loaded
+	}
 	l.last = beat
 	e.table.Update(now, e.backend(l, now))
 	if len(beat.PrefixesAdded)+len(beat.PrefixesDropped) > 0 {
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -64,7 +64,7 @@
 	pong := &wire.PeerPong{EntryId: e.ID, Leaving: e.leaving, Usage: e.usage(now)}
 	e.mu.Unlock()
 	if current := e.keeper.Current(); current != nil {
-		pong.ConfigVersion, pong.ConfigDigest = current.Version, current.Digest
+		pong.ConfigVersion = current.Version
 	}
 	if !ping.WantBundle {
 		return pong, nil
@@ -76,13 +76,28 @@
 	return pong, nil
 }
 
-// usage returns this entry's demand figures. Callers hold e.mu.
+// maxUsage bounds the callers that one ping tells of. All of 1,800 would make
+// a ping 40 KB long; a limit is strained by the busiest.
+const maxUsage = 32
+
+// usage returns this entry's demand figures of the busiest callers that have a limit. Callers hold e.mu.
 func (e *Entry) usage(now time.Time) []*wire.Usage {
-	var all []*wire.Usage
-	for _, u := range e.limiter.Usage(now) {
-		all = append(all, &wire.Usage{Caller: u.Caller, Requests: u.Requests, Tokens: u.Tokens})
+	current := e.keeper.Current()
+	if current == nil {
+		return nil
+	}
+	callers := e.callers.of(current)
+	busiest := slices.DeleteFunc(e.limiter.Usage(now), func(u admit.Usage) bool {
+		return callers.limits(u.Caller) == (admit.CallerLimits{})
+	})
+	slices.SortFunc(busiest, func(a, b admit.Usage) int {
+		return cmp.Or(cmp.Compare(b.Tokens, a.Tokens), cmp.Compare(b.Requests, a.Requests))
+	})
+	var told []*wire.Usage
+	for _, u := range busiest[:min(len(busiest), maxUsage)] {
+		told = append(told, &wire.Usage{Caller: u.Caller, Requests: u.Requests, Tokens: u.Tokens})
 	}
-	return all
+	return told
 }
 
 // peerLoop pings this entry's share of the others.
@@ -167,7 +182,7 @@
 	ping := &wire.PeerPing{EntryId: e.ID, Usage: e.usage(time.Now()), Leaving: e.leaving, WantBundle: wantBundle}
 	e.mu.Unlock()
 	if current := e.keeper.Current(); current != nil {
-		ping.ConfigVersion, ping.ConfigDigest = current.Version, current.Digest
+		ping.ConfigVersion = current.Version
 	}
 	pong, err := wire.NewDRPCPeerClient(conn).Ping(ctx, ping)
 	if err != nil {
--- a/link/client.go
+++ b/link/client.go
@@ -346,7 +346,7 @@
 	defer ticker.Stop()
 	c.sendBeat(s)
 	heard := s.heard.Load()
-	sinceBeat := 0
+	sinceBeat, quiet := 0, 0
 	// unanswered counts the ticks since the oldest heartbeat that nothing came after.
 	waiting, unanswered := true, 0
 	for {
@@ -356,8 +356,10 @@
 		case <-ticker.C:
 		}
 		sinceBeat++
+		quiet++
 		if now := s.heard.Load(); now != heard {
 			heard = now
+			quiet = 0
 			waiting, unanswered = false, 0
 		}
 		if waiting {
@@ -367,11 +369,9 @@
 			c.Events.Warn(event.LinkSilent).Str("side", c.SideID).Msg("no answer to heartbeats, connection replaced")
 			return true
 		}
-		every := timing.IdleTicks
-		if s.inFlight() > 0 {
-			every = timing.ActiveTicks
-		}
-		if sinceBeat >= every {
+		// Tokens show that the link is alive as well as an answer would.
+		probe := !waiting && quiet >= timing.ActiveTicks && s.inFlight() > 0
+		if probe || sinceBeat >= timing.IdleTicks {
 			c.sendBeat(s)
 			sinceBeat = 0
 			waiting = true
--- a/link/tune.go
+++ b/link/tune.go
@@ -13,25 +13,25 @@
 type Timing struct {
 	// Tick is the step in which silence is counted.
 	Tick time.Duration
-	// IdleTicks is the number of ticks between heartbeats of a link without attempts in flight.
+	// IdleTicks is the number of ticks between heartbeats, whatever else is on the link.
 	IdleTicks int
-	// ActiveTicks is the same for a link with attempts in flight.
+	// ActiveTicks is how long a link with attempts in flight may bring nothing before it is probed.
 	ActiveTicks int
 	// SilentTicks is how many ticks after an unanswered heartbeat a link counts as silent.
 	SilentTicks int
 }
 
-// idlePerLink spreads the heartbeats of an entry with many idle links. At 60
-// links of about 100 bytes a heartbeat pair, one every 40 ms is 2.5 KB/s at
-// the entry and its sides together, near the control budget of one node.
+// idlePerLink spreads the heartbeats of an entry with many links: one every 40 ms
+// keeps it near the control budget of a node, 2 KB/s, however many links it has.
 const idlePerLink = 40 * time.Millisecond
 
 // TimingFor returns the timing of an entry with that many links.
 //
-// A link that carries attempts is probed every 300 ms, and given up 900 ms
-// after a probe got no answer: a caller who waits for a first token of 0.95 s
-// must not wait for a connection that lost its state on the way. An idle link
-// has nobody waiting on it, so it only has to be found dead before it is used.
+// A link that carries attempts and brings nothing for 300 ms is probed, and given
+// up 900 ms after a probe got no answer: a caller who waits for a first token of
+// 0.95 s must not wait for a connection that lost its state on the way. While
+// tokens come there is nothing to probe. An idle link has nobody waiting on it,
+// so it only has to be found dead before it is used.
 func TimingFor(links int) Timing {
 	const tick = 100 * time.Millisecond
 	idle := max(5, int(idlePerLink*time.Duration(links)/tick))
--- a/route/backend.go
+++ b/route/backend.go
@@ -59,7 +59,12 @@
 		b.interval.add(max(r.ReportAt.Sub(b.report.ReportAt), intervalMin).Seconds())
 	}
 	b.report = r
-	b.others = max(0, r.OnlineRunning+r.OnlineWaiting-b.own)
+	b.recount()
+}
+
+// recount begins anew what counts since the last load.
+func (b *backend) recount() {
+	b.others = max(0, b.report.OnlineRunning+b.report.OnlineWaiting-b.own)
 	b.sent, b.ended, b.batchSent = 0, 0, 0
 }
 
--- a/route/table.go
+++ b/route/table.go
@@ -138,6 +138,32 @@
 	}
 }
 
+// Load is the part of a report that changes all the time.
+type Load struct {
+	Slots         int
+	OnlineRunning int
+	OnlineWaiting int
+	BatchRunning  int
+	BatchCredit   int
+}
+
+// UpdateLoad takes a load that came between two reports, after Finished for the
+// attempt that brought it. It is no report: were the time between reports
+// learned from it, a side would count as late whenever nothing has ended for a
+// moment.
+func (t *Table) UpdateLoad(id string, l Load) {
+	b := t.backends[id]
+	if b == nil {
+		return
+	}
+	t.fleet.subtract(b)
+	b.report.Slots = l.Slots
+	b.report.OnlineRunning, b.report.OnlineWaiting = l.OnlineRunning, l.OnlineWaiting
+	b.report.BatchRunning, b.report.BatchCredit = l.BatchRunning, l.BatchCredit
+	b.recount()
+	t.fleet.add(b)
+}
+
 // Remove forgets a backend server.
 func (t *Table) Remove(id string) {
 	b := t.backends[id]
--- a/side/attempt.go
+++ b/side/attempt.go
@@ -89,6 +89,7 @@
 		s.suspects.Ended(time.Now(), a.start.Fingerprint, a.start.Alone)
 	}
 	actions := s.gate.Done(time.Now(), a.name, sample)
+	end.Load = s.load()
 	a.session.SendEnd(end)
 	s.apply(actions)
 	s.mu.Unlock()
--- a/side/handle.go
+++ b/side/handle.go
@@ -17,7 +17,7 @@
 	s.Events.Info(event.PeerUp).Str("entry", session.EntryID).Msg("entry attached")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sessions[session] = struct{}{}
+	s.sessions[session] = nil
 }
 
 // Closed implements link.Handler: nobody is left to take the answers, so the work stops.
@@ -42,7 +42,7 @@
 		s.suspects.Merge(now, link.FromWire(beat.Quarantined))
 		s.quarantine(now)
 	}
-	session.SendBeat(s.beat(beat.Sequence))
+	session.SendBeat(s.beat(session, beat.Sequence))
 	s.askConfig(session, beat)
 }
 
@@ -60,6 +60,10 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if _, open := s.sessions[session]; !open {
+		// Its link was lost while the frame was read: nobody would cancel it.
+		return
+	}
 	if refusal := s.refuse(now, start); refusal != nil {
 		session.SendEnd(refusalEnd(start.Attempt, refusal))
 		return
--- a/side/health.go
+++ b/side/health.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -56,7 +57,7 @@
 
 // setHealth takes the result of a probe and tells the entries of a change at once. Callers hold s.mu.
 func (s *Side) setHealth(up bool, loaded []sardinerock.LoadedModel) {
-	changed := up != s.health.up || up && !sameModels(loaded, s.health.loaded)
+	changed := up != s.health.up || up && !slices.Equal(loaded, s.health.loaded)
 	if s.health.up && !up {
 		s.health.generation++
 	}
@@ -70,18 +71,6 @@
 	}
 }
 
-func sameModels(a, b []sardinerock.LoadedModel) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // crashed notes the requests that ran when the backend server died. Any of them
 // may be the one that killed it: if A and B ran and A alone were blamed, B
 // would be tried again beside others and kill the next backend server. So all
@@ -138,14 +127,14 @@
 		defer s.mu.Unlock()
 		s.health.cacheSequence = events[len(events)-1].Sequence
 		for session := range s.sessions {
-			session.SendBeat(s.cacheBeat(events))
+			session.SendBeat(s.cacheBeat(session, events))
 		}
 	})
 }
 
 // cacheBeat is a heartbeat that also tells of changed prefixes. Callers hold s.mu.
-func (s *Side) cacheBeat(events []sardinerock.CacheEvent) *wire.SideBeat {
-	beat := s.beat(0)
+func (s *Side) cacheBeat(session *link.Session, events []sardinerock.CacheEvent) *wire.SideBeat {
+	beat := s.beat(session, 0)
 	for _, e := range events[max(0, len(events)-maxPrefixesPerBeat):] {
 		if e.Dropped {
 			beat.PrefixesDropped = append(beat.PrefixesDropped, e.Prefix)
@@ -157,7 +146,7 @@
 }
 
 // beat builds the heartbeat for one entry. Callers hold s.mu.
-func (s *Side) beat(echo uint64) *wire.SideBeat {
+func (s *Side) beat(session *link.Session, echo uint64) *wire.SideBeat {
 	now := time.Now()
 	state := s.gate.State()
 	beat := &wire.SideBeat{
@@ -176,7 +165,14 @@
 	}
 	if current := s.replica.Current(); current != nil {
 		beat.ConfigVersion = current.Version
-		beat.ConfigDigest = current.Digest
+	}
+	told, open := s.sessions[session]
+	if len(told) > 0 && slices.Equal(told, s.health.loaded) {
+		beat.LoadedSame = true
+		return beat
+	}
+	if open {
+		s.sessions[session] = s.health.loaded
 	}
 	for _, m := range s.health.loaded {
 		beat.Loaded = append(beat.Loaded, &wire.Loaded{Model: m.Model, Version: m.Version, Adapter: m.Adapter})
@@ -184,6 +180,18 @@
 	return beat
 }
 
+// load is what each end of an attempt tells of the side. Callers hold s.mu.
+func (s *Side) load() *wire.Load {
+	state := s.gate.State()
+	return &wire.Load{
+		Slots:         uint32(state.Slots),
+		OnlineRunning: uint32(state.OnlineRunning),
+		OnlineWaiting: uint32(state.OnlineWaiting),
+		BatchRunning:  uint32(state.BatchRunning),
+		BatchCredit:   uint32(s.share(state.BatchCredit)),
+	}
+}
+
 // share is one entry's part of the batch items that are welcome, rounded up.
 // Told the whole, each of 30 entries would send that many, and all but a few
 // items would come back refused. Callers hold s.mu.
@@ -195,6 +203,6 @@
 // beatAll tells all entries at once. Callers hold s.mu.
 func (s *Side) beatAll() {
 	for session := range s.sessions {
-		session.SendBeat(s.beat(0))
+		session.SendBeat(s.beat(session, 0))
 	}
 }
--- a/side/side.go
+++ b/side/side.go
@@ -64,7 +64,8 @@
 	mu       sync.Mutex
 	gate     sardinerock.Gate
 	suspects retry.Suspects
-	sessions map[*link.Session]struct{}
+	// sessions holds the links, with what each was last told to be loaded.
+	sessions map[*link.Session][]sardinerock.LoadedModel
 	attempts map[string]*attempt
 	health   health
 	replica  bundle.Replica
@@ -110,7 +111,7 @@
 	setDefault(&s.Progress, DefaultProgress)
 	setDefault(&s.SilentAfter, DefaultSilentAfter)
 	s.gate = newGate(s.Policy)
-	s.sessions = make(map[*link.Session]struct{})
+	s.sessions = make(map[*link.Session][]sardinerock.LoadedModel)
 	s.attempts = make(map[string]*attempt)
 	s.replica.Signers = s.Signers
 	s.replica.SignOffsNeeded = s.SignOffsNeeded
