--- a/jobs/claim.go
+++ b/jobs/claim.go
@@ -20,9 +20,11 @@
 	// with work writes at least every lingerLeast, so a little more is enough.
 	ownerQuiet = lingerLeast + 500*time.Millisecond
 	// claimPauseFirst and claimPauseLast bound how long an entry leaves a shard
-	// alone that was claimed from it: an owner whose results linger longer must
-	// get some recorded between two claims.
-	claimPauseFirst = 2 * time.Second
+	// alone that was claimed from it. After a pause two entries may each hold the
+	// other for gone; liveness is agreed on again well within the first pause. The
+	// last is for those that stay apart: an owner must get results recorded
+	// between two claims.
+	claimPauseFirst = 4 * time.Second
 	claimPauseLast  = time.Minute
 	// handBackRunning is how long items may still run in an entry that stops; the rest of handBackTime is for the log.
 	handBackRunning = 3 * time.Second
