--- a/bench/client.go
+++ b/bench/client.go
@@ -35,6 +35,16 @@
 	// first and last are the times from the call to the first and the last token.
 	first time.Duration
 	last  time.Duration
+	// tokens counts the events that brought text.
+	tokens int
+}
+
+// gap returns the mean time between the tokens.
+func (a *answer) gap() time.Duration {
+	if a.tokens < 2 {
+		return 0
+	}
+	return (a.last - a.first) / time.Duration(a.tokens-1)
 }
 
 func newHTTPClient(connections int) *http.Client {
@@ -89,6 +99,7 @@
 		if piece == "" {
 			continue
 		}
+		a.tokens++
 		a.last = time.Since(start)
 		if a.first == 0 {
 			a.first = a.last
--- a/bench/play.go
+++ b/bench/play.go
@@ -36,6 +36,7 @@
 	status        int
 	outcome       string
 	first, last   time.Duration
+	gap           time.Duration
 	whole         bool
 }
 
@@ -49,6 +50,7 @@
 // measured is what a phase has shown.
 type measured struct {
 	first   *hdrhistogram.Histogram
+	gaps    *hdrhistogram.Histogram
 	calls   *hdrhistogram.Histogram
 	answers int
 	refused int
@@ -76,6 +78,7 @@
 func newMeasured() *measured {
 	return &measured{
 		first: hdrhistogram.New(1, maxMicros, digits),
+		gaps:  hdrhistogram.New(1, maxMicros, digits),
 		calls: hdrhistogram.New(1, maxMicros, digits),
 	}
 }
@@ -129,7 +132,7 @@
 func (p *player) ask(ctx context.Context, c *client, line *planned) row {
 	a, err := c.stream(ctx, chatPath, line.body)
 	return row{
-		status: a.status, outcome: a.outcome, first: a.first, last: a.last,
+		status: a.status, outcome: a.outcome, first: a.first, last: a.last, gap: a.gap(),
 		whole: err == nil && a.whole && a.text == line.want,
 	}
 }
@@ -157,6 +160,7 @@
 	case r.whole && r.kind == KindOnline:
 		m.answers++
 		_ = m.first.RecordValue(r.first.Microseconds())
+		_ = m.gaps.RecordValue(r.gap.Microseconds())
 	case r.whole:
 		_ = m.calls.RecordValue(r.first.Microseconds())
 	case r.status == http.StatusOK || r.status == 0:
--- a/bench/replay.go
+++ b/bench/replay.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/phuslu/log"
 
+	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/fakes"
 	"github.com/sardinerock/sardinerock/fleet"
 )
@@ -51,6 +52,8 @@
 	Length time.Duration
 	// Engine is what embedded engines are like; zero means DefaultEngine.
 	Engine fakes.EngineKnobs
+	// Events takes the log of an embedded fleet; nil writes none.
+	Events *event.Logger
 	Out    io.Writer
 }
 
@@ -65,6 +68,9 @@
 	OnlineFirstTokenP99AloneMs float64 `json:"onlineFirstTokenP99AloneMs"`
 	// HarmRatio is the P99 with batch work over the P99 alone.
 	HarmRatio float64 `json:"harmRatio"`
+	// OnlineTokenGapP95Ms and OnlineTokenGapP95AloneMs are of the mean time between an answer's tokens.
+	OnlineTokenGapP95Ms      float64 `json:"onlineTokenGapP95Ms"`
+	OnlineTokenGapP95AloneMs float64 `json:"onlineTokenGapP95AloneMs"`
 	// CallP99Ms and CallP99AloneMs are of plain services.
 	CallP99Ms      float64 `json:"callP99Ms"`
 	CallP99AloneMs float64 `json:"callP99AloneMs"`
@@ -179,7 +185,7 @@
 	}
 	return &fleet.Fleet{
 		Entries: h.Entries, Sides: h.Sides, Services: h.Services, Zones: h.Zones, Policy: policy,
-		Engine: engine, Bundle: BundleOf(h), Operator: Token(operatorName), Seed: h.Seed,
+		Engine: engine, Bundle: BundleOf(h), Operator: Token(operatorName), Seed: h.Seed, Events: r.Events,
 	}
 }
 
@@ -187,8 +193,8 @@
 	if policy == "" {
 		policy = "sardinerock"
 	}
-	fmt.Fprintf(r.Out, "%s, %s: %d answers, first token P50 %.1f ms, P99 %.1f ms; %.1f items/s, %d items; %d refused, %d lost, %d doubled, %d jobs unfinished\n",
-		policy, phase, m.answers, quantile(m.first, 50), quantile(m.first, 99), m.itemsPerSecond, m.items,
+	fmt.Fprintf(r.Out, "%s, %s: %d answers, first token P50 %.1f ms, P99 %.1f ms, token gap P95 %.1f ms; %.1f items/s, %d items; %d refused, %d lost, %d doubled, %d jobs unfinished\n",
+		policy, phase, m.answers, quantile(m.first, 50), quantile(m.first, 99), quantile(m.gaps, 95), m.itemsPerSecond, m.items,
 		m.refused, m.lost, m.doubled, m.unfinished)
 }
 
@@ -201,6 +207,8 @@
 		OnlineFirstTokenP99Ms:      quantile(both.first, 99),
 		OnlineFirstTokenP50AloneMs: quantile(alone.first, 50),
 		OnlineFirstTokenP99AloneMs: quantile(alone.first, 99),
+		OnlineTokenGapP95Ms:        quantile(both.gaps, 95),
+		OnlineTokenGapP95AloneMs:   quantile(alone.gaps, 95),
 		CallP99Ms:                  quantile(both.calls, 99),
 		CallP99AloneMs:             quantile(alone.calls, 99),
 		OnlineAnswers:              alone.answers + both.answers,
--- a/bench/report.go
+++ b/bench/report.go
@@ -53,11 +53,11 @@
 }
 
 func (r *report) rowLines() [][]string {
-	lines := [][]string{{"policy", "phase", "kind", "caller", "atMs", "status", "outcome", "firstTokenMs", "lastTokenMs", "whole"}}
+	lines := [][]string{{"policy", "phase", "kind", "caller", "atMs", "status", "outcome", "firstTokenMs", "lastTokenMs", "tokenGapMs", "whole"}}
 	for _, w := range r.rows {
 		lines = append(lines, []string{
 			w.policy, w.phase, string(w.kind), w.caller, millis(w.at), strconv.Itoa(w.status), w.outcome,
-			millis(w.first), millis(w.last), strconv.FormatBool(w.whole),
+			millis(w.first), millis(w.last), millis(w.gap), strconv.FormatBool(w.whole),
 		})
 	}
 	return lines
