--- a/bundle/content.go
+++ b/bundle/content.go
@@ -143,9 +143,6 @@
 	return assemble(append([]Section{c.Head, c.Models, c.Services, c.Batch}, c.Teams...), c.SignOffs)
 }
 
-// Sections returns all sections of a bundle, the head first.
-func Sections(b *sardinerock.Bundle) []Section { return Split(b).All() }
-
 // All returns all sections, the head first.
 func (c *Content) All() []Section {
 	return append([]Section{c.Head, c.Models, c.Services, c.Batch}, c.Teams...)
--- a/member/subset.go
+++ b/member/subset.go
@@ -61,8 +61,7 @@
 // stand in different availability zones as far as there are any, so that the
 // loss of one zone leaves none without an entry. Every entry computes the same
 // without a message, and one entry more or less moves only its own share.
-// Small fleets are linked fully. A change of the list moves links only by the
-// rule above, in a fleet of any size.
+// Small fleets are linked fully.
 func Subset(self sardinerock.Instance, entries, sides []sardinerock.Instance, size int) []sardinerock.Instance {
 	near := sameRegion(self.Region, entries)
 	if !slices.ContainsFunc(near, func(x sardinerock.Instance) bool { return x.ID == self.ID }) {
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -95,25 +95,6 @@
 	g.Expect(float64(changed) / 120).To(BeNumerically("<", 5))
 }
 
-func TestRouteVersion(t *testing.T) {
-	for name, c := range map[string]struct {
-		enough int
-		held   map[string]int
-		want   string
-	}{
-		"new one nowhere":      {3, map[string]int{"1": 18}, "1"},
-		"new one on too few":   {3, map[string]int{"1": 16, "2": 2}, "1"},
-		"new one on enough":    {3, map[string]int{"1": 15, "2": 3}, "2"},
-		"nothing held at all":  {3, nil, "2"},
-		"only the new one":     {3, map[string]int{"2": 1}, "2"},
-		"two old ones, a draw": {3, map[string]int{"0": 4, "1": 4}, "0"},
-	} {
-		t.Run(name, func(t *testing.T) {
-			NewWithT(t).Expect(RouteVersion("2", c.enough, c.held)).To(Equal(c.want))
-		})
-	}
-}
-
 // engine is a model engine in memory that checks fencing numbers or doesn't.
 type engine struct {
 	sardinerock.Engine
--- a/place/plan.go
+++ b/place/plan.go
@@ -158,23 +158,3 @@
 	}
 	return t
 }
-
-// RouteVersion returns the version of a model that requests are to be sent to
-// while a new version is being loaded: the granted one as soon as enough
-// backend servers hold it, until then the one that most of them hold.
-//
-// A bundle that changes a grant is in force within seconds; loading the weights
-// takes minutes. Sent at once to the one backend server that is ready first,
-// or to none, the whole load would be refused.
-func RouteVersion(granted string, enough int, held map[string]int) string {
-	if held[granted] >= max(1, enough) {
-		return granted
-	}
-	best := granted
-	for version, n := range held {
-		if n > held[best] || n == held[best] && best != granted && version < best {
-			best = version
-		}
-	}
-	return best
-}
