member: a process that was paused suspects nobody for its own pause

Cause: after a minute's stop every peer's last answer is a minute old, and up to half of them were suspected before the answers in the sockets were read.

--- a/member/tracker.go
+++ b/member/tracker.go
@@ -37,7 +37,9 @@
 	doubtedSince time.Time
 	peers        map[string]*peer
 	left         map[string]time.Time
-	changed      chan struct{}
+	// tickedAt is when the watched instances were last judged.
+	tickedAt time.Time
+	changed  chan struct{}
 	// subset is kept until the view of who is listed changes.
 	subset     []sardinerock.Instance
 	subsetSize int
@@ -270,6 +272,7 @@
 // beyond that only the list or their own word takes an instance out. Rounded
 // up, since in a fleet of two or three the one lost peer must be found.
 func (t *Tracker) tickLocked(now time.Time) {
+	t.forgivePause(now)
 	count := map[sardinerock.Role]int{}
 	suspected := map[sardinerock.Role]int{}
 	var silent []*peer
@@ -306,6 +309,26 @@
 	}
 }
 
+// forgivePause leaves out time in which this process didn't run.
+//
+// A process that is stopped for a minute and goes on would else find every
+// peer silent for a minute, before their answers, which wait in its sockets,
+// are read; it would suspect half of them and claim what they own.
+func (t *Tracker) forgivePause(now time.Time) {
+	pause := now.Sub(t.tickedAt)
+	first := t.tickedAt.IsZero()
+	t.tickedAt = now
+	if first || pause <= t.silence()/2 {
+		return
+	}
+	for _, p := range t.peers {
+		p.heardAt = p.heardAt.Add(pause)
+		if p.heardAt.After(now) {
+			p.heardAt = now
+		}
+	}
+}
+
 func (t *Tracker) returned(now time.Time, p *peer) bool {
 	if now.Sub(p.heardAt) > t.silence() || p.steadySince.Before(p.suspectedAt) {
 		return false
--- a/member/tracker_test.go
+++ b/member/tracker_test.go
@@ -97,7 +97,17 @@
 			p.t.Heard(p.now, "e1")
 			p.run(time.Second, all)
 		}, 9},
-		"broken connection, no more":  {9, func(p *play) { p.run(time.Second, all); p.t.Silent(p.now, "e1"); p.t.Tick(p.now) }, 8},
+		"broken connection, no more": {9, func(p *play) { p.run(time.Second, all); p.t.Silent(p.now, "e1"); p.t.Tick(p.now) }, 8},
+		"this process was paused": {9, func(p *play) {
+			p.run(time.Second, all)
+			p.now = p.now.Add(time.Minute)
+			p.t.Tick(p.now)
+		}, 9},
+		"paused, and one is lost since": {9, func(p *play) {
+			p.run(time.Second, all)
+			p.now = p.now.Add(time.Minute)
+			p.run(3*time.Second, func(i int) bool { return i != 1 })
+		}, 8},
 		"no longer watched":           {9, func(p *play) { p.run(3*time.Second, func(i int) bool { return i != 1 }); p.t.Unwatch("e1") }, 9},
 		"not on the list yet oneself": {9, func(p *play) { p.t.Self.ID = "new"; p.run(time.Second, all) }, 10},
 	} {
