member: one failed heartbeat is no silence, two in a row are

Cause: after a pause all heartbeats under way fail at once, and each was taken for a lost instance. A refused connection is still found within a second.

--- a/member/tracker.go
+++ b/member/tracker.go
@@ -83,6 +83,8 @@
 	// steadySince is when the present run of heartbeats began.
 	steadySince time.Time
 	relapses    int
+	// failures counts broken connections and failed heartbeats since the last answer.
+	failures int
 	// suspectedAt orders suspicions by age.
 	suspectedAt time.Time
 }
@@ -228,17 +230,29 @@
 		p.steadySince = now
 	}
 	p.heardAt = now
+	p.failures = 0
 }
 
-// Silent notes that the connection to an instance broke, or that a new one cannot be made.
+// Silent notes that the connection to an instance broke, or that a heartbeat failed.
+//
+// Two in a row without an answer between them are as good as silence, so that
+// a process that is gone, whose address refuses connections, is found within a
+// second. One alone isn't: the heartbeats that were under way when this process
+// was paused all fail when it goes on, although nobody else did anything wrong.
 func (t *Tracker) Silent(now time.Time, id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if p := t.peers[id]; p != nil && now.Sub(p.heardAt) <= t.silence() {
+	p := t.peers[id]
+	if p == nil {
+		return
+	}
+	if p.failures++; p.failures >= failuresBelieved && now.Sub(p.heardAt) <= t.silence() {
 		p.heardAt = now.Add(-t.silence() - 1)
 	}
 }
 
+const failuresBelieved = 2
+
 // Leaving notes that an instance has said of itself that it leaves; it never comes back.
 func (t *Tracker) Leaving(now time.Time, id string) {
 	t.mu.Lock()
