--- a/bench/demo.go
+++ b/bench/demo.go
@@ -12,8 +12,10 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/sardinerock/sardinerock/client"
 	"github.com/sardinerock/sardinerock/fakes"
 	"github.com/sardinerock/sardinerock/fleet"
+	"github.com/sardinerock/sardinerock/trace"
 )
 
 // The sizes of the demo: a few seconds of work for a small fleet.
@@ -28,6 +30,12 @@
 	demoRetry = 200 * time.Millisecond
 )
 
+// demoRequest and demoItem are what callers and the job ask for.
+var (
+	demoRequest = trace.Line{Prefix: "line", PrefixTokens: 512, PromptTokens: 120, MaxTokens: 64}
+	demoItem    = trace.Line{Prefix: "report", PrefixTokens: 32, PromptTokens: 64, MaxTokens: 64}
+)
+
 // DemoResult is the last line of the demo.
 type DemoResult struct {
 	OnlineAnswers int `json:"onlineAnswers"`
@@ -41,7 +49,7 @@
 	out    io.Writer
 	fleet  *fleet.Fleet
 	http   *http.Client
-	header Header
+	header trace.Header
 
 	mu      sync.Mutex
 	result  DemoResult
@@ -55,12 +63,12 @@
 func Demo(ctx context.Context, out io.Writer) error {
 	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
 	defer cancel()
-	h := profiles[KesslingMarrow].header
+	h := trace.HeaderOf(trace.KesslingMarrow)
 	h.Entries, h.Sides, h.Services = 2, 4, 1
-	d := &demo{out: out, header: h, http: newHTTPClient(2 * demoCallers)}
+	d := &demo{out: out, header: h, http: client.NewHTTP(2 * demoCallers)}
 	d.fleet = &fleet.Fleet{
 		Entries: h.Entries, Sides: h.Sides, Services: h.Services, Zones: h.Zones, Seed: 1,
-		Bundle: BundleOf(h), Operator: Token(operatorName),
+		Bundle: trace.BundleOf(h), Operator: trace.Token(trace.Operator),
 		Engine: fakes.EngineKnobs{Slots: h.Slots, StepUs: 10000, PrefillTokensPerSecond: 40000, CacheBlocks: 512},
 	}
 	fmt.Fprintf(out, "Starting %d entries and %d backend servers with model engines on loopback.\n", h.Entries, h.Sides)
@@ -76,9 +84,9 @@
 }
 
 // client returns a client of an entry, in turn.
-func (d *demo) client(i int, caller string) *client {
+func (d *demo) client(i int, caller string) *client.Client {
 	urls := d.fleet.URLs()
-	return &client{url: urls[i%len(urls)], token: Token(caller), http: d.http}
+	return &client.Client{URL: urls[i%len(urls)], Token: trace.Token(caller), HTTP: d.http}
 }
 
 func (d *demo) run(ctx context.Context) error {
@@ -87,7 +95,7 @@
 		return err
 	}
 	clerk := d.client(0, "finance")
-	accepted, err := clerk.submit(ctx, j.key, chatPath, j.lines.Bytes())
+	accepted, err := clerk.Submit(ctx, j.Key, client.ChatPath, j.Lines.Bytes())
 	if err != nil {
 		return merry.Prepend(err, "demo: job")
 	}
@@ -105,23 +113,22 @@
 	if err != nil {
 		return err
 	}
-	v, err := j.check(ctx, d.client(1, "finance"), finished)
+	v, err := j.Check(ctx, d.client(1, "finance"), finished)
 	if err != nil {
 		return merry.Prepend(err, "demo: results")
 	}
 	fmt.Fprintf(d.out, "The job is done. Its results, read from the other entry: %s.\n", v)
-	d.result.BatchItems = v.right
-	d.result.Lost += v.lost
-	d.result.Doubled += v.doubled
+	d.result.BatchItems = v.Right
+	d.result.Lost += v.Lost
+	d.result.Doubled += v.Doubled
 	return nil
 }
 
-func demoJob(model string) (*job, error) {
-	j := &job{key: "demo"}
-	line := Line{Prefix: "report", PrefixTokens: 32, PromptTokens: 64, MaxTokens: 64}
+func demoJob(model string) (*client.Job, error) {
+	j := &client.Job{Key: "demo"}
 	for i := range demoItems {
 		id := fmt.Sprintf("report-%04d", i)
-		if err := j.add(id, line.body(model, id)); err != nil {
+		if err := j.Add(id, demoItem.Request(model, id)); err != nil {
 			return nil, err
 		}
 	}
@@ -129,11 +136,11 @@
 }
 
 // follow waits for the job's end and kills a backend server on the way.
-func (d *demo) follow(ctx context.Context, id string) (batch, error) {
+func (d *demo) follow(ctx context.Context, id string) (client.Batch, error) {
 	killed := false
 	for {
-		b, err := d.client(0, "finance").job(ctx, id)
-		if err == nil && b.ended() {
+		b, err := d.client(0, "finance").Job(ctx, id)
+		if err == nil && b.Ended() {
 			return b, nil
 		}
 		if err == nil && !killed && b.RequestCounts.Completed >= demoKillAt {
@@ -151,9 +158,8 @@
 
 // askUntil asks one request after the other until asking ends; each is waited for.
 func (d *demo) askUntil(ctx, asking context.Context, caller int) {
-	line := profiles[KesslingMarrow].online
 	for i := 0; asking.Err() == nil; i++ {
-		body := line.body(d.header.Model, fmt.Sprintf("panel-%d-%d", caller, i))
+		body := demoRequest.Request(d.header.Model, fmt.Sprintf("panel-%d-%d", caller, i))
 		body.Stream = true
 		raw, err := json.Marshal(body)
 		if err != nil {
@@ -166,8 +172,8 @@
 // ask asks until it is answered; a refusal that says notRun is asked again, as a caller would.
 func (d *demo) ask(ctx, asking context.Context, turn int, raw []byte) {
 	for {
-		a, err := d.client(turn, "supervisors").stream(ctx, chatPath, raw)
-		if err == nil && a.status != http.StatusOK && a.outcome == "notRun" {
+		a, err := d.client(turn, "supervisors").Stream(ctx, client.ChatPath, raw)
+		if err == nil && a.Status != http.StatusOK && a.Outcome == "notRun" {
 			d.mu.Lock()
 			d.refused++
 			d.mu.Unlock()
@@ -183,16 +189,16 @@
 	}
 }
 
-func (d *demo) count(a answer, err error, raw []byte) {
+func (d *demo) count(a client.Answer, err error, raw []byte) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if err != nil || !a.whole || a.text != fakes.AnswerText(chatPath, raw) {
+	if err != nil || !a.Whole || a.Text != fakes.AnswerText(client.ChatPath, raw) {
 		d.result.Lost++
-		fmt.Fprintf(d.out, "An online answer is not whole: status %d, outcome %q, %v\n", a.status, a.outcome, err)
+		fmt.Fprintf(d.out, "An online answer is not whole: status %d, outcome %q, %v\n", a.Status, a.Outcome, err)
 		return
 	}
 	d.result.OnlineAnswers++
-	d.slowest = max(d.slowest, a.first)
+	d.slowest = max(d.slowest, a.First)
 }
 
 func (d *demo) report() error {
--- a/bench/overhead_test.go
+++ b/bench/overhead_test.go
@@ -8,32 +8,34 @@
 	"testing"
 	"time"
 
+	"github.com/sardinerock/sardinerock/client"
 	"github.com/sardinerock/sardinerock/fakes"
 	"github.com/sardinerock/sardinerock/fleet"
+	"github.com/sardinerock/sardinerock/trace"
 )
 
 // BenchmarkAddedTimeToFirstToken asks the same idle engines through entry and
 // side and straight, in turn, and reports the medians and their difference. The
 // bound is 1 ms.
 func BenchmarkAddedTimeToFirstToken(b *testing.B) {
-	h := profiles[KesslingMarrow].header
+	h := trace.HeaderOf(trace.KesslingMarrow)
 	h.Entries, h.Sides, h.Services = 1, 1, 0
 	f := &fleet.Fleet{
-		Entries: 1, Sides: 1, Zones: h.Zones[:1], Seed: 1, Bundle: BundleOf(h), Operator: Token(operatorName),
+		Entries: 1, Sides: 1, Zones: h.Zones[:1], Seed: 1, Bundle: trace.BundleOf(h), Operator: trace.Token(trace.Operator),
 		Engine: fakes.EngineKnobs{Slots: h.Slots, StepUs: 1000},
 	}
 	if err := f.Start(b.Context()); err != nil {
 		b.Fatal(err)
 	}
 	defer f.Stop()
-	web := newHTTPClient(connections)
-	through := &client{url: f.URLs()[0], token: Token("supervisors"), http: web}
-	straight := &client{url: f.EngineURL(0), http: web}
+	web := client.NewHTTP(connections)
+	through := &client.Client{URL: f.URLs()[0], Token: trace.Token("supervisors"), HTTP: web}
+	straight := &client.Client{URL: f.EngineURL(0), HTTP: web}
 	var added, direct []time.Duration
-	line := profiles[KesslingMarrow].online
+	line := demoRequest
 	line.MaxTokens = 2
 	for i := 0; b.Loop(); i++ {
-		body := line.body(h.Model, fmt.Sprintf("request-%d", i))
+		body := line.Request(h.Model, fmt.Sprintf("request-%d", i))
 		body.Stream = true
 		raw, err := json.Marshal(body)
 		if err != nil {
@@ -55,11 +57,11 @@
 
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-func firstOf(b *testing.B, c *client, raw []byte) time.Duration {
+func firstOf(b *testing.B, c *client.Client, raw []byte) time.Duration {
 	b.Helper()
-	a, err := c.stream(context.Background(), chatPath, raw)
-	if err != nil || !a.whole {
-		b.Fatalf("status %d: %s: %v", a.status, a.text, err)
+	a, err := c.Stream(context.Background(), client.ChatPath, raw)
+	if err != nil || !a.Whole {
+		b.Fatalf("status %d: %s: %v", a.Status, a.Text, err)
 	}
-	return a.first
+	return a.First
 }
--- a/bench/plan.go
+++ b/bench/plan.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"time"
 
+	"github.com/sardinerock/sardinerock/client"
 	"github.com/sardinerock/sardinerock/fakes"
+	"github.com/sardinerock/sardinerock/trace"
 )
 
 // planned is a line of the trace made ready, so that nothing is built while the clock runs.
 type planned struct {
-	Line
+	trace.Line
 	at   time.Duration
 	body []byte
 	want string
@@ -18,7 +20,7 @@
 
 // plan is the part of a trace that is played.
 type plan struct {
-	header Header
+	header trace.Header
 	length time.Duration
 	online []planned
 	calls  []planned
@@ -26,13 +28,13 @@
 }
 
 type plannedJob struct {
-	Line
+	trace.Line
 	at  time.Duration
-	job *job
+	job *client.Job
 }
 
 // makePlan makes the first part of a trace ready; of jobs it takes as large a part of the items.
-func makePlan(t *Trace, length time.Duration) (*plan, error) {
+func makePlan(t *trace.Trace, length time.Duration) (*plan, error) {
 	p := &plan{header: t.Header, length: length}
 	part := float64(length) / float64(t.Header.Duration())
 	for i, line := range t.Lines {
@@ -41,15 +43,15 @@
 			break
 		}
 		switch line.Kind {
-		case KindCall:
+		case trace.KindCall:
 			p.calls = append(p.calls, planned{Line: line, at: at})
-		case KindOnline:
+		case trace.KindOnline:
 			next, err := p.request(line, at, i)
 			if err != nil {
 				return nil, err
 			}
 			p.online = append(p.online, next)
-		case KindJob:
+		case trace.KindJob:
 			line.Items = max(1, int(float64(line.Items)*part))
 			j, err := p.makeJob(line, i)
 			if err != nil {
@@ -61,18 +63,18 @@
 	return p, nil
 }
 
-func (p *plan) request(line Line, at time.Duration, number int) (planned, error) {
-	body := line.body(p.header.Model, fmt.Sprintf("request-%d", number))
+func (p *plan) request(line trace.Line, at time.Duration, number int) (planned, error) {
+	body := line.Request(p.header.Model, fmt.Sprintf("request-%d", number))
 	body.Stream, body.User = true, line.User
 	raw, err := json.Marshal(body)
-	return planned{Line: line, at: at, body: raw, want: fakes.AnswerText(chatPath, raw)}, err
+	return planned{Line: line, at: at, body: raw, want: fakes.AnswerText(client.ChatPath, raw)}, err
 }
 
-func (p *plan) makeJob(line Line, number int) (*job, error) {
-	j := &job{key: fmt.Sprintf("job-%d", number)}
+func (p *plan) makeJob(line trace.Line, number int) (*client.Job, error) {
+	j := &client.Job{Key: fmt.Sprintf("job-%d", number)}
 	for i := range line.Items {
 		id := fmt.Sprintf("job%d-item%d", number, i)
-		if err := j.add(id, line.body(p.header.Model, id)); err != nil {
+		if err := j.Add(id, line.Request(p.header.Model, id)); err != nil {
 			return nil, err
 		}
 	}
--- a/bench/play.go
+++ b/bench/play.go
@@ -9,6 +9,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/ansel1/merry/v2"
+
+	"github.com/sardinerock/sardinerock/client"
+	"github.com/sardinerock/sardinerock/trace"
 )
 
 // The parts of a run.
@@ -30,7 +33,7 @@
 // row is one request as it went.
 type row struct {
 	policy, phase string
-	kind          Kind
+	kind          trace.Kind
 	caller        string
 	at            time.Duration
 	status        int
@@ -83,8 +86,8 @@
 	}
 }
 
-func (p *player) client(i int, caller string) *client {
-	return &client{url: p.urls[i%len(p.urls)], token: Token(caller), http: p.http}
+func (p *player) client(i int, caller string) *client.Client {
+	return &client.Client{URL: p.urls[i%len(p.urls)], Token: trace.Token(caller), HTTP: p.http}
 }
 
 // play plays a phase; jobs are waited for beyond its end, so that each item can be checked.
@@ -109,7 +112,7 @@
 // the fleet would hide what it does to them.
 func (p *player) send(
 	ctx context.Context, phase string, start time.Time, length time.Duration, lines []planned, m *measured,
-	do func(context.Context, *client, *planned) row,
+	do func(context.Context, *client.Client, *planned) row,
 ) {
 	var sent sync.WaitGroup
 	defer sent.Wait()
@@ -129,17 +132,17 @@
 	}
 }
 
-func (p *player) ask(ctx context.Context, c *client, line *planned) row {
-	a, err := c.stream(ctx, chatPath, line.body)
+func (p *player) ask(ctx context.Context, c *client.Client, line *planned) row {
+	a, err := c.Stream(ctx, client.ChatPath, line.body)
 	return row{
-		status: a.status, outcome: a.outcome, first: a.first, last: a.last, gap: a.gap(),
-		whole: err == nil && a.whole && a.text == line.want,
+		status: a.Status, outcome: a.Outcome, first: a.First, last: a.Last, gap: a.Gap(),
+		whole: err == nil && a.Whole && a.Text == line.want,
 	}
 }
 
-func (p *player) call(ctx context.Context, c *client, line *planned) row {
+func (p *player) call(ctx context.Context, c *client.Client, line *planned) row {
 	start := time.Now()
-	response, err := c.send(ctx, http.MethodGet, "/services/"+line.Service+line.Path, nil, nil)
+	response, err := c.Send(ctx, http.MethodGet, "/services/"+line.Service+line.Path, nil, nil)
 	if err != nil {
 		return row{}
 	}
@@ -157,7 +160,7 @@
 	defer p.mu.Unlock()
 	p.rows = append(p.rows, r)
 	switch {
-	case r.whole && r.kind == KindOnline:
+	case r.whole && r.kind == trace.KindOnline:
 		m.answers++
 		_ = m.first.RecordValue(r.first.Microseconds())
 		_ = m.gaps.RecordValue(r.gap.Microseconds())
@@ -174,7 +177,7 @@
 type accepted struct {
 	*plannedJob
 	id   string
-	last batch
+	last client.Batch
 }
 
 func (p *player) playJobs(ctx context.Context, phase string, start time.Time, m *measured) error {
@@ -183,8 +186,8 @@
 		line := &p.plan.jobs[i]
 		time.Sleep(time.Until(start.Add(line.at)))
 		// Each phase's jobs are new ones: the same key would find the job of the phase before.
-		key := fmt.Sprintf("%s-%s-%s-%s", p.run, p.policy, phase, line.job.key)
-		b, err := p.client(i, line.Caller).submit(ctx, key, chatPath, line.job.lines.Bytes())
+		key := fmt.Sprintf("%s-%s-%s-%s", p.run, p.policy, phase, line.job.Key)
+		b, err := p.client(i, line.Caller).Submit(ctx, key, client.ChatPath, line.job.Lines.Bytes())
 		if err != nil {
 			return merry.Prependf(err, "%s: job %d", phase, i)
 		}
@@ -194,17 +197,17 @@
 		return err
 	}
 	for i, j := range jobs {
-		if !j.last.ended() {
+		if !j.last.Ended() {
 			m.unfinished++
 			continue
 		}
-		v, err := j.job.check(ctx, p.client(i, j.Caller), j.last)
+		v, err := j.job.Check(ctx, p.client(i, j.Caller), j.last)
 		if err != nil {
 			return merry.Prependf(err, "%s: results of %s", phase, j.id)
 		}
-		m.lost += v.lost
-		m.doubled += v.doubled
-		m.items += v.right
+		m.lost += v.Lost
+		m.doubled += v.Doubled
+		m.items += v.Right
 	}
 	return nil
 }
@@ -216,15 +219,15 @@
 	for {
 		done, ended := 0, true
 		for i, j := range jobs {
-			if !j.last.ended() {
-				b, err := p.client(i, j.Caller).job(ctx, j.id)
+			if !j.last.Ended() {
+				b, err := p.client(i, j.Caller).Job(ctx, j.id)
 				if err != nil {
 					return merry.Prependf(err, "%s: %s", phase, j.id)
 				}
 				j.last = b
 			}
 			done += j.last.RequestCounts.Completed + j.last.RequestCounts.Failed
-			ended = ended && j.last.ended()
+			ended = ended && j.last.Ended()
 		}
 		passed := time.Since(start)
 		p.progress = append(p.progress, progress{policy: p.policy, phase: phase, at: passed, done: done})
--- a/bench/replay.go
+++ b/bench/replay.go
@@ -12,9 +12,11 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/phuslu/log"
 
+	"github.com/sardinerock/sardinerock/client"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/fakes"
 	"github.com/sardinerock/sardinerock/fleet"
+	"github.com/sardinerock/sardinerock/trace"
 )
 
 const (
@@ -42,7 +44,7 @@
 	Trace  string
 	Report string
 	// Entries are base URLs of a running fleet's entries, whose bundle is
-	// BundleOf the trace's header; none means a fleet embedded on loopback.
+	// trace.BundleOf the trace's header; none means a fleet embedded on loopback.
 	Entries []string
 	// Policy is the baseline that is played after; empty means none. A running
 	// fleet has one policy, so a baseline needs BaselineEntries then.
@@ -99,7 +101,7 @@
 // Run plays the trace, writes the report and prints the summary as the last line.
 // The error is nil only if nothing was lost or doubled under the system's own policy.
 func (r *Replay) Run(ctx context.Context) error {
-	trace, err := r.read()
+	recorded, err := r.read()
 	if err != nil {
 		return err
 	}
@@ -107,12 +109,12 @@
 	if length == 0 {
 		length = DefaultLength
 	}
-	plan, err := makePlan(trace, min(length, trace.Header.Duration()))
+	plan, err := makePlan(recorded, min(length, recorded.Header.Duration()))
 	if err != nil {
 		return err
 	}
-	report := &report{header: trace.Header}
-	summary := Summary{Trace: trace.Header.Deployment}
+	report := &report{header: recorded.Header}
+	summary := Summary{Trace: recorded.Header.Deployment}
 	summary.Figures, err = r.policy(ctx, plan, "", r.Entries, report)
 	if err != nil {
 		return err
@@ -138,13 +140,13 @@
 	return nil
 }
 
-func (r *Replay) read() (*Trace, error) {
+func (r *Replay) read() (*trace.Trace, error) {
 	raw, err := os.ReadFile(r.Trace)
 	if err != nil {
 		return nil, err
 	}
-	trace, err := ReadTrace(bytes.NewReader(raw))
-	return trace, merry.Prepend(err, r.Trace)
+	recorded, err := trace.Read(bytes.NewReader(raw))
+	return recorded, merry.Prepend(err, r.Trace)
 }
 
 // policy plays all phases on one fleet.
@@ -158,7 +160,7 @@
 		defer embedded.Stop()
 		entries = embedded.URLs()
 	}
-	p := &player{plan: plan, policy: policy, urls: entries, http: newHTTPClient(connections), run: log.NewXID().String()}
+	p := &player{plan: plan, policy: policy, urls: entries, http: client.NewHTTP(connections), run: log.NewXID().String()}
 	defer p.http.CloseIdleConnections()
 	phases := make(map[string]*measured)
 	for _, phase := range []string{phaseWarm, phaseOnline, phaseBatch, phaseBoth} {
@@ -178,14 +180,14 @@
 	return figuresOf(phases), nil
 }
 
-func (r *Replay) embedded(h Header, policy string) *fleet.Fleet {
+func (r *Replay) embedded(h trace.Header, policy string) *fleet.Fleet {
 	engine := r.Engine
 	if engine == (fakes.EngineKnobs{}) {
 		engine = DefaultEngine(h.Slots)
 	}
 	return &fleet.Fleet{
 		Entries: h.Entries, Sides: h.Sides, Services: h.Services, Zones: h.Zones, Policy: policy,
-		Engine: engine, Bundle: BundleOf(h), Operator: Token(operatorName), Seed: h.Seed, Events: r.Events,
+		Engine: engine, Bundle: trace.BundleOf(h), Operator: trace.Token(trace.Operator), Seed: h.Seed, Events: r.Events,
 	}
 }
 
--- a/bench/report.go
+++ b/bench/report.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/sardinerock/sardinerock/trace"
 )
 
 // The files of a report.
@@ -24,7 +26,7 @@
 
 // report collects the raw rows of a run.
 type report struct {
-	header   Header
+	header   trace.Header
 	rows     []row
 	progress []progress
 }
--- a/bench/client.go
+++ b/client/client.go
@@ -1,4 +1,4 @@
-package bench
+package client
 
 import (
 	"bufio"
@@ -17,67 +17,69 @@
 // maxLineBytes bounds one event or one result line.
 const maxLineBytes = 16 << 20
 
-// client calls one entry as one caller.
-type client struct {
-	url   string
-	token string
-	http  *http.Client
+// Client calls one entry as one caller.
+type Client struct {
+	URL   string
+	Token string
+	HTTP  *http.Client
 }
 
-// answer is what one call brought.
-type answer struct {
-	status int
-	// outcome is what the refusal says about whether the request ran.
-	outcome string
-	text    string
-	// whole is set once the stream's closing event came.
-	whole bool
-	// first and last are the times from the call to the first and the last token.
-	first time.Duration
-	last  time.Duration
-	// tokens counts the events that brought text.
-	tokens int
+// Answer is what one call brought.
+type Answer struct {
+	Status int
+	// Outcome is what the refusal says about whether the request ran.
+	Outcome string
+	Text    string
+	// Whole is set once the stream's closing event came.
+	Whole bool
+	// First and Last are the times from the call to the first and the last token.
+	First time.Duration
+	Last  time.Duration
+	// Tokens counts the events that brought text.
+	Tokens int
 }
 
-// gap returns the mean time between the tokens.
-func (a *answer) gap() time.Duration {
-	if a.tokens < 2 {
+// Gap returns the mean time between the tokens.
+func (a *Answer) Gap() time.Duration {
+	if a.Tokens < 2 {
 		return 0
 	}
-	return (a.last - a.first) / time.Duration(a.tokens-1)
+	return (a.Last - a.First) / time.Duration(a.Tokens-1)
 }
 
-func newHTTPClient(connections int) *http.Client {
+// NewHTTP returns an HTTP client that keeps so many connections.
+func NewHTTP(connections int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		MaxIdleConns: connections, MaxIdleConnsPerHost: connections, DisableCompression: true,
 	}}
 }
 
-func (c *client) send(ctx context.Context, method, path string, header http.Header, body io.Reader) (*http.Response, error) {
-	r, err := http.NewRequestWithContext(ctx, method, c.url+path, body)
+// Send sends a request as the caller.
+func (c *Client) Send(ctx context.Context, method, path string, header http.Header, body io.Reader) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, method, c.URL+path, body)
 	if err != nil {
 		return nil, err
 	}
 	if header != nil {
 		r.Header = header
 	}
-	r.Header.Set("Authorization", "Bearer "+c.token)
-	return c.http.Do(r)
+	r.Header.Set("Authorization", "Bearer "+c.Token)
+	return c.HTTP.Do(r)
 }
 
-// stream asks for a streamed answer and reads it to its end.
-func (c *client) stream(ctx context.Context, path string, body []byte) (answer, error) {
-	var a answer
+// Stream asks for a streamed answer and reads it to its end.
+func (c *Client) Stream(ctx context.Context, path string, body []byte) (Answer, error) {
+	var a Answer
 	start := time.Now()
-	response, err := c.send(ctx, http.MethodPost, path, http.Header{"Content-Type": {"application/json"}}, bytes.NewReader(body))
+	response, err := c.Send(ctx, http.MethodPost, path, http.Header{"Content-Type": {"application/json"}}, bytes.NewReader(body))
 	if err != nil {
 		return a, err
 	}
 	defer response.Body.Close()
-	a.status, a.outcome = response.StatusCode, response.Header.Get("Sardinerock-Outcome")
-	if a.status != http.StatusOK {
+	a.Status, a.Outcome = response.StatusCode, response.Header.Get("Sardinerock-Outcome")
+	if a.Status != http.StatusOK {
 		message, err := io.ReadAll(response.Body)
-		a.text = string(message)
+		a.Text = string(message)
 		return a, err
 	}
 	lines := bufio.NewScanner(response.Body)
@@ -89,7 +91,7 @@
 			continue
 		}
 		if string(data) == "[DONE]" {
-			a.whole = true
+			a.Whole = true
 			break
 		}
 		piece, err := pieceOf(data)
@@ -99,14 +101,14 @@
 		if piece == "" {
 			continue
 		}
-		a.tokens++
-		a.last = time.Since(start)
-		if a.first == 0 {
-			a.first = a.last
+		a.Tokens++
+		a.Last = time.Since(start)
+		if a.First == 0 {
+			a.First = a.Last
 		}
 		text.WriteString(piece)
 	}
-	a.text = text.String()
+	a.Text = text.String()
 	return a, lines.Err()
 }
 
@@ -145,8 +147,8 @@
 	return e.text(), nil
 }
 
-// batch is a job as the entry shows it.
-type batch struct {
+// Batch is a job as the entry shows it.
+type Batch struct {
 	ID            string `json:"id"`
 	Status        string `json:"status"`
 	OutputFileID  string `json:"output_file_id"`
@@ -158,7 +160,8 @@
 	} `json:"request_counts"`
 }
 
-func (b *batch) ended() bool {
+// Ended tells whether nothing of the job runs any more.
+func (b *Batch) Ended() bool {
 	return b.Status == "completed" || b.Status == "cancelled" || b.Status == "expired"
 }
 
@@ -173,9 +176,9 @@
 }
 
 // call sends a request and decodes the JSON answer.
-func call[T any](ctx context.Context, c *client, method, path string, header http.Header, body io.Reader) (T, error) {
+func call[T any](ctx context.Context, c *Client, method, path string, header http.Header, body io.Reader) (T, error) {
 	var value T
-	response, err := c.send(ctx, method, path, header, body)
+	response, err := c.Send(ctx, method, path, header, body)
 	if err != nil {
 		return value, err
 	}
@@ -190,42 +193,43 @@
 	return value, json.Unmarshal(raw, &value)
 }
 
-// submit uploads a job's lines and creates the job.
-func (c *client) submit(ctx context.Context, key, endpoint string, lines []byte) (batch, error) {
+// Submit uploads a job's lines and creates the job.
+func (c *Client) Submit(ctx context.Context, key, endpoint string, lines []byte) (Batch, error) {
 	var form bytes.Buffer
 	writer := multipart.NewWriter(&form)
 	if err := writer.WriteField("purpose", "batch"); err != nil {
-		return batch{}, err
+		return Batch{}, err
 	}
 	part, err := writer.CreateFormFile("file", key+".jsonl")
 	if err != nil {
-		return batch{}, err
+		return Batch{}, err
 	}
 	if _, err := part.Write(lines); err != nil {
-		return batch{}, err
+		return Batch{}, err
 	}
 	if err := writer.Close(); err != nil {
-		return batch{}, err
+		return Batch{}, err
 	}
 	header := http.Header{"Content-Type": {writer.FormDataContentType()}}
 	file, err := call[fileReply](ctx, c, http.MethodPost, "/v1/files", header, &form)
 	if err != nil {
-		return batch{}, merry.Prepend(err, "upload")
+		return Batch{}, merry.Prepend(err, "upload")
 	}
 	body, err := json.Marshal(batchRequest{InputFileID: file.ID, Endpoint: endpoint, CompletionWindow: "24h"})
 	if err != nil {
-		return batch{}, err
+		return Batch{}, err
 	}
 	header = http.Header{"Content-Type": {"application/json"}, "Idempotency-Key": {key}}
-	return call[batch](ctx, c, http.MethodPost, "/v1/batches", header, bytes.NewReader(body))
+	return call[Batch](ctx, c, http.MethodPost, "/v1/batches", header, bytes.NewReader(body))
 }
 
-func (c *client) job(ctx context.Context, id string) (batch, error) {
-	return call[batch](ctx, c, http.MethodGet, "/v1/batches/"+id, nil, nil)
+// Job returns the job as the entry shows it.
+func (c *Client) Job(ctx context.Context, id string) (Batch, error) {
+	return call[Batch](ctx, c, http.MethodGet, "/v1/batches/"+id, nil, nil)
 }
 
-// resultLine is one line of a job's output or error file.
-type resultLine struct {
+// Result is one line of a job's output or error file.
+type Result struct {
 	CustomID string `json:"custom_id"`
 	Response struct {
 		StatusCode int   `json:"status_code"`
@@ -233,12 +237,12 @@
 	} `json:"response"`
 }
 
-// results calls yield for each line of one of a job's files.
-func (c *client) results(ctx context.Context, file string, yield func(resultLine)) error {
+// Results calls yield for each line of one of a job's files.
+func (c *Client) Results(ctx context.Context, file string, yield func(Result)) error {
 	if file == "" {
 		return nil
 	}
-	response, err := c.send(ctx, http.MethodGet, "/v1/files/"+file+"/content", nil, nil)
+	response, err := c.Send(ctx, http.MethodGet, "/v1/files/"+file+"/content", nil, nil)
 	if err != nil {
 		return err
 	}
@@ -249,7 +253,7 @@
 	lines := bufio.NewScanner(response.Body)
 	lines.Buffer(nil, maxLineBytes)
 	for lines.Scan() {
-		var line resultLine
+		var line Result
 		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
 			return merry.Prepend(err, "result line")
 		}
--- /dev/null
+++ b/client/job.go
@@ -0,0 +1,87 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/sardinerock/sardinerock/fakes"
+	"github.com/sardinerock/sardinerock/trace"
+)
+
+// ChatPath is the path of all requests that this package sends.
+const ChatPath = "/v1/chat/completions"
+
+// itemLine is one line of a job's input file.
+type itemLine struct {
+	CustomID string          `json:"custom_id"`
+	Method   string          `json:"method"`
+	URL      string          `json:"url"`
+	Body     json.RawMessage `json:"body"`
+}
+
+// Job is a batch job with what its items must bring.
+type Job struct {
+	// Key is the idempotency key.
+	Key string
+	// Lines are the input file.
+	Lines bytes.Buffer
+	want  map[string]string
+}
+
+// Add adds an item.
+func (j *Job) Add(id string, body trace.Body) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	line, err := json.Marshal(itemLine{CustomID: id, Method: "POST", URL: ChatPath, Body: raw})
+	if err != nil {
+		return err
+	}
+	j.Lines.Write(append(line, '\n'))
+	if j.want == nil {
+		j.want = make(map[string]string)
+	}
+	j.want[id] = fakes.AnswerText(ChatPath, raw)
+	return nil
+}
+
+// Verdict counts what is wrong with a finished job's results.
+type Verdict struct {
+	Right   int
+	Lost    int
+	Doubled int
+	// Wrong counts results that are there and are not the item's own whole answer; Lost counts them too.
+	Wrong int
+}
+
+// String implements fmt.Stringer.
+func (v Verdict) String() string {
+	return fmt.Sprintf("%d right, %d lost (of these %d with a wrong answer), %d doubled", v.Right, v.Lost, v.Wrong, v.Doubled)
+}
+
+// Check reads all results of a job and compares each with the answer that its item must have.
+func (j *Job) Check(ctx context.Context, c *Client, b Batch) (Verdict, error) {
+	var v Verdict
+	seen := make(map[string]int)
+	take := func(line Result) {
+		seen[line.CustomID]++
+		switch {
+		case seen[line.CustomID] > 1:
+			v.Doubled++
+		case line.Response.Body.text() == j.want[line.CustomID]:
+			v.Right++
+		default:
+			v.Wrong++
+		}
+	}
+	for _, file := range []string{b.OutputFileID, b.ErrorFileID} {
+		if err := c.Results(ctx, file, take); err != nil {
+			return v, err
+		}
+	}
+	v.Lost = len(j.want) - v.Right
+	return v, nil
+}
--- a/clis/bench.go
+++ b/clis/bench.go
@@ -5,6 +5,7 @@
 
 	"github.com/sardinerock/sardinerock/bench"
 	"github.com/sardinerock/sardinerock/conf"
+	"github.com/sardinerock/sardinerock/trace"
 )
 
 func (p *Program) addBench() {
@@ -32,7 +33,7 @@
 }
 
 func (p *Program) traces(s *conf.Traces) error {
-	t, err := bench.Generate(s.Deployment, s.Seed, s.Length)
+	t, err := trace.Generate(s.Deployment, s.Seed, s.Length)
 	if err != nil {
 		return err
 	}
--- a/bench/bundle.go
+++ b/trace/bundle.go
@@ -1,4 +1,4 @@
-package bench
+package trace
 
 import (
 	"github.com/sardinerock/sardinerock"
@@ -7,7 +7,7 @@
 
 // The callers that every bundle of this package has.
 const (
-	operatorName = "operator"
+	Operator     = "operator"
 	modelVersion = "v1"
 )
 
@@ -36,7 +36,7 @@
 		})
 	}
 	b.Callers = append(b.Callers, sardinerock.Caller{
-		Name: operatorName, Team: h.Deployment, Weight: 1, KeyHashes: []string{front.HashToken(Token(operatorName))},
+		Name: Operator, Team: h.Deployment, Weight: 1, KeyHashes: []string{front.HashToken(Token(Operator))},
 		Grants: []sardinerock.Grant{}, Operator: true,
 	})
 	return b
--- /dev/null
+++ b/trace/doc.go
@@ -0,0 +1,3 @@
+// Package trace holds the form of recorded traces, their generator and the
+// bundles under which they are played.
+package trace
--- a/bench/generate.go
+++ b/trace/generate.go
@@ -1,4 +1,4 @@
-package bench
+package trace
 
 import (
 	"cmp"
@@ -18,8 +18,8 @@
 
 // The seed and the length of the traces in traces/.
 const (
-	TraceSeed   = 1
-	TraceLength = 20 * time.Second
+	Seed   = 1
+	Length = 20 * time.Second
 )
 
 // profile is what a deployment's traffic is like.
@@ -81,6 +81,9 @@
 	},
 }
 
+// HeaderOf returns the fleet of a deployment, and nothing for an unknown one.
+func HeaderOf(deployment string) Header { return profiles[deployment].header }
+
 // jobSpread is the time at the trace's start in which the jobs come.
 const jobSpread = 300 * time.Millisecond
 
--- a/bench/trace.go
+++ b/trace/trace.go
@@ -1,4 +1,4 @@
-package bench
+package trace
 
 import (
 	"bufio"
@@ -89,8 +89,8 @@
 	return buffered.Flush()
 }
 
-// ReadTrace reads a trace; errors tell the line.
-func ReadTrace(r io.Reader) (*Trace, error) {
+// Read reads a trace; errors tell the line.
+func Read(r io.Reader) (*Trace, error) {
 	decoder := json.NewDecoder(bufio.NewReader(r))
 	decoder.DisallowUnknownFields()
 	var t Trace
--- a/traces/gen/main.go
+++ b/traces/gen/main.go
@@ -9,7 +9,7 @@
 	"os"
 	"path/filepath"
 
-	"github.com/sardinerock/sardinerock/bench"
+	"github.com/sardinerock/sardinerock/trace"
 )
 
 func main() {
@@ -17,7 +17,7 @@
 	if len(os.Args) > 1 {
 		folder = os.Args[1]
 	}
-	for _, deployment := range []string{bench.KesslingMarrow, bench.Goldfields} {
+	for _, deployment := range []string{trace.KesslingMarrow, trace.Goldfields} {
 		if err := write(folder, deployment); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
@@ -26,18 +26,18 @@
 }
 
 func write(folder, deployment string) error {
-	trace, err := bench.Generate(deployment, bench.TraceSeed, bench.TraceLength)
+	t, err := trace.Generate(deployment, trace.Seed, trace.Length)
 	if err != nil {
 		return err
 	}
 	var lines bytes.Buffer
-	if err := trace.Write(&lines); err != nil {
+	if err := t.Write(&lines); err != nil {
 		return err
 	}
 	if err := os.WriteFile(filepath.Join(folder, deployment+".jsonl"), lines.Bytes(), 0o644); err != nil {
 		return err
 	}
-	raw, err := json.MarshalIndent(bench.BundleOf(trace.Header), "", "  ")
+	raw, err := json.MarshalIndent(trace.BundleOf(t.Header), "", "  ")
 	if err != nil {
 		return err
 	}
