link, retry: requests of lost connections find a link that is up

Cause: with all connections silent at once a request ended as 502 (proof, TestConnectionsBetweenProcessesGoSilent, three runs of three red). The attempts of a lost link were told before routing was, so that they were sent to the same side again, found its link closed, and spent their attempts and the entry's retries within a millisecond. Ruled out: a larger budget, which would only take longer to be spent.

--- a/link/client.go
+++ b/link/client.go
@@ -86,9 +86,6 @@
 			return
 		}
 		c.Events.Warn(event.LinkDown).Str("side", c.SideID).Bool("silent", silent).Err(err).Msg("link down")
-		if c.OnDown != nil {
-			c.OnDown(silent)
-		}
 		if time.Since(started) > lastBackoff {
 			backoff = firstBackoff
 		}
@@ -234,7 +231,7 @@
 		return false, err
 	}
 	c.setLive(s)
-	defer c.lose(s)
+	defer func() { c.lose(s, silent) }()
 
 	ended := make(chan error, 3)
 	go func() { ended <- s.out.write(s.done, startWatch{stream: stream, owner: s}, flusher(stream.(wrapped))) }()
@@ -276,8 +273,13 @@
 }
 
 // lose ends a session: attempts still queued were not run, those written may have been.
-func (c *Client) lose(s *session) {
+// The link is reported down first. Told later, the requests of the lost attempts
+// would be routed to this side again and use up their attempts at a closed link.
+func (c *Client) lose(s *session, silent bool) {
 	c.setLive(nil)
+	if c.OnDown != nil {
+		c.OnDown(silent)
+	}
 	s.out.close()
 	close(s.done)
 	s.mu.Lock()
