--- a/jobs/fault_test.go
+++ b/jobs/fault_test.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,79 +13,6 @@
 	"github.com/sardinerock/sardinerock"
 )
 
-// cable is one entry's way to the log: it can be paused, as a stopped process is, or cut.
-type cable struct {
-	sardinerock.Log
-	mu     sync.Mutex
-	paused chan struct{}
-	cut    bool
-	// held and heldReads count the appends and reads that wait for the pause to end.
-	held, heldReads atomic.Int64
-}
-
-var errCut = errors.New("cable cut")
-
-func (c *cable) pause() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.paused = make(chan struct{})
-}
-
-func (c *cable) resume() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	close(c.paused)
-	c.paused = nil
-}
-
-func (c *cable) sever() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.cut = true
-}
-
-// pass waits out a pause whatever the deadline: a stopped process sees none go by.
-func (c *cable) pass() error {
-	c.mu.Lock()
-	paused, cut := c.paused, c.cut
-	c.mu.Unlock()
-	if cut {
-		return errCut
-	}
-	if paused != nil {
-		<-paused
-	}
-	return nil
-}
-
-func (c *cable) Append(ctx context.Context, name string, data []byte) (int64, error) {
-	c.held.Add(1)
-	err := c.pass()
-	c.held.Add(-1)
-	if err != nil {
-		return 0, err
-	}
-	// What a stopped process was about to send goes out when it goes on, whatever the time.
-	return c.Log.Append(context.WithoutCancel(ctx), name, data)
-}
-
-func (c *cable) Read(ctx context.Context, name string, from int64, wait time.Duration) ([]sardinerock.LogRecord, error) {
-	c.heldReads.Add(1)
-	err := c.pass()
-	c.heldReads.Add(-1)
-	if err != nil {
-		return nil, err
-	}
-	return c.Log.Read(ctx, name, from, wait)
-}
-
-func (c *cable) Bounds(ctx context.Context, name string) (sardinerock.LogBounds, error) {
-	if err := c.pass(); err != nil {
-		return sardinerock.LogBounds{}, err
-	}
-	return c.Log.Bounds(ctx, name)
-}
-
 // owns counts the shards that the entry owns.
 func (e *entry) owns() int {
 	e.setUp()
@@ -254,52 +178,6 @@
 	}
 }
 
-// An entry that starts long after reads all results although the log has
-// dropped the records that first held them: the owner wrote checkpoints and
-// copied what is still promised before that.
-func TestResultsOutliveRetention(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	log := newFakeLog()
-	f := newFleet(t, log)
-	short := func(m *Manager) { m.Shards = 1; m.Retention = 2 * time.Second }
-	one := f.start("entry1", short)
-	s, err := one.Create(context.Background(), spec("k"), items(400))
-	g.Expect(err).NotTo(HaveOccurred())
-	f.expectState(one, s.ID, sardinerock.JobFinished)
-	until := time.Now().Add(5 * time.Second)
-	for time.Now().Before(until) {
-		cut := log.ages(2 * time.Second)
-		for name, before := range cut {
-			log.trim(name, before)
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	g.Expect(log.firstOf("jobs-0")).To(BeNumerically(">", 0))
-	two := f.start("entry2", func(m *Manager) { m.Shards = 1; m.Retention = time.Hour })
-	f.expectResults(two, s.ID, 400)
-}
-
-// A stream whose beginning is gone, with no checkpoint, is no proof that
-// nothing was accepted: the entry refuses instead of starting anew.
-func TestGapWithoutCheckpointIsNotEmpty(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	log := newFakeLog()
-	f := newFleet(t, log)
-	one := f.start("entry1", func(m *Manager) { m.Shards = 1 })
-	_, err := one.Create(context.Background(), spec("k"), items(10))
-	g.Expect(err).NotTo(HaveOccurred())
-	one.end()
-	log.trim("jobs-0", log.nextOf("jobs-0"))
-	f.setLive()
-	two := f.start("entry2", func(m *Manager) { m.Shards = 1 })
-	_, err = two.Create(context.Background(), spec("k"), items(10))
-	g.Expect(sardinerock.AsRefusal(err).Code).To(Equal(sardinerock.CodeLogUnavailable))
-	g.Expect(sardinerock.AsRefusal(err).Outcome).To(Equal(sardinerock.OutcomeNotRun))
-	g.Expect(two.owns()).To(BeZero())
-}
-
 // Shards move to a newcomer and back while a job runs, and no item is lost or run for nothing by it.
 func TestRebalancingStopsNoWork(t *testing.T) {
 	t.Parallel()
@@ -384,110 +262,6 @@
 	f.expectResults(one, s.ID, 50)
 }
 
-// Results can be read for as long as the bundle says (here: the default), then
-// the caller learns that they are gone, and later the job is forgotten and its
-// key is free again.
-func TestResultsExpire(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	f := newFleet(t, newFakeLog())
-	var ahead atomic.Int64
-	one := f.start("entry1", func(m *Manager) {
-		m.Shards = 1
-		m.Now = func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
-	})
-	s, err := one.Create(context.Background(), spec("k"), items(10))
-	g.Expect(err).NotTo(HaveOccurred())
-	f.expectState(one, s.ID, sardinerock.JobFinished)
-	ahead.Store(int64(defaultResultLife + time.Hour))
-	kept := f.expectState(one, s.ID, sardinerock.JobExpired)
-	g.Expect(kept.Completed).To(Equal(10))
-	err = one.Results(context.Background(), "finance", s.ID, func(sardinerock.ItemResult) error { return nil })
-	g.Expect(sardinerock.AsRefusal(err).Code).To(Equal(sardinerock.CodeNotFound))
-	ahead.Store(int64(2*defaultResultLife + 2*time.Hour))
-	g.Eventually(func() error {
-		_, err := one.Get(context.Background(), "finance", s.ID)
-		return err
-	}, patience).Should(HaveOccurred())
-}
-
-// An entry that is asked about a shard of another's follows it for a while
-// only: with hundreds of entries each would otherwise come to read every stream.
-func TestForeignShardIsFollowedOnlyWhileAskedFor(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	f := newFleet(t, newFakeLog())
-	one := f.start("entry1", nil)
-	f.expectOwned(map[*entry]int{one: 4})
-	// entry2 believes that only entry1 is live, so no shard is its own.
-	two := f.start("entry2", func(m *Manager) {
-		m.IdleFollow = 300 * time.Millisecond
-		m.Live = func() []string { return []string{"entry1"} }
-	})
-	f.setLive("entry1")
-	s, err := two.Create(context.Background(), spec("k"), items(10))
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(two.allParts()).To(HaveLen(1))
-	g.Eventually(two.allParts, patience).Should(BeEmpty())
-	f.expectState(two, s.ID, sardinerock.JobFinished)
-}
-
-// An uploaded file comes back whole from another entry, though a third of the
-// log's answers are lost, and only to its caller.
-func TestFileComesBackWhole(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	log := newFakeLog()
-	log.lose = 0.3
-	f := newFleet(t, log)
-	one, two := f.start("entry1", nil), f.start("entry2", nil)
-	content := strings.Repeat("one line of the upload\n", 50000)
-	info, err := one.Put(context.Background(), "finance", "in.jsonl", strings.NewReader(content))
-	g.Expect(err).NotTo(HaveOccurred())
-	r, again, err := two.Open(context.Background(), "finance", info.ID)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(again).To(Equal(info))
-	got, err := io.ReadAll(r)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(string(got) == content).To(BeTrue())
-	_, _, err = two.Open(context.Background(), "letters", info.ID)
-	g.Expect(sardinerock.AsRefusal(err).Code).To(Equal(sardinerock.CodeNotFound))
-	_, _, err = two.Open(context.Background(), "finance", "file_9_zz")
-	g.Expect(sardinerock.AsRefusal(err).Code).To(Equal(sardinerock.CodeNotFound))
-}
-
-// An entry is stopped for so long that the log drops what it would read next,
-// and no checkpoint is there. It must say that it doesn't know, not that the
-// caller's job doesn't exist.
-func TestReaderThatLostItsPlaceDoesNotDenyJobs(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	log := newFakeLog()
-	f := newFleet(t, log)
-	wire := &cable{Log: log}
-	one := f.start("entry1", func(m *Manager) { m.Log = wire; m.Shards = 1 })
-	s, err := one.Create(context.Background(), spec("k"), items(10))
-	g.Expect(err).NotTo(HaveOccurred())
-	f.expectState(one, s.ID, sardinerock.JobFinished)
-	wire.pause()
-	// Its last read ends, and the next one is held.
-	g.Eventually(wire.heldReads.Load, patience).Should(BeNumerically(">", 0))
-	two := f.start("entry2", func(m *Manager) { m.Shards = 1 })
-	_, err = two.Create(context.Background(), spec("k2"), items(10))
-	g.Expect(err).NotTo(HaveOccurred())
-	log.trim("jobs-0", log.nextOf("jobs-0"))
-	wire.resume()
-	for range 50 {
-		_, err = one.Get(context.Background(), "finance", s.ID)
-		if err != nil {
-			g.Expect(sardinerock.AsRefusal(err).Code).To(Equal(sardinerock.CodeLogUnavailable))
-			break
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	g.Expect(err).To(HaveOccurred())
-}
-
 // Two entries have lost each other but not the log, and each believes that it
 // alone is left. Both claim the shard. The caller's job must go on and end,
 // with each item once: an owner that writes is alive, whatever the list says,
