--- a/jobs/create.go
+++ b/jobs/create.go
@@ -31,6 +31,10 @@
 // Create accepts a job: chunks first, then the seal, which alone makes it count.
 func (m *Manager) Create(ctx context.Context, spec sardinerock.JobSpec, items func(yield func(sardinerock.JobItem) error) error) (*sardinerock.JobStatus, error) {
 	m.setUp()
+	if spec.IdempotencyKey == "" {
+		// All jobs of the caller without one would be taken for resends of the first.
+		return nil, invalid("a job needs an idempotency key")
+	}
 	if refusal := m.logFailing(); refusal != nil {
 		return nil, refusal
 	}
--- a/jobs/manager_test.go
+++ b/jobs/manager_test.go
@@ -264,6 +264,8 @@
 		"item too large":  {list(sardinerock.JobItem{CustomID: "a", Body: make([]byte, maxItemBytes)}), sardinerock.CodeBodyTooLarge},
 		"too many items":  {items(defaultMaxItems + 1), sardinerock.CodeInvalidRequest},
 	}
+	_, err := one.Create(context.Background(), spec(""), items(1))
+	NewWithT(t).Expect(sardinerock.AsRefusal(err).Code).To(Equal(sardinerock.CodeInvalidRequest), "no key")
 	for name, c := range tables {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
