--- a/admit/gate.go
+++ b/admit/gate.go
@@ -55,8 +55,6 @@
 	firstToken time.Time
 	lastToken  time.Time
 	tokens     int
-	// busyAtStart is how many streams ran when this one started.
-	busyAtStart int
 	// prefilling is set while a batch stream's prompt is unread.
 	prefilling bool
 	// leaving is set once it was preempted or cancelled and the engine may still run it.
@@ -292,7 +290,7 @@
 
 // start sends an attempt to the engine, and for online work makes room by preempting batch work.
 func (g *Gate) start(now time.Time, w sardinerock.Work, item sched.Item, waited time.Duration) {
-	s := &stream{work: w, item: item, started: now, busyAtStart: g.online + len(g.batch)}
+	s := &stream{work: w, item: item, started: now}
 	g.running[w.Attempt] = s
 	if w.Class == sardinerock.ClassBatch {
 		s.prefilling = w.PromptTokens > 0
--- a/admit/prefill.go
+++ b/admit/prefill.go
@@ -1,6 +1,10 @@
 package admit
 
-import "time"
+import (
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+)
 
 const (
 	// prefillShare is the part of the engine's time that batch prompts may take
@@ -80,9 +84,11 @@
 //
 // The step that gives the token is taken off, as it would have been made for
 // the other streams anyway; with steps of 20 ms and prompts that take 10 ms the
-// pace would else come out at a third.
+// pace would else come out at a third. Only batch prompts count: drafts share
+// long prefixes, most of which the engine has cached, so that theirs looks many
+// times faster and no batch prompt would seem long enough to be preempted.
 func (p *prefill) sawFirstToken(s *stream, d, step time.Duration) {
-	if s.work.PromptTokens >= prefillSeen && d > 0 {
+	if s.work.Class == sardinerock.ClassBatch && s.work.PromptTokens >= prefillSeen && d > 0 {
 		p.pace.add(float64(s.work.PromptTokens) / max(d-step, d/prefillLeast).Seconds())
 	}
 }
