--- a/admit/prefill.go
+++ b/admit/prefill.go
@@ -19,7 +19,7 @@
 	prefillYield = 20 * time.Millisecond
 	// prefillRefund is the part of the unread rest that the budget gets back
 	// then; the other part stands for what the cancelled reading has cost others.
-	prefillRefund = 0.75
+	prefillRefund = 0.5
 	// prefillLeast is the part of a first token's time that is prefill at least.
 	prefillLeast = 10
 	// prefillSeen is the least prompt whose time to first token tells the pace.
