--- a/proof/links_test.go
+++ b/proof/links_test.go
@@ -26,3 +26,15 @@
 		}
 	}
 }
+
+func TestArchitectureNamesEveryPackage(t *testing.T) {
+	g := NewWithT(t)
+	page, err := os.ReadFile("../docs/ARCHITECTURE.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	docs, err := filepath.Glob("../*/doc.go")
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, doc := range docs {
+		name := filepath.Base(filepath.Dir(doc))
+		g.Expect(string(page)).To(ContainSubstring("`" + name + "`"))
+	}
+}
--- a/proof/page_test.go
+++ b/proof/page_test.go
@@ -20,6 +20,7 @@
 // notProofs are tests of this package that hold pages, not promises.
 var notProofs = map[string]bool{
 	"proof.TestMain": true, "proof.TestPageNamesTestsThatExist": true, "proof.TestLinksOfThePagesResolve": true,
+	"proof.TestArchitectureNamesEveryPackage": true,
 }
 
 func TestPageNamesTestsThatExist(t *testing.T) {
