--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -83,7 +83,8 @@
 	return p
 }
 
-// end kills what still runs, also if it is stopped, and shows the log's end if the test failed.
+// end kills what still runs, also if it is stopped. If the test failed it shows
+// the log's end and keeps the whole log in report/proof.
 func (p *process) end(t testing.TB) {
 	p.signal(syscall.SIGKILL)
 	<-p.exited
@@ -93,6 +94,14 @@
 	const tail = 4000
 	text := p.logged()
 	t.Logf("--- %s (exit %d):\n%s", p.name, p.code, text[max(0, len(text)-tail):])
+	folder := filepath.Join("..", "report", "proof", t.Name())
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		t.Log(err)
+		return
+	}
+	if err := os.WriteFile(filepath.Join(folder, p.name+".log"), []byte(text), 0o644); err != nil {
+		t.Log(err)
+	}
 }
 
 func (p *process) signal(s syscall.Signal) {
