--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -39,7 +39,7 @@
 	defer func() { c.finished(l, start, query.Class, sample, load) }()
 	a, err := l.client.Start(start)
 	if err != nil {
-		return sardinerock.Result{}, failed(sardinerock.CodeBackendLost, sardinerock.OutcomeNotRun, err.Error())
+		return sardinerock.Result{}, notSent(err)
 	}
 	t := &taker{course: c}
 	result, f := t.takeAll(ctx, a)
@@ -221,6 +221,16 @@
 	load *wire.Load
 }
 
+// notSent is an attempt that never left, as the link was down. It counts as
+// finding no backend server: when something loses track of all connections at
+// once, every link is down for some 50 ms, and five attempts that don't wait are
+// over within one, for all callers at the same moment.
+func notSent(err error) *failure {
+	f := failed(sardinerock.CodeNoBackend, sardinerock.OutcomeNotRun, err.Error())
+	f.refusal.RetryAfter = noBackendRetry
+	return f
+}
+
 // takeAll passes tokens on until the attempt ends.
 func (t *taker) takeAll(ctx context.Context, a *link.Attempt) (sardinerock.Result, *failure) {
 	for {
@@ -268,7 +278,7 @@
 func (t *taker) broken(ctx context.Context, a *link.Attempt, err error) *failure {
 	switch {
 	case errors.Is(err, link.ErrNotSent):
-		return failed(sardinerock.CodeBackendLost, sardinerock.OutcomeNotRun, err.Error())
+		return notSent(err)
 	case errors.Is(err, link.ErrLost):
 		return failed(sardinerock.CodeBackendLost, sardinerock.OutcomeUnknown, err.Error())
 	}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -109,11 +109,13 @@
 	return d
 }
 
-// handedBack tells work that a leaving backend server gave back untouched. It
-// costs no backend server anything and comes in bulk when instances are
-// replaced, so it doesn't count against the budget; attempts bound it.
+// handedBack tells work that a leaving backend server gave back untouched, or
+// that found none to go to. It costs no backend server anything and comes in
+// bulk, when instances are replaced or all links are down for a moment, so it
+// doesn't count against the budget; attempts bound it.
 func handedBack(r *sardinerock.Refusal) bool {
-	return r.Code == sardinerock.CodeShuttingDown && r.Outcome == sardinerock.OutcomeNotRun
+	return r.Code == sardinerock.CodeNoBackend ||
+		r.Code == sardinerock.CodeShuttingDown && r.Outcome == sardinerock.OutcomeNotRun
 }
 
 // waits tells refusals after which a moment helps more than haste: tried again
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -63,6 +63,7 @@
 		return retry.Decide(epoch, f, &b).Action
 	}
 	x.Expect(decide(sardinerock.CodeShuttingDown)).To(Equal(retry.Again))
+	x.Expect(decide(sardinerock.CodeNoBackend)).To(Equal(retry.Again))
 	x.Expect(decide(sardinerock.CodeOverloaded)).To(Equal(retry.GiveUp))
 }
 
