--- a/admit/sim_test.go
+++ b/admit/sim_test.go
@@ -212,7 +212,7 @@
 }
 
 // end takes the end of a try at the entry; a nil refusal means that it ran to its end.
-func (e *entry) end(t *try, refusal *sardinerock.Refusal, crashed bool) {
+func (e *entry) end(t *try, refusal *sardinerock.Refusal) {
 	if !e.inFlight[t] {
 		return
 	}
@@ -237,7 +237,7 @@
 	}
 	d := retry.Decide(now, retry.Failure{
 		Refusal: refusal, Idempotent: true, Delivered: r.got, Resumable: true, Attempts: r.attempts,
-		Left: r.deadline().Sub(now), Crashed: crashed, Alone: t.alone, Verdict: e.suspects.Check(now, r.fingerprint),
+		Left: r.deadline().Sub(now), Verdict: e.suspects.Check(now, r.fingerprint),
 	}, &e.budget)
 	if e.w.stubborn && refusal.Code != sardinerock.CodeDeadline && now.Before(r.deadline()) {
 		d = retry.Decision{Action: retry.Again, Delay: 200 * time.Millisecond}
@@ -316,7 +316,7 @@
 		if verdict == retry.Guilty {
 			refusal = retry.GuiltyRefusal(sardinerock.OutcomeNotRun)
 		}
-		s.w.after(hop, func() { t.entry.end(t, refusal, false) })
+		s.w.after(hop, func() { t.entry.end(t, refusal) })
 		return
 	}
 	t.alone = t.alone || verdict == retry.Suspect
@@ -339,20 +339,20 @@
 			s.engine.submit(s, t)
 		case sardinerock.GateRefuse:
 			delete(s.tries, t.id)
-			s.w.after(hop, func() { t.entry.end(t, a.Refusal, false) })
+			s.w.after(hop, func() { t.entry.end(t, a.Refusal) })
 		case sardinerock.GatePreempt:
 			s.engine.cancel(t)
-			s.finish(t, &sardinerock.Refusal{Code: sardinerock.CodeCancelled}, false)
+			s.finish(t, &sardinerock.Refusal{Code: sardinerock.CodeCancelled})
 		}
 	}
 }
 
-func (s *side) finish(t *try, refusal *sardinerock.Refusal, crashed bool) {
+func (s *side) finish(t *try, refusal *sardinerock.Refusal) {
 	if s.tries[t.id] == nil {
 		return
 	}
 	delete(s.tries, t.id)
-	s.w.after(hop, func() { t.entry.end(t, refusal, crashed) })
+	s.w.after(hop, func() { t.entry.end(t, refusal) })
 	if refusal == nil {
 		s.suspects.Ended(s.w.now, t.r.fingerprint, t.alone)
 	}
@@ -375,7 +375,7 @@
 	s.quarantine()
 	s.beat()
 	for _, t := range running {
-		s.finish(t, &sardinerock.Refusal{Code: sardinerock.CodeBackendLost}, true)
+		s.finish(t, &sardinerock.Refusal{Code: sardinerock.CodeBackendLost})
 	}
 	s.w.after(2*time.Second, func() { s.down = false; s.beat() })
 }
@@ -392,7 +392,7 @@
 			for _, e := range w.entries {
 				e.table.Remove(s.id)
 				for _, t := range e.lost(s) {
-					e.end(t, &sardinerock.Refusal{Code: sardinerock.CodeBackendLost}, false)
+					e.end(t, &sardinerock.Refusal{Code: sardinerock.CodeBackendLost})
 				}
 			}
 		})
--- a/admit/simengine_test.go
+++ b/admit/simengine_test.go
@@ -93,6 +93,6 @@
 	g.s.gate.Token(now, t.id)
 	if t.r.got >= t.r.tokens {
 		g.s.engine.cancel(t)
-		g.s.finish(t, nil, false)
+		g.s.finish(t, nil)
 	}
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -19,7 +19,6 @@
 // failure is an attempt that ended without the whole answer.
 type failure struct {
 	refusal *sardinerock.Refusal
-	crashed bool
 }
 
 func failed(code sardinerock.Code, outcome sardinerock.Outcome, message string) *failure {
@@ -301,7 +300,6 @@
 				Outcome:    sardinerock.Outcome(end.Outcome),
 				RetryAfter: time.Duration(end.RetryAfterMs) * time.Millisecond,
 			},
-			crashed: end.Crashed,
 		}
 	}
 	result := sardinerock.Result{EngineResult: sardinerock.EngineResult{
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -112,8 +112,6 @@
 		Resumable:  c.request.Service == "",
 		Attempts:   c.attempts,
 		Left:       time.Until(c.request.Deadline),
-		Crashed:    f.crashed,
-		Alone:      c.alone,
 		Verdict:    e.suspects.Check(now, c.request.Fingerprint),
 	}, &e.budget)
 }
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -33,10 +33,6 @@
 	Attempts int
 	// Left is the time until the caller gives up.
 	Left time.Duration
-	// Crashed says that the backend server died under the attempt; Alone that
-	// it ran with nothing else in flight.
-	Crashed bool
-	Alone   bool
 	// Verdict is what Suspects says of the request now.
 	Verdict Verdict
 }
--- a/route/backend.go
+++ b/route/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -79,6 +80,13 @@
 	return all
 }
 
+func (b *backend) serves(want target) bool {
+	if want.service != "" {
+		return b.report.Service == want.service
+	}
+	return b.report.Service == "" && slices.Contains(b.report.Loaded, want.model)
+}
+
 func (b *backend) usable() bool { return b.report.Up && !b.report.Leaving }
 
 func (b *backend) batchCredit() int { return max(0, b.report.BatchCredit-b.batchSent) }
--- a/route/pick.go
+++ b/route/pick.go
@@ -106,7 +106,7 @@
 		var best *backend
 		var bestScore float64
 		for _, b := range t.prefixes.holders(q.Prefixes[i], prefixHolders) {
-			if !t.fit(b, q) || !slices.Contains(b.targets(), want) {
+			if !t.fit(b, q) || !b.serves(want) {
 				continue
 			}
 			if s := b.score(now, &t.fleet); best == nil || s < bestScore {
