engine, knobs: the stand-in of an engine in a package of its own

Names: fakes.Engine is engine.Fake, fakes.EngineKnobs engine.Knobs, fakes.Answer engine.Answer. No change of behaviour.

--- a/client/job.go
+++ b/client/job.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/sardinerock/sardinerock/fakes"
+	"github.com/sardinerock/sardinerock/engine"
 	"github.com/sardinerock/sardinerock/trace"
 )
 
@@ -44,7 +44,7 @@
 	if j.want == nil {
 		j.want = make(map[string]string)
 	}
-	j.want[id] = fakes.AnswerText(ChatPath, raw)
+	j.want[id] = engine.AnswerText(ChatPath, raw)
 	return nil
 }
 
--- a/clis/standin.go
+++ b/clis/standin.go
@@ -14,6 +14,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/conf"
+	"github.com/sardinerock/sardinerock/engine"
 	"github.com/sardinerock/sardinerock/fakes"
 	"github.com/sardinerock/sardinerock/remote"
 )
@@ -114,11 +115,11 @@
 }
 
 func (p *Program) runEngine(ctx context.Context, s *conf.StandinEngine) error {
-	knobs, err := parseKnobs[fakes.EngineKnobs](s.Knobs)
+	knobs, err := parseKnobs[engine.Knobs](s.Knobs)
 	if err != nil {
 		return err
 	}
-	e := &fakes.Engine{Knobs: knobs}
+	e := &engine.Fake{Knobs: knobs}
 	for _, name := range s.Preload {
 		e.Preloaded = append(e.Preloaded, loadedModel(name))
 	}
--- a/fakes/enginecache.go
+++ b/engine/cache.go
@@ -1,4 +1,4 @@
-package fakes
+package engine
 
 import (
 	"time"
@@ -6,6 +6,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/knobs"
 )
 
 // maxCacheEvents bounds the events that the engine keeps for readers.
@@ -17,7 +18,7 @@
 }
 
 // newCache makes an empty prefix cache; the mutex is held.
-func (e *Engine) newCache() {
+func (e *Fake) newCache() {
 	e.cache = nil
 	if e.Knobs.CacheBlocks <= 0 {
 		return
@@ -31,7 +32,7 @@
 }
 
 // cached returns how many of the leading blocks the cache holds.
-func (e *Engine) cached(prefixes []uint64) int {
+func (e *Fake) cached(prefixes []uint64) int {
 	if e.cache == nil {
 		return 0
 	}
@@ -44,7 +45,7 @@
 }
 
 // store keeps the blocks, the longest first, so that the cache drops a prompt from its end.
-func (e *Engine) store(prefixes []uint64) {
+func (e *Fake) store(prefixes []uint64) {
 	if e.cache == nil {
 		return
 	}
@@ -57,7 +58,7 @@
 	}
 }
 
-func (e *Engine) cacheEvent(prefix uint64, dropped bool) {
+func (e *Fake) cacheEvent(prefix uint64, dropped bool) {
 	e.sequence++
 	if gap := int64(e.Knobs.CacheEventGap); gap > 0 && e.sequence%gap == 0 {
 		return
@@ -70,8 +71,8 @@
 }
 
 // eventsAfter returns the events that are old enough to be shown.
-func (e *Engine) eventsAfter(after int64) []sardinerock.CacheEvent {
-	horizon := time.Now().Add(-milliseconds(e.Knobs.CacheEventLagMs))
+func (e *Fake) eventsAfter(after int64) []sardinerock.CacheEvent {
+	horizon := time.Now().Add(-knobs.Milliseconds(e.Knobs.CacheEventLagMs))
 	events := []sardinerock.CacheEvent{}
 	for _, event := range e.events {
 		if event.Sequence > after && !event.at.After(horizon) {
@@ -82,8 +83,8 @@
 }
 
 // sample takes a load report; readers get the one before it, so that reports lag.
-func (e *Engine) sample(now time.Time) {
-	lag := milliseconds(e.Knobs.ReportLagMs)
+func (e *Fake) sample(now time.Time) {
+	lag := knobs.Milliseconds(e.Knobs.ReportLagMs)
 	if now.Sub(e.sampled.MeasuredAt) < lag {
 		return
 	}
--- a/fakes/chunk.go
+++ b/engine/chunk.go
@@ -1,4 +1,4 @@
-package fakes
+package engine
 
 import (
 	"encoding/json"
--- a/fakes/engine.go
+++ b/engine/engine.go
@@ -1,4 +1,4 @@
-package fakes
+package engine
 
 import (
 	"context"
@@ -8,10 +8,11 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/knobs"
 )
 
-// EngineKnobs are an engine's speed and its faults.
-type EngineKnobs struct {
+// Knobs are an engine's speed and its faults.
+type Knobs struct {
 	// Slots is how many streams run at once; 0 means no bound. What comes
 	// beyond waits in the order of arrival, whatever its class.
 	Slots int `json:"slots"`
@@ -47,13 +48,13 @@
 	Fetch(ctx context.Context, target sardinerock.LoadedModel) error
 }
 
-// Engine is a stand-in of a model engine with continuous batching. It works in
+// Fake is a stand-in of a model engine with continuous batching. It works in
 // steps, as such engines do: in each step every running stream gets one token,
 // and prompts are read in chunks, in the order of arrival, which makes the step
 // longer for all. So a long prompt slows the streams of others, and a stream
 // beyond the slots waits behind whatever came before it.
-type Engine struct {
-	Knobs EngineKnobs
+type Fake struct {
+	Knobs Knobs
 	// Preloaded is what the engine holds at its start and after a crash.
 	Preloaded []sardinerock.LoadedModel
 	// Weights is asked before a model is loaded; nil means that loading takes no time.
@@ -61,7 +62,7 @@
 	// OnCrash ends the engine's connections, or its process.
 	OnCrash func()
 
-	mux       router
+	mux       knobs.Router
 	mu        sync.Mutex
 	started   bool
 	crashes   int
@@ -101,7 +102,7 @@
 const defaultPrefillChunk = 512
 
 // start makes the state of a fresh process; the mutex is held.
-func (e *Engine) start() {
+func (e *Fake) start() {
 	if e.started {
 		return
 	}
@@ -115,7 +116,7 @@
 }
 
 // Crash ends the engine as if its process had died; it comes back empty but for what is preloaded.
-func (e *Engine) Crash() {
+func (e *Fake) Crash() {
 	e.mu.Lock()
 	e.crashes++
 	e.started = false
@@ -130,21 +131,21 @@
 }
 
 // Crashes returns how often the engine crashed.
-func (e *Engine) Crashes() int {
+func (e *Fake) Crashes() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.crashes
 }
 
 // Generated returns how many tokens the engine gave since it was made.
-func (e *Engine) Generated() int64 {
+func (e *Fake) Generated() int64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.generated
 }
 
 // SetKnobs changes the knobs at run time.
-func (e *Engine) SetKnobs(k EngineKnobs) {
+func (e *Fake) SetKnobs(k Knobs) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.start()
@@ -153,7 +154,7 @@
 }
 
 // submit queues a stream; its tokens arrive on s.tokens.
-func (e *Engine) submit(s *stream) {
+func (e *Fake) submit(s *stream) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.waiting = append(e.waiting, s)
@@ -164,7 +165,7 @@
 }
 
 // cancel takes a stream out, wherever it is.
-func (e *Engine) cancel(s *stream) {
+func (e *Fake) cancel(s *stream) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.running = without(e.running, s)
@@ -181,7 +182,7 @@
 }
 
 // steps runs until no stream is left.
-func (e *Engine) steps() {
+func (e *Fake) steps() {
 	end := time.Now()
 	for {
 		e.mu.Lock()
@@ -211,7 +212,7 @@
 }
 
 // admit moves waiting streams into free slots.
-func (e *Engine) admit() {
+func (e *Fake) admit() {
 	for len(e.waiting) > 0 && (e.Knobs.Slots == 0 || len(e.running) < e.Knobs.Slots) {
 		s := e.waiting[0]
 		e.waiting = e.waiting[1:]
@@ -221,7 +222,7 @@
 }
 
 // readPrompts reads this step's chunk of prompts and returns the step's length.
-func (e *Engine) readPrompts() time.Duration {
+func (e *Fake) readPrompts() time.Duration {
 	chunk := e.Knobs.PrefillChunk
 	if chunk == 0 {
 		chunk = defaultPrefillChunk
@@ -243,7 +244,7 @@
 }
 
 // giveTokens ends a step: each stream whose prompt is read gets its next token.
-func (e *Engine) giveTokens() {
+func (e *Fake) giveTokens() {
 	left := e.running[:0:0]
 	for _, s := range e.running {
 		if s.unread > 0 {
--- a/fakes/orders.go
+++ b/engine/orders.go
@@ -1,4 +1,4 @@
-package fakes
+package engine
 
 import (
 	"context"
@@ -6,6 +6,7 @@
 	"sort"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/knobs"
 )
 
 // orderBook is what an engine holds and whom it last obeyed.
@@ -31,16 +32,16 @@
 }
 
 // serveOrder answers once the order is carried out; a load goes on when its caller hangs up.
-func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+func (e *Fake) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var order sardinerock.EngineOrder
-	if err := decodeStrict(r.Body, &order); err != nil {
-		replyError(w, http.StatusBadRequest, "order: "+err.Error())
+	if err := knobs.Decode(r.Body, &order); err != nil {
+		knobs.Fail(w, http.StatusBadRequest, "order: "+err.Error())
 		return
 	}
 	e.mu.Lock()
 	if e.Knobs.ChecksFence && order.Fence < e.orders.highest {
 		e.mu.Unlock()
-		replyError(w, http.StatusConflict, sardinerock.ErrFenced.Error())
+		knobs.Fail(w, http.StatusConflict, sardinerock.ErrFenced.Error())
 		return
 	}
 	e.orders.fence = order.Fence
@@ -55,7 +56,7 @@
 }
 
 // obey starts the order and returns what is closed at its end; the mutex is held.
-func (e *Engine) obey(order sardinerock.EngineOrder) <-chan struct{} {
+func (e *Fake) obey(order sardinerock.EngineOrder) <-chan struct{} {
 	book, done := &e.orders, make(chan struct{})
 	if order.Action == sardinerock.OrderUnload {
 		delete(book.loaded, order.Target)
@@ -78,7 +79,7 @@
 	return done
 }
 
-func (e *Engine) load(target sardinerock.LoadedModel, crashes int, done chan struct{}) {
+func (e *Fake) load(target sardinerock.LoadedModel, crashes int, done chan struct{}) {
 	err := e.Weights.Fetch(context.Background(), target)
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -92,7 +93,7 @@
 }
 
 // holds reports whether the engine can answer for the model; the mutex is held.
-func (e *Engine) holds(target sardinerock.LoadedModel) bool {
+func (e *Fake) holds(target sardinerock.LoadedModel) bool {
 	base := target
 	base.Adapter = ""
 	return e.orders.loaded[base] && e.orders.loaded[target]
--- a/fakes/enginehttp.go
+++ b/engine/serve.go
@@ -1,4 +1,4 @@
-package fakes
+package engine
 
 import (
 	"bytes"
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/knobs"
 )
 
 // The headers of the engine protocol.
@@ -40,16 +41,16 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (e *Fake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/knobs" && e.silent(r.RemoteAddr) {
 		<-r.Context().Done()
 		return
 	}
-	e.mux.once.Do(func() { e.routes(&e.mux) })
+	e.mux.Once.Do(func() { e.routes(&e.mux) })
 	e.mux.ServeHTTP(w, r)
 }
 
-func (e *Engine) routes(mux *router) {
+func (e *Fake) routes(mux *knobs.Router) {
 	mux.HandleFunc("POST /v1/{rest...}", e.serveGenerate)
 	mux.HandleFunc("GET /report", e.serveReport)
 	mux.HandleFunc("GET /cache-events", e.serveCacheEvents)
@@ -58,13 +59,13 @@
 	mux.HandleFunc("GET /kv", e.serveExport)
 	mux.HandleFunc("POST /kv", e.serveImport)
 	mux.HandleFunc("/knobs", func(w http.ResponseWriter, r *http.Request) {
-		serveKnobs(w, r, &e.mu, &e.Knobs, e.knobsChanged)
+		knobs.Serve(w, r, &e.mu, &e.Knobs, e.knobsChanged)
 	})
 }
 
 // silent reports whether the connection has gone silent, and remembers the
 // others: they are the ones that go silent next.
-func (e *Engine) silent(remote string) bool {
+func (e *Fake) silent(remote string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.start()
@@ -75,7 +76,7 @@
 }
 
 // knobsChanged puts into effect what doesn't work by itself; the mutex is held.
-func (e *Engine) knobsChanged() {
+func (e *Fake) knobsChanged() {
 	if e.Knobs.Silence > e.silenced {
 		for remote := range e.remotes {
 			e.remotes[remote] = true
@@ -87,15 +88,15 @@
 	}
 }
 
-func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
+func (e *Fake) serveGenerate(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPromptBytes))
 	if err != nil {
-		replyError(w, http.StatusBadRequest, err.Error())
+		knobs.Fail(w, http.StatusBadRequest, err.Error())
 		return
 	}
 	s, status, message := e.newStream(r, body)
 	if status != http.StatusOK {
-		replyError(w, status, message)
+		knobs.Fail(w, status, message)
 		return
 	}
 	e.crashIfMarked(body)
@@ -104,16 +105,16 @@
 	e.write(w, r, s)
 }
 
-func (e *Engine) crashIfMarked(body []byte) {
+func (e *Fake) crashIfMarked(body []byte) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if marker := e.Knobs.CrashMarker; marker != "" && bytes.Contains(body, []byte(marker)) {
-		time.AfterFunc(milliseconds(e.Knobs.CrashMs), e.Crash)
+		time.AfterFunc(knobs.Milliseconds(e.Knobs.CrashMs), e.Crash)
 	}
 }
 
 // newStream checks a request; a status other than 200 refuses it.
-func (e *Engine) newStream(r *http.Request, body []byte) (*stream, int, string) {
+func (e *Fake) newStream(r *http.Request, body []byte) (*stream, int, string) {
 	prompt := sardinerock.Prompt(body)
 	if len(prompt) == 0 {
 		return nil, http.StatusBadRequest, "the body has neither messages nor a prompt"
@@ -153,7 +154,7 @@
 }
 
 // write streams the tokens as server-sent events until the end, a crash or the caller's hanging up.
-func (e *Engine) write(w http.ResponseWriter, r *http.Request, s *stream) {
+func (e *Fake) write(w http.ResponseWriter, r *http.Request, s *stream) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	out := newChunkWriter(w, r.URL.Path, s)
 	for {
@@ -174,51 +175,51 @@
 	}
 }
 
-func (e *Engine) serveReport(w http.ResponseWriter, _ *http.Request) {
+func (e *Fake) serveReport(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	e.sample(time.Now())
 	report := e.report
 	e.mu.Unlock()
-	replyJSON(w, http.StatusOK, report)
+	knobs.Reply(w, http.StatusOK, report)
 }
 
-func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+func (e *Fake) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseInt(r.FormValue("after"), 10, 64)
 	if err != nil {
-		replyError(w, http.StatusBadRequest, "after: "+err.Error())
+		knobs.Fail(w, http.StatusBadRequest, "after: "+err.Error())
 		return
 	}
 	e.mu.Lock()
 	events := e.eventsAfter(after)
 	e.mu.Unlock()
-	replyJSON(w, http.StatusOK, CacheEventLines{Events: events})
+	knobs.Reply(w, http.StatusOK, CacheEventLines{Events: events})
 }
 
-func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
+func (e *Fake) serveState(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	state := e.orders.state(e.Knobs.ChecksFence)
 	e.mu.Unlock()
-	replyJSON(w, http.StatusOK, state)
+	knobs.Reply(w, http.StatusOK, state)
 }
 
 // serveExport returns the cached blocks of a running stream's prompt.
-func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+func (e *Fake) serveExport(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, s := range e.running {
 		if s.attempt == r.FormValue("attempt") {
-			replyJSON(w, http.StatusOK, KVBlocks{Prefixes: s.blocks})
+			knobs.Reply(w, http.StatusOK, KVBlocks{Prefixes: s.blocks})
 			return
 		}
 	}
-	replyError(w, http.StatusNotFound, "kv: no running stream of that attempt")
+	knobs.Fail(w, http.StatusNotFound, "kv: no running stream of that attempt")
 }
 
 // serveImport puts blocks exported elsewhere into the cache, so that a moved stream needn't read its prompt again.
-func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+func (e *Fake) serveImport(w http.ResponseWriter, r *http.Request) {
 	var blocks KVBlocks
-	if err := decodeStrict(r.Body, &blocks); err != nil {
-		replyError(w, http.StatusBadRequest, "kv: "+err.Error())
+	if err := knobs.Decode(r.Body, &blocks); err != nil {
+		knobs.Fail(w, http.StatusBadRequest, "kv: "+err.Error())
 		return
 	}
 	e.mu.Lock()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/engine"
 	"github.com/sardinerock/sardinerock/entry"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/fakes"
@@ -47,7 +48,7 @@
 	// Policy is empty, or "fifo" for the baseline.
 	Policy string
 	// Engine is what all engines are like; ReviveAfter is how long a crashed one stays away, 0 means for good.
-	Engine      fakes.EngineKnobs
+	Engine      engine.Knobs
 	ReviveAfter time.Duration
 	// ListKnobs and LogKnobs are the faults of the platform's services at the start.
 	ListKnobs fakes.InstancesKnobs
@@ -81,7 +82,7 @@
 type backend struct {
 	member
 	host    *fakes.Host
-	engine  *fakes.Engine
+	engine  *engine.Fake
 	service *fakes.Service
 }
 
@@ -139,8 +140,8 @@
 }
 
 // Engines returns the stand-ins of the engines, in the order of the sides.
-func (f *Fleet) Engines() []*fakes.Engine {
-	var engines []*fakes.Engine
+func (f *Fleet) Engines() []*engine.Fake {
+	var engines []*engine.Fake
 	for _, b := range f.backends[:f.Sides] {
 		engines = append(engines, b.engine)
 	}
@@ -234,7 +235,7 @@
 }
 
 func (f *Fleet) startEngine(i int) error {
-	b := &backend{engine: &fakes.Engine{Knobs: f.Engine}}
+	b := &backend{engine: &engine.Fake{Knobs: f.Engine}}
 	b.id = fmt.Sprintf("side%d", i)
 	b.host = &fakes.Host{Handler: b.engine, ReviveAfter: f.ReviveAfter}
 	b.engine.OnCrash = b.host.Crash
