--- a/retry/retry.go
+++ b/retry/retry.go
@@ -110,12 +110,18 @@
 }
 
 // handedBack tells work that a leaving backend server gave back untouched, or
-// that a lost connection never carried. It costs no backend server anything and
-// comes in bulk when instances are replaced or cut off, so it doesn't count
-// against the budget; attempts bound it.
+// that found no connection to go by. It costs no backend server anything and
+// comes in bulk, when instances are replaced or all links are down for a moment,
+// so it doesn't count against the budget; attempts bound it.
 func handedBack(r *sardinerock.Refusal) bool {
-	untouched := r.Code == sardinerock.CodeShuttingDown || r.Code == sardinerock.CodeBackendLost
-	return untouched && r.Outcome == sardinerock.OutcomeNotRun
+	switch r.Code {
+	case sardinerock.CodeNoBackend:
+		return true
+	case sardinerock.CodeShuttingDown, sardinerock.CodeBackendLost:
+		return r.Outcome == sardinerock.OutcomeNotRun
+	default:
+		return false
+	}
 }
 
 // waits tells refusals after which a moment helps more than haste: tried again
