side: a cut stream finds no request guilty

Cause: a stream that breaks while its backend server lives on was counted as a crash of a request that ran alone, and so made it guilty for ten minutes (reported by the review of the suspects). Guilt now needs a backend server that did not answer. An engine that restarts within the 300 ms of the look shows its request by dying three times instead of two. Ran: go vet; the crash proofs run with the whole suite.

--- a/side/health.go
+++ b/side/health.go
@@ -77,7 +77,9 @@
 // of them run only alone until they have finished so.
 //
 // A stream can also break because something between the two cut it. If the
-// backend server still answers, only the request of that stream is suspected.
+// backend server still answers, only the request of that stream is suspected, and
+// not found guilty even if it ran alone; an engine that restarts faster than the
+// look at it gives its request away by dying again.
 func (s *Side) crashed(a *attempt) {
 	alive := s.probe(s.ctx, crashProbe)
 	s.mu.Lock()
@@ -88,7 +90,7 @@
 	}
 	s.Events.Error(event.BackendCrashed).Str("attempt", a.start.Attempt).Str("caller", a.start.Caller).
 		Bool("alive", alive).Int("inFlight", len(inFlight)).Msg("stream broke under the request")
-	s.suspects.Crashed(time.Now(), s.crashID(), inFlight, a.start.Alone)
+	s.suspects.Crashed(time.Now(), s.crashID(), inFlight, a.start.Alone && !alive)
 	s.quarantine(time.Now())
 	s.beatAll()
 }
