--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/sardinerock/sardinerock/front"
 	"github.com/sardinerock/sardinerock/jobs"
 	"github.com/sardinerock/sardinerock/member"
+	"github.com/sardinerock/sardinerock/peers"
 	"github.com/sardinerock/sardinerock/retry"
 	"github.com/sardinerock/sardinerock/route"
 )
@@ -64,6 +65,7 @@
 	manager *jobs.Manager
 	front   *front.Server
 	tracker *member.Tracker
+	mesh    *peers.Mesh
 	metrics metrics.Registry
 	callers callerCache
 
@@ -73,7 +75,6 @@
 	suspects retry.Suspects
 	limiter  admit.Limiter
 	links    map[string]*sideLink
-	peers    map[string]*peer
 	served   map[servedKey]string
 	counter  uint64
 	leaving  bool
@@ -91,12 +92,12 @@
 	server := &http.Server{Handler: e.front, ReadHeaderTimeout: 10 * time.Second}
 	failed := make(chan error, 3)
 	go func() { failed <- server.Serve(e.CallerListener) }()
-	go func() { failed <- e.servePeers(work) }()
+	go func() { failed <- e.mesh.Run(work) }()
 	var loops sync.WaitGroup
 	loops.Go(func() { _ = e.keeper.Run(work) })
 	loops.Go(func() { _ = e.tracker.Run(work) })
 	loops.Go(func() { e.linkLoop(work) })
-	loops.Go(func() { e.peerLoop(work) })
+	loops.Go(func() { e.usageLoop(work) })
 	loops.Go(func() { e.newsLoop(work) })
 	var owner sync.WaitGroup
 	owner.Go(func() { _ = e.manager.Run(owning) })
@@ -130,7 +131,6 @@
 	}
 	e.table.Random = rand.New(rand.NewPCG(e.Seed, e.Seed))
 	e.links = make(map[string]*sideLink)
-	e.peers = make(map[string]*peer)
 	e.served = make(map[servedKey]string)
 	e.metrics = metrics.NewRegistry()
 	e.keeper = &config.Keeper{
@@ -139,9 +139,16 @@
 		Signers:        e.Signers,
 		SignOffsNeeded: e.SignOffsNeeded,
 		Events:         e.Events,
-		Peers:          e.offers,
+		Peers:          func(ctx context.Context) []config.Offer { return e.mesh.Offers(ctx) },
 	}
 	e.tracker = &member.Tracker{Self: e.self(), List: e.Instances, Events: e.Events}
+	e.mesh = &peers.Mesh{
+		EntryID:  e.ID,
+		Listener: e.PeerListener,
+		Tracker:  e.tracker,
+		Word:     e.word,
+		Offer:    e.keeper.Offer,
+	}
 	e.manager = &jobs.Manager{
 		Log:     e.Log,
 		Runner:  e,
--- a/entry/status.go
+++ b/entry/status.go
@@ -7,6 +7,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/front"
+	"github.com/sardinerock/sardinerock/peers"
 )
 
 // States of backend servers and processes in the status.
@@ -30,10 +31,10 @@
 		own.Version, own.Since = current.Version, current.Since
 	}
 	st.Processes = append(st.Processes, own)
-	for _, p := range e.peers {
+	for _, p := range e.mesh.Peers() {
 		st.Processes = append(st.Processes, front.ProcessStatus{
-			ID: p.instance.ID, Role: sardinerock.RoleEntry, Zone: p.instance.Zone,
-			State: peerState(p, time.Now()), Version: p.version, Since: p.since,
+			ID: p.Instance.ID, Role: sardinerock.RoleEntry, Zone: p.Instance.Zone,
+			State: peerState(&p, time.Now()), Version: p.Word.ConfigVersion, Since: p.VersionSince,
 		})
 	}
 	for _, l := range e.links {
@@ -46,11 +47,11 @@
 	return st
 }
 
-func peerState(p *peer, now time.Time) string {
+func peerState(p *peers.Peer, now time.Time) string {
 	switch {
-	case p.leaving:
+	case p.Word.Leaving:
 		return stateLeaving
-	case now.Sub(p.heard) > usageKept:
+	case p.Silent(now):
 		return stateSilent
 	default:
 		return stateUp
--- /dev/null
+++ b/peers/peer.go
@@ -0,0 +1,61 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"storj.io/drpc/drpcconn"
+
+	"github.com/sardinerock/sardinerock/wire"
+)
+
+// peer is another entry with the connection to it.
+type peer struct {
+	Peer
+	// busy is set while a ping is under way.
+	busy bool
+
+	mu   sync.Mutex
+	conn *drpcconn.Conn
+}
+
+// call pings the peer over the connection that there is, or a new one.
+func (p *peer) call(ctx context.Context, ping *wire.PeerPing) (*wire.PeerPong, error) {
+	conn, err := p.connection(ctx)
+	if err != nil {
+		return nil, err
+	}
+	pong, err := wire.NewDRPCPeerClient(conn).Ping(ctx, ping)
+	if err != nil {
+		// The next ping opens a new connection: this one may be silent for good.
+		p.drop()
+	}
+	return pong, err
+}
+
+func (p *peer) connection(ctx context.Context) (*drpcconn.Conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn != nil {
+		return p.conn, nil
+	}
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp", p.Instance.Address)
+	if err != nil {
+		return nil, err
+	}
+	p.conn = drpcconn.New(raw)
+	return p.conn, nil
+}
+
+// drop closes the connection.
+func (p *peer) drop() {
+	p.mu.Lock()
+	conn := p.conn
+	p.conn = nil
+	p.mu.Unlock()
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
