--- a/member/tracker.go
+++ b/member/tracker.go
@@ -37,7 +37,9 @@
 	doubtedSince time.Time
 	peers        map[string]*peer
 	left         map[string]time.Time
-	changed      chan struct{}
+	// tickedAt is when the watched instances were last judged.
+	tickedAt time.Time
+	changed  chan struct{}
 	// subset is kept until the view of who is listed changes.
 	subset     []sardinerock.Instance
 	subsetSize int
@@ -81,6 +83,8 @@
 	// steadySince is when the present run of heartbeats began.
 	steadySince time.Time
 	relapses    int
+	// failures counts broken connections and failed heartbeats since the last answer.
+	failures int
 	// suspectedAt orders suspicions by age.
 	suspectedAt time.Time
 }
@@ -226,17 +230,29 @@
 		p.steadySince = now
 	}
 	p.heardAt = now
+	p.failures = 0
 }
 
-// Silent notes that the connection to an instance broke, or that a new one cannot be made.
+// Silent notes that the connection to an instance broke, or that a heartbeat failed.
+//
+// Two in a row without an answer between them are as good as silence, so that
+// a process that is gone, whose address refuses connections, is found within a
+// second. One alone isn't: the heartbeats that were under way when this process
+// was paused all fail when it goes on, although nobody else did anything wrong.
 func (t *Tracker) Silent(now time.Time, id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if p := t.peers[id]; p != nil && now.Sub(p.heardAt) <= t.silence() {
+	p := t.peers[id]
+	if p == nil {
+		return
+	}
+	if p.failures++; p.failures >= failuresBelieved && now.Sub(p.heardAt) <= t.silence() {
 		p.heardAt = now.Add(-t.silence() - 1)
 	}
 }
 
+const failuresBelieved = 2
+
 // Leaving notes that an instance has said of itself that it leaves; it never comes back.
 func (t *Tracker) Leaving(now time.Time, id string) {
 	t.mu.Lock()
@@ -270,6 +286,7 @@
 // beyond that only the list or their own word takes an instance out. Rounded
 // up, since in a fleet of two or three the one lost peer must be found.
 func (t *Tracker) tickLocked(now time.Time) {
+	t.forgivePause(now)
 	count := map[sardinerock.Role]int{}
 	suspected := map[sardinerock.Role]int{}
 	var silent []*peer
@@ -306,6 +323,26 @@
 	}
 }
 
+// forgivePause leaves out time in which this process didn't run.
+//
+// A process that is stopped for a minute and goes on would else find every
+// peer silent for a minute, before their answers, which wait in its sockets,
+// are read; it would suspect half of them and claim what they own.
+func (t *Tracker) forgivePause(now time.Time) {
+	pause := now.Sub(t.tickedAt)
+	first := t.tickedAt.IsZero()
+	t.tickedAt = now
+	if first || pause <= t.silence()/2 {
+		return
+	}
+	for _, p := range t.peers {
+		p.heardAt = p.heardAt.Add(pause)
+		if p.heardAt.After(now) {
+			p.heardAt = now
+		}
+	}
+}
+
 func (t *Tracker) returned(now time.Time, p *peer) bool {
 	if now.Sub(p.heardAt) > t.silence() || p.steadySince.Before(p.suspectedAt) {
 		return false
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -33,10 +33,6 @@
 	Attempts int
 	// Left is the time until the caller gives up.
 	Left time.Duration
-	// Crashed says that the backend server died under the attempt; Alone that
-	// it ran with nothing else in flight.
-	Crashed bool
-	Alone   bool
 	// Verdict is what Suspects says of the request now.
 	Verdict Verdict
 }
@@ -110,12 +106,18 @@
 }
 
 // handedBack tells work that a leaving backend server gave back untouched, or
-// that found none to go to. It costs no backend server anything and comes in
-// bulk, when instances are replaced or all links are down for a moment, so it
-// doesn't count against the budget; attempts bound it.
+// that found no connection to go by. It costs no backend server anything and
+// comes in bulk, when instances are replaced or all links are down for a moment,
+// so it doesn't count against the budget; attempts bound it.
 func handedBack(r *sardinerock.Refusal) bool {
-	return r.Code == sardinerock.CodeNoBackend ||
-		r.Code == sardinerock.CodeShuttingDown && r.Outcome == sardinerock.OutcomeNotRun
+	switch r.Code {
+	case sardinerock.CodeNoBackend:
+		return true
+	case sardinerock.CodeShuttingDown, sardinerock.CodeBackendLost:
+		return r.Outcome == sardinerock.OutcomeNotRun
+	default:
+		return false
+	}
 }
 
 // waits tells refusals after which a moment helps more than haste: tried again
