--- /dev/null
+++ b/clis/bundles_test.go
@@ -0,0 +1,74 @@
+package clis
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock/bundle"
+)
+
+const exampleBundle = "../examples/bundle.yaml"
+
+// run runs a subcommand and returns its exit code and what it wrote.
+func run(args ...string) (code int, out, complaints string) {
+	var o, e bytes.Buffer
+	p := &Program{Args: args, Out: &o, Err: &e}
+	return p.Run(), o.String(), e.String()
+}
+
+func writeFile(g *WithT, t *testing.T, text string) string {
+	name := filepath.Join(t.TempDir(), "file")
+	g.Expect(os.WriteFile(name, []byte(text), 0o600)).To(Succeed())
+	return name
+}
+
+func TestCheckNamesFaultsWithFileAndLine(t *testing.T) {
+	g := NewWithT(t)
+	code, out, _ := run("check", exampleBundle)
+	g.Expect(code).To(Equal(exitOK))
+	g.Expect(out).To(ContainSubstring("well-formed"))
+	raw, err := os.ReadFile(exampleBundle)
+	g.Expect(err).NotTo(HaveOccurred())
+	broken := writeFile(g, t, strings.Replace(string(raw), "minSlots", "minSlot", 1))
+	code, _, complaints := run("check", broken)
+	g.Expect(code).To(Equal(exitFailed))
+	g.Expect(complaints).To(And(ContainSubstring(broken), ContainSubstring("minSlot"), ContainSubstring("line")))
+	code, _, complaints = run("check", "no-such-file")
+	g.Expect(code).To(Equal(exitFailed))
+	g.Expect(complaints).To(ContainSubstring("no such file"))
+}
+
+func TestKeygenAndSignMakeASignOffThatHolds(t *testing.T) {
+	g := NewWithT(t)
+	code, out, _ := run("keygen")
+	g.Expect(code).To(Equal(exitOK))
+	words := strings.Fields(out)
+	g.Expect(words).To(HaveLen(4))
+	public, err := bundle.ParsePublicKey(words[1])
+	g.Expect(err).NotTo(HaveOccurred())
+	key := writeFile(g, t, words[3]+"\n")
+	code, signed, complaints := run("sign", exampleBundle, "--signer", "ann", "--key-file", key)
+	g.Expect(code).To(Equal(exitOK), complaints)
+	b, faults := bundle.Parse([]byte(signed))
+	g.Expect(faults).To(BeEmpty())
+	g.Expect(bundle.Verify(b, map[string]ed25519.PublicKey{"ann": public}, 1)).To(Succeed())
+	b.Note = "changed after the sign-off"
+	g.Expect(bundle.Verify(b, map[string]ed25519.PublicKey{"ann": public}, 1)).NotTo(Succeed())
+}
+
+func TestWrongSettingsEndWithTheUsageCode(t *testing.T) {
+	g := NewWithT(t)
+	code, _, complaints := run("status", "--entry", "127.0.0.1:80")
+	g.Expect(code).To(Equal(exitUsage))
+	g.Expect(complaints).To(And(ContainSubstring("--entry (SARDINEROCK_ENTRY)"), ContainSubstring("--token (SARDINEROCK_TOKEN)")))
+	t.Setenv("SARDINEROCK_TOKN", "x")
+	code, _, complaints = run("keygen")
+	g.Expect(code).To(Equal(exitUsage))
+	g.Expect(complaints).To(ContainSubstring("SARDINEROCK_TOKN"))
+}
