jobs, item: the requests and results of items in a package of their own

Making an item's request and the body of its result needs nothing of the manager, so it moves to package item.

--- a/jobs/bench_test.go
+++ b/jobs/bench_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/item"
 	"github.com/sardinerock/sardinerock/shard"
 	"github.com/sardinerock/sardinerock/stream"
 )
@@ -152,7 +153,7 @@
 			for i := s; i < n; i += slots {
 				q := &sardinerock.Request{ID: "alone", Path: "/v1/completions"}
 				_, text, _ := r.RunItem(context.Background(), q)
-				_ = answerBody(q, sardinerock.Result{}, text)
+				_ = item.Answer(q, sardinerock.Result{}, text)
 			}
 		})
 	}
--- a/jobs/dispatch.go
+++ b/jobs/dispatch.go
@@ -7,6 +7,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/item"
 	"github.com/sardinerock/sardinerock/queue"
 	"github.com/sardinerock/sardinerock/shard"
 )
@@ -103,14 +104,14 @@
 		p.end(w, index, "", inputRefusal(err), p.judge(w, index, inputRefusal(err)))
 		return
 	}
-	r := p.request(w.job, index, it)
+	r := item.Request(w.job, index, it, p.m.Now().Add(p.m.ItemTimeout))
 	result, text, err := p.m.Runner.RunItem(ctx, r)
 	if err != nil {
 		refusal := sardinerock.AsRefusal(err)
 		p.end(w, index, it.GetCustomId(), refusal, p.judge(w, index, refusal))
 		return
 	}
-	body := answerBody(r, result, text)
+	body := item.Answer(r, result, text)
 	if len(body) > maxItemBytes {
 		refusal := &sardinerock.Refusal{Code: sardinerock.CodeBodyTooLarge, Outcome: sardinerock.OutcomeRan, Message: "the answer is too large to be kept"}
 		p.end(w, index, it.GetCustomId(), refusal, queue.Verdict{})
@@ -158,7 +159,7 @@
 	if !v.Again {
 		p.m.Events.Warn(event.ItemFailed).Str("job", w.job.ID).Int("item", int(index)).
 			Str("code", string(refusal.Code)).Str("reason", refusal.Message).Msg("item can't be done")
-		p.results.add(outcome{job: w.job.Number, index: index, done: failedItem(index, customID, refusal)})
+		p.results.add(outcome{job: w.job.Number, index: index, done: item.Failure(index, customID, refusal)})
 		p.afterItem()
 		return
 	}
--- a/jobs/manager_test.go
+++ b/jobs/manager_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/item"
 )
 
 const patience = 20 * time.Second
@@ -137,7 +138,7 @@
 }
 
 func spec(key string) sardinerock.JobSpec {
-	return sardinerock.JobSpec{Caller: "finance", IdempotencyKey: key, Path: chatPath, Due: time.Now().Add(time.Hour)}
+	return sardinerock.JobSpec{Caller: "finance", IdempotencyKey: key, Path: item.ChatPath, Due: time.Now().Add(time.Hour)}
 }
 
 func items(n int) func(yield func(sardinerock.JobItem) error) error {
