jobs, spread: where jobs and shards belong, in a package of its own

Cause: which shard a job is in and which entry is to own a shard are pure functions of ids and the list of live entries, and stood among the manager's locks.

Ruled out: putting the placement of jobs into package shard, which folds one shard and knows nothing of the others.

Run: go vet ./..., golangci-lint on jobs and spread: no issues; go test -race ./jobs: pass; spread has no tests of its own, those of jobs drive it.

--- a/jobs/create.go
+++ b/jobs/create.go
@@ -13,6 +13,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/shard"
+	"github.com/sardinerock/sardinerock/spread"
 	"github.com/sardinerock/sardinerock/stream"
 )
 
@@ -38,7 +39,7 @@
 	if refusal := m.logFailing(); refusal != nil {
 		return nil, refusal
 	}
-	number, id := m.place(spec.Caller, spec.IdempotencyKey)
+	number, id := spread.Place(spec.Caller, spec.IdempotencyKey, m.Shards)
 	p, release := m.use(number)
 	defer release()
 	if err := p.reachable(ctx); err != nil {
--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -14,6 +14,7 @@
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/queue"
+	"github.com/sardinerock/sardinerock/spread"
 	"github.com/sardinerock/sardinerock/stream"
 )
 
@@ -77,7 +78,7 @@
 	parts   map[int]*part
 	base    context.Context
 	stopped bool
-	owners  ownership
+	owners  spread.Owners
 
 	// queueMu guards queue, and is taken after a part's mutex.
 	queueMu sync.Mutex
@@ -173,14 +174,14 @@
 	live := m.Live()
 	m.budget.SetLive(len(live))
 	m.noteOutage()
-	preferred := m.owners.preferred(m.EntryID, m.Shards, live)
+	preferred := m.owners.Preferred(m.EntryID, m.Shards, live)
 	for shard := range preferred {
 		m.keep(shard)
 	}
 	caughtUp := true
 	for _, p := range m.allParts() {
 		wanted := preferred[p.id]
-		p.tick(wanted, m.owners.rival(p.id), m.owners.isLive)
+		p.tick(wanted, m.owners.Rival(p.id), m.owners.IsLive)
 		if wanted && !p.caughtUp() {
 			caughtUp = false
 		}
--- a/jobs/results.go
+++ b/jobs/results.go
@@ -69,8 +69,8 @@
 // linger grows with what this entry asks of its share of the appends.
 func (r *results) linger() time.Duration {
 	m := r.p.m
-	share := float64(m.owners.liveCount()) / m.AppendsPerSecond
-	wait := time.Duration(2 * share * float64(m.owners.ownCount()) * float64(time.Second))
+	share := float64(m.owners.LiveCount()) / m.AppendsPerSecond
+	wait := time.Duration(2 * share * float64(m.owners.OwnCount()) * float64(time.Second))
 	return min(max(wait, lingerLeast), lingerMost)
 }
 
--- a/jobs/store.go
+++ b/jobs/store.go
@@ -8,6 +8,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/shard"
+	"github.com/sardinerock/sardinerock/spread"
 )
 
 const (
@@ -21,7 +22,7 @@
 // Get returns one job of the caller.
 func (m *Manager) Get(ctx context.Context, caller, id string) (*sardinerock.JobStatus, error) {
 	m.setUp()
-	number, ok := m.shardOf(id)
+	number, ok := spread.ShardOf(id, m.Shards)
 	if !ok {
 		return nil, notFound(id)
 	}
@@ -60,13 +61,13 @@
 
 // shardsOf returns the shards that may hold a caller's jobs.
 func (m *Manager) shardsOf(caller string) []int {
-	count := callerShards
+	count := spread.CallerShards
 	if caller == "" {
 		count = m.Shards
 	}
 	numbers := make([]int, count)
 	for i := range numbers {
-		numbers[i] = m.callerShard(caller, i)
+		numbers[i] = spread.CallerShard(caller, i, m.Shards)
 	}
 	return numbers
 }
@@ -91,7 +92,7 @@
 // Cancel records that the job is to stop, and returns once that is in the log.
 func (m *Manager) Cancel(ctx context.Context, caller, id string) (*sardinerock.JobStatus, error) {
 	m.setUp()
-	number, ok := m.shardOf(id)
+	number, ok := spread.ShardOf(id, m.Shards)
 	if !ok {
 		return nil, notFound(id)
 	}
@@ -125,7 +126,7 @@
 	if status.State == sardinerock.JobExpired {
 		return &sardinerock.Refusal{Code: sardinerock.CodeNotFound, Outcome: sardinerock.OutcomeNotRun, Message: "the results of job " + id + " are no longer kept"}
 	}
-	number, _ := m.shardOf(id)
+	number, _ := spread.ShardOf(id, m.Shards)
 	p, release := m.use(number)
 	defer release()
 	for from := 0; from < status.Total; from += resultBatch {
--- a/jobs/owner.go
+++ b/spread/owners.go
@@ -1,4 +1,4 @@
-package jobs
+package spread
 
 import (
 	"slices"
@@ -8,17 +8,17 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// ownership spreads the shards over the live entries by rendezvous hashing: a
+// Owners spreads the shards over the live entries by rendezvous hashing: a
 // newcomer takes only what it is to have, and an entry that goes leaves the rest alone.
-type ownership struct {
+type Owners struct {
 	mu     sync.Mutex
 	live   []string
 	shards []string
 	mine   map[int]bool
 }
 
-// preferred returns the shards that self is to own while live lasts.
-func (o *ownership) preferred(self string, shards int, live []string) map[int]bool {
+// Preferred returns the shards that self is to own while live lasts.
+func (o *Owners) Preferred(self string, shards int, live []string) map[int]bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	live = slices.Sorted(slices.Values(live))
@@ -35,8 +35,8 @@
 	return o.mine
 }
 
-// rival returns the entry that is to own the shard.
-func (o *ownership) rival(shard int) string {
+// Rival returns the entry that is to own the shard.
+func (o *Owners) Rival(shard int) string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if shard >= len(o.shards) {
@@ -45,7 +45,8 @@
 	return o.shards[shard]
 }
 
-func (o *ownership) isLive(entry string) bool {
+// IsLive says that the entry was among the live ones at the last call of Preferred.
+func (o *Owners) IsLive(entry string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	_, found := slices.BinarySearch(o.live, entry)
@@ -63,13 +64,15 @@
 	return best
 }
 
-func (o *ownership) liveCount() int {
+// LiveCount returns the number of live entries, this one at least.
+func (o *Owners) LiveCount() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return max(len(o.live), 1)
 }
 
-func (o *ownership) ownCount() int {
+// OwnCount returns the number of shards that this entry is to own.
+func (o *Owners) OwnCount() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return len(o.mine)
