jobs, record: reading single records back, in a package of its own

Cause: reading inputs and results of items back from the log, with the last ones kept, needs only the log and a stream's name. It moves from payload.go to record.Reader; the cache, its size and the joining of equal reads are as they were, one for all shards of an entry. What stays is the look-up of an item's chunk in the shard's state, which needs the shard's lock.

Ruled out: putting it into package stream, which knows no records of shards.

Run: go vet ./..., golangci-lint on jobs and record: no issues; go test -race ./jobs: pass; record has no tests of its own, those of jobs drive it.

--- a/jobs/dispatch.go
+++ b/jobs/dispatch.go
@@ -120,6 +120,17 @@
 	p.succeed(w, index, &shard.ItemDone{Index: index, CustomId: it.GetCustomId(), Body: body}, result)
 }
 
+// item returns an item's input.
+func (p *part) item(ctx context.Context, j *shard.Job, index uint32) (*shard.Item, error) {
+	p.Lock()
+	at, ok := j.Chunk(index)
+	p.Unlock()
+	if !ok {
+		return nil, sardinerock.ErrNotFound
+	}
+	return p.m.reader.Item(ctx, p.Stream, at, index)
+}
+
 // inputRefusal tells an input that can't be read now from one that the log no longer has.
 func inputRefusal(err error) *sardinerock.Refusal {
 	if errors.Is(err, sardinerock.ErrLogGap) || errors.Is(err, sardinerock.ErrNotFound) {
--- a/jobs/keep.go
+++ b/jobs/keep.go
@@ -164,7 +164,7 @@
 
 // copyChunk returns a copy of a chunk for the end of the log, or nil if it can't be read.
 func (p *part) copyChunk(job uint32, at shard.Location) *shard.Record {
-	r, err := p.record(p.m.base, at)
+	r, err := p.m.reader.Read(p.m.base, p.Stream, at)
 	if err != nil || r.GetChunk() == nil {
 		return nil
 	}
@@ -174,7 +174,7 @@
 
 // copyAnswers returns a copy of the results that still count in a record.
 func (p *part) copyAnswers(job uint32, at shard.Location) *shard.Record {
-	r, err := p.record(p.m.base, at)
+	r, err := p.m.reader.Read(p.m.base, p.Stream, at)
 	if err != nil || r.GetDone() == nil {
 		return nil
 	}
--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -9,11 +9,11 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sync/singleflight"
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/queue"
+	"github.com/sardinerock/sardinerock/record"
 	"github.com/sardinerock/sardinerock/spread"
 	"github.com/sardinerock/sardinerock/stream"
 )
@@ -69,8 +69,7 @@
 	once   sync.Once
 	budget *stream.Budget
 	health stream.Health
-	chunks *recordCache
-	loads  singleflight.Group
+	reader *record.Reader
 	kick   chan struct{}
 
 	// mu guards parts, and is taken before a part's own mutex.
@@ -111,7 +110,7 @@
 			m.Live = func() []string { return []string{m.EntryID} }
 		}
 		m.budget = stream.NewBudget(m.AppendsPerSecond)
-		m.chunks = newRecordCache()
+		m.reader = record.NewReader(m.Log)
 		m.kick = make(chan struct{}, 1)
 		m.parts = map[int]*part{}
 		m.queue = queue.New()
--- a/jobs/store.go
+++ b/jobs/store.go
@@ -144,7 +144,7 @@
 
 func (p *part) yieldResults(ctx context.Context, id string, from, to int, yield func(sardinerock.ItemResult) error) error {
 	for _, a := range p.answers(id, from, to) {
-		d, err := p.answer(ctx, a.at, a.position)
+		d, err := p.m.reader.Answer(ctx, p.Stream, a.at, a.position)
 		if err != nil {
 			return logRefusal(sardinerock.OutcomeNotRun, "results can't be read from the log: "+err.Error())
 		}
