jobs, refuse: the refusals of batch jobs in a package of their own

They move with their texts, codes, outcomes and times to come back unchanged; the refusal of a reused idempotency key, spelt out in verdict, goes with them.

Ruled out: the root package. These texts concern jobs only.

Run: go vet ./..., golangci-lint on jobs and refuse: no issues; go test -race ./jobs: pass; refuse has no tests of its own, those of jobs drive it.

--- a/jobs/create.go
+++ b/jobs/create.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"time"
 
@@ -12,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/refuse"
 	"github.com/sardinerock/sardinerock/shard"
 	"github.com/sardinerock/sardinerock/spread"
 	"github.com/sardinerock/sardinerock/stream"
@@ -34,7 +34,7 @@
 	m.setUp()
 	if spec.IdempotencyKey == "" {
 		// All jobs of the caller without one would be taken for resends of the first.
-		return nil, invalid("a job needs an idempotency key")
+		return nil, refuse.Invalid("a job needs an idempotency key")
 	}
 	if refusal := m.logFailing(); refusal != nil {
 		return nil, refusal
@@ -51,10 +51,10 @@
 	_, err := p.status(spec.Caller, id)
 	u.compareOnly = err == nil
 	if err := items(u.add); err != nil {
-		return nil, itemsRefusal(err)
+		return nil, refuse.Items(err)
 	}
 	if u.total == 0 {
-		return nil, invalid("a job needs at least one item")
+		return nil, refuse.Invalid("a job needs at least one item")
 	}
 	if u.compareOnly {
 		return p.verdict(spec, id, u.digest.Sum64())
@@ -68,7 +68,7 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	if err := p.Sync(ctx); err != nil {
-		return logRefusal(sardinerock.OutcomeNotRun, "the log can't be read, nothing was accepted: "+err.Error())
+		return refuse.Log(sardinerock.OutcomeNotRun, "the log can't be read, nothing was accepted: "+err.Error())
 	}
 	return nil
 }
@@ -101,10 +101,10 @@
 
 func (u *uploader) add(it sardinerock.JobItem) error {
 	if int(u.total) >= u.most {
-		return invalid(fmt.Sprintf("a job may have at most %d items", u.most))
+		return refuse.Invalid(fmt.Sprintf("a job may have at most %d items", u.most))
 	}
 	if it.CustomID == "" {
-		return invalid(fmt.Sprintf("item %d has no custom_id", u.total+1))
+		return refuse.Invalid(fmt.Sprintf("item %d has no custom_id", u.total+1))
 	}
 	if len(it.Body)+len(it.CustomID) > maxItemBytes {
 		return &sardinerock.Refusal{
@@ -114,7 +114,7 @@
 	}
 	name := xxhash.Sum64String(it.CustomID)
 	if _, double := u.names[name]; double {
-		return invalid(fmt.Sprintf("item %d: custom_id %q is there twice", u.total+1, it.CustomID))
+		return refuse.Invalid(fmt.Sprintf("item %d: custom_id %q is there twice", u.total+1, it.CustomID))
 	}
 	u.names[name] = struct{}{}
 	u.total++
@@ -163,7 +163,7 @@
 	ctx, cancel := context.WithTimeout(u.ctx, chunkTimeout)
 	defer cancel()
 	if _, err := u.last.Wait(ctx); err != nil {
-		return logRefusal(sardinerock.OutcomeNotRun, "the log did not take the job's items; nothing was accepted")
+		return refuse.Log(sardinerock.OutcomeNotRun, "the log did not take the job's items; nothing was accepted")
 	}
 	return nil
 }
@@ -172,7 +172,7 @@
 func (u *uploader) seal(spec sardinerock.JobSpec, id string) (*sardinerock.JobStatus, error) {
 	if len(u.chunk) > 0 {
 		if err := u.flush(); err != nil {
-			return nil, itemsRefusal(err)
+			return nil, refuse.Items(err)
 		}
 	}
 	s := &shard.Seal{
@@ -186,7 +186,7 @@
 		err = u.p.Reach(ctx, offset)
 	}
 	if err != nil {
-		return nil, appendRefusal(err, "the job")
+		return nil, refuse.Append(err, "the job")
 	}
 	return u.p.verdict(spec, id, s.GetDigest())
 }
@@ -197,34 +197,10 @@
 	defer p.Unlock()
 	j := p.State.Jobs[id]
 	if j == nil {
-		return nil, logRefusal(sardinerock.OutcomeNotRun, "the upload took too long and was dropped; nothing was accepted")
+		return nil, refuse.Log(sardinerock.OutcomeNotRun, "the upload took too long and was dropped; nothing was accepted")
 	}
 	if j.Caller != spec.Caller || j.Key != spec.IdempotencyKey || j.Digest != digest {
-		return nil, &sardinerock.Refusal{
-			Code: sardinerock.CodeConflict, Outcome: sardinerock.OutcomeNotRun, Param: "Idempotency-Key",
-			Message: "the idempotency key was used for other content; take a new key for a new job",
-		}
+		return nil, refuse.Conflict()
 	}
 	return j.Status(), nil
 }
-
-func invalid(message string) *sardinerock.Refusal {
-	return &sardinerock.Refusal{Code: sardinerock.CodeInvalidRequest, Outcome: sardinerock.OutcomeNotRun, Message: message}
-}
-
-// itemsRefusal turns what stopped an upload before its seal into a refusal: the job did not run.
-func itemsRefusal(err error) *sardinerock.Refusal {
-	var r *sardinerock.Refusal
-	if errors.As(err, &r) {
-		return r
-	}
-	return invalid("the items can't be read: " + err.Error())
-}
-
-// appendRefusal says what is known of a record that was not acknowledged.
-func appendRefusal(err error, what string) *sardinerock.Refusal {
-	if errors.Is(err, stream.ErrNotAppended) {
-		return logRefusal(sardinerock.OutcomeNotRun, "the log did not take "+what)
-	}
-	return logRefusal(sardinerock.OutcomeUnknown, "the log did not say whether it took "+what+"; send it again with the same idempotency key")
-}
--- a/jobs/dispatch.go
+++ b/jobs/dispatch.go
@@ -2,21 +2,16 @@
 
 import (
 	"context"
-	"errors"
-	"time"
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/item"
 	"github.com/sardinerock/sardinerock/queue"
+	"github.com/sardinerock/sardinerock/refuse"
 	"github.com/sardinerock/sardinerock/shard"
 )
 
-const (
-	defaultMaxAttempts = 3
-	// readRetryWait is how long an item waits whose input can't be read from the log.
-	readRetryWait = time.Second
-)
+const defaultMaxAttempts = 3
 
 // dispatch starts items whenever the fleet has room for them.
 func (m *Manager) dispatch(ctx context.Context) error {
@@ -101,7 +96,7 @@
 	it, err := p.item(ctx, w.job, index)
 	p.m.starting.Add(-1)
 	if err != nil {
-		p.end(w, index, "", inputRefusal(err), p.judge(w, index, inputRefusal(err)))
+		p.end(w, index, "", refuse.Input(err), p.judge(w, index, refuse.Input(err)))
 		return
 	}
 	r := item.Request(w.job, index, it, p.m.Now().Add(p.m.ItemTimeout))
@@ -131,14 +126,6 @@
 	return p.m.reader.Item(ctx, p.Stream, at, index)
 }
 
-// inputRefusal tells an input that can't be read now from one that the log no longer has.
-func inputRefusal(err error) *sardinerock.Refusal {
-	if errors.Is(err, sardinerock.ErrLogGap) || errors.Is(err, sardinerock.ErrNotFound) {
-		return &sardinerock.Refusal{Code: sardinerock.CodeInternal, Message: "the log no longer has the item's input"}
-	}
-	return &sardinerock.Refusal{Code: sardinerock.CodeLogUnavailable, Outcome: sardinerock.OutcomeNotRun, Message: err.Error(), RetryAfter: readRetryWait}
-}
-
 // judge decides what happens to an item that was refused.
 func (p *part) judge(w *work, index uint32, refusal *sardinerock.Refusal) queue.Verdict {
 	p.Lock()
--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -14,6 +14,7 @@
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/queue"
 	"github.com/sardinerock/sardinerock/record"
+	"github.com/sardinerock/sardinerock/refuse"
 	"github.com/sardinerock/sardinerock/spread"
 	"github.com/sardinerock/sardinerock/stream"
 )
@@ -32,8 +33,6 @@
 	tickEvery = 50 * time.Millisecond
 	// handBackTime bounds how long a stopping entry records results and releases its shards.
 	handBackTime = 5 * time.Second
-	// logRetryAfter is when a caller comes back that was refused in an outage of the log.
-	logRetryAfter = 5 * time.Second
 )
 
 // Manager is one entry's part in the batch work of the fleet.
@@ -271,11 +270,7 @@
 	if m.health.FailingSince(m.Now()).IsZero() {
 		return nil
 	}
-	return logRefusal(sardinerock.OutcomeNotRun, "the log takes no records at the moment; nothing was accepted")
-}
-
-func logRefusal(o sardinerock.Outcome, message string) *sardinerock.Refusal {
-	return &sardinerock.Refusal{Code: sardinerock.CodeLogUnavailable, Outcome: o, Message: message, RetryAfter: logRetryAfter}
+	return refuse.Log(sardinerock.OutcomeNotRun, "the log takes no records at the moment; nothing was accepted")
 }
 
 func (m *Manager) noteOutage() {
--- a/jobs/store.go
+++ b/jobs/store.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/refuse"
 	"github.com/sardinerock/sardinerock/shard"
 	"github.com/sardinerock/sardinerock/spread"
 )
@@ -24,7 +25,7 @@
 	m.setUp()
 	number, ok := spread.ShardOf(id, m.Shards)
 	if !ok {
-		return nil, notFound(id)
+		return nil, refuse.NotFound(id)
 	}
 	p, release := m.use(number)
 	defer release()
@@ -94,7 +95,7 @@
 	m.setUp()
 	number, ok := spread.ShardOf(id, m.Shards)
 	if !ok {
-		return nil, notFound(id)
+		return nil, refuse.NotFound(id)
 	}
 	p, release := m.use(number)
 	defer release()
@@ -112,7 +113,7 @@
 		err = p.Reach(ctx, offset)
 	}
 	if err != nil {
-		return nil, appendRefusal(err, "the cancellation")
+		return nil, refuse.Append(err, "the cancellation")
 	}
 	return p.status(caller, id)
 }
@@ -146,7 +147,7 @@
 	for _, a := range p.answers(id, from, to) {
 		d, err := p.m.reader.Answer(ctx, p.Stream, a.at, a.position)
 		if err != nil {
-			return logRefusal(sardinerock.OutcomeNotRun, "results can't be read from the log: "+err.Error())
+			return refuse.Log(sardinerock.OutcomeNotRun, "results can't be read from the log: "+err.Error())
 		}
 		r := sardinerock.ItemResult{CustomID: d.GetCustomId(), Status: int(d.GetStatus()), Body: d.GetBody()}
 		if r.Status == 0 {
@@ -189,7 +190,7 @@
 	if p.Known() {
 		return nil
 	}
-	return logRefusal(sardinerock.OutcomeNotRun, "the log can't be read: "+err.Error())
+	return refuse.Log(sardinerock.OutcomeNotRun, "the log can't be read: "+err.Error())
 }
 
 func (p *part) status(caller, id string) (*sardinerock.JobStatus, error) {
@@ -197,7 +198,7 @@
 	defer p.Unlock()
 	j := p.State.Jobs[id]
 	if j == nil || (j.Caller != caller && !p.m.isOperator(caller)) {
-		return nil, notFound(id)
+		return nil, refuse.NotFound(id)
 	}
 	return j.Status(), nil
 }
@@ -214,7 +215,3 @@
 		return c.Name == caller && c.Operator
 	})
 }
-
-func notFound(id string) *sardinerock.Refusal {
-	return &sardinerock.Refusal{Code: sardinerock.CodeNotFound, Outcome: sardinerock.OutcomeNotRun, Message: "no job " + id}
-}
