jobs, upload: chunks and seal of a new job in a package of their own

Cause: checking, hashing and sending the items of a new job needs the shard's writer and nothing else of the manager. It moves to upload.Uploader; the bounds of an item, shared with results, go to package item. The order of things is as it was: two chunks under way at most, the seal right behind the last, one timeout for the seal's append and for reading it back. What the log's order made of the job (verdict) stays, as it needs the shard's state.

Ruled out: handing the context to each call. The items come through a callback of the front's without one, so the upload keeps it as before.

--- a/jobs/dispatch.go
+++ b/jobs/dispatch.go
@@ -107,7 +107,7 @@
 		return
 	}
 	body := item.Answer(r, result, text)
-	if len(body) > maxItemBytes {
+	if len(body) > item.MaxBytes {
 		refusal := &sardinerock.Refusal{Code: sardinerock.CodeBodyTooLarge, Outcome: sardinerock.OutcomeRan, Message: "the answer is too large to be kept"}
 		p.end(w, index, it.GetCustomId(), refusal, queue.Verdict{})
 		return
--- a/jobs/manager_test.go
+++ b/jobs/manager_test.go
@@ -262,7 +262,7 @@
 		"no items":        {list(), sardinerock.CodeInvalidRequest},
 		"no custom id":    {list(sardinerock.JobItem{}), sardinerock.CodeInvalidRequest},
 		"custom id twice": {list(sardinerock.JobItem{CustomID: "a"}, sardinerock.JobItem{CustomID: "a"}), sardinerock.CodeInvalidRequest},
-		"item too large":  {list(sardinerock.JobItem{CustomID: "a", Body: make([]byte, maxItemBytes)}), sardinerock.CodeBodyTooLarge},
+		"item too large":  {list(sardinerock.JobItem{CustomID: "a", Body: make([]byte, item.MaxBytes)}), sardinerock.CodeBodyTooLarge},
 		"too many items":  {items(defaultMaxItems + 1), sardinerock.CodeInvalidRequest},
 	}
 	_, err := one.Create(context.Background(), spec(""), items(1))
--- a/jobs/results.go
+++ b/jobs/results.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/sardinerock/sardinerock/item"
 	"github.com/sardinerock/sardinerock/shard"
 	"github.com/sardinerock/sardinerock/stream"
 )
@@ -18,8 +19,6 @@
 	// waits is run again if this entry is lost, and delays the end of its job.
 	lingerLeast = time.Second
 	lingerMost  = 4 * time.Second
-	// itemOverhead is more than what a result takes in a record beside its payload.
-	itemOverhead = 24
 )
 
 // outcome is what came of one item and is not in the log yet.
@@ -55,9 +54,9 @@
 
 func (o *outcome) size() int {
 	if o.failure {
-		return itemOverhead
+		return item.Overhead
 	}
-	return len(o.done.GetBody()) + len(o.done.GetCustomId()) + itemOverhead
+	return len(o.done.GetBody()) + len(o.done.GetCustomId()) + item.Overhead
 }
 
 // clear forgets what is not under way; the lock is held.
--- a/jobs/store.go
+++ b/jobs/store.go
@@ -10,6 +10,7 @@
 	"github.com/sardinerock/sardinerock/refuse"
 	"github.com/sardinerock/sardinerock/shard"
 	"github.com/sardinerock/sardinerock/spread"
+	"github.com/sardinerock/sardinerock/upload"
 )
 
 const (
@@ -106,9 +107,9 @@
 	if err != nil || status.State != sardinerock.JobRunning {
 		return status, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
+	ctx, cancel := context.WithTimeout(ctx, upload.SealTimeout)
 	defer cancel()
-	offset, err := p.append(ctx, &shard.Record{Kind: &shard.Record_Cancel{Cancel: &shard.Cancel{Job: id}}}, m.Now().Add(sealGiveUp))
+	offset, err := p.append(ctx, &shard.Record{Kind: &shard.Record_Cancel{Cancel: &shard.Cancel{Job: id}}}, m.Now().Add(upload.SealGiveUp))
 	if err == nil {
 		err = p.Reach(ctx, offset)
 	}
--- /dev/null
+++ b/upload/doc.go
@@ -0,0 +1,2 @@
+// Package upload puts the items of a new job into the log.
+package upload
