jobs, limits: what the bundle sets for batch jobs, in a package of its own

They are functions of the configuration alone and move to package limits with one guard for all. The values and defaults are the same, and each is still read when it is needed, so that a new bundle counts for jobs under way.

--- a/jobs/create.go
+++ b/jobs/create.go
@@ -4,13 +4,12 @@
 	"context"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/limits"
 	"github.com/sardinerock/sardinerock/refuse"
 	"github.com/sardinerock/sardinerock/spread"
 	"github.com/sardinerock/sardinerock/upload"
 )
 
-const defaultMaxItems = 200_000
-
 // Create accepts a job: chunks first, then the seal, which alone makes it count.
 func (m *Manager) Create(ctx context.Context, spec sardinerock.JobSpec, items func(yield func(sardinerock.JobItem) error) error) (*sardinerock.JobStatus, error) {
 	m.setUp()
@@ -28,7 +27,7 @@
 		return nil, err
 	}
 	u := upload.New(ctx, draw(), spec.Path)
-	u.Writer, u.Reach, u.Now, u.Most, u.ChunkBytes = p.writer, p.Reach, m.Now, m.maxItems(), m.ChunkBytes
+	u.Writer, u.Reach, u.Now, u.Most, u.ChunkBytes = p.writer, p.Reach, m.Now, limits.MaxItems(m.Config), m.ChunkBytes
 	// The first copy of a resent job is in the log already: only compare.
 	_, err := p.status(spec.Caller, id)
 	u.CompareOnly = err == nil
@@ -57,15 +56,6 @@
 	return nil
 }
 
-func (m *Manager) maxItems() int {
-	if m.Config != nil {
-		if c := m.Config.Current(); c != nil && c.Bundle.Batch.MaxItems > 0 {
-			return c.Bundle.Batch.MaxItems
-		}
-	}
-	return defaultMaxItems
-}
-
 // verdict says what the log's order made of a job that was sent: accepted, met by its first copy, or in conflict.
 func (p *part) verdict(spec sardinerock.JobSpec, id string, digest uint64) (*sardinerock.JobStatus, error) {
 	p.Lock()
--- a/jobs/dispatch.go
+++ b/jobs/dispatch.go
@@ -6,13 +6,12 @@
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/item"
+	"github.com/sardinerock/sardinerock/limits"
 	"github.com/sardinerock/sardinerock/queue"
 	"github.com/sardinerock/sardinerock/refuse"
 	"github.com/sardinerock/sardinerock/shard"
 )
 
-const defaultMaxAttempts = 3
-
 // dispatch starts items whenever the fleet has room for them.
 func (m *Manager) dispatch(ctx context.Context) error {
 	for {
@@ -132,7 +131,7 @@
 	defer p.Unlock()
 	w.notRun[index]++
 	return queue.Judge(refusal, queue.Attempts{
-		Failed: max(w.job.Failures[index], w.failed[index]), NotRun: w.notRun[index], Due: w.job.Due, Now: p.m.Now(), Most: p.m.maxAttempts(),
+		Failed: max(w.job.Failures[index], w.failed[index]), NotRun: w.notRun[index], Due: w.job.Due, Now: p.m.Now(), Most: limits.MaxAttempts(p.m.Config),
 	})
 }
 
@@ -187,13 +186,3 @@
 	defer w.p.m.queueMu.Unlock()
 	w.queued.Cost += costSmoothing * (tokens - w.queued.Cost)
 }
-
-func (m *Manager) maxAttempts() uint32 {
-	if m.Config == nil || m.Config.Current() == nil {
-		return defaultMaxAttempts
-	}
-	if n := m.Config.Current().Bundle.Batch.MaxAttempts; n > 0 {
-		return uint32(n)
-	}
-	return defaultMaxAttempts
-}
--- a/jobs/fault_test.go
+++ b/jobs/fault_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/limits"
 )
 
 // owns counts the shards that the entry owns.
@@ -246,7 +247,7 @@
 			return &sardinerock.Refusal{Code: sardinerock.CodeInvalidRequest, Outcome: sardinerock.OutcomeNotRun, Message: "no such thing"}
 		case strings.Contains(string(r.Body), "[8]"):
 			return &sardinerock.Refusal{Code: sardinerock.CodeBackendLost, Outcome: sardinerock.OutcomeUnknown, Message: "backend server lost"}
-		case runner.runs(r.ID) <= defaultMaxAttempts+1:
+		case runner.runs(r.ID) <= limits.DefaultMaxAttempts+1:
 			return &sardinerock.Refusal{Code: sardinerock.CodePreempted, Outcome: sardinerock.OutcomeRan, Message: "made room"}
 		default:
 			return nil
@@ -257,7 +258,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	done := f.expectState(one, s.ID, sardinerock.JobFinished)
 	g.Expect(done.Failed).To(Equal(2))
-	g.Expect(one.runner.runs(s.ID + "-8")).To(Equal(defaultMaxAttempts))
+	g.Expect(one.runner.runs(s.ID + "-8")).To(Equal(limits.DefaultMaxAttempts))
 	g.Expect(one.runner.runs(s.ID + "-7")).To(Equal(1))
 	f.expectResults(one, s.ID, 50)
 }
--- a/jobs/keep.go
+++ b/jobs/keep.go
@@ -6,6 +6,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/limits"
 	"github.com/sardinerock/sardinerock/shard"
 	"github.com/sardinerock/sardinerock/stream"
 )
@@ -23,8 +24,6 @@
 	sweepsPerRetention = 20
 	// uploadLife is how long an upload may pause before it is dropped.
 	uploadLife = time.Hour
-	// defaultResultLife is how long results stay readable if the bundle doesn't say.
-	defaultResultLife = 48 * time.Hour
 	// memoryFactor is how many result lives after its end a job is still known to resends.
 	memoryFactor      = 2
 	checkpointTimeout = time.Minute
@@ -126,7 +125,7 @@
 }
 
 func (p *part) sweepJob(j *shard.Job, now time.Time) {
-	life := p.m.resultLife()
+	life := limits.ResultLife(p.m.Config)
 	ended := !j.Ended.IsZero() && !j.Runs() && j.State != sardinerock.JobCancelling
 	switch {
 	case ended && j.State == sardinerock.JobExpired && now.Sub(j.Ended) > memoryFactor*life:
@@ -153,15 +152,6 @@
 	}
 }
 
-func (m *Manager) resultLife() time.Duration {
-	if m.Config != nil {
-		if c := m.Config.Current(); c != nil && c.Bundle.Batch.ResultHours > 0 {
-			return time.Duration(c.Bundle.Batch.ResultHours) * time.Hour
-		}
-	}
-	return defaultResultLife
-}
-
 // copyChunk returns a copy of a chunk for the end of the log, or nil if it can't be read.
 func (p *part) copyChunk(job uint32, at shard.Location) *shard.Record {
 	r, err := p.m.reader.Read(p.m.base, p.Stream, at)
--- a/jobs/keep_test.go
+++ b/jobs/keep_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/limits"
 )
 
 // An entry that starts long after reads all results although the log has
@@ -74,12 +75,12 @@
 	s, err := one.Create(context.Background(), spec("k"), items(10))
 	g.Expect(err).NotTo(HaveOccurred())
 	f.expectState(one, s.ID, sardinerock.JobFinished)
-	ahead.Store(int64(defaultResultLife + time.Hour))
+	ahead.Store(int64(limits.DefaultResultLife + time.Hour))
 	kept := f.expectState(one, s.ID, sardinerock.JobExpired)
 	g.Expect(kept.Completed).To(Equal(10))
 	err = one.Results(context.Background(), "finance", s.ID, func(sardinerock.ItemResult) error { return nil })
 	g.Expect(sardinerock.AsRefusal(err).Code).To(Equal(sardinerock.CodeNotFound))
-	ahead.Store(int64(2*defaultResultLife + 2*time.Hour))
+	ahead.Store(int64(2*limits.DefaultResultLife + 2*time.Hour))
 	g.Eventually(func() error {
 		_, err := one.Get(context.Background(), "finance", s.ID)
 		return err
--- a/jobs/manager_test.go
+++ b/jobs/manager_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/item"
+	"github.com/sardinerock/sardinerock/limits"
 )
 
 const patience = 20 * time.Second
@@ -263,7 +264,7 @@
 		"no custom id":    {list(sardinerock.JobItem{}), sardinerock.CodeInvalidRequest},
 		"custom id twice": {list(sardinerock.JobItem{CustomID: "a"}, sardinerock.JobItem{CustomID: "a"}), sardinerock.CodeInvalidRequest},
 		"item too large":  {list(sardinerock.JobItem{CustomID: "a", Body: make([]byte, item.MaxBytes)}), sardinerock.CodeBodyTooLarge},
-		"too many items":  {items(defaultMaxItems + 1), sardinerock.CodeInvalidRequest},
+		"too many items":  {items(limits.DefaultMaxItems + 1), sardinerock.CodeInvalidRequest},
 	}
 	_, err := one.Create(context.Background(), spec(""), items(1))
 	NewWithT(t).Expect(sardinerock.AsRefusal(err).Code).To(Equal(sardinerock.CodeInvalidRequest), "no key")
--- a/jobs/store.go
+++ b/jobs/store.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/limits"
 	"github.com/sardinerock/sardinerock/refuse"
 	"github.com/sardinerock/sardinerock/shard"
 	"github.com/sardinerock/sardinerock/spread"
@@ -198,21 +199,8 @@
 	p.Lock()
 	defer p.Unlock()
 	j := p.State.Jobs[id]
-	if j == nil || (j.Caller != caller && !p.m.isOperator(caller)) {
+	if j == nil || (j.Caller != caller && !limits.IsOperator(p.m.Config, caller)) {
 		return nil, refuse.NotFound(id)
 	}
 	return j.Status(), nil
 }
-
-func (m *Manager) isOperator(caller string) bool {
-	if m.Config == nil {
-		return false
-	}
-	snapshot := m.Config.Current()
-	if snapshot == nil {
-		return false
-	}
-	return slices.ContainsFunc(snapshot.Bundle.Callers, func(c sardinerock.Caller) bool {
-		return c.Name == caller && c.Operator
-	})
-}
--- a/jobs/work.go
+++ b/jobs/work.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sardinerock/sardinerock/limits"
 	"github.com/sardinerock/sardinerock/queue"
 	"github.com/sardinerock/sardinerock/shard"
 )
@@ -56,7 +57,7 @@
 
 func (p *part) addWork(j *shard.Job) {
 	w := &work{p: p, job: j, inHand: map[uint32]context.CancelFunc{}, notRun: map[uint32]int{}, failed: map[uint32]uint32{}}
-	w.queued = &queue.Job{ID: j.ID, Share: p.m.share(j.Caller), Due: j.Due, Cost: defaultCost}
+	w.queued = &queue.Job{ID: j.ID, Share: limits.Share(p.m.Config, j.Caller), Due: j.Due, Cost: defaultCost}
 	p.works[j.Number] = w
 	p.m.enqueue(w)
 }
@@ -86,29 +87,6 @@
 	}
 }
 
-// share is the caller's part by the bundle in force; a caller that it no longer has counts as a team of its own.
-func (m *Manager) share(caller string) queue.Share {
-	share := queue.Share{Team: "caller " + caller, Caller: caller}
-	if m.Config == nil {
-		return share
-	}
-	snapshot := m.Config.Current()
-	if snapshot == nil {
-		return share
-	}
-	for _, c := range snapshot.Bundle.Callers {
-		if c.Name == caller {
-			share.Team, share.Weight = c.Team, float64(c.Weight)
-		}
-	}
-	for _, t := range snapshot.Bundle.Teams {
-		if t.Name == share.Team {
-			share.TeamWeight = float64(t.Weight)
-		}
-	}
-	return share
-}
-
 // next takes the item that starts next, if one may start now.
 func (w *work) next(now time.Time) (uint32, bool) {
 	for len(w.retries) > 0 && !w.retries[0].at.After(now) {
