jobs, cursor: which item of a job starts next, in a package of its own

Cause: the walk over a job's open items and the heap of those to be tried again are a function of the job and the time. They move unchanged to cursor.Cursor; the part's mutex guards it as it guarded work. The test for a retry that is due, written twice, is one method now.

Ruled out: moving the rest of work along. It cancels what runs and stands in the manager's queue, under two of its locks.

Run: go vet ./..., golangci-lint on jobs and cursor: no issues; go test -race ./jobs: pass; cursor has no tests of its own, those of jobs drive it.

--- /dev/null
+++ b/cursor/cursor.go
@@ -0,0 +1,74 @@
+package cursor
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/sardinerock/sardinerock/shard"
+)
+
+// Cursor walks once over a job's open items, and comes back to those that are
+// to be tried again. It has no lock of its own.
+type Cursor struct {
+	Job *shard.Job
+	// Seen is the first item that was never looked at.
+	Seen uint32
+
+	retries retryHeap
+}
+
+type retry struct {
+	at    time.Time
+	index uint32
+}
+
+type retryHeap []retry
+
+func (h retryHeap) Len() int           { return len(h) }
+func (h retryHeap) Less(a, b int) bool { return h[a].at.Before(h[b].at) }
+func (h retryHeap) Swap(a, b int)      { h[a], h[b] = h[b], h[a] }
+
+// Push implements heap.Interface.
+func (h *retryHeap) Push(x any) { *h = append(*h, x.(retry)) }
+
+// Pop implements heap.Interface.
+func (h *retryHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// Next takes the item that starts next, if one may start now.
+func (c *Cursor) Next(now time.Time) (uint32, bool) {
+	for c.Due(now) {
+		index := heap.Pop(&c.retries).(retry).index
+		if c.Job.Open(index) {
+			return index, true
+		}
+	}
+	for c.Seen < c.Job.Total {
+		index := c.Seen
+		c.Seen++
+		if c.Job.Open(index) {
+			return index, true
+		}
+	}
+	return 0, false
+}
+
+// Again puts the item back until at.
+func (c *Cursor) Again(index uint32, at time.Time) {
+	heap.Push(&c.retries, retry{at: at, index: index})
+}
+
+// Due says that an item that was put back may start.
+func (c *Cursor) Due(now time.Time) bool {
+	return len(c.retries) > 0 && !c.retries[0].at.After(now)
+}
+
+// Waiting returns the number of items that were put back.
+func (c *Cursor) Waiting() int { return len(c.retries) }
+
+// Idle says that nothing of the job may start until something that runs ends.
+func (c *Cursor) Idle() bool { return c.Seen >= c.Job.Total && len(c.retries) == 0 }
--- /dev/null
+++ b/cursor/doc.go
@@ -0,0 +1,2 @@
+// Package cursor says which item of a job starts next.
+package cursor
--- a/jobs/dispatch.go
+++ b/jobs/dispatch.go
@@ -64,7 +64,7 @@
 		p.m.pause(w)
 		return false
 	}
-	index, ok := w.next(p.m.Now())
+	index, ok := w.open.Next(p.m.Now())
 	if !ok {
 		p.m.pause(w)
 		return false
@@ -166,7 +166,7 @@
 		p.results.add(outcome{job: w.job.Number, index: index, failure: true})
 	}
 	delete(w.inHand, index)
-	w.again(index, p.m.Now().Add(v.Wait))
+	w.open.Again(index, p.m.Now().Add(v.Wait))
 	p.afterItem()
 }
 
--- a/jobs/results.go
+++ b/jobs/results.go
@@ -95,7 +95,7 @@
 func (p *part) quiet() bool {
 	hand := 0
 	for _, w := range p.works {
-		if !w.idle() {
+		if !w.open.Idle() {
 			return false
 		}
 		hand += len(w.inHand)
