--- a/jobs/manager_test.go
+++ b/jobs/manager_test.go
@@ -12,6 +12,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/item"
+	"github.com/sardinerock/sardinerock/limits"
 )
 
 const patience = 20 * time.Second
@@ -137,7 +139,7 @@
 }
 
 func spec(key string) sardinerock.JobSpec {
-	return sardinerock.JobSpec{Caller: "finance", IdempotencyKey: key, Path: chatPath, Due: time.Now().Add(time.Hour)}
+	return sardinerock.JobSpec{Caller: "finance", IdempotencyKey: key, Path: item.ChatPath, Due: time.Now().Add(time.Hour)}
 }
 
 func items(n int) func(yield func(sardinerock.JobItem) error) error {
@@ -179,7 +181,7 @@
 			f.t.Logf("%s shard %d: owner %q epoch %d mine %d claimed %v drain %v appending %v in hand %d buffered %d current %v",
 				id, p.id, p.State.Owner, p.State.Epoch, p.mine, p.claimed, p.drainSince, p.appending, p.inHand(), p.results.len(), p.Current())
 			for n, w := range p.works {
-				f.t.Logf("  job %d: cursor %d of %d, %d done, %d retries, %d in hand", n, w.cursor, w.job.Total, w.job.Completed, len(w.retries), len(w.inHand))
+				f.t.Logf("  job %d: cursor %d of %d, %d done, %d retries, %d in hand", n, w.open.Seen, w.job.Total, w.job.Completed, w.open.Waiting(), len(w.inHand))
 			}
 			p.Unlock()
 		}
@@ -261,8 +263,8 @@
 		"no items":        {list(), sardinerock.CodeInvalidRequest},
 		"no custom id":    {list(sardinerock.JobItem{}), sardinerock.CodeInvalidRequest},
 		"custom id twice": {list(sardinerock.JobItem{CustomID: "a"}, sardinerock.JobItem{CustomID: "a"}), sardinerock.CodeInvalidRequest},
-		"item too large":  {list(sardinerock.JobItem{CustomID: "a", Body: make([]byte, maxItemBytes)}), sardinerock.CodeBodyTooLarge},
-		"too many items":  {items(defaultMaxItems + 1), sardinerock.CodeInvalidRequest},
+		"item too large":  {list(sardinerock.JobItem{CustomID: "a", Body: make([]byte, item.MaxBytes)}), sardinerock.CodeBodyTooLarge},
+		"too many items":  {items(limits.DefaultMaxItems + 1), sardinerock.CodeInvalidRequest},
 	}
 	_, err := one.Create(context.Background(), spec(""), items(1))
 	NewWithT(t).Expect(sardinerock.AsRefusal(err).Code).To(Equal(sardinerock.CodeInvalidRequest), "no key")
--- a/jobs/store.go
+++ b/jobs/store.go
@@ -7,7 +7,11 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/limits"
+	"github.com/sardinerock/sardinerock/refuse"
 	"github.com/sardinerock/sardinerock/shard"
+	"github.com/sardinerock/sardinerock/spread"
+	"github.com/sardinerock/sardinerock/upload"
 )
 
 const (
@@ -21,9 +25,9 @@
 // Get returns one job of the caller.
 func (m *Manager) Get(ctx context.Context, caller, id string) (*sardinerock.JobStatus, error) {
 	m.setUp()
-	number, ok := m.shardOf(id)
+	number, ok := spread.ShardOf(id, m.Shards)
 	if !ok {
-		return nil, notFound(id)
+		return nil, refuse.NotFound(id)
 	}
 	p, release := m.use(number)
 	defer release()
@@ -60,13 +64,13 @@
 
 // shardsOf returns the shards that may hold a caller's jobs.
 func (m *Manager) shardsOf(caller string) []int {
-	count := callerShards
+	count := spread.CallerShards
 	if caller == "" {
 		count = m.Shards
 	}
 	numbers := make([]int, count)
 	for i := range numbers {
-		numbers[i] = m.callerShard(caller, i)
+		numbers[i] = spread.CallerShard(caller, i, m.Shards)
 	}
 	return numbers
 }
@@ -91,9 +95,9 @@
 // Cancel records that the job is to stop, and returns once that is in the log.
 func (m *Manager) Cancel(ctx context.Context, caller, id string) (*sardinerock.JobStatus, error) {
 	m.setUp()
-	number, ok := m.shardOf(id)
+	number, ok := spread.ShardOf(id, m.Shards)
 	if !ok {
-		return nil, notFound(id)
+		return nil, refuse.NotFound(id)
 	}
 	p, release := m.use(number)
 	defer release()
@@ -104,14 +108,14 @@
 	if err != nil || status.State != sardinerock.JobRunning {
 		return status, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
+	ctx, cancel := context.WithTimeout(ctx, upload.SealTimeout)
 	defer cancel()
-	offset, err := p.append(ctx, &shard.Record{Kind: &shard.Record_Cancel{Cancel: &shard.Cancel{Job: id}}}, m.Now().Add(sealGiveUp))
+	offset, err := p.append(ctx, &shard.Record{Kind: &shard.Record_Cancel{Cancel: &shard.Cancel{Job: id}}}, m.Now().Add(upload.SealGiveUp))
 	if err == nil {
 		err = p.Reach(ctx, offset)
 	}
 	if err != nil {
-		return nil, appendRefusal(err, "the cancellation")
+		return nil, refuse.Append(err, "the cancellation")
 	}
 	return p.status(caller, id)
 }
@@ -125,7 +129,7 @@
 	if status.State == sardinerock.JobExpired {
 		return &sardinerock.Refusal{Code: sardinerock.CodeNotFound, Outcome: sardinerock.OutcomeNotRun, Message: "the results of job " + id + " are no longer kept"}
 	}
-	number, _ := m.shardOf(id)
+	number, _ := spread.ShardOf(id, m.Shards)
 	p, release := m.use(number)
 	defer release()
 	for from := 0; from < status.Total; from += resultBatch {
@@ -143,9 +147,9 @@
 
 func (p *part) yieldResults(ctx context.Context, id string, from, to int, yield func(sardinerock.ItemResult) error) error {
 	for _, a := range p.answers(id, from, to) {
-		d, err := p.answer(ctx, a.at, a.position)
+		d, err := p.m.reader.Answer(ctx, p.Stream, a.at, a.position)
 		if err != nil {
-			return logRefusal(sardinerock.OutcomeNotRun, "results can't be read from the log: "+err.Error())
+			return refuse.Log(sardinerock.OutcomeNotRun, "results can't be read from the log: "+err.Error())
 		}
 		r := sardinerock.ItemResult{CustomID: d.GetCustomId(), Status: int(d.GetStatus()), Body: d.GetBody()}
 		if r.Status == 0 {
@@ -188,32 +192,15 @@
 	if p.Known() {
 		return nil
 	}
-	return logRefusal(sardinerock.OutcomeNotRun, "the log can't be read: "+err.Error())
+	return refuse.Log(sardinerock.OutcomeNotRun, "the log can't be read: "+err.Error())
 }
 
 func (p *part) status(caller, id string) (*sardinerock.JobStatus, error) {
 	p.Lock()
 	defer p.Unlock()
 	j := p.State.Jobs[id]
-	if j == nil || (j.Caller != caller && !p.m.isOperator(caller)) {
-		return nil, notFound(id)
+	if j == nil || (j.Caller != caller && !limits.IsOperator(p.m.Config, caller)) {
+		return nil, refuse.NotFound(id)
 	}
 	return j.Status(), nil
 }
-
-func (m *Manager) isOperator(caller string) bool {
-	if m.Config == nil {
-		return false
-	}
-	snapshot := m.Config.Current()
-	if snapshot == nil {
-		return false
-	}
-	return slices.ContainsFunc(snapshot.Bundle.Callers, func(c sardinerock.Caller) bool {
-		return c.Name == caller && c.Operator
-	})
-}
-
-func notFound(id string) *sardinerock.Refusal {
-	return &sardinerock.Refusal{Code: sardinerock.CodeNotFound, Outcome: sardinerock.OutcomeNotRun, Message: "no job " + id}
-}
