limit: the limits of callers move out of admit

Moved unchanged: Limiter, buckets and their two tests; minRetryAfter is stated in both, as the gate's could change without the limiter's. Ruled out: keeping both under one package with subfolders, since no code is shared.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,11 +13,11 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/sardinerock/sardinerock"
-	"github.com/sardinerock/sardinerock/admit"
 	"github.com/sardinerock/sardinerock/config"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/front"
 	"github.com/sardinerock/sardinerock/jobs"
+	"github.com/sardinerock/sardinerock/limit"
 	"github.com/sardinerock/sardinerock/member"
 	"github.com/sardinerock/sardinerock/retry"
 	"github.com/sardinerock/sardinerock/route"
@@ -71,7 +71,7 @@
 	table    route.Table
 	budget   retry.Budget
 	suspects retry.Suspects
-	limiter  admit.Limiter
+	limiter  limit.Limiter
 	links    map[string]*sideLink
 	peers    map[string]*peer
 	served   map[servedKey]string
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -14,8 +14,8 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/sardinerock/sardinerock"
-	"github.com/sardinerock/sardinerock/admit"
 	"github.com/sardinerock/sardinerock/config"
+	"github.com/sardinerock/sardinerock/limit"
 	"github.com/sardinerock/sardinerock/member"
 	"github.com/sardinerock/sardinerock/wire"
 )
@@ -87,10 +87,10 @@
 		return nil
 	}
 	callers := e.callers.of(current)
-	busiest := slices.DeleteFunc(e.limiter.Usage(now), func(u admit.Usage) bool {
-		return callers.limits(u.Caller) == (admit.CallerLimits{})
+	busiest := slices.DeleteFunc(e.limiter.Usage(now), func(u limit.Usage) bool {
+		return callers.limits(u.Caller) == (limit.CallerLimits{})
 	})
-	slices.SortFunc(busiest, func(a, b admit.Usage) int {
+	slices.SortFunc(busiest, func(a, b limit.Usage) int {
 		return cmp.Or(cmp.Compare(b.Tokens, a.Tokens), cmp.Compare(b.Requests, a.Requests))
 	})
 	var told []*wire.Usage
@@ -219,7 +219,7 @@
 	live := len(e.liveEntries())
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var usage []admit.Usage
+	var usage []limit.Usage
 	heard := 0
 	for _, p := range e.peers {
 		if now.Sub(p.heard) > usageKept {
@@ -227,7 +227,7 @@
 		}
 		heard++
 		for _, u := range p.usage {
-			usage = append(usage, admit.Usage{Caller: u.Caller, Requests: u.Requests, Tokens: u.Tokens})
+			usage = append(usage, limit.Usage{Caller: u.Caller, Requests: u.Requests, Tokens: u.Tokens})
 		}
 	}
 	e.limiter.SetPeers(now, live, heard, usage)
--- a/admit/limiter.go
+++ b/limit/limiter.go
@@ -1,4 +1,4 @@
-package admit
+package limit
 
 import (
 	"time"
@@ -16,6 +16,8 @@
 	idlePart = 0.1
 	// callerMemory is how long a silent caller is remembered.
 	callerMemory = 2 * time.Minute
+	// minRetryAfter is the least that refused callers are told.
+	minRetryAfter = time.Second
 )
 
 // Usage is what one caller asked of one entry lately.
