--- a/member/tracker_test.go
+++ b/member/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -150,8 +151,8 @@
 	return list
 }
 
-// Every side must have entries in two zones, no entry too many sides, and one
-// entry less must move only the links that it had.
+// Every side must have entries in two zones, no entry too many sides, one entry
+// less must move only the links that it had, and one side less no other link.
 func TestSubset(t *testing.T) {
 	g := NewWithT(t)
 	near, backends := entries(24), sides(700)
@@ -193,8 +194,28 @@
 	}
 	g.Expect(moved).To(BeNumerically("~", count["e0"], SubsetSize))
 	g.Expect(Subset(near[0], near[:3], backends[:21], SubsetSize)).To(HaveLen(21))
+	less := slices.Concat(backends[:300], backends[301:])
+	for _, e := range near {
+		with := Subset(e, near, backends, subsetSizeOfTwo)
+		with = slices.DeleteFunc(with, func(s sardinerock.Instance) bool { return s.ID == backends[300].ID })
+		g.Expect(Subset(e, near, less, subsetSizeOfTwo)).To(Equal(with))
+		g.Expect(len(with)).To(BeNumerically("~", 58, 30), e.ID)
+	}
+	// Each entry of 370 asks for one of 20 sides: 18.5 entries a side, rounded up or down.
+	cover := map[string]int{}
+	large := entries(370)
+	for _, e := range large {
+		for _, s := range Subset(e, large, backends[:20], 1) {
+			cover[s.ID]++
+		}
+	}
+	g.Expect(cover).To(HaveLen(20))
+	g.Expect(cover).To(HaveEach(Or(Equal(18), Equal(19))))
 }
 
+// subsetSizeOfTwo is so small a size that each side of 700 has the least number of entries.
+const subsetSizeOfTwo = 15
+
 // With 74 entries and 205 shards, a fifth of the target, each entry pings a handful, and for each shard exactly two stand ready.
 func TestWatchList(t *testing.T) {
 	g := NewWithT(t)
