adapt: what a gate learns moves out of admit

Five parts learn from what the gate sees and decide nothing by themselves: slots, reserve, prefill, estimate and standing. Moved: these five, with exported methods and one plain struct, Stream, for what they read of a started attempt. Prefill.Yield takes the two lines of the gate that reached into the budget; Started takes the prompt's length instead of a flag that said whether it is above zero. minRetryAfter and maxRetryAfter stay with the gate. Ruled out: moving Fifo or the batch line too. Both share refusals and the waiter with the gate; the batch line's methods are the gate's own.

--- a/admit/estimate.go
+++ b/adapt/estimate.go
@@ -1,4 +1,4 @@
-package admit
+package adapt
 
 import (
 	"math"
@@ -13,9 +13,6 @@
 	promptTokenCost = 0.1
 	// maxWait bounds the wait of work without a deadline.
 	maxWait = time.Minute
-	// minRetryAfter and maxRetryAfter bound what refused callers are told.
-	minRetryAfter = time.Second
-	maxRetryAfter = 30 * time.Second
 	// smoothing is the weight of a new observation: the last twenty or so count.
 	smoothing = 0.1
 	// deviations is how many mean deviations above the mean a service time is
@@ -48,12 +45,12 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// estimate learns from finished work how long work takes and how long it waits.
+// Estimate learns from finished work how long work takes and how long it waits.
 //
 // Load pattern: saturation. Without an estimate each request waits until its
 // caller gives up, the backend server works on answers that nobody reads, and
 // at 3x load almost nothing comes in time.
-type estimate struct {
+type Estimate struct {
 	firstToken average
 	// gap is an answer's mean time between tokens. Single gaps would not do: 16
 	// streams give the last twenty within two steps of the engine, and the
@@ -67,29 +64,37 @@
 	pace average
 }
 
-func (e *estimate) sawFirstToken(s *stream, d time.Duration) {
-	if s.work.Class == sardinerock.ClassOnline {
+// FirstToken is the mean time from the start of online work to its first token.
+func (e *Estimate) FirstToken() time.Duration { return e.firstToken.mean() }
+
+// TokenGap is the mean time between tokens.
+func (e *Estimate) TokenGap() time.Duration { return e.gap.mean() }
+
+// SawFirstToken takes the time from the start of s to its first token.
+func (e *Estimate) SawFirstToken(s *Stream, d time.Duration) {
+	if s.Work.Class == sardinerock.ClassOnline {
 		e.firstToken.add(d.Seconds())
 	}
 }
 
-func (e *estimate) sawDone(now time.Time, s *stream, sample sardinerock.GateSample) {
-	if s.work.MaxTokens > 0 {
-		e.used.add(min(1, float64(sample.CompletionTokens)/float64(s.work.MaxTokens)))
+// SawDone takes work that ran to its end.
+func (e *Estimate) SawDone(now time.Time, s *Stream, sample sardinerock.GateSample) {
+	if s.Work.MaxTokens > 0 {
+		e.used.add(min(1, float64(sample.CompletionTokens)/float64(s.Work.MaxTokens)))
 	}
-	if s.work.MaxTokens == 0 {
-		e.call.add(now.Sub(s.started).Seconds())
+	if s.Work.MaxTokens == 0 {
+		e.call.add(now.Sub(s.Started).Seconds())
 	}
-	if s.tokens > 1 {
-		e.gap.add(s.lastToken.Sub(s.firstToken).Seconds() / float64(s.tokens-1))
+	if s.Tokens > 1 {
+		e.gap.add(s.LastToken.Sub(s.FirstToken).Seconds() / float64(s.Tokens-1))
 	}
-	if d := now.Sub(s.started).Seconds(); d > 0 {
-		e.pace.add(e.realCost(sample) / d)
+	if d := now.Sub(s.Started).Seconds(); d > 0 {
+		e.pace.add(e.RealCost(sample) / d)
 	}
 }
 
-// cost is the expected cost of work in tokens.
-func (e *estimate) cost(w sardinerock.Work) float64 {
+// Cost is the expected cost of work in tokens.
+func (e *Estimate) Cost(w sardinerock.Work) float64 {
 	used := 1.0
 	if e.used.known {
 		used = e.used.value
@@ -97,20 +102,21 @@
 	return max(1, promptTokenCost*float64(w.PromptTokens)+used*float64(w.MaxTokens))
 }
 
-func (e *estimate) realCost(s sardinerock.GateSample) float64 {
+// RealCost is the cost in tokens that work turned out to have.
+func (e *Estimate) RealCost(s sardinerock.GateSample) float64 {
 	return max(1, promptTokenCost*float64(s.PromptTokens)+float64(s.CompletionTokens))
 }
 
-// wait is how long it takes until the given cost has been served.
-func (e *estimate) wait(cost float64, slots int) time.Duration {
+// Wait is how long it takes until the given cost has been served.
+func (e *Estimate) Wait(cost float64, slots int) time.Duration {
 	if !e.pace.known || e.pace.value <= 0 {
 		return 0
 	}
 	return seconds(cost / (e.pace.value * float64(slots)))
 }
 
-// latestStart is when work has to start to meet its deadline.
-func (e *estimate) latestStart(now time.Time, w sardinerock.Work) time.Time {
+// LatestStart is when work has to start to meet its deadline.
+func (e *Estimate) LatestStart(now time.Time, w sardinerock.Work) time.Time {
 	if w.Deadline.IsZero() {
 		return now.Add(maxWait)
 	}
--- a/admit/prefill.go
+++ b/adapt/prefill.go
@@ -1,4 +1,4 @@
-package admit
+package adapt
 
 import (
 	"time"
@@ -26,7 +26,7 @@
 	prefillSeen = 64
 )
 
-// prefill bounds batch prompts, in two ways.
+// Prefill bounds batch prompts, in two ways.
 //
 // Load pattern: long among short. A batch prompt of 8,000 tokens slows every
 // stream of its engine for a second or so; slots alone don't see it, as it
@@ -40,7 +40,7 @@
 // prompts, most of a second, ahead of its own in the engine, which preempting
 // frees only for those it cancels. So only one batch prompt is unread at any
 // time. That costs nothing: the engine reads them one after another anyway.
-type prefill struct {
+type Prefill struct {
 	budget time.Duration
 	at     time.Time
 	pace   average
@@ -48,7 +48,8 @@
 	unread int
 }
 
-func (p *prefill) refill(now time.Time) {
+// Refill adds what the budget has gained by now.
+func (p *Prefill) Refill(now time.Time) {
 	if p.at.IsZero() {
 		p.budget = prefillBurst
 	} else {
@@ -57,18 +58,20 @@
 	p.at = now
 }
 
-func (p *prefill) allows(onlineRuns bool) bool {
+// Allows tells whether a batch prompt may start.
+func (p *Prefill) Allows(onlineRuns bool) bool {
 	return p.unread == 0 && (!onlineRuns || p.budget > 0)
 }
 
-func (p *prefill) started(s *stream) {
-	if s.prefilling {
+// Started takes a batch prompt off the budget; one of no tokens has nothing to read.
+func (p *Prefill) Started(promptTokens int) {
+	if promptTokens > 0 {
 		p.unread++
 	}
-	p.budget -= p.takes(s.work.PromptTokens)
+	p.budget -= p.takes(promptTokens)
 }
 
-func (p *prefill) takes(promptTokens int) time.Duration {
+func (p *Prefill) takes(promptTokens int) time.Duration {
 	pace := float64(prefillPace)
 	if p.pace.known {
 		pace = p.pace.value
@@ -76,10 +79,21 @@
 	return seconds(float64(promptTokens) / pace)
 }
 
-// read ends a batch stream's prefill, with the first token or without one.
-func (p *prefill) read() { p.unread-- }
+// Yield tells whether so much of a batch prompt is still unread that online work
+// preempts it, and gives the budget part of it back then.
+func (p *Prefill) Yield(promptTokens int, running time.Duration) bool {
+	unread := p.takes(promptTokens) - running
+	if unread <= prefillYield {
+		return false
+	}
+	p.budget += time.Duration(prefillRefund * float64(unread))
+	return true
+}
+
+// Read ends a batch stream's prefill, with the first token or without one.
+func (p *Prefill) Read() { p.unread-- }
 
-// sawFirstToken learns the pace. Queueing in the engine makes it look slower
+// SawFirstToken learns the pace. Queueing in the engine makes it look slower
 // than it is, which errs on the side of online work.
 //
 // The step that gives the token is taken off, as it would have been made for
@@ -87,8 +101,8 @@
 // pace would else come out at a third. Only batch prompts count: drafts share
 // long prefixes, most of which the engine has cached, so that theirs looks many
 // times faster and no batch prompt would seem long enough to be preempted.
-func (p *prefill) sawFirstToken(s *stream, d, step time.Duration) {
-	if s.work.Class == sardinerock.ClassBatch && s.work.PromptTokens >= prefillSeen && d > 0 {
-		p.pace.add(float64(s.work.PromptTokens) / max(d-step, d/prefillLeast).Seconds())
+func (p *Prefill) SawFirstToken(s *Stream, d, step time.Duration) {
+	if s.Work.Class == sardinerock.ClassBatch && s.Work.PromptTokens >= prefillSeen && d > 0 {
+		p.pace.add(float64(s.Work.PromptTokens) / max(d-step, d/prefillLeast).Seconds())
 	}
 }
--- a/admit/reserve.go
+++ b/adapt/reserve.go
@@ -1,4 +1,4 @@
-package admit
+package adapt
 
 import (
 	"math"
@@ -17,13 +17,13 @@
 	reserveShare = 0.125
 )
 
-// reserve learns how many slots to keep from batch work for the next burst.
+// Reserve learns how many slots to keep from batch work for the next burst.
 //
 // Load pattern: bursts of online work onto slots filled with batch work. With
 // no reserve every burst has to preempt, which throws work away and makes the
 // first online tokens wait for the engine to cancel; with a fixed one the
 // slots idle all night.
-type reserve struct {
+type Reserve struct {
 	peak   float64
 	at     time.Time
 	start  time.Time
@@ -31,8 +31,8 @@
 	demand int
 }
 
-// observe takes the online demand, running and waiting, at a point of time.
-func (r *reserve) observe(now time.Time, demand int) {
+// Observe takes the online demand, running and waiting, at a point of time.
+func (r *Reserve) Observe(now time.Time, demand int) {
 	if now.Sub(r.start) >= burstWindow {
 		r.start = now
 		r.low = r.demand
@@ -46,6 +46,7 @@
 	r.peak = max(r.peak, float64(demand-r.low))
 }
 
-func (r *reserve) slots(total int) int {
+// Slots is how many of the total to keep free now.
+func (r *Reserve) Slots(total int) int {
 	return min(int(math.Round(r.peak)), int(reserveShare*float64(total)))
 }
--- a/admit/slots.go
+++ b/adapt/slots.go
@@ -1,4 +1,4 @@
-package admit
+package adapt
 
 import (
 	"time"
@@ -19,14 +19,14 @@
 	lateShare = 0.05
 )
 
-// slotControl adapts the number of concurrent streams.
+// Slots adapts the number of concurrent streams.
 //
 // Load pattern: saturation, and engines whose capacity differs from what the
 // bundle says. With too many streams every first token and every gap is late;
 // with too few the engine idles while work waits. So the slots grow by one per
 // window while all of them are in use, and shrink by a part when online work
 // is served later than the target.
-type slotControl struct {
+type Slots struct {
 	value float64
 	until time.Time
 	seen  int
@@ -36,7 +36,8 @@
 	limits sardinerock.GateLimits
 }
 
-func (c *slotControl) count(l sardinerock.GateLimits) int {
+// Count is the number of slots now, within the bounds.
+func (c *Slots) Count(l sardinerock.GateLimits) int {
 	low := max(l.MinSlots, 1)
 	high := max(l.MaxSlots, low)
 	if c.value == 0 {
@@ -45,15 +46,17 @@
 	return min(max(int(c.value), low), high)
 }
 
-func (c *slotControl) sawFirstToken(d time.Duration) {
+// SawFirstToken takes the time from the start of online work to its first token.
+func (c *Slots) SawFirstToken(d time.Duration) {
 	c.saw(d, c.limits.FirstTokenTarget)
 }
 
-func (c *slotControl) sawGap(d time.Duration) {
+// SawGap takes the time between two tokens of online work.
+func (c *Slots) SawGap(d time.Duration) {
 	c.saw(d, c.limits.TokenGapTarget)
 }
 
-func (c *slotControl) saw(d, target time.Duration) {
+func (c *Slots) saw(d, target time.Duration) {
 	if target <= 0 {
 		return
 	}
@@ -63,7 +66,8 @@
 	}
 }
 
-func (c *slotControl) adapt(now time.Time, l sardinerock.GateLimits, busy int) {
+// Adapt changes the number once per window; busy is how many slots are in use.
+func (c *Slots) Adapt(now time.Time, l sardinerock.GateLimits, busy int) {
 	// Until the bundle has come there are no bounds. Taken for bounds of one, the
 	// slots would begin at one and grow by one a second afterwards.
 	if l.MaxSlots == 0 {
@@ -71,9 +75,9 @@
 	}
 	c.limits = l
 	if c.value == 0 {
-		c.value = float64(c.count(l))
+		c.value = float64(c.Count(l))
 	}
-	c.full = c.full || busy >= c.count(l)
+	c.full = c.full || busy >= c.Count(l)
 	if now.Before(c.until) {
 		return
 	}
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -4,9 +4,16 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/adapt"
 	"github.com/sardinerock/sardinerock/sched"
 )
 
+const (
+	// minRetryAfter and maxRetryAfter bound what refused callers are told.
+	minRetryAfter = time.Second
+	maxRetryAfter = 30 * time.Second
+)
+
 var _ sardinerock.Gate = (*Gate)(nil)
 
 // Gate puts online work ahead of batch work at one backend server; set Limits
@@ -38,23 +45,19 @@
 	deadline waiterHeap
 	backlog  batchLine
 	alone    aloneLine
-	slots    slotControl
-	reserve  reserve
-	prefill  prefill
-	estimate estimate
-	standing standing
+	slots    adapt.Slots
+	reserve  adapt.Reserve
+	prefill  adapt.Prefill
+	estimate adapt.Estimate
+	standing adapt.Standing
 	draining bool
 	actions  []sardinerock.GateAction
 }
 
 // stream is an attempt that was started.
 type stream struct {
-	work       sardinerock.Work
-	item       sched.Item
-	started    time.Time
-	firstToken time.Time
-	lastToken  time.Time
-	tokens     int
+	adapt.Stream
+	item sched.Item
 	// prefilling is set while a batch stream's prompt is unread.
 	prefilling bool
 	// leaving is set once it was preempted or cancelled and the engine may still run it.
@@ -94,13 +97,13 @@
 	}
 	// The item's own cost stands for what still runs in the slot that it will get.
 	ahead := g.queue.Ahead(item) + item.Cost
-	wait := g.estimate.wait(ahead, g.slots.count(g.Limits))
-	latest := g.estimate.latestStart(now, w)
+	wait := g.estimate.Wait(ahead, g.slots.Count(g.Limits))
+	latest := g.estimate.LatestStart(now, w)
 	if now.Add(wait).After(latest) {
 		g.refuse(w.Attempt, g.hopeless(sardinerock.CodeOverloaded, "the deadline can't be met: too much online work waits before this request"))
 		return
 	}
-	if g.standing.lasts(now) && wait > g.standing.bound(g.Limits) {
+	if g.standing.Lasts(now) && wait > g.standing.Bound(g.Limits) {
 		g.refuse(w.Attempt, g.hopeless(sardinerock.CodeOverloaded, "online work has been waiting for seconds and more would wait longer still"))
 		return
 	}
@@ -112,7 +115,7 @@
 
 // hopeless is the refusal of work that would start too late.
 func (g *Gate) hopeless(code sardinerock.Code, message string) *sardinerock.Refusal {
-	wait := g.estimate.wait(g.queue.Backlog(), g.slots.count(g.Limits))
+	wait := g.estimate.Wait(g.queue.Backlog(), g.slots.Count(g.Limits))
 	return &sardinerock.Refusal{
 		Code: code, Message: message, Outcome: sardinerock.OutcomeNotRun,
 		RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter),
@@ -125,20 +128,20 @@
 	if s == nil {
 		return
 	}
-	if s.firstToken.IsZero() {
-		s.firstToken = now
-		first := now.Sub(s.started)
-		g.prefill.sawFirstToken(s, first, g.estimate.gap.mean())
+	if s.FirstToken.IsZero() {
+		s.FirstToken = now
+		first := now.Sub(s.Started)
+		g.prefill.SawFirstToken(&s.Stream, first, g.estimate.TokenGap())
 		g.endPrefill(s)
-		g.estimate.sawFirstToken(s, first)
-		if s.work.Class == sardinerock.ClassOnline {
-			g.slots.sawFirstToken(first)
+		g.estimate.SawFirstToken(&s.Stream, first)
+		if s.Work.Class == sardinerock.ClassOnline {
+			g.slots.SawFirstToken(first)
 		}
-	} else if s.work.Class == sardinerock.ClassOnline {
-		g.slots.sawGap(now.Sub(s.lastToken))
+	} else if s.Work.Class == sardinerock.ClassOnline {
+		g.slots.SawGap(now.Sub(s.LastToken))
 	}
-	s.lastToken = now
-	s.tokens++
+	s.LastToken = now
+	s.Tokens++
 }
 
 // Done implements sardinerock.Gate.
@@ -156,9 +159,9 @@
 	}
 	g.release(s)
 	if !sample.Failed {
-		g.estimate.sawDone(now, s, sample)
-		if s.work.Class == sardinerock.ClassOnline {
-			g.queue.Settle(s.item, g.estimate.realCost(sample)-s.item.Cost)
+		g.estimate.SawDone(now, &s.Stream, sample)
+		if s.Work.Class == sardinerock.ClassOnline {
+			g.queue.Settle(s.item, g.estimate.RealCost(sample)-s.item.Cost)
 		}
 	}
 	return g.advance(now)
@@ -212,14 +215,14 @@
 // State implements sardinerock.Gate.
 func (g *Gate) State() sardinerock.GateState {
 	s := sardinerock.GateState{
-		Slots:         g.slots.count(g.Limits),
+		Slots:         g.slots.Count(g.Limits),
 		OnlineRunning: g.online,
 		OnlineWaiting: g.queue.Len() + g.alone.len(),
 		BatchRunning:  len(g.batch),
 		BatchWaiting:  g.backlog.len(),
-		Reserve:       g.reserve.slots(g.slots.count(g.Limits)),
-		FirstToken:    g.estimate.firstToken.mean(),
-		TokenGap:      g.estimate.gap.mean(),
+		Reserve:       g.reserve.Slots(g.slots.Count(g.Limits)),
+		FirstToken:    g.estimate.FirstToken(),
+		TokenGap:      g.estimate.TokenGap(),
 		Draining:      g.draining,
 	}
 	s.BatchCredit = g.batchCredit()
@@ -236,10 +239,10 @@
 
 // advance does what has become possible or hopeless by now; every call ends with it.
 func (g *Gate) advance(now time.Time) []sardinerock.GateAction {
-	g.standing.observe(now, g.queue.Len())
-	g.slots.adapt(now, g.Limits, g.online+len(g.batch))
-	g.reserve.observe(now, g.online+g.queue.Len())
-	g.prefill.refill(now)
+	g.standing.Observe(now, g.queue.Len())
+	g.slots.Adapt(now, g.Limits, g.online+len(g.batch))
+	g.reserve.Observe(now, g.online+g.queue.Len())
+	g.prefill.Refill(now)
 	g.dropHopeless(now)
 	g.advanceAlone(now)
 	g.startOnline(now)
@@ -264,7 +267,7 @@
 
 // mayStart tells whether online work finds a slot.
 func (g *Gate) mayStart(now time.Time) bool {
-	return g.online < g.slots.count(g.Limits) && !g.alone.holds(now)
+	return g.online < g.slots.Count(g.Limits) && !g.alone.holds(now)
 }
 
 func (g *Gate) startOnline(now time.Time) {
@@ -279,7 +282,7 @@
 		}
 		g.queue.Pop()
 		g.forget(x)
-		if now.After(g.estimate.latestStart(now, x.work)) {
+		if now.After(g.estimate.LatestStart(now, x.work)) {
 			// The engine has become slower since the work was let in.
 			g.refuse(item.ID, g.hopeless(sardinerock.CodeDeadline, hopelessNow))
 			continue
@@ -290,15 +293,15 @@
 
 // start sends an attempt to the engine, and for online work makes room by preempting batch work.
 func (g *Gate) start(now time.Time, w sardinerock.Work, item sched.Item, waited time.Duration) {
-	s := &stream{work: w, item: item, started: now}
+	s := &stream{Stream: adapt.Stream{Work: w, Started: now}, item: item}
 	g.running[w.Attempt] = s
 	if w.Class == sardinerock.ClassBatch {
 		s.prefilling = w.PromptTokens > 0
 		g.batch = append(g.batch, s)
-		g.prefill.started(s)
+		g.prefill.Started(w.PromptTokens)
 	} else {
 		g.online++
-		g.preemptDownTo(max(0, g.slots.count(g.Limits)-g.online))
+		g.preemptDownTo(max(0, g.slots.Count(g.Limits)-g.online))
 		g.preemptUnread(now)
 	}
 	g.actions = append(g.actions, sardinerock.GateAction{Kind: sardinerock.GateStart, Attempt: w.Attempt, Waited: waited})
@@ -317,16 +320,14 @@
 		return
 	}
 	s := g.batch[len(g.batch)-1]
-	unread := g.prefill.takes(s.work.PromptTokens) - now.Sub(s.started)
-	if s.prefilling && unread > prefillYield {
-		g.prefill.budget += time.Duration(prefillRefund * float64(unread))
+	if s.prefilling && g.prefill.Yield(s.Work.PromptTokens, now.Sub(s.Started)) {
 		g.preempt(s)
 	}
 }
 
 func (g *Gate) preempt(s *stream) {
 	g.leave(s)
-	g.actions = append(g.actions, sardinerock.GateAction{Kind: sardinerock.GatePreempt, Attempt: s.work.Attempt})
+	g.actions = append(g.actions, sardinerock.GateAction{Kind: sardinerock.GatePreempt, Attempt: s.Work.Attempt})
 }
 
 // leave frees the slot of a stream that the engine has still to cancel. Online
@@ -339,8 +340,8 @@
 }
 
 func (g *Gate) release(s *stream) {
-	g.alone.finished(s.work.Attempt)
-	if s.work.Class == sardinerock.ClassOnline {
+	g.alone.finished(s.Work.Attempt)
+	if s.Work.Class == sardinerock.ClassOnline {
 		g.online--
 		return
 	}
@@ -356,7 +357,7 @@
 func (g *Gate) endPrefill(s *stream) {
 	if s.prefilling {
 		s.prefilling = false
-		g.prefill.read()
+		g.prefill.Read()
 	}
 }
 
@@ -373,7 +374,7 @@
 func (g *Gate) item(w sardinerock.Work) sched.Item {
 	return sched.Item{
 		ID: w.Attempt, Team: w.Team, Caller: w.Caller, Key: w.Key,
-		TeamWeight: w.TeamWeight, Weight: w.Weight, Cost: g.estimate.cost(w),
+		TeamWeight: w.TeamWeight, Weight: w.Weight, Cost: g.estimate.Cost(w),
 	}
 }
 
--- a/admit/line.go
+++ b/admit/line.go
@@ -61,9 +61,9 @@
 	for g.backlog.len() > 0 {
 		next := g.backlog.items[0]
 		switch {
-		case g.batchRoom() > 0 && g.prefill.allows(g.online > 0):
+		case g.batchRoom() > 0 && g.prefill.Allows(g.online > 0):
 			g.backlog.items = g.backlog.items[1:]
-			g.start(now, next.work, sched.Item{Cost: g.estimate.cost(next.work)}, now.Sub(next.offered))
+			g.start(now, next.work, sched.Item{Cost: g.estimate.Cost(next.work)}, now.Sub(next.offered))
 		case now.Sub(next.offered) > batchWaitMax:
 			g.backlog.items = g.backlog.items[1:]
 			g.refuse(next.work.Attempt, &sardinerock.Refusal{
@@ -81,12 +81,12 @@
 	if g.draining || g.queue.Len() > 0 || g.alone.wants() {
 		return 0
 	}
-	slots := g.slots.count(g.Limits)
-	return slots - g.reserve.slots(slots) - g.online - len(g.batch) - g.leaving
+	slots := g.slots.Count(g.Limits)
+	return slots - g.reserve.Slots(slots) - g.online - len(g.batch) - g.leaving
 }
 
 func (g *Gate) batchAhead() int {
-	return batchAheadMin + g.slots.count(g.Limits)/batchAheadPart
+	return batchAheadMin + g.slots.Count(g.Limits)/batchAheadPart
 }
 
 // batchCredit is how many more items entries may send now.
