gate: package admit renamed to gate

Cause: with limiter and learning gone, what is left is the gate at a side and its baseline Fifo; the entry's own method admit is another thing. The simulation of the tests stays here, as it drives the gate and its tables read the gate's outcome. Ran: go vet ./..., golangci-lint on gate, side, capa/nodes, adapt, go test ./gate ./side ./capa/... (side has no tests of its own).

--- a/capa/nodes/route.go
+++ b/capa/nodes/route.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
-	"github.com/sardinerock/sardinerock/admit"
 	"github.com/sardinerock/sardinerock/capa/meter"
+	"github.com/sardinerock/sardinerock/gate"
 	"github.com/sardinerock/sardinerock/limit"
 	"github.com/sardinerock/sardinerock/route"
 )
@@ -76,7 +76,7 @@
 	for _, n := range []int{100, 1000, 10000} {
 		before := meter.Memory()
 		now := time.Now()
-		gate := &admit.Gate{Limits: sardinerock.GateLimits{MinSlots: 1, MaxSlots: 24, FirstTokenTarget: time.Second}}
+		g := &gate.Gate{Limits: sardinerock.GateLimits{MinSlots: 1, MaxSlots: 24, FirstTokenTarget: time.Second}}
 		work := func(i int) sardinerock.Work {
 			return sardinerock.Work{
 				Attempt: fmt.Sprint("attempt-", i), Caller: fmt.Sprint("caller-", i%100), Key: "k", Class: sardinerock.ClassOnline,
@@ -84,15 +84,15 @@
 			}
 		}
 		for i := range n {
-			gate.Offer(now, work(i))
+			g.Offer(now, work(i))
 		}
 		mem = append(mem, meter.At(float64(n), meter.Memory()-before))
 		i := n
 		decision = append(decision, meter.At(float64(n), meter.Timed(func() {
 			i++
 			w := work(i)
-			gate.Offer(now, w)
-			gate.Cancel(now, w.Attempt)
+			g.Offer(now, w)
+			g.Cancel(now, w.Attempt)
 		})))
 	}
 	for _, n := range []int{50, 200, 1800} {
--- a/admit/bench_test.go
+++ b/gate/bench_test.go
@@ -1,4 +1,4 @@
-package admit_test
+package gate_test
 
 import (
 	"strconv"
@@ -6,12 +6,12 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
-	"github.com/sardinerock/sardinerock/admit"
+	"github.com/sardinerock/sardinerock/gate"
 )
 
 // BenchmarkGateAmong10000 offers one more and ends one while 10,000 wait.
 func BenchmarkGateAmong10000(b *testing.B) {
-	g := &admit.Gate{Limits: sardinerock.GateLimits{MinSlots: 16, MaxSlots: 16}}
+	g := &gate.Gate{Limits: sardinerock.GateLimits{MinSlots: 16, MaxSlots: 16}}
 	work := func(n int) sardinerock.Work {
 		return sardinerock.Work{
 			Attempt: strconv.Itoa(n), Caller: strconv.Itoa(n % 1800), Key: strconv.Itoa(n % 7),
--- a/admit/gate_test.go
+++ b/gate/gate_test.go
@@ -1,4 +1,4 @@
-package admit_test
+package gate_test
 
 import (
 	"strconv"
@@ -8,7 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock"
-	"github.com/sardinerock/sardinerock/admit"
+	"github.com/sardinerock/sardinerock/gate"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -17,7 +17,7 @@
 // the same call, and the batch stream that has lost least makes room.
 func TestOnlinePreemptsTheYoungestBatch(t *testing.T) {
 	x := NewWithT(t)
-	g := &admit.Gate{Limits: sardinerock.GateLimits{MinSlots: 2, MaxSlots: 2}}
+	g := &gate.Gate{Limits: sardinerock.GateLimits{MinSlots: 2, MaxSlots: 2}}
 	g.Offer(epoch, sardinerock.Work{Attempt: "old", Class: sardinerock.ClassBatch})
 	g.Token(epoch.Add(time.Second), "old")
 	g.Offer(epoch.Add(time.Second), sardinerock.Work{Attempt: "young", Class: sardinerock.ClassBatch})
@@ -30,7 +30,7 @@
 // after some minutes without a burst batch work has them again.
 func TestReserveFollowsBursts(t *testing.T) {
 	x := NewWithT(t)
-	g := &admit.Gate{Limits: sardinerock.GateLimits{MinSlots: 32, MaxSlots: 32}}
+	g := &gate.Gate{Limits: sardinerock.GateLimits{MinSlots: 32, MaxSlots: 32}}
 	for i := range 4 {
 		g.Offer(epoch, sardinerock.Work{Attempt: strconv.Itoa(i)})
 	}
@@ -52,7 +52,7 @@
 // slot was not freed in time, is refused at that moment and not at its deadline.
 func TestHopelessWorkIsRefusedAtOnce(t *testing.T) {
 	x := NewWithT(t)
-	g := &admit.Gate{Limits: sardinerock.GateLimits{MinSlots: 1, MaxSlots: 1}}
+	g := &gate.Gate{Limits: sardinerock.GateLimits{MinSlots: 1, MaxSlots: 1}}
 	at := func(s int) time.Time { return epoch.Add(time.Duration(s) * time.Second) }
 	work := func(id string, deadline int) sardinerock.Work {
 		return sardinerock.Work{Attempt: id, MaxTokens: 11, Deadline: at(deadline)}
@@ -78,7 +78,7 @@
 // suspect runs with nothing beside it, and then the others go on.
 func TestSuspectRunsAlone(t *testing.T) {
 	x := NewWithT(t)
-	g := &admit.Gate{Limits: sardinerock.GateLimits{MinSlots: 4, MaxSlots: 4}}
+	g := &gate.Gate{Limits: sardinerock.GateLimits{MinSlots: 4, MaxSlots: 4}}
 	at := func(s float64) time.Time { return epoch.Add(time.Duration(s * float64(time.Second))) }
 	g.Offer(at(0), sardinerock.Work{Attempt: "draft"})
 	g.Offer(at(0), sardinerock.Work{Attempt: "item", Class: sardinerock.ClassBatch})
@@ -98,7 +98,7 @@
 // shrink to the lower bound, and grow again once the engine keeps up.
 func TestSlotsFollowFirstTokens(t *testing.T) {
 	x := NewWithT(t)
-	g := &admit.Gate{Limits: sardinerock.GateLimits{MinSlots: 4, MaxSlots: 16, FirstTokenTarget: time.Second}}
+	g := &gate.Gate{Limits: sardinerock.GateLimits{MinSlots: 4, MaxSlots: 16, FirstTokenTarget: time.Second}}
 	now, n := epoch, 0
 	var running []string
 	play := func(seconds int, first time.Duration) int {
@@ -126,7 +126,7 @@
 // nothing new and lets its online answers end.
 func TestDrainCutsNothing(t *testing.T) {
 	x := NewWithT(t)
-	g := &admit.Gate{Limits: sardinerock.GateLimits{MinSlots: 1, MaxSlots: 2}}
+	g := &gate.Gate{Limits: sardinerock.GateLimits{MinSlots: 1, MaxSlots: 2}}
 	g.Offer(epoch, sardinerock.Work{Attempt: "item", Class: sardinerock.ClassBatch})
 	for _, id := range []string{"a", "b", "waits"} {
 		g.Offer(epoch, sardinerock.Work{Attempt: id})
--- a/admit/line.go
+++ b/gate/line.go
@@ -1,4 +1,4 @@
-package admit
+package gate
 
 import (
 	"container/heap"
--- a/admit/sim_test.go
+++ b/gate/sim_test.go
@@ -1,4 +1,4 @@
-package admit_test
+package gate_test
 
 import (
 	"cmp"
@@ -11,7 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sardinerock/sardinerock"
-	"github.com/sardinerock/sardinerock/admit"
+	"github.com/sardinerock/sardinerock/gate"
 	"github.com/sardinerock/sardinerock/retry"
 	"github.com/sardinerock/sardinerock/route"
 )
@@ -111,9 +111,9 @@
 	}
 	for i := range sides {
 		s := &side{w: w, id: fmt.Sprintf("b%d", i), zone: fmt.Sprintf("z%d", i%3), engine: &engine{w: w, slow: 1}, tries: map[string]*try{}}
-		s.gate = &admit.Gate{}
+		s.gate = &gate.Gate{}
 		if w.fifo {
-			s.gate = &admit.Fifo{}
+			s.gate = &gate.Fifo{}
 		}
 		s.gate.SetLimits(w.now, sardinerock.GateLimits{MinSlots: 2, MaxSlots: slots, FirstTokenTarget: 950 * time.Millisecond})
 		w.sides = append(w.sides, s)
--- a/admit/simengine_test.go
+++ b/gate/simengine_test.go
@@ -1,4 +1,4 @@
-package admit_test
+package gate_test
 
 import "time"
 
--- a/side/gate.go
+++ b/side/gate.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/sardinerock/sardinerock"
-	"github.com/sardinerock/sardinerock/admit"
+	"github.com/sardinerock/sardinerock/gate"
 )
 
 // PolicyFifo names the baseline without gate and priorities.
@@ -10,7 +10,7 @@
 
 func newGate(policy string) sardinerock.Gate {
 	if policy == PolicyFifo {
-		return &admit.Fifo{}
+		return &gate.Fifo{}
 	}
-	return &admit.Gate{}
+	return &gate.Gate{}
 }
