--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -3,16 +3,12 @@
 import (
 	"context"
 	"errors"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/sardinerock/sardinerock"
-	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/link"
-	"github.com/sardinerock/sardinerock/retry"
 	"github.com/sardinerock/sardinerock/route"
+	"github.com/sardinerock/sardinerock/sides"
 	"github.com/sardinerock/sardinerock/wire"
 )
 
@@ -28,15 +24,22 @@
 // attempt runs the request once, on one backend server.
 func (c *course) attempt(ctx context.Context) (sardinerock.Result, *failure) {
 	started := time.Now()
-	l, query, f := c.choose(started)
-	if f != nil {
+	wish := sides.Wish{Request: c.request, Attempt: c.attempts, Tried: c.tried, Alone: c.alone}
+	if c.delivered > 0 {
+		wish.Pinned = c.version
+	}
+	place, ok := c.entry.sides.Choose(started, wish)
+	if !ok {
+		f := failed(sardinerock.CodeNoBackend, sardinerock.OutcomeNotRun, "no backend server can take the request now")
+		f.refusal.RetryAfter = noBackendRetry
 		return sardinerock.Result{}, f
 	}
-	start := c.frame(query, started)
+	c.tried = append(c.tried, place.Backend)
+	c.version, c.alone = place.Version, place.Alone
 	sample := route.Sample{}
 	var load *wire.Load
-	defer func() { c.finished(l, start, query.Class, sample, load) }()
-	a, err := l.client.Start(start)
+	defer func() { c.entry.sides.Finished(place, sample, load) }()
+	a, err := c.entry.sides.Start(place, c.frame(started))
 	if err != nil {
 		return sardinerock.Result{}, notSent(err)
 	}
@@ -44,113 +47,16 @@
 	result, f := t.takeAll(ctx, a)
 	sample, load = t.sample(f), t.load
 	if f == nil {
-		c.entry.remember(c.request, c.version)
+		c.entry.sides.Answered(c.request, c.version)
 	}
 	return result, f
 }
 
-// choose picks a backend server and counts the attempt there.
-func (c *course) choose(now time.Time) (*sideLink, route.Query, *failure) {
-	e, r := c.entry, c.request
-	query := route.Query{
-		Model: r.Model, Version: r.Version, Adapter: r.Adapter, Service: r.Service,
-		Zone: e.Zone, Class: r.Class, Prefixes: r.Prefixes, Exclude: c.tried, Fingerprint: r.Fingerprint,
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	query.Alone = c.alone || e.suspects.Check(now, r.Fingerprint) == retry.Suspect
-	if query.Alone {
-		// All trials of a suspect meet at one backend server, also those after a failure there.
-		query.Exclude = nil
-	}
-	c.alone = query.Alone
-	query.Version = c.pickVersion(query)
-	choice, ok := e.table.Pick(now, query)
-	if !ok {
-		e.Events.Warn(event.RouteNone).Str("request", r.ID).Str("model", r.Model).Str("version", r.Version).Str("service", r.Service).Msg("no backend server")
-		f := failed(sardinerock.CodeNoBackend, sardinerock.OutcomeNotRun, "no backend server can take the request now")
-		f.refusal.RetryAfter = noBackendRetry
-		return nil, query, f
-	}
-	l := e.links[choice.ID]
-	c.version = query.Version
-	e.table.Started(now, choice.ID, query)
-	c.tried = append(c.tried, choice.ID)
-	e.Events.Info(event.RouteChosen).Str("request", r.ID).Str("caller", r.Caller).Str("backend", choice.ID).
-		Str("reason", string(choice.Reason)).Int("prefix", choice.Matched).Int("attempt", c.attempts).Msg("routed")
-	return l, query, nil
-}
-
 // noBackendRetry is when to come back if nothing serves the model: a restarted backend server needs about that long.
 const noBackendRetry = 2 * time.Second
 
-// servedKey names a grant: a caller's use of a model.
-type servedKey struct {
-	caller string
-	model  string
-}
-
-// pickVersion returns the version that answers, which is for a while the
-// previous one after a change. The rest of an answer comes from the version that
-// began it. Callers hold e.mu.
-func (c *course) pickVersion(query route.Query) string {
-	if c.delivered > 0 {
-		return c.version
-	}
-	e := c.entry
-	older := query
-	older.Version = e.previousVersion(c.request)
-	if older.Version == "" || older.Version == query.Version {
-		return query.Version
-	}
-	shift, complete := e.table.Shift(query, older, c.request.ID)
-	if complete {
-		e.served[servedKey{caller: c.request.Caller, model: c.request.Model}] = query.Version
-	}
-	if !shift {
-		return older.Version
-	}
-	return query.Version
-}
-
-// previousVersion returns the version that last answered the grant, if the
-// bundle in force still lists it. Callers hold e.mu.
-//
-// A bundle moves a caller from version 1 to version 2, and the weight store
-// needs two minutes until the first engine holds version 2. Refusing for two
-// minutes would turn each change of version into an outage. A bundle that
-// doesn't list version 1 any more has withdrawn it, though: then nothing may be
-// answered by it, and refusing is right.
-func (e *Entry) previousVersion(r *sardinerock.Request) string {
-	current := e.keeper.Current()
-	if r.Service != "" || current == nil {
-		return ""
-	}
-	previous := e.served[servedKey{caller: r.Caller, model: r.Model}]
-	for _, m := range current.Bundle.Models {
-		for _, v := range m.Versions {
-			if m.Name == r.Model && v.Name == previous {
-				return previous
-			}
-		}
-	}
-	return ""
-}
-
-// remember notes the version that answered; during a change that is left to pickVersion.
-func (e *Entry) remember(r *sardinerock.Request, version string) {
-	if r.Service != "" {
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.previousVersion(r) == "" {
-		e.served[servedKey{caller: r.Caller, model: r.Model}] = version
-	}
-}
-
-// frame builds the attempt's Start and notes it as in flight.
-func (c *course) frame(query route.Query, now time.Time) *wire.Start {
+// frame builds the attempt's Start.
+func (c *course) frame(now time.Time) *wire.Start {
 	e, r := c.entry, c.request
 	start := &wire.Start{
 		RequestId:    r.ID,
@@ -159,7 +65,7 @@
 		Batch:        r.Class == sardinerock.ClassBatch,
 		Path:         r.Path,
 		Model:        r.Model,
-		Version:      query.Version,
+		Version:      c.version,
 		Adapter:      r.Adapter,
 		Service:      r.Service,
 		Method:       r.Method,
@@ -179,37 +85,9 @@
 		start.ConfigVersion = current.Version
 		e.callers.of(current).weigh(start)
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.counter++
-	start.Attempt = strconv.FormatUint(e.counter, 36)
-	if l := e.links[c.tried[len(c.tried)-1]]; l != nil {
-		l.inFlight[start.Attempt] = flight{fingerprint: r.Fingerprint, alone: c.alone}
-	}
 	return start
 }
 
-func (c *course) finished(l *sideLink, start *wire.Start, class sardinerock.Class, sample route.Sample, load *wire.Load) {
-	e := c.entry
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	delete(l.inFlight, start.Attempt)
-	e.table.Finished(time.Now(), l.instance.ID, class, sample)
-	if load == nil {
-		return
-	}
-	e.table.UpdateLoad(l.instance.ID, route.Load{
-		Slots:         int(load.Slots),
-		OnlineRunning: int(load.OnlineRunning),
-		OnlineWaiting: int(load.OnlineWaiting),
-		BatchRunning:  int(load.BatchRunning),
-		BatchCredit:   int(load.BatchCredit),
-	})
-}
-
-// lossID names the loss of an instance, the same in every entry that had work there.
-func lossID(instance string) uint64 { return xxhash.Sum64String(instance) }
-
 // taker takes the frames of one attempt.
 type taker struct {
 	course *course
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -2,19 +2,16 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/sardinerock/sardinerock"
 )
 
 // IdleSlots implements sardinerock.BatchRunner.
 func (e *Entry) IdleSlots() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.leaving {
+	if e.isLeaving() {
 		return 0
 	}
-	return e.table.BatchCredit(time.Now())
+	return e.sides.BatchCredit()
 }
 
 // RunItem implements sardinerock.BatchRunner: one attempt, since the job decides about another.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,11 +4,9 @@
 	"context"
 	"crypto/ed25519"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -22,7 +20,7 @@
 	"github.com/sardinerock/sardinerock/member"
 	"github.com/sardinerock/sardinerock/peers"
 	"github.com/sardinerock/sardinerock/retry"
-	"github.com/sardinerock/sardinerock/route"
+	"github.com/sardinerock/sardinerock/sides"
 )
 
 // Defaults of the settings that are zero.
@@ -69,17 +67,12 @@
 	mesh    *peers.Mesh
 	metrics metrics.Registry
 	callers callerCache
-	told    atomic.Pointer[told]
-
-	mu       sync.Mutex
-	table    route.Table
-	budget   retry.Budget
-	suspects retry.Suspects
-	limiter  limit.Limiter
-	links    map[string]*sideLink
-	served   map[servedKey]string
-	counter  uint64
-	leaving  bool
+	sides   *sides.Sides
+
+	mu      sync.Mutex
+	budget  retry.Budget
+	limiter limit.Limiter
+	leaving bool
 }
 
 // Run serves until ctx is done, then finishes what runs and returns.
@@ -98,9 +91,8 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { _ = e.keeper.Run(work) })
 	loops.Go(func() { _ = e.tracker.Run(work) })
-	loops.Go(func() { e.linkLoop(work) })
+	loops.Go(func() { e.sides.Run(work) })
 	loops.Go(func() { e.usageLoop(work) })
-	loops.Go(func() { e.newsLoop(work) })
 	var owner sync.WaitGroup
 	owner.Go(func() { _ = e.manager.Run(owning) })
 	e.Events.Info(event.Started).Str("role", string(sardinerock.RoleEntry)).Str("zone", e.Zone).
@@ -131,9 +123,6 @@
 	if e.ShutdownTimeout == 0 {
 		e.ShutdownTimeout = DefaultShutdownTimeout
 	}
-	e.table.Random = rand.New(rand.NewPCG(e.Seed, e.Seed))
-	e.links = make(map[string]*sideLink)
-	e.served = make(map[servedKey]string)
 	e.metrics = metrics.NewRegistry()
 	e.keeper = &config.Keeper{
 		Log:            e.Log,
@@ -151,6 +140,17 @@
 		Word:     e.word,
 		Offer:    e.keeper.Offer,
 	}
+	e.sides = &sides.Sides{
+		EntryID:  e.ID,
+		Zone:     e.Zone,
+		MaxLinks: e.Links,
+		Seed:     e.Seed,
+		Tracker:  e.tracker,
+		Keeper:   e.keeper,
+		Leaving:  e.isLeaving,
+		Events:   e.Events,
+	}
+	e.sides.Prepare()
 	e.manager = &jobs.Manager{
 		Log:     e.Log,
 		Runner:  e,
@@ -177,11 +177,8 @@
 
 // ready says why this entry should get no requests yet, or no more.
 func (e *Entry) ready() error {
-	e.mu.Lock()
-	leaving := e.leaving
-	e.mu.Unlock()
 	switch {
-	case leaving:
+	case e.isLeaving():
 		return errors.New("the entry is shutting down")
 	case e.keeper.Current() == nil:
 		return errors.New("no configuration is in force yet")
@@ -190,6 +187,12 @@
 	}
 }
 
+func (e *Entry) isLeaving() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaving
+}
+
 // drainNotice is how long an entry that is stopping still answers before it
 // closes its listener, so that the balancer sees that it is not ready any more.
 const drainNotice = 500 * time.Millisecond
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -8,6 +8,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/limit"
+	"github.com/sardinerock/sardinerock/loop"
 	"github.com/sardinerock/sardinerock/member"
 	"github.com/sardinerock/sardinerock/peers"
 	"github.com/sardinerock/sardinerock/wire"
@@ -47,7 +48,7 @@
 
 // usageLoop tells the limiter what the other entries see of each caller.
 func (e *Entry) usageLoop(ctx context.Context) {
-	every(ctx, member.HeartbeatEvery, func() {
+	loop.Every(ctx, member.HeartbeatEvery, func() {
 		now := time.Now()
 		live := len(e.liveEntries())
 		var usage []limit.Usage
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -43,11 +43,11 @@
 			Outcome: sardinerock.OutcomeNotRun, RetryAfter: time.Second,
 		}
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.suspects.Check(now, r.Fingerprint) == retry.Guilty {
+	if e.sides.Check(r.Fingerprint) == retry.Guilty {
 		return retry.GuiltyRefusal(sardinerock.OutcomeNotRun)
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if refusal := e.limiter.Allow(now, r.Caller, e.callers.of(current).limits(r.Caller), estimate); refusal != nil {
 		return refusal
 	}
@@ -103,6 +103,7 @@
 	refusal := *f.refusal
 	refusal.Outcome = c.outcome
 	e := c.entry
+	verdict := e.sides.Check(c.request.Fingerprint)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return retry.Decide(now, retry.Failure{
@@ -112,7 +113,7 @@
 		Resumable:  c.request.Service == "",
 		Attempts:   c.attempts,
 		Left:       time.Until(c.request.Deadline),
-		Verdict:    e.suspects.Check(now, c.request.Fingerprint),
+		Verdict:    verdict,
 	}, &e.budget)
 }
 
--- a/entry/status.go
+++ b/entry/status.go
@@ -10,21 +10,18 @@
 	"github.com/sardinerock/sardinerock/peers"
 )
 
-// States of backend servers and processes in the status.
+// States of entries in the status.
 const (
 	stateUp      = "up"
-	stateDown    = "down"
 	stateSilent  = "silent"
 	stateLeaving = "leaving"
 )
 
 // status is what this entry knows of the fleet.
 func (e *Entry) status() front.Status {
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	st := front.Status{Process: e.ID}
 	own := front.ProcessStatus{ID: e.ID, Role: sardinerock.RoleEntry, Zone: e.Zone, State: stateUp}
-	if e.leaving {
+	if e.isLeaving() {
 		own.State = stateLeaving
 	}
 	if current := e.keeper.Current(); current != nil {
@@ -37,12 +34,9 @@
 			State: peerState(&p, time.Now()), Version: p.Word.ConfigVersion, Since: p.VersionSince,
 		})
 	}
-	for _, l := range e.links {
-		backend, process := sideStatus(l)
-		st.Backends = append(st.Backends, backend)
-		st.Processes = append(st.Processes, process)
-	}
-	slices.SortFunc(st.Backends, func(a, b front.BackendStatus) int { return strings.Compare(a.ID, b.ID) })
+	backends, processes := e.sides.Status()
+	st.Backends = backends
+	st.Processes = append(st.Processes, processes...)
 	slices.SortFunc(st.Processes, func(a, b front.ProcessStatus) int { return strings.Compare(a.ID, b.ID) })
 	return st
 }
@@ -57,28 +51,3 @@
 		return stateUp
 	}
 }
-
-func sideStatus(l *sideLink) (front.BackendStatus, front.ProcessStatus) {
-	backend := front.BackendStatus{ID: l.instance.ID, Zone: l.instance.Zone, Service: l.instance.Service, State: stateDown}
-	process := front.ProcessStatus{ID: l.instance.ID, Role: sardinerock.RoleSide, Zone: l.instance.Zone, State: stateSilent}
-	if !l.client.Up() || l.last == nil {
-		backend.State = stateSilent
-		return backend, process
-	}
-	process.State = stateUp
-	process.Version, process.Since = l.last.ConfigVersion, l.since
-	switch {
-	case l.last.Leaving:
-		backend.State, process.State = stateLeaving, stateLeaving
-	case l.last.BackendUp:
-		backend.State = stateUp
-	}
-	backend.Slots = int(l.last.Slots)
-	backend.OnlineRunning = int(l.last.OnlineRunning)
-	backend.OnlineWaiting = int(l.last.OnlineWaiting)
-	backend.BatchRunning = int(l.last.BatchRunning)
-	for _, m := range l.last.Loaded {
-		backend.Loaded = append(backend.Loaded, sardinerock.LoadedModel{Model: m.Model, Version: m.Version, Adapter: m.Adapter})
-	}
-	return backend, process
-}
--- /dev/null
+++ b/loop/doc.go
@@ -0,0 +1,2 @@
+// Package loop runs what has to be done at intervals.
+package loop
--- a/side/side.go
+++ b/side/side.go
@@ -12,6 +12,7 @@
 	"github.com/sardinerock/sardinerock/bundle"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/link"
+	"github.com/sardinerock/sardinerock/loop"
 	"github.com/sardinerock/sardinerock/retry"
 )
 
@@ -150,23 +151,9 @@
 }
 
 func (s *Side) tickLoop(ctx context.Context) {
-	every(ctx, tickEvery, func() {
+	loop.Every(ctx, tickEvery, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.apply(s.gate.Tick(time.Now()))
 	})
 }
-
-// every calls f at intervals until ctx is done.
-func every(ctx context.Context, interval time.Duration, f func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		f()
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
--- a/entry/links.go
+++ b/sides/links.go
@@ -1,4 +1,4 @@
-package entry
+package sides
 
 import (
 	"context"
@@ -7,6 +7,7 @@
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/bundle"
 	"github.com/sardinerock/sardinerock/link"
+	"github.com/sardinerock/sardinerock/loop"
 	"github.com/sardinerock/sardinerock/route"
 	"github.com/sardinerock/sardinerock/wire"
 )
@@ -32,96 +33,96 @@
 }
 
 // linkLoop keeps links to the sides that this entry should know.
-func (e *Entry) linkLoop(ctx context.Context) {
-	every(ctx, linkEvery, func() {
-		wanted := e.wantedSides()
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		for id, l := range e.links {
+func (s *Sides) linkLoop(ctx context.Context) {
+	loop.Every(ctx, linkEvery, func() {
+		wanted := s.wantedSides()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for id, l := range s.links {
 			if _, ok := wanted[id]; !ok && len(l.inFlight) == 0 {
-				e.dropLink(id, l)
+				s.dropLink(id, l)
 			}
 		}
 		for id, instance := range wanted {
-			if e.links[id] == nil {
-				e.addLink(ctx, instance)
+			if s.links[id] == nil {
+				s.addLink(ctx, instance)
 			}
 		}
 	})
 }
 
 // wantedSides picks this entry's share of the sides.
-func (e *Entry) wantedSides() map[string]sardinerock.Instance {
+func (s *Sides) wantedSides() map[string]sardinerock.Instance {
 	wanted := make(map[string]sardinerock.Instance)
-	for _, i := range e.tracker.Subset(e.Links) {
+	for _, i := range s.Tracker.Subset(s.MaxLinks) {
 		wanted[i.ID] = i
 	}
 	return wanted
 }
 
-// addLink starts a link. Callers hold e.mu.
-func (e *Entry) addLink(ctx context.Context, instance sardinerock.Instance) {
+// addLink starts a link. Callers hold s.mu.
+func (s *Sides) addLink(ctx context.Context, instance sardinerock.Instance) {
 	ctx, stop := context.WithCancel(ctx)
 	l := &sideLink{instance: instance, stop: stop, inFlight: make(map[string]flight)}
 	l.client = &link.Client{
 		SideID:   instance.ID,
 		Address:  instance.Address,
-		EntryID:  e.ID,
-		Zone:     e.Zone,
-		Beat:     func() *wire.EntryBeat { return e.beat(l) },
-		OnBeat:   func(beat *wire.SideBeat) { e.onBeat(l, beat) },
-		Sections: e.sections,
-		OnDown:   func(silent bool) { e.onDown(l, silent) },
-		Timing:   e.timing,
-		Events:   e.Events,
-	}
-	e.links[instance.ID] = l
+		EntryID:  s.EntryID,
+		Zone:     s.Zone,
+		Beat:     func() *wire.EntryBeat { return s.beat(l) },
+		OnBeat:   func(beat *wire.SideBeat) { s.onBeat(l, beat) },
+		Sections: s.sections,
+		OnDown:   func(silent bool) { s.onDown(l, silent) },
+		Timing:   s.timing,
+		Events:   s.Events,
+	}
+	s.links[instance.ID] = l
 	go l.client.Run(ctx)
 }
 
-// dropLink ends a link. Callers hold e.mu.
-func (e *Entry) dropLink(id string, l *sideLink) {
+// dropLink ends a link. Callers hold s.mu.
+func (s *Sides) dropLink(id string, l *sideLink) {
 	l.stop()
-	e.table.Remove(id)
-	delete(e.links, id)
+	s.table.Remove(id)
+	delete(s.links, id)
 }
 
-func (e *Entry) timing() link.Timing {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return link.TimingFor(len(e.links))
+func (s *Sides) timing() link.Timing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return link.TimingFor(len(s.links))
 }
 
 // beat builds the heartbeat of this entry to one side.
-func (e *Entry) beat(l *sideLink) *wire.EntryBeat {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+func (s *Sides) beat(l *sideLink) *wire.EntryBeat {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	l.sequence++
 	beat := &wire.EntryBeat{
 		Sequence:    l.sequence,
-		Leaving:     e.leaving,
-		Quarantined: link.ToWire(e.suspects.Snapshot(time.Now())),
+		Leaving:     s.Leaving(),
+		Quarantined: link.ToWire(s.suspects.Snapshot(time.Now())),
 	}
-	if told := e.told.Load(); told != nil {
+	if told := s.told.Load(); told != nil {
 		beat.ConfigVersion, beat.SideDigest = told.version, told.sideDigest
 	}
 	return beat
 }
 
 // onBeat takes a side's heartbeat into the routing table.
-func (e *Entry) onBeat(l *sideLink, beat *wire.SideBeat) {
+func (s *Sides) onBeat(l *sideLink, beat *wire.SideBeat) {
 	now := time.Now()
 	if beat.Leaving {
-		e.tracker.Leaving(now, l.instance.ID)
+		s.Tracker.Leaving(now, l.instance.ID)
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.links[l.instance.ID] != l {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.links[l.instance.ID] != l {
 		return
 	}
-	e.suspects.Merge(now, link.FromWire(beat.Quarantined))
+	s.suspects.Merge(now, link.FromWire(beat.Quarantined))
 	if l.last != nil && l.last.BackendGeneration != beat.BackendGeneration {
-		e.table.CacheReset(l.instance.ID)
+		s.table.CacheReset(l.instance.ID)
 	}
 	if l.last == nil || l.last.ConfigVersion != beat.ConfigVersion {
 		l.since = now
@@ -130,14 +131,14 @@
 		beat.Loaded = l.last.Loaded
 	}
 	l.last = beat
-	e.table.Update(now, e.backend(l, now))
+	s.table.Update(now, s.backend(l, now))
 	if len(beat.PrefixesAdded)+len(beat.PrefixesDropped) > 0 {
-		e.table.CacheEvent(l.instance.ID, beat.PrefixesAdded, beat.PrefixesDropped)
+		s.table.CacheEvent(l.instance.ID, beat.PrefixesAdded, beat.PrefixesDropped)
 	}
 }
 
-// backend is what routing knows of a side. Callers hold e.mu.
-func (e *Entry) backend(l *sideLink, now time.Time) route.Backend {
+// backend is what routing knows of a side. Callers hold s.mu.
+func (s *Sides) backend(l *sideLink, now time.Time) route.Backend {
 	beat := l.last
 	b := route.Backend{
 		ID:            l.instance.ID,
@@ -149,7 +150,7 @@
 		BatchRunning:  int(beat.BatchRunning),
 		BatchCredit:   int(beat.BatchCredit),
 		TokenGap:      time.Duration(beat.TokenGapUs) * time.Microsecond,
-		Leaving:       beat.Leaving || !e.tracker.Usable(now, l.instance.ID),
+		Leaving:       beat.Leaving || !s.Tracker.Usable(now, l.instance.ID),
 		Up:            beat.BackendUp,
 		ConfigVersion: beat.ConfigVersion,
 		ReportAt:      now,
@@ -166,31 +167,31 @@
 // the two may have lost track of it. So nothing is held against the side, and
 // the new connection, which is tried at once, brings it back. If the instance is
 // really lost, its requests may have been the cause, and are noted as such.
-func (e *Entry) onDown(l *sideLink, silent bool) {
+func (s *Sides) onDown(l *sideLink, silent bool) {
 	now := time.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if l.last != nil {
 		l.last.BackendUp = false
-		e.table.Update(now, e.backend(l, now))
+		s.table.Update(now, s.backend(l, now))
 	}
 	if silent {
 		return
 	}
 	for _, f := range l.inFlight {
-		e.suspects.Lost(now, lossID(l.instance.ID), []uint64{f.fingerprint}, f.alone)
+		s.suspects.Lost(now, lossID(l.instance.ID), []uint64{f.fingerprint}, f.alone)
 	}
 }
 
 // sections answers a side that is behind with the sections that it lacks.
-func (e *Entry) sections(want *wire.WantSections) *wire.Sections {
-	all, version, digest := e.keeper.SideSections()
+func (s *Sides) sections(want *wire.WantSections) *wire.Sections {
+	all, version, digest := s.Keeper.SideSections()
 	if version < want.Version || version == 0 {
 		return nil
 	}
 	answer := &wire.Sections{Version: version, Digest: digest}
-	for _, s := range bundle.Missing(all, want.Have) {
-		answer.Sections = append(answer.Sections, &wire.Section{Name: s.Name, Digest: s.Digest, Content: s.Content})
+	for _, x := range bundle.Missing(all, want.Have) {
+		answer.Sections = append(answer.Sections, &wire.Section{Name: x.Name, Digest: x.Digest, Content: x.Content})
 	}
 	return answer
 }
@@ -203,16 +204,16 @@
 
 // newsLoop tells the sides at once of a configuration that says something new to
 // them; of any other they hear with the next heartbeat.
-func (e *Entry) newsLoop(ctx context.Context) {
+func (s *Sides) newsLoop(ctx context.Context) {
 	for {
-		changed := e.keeper.Changed()
-		sections, version, _ := e.keeper.SideSections()
-		before := e.told.Load()
+		changed := s.Keeper.Changed()
+		sections, version, _ := s.Keeper.SideSections()
+		before := s.told.Load()
 		if version > 0 && (before == nil || version > before.version) {
 			now := &told{version: version, sideDigest: bundle.SideDigest(sections)}
-			e.told.Store(now)
+			s.told.Store(now)
 			if before == nil || before.sideDigest != now.sideDigest {
-				e.beatAll()
+				s.beatAll()
 			}
 		}
 		select {
@@ -223,28 +224,14 @@
 	}
 }
 
-func (e *Entry) beatAll() {
-	e.mu.Lock()
-	clients := make([]*link.Client, 0, len(e.links))
-	for _, l := range e.links {
+func (s *Sides) beatAll() {
+	s.mu.Lock()
+	clients := make([]*link.Client, 0, len(s.links))
+	for _, l := range s.links {
 		clients = append(clients, l.client)
 	}
-	e.mu.Unlock()
+	s.mu.Unlock()
 	for _, c := range clients {
 		c.BeatNow()
 	}
 }
-
-// every calls f at intervals until ctx is done.
-func every(ctx context.Context, interval time.Duration, f func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		f()
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
--- /dev/null
+++ b/sides/status.go
@@ -0,0 +1,57 @@
+package sides
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/front"
+)
+
+// States of sides and their backend servers in the status.
+const (
+	stateUp      = "up"
+	stateDown    = "down"
+	stateSilent  = "silent"
+	stateLeaving = "leaving"
+)
+
+// Status returns the backend servers and the sides beside them, by id.
+func (s *Sides) Status() ([]front.BackendStatus, []front.ProcessStatus) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var backends []front.BackendStatus
+	var processes []front.ProcessStatus
+	for _, l := range s.links {
+		backend, process := sideStatus(l)
+		backends = append(backends, backend)
+		processes = append(processes, process)
+	}
+	slices.SortFunc(backends, func(a, b front.BackendStatus) int { return strings.Compare(a.ID, b.ID) })
+	return backends, processes
+}
+
+func sideStatus(l *sideLink) (front.BackendStatus, front.ProcessStatus) {
+	backend := front.BackendStatus{ID: l.instance.ID, Zone: l.instance.Zone, Service: l.instance.Service, State: stateDown}
+	process := front.ProcessStatus{ID: l.instance.ID, Role: sardinerock.RoleSide, Zone: l.instance.Zone, State: stateSilent}
+	if !l.client.Up() || l.last == nil {
+		backend.State = stateSilent
+		return backend, process
+	}
+	process.State = stateUp
+	process.Version, process.Since = l.last.ConfigVersion, l.since
+	switch {
+	case l.last.Leaving:
+		backend.State, process.State = stateLeaving, stateLeaving
+	case l.last.BackendUp:
+		backend.State = stateUp
+	}
+	backend.Slots = int(l.last.Slots)
+	backend.OnlineRunning = int(l.last.OnlineRunning)
+	backend.OnlineWaiting = int(l.last.OnlineWaiting)
+	backend.BatchRunning = int(l.last.BatchRunning)
+	for _, m := range l.last.Loaded {
+		backend.Loaded = append(backend.Loaded, sardinerock.LoadedModel{Model: m.Model, Version: m.Version, Adapter: m.Adapter})
+	}
+	return backend, process
+}
