chkpt: checkpoints move out of stream

Moved: saving and loading with their test, as chkpt.Save, chkpt.Load, chkpt.Checkpoint. The test has a small log with gaps of its own instead of the one whose answers the writer's tests set; it checks the same. Ruled out: moving the writer out, which shares Seen and the tail with every reader.

--- a/capa/batch/jobs.go
+++ b/capa/batch/jobs.go
@@ -11,8 +11,8 @@
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/capa/meter"
 	"github.com/sardinerock/sardinerock/capa/sample"
+	"github.com/sardinerock/sardinerock/chkpt"
 	"github.com/sardinerock/sardinerock/jobs"
-	"github.com/sardinerock/sardinerock/stream"
 )
 
 // answerBytes and bodyBytes are the payload of an item, which no bookkeeping can save.
@@ -219,7 +219,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	o.runner.slots.Store(0)
-	name := stream.CheckpointStream("jobs-0")
+	name := chkpt.StreamName("jobs-0")
 	settled := time.Now().Add(2 * o.manager.CheckpointEvery)
 	_, bytes := o.log.Last(name)
 	for last := bytes; time.Now().Before(settled); time.Sleep(50 * time.Millisecond) {
--- a/stream/check.go
+++ b/chkpt/chkpt.go
@@ -1,4 +1,4 @@
-package stream
+package chkpt
 
 import (
 	"context"
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/stream"
 )
 
 // Checkpoint is the state that folding a stream up to Resume came to.
@@ -20,12 +21,12 @@
 type Checkpoint struct {
 	Resume int64
 	State  []byte
-	Seen   Seen
+	Seen   stream.Seen
 	AtMs   int64
 }
 
-// CheckpointStream returns the name of the stream that holds checkpoints of name.
-func CheckpointStream(name string) string { return name + "-checkpoints" }
+// StreamName returns the name of the stream that holds checkpoints of name.
+func StreamName(name string) string { return name + "-checkpoints" }
 
 // partBytes keeps a checkpoint's records well below the size of an append.
 const partBytes = 256 << 10
@@ -34,65 +35,36 @@
 // append that was sent can stay under way.
 const writerMemory = 24 * time.Hour
 
-// SaveCheckpoint appends the parts of c under id, each until it is acknowledged; copies do no harm.
-func SaveCheckpoint(ctx context.Context, log sardinerock.Log, budget *Budget, name string, id uint64, c *Checkpoint) error {
+// Save appends the parts of c under id, each until it is acknowledged; copies do no harm.
+func Save(ctx context.Context, log sardinerock.Log, budget *stream.Budget, name string, id uint64, c *Checkpoint) error {
 	count := (len(c.State) + partBytes - 1) / partBytes
 	count = max(count, 1)
 	for i := range count {
-		p := &Part{Id: id, Number: uint32(i), Count: uint32(count), Resume: c.Resume, AtMs: c.AtMs}
+		p := &stream.Part{Id: id, Number: uint32(i), Count: uint32(count), Resume: c.Resume, AtMs: c.AtMs}
 		p.State = c.State[i*partBytes : min((i+1)*partBytes, len(c.State))]
 		if i == 0 {
-			p.Writers = c.Seen.snapshot(c.AtMs - writerMemory.Milliseconds())
+			p.Writers = c.Seen.Snapshot(c.AtMs - writerMemory.Milliseconds())
 		}
-		if err := savePart(ctx, log, budget, CheckpointStream(name), p); err != nil {
+		if err := savePart(ctx, log, budget, StreamName(name), p); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func savePart(ctx context.Context, log sardinerock.Log, budget *Budget, name string, p *Part) error {
+func savePart(ctx context.Context, log sardinerock.Log, budget *stream.Budget, name string, p *stream.Part) error {
 	data, err := proto.Marshal(p)
 	if err != nil {
 		return err
 	}
-	_, err = AppendAnyCopy(ctx, log, budget, name, data)
+	_, err = stream.AppendAnyCopy(ctx, log, budget, name, data)
 	return err
 }
 
-// AppendAnyCopy appends data until the log acknowledges it, and returns the
-// offset of that copy. It is for records of which more copies do no harm.
-func AppendAnyCopy(ctx context.Context, log sardinerock.Log, budget *Budget, name string, data []byte) (int64, error) {
-	pause := backoffFirst
-	for {
-		if err := budget.Wait(ctx); err != nil {
-			return 0, err
-		}
-		offset, err := appendOnce(ctx, log, name, data)
-		if err == nil {
-			return offset, nil
-		}
-		t := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			return 0, err
-		case <-t.C:
-		}
-		pause = min(2*pause, backoffLast)
-	}
-}
-
-func appendOnce(ctx context.Context, log sardinerock.Log, name string, data []byte) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	return log.Append(ctx, name, data)
-}
-
 // firstWindow is how far before the end the search for a checkpoint starts, in offsets.
 const firstWindow = 16
 
-// LoadCheckpoint returns a whole checkpoint of name that resumes at or after
+// Load returns a whole checkpoint of name that resumes at or after
 // least, the newest one as a rule, or nil if there is none. One that a slow
 // process wrote late may hide a newer one; it is as true, and least keeps out
 // those that the log no longer reaches back to.
@@ -101,8 +73,8 @@
 // many megabytes. So we look at the last few offsets and double the window
 // until a whole checkpoint is in it. Offsets need not be contiguous, so an
 // empty window means nothing.
-func LoadCheckpoint(ctx context.Context, log sardinerock.Log, name string, least int64) (*Checkpoint, error) {
-	name = CheckpointStream(name)
+func Load(ctx context.Context, log sardinerock.Log, name string, least int64) (*Checkpoint, error) {
+	name = StreamName(name)
 	b, err := log.Bounds(ctx, name)
 	if err != nil {
 		return nil, err
@@ -123,7 +95,7 @@
 
 // newestCheckpoint reads from up to the end and returns the whole checkpoint that resumes last.
 func newestCheckpoint(ctx context.Context, log sardinerock.Log, name string, from, end, least int64) (*Checkpoint, error) {
-	parts := map[uint64]map[uint32]*Part{}
+	parts := map[uint64]map[uint32]*stream.Part{}
 	for from < end {
 		records, err := log.Read(ctx, name, from, 0)
 		if err != nil {
@@ -134,12 +106,12 @@
 		}
 		for _, r := range records {
 			from = r.Offset + 1
-			p := &Part{}
+			p := &stream.Part{}
 			if proto.Unmarshal(r.Data, p) != nil || p.GetNumber() >= p.GetCount() {
 				continue
 			}
 			if parts[p.GetId()] == nil {
-				parts[p.GetId()] = map[uint32]*Part{}
+				parts[p.GetId()] = map[uint32]*stream.Part{}
 			}
 			parts[p.GetId()][p.GetNumber()] = p
 		}
@@ -154,12 +126,12 @@
 	return newest, nil
 }
 
-func assemble(set map[uint32]*Part) *Checkpoint {
+func assemble(set map[uint32]*stream.Part) *Checkpoint {
 	first := set[0]
 	if first == nil || len(set) != int(first.GetCount()) {
 		return nil
 	}
-	c := &Checkpoint{Resume: first.GetResume(), Seen: restoreSeen(first.GetWriters()), AtMs: first.GetAtMs()}
+	c := &Checkpoint{Resume: first.GetResume(), Seen: stream.RestoreSeen(first.GetWriters()), AtMs: first.GetAtMs()}
 	for i := range first.GetCount() {
 		p := set[i]
 		if p == nil {
--- /dev/null
+++ b/chkpt/chkpt_test.go
@@ -0,0 +1,66 @@
+package chkpt
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// gap is how far the offsets of two records lie apart.
+const gap = 8
+
+// gapLog is a log of one stream whose offsets aren't contiguous.
+type gapLog struct {
+	records []sardinerock.LogRecord
+	next    int64
+}
+
+func (l *gapLog) Append(_ context.Context, _ string, data []byte) (int64, error) {
+	offset := l.next
+	l.records = append(l.records, sardinerock.LogRecord{Offset: offset, Data: data})
+	l.next += gap
+	return offset, nil
+}
+
+func (l *gapLog) Read(_ context.Context, _ string, from int64, _ time.Duration) ([]sardinerock.LogRecord, error) {
+	for i, r := range l.records {
+		if r.Offset >= from {
+			return l.records[i:], nil
+		}
+	}
+	return nil, nil
+}
+
+func (l *gapLog) Bounds(context.Context, string) (sardinerock.LogBounds, error) {
+	return sardinerock.LogBounds{Next: l.next}, nil
+}
+
+// A checkpoint of which only some parts reached the log doesn't count; the
+// whole one before it does, wherever their parts lie and however long both are.
+func TestNewestWholeCheckpoint(t *testing.T) {
+	g := NewWithT(t)
+	l := &gapLog{}
+	ctx := context.Background()
+	c, err := Load(ctx, l, "s", 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c).To(BeNil())
+	big := bytes.Repeat([]byte("x"), 40*partBytes+5)
+	g.Expect(Save(ctx, l, nil, "s", 1, &Checkpoint{Resume: 10, State: []byte("old")})).To(Succeed())
+	g.Expect(Save(ctx, l, nil, "s", 2, &Checkpoint{Resume: 20, State: big})).To(Succeed())
+	g.Expect(Save(ctx, l, nil, "s", 3, &Checkpoint{Resume: 30, State: big})).To(Succeed())
+	l.records = l.records[:len(l.records)-1]
+	c, err = Load(ctx, l, "s", 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.Resume).To(Equal(int64(20)))
+	g.Expect(c.State).To(Equal(big))
+	// One that a slow process writes late doesn't hide the newer one if the log no longer reaches back to it.
+	g.Expect(Save(ctx, l, nil, "s", 4, &Checkpoint{Resume: 15, State: []byte("late")})).To(Succeed())
+	c, err = Load(ctx, l, "s", 16)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.Resume).To(Equal(int64(20)))
+}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/chkpt"
 	"github.com/sardinerock/sardinerock/shard"
 	"github.com/sardinerock/sardinerock/stream"
 )
@@ -30,7 +31,7 @@
 	Apply func(e *stream.Entry)
 	// Loaded is called when State was replaced by that of a checkpoint, or by an
 	// empty one if c is nil; the lock is held.
-	Loaded func(c *stream.Checkpoint)
+	Loaded func(c *chkpt.Checkpoint)
 
 	// State is nil until the shard has been read from a checkpoint or its beginning.
 	State *shard.State
@@ -142,7 +143,7 @@
 	if err != nil {
 		return err
 	}
-	c, err := stream.LoadCheckpoint(ctx, f.Log, f.Stream, b.First)
+	c, err := chkpt.Load(ctx, f.Log, f.Stream, b.First)
 	if err != nil {
 		return err
 	}
@@ -211,7 +212,7 @@
 // Checkpoint returns the state up to the end of the stream. All records before
 // the end as it was when we asked are folded, so a reader may go on from there
 // even if offsets jump.
-func (f *Follower) Checkpoint(ctx context.Context) (*stream.Checkpoint, error) {
+func (f *Follower) Checkpoint(ctx context.Context) (*chkpt.Checkpoint, error) {
 	b, err := f.Log.Bounds(ctx, f.Stream)
 	if err != nil {
 		return nil, err
@@ -228,7 +229,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &stream.Checkpoint{
+	return &chkpt.Checkpoint{
 		Resume: max(f.tail.Next, b.Next), State: state, Seen: f.tail.Seen.Clone(), AtMs: f.Now().UnixMilli(),
 	}, nil
 }
--- a/jobs/bench_test.go
+++ b/jobs/bench_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/chkpt"
 	"github.com/sardinerock/sardinerock/shard"
 	"github.com/sardinerock/sardinerock/stream"
 )
@@ -265,13 +266,13 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	c := &stream.Checkpoint{Resume: 0, State: state, AtMs: 1}
-	if err := stream.SaveCheckpoint(context.Background(), log, nil, streamName(0), 1, c); err != nil {
+	c := &chkpt.Checkpoint{Resume: 0, State: state, AtMs: 1}
+	if err := chkpt.Save(context.Background(), log, nil, streamName(0), 1, c); err != nil {
 		b.Fatal(err)
 	}
 	b.ReportMetric(float64(len(state))/items, "checkpointB/item")
 	for b.Loop() {
-		loaded, err := stream.LoadCheckpoint(context.Background(), log, streamName(0), 0)
+		loaded, err := chkpt.Load(context.Background(), log, streamName(0), 0)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/jobs/keep.go
+++ b/jobs/keep.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/chkpt"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/shard"
-	"github.com/sardinerock/sardinerock/stream"
 )
 
 const (
@@ -42,7 +42,7 @@
 	todo []func() *shard.Record
 }
 
-func (k *keeper) loaded(c *stream.Checkpoint) {
+func (k *keeper) loaded(c *chkpt.Checkpoint) {
 	k.entries, k.todo = 0, nil
 	if c != nil {
 		k.lastAt = time.UnixMilli(c.AtMs)
@@ -91,7 +91,7 @@
 		p.Lock()
 		p.keeper.entries = 0
 		p.Unlock()
-		err = stream.SaveCheckpoint(ctx, p.m.Log, p.m.budget, p.Stream, draw(), c)
+		err = chkpt.Save(ctx, p.m.Log, p.m.budget, p.Stream, draw(), c)
 	}
 	p.Lock()
 	defer p.Unlock()
--- a/jobs/part.go
+++ b/jobs/part.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/chkpt"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/follow"
 	"github.com/sardinerock/sardinerock/shard"
@@ -80,7 +81,7 @@
 }
 
 // load goes on from the state of a checkpoint; the lock is held.
-func (p *part) load(c *stream.Checkpoint) {
+func (p *part) load(c *chkpt.Checkpoint) {
 	if p.loaded && p.claimed {
 		p.lose("read again from a checkpoint")
 	}
--- a/shard/property_test.go
+++ b/shard/property_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/chkpt"
 	"github.com/sardinerock/sardinerock/stream"
 )
 
@@ -29,7 +30,7 @@
 	next      int64
 	late      [][]byte
 	entries   []*actor
-	saved     []*stream.Checkpoint
+	saved     []*chkpt.Checkpoint
 	// promised holds, by key, the digest of jobs that a caller was told are accepted.
 	promised map[string]uint64
 	writers  uint64
@@ -81,7 +82,7 @@
 	w.next += 1 + w.next%3
 }
 
-func (w *world) newActor(name string, c *stream.Checkpoint) *actor {
+func (w *world) newActor(name string, c *chkpt.Checkpoint) *actor {
 	w.writers++
 	a := &actor{w: w, name: name, writer: w.writers, state: NewState(), tail: &stream.Tail{Log: w}}
 	if c != nil {
@@ -277,7 +278,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.saved = append(w.saved, &stream.Checkpoint{Resume: a.tail.Next, State: state, Seen: a.tail.Seen.Clone()})
+	w.saved = append(w.saved, &chkpt.Checkpoint{Resume: a.tail.Next, State: state, Seen: a.tail.Seen.Clone()})
 	if w.draw("trim", 1) == 0 {
 		return
 	}
@@ -290,8 +291,8 @@
 	}
 }
 
-func (w *world) newest() *stream.Checkpoint {
-	var newest *stream.Checkpoint
+func (w *world) newest() *chkpt.Checkpoint {
+	var newest *chkpt.Checkpoint
 	for _, c := range w.saved {
 		if newest == nil || c.Resume > newest.Resume {
 			newest = c
--- /dev/null
+++ b/stream/copies.go
@@ -0,0 +1,37 @@
+package stream
+
+import (
+	"context"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// AppendAnyCopy appends data until the log acknowledges it, and returns the
+// offset of that copy. It is for records of which more copies do no harm.
+func AppendAnyCopy(ctx context.Context, log sardinerock.Log, budget *Budget, name string, data []byte) (int64, error) {
+	pause := backoffFirst
+	for {
+		if err := budget.Wait(ctx); err != nil {
+			return 0, err
+		}
+		offset, err := appendOnce(ctx, log, name, data)
+		if err == nil {
+			return offset, nil
+		}
+		t := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return 0, err
+		case <-t.C:
+		}
+		pause = min(2*pause, backoffLast)
+	}
+}
+
+func appendOnce(ctx context.Context, log sardinerock.Log, name string, data []byte) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	return log.Append(ctx, name, data)
+}
--- a/stream/doc.go
+++ b/stream/doc.go
@@ -1,3 +1,3 @@
 // Package stream turns the platform's log into streams of records that count
-// once: group commit, appends with lost answers, and checkpoints.
+// once: group commit, and appends with lost answers.
 package stream
--- a/stream/seen.go
+++ b/stream/seen.go
@@ -76,8 +76,8 @@
 	return w
 }
 
-// snapshot returns the writers that wrote at or after sinceMs, in a fixed order.
-func (s *Seen) snapshot(sinceMs int64) []*WriterSeen {
+// Snapshot returns the writers that wrote at or after sinceMs, in a fixed order.
+func (s *Seen) Snapshot(sinceMs int64) []*WriterSeen {
 	var all []*WriterSeen
 	for id, w := range s.writers {
 		if w.atMs < sinceMs {
@@ -95,9 +95,10 @@
 }
 
 // Clone returns a copy that later records don't change.
-func (s *Seen) Clone() Seen { return restoreSeen(s.snapshot(math.MinInt64)) }
+func (s *Seen) Clone() Seen { return RestoreSeen(s.Snapshot(math.MinInt64)) }
 
-func restoreSeen(all []*WriterSeen) Seen {
+// RestoreSeen returns what a snapshot was taken of.
+func RestoreSeen(all []*WriterSeen) Seen {
 	var s Seen
 	for _, w := range all {
 		*s.writer(w.GetWriter()) = writerSeen{upto: w.GetUpto(), withdrawn: slices.Clone(w.GetWithdrawn()), atMs: w.GetAtMs()}
--- a/stream/writer_test.go
+++ b/stream/writer_test.go
@@ -183,7 +183,7 @@
 // restart reads again from a checkpoint that another process made, after the log dropped what came before it.
 func (m *writerModel) restart(p *process) {
 	from := m.all[m.draw("from", len(m.all)-1)]
-	snapshot := from.tail.Seen.snapshot(0)
+	snapshot := from.tail.Seen.Snapshot(0)
 	data, err := proto.Marshal(&Part{Writers: snapshot})
 	if err != nil {
 		m.t.Fatal(err)
@@ -199,7 +199,7 @@
 	for name, n := range from.applied {
 		applied[name] = n
 	}
-	p.tail.Seen, p.tail.Next, p.applied = restoreSeen(part.GetWriters()), from.tail.Next, applied
+	p.tail.Seen, p.tail.Next, p.applied = RestoreSeen(part.GetWriters()), from.tail.Next, applied
 }
 
 // finish lets the log answer until every record's fate is known.
