--- a/jobs/dispatch.go
+++ b/jobs/dispatch.go
@@ -2,21 +2,16 @@
 
 import (
 	"context"
-	"errors"
-	"time"
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/item"
+	"github.com/sardinerock/sardinerock/limits"
 	"github.com/sardinerock/sardinerock/queue"
+	"github.com/sardinerock/sardinerock/refuse"
 	"github.com/sardinerock/sardinerock/shard"
 )
 
-const (
-	defaultMaxAttempts = 3
-	// readRetryWait is how long an item waits whose input can't be read from the log.
-	readRetryWait = time.Second
-)
-
 // dispatch starts items whenever the fleet has room for them.
 func (m *Manager) dispatch(ctx context.Context) error {
 	for {
@@ -69,7 +64,7 @@
 		p.m.pause(w)
 		return false
 	}
-	index, ok := w.next(p.m.Now())
+	index, ok := w.open.Next(p.m.Now())
 	if !ok {
 		p.m.pause(w)
 		return false
@@ -100,18 +95,18 @@
 	it, err := p.item(ctx, w.job, index)
 	p.m.starting.Add(-1)
 	if err != nil {
-		p.end(w, index, "", inputRefusal(err), p.judge(w, index, inputRefusal(err)))
+		p.end(w, index, "", refuse.Input(err), p.judge(w, index, refuse.Input(err)))
 		return
 	}
-	r := p.request(w.job, index, it)
+	r := item.Request(w.job, index, it, p.m.Now().Add(p.m.ItemTimeout))
 	result, text, err := p.m.Runner.RunItem(ctx, r)
 	if err != nil {
 		refusal := sardinerock.AsRefusal(err)
 		p.end(w, index, it.GetCustomId(), refusal, p.judge(w, index, refusal))
 		return
 	}
-	body := answerBody(r, result, text)
-	if len(body) > maxItemBytes {
+	body := item.Answer(r, result, text)
+	if len(body) > item.MaxBytes {
 		refusal := &sardinerock.Refusal{Code: sardinerock.CodeBodyTooLarge, Outcome: sardinerock.OutcomeRan, Message: "the answer is too large to be kept"}
 		p.end(w, index, it.GetCustomId(), refusal, queue.Verdict{})
 		return
@@ -119,12 +114,15 @@
 	p.succeed(w, index, &shard.ItemDone{Index: index, CustomId: it.GetCustomId(), Body: body}, result)
 }
 
-// inputRefusal tells an input that can't be read now from one that the log no longer has.
-func inputRefusal(err error) *sardinerock.Refusal {
-	if errors.Is(err, sardinerock.ErrLogGap) || errors.Is(err, sardinerock.ErrNotFound) {
-		return &sardinerock.Refusal{Code: sardinerock.CodeInternal, Message: "the log no longer has the item's input"}
+// item returns an item's input.
+func (p *part) item(ctx context.Context, j *shard.Job, index uint32) (*shard.Item, error) {
+	p.Lock()
+	at, ok := j.Chunk(index)
+	p.Unlock()
+	if !ok {
+		return nil, sardinerock.ErrNotFound
 	}
-	return &sardinerock.Refusal{Code: sardinerock.CodeLogUnavailable, Outcome: sardinerock.OutcomeNotRun, Message: err.Error(), RetryAfter: readRetryWait}
+	return p.m.reader.Item(ctx, p.Stream, at, index)
 }
 
 // judge decides what happens to an item that was refused.
@@ -133,7 +131,7 @@
 	defer p.Unlock()
 	w.notRun[index]++
 	return queue.Judge(refusal, queue.Attempts{
-		Failed: max(w.job.Failures[index], w.failed[index]), NotRun: w.notRun[index], Due: w.job.Due, Now: p.m.Now(), Most: p.m.maxAttempts(),
+		Failed: max(w.job.Failures[index], w.failed[index]), NotRun: w.notRun[index], Due: w.job.Due, Now: p.m.Now(), Most: limits.MaxAttempts(p.m.Config),
 	})
 }
 
@@ -158,7 +156,7 @@
 	if !v.Again {
 		p.m.Events.Warn(event.ItemFailed).Str("job", w.job.ID).Int("item", int(index)).
 			Str("code", string(refusal.Code)).Str("reason", refusal.Message).Msg("item can't be done")
-		p.results.add(outcome{job: w.job.Number, index: index, done: failedItem(index, customID, refusal)})
+		p.results.add(outcome{job: w.job.Number, index: index, done: item.Failure(index, customID, refusal)})
 		p.afterItem()
 		return
 	}
@@ -168,7 +166,7 @@
 		p.results.add(outcome{job: w.job.Number, index: index, failure: true})
 	}
 	delete(w.inHand, index)
-	w.again(index, p.m.Now().Add(v.Wait))
+	w.open.Again(index, p.m.Now().Add(v.Wait))
 	p.afterItem()
 }
 
@@ -188,13 +186,3 @@
 	defer w.p.m.queueMu.Unlock()
 	w.queued.Cost += costSmoothing * (tokens - w.queued.Cost)
 }
-
-func (m *Manager) maxAttempts() uint32 {
-	if m.Config == nil || m.Config.Current() == nil {
-		return defaultMaxAttempts
-	}
-	if n := m.Config.Current().Bundle.Batch.MaxAttempts; n > 0 {
-		return uint32(n)
-	}
-	return defaultMaxAttempts
-}
--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -9,11 +9,13 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sync/singleflight"
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/queue"
+	"github.com/sardinerock/sardinerock/record"
+	"github.com/sardinerock/sardinerock/refuse"
+	"github.com/sardinerock/sardinerock/spread"
 	"github.com/sardinerock/sardinerock/stream"
 )
 
@@ -31,8 +33,6 @@
 	tickEvery = 50 * time.Millisecond
 	// handBackTime bounds how long a stopping entry records results and releases its shards.
 	handBackTime = 5 * time.Second
-	// logRetryAfter is when a caller comes back that was refused in an outage of the log.
-	logRetryAfter = 5 * time.Second
 )
 
 // Manager is one entry's part in the batch work of the fleet.
@@ -68,8 +68,7 @@
 	once   sync.Once
 	budget *stream.Budget
 	health stream.Health
-	chunks *recordCache
-	loads  singleflight.Group
+	reader *record.Reader
 	kick   chan struct{}
 
 	// mu guards parts, and is taken before a part's own mutex.
@@ -77,7 +76,7 @@
 	parts   map[int]*part
 	base    context.Context
 	stopped bool
-	owners  ownership
+	owners  spread.Owners
 
 	// queueMu guards queue, and is taken after a part's mutex.
 	queueMu sync.Mutex
@@ -110,7 +109,7 @@
 			m.Live = func() []string { return []string{m.EntryID} }
 		}
 		m.budget = stream.NewBudget(m.AppendsPerSecond)
-		m.chunks = newRecordCache()
+		m.reader = record.NewReader(m.Log)
 		m.kick = make(chan struct{}, 1)
 		m.parts = map[int]*part{}
 		m.queue = queue.New()
@@ -173,14 +172,14 @@
 	live := m.Live()
 	m.budget.SetLive(len(live))
 	m.noteOutage()
-	preferred := m.owners.preferred(m.EntryID, m.Shards, live)
+	preferred := m.owners.Preferred(m.EntryID, m.Shards, live)
 	for shard := range preferred {
 		m.keep(shard)
 	}
 	caughtUp := true
 	for _, p := range m.allParts() {
 		wanted := preferred[p.id]
-		p.tick(wanted, m.owners.rival(p.id), m.owners.isLive)
+		p.tick(wanted, m.owners.Rival(p.id), m.owners.IsLive)
 		if wanted && !p.caughtUp() {
 			caughtUp = false
 		}
@@ -271,11 +270,7 @@
 	if m.health.FailingSince(m.Now()).IsZero() {
 		return nil
 	}
-	return logRefusal(sardinerock.OutcomeNotRun, "the log takes no records at the moment; nothing was accepted")
-}
-
-func logRefusal(o sardinerock.Outcome, message string) *sardinerock.Refusal {
-	return &sardinerock.Refusal{Code: sardinerock.CodeLogUnavailable, Outcome: o, Message: message, RetryAfter: logRetryAfter}
+	return refuse.Log(sardinerock.OutcomeNotRun, "the log takes no records at the moment; nothing was accepted")
 }
 
 func (m *Manager) noteOutage() {
