quota: package limit renamed to quota

Cause: the split of jobs has brought a package limits (what the bundle sets for batch jobs) at the same time; limit beside limits would be taken for one another. Ruled out: limits of callers into package limits, which reads the bundle for jobs and counts nothing. Ran: go vet ./..., golangci-lint on quota, entry, capa/nodes, go test ./quota ./gate.

--- a/capa/nodes/route.go
+++ b/capa/nodes/route.go
@@ -9,7 +9,7 @@
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/capa/meter"
 	"github.com/sardinerock/sardinerock/gate"
-	"github.com/sardinerock/sardinerock/limit"
+	"github.com/sardinerock/sardinerock/quota"
 	"github.com/sardinerock/sardinerock/route"
 )
 
@@ -98,9 +98,9 @@
 	for _, n := range []int{50, 200, 1800} {
 		before := meter.Memory()
 		now := time.Now()
-		limiter := &limit.Limiter{}
+		limiter := &quota.Limiter{}
 		for i := range n {
-			_ = limiter.Allow(now, fmt.Sprint("caller-", i), limit.CallerLimits{RequestsPerMinute: 600, TokensPerMinute: 1e6}, 500)
+			_ = limiter.Allow(now, fmt.Sprint("caller-", i), quota.CallerLimits{RequestsPerMinute: 600, TokensPerMinute: 1e6}, 500)
 		}
 		callersMem = append(callersMem, meter.At(float64(n), meter.Memory()-before))
 		callers = append(callers, meter.At(float64(n), meter.Timed(func() { limiter.Usage(now) })))
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -4,7 +4,7 @@
 	"sync/atomic"
 
 	"github.com/sardinerock/sardinerock"
-	"github.com/sardinerock/sardinerock/limit"
+	"github.com/sardinerock/sardinerock/quota"
 	"github.com/sardinerock/sardinerock/wire"
 )
 
@@ -40,12 +40,12 @@
 	return x
 }
 
-func (x *callerIndex) limits(name string) limit.CallerLimits {
+func (x *callerIndex) limits(name string) quota.CallerLimits {
 	c := x.callers[name]
 	if c == nil {
-		return limit.CallerLimits{}
+		return quota.CallerLimits{}
 	}
-	return limit.CallerLimits{RequestsPerMinute: c.RequestsPerMinute, TokensPerMinute: c.TokensPerMinute, MaxInFlight: c.MaxInFlight}
+	return quota.CallerLimits{RequestsPerMinute: c.RequestsPerMinute, TokensPerMinute: c.TokensPerMinute, MaxInFlight: c.MaxInFlight}
 }
 
 // weigh puts the shares of the caller and its team into an attempt.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,9 +18,9 @@
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/front"
 	"github.com/sardinerock/sardinerock/jobs"
-	"github.com/sardinerock/sardinerock/limit"
 	"github.com/sardinerock/sardinerock/member"
 	"github.com/sardinerock/sardinerock/peers"
+	"github.com/sardinerock/sardinerock/quota"
 	"github.com/sardinerock/sardinerock/retry"
 	"github.com/sardinerock/sardinerock/route"
 )
@@ -75,7 +75,7 @@
 	table    route.Table
 	budget   retry.Budget
 	suspects retry.Suspects
-	limiter  limit.Limiter
+	limiter  quota.Limiter
 	links    map[string]*sideLink
 	served   map[servedKey]string
 	counter  uint64
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
-	"github.com/sardinerock/sardinerock/limit"
 	"github.com/sardinerock/sardinerock/member"
 	"github.com/sardinerock/sardinerock/peers"
+	"github.com/sardinerock/sardinerock/quota"
 	"github.com/sardinerock/sardinerock/wire"
 )
 
@@ -32,10 +32,10 @@
 
 // usage returns the demand figures of the busiest callers that have a limit. Callers hold e.mu.
 func (e *Entry) usage(now time.Time, callers *callerIndex) []*wire.Usage {
-	busiest := slices.DeleteFunc(e.limiter.Usage(now), func(u limit.Usage) bool {
-		return callers.limits(u.Caller) == (limit.CallerLimits{})
+	busiest := slices.DeleteFunc(e.limiter.Usage(now), func(u quota.Usage) bool {
+		return callers.limits(u.Caller) == (quota.CallerLimits{})
 	})
-	slices.SortFunc(busiest, func(a, b limit.Usage) int {
+	slices.SortFunc(busiest, func(a, b quota.Usage) int {
 		return cmp.Or(cmp.Compare(b.Tokens, a.Tokens), cmp.Compare(b.Requests, a.Requests))
 	})
 	var told []*wire.Usage
@@ -50,7 +50,7 @@
 	every(ctx, member.HeartbeatEvery, func() {
 		now := time.Now()
 		live := len(e.liveEntries())
-		var usage []limit.Usage
+		var usage []quota.Usage
 		heard := 0
 		for _, p := range e.mesh.Peers() {
 			if p.Silent(now) {
@@ -58,7 +58,7 @@
 			}
 			heard++
 			for _, u := range p.Word.Usage {
-				usage = append(usage, limit.Usage{Caller: u.Caller, Requests: u.Requests, Tokens: u.Tokens})
+				usage = append(usage, quota.Usage{Caller: u.Caller, Requests: u.Requests, Tokens: u.Tokens})
 			}
 		}
 		e.mu.Lock()
--- a/limit/bucket.go
+++ b/quota/bucket.go
@@ -1,4 +1,4 @@
-package limit
+package quota
 
 import (
 	"math"
--- a/limit/limiter_test.go
+++ b/quota/limiter_test.go
@@ -1,4 +1,4 @@
-package limit_test
+package quota_test
 
 import (
 	"testing"
@@ -6,7 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/sardinerock/sardinerock/limit"
+	"github.com/sardinerock/sardinerock/quota"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -27,12 +27,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			x := NewWithT(t)
-			var entries [3]limit.Limiter
+			var entries [3]quota.Limiter
 			var granted [180]int
 			for s := range granted {
 				now := epoch.Add(time.Duration(s) * time.Second)
 				for i := range entries {
-					var usage []limit.Usage
+					var usage []quota.Usage
 					for j := range entries {
 						if j != i {
 							usage = append(usage, entries[j].Usage(now)...)
@@ -43,7 +43,7 @@
 				for i, n := range c.share(s) {
 					for k := range n {
 						at := now.Add(time.Duration(k) * time.Second / time.Duration(n))
-						if entries[i].Allow(at, "c", limit.CallerLimits{RequestsPerMinute: 600}, 10) == nil {
+						if entries[i].Allow(at, "c", quota.CallerLimits{RequestsPerMinute: 600}, 10) == nil {
 							granted[s]++
 							entries[i].Finished(at, "c", 10, 10)
 						}
@@ -69,8 +69,8 @@
 // was used: an estimate of 4,000 for an answer of 40 costs 40.
 func TestLimiterCountsWhatWasUsed(t *testing.T) {
 	x := NewWithT(t)
-	var l limit.Limiter
-	limits := limit.CallerLimits{TokensPerMinute: 6000, MaxInFlight: 1}
+	var l quota.Limiter
+	limits := quota.CallerLimits{TokensPerMinute: 6000, MaxInFlight: 1}
 	x.Expect(l.Allow(epoch, "c", limits, 4000)).To(BeNil())
 	x.Expect(l.Allow(epoch, "c", limits, 10)).NotTo(BeNil(), "one in flight")
 	l.Finished(epoch, "c", 4000, 40)
