prefix: the index of cached prefixes moves out of route

The index knows nothing of routing but who the holders are. Moved: Index, now over any holder type, and Held, which each backend server keeps. CacheEvent and CacheReset are the table's and stay there. The map is made at the first prefix instead of by the table. Ruled out: moving the judging of health, which reads the fleet's mean and writes slow start and the list of ejected ones, all of the table.

--- /dev/null
+++ b/prefix/prefix.go
@@ -0,0 +1,89 @@
+package prefix
+
+import (
+	"slices"
+
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// maxPrefixes bounds what is believed of one backend server's cache; the
+	// engine's own memory for prefixes is limited too.
+	maxPrefixes = 4096
+	// maxHolders bounds the holders kept per prefix: a prompt that all share
+	// would list the whole fleet, and then it decides nothing.
+	maxHolders = 16
+)
+
+// Held is what one holder is believed to have cached; only an Index changes it.
+type Held struct {
+	list *lru.LRU[uint64, struct{}]
+}
+
+// Index says which backend servers are believed to hold a prefix.
+//
+// The belief comes from cache events, which are late and have gaps, and from
+// what this entry has sent. A wrong one costs one prefill, as routing never lets
+// a prefix outweigh a queue; a missed drop leaves the list as the least recently
+// used.
+type Index[H comparable] struct {
+	by map[uint64][]H
+}
+
+// Holders returns at most n of those that are believed to hold a prefix.
+func (p *Index[H]) Holders(prefix uint64, n int) []H {
+	all := p.by[prefix]
+	return all[:min(n, len(all))]
+}
+
+// Believe adds prefixes to what h holds.
+func (p *Index[H]) Believe(h H, held *Held, prefixes []uint64) {
+	if len(prefixes) == 0 {
+		return
+	}
+	if p.by == nil {
+		p.by = make(map[uint64][]H)
+	}
+	if held.list == nil {
+		list, err := lru.NewLRU(maxPrefixes, func(prefix uint64, _ struct{}) { p.forget(h, prefix) })
+		if err != nil {
+			return
+		}
+		held.list = list
+	}
+	for _, prefix := range prefixes {
+		if _, ok := held.list.Get(prefix); ok {
+			continue
+		}
+		if all := p.by[prefix]; len(all) < maxHolders {
+			p.by[prefix] = append(all, h)
+			held.list.Add(prefix, struct{}{})
+		}
+	}
+}
+
+// Disbelieve takes prefixes out of what a holder holds.
+func (p *Index[H]) Disbelieve(held *Held, prefixes []uint64) {
+	if held.list == nil {
+		return
+	}
+	for _, prefix := range prefixes {
+		held.list.Remove(prefix)
+	}
+}
+
+// Drop forgets all that a holder holds.
+func (p *Index[H]) Drop(held *Held) {
+	if held.list != nil {
+		held.list.Purge()
+	}
+}
+
+func (p *Index[H]) forget(h H, prefix uint64) {
+	all := slices.DeleteFunc(p.by[prefix], func(x H) bool { return x == h })
+	if len(all) == 0 {
+		delete(p.by, prefix)
+		return
+	}
+	p.by[prefix] = all
+}
--- a/route/backend.go
+++ b/route/backend.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/sardinerock/sardinerock/prefix"
 )
 
 const (
@@ -52,7 +54,7 @@
 	// interval is the usual time between reports in seconds.
 	interval mean
 	health   health
-	holds    *holds
+	held     prefix.Held
 }
 
 func (b *backend) update(r Backend) {
--- a/route/pick.go
+++ b/route/pick.go
@@ -105,7 +105,7 @@
 	for i := len(q.Prefixes) - 1; i >= 0; i-- {
 		var best *backend
 		var bestScore float64
-		for _, b := range t.prefixes.holders(q.Prefixes[i], prefixHolders) {
+		for _, b := range t.prefixes.Holders(q.Prefixes[i], prefixHolders) {
 			if !t.fit(b, q) || !b.serves(want) {
 				continue
 			}
--- a/route/table.go
+++ b/route/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/prefix"
 )
 
 // Backend is one backend server as its side last reported it.
@@ -98,7 +99,7 @@
 
 	backends map[string]*backend
 	groups   map[target]*group
-	prefixes prefixIndex
+	prefixes prefix.Index[*backend]
 	fleet    fleet
 }
 
@@ -119,7 +120,7 @@
 	t.init()
 	b := t.backends[r.ID]
 	if b == nil {
-		b = &backend{rampStart: now, holds: newHolds()}
+		b = &backend{rampStart: now}
 		t.backends[r.ID] = b
 	}
 	changed := b.report.Service != r.Service || b.report.Zone != r.Zone || !slices.Equal(b.report.Loaded, r.Loaded)
@@ -172,7 +173,7 @@
 	}
 	t.unindex(b)
 	t.fleet.subtract(b)
-	t.prefixes.drop(b)
+	t.prefixes.Drop(&b.held)
 	// A removed backend server doesn't count among the ejected ones any more.
 	b.health.ejected = false
 	delete(t.backends, id)
@@ -191,7 +192,7 @@
 		b.own++
 		b.sent++
 	}
-	t.prefixes.believe(b, q.Prefixes)
+	t.prefixes.Believe(b, &b.held, q.Prefixes)
 }
 
 // Finished ends what Started began.
@@ -215,6 +216,23 @@
 	}
 }
 
+// CacheEvent takes what an engine has stored and dropped since the last event.
+func (t *Table) CacheEvent(id string, added, dropped []uint64) {
+	b := t.backends[id]
+	if b == nil {
+		return
+	}
+	t.prefixes.Disbelieve(&b.held, dropped)
+	t.prefixes.Believe(b, &b.held, added)
+}
+
+// CacheReset forgets what a backend server was believed to hold, as after its restart.
+func (t *Table) CacheReset(id string) {
+	if b := t.backends[id]; b != nil {
+		t.prefixes.Drop(&b.held)
+	}
+}
+
 // BatchCredit is how many batch items this entry may send now, over all
 // backend servers with model engines. The idle slots of plain services must not
 // count: no item can take them, so they never go down, and an owner that goes by
@@ -235,7 +253,6 @@
 	if t.backends == nil {
 		t.backends = make(map[string]*backend)
 		t.groups = make(map[target]*group)
-		t.prefixes.init()
 	}
 }
 
