gate: figures of the simulation that no table reads removed

Cause: the simulation counted wasted tokens, refusals and starts of tries that nothing read, and held two constants of the engine as fields that nothing set. The tables (online_test.go) and the simulation drive gate, adapt, route, retry and sched; what their set-up shares is shared already, and the rest are checks.

--- a/gate/sim_test.go
+++ b/gate/sim_test.go
@@ -21,10 +21,13 @@
 // each running stream one token per step and read prompts in chunks. The same
 // seed gives the same run.
 const (
-	hop       = time.Millisecond
-	beatEvery = 200 * time.Millisecond
-	chunk     = 512
-	slots     = 16
+	hop = time.Millisecond
+	// An engine's step takes this long, and longer by each stream.
+	engineStep    = 20 * time.Millisecond
+	stepPerStream = 100 * time.Microsecond
+	beatEvery     = 200 * time.Millisecond
+	chunk         = 512
+	slots         = 16
 )
 
 type world struct {
@@ -38,11 +41,9 @@
 	// fifo, blind and stubborn are the baselines: no gate, random routing, retries without budget.
 	fifo, blind, stubborn bool
 	tries                 int
-	// step, perStream and readPace say how long an engine's step is and how many prompt tokens it reads a second.
-	step, perStream time.Duration
-	readPace        int
-	batchTokens     int
-	wasted          int
+	// readPace is how many prompt tokens an engine reads a second.
+	readPace    int
+	batchTokens int
 }
 
 type event struct {
@@ -99,7 +100,7 @@
 }
 
 func newWorld(seed uint64, entries, sides int, change ...func(*world)) *world {
-	w := &world{random: rand.New(rand.NewPCG(seed, 1)), now: epoch, step: 20 * time.Millisecond, perStream: 100 * time.Microsecond, readPace: 8000}
+	w := &world{random: rand.New(rand.NewPCG(seed, 1)), now: epoch, readPace: 8000}
 	for _, c := range change {
 		c(w)
 	}
@@ -160,7 +161,6 @@
 	entry *entry
 	alone bool
 	query route.Query
-	begun time.Time
 	first time.Time
 	last  time.Time
 	n     int
@@ -232,7 +232,6 @@
 		}
 		return
 	case r.class == sardinerock.ClassBatch:
-		e.w.wasted += t.n
 		return
 	}
 	d := retry.Decide(now, retry.Failure{
@@ -335,7 +334,7 @@
 		}
 		switch a.Kind {
 		case sardinerock.GateStart:
-			t.r.started, t.begun = true, s.w.now
+			t.r.started = true
 			s.engine.submit(s, t)
 		case sardinerock.GateRefuse:
 			delete(s.tries, t.id)
@@ -413,10 +412,10 @@
 
 // result sums up what the callers of some requests got.
 type result struct {
-	sent, ok, late, refused int
-	good                    int
-	firstP99, totalP99      time.Duration
-	totalP50                time.Duration
+	sent, ok, late     int
+	good               int
+	firstP99, totalP99 time.Duration
+	totalP50           time.Duration
 }
 
 func (w *world) sum(of func(*request) bool) result {
@@ -429,7 +428,6 @@
 		x.sent++
 		switch {
 		case !r.ok:
-			x.refused++
 			if r.started && w.now.After(r.deadline()) && r.refusal == nil {
 				x.late++
 			}
--- a/gate/simengine_test.go
+++ b/gate/simengine_test.go
@@ -61,7 +61,7 @@
 		g.unread -= n
 		read += n
 	}
-	length := e.w.step + time.Duration(len(e.running))*e.w.perStream + time.Duration(read)*time.Second/time.Duration(e.w.readPace)
+	length := engineStep + time.Duration(len(e.running))*stepPerStream + time.Duration(read)*time.Second/time.Duration(e.w.readPace)
 	e.w.after(time.Duration(float64(length)*e.slow), func() {
 		for _, g := range e.running {
 			if g.unread == 0 {
