--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,9 +16,9 @@
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/front"
 	"github.com/sardinerock/sardinerock/jobs"
-	"github.com/sardinerock/sardinerock/limit"
 	"github.com/sardinerock/sardinerock/member"
 	"github.com/sardinerock/sardinerock/peers"
+	"github.com/sardinerock/sardinerock/quota"
 	"github.com/sardinerock/sardinerock/retry"
 	"github.com/sardinerock/sardinerock/sides"
 )
@@ -71,7 +71,7 @@
 
 	mu      sync.Mutex
 	budget  retry.Budget
-	limiter limit.Limiter
+	limiter quota.Limiter
 	leaving bool
 }
 
