jobs, buffer: results on their way to the log, in a package of their own

Cause: the buffer of unrecorded results reached into part and Manager for six things. They are fields now (the shard's lock, the clock, who owns, whether to hurry, how long to linger, the count of unrecorded results), and the buffer moves to buffer.Buffer. When an append is worth it, what one append takes and what is forgotten when the shard is lost are unchanged.

Ruled out: a lock of the buffer's own. Whether the shard is owned, what is added and what is taken must be seen as one step, and the two locks would be taken in both orders: Add comes under the shard's lock, Fetch asks for it.

Run: go vet ./..., golangci-lint on jobs and buffer: no issues; go test -race ./jobs: pass; buffer has no tests of its own, those of jobs drive it.

--- /dev/null
+++ b/buffer/doc.go
@@ -0,0 +1,2 @@
+// Package buffer holds what came of a shard's items until the log has it.
+package buffer
--- a/jobs/claim.go
+++ b/jobs/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sardinerock/sardinerock/buffer"
 	"github.com/sardinerock/sardinerock/shard"
 )
 
@@ -17,8 +18,8 @@
 	// believes it gone claims. When two entries lose each other but not the log,
 	// each believes that; claiming at once they void each other's results
 	// before any is recorded (seen: 870 claims and no result in 20 s). An owner
-	// with work writes at least every lingerLeast, so a little more is enough.
-	ownerQuiet = lingerLeast + 500*time.Millisecond
+	// with work writes at least every buffer.LingerLeast, so a little more is enough.
+	ownerQuiet = buffer.LingerLeast + 500*time.Millisecond
 	// claimPauseFirst and claimPauseLast bound how long an entry leaves a shard
 	// alone that was claimed from it. After a pause two entries may each hold the
 	// other for gone; liveness is agreed on again well within the first pause. The
@@ -64,7 +65,7 @@
 
 func (p *part) tickOwned(wanted bool, preferred string, isLive func(string) bool) {
 	p.retryDue()
-	if p.results.ready() {
+	if p.results.Due() {
 		p.writer.Wake()
 	}
 	if wanted || preferred == "" || !isLive(preferred) {
@@ -159,5 +160,5 @@
 func (p *part) recorded() bool {
 	p.Lock()
 	defer p.Unlock()
-	return !p.owns() || (p.inHand() == 0 && p.results.len() == 0)
+	return !p.owns() || (p.inHand() == 0 && p.results.Len() == 0)
 }
--- a/jobs/dispatch.go
+++ b/jobs/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/buffer"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/item"
 	"github.com/sardinerock/sardinerock/limits"
@@ -142,7 +143,7 @@
 		return
 	}
 	w.learnCost(float64(result.PromptTokens + result.CompletionTokens))
-	p.results.add(outcome{job: w.job.Number, index: index, done: done})
+	p.results.Add(buffer.Outcome{Job: w.job.Number, Index: index, Done: done})
 	p.afterItem()
 }
 
@@ -156,14 +157,14 @@
 	if !v.Again {
 		p.m.Events.Warn(event.ItemFailed).Str("job", w.job.ID).Int("item", int(index)).
 			Str("code", string(refusal.Code)).Str("reason", refusal.Message).Msg("item can't be done")
-		p.results.add(outcome{job: w.job.Number, index: index, done: item.Failure(index, customID, refusal)})
+		p.results.Add(buffer.Outcome{Job: w.job.Number, Index: index, Done: item.Failure(index, customID, refusal)})
 		p.afterItem()
 		return
 	}
 	if v.Counts {
 		// Counted at once here, and in the log for the next owner.
 		w.failed[index] = max(w.job.Failures[index], w.failed[index]) + 1
-		p.results.add(outcome{job: w.job.Number, index: index, failure: true})
+		p.results.Add(buffer.Outcome{Job: w.job.Number, Index: index, Failure: true})
 	}
 	delete(w.inHand, index)
 	w.open.Again(index, p.m.Now().Add(v.Wait))
@@ -172,7 +173,7 @@
 
 // afterItem lets the freed slot be used, and results be recorded; the lock is held.
 func (p *part) afterItem() {
-	if p.results.ready() {
+	if p.results.Due() {
 		p.writer.Wake()
 	}
 	p.m.poke()
--- a/jobs/part.go
+++ b/jobs/part.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/buffer"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/follow"
 	"github.com/sardinerock/sardinerock/shard"
@@ -47,14 +48,20 @@
 	works        map[uint32]*work
 	// stopping holds the cancelled jobs whose end is to be recorded, with what still runs of them.
 	stopping map[uint32]*atomic.Int64
-	results  results
+	results  buffer.Buffer
 	keeper   keeper
 }
 
 func newPart(m *Manager, id int) *part {
 	p := &part{m: m, id: id, works: map[uint32]*work{}, stopping: map[uint32]*atomic.Int64{}, lastUsed: m.Now()}
 	p.Log, p.Stream, p.Now, p.Apply, p.Loaded = m.Log, streamName(id), m.Now, p.apply, p.load
-	p.results.p = p
+	p.results = buffer.Buffer{
+		Locker: p, Now: m.Now, Owned: func() (int64, bool) { return p.mine, p.owns() }, Unrecorded: &m.unrecorded, Acked: m.poke,
+		Hurry: func() bool { return m.handBack.Load() || p.quiet() },
+		Linger: func() time.Duration {
+			return buffer.LingerFor(m.owners.LiveCount(), m.owners.OwnCount(), m.AppendsPerSecond)
+		},
+	}
 	p.writer = &stream.Writer{
 		Log: m.Log, Stream: p.Stream, ID: draw(), Budget: m.budget, Now: m.Now, Health: &m.health,
 		Bulk: &p.results, ReadsBack: true,
@@ -155,7 +162,7 @@
 	for _, w := range p.works {
 		p.dropWork(w)
 	}
-	p.results.clear()
+	p.results.Clear()
 	clear(p.stopping)
 	p.drainSince = time.Time{}
 }
@@ -203,7 +210,7 @@
 func (p *part) busy() bool {
 	p.Lock()
 	defer p.Unlock()
-	return p.appending || p.owns() || p.results.len() > 0
+	return p.appending || p.owns() || p.results.Len() > 0
 }
 
 // append puts one record into the shard's stream.
--- a/jobs/work.go
+++ b/jobs/work.go
@@ -102,3 +102,15 @@
 		}
 	}
 }
+
+// quiet says that the results in the buffer are all that the shard's items come to for now; the lock is held.
+func (p *part) quiet() bool {
+	hand := 0
+	for _, w := range p.works {
+		if !w.open.Idle() {
+			return false
+		}
+		hand += len(w.inHand)
+	}
+	return hand <= p.results.Len()
+}
