jobs, keep: checkpoints, copies and expiry decided in a package of their own

Cause: when a checkpoint is due, what is to be copied before the log drops it and what has expired are decisions on the shard's state, the time and the retention. They move to keep.Keeper, with the shard's lock, its state and reading a record passed in. Writing stays in jobs: the checkpoint itself, and one record at a time beside everything else.

They would be made under one epoch and written under another, and all copies would be held in memory.

--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -12,6 +12,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/keep"
 	"github.com/sardinerock/sardinerock/queue"
 	"github.com/sardinerock/sardinerock/record"
 	"github.com/sardinerock/sardinerock/refuse"
@@ -97,7 +98,7 @@
 		setDefault(&m.Shards, defaultShards)
 		setDefault(&m.AppendsPerSecond, defaultAppendsASecond)
 		setDefault(&m.Retention, defaultRetention)
-		setDefault(&m.CheckpointEvery, min(defaultCheckpointEvery, m.Retention/checkpointsPerRetention))
+		setDefault(&m.CheckpointEvery, min(defaultCheckpointEvery, m.Retention/keep.CheckpointsPerRetention))
 		setDefault(&m.MaxUnrecorded, defaultMaxUnrecorded)
 		setDefault(&m.ItemTimeout, defaultItemTimeout)
 		setDefault(&m.IdleFollow, defaultIdle)
--- a/jobs/part.go
+++ b/jobs/part.go
@@ -12,6 +12,8 @@
 	"github.com/sardinerock/sardinerock/buffer"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/follow"
+	"github.com/sardinerock/sardinerock/keep"
+	"github.com/sardinerock/sardinerock/limits"
 	"github.com/sardinerock/sardinerock/shard"
 	"github.com/sardinerock/sardinerock/stream"
 )
@@ -49,7 +51,7 @@
 	// stopping holds the cancelled jobs whose end is to be recorded, with what still runs of them.
 	stopping map[uint32]*atomic.Int64
 	results  buffer.Buffer
-	keeper   keeper
+	keeper   keep.Keeper
 }
 
 func newPart(m *Manager, id int) *part {
@@ -62,6 +64,12 @@
 			return buffer.LingerFor(m.owners.LiveCount(), m.owners.OwnCount(), m.AppendsPerSecond)
 		},
 	}
+	p.keeper = keep.Keeper{
+		Locker: p, Shard: func() (*shard.State, int64) { return p.State, p.mine },
+		Read:       func(at shard.Location) (*shard.Record, error) { return m.reader.Read(m.base, p.Stream, at) },
+		ResultLife: func() time.Duration { return limits.ResultLife(m.Config) },
+		Retention:  m.Retention, CheckpointEvery: m.CheckpointEvery,
+	}
 	p.writer = &stream.Writer{
 		Log: m.Log, Stream: p.Stream, ID: draw(), Budget: m.budget, Now: m.Now, Health: &m.health,
 		Bulk: &p.results, ReadsBack: true,
@@ -92,7 +100,7 @@
 		p.lose("read again from a checkpoint")
 	}
 	p.loaded = true
-	p.keeper.loaded(c)
+	p.keeper.Loaded(c)
 	p.State.OnChange(p.jobChanged)
 	if p.owns() {
 		p.gain()
@@ -104,7 +112,7 @@
 	owned, epoch := p.owns(), p.State.Epoch
 	p.writer.Observe(e)
 	p.State.Apply(e)
-	p.keeper.entries++
+	p.keeper.Folded()
 	if p.State.Epoch != epoch {
 		p.ownerWriter = e.Writer
 	}
