jobs, claim: when to claim and when to hand over, in a package of its own

It moves to claim.Claim, a pure state machine without lock, clock or log: the caller passes the time in. The constants and their reasons move unchanged. What follows from a decision (claiming, releasing, stopping items) stays in jobs.

Ruled out: taking the epoch and the last claim's writer along; they come from the log's order, which has the last word, and are folded in part.

--- a/jobs/claim.go
+++ b/jobs/claim.go
@@ -4,29 +4,10 @@
 	"context"
 	"time"
 
-	"github.com/sardinerock/sardinerock/buffer"
 	"github.com/sardinerock/sardinerock/shard"
 )
 
 const (
-	// drainTime is how long an owner that is to hand a shard over lets its running items end.
-	drainTime = 5 * time.Second
-	// handOverTime is how long the new owner waits for the hand-over before it
-	// claims all the same: the old owner may not see it as live.
-	handOverTime = 15 * time.Second
-	// ownerQuiet is how long the owner must not have written before an entry that
-	// believes it gone claims. When two entries lose each other but not the log,
-	// each believes that; claiming at once they void each other's results
-	// before any is recorded (seen: 870 claims and no result in 20 s). An owner
-	// with work writes at least every buffer.LingerLeast, so a little more is enough.
-	ownerQuiet = buffer.LingerLeast + 500*time.Millisecond
-	// claimPauseFirst and claimPauseLast bound how long an entry leaves a shard
-	// alone that was claimed from it. After a pause two entries may each hold the
-	// other for gone; liveness is agreed on again well within the first pause. The
-	// last is for those that stay apart: an owner must get results recorded
-	// between two claims.
-	claimPauseFirst = 4 * time.Second
-	claimPauseLast  = time.Minute
 	// handBackRunning is how long items may still run in an entry that stops; the rest of handBackTime is for the log.
 	handBackRunning = 3 * time.Second
 	// controlTimeout bounds the wait for one of an owner's own records.
@@ -45,21 +26,14 @@
 		return
 	}
 	if !wanted || p.appending || !p.Current() || p.m.handBack.Load() {
-		p.waitingSince = time.Time{}
+		p.claim.NotWanted()
 		return
 	}
-	now := p.m.Now()
-	if now.Before(p.claimAfter) {
+	owner := p.State.Owner
+	other := owner != "" && owner != p.m.EntryID
+	if !p.claim.May(p.m.Now(), other, isLive(owner)) {
 		return
 	}
-	if p.State.Owner != "" && p.State.Owner != p.m.EntryID && (isLive(p.State.Owner) || now.Sub(p.ownerSeen) < ownerQuiet) {
-		if p.waitingSince.IsZero() {
-			p.waitingSince = now
-		}
-		if now.Sub(p.waitingSince) < handOverTime {
-			return
-		}
-	}
 	p.send(&shard.Record{Kind: &shard.Record_Claim{Claim: &shard.Claim{Owner: p.m.EntryID, Replaces: p.State.Epoch}}})
 }
 
@@ -69,18 +43,14 @@
 		p.writer.Wake()
 	}
 	if wanted || preferred == "" || !isLive(preferred) {
-		if !p.drainSince.IsZero() {
+		if p.claim.Draining() {
 			p.callOffDrain()
 		}
 		p.stopCancelled()
 		p.keepUp()
 		return
 	}
-	now := p.m.Now()
-	if p.drainSince.IsZero() {
-		p.drainSince = now
-	}
-	if now.Sub(p.drainSince) > drainTime {
+	if p.claim.Drain(p.m.Now()) {
 		p.cancelRunning()
 	}
 	if p.inHand() == 0 && !p.appending {
@@ -91,7 +61,7 @@
 // callOffDrain goes on with a shard whose new owner went away before the
 // hand-over: its jobs were taken out of the queue and would never run again; the lock is held.
 func (p *part) callOffDrain() {
-	p.drainSince = time.Time{}
+	p.claim.EndDrain()
 	for _, w := range p.works {
 		p.m.enqueue(w)
 	}
--- a/jobs/dispatch.go
+++ b/jobs/dispatch.go
@@ -61,7 +61,7 @@
 		p.m.dequeue(w)
 		return false
 	}
-	if !p.drainSince.IsZero() {
+	if p.claim.Draining() {
 		p.m.pause(w)
 		return false
 	}
--- a/jobs/fault_test.go
+++ b/jobs/fault_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/claim"
 	"github.com/sardinerock/sardinerock/limits"
 )
 
@@ -64,7 +65,7 @@
 	two := f.start("entry2", func(m *Manager) { m.Shards = 1 })
 	f.setLive("entry2")
 	// A few seconds are promised; the claim without a hand-over would come after fifteen.
-	g.Eventually(two.owns, handOverTime/2).Should(Equal(1))
+	g.Eventually(two.owns, claim.HandOverTime/2).Should(Equal(1))
 	f.expectState(two, s.ID, sardinerock.JobFinished)
 	f.expectResults(two, s.ID, 500)
 }
--- a/jobs/part.go
+++ b/jobs/part.go
@@ -10,6 +10,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/buffer"
+	"github.com/sardinerock/sardinerock/claim"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/follow"
 	"github.com/sardinerock/sardinerock/keep"
@@ -37,17 +38,12 @@
 	mine    int64
 	claimed bool
 
-	// ownerWriter is who made the last claim, and ownerSeen when it last wrote.
+	// ownerWriter is who made the last claim.
 	ownerWriter uint64
-	ownerSeen   time.Time
-	// claimAfter and claimPause hold this entry back from a shard that was claimed from it.
-	claimAfter time.Time
-	claimPause time.Duration
-
-	appending    bool
-	waitingSince time.Time
-	drainSince   time.Time
-	works        map[uint32]*work
+	claim       claim.Claim
+
+	appending bool
+	works     map[uint32]*work
 	// stopping holds the cancelled jobs whose end is to be recorded, with what still runs of them.
 	stopping map[uint32]*atomic.Int64
 	results  buffer.Buffer
@@ -118,7 +114,7 @@
 	}
 	if e.Writer == p.ownerWriter && p.Current() {
 		// Not while catching up: what the owner wrote an hour ago says nothing.
-		p.ownerSeen = p.m.Now()
+		p.claim.OwnerSeen(p.m.Now())
 	}
 	if p.State.Epoch == epoch {
 		return
@@ -130,23 +126,13 @@
 		p.lose("released")
 	} else if owned {
 		p.lose("another owner in the log")
-		p.holdBack()
+		p.claim.HoldBack(p.m.Now())
 	}
 	if p.owns() {
 		p.gain()
 	}
 }
 
-// holdBack keeps this entry from claiming a shard back at once, longer each time.
-func (p *part) holdBack() {
-	now := p.m.Now()
-	if now.Sub(p.claimAfter) > claimPauseLast {
-		p.claimPause = claimPauseFirst
-	}
-	p.claimAfter = now.Add(p.claimPause)
-	p.claimPause = min(2*p.claimPause, claimPauseLast)
-}
-
 // owns says that this process made the last claim; the lock is held. A claim of an
 // earlier process with the same id doesn't count: what that one had under way
 // may still turn up in the log.
@@ -156,7 +142,7 @@
 
 // gain starts to dispatch the shard; the lock is held.
 func (p *part) gain() {
-	p.drainSince, p.waitingSince = time.Time{}, time.Time{}
+	p.claim.Gained()
 	p.m.Events.Info(event.ShardClaimed).Int("shard", p.id).Int64("epoch", p.mine).Int("jobs", len(p.State.Jobs)).Msg("owns the shard")
 	for _, j := range p.State.Numbers {
 		p.jobChanged(j)
@@ -172,7 +158,7 @@
 	}
 	p.results.Clear()
 	clear(p.stopping)
-	p.drainSince = time.Time{}
+	p.claim.EndDrain()
 }
 
 // jobChanged follows a job's life where it concerns dispatch; the lock is held.
