jobs: the tests run on the stand-in log of package fakes

Cause: the tests of jobs held an in-memory log of their own (185 lines) beside fakes.Log. They use that one now, and what it has no knob for (a share of refused appends and of lost answers, appends alone failing, latency of appends, counting) is in the cable through which entries reach it, together with the pause and the cut that were there. Benchmarks start entries as tests do.

Checks are the same. Retention is played by the log's knob instead of by a loop that trimmed it; both streams are looked at before the knob is reset, so that all that is too old is gone as before. An append through a cable that is not paused now keeps its deadline; it lost it before also without a pause.

--- a/jobs/bench_test.go
+++ b/jobs/bench_test.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,20 +19,15 @@
 )
 
 // benchEntry starts one entry and waits until it is ready.
-func benchEntry(b *testing.B, log sardinerock.Log, id string, live func() []string, shards, slots int, delay time.Duration) (*Manager, *fakeRunner) {
-	runner := &fakeRunner{slots: slots, delay: delay}
-	m := &Manager{Log: log, Runner: runner, EntryID: id, Shards: shards, Live: live}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = m.Run(ctx)
-	}()
-	b.Cleanup(func() { cancel(); <-done })
-	for !m.Ready() {
+func benchEntry(f *fleet, id string, runner *fakeRunner, change func(m *Manager)) (*Manager, *fakeRunner) {
+	e := f.startWith(id, runner, func(m *Manager) {
+		m.Shards, m.AppendsPerSecond = 1, 0
+		change(m)
+	})
+	for !e.Ready() {
 		time.Sleep(time.Millisecond)
 	}
-	return m, runner
+	return e.Manager, e.runner
 }
 
 func benchItems(n, size int) func(yield func(sardinerock.JobItem) error) error {
@@ -90,24 +86,21 @@
 		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
 			var alone, through, appends, overhead float64
 			for b.Loop() {
-				log := newFakeLog()
+				log := newLog()
 				log.latency = 2 * time.Millisecond
-				m, runner := benchEntry(b, log, "entry1", nil, shards, slots, delay)
+				m, runner := benchEntry(newFleet(b, log), "entry1", &fakeRunner{slots: slots, delay: delay}, func(m *Manager) { m.Shards = shards })
 				alone += runAlone(runner, itemsOfJob, slots)
-				before, bytesBefore := log.appends, log.bytes
+				before, bytesBefore := log.appends.Load(), log.bytes.Load()
 				runner.closed.Store(true)
 				ids := createSpread(b, m, itemsOfJob, shards)
 				runner.closed.Store(false)
 				opened := time.Now()
-				total := 0
 				for caller, id := range ids {
 					waitFinished(b, m, caller, id)
 				}
 				through += itemsOfJob / time.Since(opened).Seconds()
-				log.set(func(l *fakeLog) {
-					appends += float64(l.appends-before) / itemsOfJob
-					total = l.bytes - bytesBefore
-				})
+				appends += float64(log.appends.Load()-before) / itemsOfJob
+				total := int(log.bytes.Load() - bytesBefore)
 				for caller, id := range ids {
 					total -= payload(b, m, caller, id, benchItems(itemsOfJob/len(ids), 200))
 				}
@@ -166,13 +159,21 @@
 func BenchmarkTakeOver(b *testing.B) {
 	var spent time.Duration
 	for b.Loop() {
-		log := newFakeLog()
+		log := newLog()
 		log.latency = 2 * time.Millisecond
-		f := &fleet{log: log}
-		f.setLive("entry1")
+		f := newFleet(b, log)
+		var lostOwner atomic.Bool
+		// entry2 is on the list only once entry1 is off it.
+		live := func() []string {
+			if lostOwner.Load() {
+				return []string{"entry2"}
+			}
+			return []string{"entry1"}
+		}
 		wire := &cable{Log: log}
-		_, runner := benchEntry(b, wire, "entry1", f.liveIDs, 1, 64, 5*time.Millisecond)
-		two, _ := benchEntry(b, log, "entry2", f.liveIDs, 1, 64, 5*time.Millisecond)
+		one := &fakeRunner{slots: 64, delay: 5 * time.Millisecond}
+		_, runner := benchEntry(f, "entry1", one, func(m *Manager) { m.Log, m.Live = wire, live })
+		two, _ := benchEntry(f, "entry2", &fakeRunner{slots: 64, delay: 5 * time.Millisecond}, func(m *Manager) { m.Live = live })
 		status, err := two.Create(context.Background(), spec("k"), benchItems(50000, 200))
 		if err != nil {
 			b.Fatal(err)
@@ -187,7 +188,7 @@
 			b.Fatal(err)
 		}
 		lost := time.Now()
-		f.setLive("entry2")
+		lostOwner.Store(true)
 		for {
 			now, err := two.Get(context.Background(), "finance", status.ID)
 			if err != nil {
@@ -261,7 +262,7 @@
 // BenchmarkStart measures the start from a checkpoint of 100,000 items.
 func BenchmarkStart(b *testing.B) {
 	const items = 100000
-	log := newFakeLog()
+	log := newLog()
 	state, err := openState(items).Encode()
 	if err != nil {
 		b.Fatal(err)
@@ -287,8 +288,8 @@
 func BenchmarkCreate(b *testing.B) {
 	const n = 200000
 	for b.Loop() {
-		log := newFakeLog()
-		m, _ := benchEntry(b, log, "entry1", nil, 1, 0, 0)
+		log := newLog()
+		m, _ := benchEntry(newFleet(b, log), "entry1", &fakeRunner{}, func(*Manager) {})
 		before := liveHeap()
 		var most int64
 		items := func(yield func(sardinerock.JobItem) error) error {
@@ -296,7 +297,7 @@
 			return benchItems(n, 200)(func(it sardinerock.JobItem) error {
 				if i++; i%50000 == 0 {
 					now := liveHeap()
-					log.set(func(l *fakeLog) { most = max(most, now-before-int64(l.bytes)) })
+					most = max(most, now-before-log.bytes.Load())
 				}
 				return yield(it)
 			})
--- a/jobs/cable_test.go
+++ b/jobs/cable_test.go
@@ -3,72 +3,124 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/fakes"
 )
 
-// cable is one entry's way to the log: it can be paused, as a stopped process is, or cut.
+// cable is a way to the log, of all entries or of one: it can be paused, as a
+// stopped process is, or cut, and lose single appends or their answers.
 type cable struct {
 	sardinerock.Log
-	mu     sync.Mutex
-	paused chan struct{}
-	cut    bool
+	// lose and refuse are shares of the appends; lost ones took effect.
+	lose, refuse float64
+	// latency is added to each append.
+	latency time.Duration
 	// held and heldReads count the appends and reads that wait for the pause to end.
 	held, heldReads atomic.Int64
+	// appends and bytes count what took effect.
+	appends, bytes atomic.Int64
+
+	mu     sync.Mutex
+	paused chan struct{}
+	// cut makes every call fail, noAppends every append.
+	cut, noAppends bool
+	random         *rand.Rand
 }
 
 var errCut = errors.New("cable cut")
 
+// newLog returns a cable to a log of its own.
+func newLog() *cable {
+	return &cable{Log: &fakes.Log{Knobs: fakes.LogKnobs{OffsetStep: 3}}, random: rand.New(rand.NewPCG(1, 2))}
+}
+
 func (c *cable) pause() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.paused = make(chan struct{})
+	c.set(func(c *cable) { c.paused = make(chan struct{}) })
 }
 
 func (c *cable) resume() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	close(c.paused)
-	c.paused = nil
+	c.set(func(c *cable) {
+		close(c.paused)
+		c.paused = nil
+	})
 }
 
 func (c *cable) sever() {
+	c.set(func(c *cable) { c.cut = true })
+}
+
+func (c *cable) set(f func(c *cable)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cut = true
+	f(c)
 }
 
 // pass waits out a pause whatever the deadline: a stopped process sees none go by.
-func (c *cable) pass() error {
+func (c *cable) pass() (waited bool, err error) {
 	c.mu.Lock()
 	paused, cut := c.paused, c.cut
 	c.mu.Unlock()
 	if cut {
-		return errCut
+		return false, errCut
 	}
 	if paused != nil {
 		<-paused
 	}
-	return nil
+	return paused != nil, nil
+}
+
+// draw says what goes wrong with one append.
+func (c *cable) draw() (refused, lost bool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.noAppends {
+		return false, false, errCut
+	}
+	if c.random == nil {
+		return false, false, nil
+	}
+	return c.random.Float64() < c.refuse, c.random.Float64() < c.lose, nil
 }
 
 func (c *cable) Append(ctx context.Context, name string, data []byte) (int64, error) {
+	time.Sleep(c.latency)
 	c.held.Add(1)
-	err := c.pass()
+	waited, err := c.pass()
 	c.held.Add(-1)
 	if err != nil {
 		return 0, err
 	}
-	// What a stopped process was about to send goes out when it goes on, whatever the time.
-	return c.Log.Append(context.WithoutCancel(ctx), name, data)
+	if waited {
+		// What a stopped process was about to send goes out when it goes on, whatever the time.
+		ctx = context.WithoutCancel(ctx)
+	}
+	refused, lost, err := c.draw()
+	if err != nil {
+		return 0, err
+	}
+	if refused {
+		return 0, sardinerock.ErrLogRefused
+	}
+	offset, err := c.Log.Append(ctx, name, data)
+	if err != nil {
+		return 0, err
+	}
+	c.appends.Add(1)
+	c.bytes.Add(int64(len(data)))
+	if lost {
+		return 0, errCut
+	}
+	return offset, nil
 }
 
 func (c *cable) Read(ctx context.Context, name string, from int64, wait time.Duration) ([]sardinerock.LogRecord, error) {
 	c.heldReads.Add(1)
-	err := c.pass()
+	_, err := c.pass()
 	c.heldReads.Add(-1)
 	if err != nil {
 		return nil, err
@@ -77,8 +129,32 @@
 }
 
 func (c *cable) Bounds(ctx context.Context, name string) (sardinerock.LogBounds, error) {
-	if err := c.pass(); err != nil {
+	if _, err := c.pass(); err != nil {
 		return sardinerock.LogBounds{}, err
 	}
 	return c.Log.Bounds(ctx, name)
 }
+
+// retain lets the log drop what is older than age for a while, and returns the
+// bounds of the named streams at the end; records go when a stream is looked at.
+func (c *cable) retain(age, during time.Duration, names ...string) []sardinerock.LogBounds {
+	log := c.Log.(*fakes.Log)
+	knobs := log.Knobs
+	knobs.KeepMs = int(age.Milliseconds())
+	log.SetKnobs(knobs)
+	time.Sleep(during)
+	var all []sardinerock.LogBounds
+	for _, name := range names {
+		b, err := log.Bounds(context.Background(), name)
+		if err != nil {
+			panic(err)
+		}
+		all = append(all, b)
+	}
+	knobs.KeepMs = 0
+	log.SetKnobs(knobs)
+	return all
+}
+
+// forget drops all that a stream holds.
+func (c *cable) forget(name string) { c.retain(time.Millisecond, 10*time.Millisecond, name) }
--- a/jobs/fault_test.go
+++ b/jobs/fault_test.go
@@ -54,7 +54,7 @@
 func TestOwnerLostAfterAcknowledgement(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	log := newFakeLog()
+	log := newLog()
 	f := newFleet(t, log)
 	wire := &cable{Log: log}
 	one := f.startWith("entry1", &fakeRunner{slots: 16, delay: 5 * time.Millisecond}, func(m *Manager) { m.Log = wire; m.Shards = 1 })
@@ -77,7 +77,7 @@
 func TestPausedOwnerComesBack(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	log := newFakeLog()
+	log := newLog()
 	f := newFleet(t, log)
 	wire := &cable{Log: log}
 	one := f.startWith("entry1", &fakeRunner{slots: 16, delay: 2 * time.Millisecond}, func(m *Manager) { m.Log = wire; m.Shards = 1 })
@@ -102,9 +102,9 @@
 // while the log is down. Running items go on until the buffer of results is
 // full. When the log is back all results are recorded, each once.
 func TestLogOutage(t *testing.T) {
-	tables := map[string]func(l *fakeLog, out bool){
-		"no answer to anything": func(l *fakeLog, out bool) { l.down = out },
-		"reads go on":           func(l *fakeLog, out bool) { l.noAppends = out },
+	tables := map[string]func(c *cable, out bool){
+		"no answer to anything": func(c *cable, out bool) { c.cut = out },
+		"reads go on":           func(c *cable, out bool) { c.noAppends = out },
 	}
 	for name, outage := range tables {
 		t.Run(name, func(t *testing.T) {
@@ -114,16 +114,16 @@
 	}
 }
 
-func playOutage(t *testing.T, outage func(l *fakeLog, out bool)) {
+func playOutage(t *testing.T, outage func(c *cable, out bool)) {
 	g := NewWithT(t)
-	log := newFakeLog()
+	log := newLog()
 	f := newFleet(t, log)
 	one := f.startWith("entry1", &fakeRunner{slots: 16, delay: time.Millisecond}, func(m *Manager) { m.MaxUnrecorded = 300 })
 	g.Eventually(one.Ready, patience).Should(BeTrue())
 	s, err := one.Create(context.Background(), spec("k"), items(2000))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Eventually(one.runner.count, patience).Should(BeNumerically(">", 50))
-	log.set(func(l *fakeLog) { outage(l, true) })
+	log.set(func(c *cable) { outage(c, true) })
 	g.Eventually(one.logFailing, patience).ShouldNot(BeNil())
 	g.Eventually(func() sardinerock.Code {
 		_, err := one.Create(context.Background(), spec("k2"), items(10))
@@ -138,7 +138,7 @@
 	_, err = one.Create(context.Background(), spec("k2"), items(10))
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(time.Since(started)).To(BeNumerically("<", 2*time.Second))
-	log.set(func(l *fakeLog) { outage(l, false) })
+	log.set(func(c *cable) { outage(c, false) })
 	f.expectState(one, s.ID, sardinerock.JobFinished)
 	f.expectResults(one, s.ID, 2000)
 	for id, n := range one.runner.all() {
@@ -152,7 +152,7 @@
 func TestResentJobWithLostAnswers(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	log := newFakeLog()
+	log := newLog()
 	log.lose, log.refuse = 0.3, 0.2
 	f := newFleet(t, log)
 	entries := []*entry{f.start("entry1", nil), f.start("entry2", nil), f.start("entry3", nil)}
@@ -184,7 +184,7 @@
 func TestRebalancingStopsNoWork(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	log := newFakeLog()
+	log := newLog()
 	f := newFleet(t, log)
 	one := f.startWith("entry1", &fakeRunner{slots: 200, delay: 300 * time.Millisecond}, nil)
 	f.expectOwned(map[*entry]int{one: 4})
@@ -216,7 +216,7 @@
 func TestHandOverCalledOff(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	f := newFleet(t, newFakeLog())
+	f := newFleet(t, newLog())
 	one := f.startWith("entry1", &fakeRunner{slots: 16, delay: 400 * time.Millisecond}, nil)
 	f.expectOwned(map[*entry]int{one: 4})
 	var ids []string
@@ -240,7 +240,7 @@
 func TestItemsThatCannotBeDone(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	f := newFleet(t, newFakeLog())
+	f := newFleet(t, newLog())
 	runner := &fakeRunner{slots: 16}
 	runner.refuse = func(r *sardinerock.Request) error {
 		switch {
@@ -271,7 +271,7 @@
 func TestEntriesThatLostEachOther(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	log := newFakeLog()
+	log := newLog()
 	f := newFleet(t, log)
 	alone := func(id string) func(*Manager) {
 		return func(m *Manager) {
@@ -292,7 +292,7 @@
 	for id := range two.runner.all() {
 		runs += two.runner.runs(id)
 	}
-	t.Logf("%d runs for 6000 items, %d appends", runs, log.appended())
+	t.Logf("%d runs for 6000 items, %d appends", runs, log.appends.Load())
 	g.Expect(runs).To(BeNumerically("<", 2*6000))
-	g.Expect(log.appended()).To(BeNumerically("<", 200))
+	g.Expect(log.appends.Load()).To(BeNumerically("<", 200))
 }
--- a/jobs/keep_test.go
+++ b/jobs/keep_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/limits"
+	"github.com/sardinerock/sardinerock/stream"
 )
 
 // An entry that starts long after reads all results although the log has
@@ -20,22 +21,15 @@
 func TestResultsOutliveRetention(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	log := newFakeLog()
+	log := newLog()
 	f := newFleet(t, log)
 	short := func(m *Manager) { m.Shards = 1; m.Retention = 2 * time.Second }
 	one := f.start("entry1", short)
 	s, err := one.Create(context.Background(), spec("k"), items(400))
 	g.Expect(err).NotTo(HaveOccurred())
 	f.expectState(one, s.ID, sardinerock.JobFinished)
-	until := time.Now().Add(5 * time.Second)
-	for time.Now().Before(until) {
-		cut := log.ages(2 * time.Second)
-		for name, before := range cut {
-			log.trim(name, before)
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	g.Expect(log.firstOf("jobs-0")).To(BeNumerically(">", 0))
+	bounds := log.retain(2*time.Second, 5*time.Second, "jobs-0", stream.CheckpointStream("jobs-0"))
+	g.Expect(bounds[0].First).To(BeNumerically(">", 0))
 	two := f.start("entry2", func(m *Manager) { m.Shards = 1; m.Retention = time.Hour })
 	f.expectResults(two, s.ID, 400)
 }
@@ -45,13 +39,13 @@
 func TestGapWithoutCheckpointIsNotEmpty(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	log := newFakeLog()
+	log := newLog()
 	f := newFleet(t, log)
 	one := f.start("entry1", func(m *Manager) { m.Shards = 1 })
 	_, err := one.Create(context.Background(), spec("k"), items(10))
 	g.Expect(err).NotTo(HaveOccurred())
 	one.end()
-	log.trim("jobs-0", log.nextOf("jobs-0"))
+	log.forget("jobs-0")
 	f.setLive()
 	two := f.start("entry2", func(m *Manager) { m.Shards = 1 })
 	_, err = two.Create(context.Background(), spec("k"), items(10))
@@ -66,7 +60,7 @@
 func TestResultsExpire(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	f := newFleet(t, newFakeLog())
+	f := newFleet(t, newLog())
 	var ahead atomic.Int64
 	one := f.start("entry1", func(m *Manager) {
 		m.Shards = 1
@@ -92,7 +86,7 @@
 func TestForeignShardIsFollowedOnlyWhileAskedFor(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	f := newFleet(t, newFakeLog())
+	f := newFleet(t, newLog())
 	one := f.start("entry1", nil)
 	f.expectOwned(map[*entry]int{one: 4})
 	// entry2 believes that only entry1 is live, so no shard is its own.
@@ -113,7 +107,7 @@
 func TestFileComesBackWhole(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	log := newFakeLog()
+	log := newLog()
 	log.lose = 0.3
 	f := newFleet(t, log)
 	one, two := f.start("entry1", nil), f.start("entry2", nil)
@@ -138,7 +132,7 @@
 func TestReaderThatLostItsPlaceDoesNotDenyJobs(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	log := newFakeLog()
+	log := newLog()
 	f := newFleet(t, log)
 	wire := &cable{Log: log}
 	one := f.start("entry1", func(m *Manager) { m.Log = wire; m.Shards = 1 })
@@ -151,7 +145,7 @@
 	two := f.start("entry2", func(m *Manager) { m.Shards = 1 })
 	_, err = two.Create(context.Background(), spec("k2"), items(10))
 	g.Expect(err).NotTo(HaveOccurred())
-	log.trim("jobs-0", log.nextOf("jobs-0"))
+	log.forget("jobs-0")
 	wire.resume()
 	for range 50 {
 		_, err = one.Get(context.Background(), "finance", s.ID)
--- a/jobs/manager_test.go
+++ b/jobs/manager_test.go
@@ -79,7 +79,7 @@
 
 // fleet is some entries on one log.
 type fleet struct {
-	t    *testing.T
+	t    testing.TB
 	log  sardinerock.Log
 	mu   sync.Mutex
 	live []string
@@ -93,7 +93,7 @@
 	done   chan struct{}
 }
 
-func newFleet(t *testing.T, log sardinerock.Log) *fleet {
+func newFleet(t testing.TB, log sardinerock.Log) *fleet {
 	return &fleet{t: t, log: log, all: map[string]*entry{}}
 }
 
@@ -205,7 +205,7 @@
 
 func TestJobRunsFromEntryToResults(t *testing.T) {
 	g := NewWithT(t)
-	f := newFleet(t, newFakeLog())
+	f := newFleet(t, newLog())
 	one := f.start("entry1", nil)
 	two := f.start("entry2", nil)
 	s, err := two.Create(context.Background(), spec("k"), items(1000))
@@ -228,7 +228,7 @@
 
 func TestCancelledJobStopsAndKeepsItsResults(t *testing.T) {
 	g := NewWithT(t)
-	f := newFleet(t, newFakeLog())
+	f := newFleet(t, newLog())
 	one := f.startWith("entry1", &fakeRunner{slots: 16, delay: 20 * time.Millisecond}, nil)
 	s, err := one.Create(context.Background(), spec("k"), items(2000))
 	g.Expect(err).NotTo(HaveOccurred())
@@ -244,7 +244,7 @@
 }
 
 func TestJobsThatAreRefused(t *testing.T) {
-	f := newFleet(t, newFakeLog())
+	f := newFleet(t, newLog())
 	one := f.start("entry1", nil)
 	list := func(all ...sardinerock.JobItem) func(func(sardinerock.JobItem) error) error {
 		return func(yield func(sardinerock.JobItem) error) error {
