jobs, runq: the queue of running jobs in a package of its own

Cause: the queue and the map from its jobs to their dispatch stood in Manager under a lock of their own, taken in five places of three files. Both and the lock move to runq.Queue, generic over what belongs to a job, so that the order of locks (a shard's, then this one) is kept by the methods' being leaves.

Ruled out: adding the lock to package queue, whose decisions take none.

Run: go vet ./..., golangci-lint on jobs and runq: no issues; go test -race ./jobs: pass; runq has no tests of its own, those of jobs drive it.

--- a/jobs/claim.go
+++ b/jobs/claim.go
@@ -63,7 +63,7 @@
 func (p *part) callOffDrain() {
 	p.claim.EndDrain()
 	for _, w := range p.works {
-		p.m.enqueue(w)
+		p.m.queue.Put(w.queued, w)
 	}
 }
 
--- a/jobs/dispatch.go
+++ b/jobs/dispatch.go
@@ -32,8 +32,8 @@
 	// Items on their way to the runner hold a slot that it doesn't know of yet.
 	slots := m.Runner.IdleSlots() - int(m.starting.Load())
 	for slots > 0 && ctx.Err() == nil && m.unrecorded.Load()+m.atRunner.Load() < int64(m.MaxUnrecorded) {
-		w := m.pick()
-		if w == nil {
+		w, found := m.queue.Next()
+		if !found {
 			return
 		}
 		if w.start() {
@@ -42,32 +42,22 @@
 	}
 }
 
-func (m *Manager) pick() *work {
-	m.queueMu.Lock()
-	defer m.queueMu.Unlock()
-	j := m.queue.Next()
-	if j == nil {
-		return nil
-	}
-	return m.works[j.ID]
-}
-
 // start starts the job's next item, or takes the job out of the queue if none may start now.
 func (w *work) start() bool {
 	p := w.p
 	p.Lock()
 	defer p.Unlock()
 	if p.works[w.job.Number] != w || !p.owns() {
-		p.m.dequeue(w)
+		p.m.queue.Drop(w.job.ID, w)
 		return false
 	}
 	if p.claim.Draining() {
-		p.m.pause(w)
+		p.m.queue.Pause(w.job.ID)
 		return false
 	}
 	index, ok := w.open.Next(p.m.Now())
 	if !ok {
-		p.m.pause(w)
+		p.m.queue.Pause(w.job.ID)
 		return false
 	}
 	ctx, cancel := context.WithTimeout(p.m.base, p.m.ItemTimeout)
@@ -84,13 +74,6 @@
 	return true
 }
 
-// pause takes the job out of the queue until an item of it may start.
-func (m *Manager) pause(w *work) {
-	m.queueMu.Lock()
-	defer m.queueMu.Unlock()
-	m.queue.Remove(w.job.ID)
-}
-
 // run runs one item and says what came of it.
 func (p *part) run(ctx context.Context, w *work, index uint32) {
 	it, err := p.item(ctx, w.job, index)
@@ -142,7 +125,7 @@
 	if p.works[w.job.Number] != w || !p.owns() {
 		return
 	}
-	w.learnCost(float64(result.PromptTokens + result.CompletionTokens))
+	p.m.queue.Learn(w.queued, float64(result.PromptTokens+result.CompletionTokens))
 	p.results.Add(buffer.Outcome{Job: w.job.Number, Index: index, Done: done})
 	p.afterItem()
 }
@@ -178,12 +161,3 @@
 	}
 	p.m.poke()
 }
-
-// costSmoothing is how much one item moves the cost expected of the next.
-const costSmoothing = 0.1
-
-func (w *work) learnCost(tokens float64) {
-	w.p.m.queueMu.Lock()
-	defer w.p.m.queueMu.Unlock()
-	w.queued.Cost += costSmoothing * (tokens - w.queued.Cost)
-}
--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -13,9 +13,9 @@
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/keep"
-	"github.com/sardinerock/sardinerock/queue"
 	"github.com/sardinerock/sardinerock/record"
 	"github.com/sardinerock/sardinerock/refuse"
+	"github.com/sardinerock/sardinerock/runq"
 	"github.com/sardinerock/sardinerock/spread"
 	"github.com/sardinerock/sardinerock/stream"
 )
@@ -79,10 +79,8 @@
 	stopped bool
 	owners  spread.Owners
 
-	// queueMu guards queue, and is taken after a part's mutex.
-	queueMu sync.Mutex
-	queue   *queue.Queue
-	works   map[string]*work
+	// queue has a lock of its own, which is taken after a part's mutex.
+	queue *runq.Queue[*work]
 
 	unrecorded atomic.Int64
 	atRunner   atomic.Int64
@@ -113,8 +111,7 @@
 		m.reader = record.NewReader(m.Log)
 		m.kick = make(chan struct{}, 1)
 		m.parts = map[int]*part{}
-		m.queue = queue.New()
-		m.works = map[string]*work{}
+		m.queue = runq.New[*work]()
 	})
 }
 
--- a/jobs/work.go
+++ b/jobs/work.go
@@ -35,7 +35,7 @@
 	w := &work{p: p, job: j, open: cursor.Cursor{Job: j}, inHand: map[uint32]context.CancelFunc{}, notRun: map[uint32]int{}, failed: map[uint32]uint32{}}
 	w.queued = &queue.Job{ID: j.ID, Share: limits.Share(p.m.Config, j.Caller), Due: j.Due, Cost: defaultCost}
 	p.works[j.Number] = w
-	p.m.enqueue(w)
+	p.m.queue.Put(w.queued, w)
 }
 
 // dropWork cancels what runs of the job and forgets it.
@@ -44,23 +44,7 @@
 		cancel()
 	}
 	delete(p.works, w.job.Number)
-	p.m.dequeue(w)
-}
-
-func (m *Manager) enqueue(w *work) {
-	m.queueMu.Lock()
-	defer m.queueMu.Unlock()
-	m.works[w.job.ID] = w
-	m.queue.Put(w.queued)
-}
-
-func (m *Manager) dequeue(w *work) {
-	m.queueMu.Lock()
-	defer m.queueMu.Unlock()
-	m.queue.Remove(w.job.ID)
-	if m.works[w.job.ID] == w {
-		delete(m.works, w.job.ID)
-	}
+	p.m.queue.Drop(w.job.ID, w)
 }
 
 // settle lets go of the items whose result the log has.
@@ -80,7 +64,7 @@
 	now := p.m.Now()
 	for _, w := range p.works {
 		if w.open.Due(now) {
-			p.m.enqueue(w)
+			p.m.queue.Put(w.queued, w)
 		}
 	}
 }
