jobs, part: what an entry does for its shards, in a package of its own

What answers callers (create, get, list, cancel, results, files) and what an owner does for a shard (following, claiming, dispatch, recording, checkpoints, handing over) share only the shard as followed. The second moves to package part; of Manager it sees part.Shared, which holds the settings and counts that all shards of an entry have in common. The users of a shard and the time of the last one stay in jobs (type held), as the manager's mutex guards them.

The code is moved, with names exported where jobs calls it.

Ruled out: part calling back into Manager through an interface. It would have had twenty methods for one implementation.

--- a/jobs/bench_test.go
+++ b/jobs/bench_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/item"
+	"github.com/sardinerock/sardinerock/part"
 	"github.com/sardinerock/sardinerock/shard"
 	"github.com/sardinerock/sardinerock/stream"
 )
@@ -268,12 +269,12 @@
 		b.Fatal(err)
 	}
 	c := &stream.Checkpoint{Resume: 0, State: state, AtMs: 1}
-	if err := stream.SaveCheckpoint(context.Background(), log, nil, streamName(0), 1, c); err != nil {
+	if err := stream.SaveCheckpoint(context.Background(), log, nil, part.StreamName(0), 1, c); err != nil {
 		b.Fatal(err)
 	}
 	b.ReportMetric(float64(len(state))/items, "checkpointB/item")
 	for b.Loop() {
-		loaded, err := stream.LoadCheckpoint(context.Background(), log, streamName(0), 0)
+		loaded, err := stream.LoadCheckpoint(context.Background(), log, part.StreamName(0), 0)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/jobs/create.go
+++ b/jobs/create.go
@@ -5,6 +5,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/limits"
+	"github.com/sardinerock/sardinerock/part"
 	"github.com/sardinerock/sardinerock/refuse"
 	"github.com/sardinerock/sardinerock/spread"
 	"github.com/sardinerock/sardinerock/upload"
@@ -26,8 +27,8 @@
 	if err := p.reachable(ctx); err != nil {
 		return nil, err
 	}
-	u := upload.New(ctx, draw(), spec.Path)
-	u.Writer, u.Reach, u.Now, u.Most, u.ChunkBytes = p.writer, p.Reach, m.Now, limits.MaxItems(m.Config), m.ChunkBytes
+	u := upload.New(ctx, part.Draw(), spec.Path)
+	u.Writer, u.Reach, u.Now, u.Most, u.ChunkBytes = p.Writer, p.Reach, m.Now, limits.MaxItems(m.Config), m.ChunkBytes
 	// The first copy of a resent job is in the log already: only compare.
 	_, err := p.status(spec.Caller, id)
 	u.CompareOnly = err == nil
@@ -47,7 +48,7 @@
 
 // reachable brings the shard up to the end of its stream, or refuses: with a log
 // that can't even be read an append would only end with an answer that is open.
-func (p *part) reachable(ctx context.Context) error {
+func (p *held) reachable(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	if err := p.Sync(ctx); err != nil {
@@ -57,7 +58,7 @@
 }
 
 // verdict says what the log's order made of a job that was sent: accepted, met by its first copy, or in conflict.
-func (p *part) verdict(spec sardinerock.JobSpec, id string, digest uint64) (*sardinerock.JobStatus, error) {
+func (p *held) verdict(spec sardinerock.JobSpec, id string, digest uint64) (*sardinerock.JobStatus, error) {
 	p.Lock()
 	defer p.Unlock()
 	j := p.State.Jobs[id]
--- a/jobs/doc.go
+++ b/jobs/doc.go
@@ -1,3 +1,3 @@
-// Package jobs takes batch jobs into the log, runs the items of the shards
-// that this entry owns, and answers for all of them.
+// Package jobs takes batch jobs into the log and answers for all of them. What
+// an entry does for a shard that it owns is in package part.
 package jobs
--- a/jobs/fault_test.go
+++ b/jobs/fault_test.go
@@ -21,7 +21,7 @@
 	n := 0
 	for _, p := range e.allParts() {
 		p.Lock()
-		if p.owns() {
+		if p.Owns() {
 			n++
 		}
 		p.Unlock()
@@ -132,8 +132,8 @@
 		g.Expect(r.Outcome).To(Equal(sardinerock.OutcomeNotRun))
 		return r.Code
 	}, patience).Should(Equal(sardinerock.CodeLogUnavailable))
-	g.Eventually(one.unrecorded.Load, patience).Should(BeNumerically(">=", 300))
-	g.Consistently(one.unrecorded.Load, 300*time.Millisecond).Should(BeNumerically("<=", 300))
+	g.Eventually(one.shared.Unrecorded.Load, patience).Should(BeNumerically(">=", 300))
+	g.Consistently(one.shared.Unrecorded.Load, 300*time.Millisecond).Should(BeNumerically("<=", 300))
 	started := time.Now()
 	_, err = one.Create(context.Background(), spec("k2"), items(10))
 	g.Expect(err).To(HaveOccurred())
@@ -196,7 +196,7 @@
 		ids = append(ids, s.ID)
 	}
 	// More than half of all is in hand, in every shard that is to move.
-	g.Eventually(one.atRunner.Load, patience).Should(BeNumerically(">=", 200))
+	g.Eventually(one.shared.AtRunner.Load, patience).Should(BeNumerically(">=", 200))
 	two := f.startWith("entry2", &fakeRunner{slots: 16, delay: 5 * time.Millisecond}, nil)
 	g.Eventually(func() bool { return two.owns() > 0 && one.owns()+two.owns() == 4 }, patience).Should(BeTrue())
 	two.end()
@@ -225,7 +225,7 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		ids = append(ids, s.ID)
 	}
-	g.Eventually(one.atRunner.Load, patience).Should(BeNumerically(">=", 16))
+	g.Eventually(one.shared.AtRunner.Load, patience).Should(BeNumerically(">=", 16))
 	f.setLive("entry1", "entry2", "entry3", "entry4")
 	time.Sleep(12 * tickEvery)
 	f.setLive("entry1")
--- a/jobs/file.go
+++ b/jobs/file.go
@@ -24,5 +24,5 @@
 }
 
 func (m *Manager) fileStore() *files.Store {
-	return &files.Store{Log: m.Log, Streams: m.Shards, Budget: m.budget, Now: m.Now}
+	return &files.Store{Log: m.Log, Streams: m.Shards, Budget: m.shared.Budget, Now: m.Now}
 }
--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,10 +11,9 @@
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/keep"
+	"github.com/sardinerock/sardinerock/part"
 	"github.com/sardinerock/sardinerock/record"
 	"github.com/sardinerock/sardinerock/refuse"
-	"github.com/sardinerock/sardinerock/runq"
-	"github.com/sardinerock/sardinerock/spread"
 	"github.com/sardinerock/sardinerock/stream"
 )
 
@@ -32,8 +29,6 @@
 	defaultCheckpointEvery = 10 * time.Minute
 
 	tickEvery = 50 * time.Millisecond
-	// handBackTime bounds how long a stopping entry records results and releases its shards.
-	handBackTime = 5 * time.Second
 )
 
 // Manager is one entry's part in the batch work of the fleet.
@@ -67,28 +62,23 @@
 	ChunkBytes int
 
 	once   sync.Once
-	budget *stream.Budget
-	health stream.Health
-	reader *record.Reader
-	kick   chan struct{}
+	shared *part.Shared
 
 	// mu guards parts, and is taken before a part's own mutex.
 	mu      sync.Mutex
-	parts   map[int]*part
-	base    context.Context
+	parts   map[int]*held
 	stopped bool
-	owners  spread.Owners
 
-	// queue has a lock of its own, which is taken after a part's mutex.
-	queue *runq.Queue[*work]
+	ready  atomic.Bool
+	outage bool
+}
 
-	unrecorded atomic.Int64
-	atRunner   atomic.Int64
-	starting   atomic.Int64
-	running    sync.WaitGroup
-	ready      atomic.Bool
-	handBack   atomic.Bool
-	outage     bool
+// held is a shard with its users in this entry, which the manager's mutex guards.
+type held struct {
+	*part.Part
+	m        *Manager
+	users    int
+	lastUsed time.Time
 }
 
 func (m *Manager) setUp() {
@@ -107,11 +97,14 @@
 		if m.Live == nil {
 			m.Live = func() []string { return []string{m.EntryID} }
 		}
-		m.budget = stream.NewBudget(m.AppendsPerSecond)
-		m.reader = record.NewReader(m.Log)
-		m.kick = make(chan struct{}, 1)
-		m.parts = map[int]*part{}
-		m.queue = runq.New[*work]()
+		m.parts = map[int]*held{}
+		m.shared = part.NewShared()
+		m.shared.Log, m.shared.Runner, m.shared.Config = m.Log, m.Runner, m.Config
+		m.shared.EntryID, m.shared.Events, m.shared.Now = m.EntryID, m.Events, m.Now
+		m.shared.AppendsPerSecond, m.shared.Budget = m.AppendsPerSecond, stream.NewBudget(m.AppendsPerSecond)
+		m.shared.Retention, m.shared.CheckpointEvery = m.Retention, m.CheckpointEvery
+		m.shared.MaxUnrecorded, m.shared.ItemTimeout = m.MaxUnrecorded, m.ItemTimeout
+		m.shared.Reader = record.NewReader(m.Log)
 	})
 }
 
@@ -128,21 +121,21 @@
 	base, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	m.mu.Lock()
-	m.base = base
+	m.shared.Base = base
 	for _, p := range m.parts {
-		p.start(base)
+		p.Start(base)
 	}
 	m.mu.Unlock()
 	g, gctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return m.tend(gctx) })
-	g.Go(func() error { return m.dispatch(gctx) })
+	g.Go(func() error { return m.shared.Dispatch(gctx) })
 	err := g.Wait()
 	m.handBackAll()
 	m.mu.Lock()
 	m.stopped = true
 	m.mu.Unlock()
 	stop()
-	m.running.Wait()
+	m.shared.Running.Wait()
 	if ctx.Err() != nil {
 		return nil
 	}
@@ -168,17 +161,17 @@
 
 func (m *Manager) tick() {
 	live := m.Live()
-	m.budget.SetLive(len(live))
+	m.shared.Budget.SetLive(len(live))
 	m.noteOutage()
-	preferred := m.owners.Preferred(m.EntryID, m.Shards, live)
+	preferred := m.shared.Owners.Preferred(m.EntryID, m.Shards, live)
 	for shard := range preferred {
 		m.keep(shard)
 	}
 	caughtUp := true
 	for _, p := range m.allParts() {
-		wanted := preferred[p.id]
-		p.tick(wanted, m.owners.Rival(p.id), m.owners.IsLive)
-		if wanted && !p.caughtUp() {
+		wanted := preferred[p.ID]
+		p.Tick(wanted, m.shared.Owners.Rival(p.ID), m.shared.Owners.IsLive)
+		if wanted && !p.CaughtUp() {
 			caughtUp = false
 		}
 		if !wanted {
@@ -186,48 +179,40 @@
 		}
 	}
 	m.ready.Store(caughtUp)
-	m.poke()
+	m.shared.Poke()
 }
 
-func (m *Manager) allParts() []*part {
+func (m *Manager) allParts() []*held {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	all := make([]*part, 0, len(m.parts))
+	all := make([]*held, 0, len(m.parts))
 	for _, p := range m.parts {
 		all = append(all, p)
 	}
 	return all
 }
 
-// poke makes the dispatcher look for work.
-func (m *Manager) poke() {
-	select {
-	case m.kick <- struct{}{}:
-	default:
-	}
-}
-
 // keep makes sure that the shard is followed, without counting as a user of it.
-func (m *Manager) keep(shard int) *part {
+func (m *Manager) keep(shard int) *held {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.partLocked(shard)
 }
 
-func (m *Manager) partLocked(shard int) *part {
+func (m *Manager) partLocked(shard int) *held {
 	p := m.parts[shard]
 	if p == nil {
-		p = newPart(m, shard)
+		p = &held{Part: part.New(m.shared, shard), m: m, lastUsed: m.Now()}
 		m.parts[shard] = p
-		if m.base != nil && !m.stopped {
-			p.start(m.base)
+		if m.shared.Base != nil && !m.stopped {
+			p.Start(m.shared.Base)
 		}
 	}
 	return p
 }
 
 // use returns the shard, followed until release is called and some time beyond.
-func (m *Manager) use(shard int) (p *part, release func()) {
+func (m *Manager) use(shard int) (p *held, release func()) {
 	m.setUp()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -243,56 +228,48 @@
 
 // dropIdle stops following a shard that nobody asks about: with hundreds of
 // entries, each that was asked once would otherwise read every stream for good.
-func (m *Manager) dropIdle(p *part) {
+func (m *Manager) dropIdle(p *held) {
 	m.mu.Lock()
-	idle := p.users == 0 && m.Now().Sub(p.lastUsed) > m.IdleFollow && !p.busy()
+	idle := p.users == 0 && m.Now().Sub(p.lastUsed) > m.IdleFollow && !p.Busy()
 	if idle {
-		delete(m.parts, p.id)
+		delete(m.parts, p.ID)
 	}
 	m.mu.Unlock()
 	if idle {
-		p.stop()
+		p.Stop()
 	}
 }
 
-// draw returns the id of a writer, an upload or a checkpoint. It comes from the
-// system's own source and never from a seed in the settings: two processes with
-// one seed would draw the same ids, and folding would take what the second
-// writes for copies of what the first wrote.
-func draw() uint64 { return rand.Uint64() | 1 }
-
-func streamName(shard int) string { return fmt.Sprintf("jobs-%d", shard) }
-
 // logFailing returns a refusal while the log takes no appends: the job was not touched.
 func (m *Manager) logFailing() *sardinerock.Refusal {
-	if m.health.FailingSince(m.Now()).IsZero() {
+	if m.shared.Health.FailingSince(m.Now()).IsZero() {
 		return nil
 	}
 	return refuse.Log(sardinerock.OutcomeNotRun, "the log takes no records at the moment; nothing was accepted")
 }
 
 func (m *Manager) noteOutage() {
-	failing := !m.health.FailingSince(m.Now()).IsZero()
+	failing := !m.shared.Health.FailingSince(m.Now()).IsZero()
 	if failing == m.outage {
 		return
 	}
 	m.outage = failing
 	if failing {
-		m.Events.Warn(event.LogOutage).Int64("unrecorded", m.unrecorded.Load()).Msg("the log takes no appends")
+		m.Events.Warn(event.LogOutage).Int64("unrecorded", m.shared.Unrecorded.Load()).Msg("the log takes no appends")
 		return
 	}
-	m.Events.Info(event.LogBack).Int64("unrecorded", m.unrecorded.Load()).Msg("the log takes appends again")
+	m.Events.Info(event.LogBack).Int64("unrecorded", m.shared.Unrecorded.Load()).Msg("the log takes appends again")
 }
 
-// handBackAll records the results in hand and releases the shards, within handBackTime.
+// handBackAll records the results in hand and releases the shards, within part.HandBackTime.
 func (m *Manager) handBackAll() {
-	m.handBack.Store(true)
-	ctx, cancel := context.WithTimeout(m.base, handBackTime)
+	m.shared.HandBack.Store(true)
+	ctx, cancel := context.WithTimeout(m.shared.Base, part.HandBackTime)
 	defer cancel()
 	var g errgroup.Group
 	for _, p := range m.allParts() {
 		g.Go(func() error {
-			p.handBack(ctx)
+			p.HandBack(ctx)
 			return nil
 		})
 	}
--- a/jobs/manager_test.go
+++ b/jobs/manager_test.go
@@ -177,15 +177,9 @@
 func (f *fleet) dump() {
 	for id, e := range f.all {
 		for _, p := range e.allParts() {
-			p.Lock()
-			f.t.Logf("%s shard %d: owner %q epoch %d mine %d claimed %v drain %v appending %v in hand %d buffered %d current %v",
-				id, p.id, p.State.Owner, p.State.Epoch, p.mine, p.claimed, p.claim.Draining(), p.appending, p.inHand(), p.results.Len(), p.Current())
-			for n, w := range p.works {
-				f.t.Logf("  job %d: cursor %d of %d, %d done, %d retries, %d in hand", n, w.open.Seen, w.job.Total, w.job.Completed, w.open.Waiting(), len(w.inHand))
-			}
-			p.Unlock()
+			f.t.Logf("%s %s", id, p)
 		}
-		f.t.Logf("  running %d unrecorded %d starting %d queue %d", e.atRunner.Load(), e.unrecorded.Load(), e.starting.Load(), e.queue.Len())
+		f.t.Logf("  %s", e.shared)
 	}
 }
 
--- a/jobs/store.go
+++ b/jobs/store.go
@@ -110,7 +110,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, upload.SealTimeout)
 	defer cancel()
-	offset, err := p.append(ctx, &shard.Record{Kind: &shard.Record_Cancel{Cancel: &shard.Cancel{Job: id}}}, m.Now().Add(upload.SealGiveUp))
+	offset, err := p.Append(ctx, &shard.Record{Kind: &shard.Record_Cancel{Cancel: &shard.Cancel{Job: id}}}, m.Now().Add(upload.SealGiveUp))
 	if err == nil {
 		err = p.Reach(ctx, offset)
 	}
@@ -145,9 +145,9 @@
 	position int
 }
 
-func (p *part) yieldResults(ctx context.Context, id string, from, to int, yield func(sardinerock.ItemResult) error) error {
+func (p *held) yieldResults(ctx context.Context, id string, from, to int, yield func(sardinerock.ItemResult) error) error {
 	for _, a := range p.answers(id, from, to) {
-		d, err := p.m.reader.Answer(ctx, p.Stream, a.at, a.position)
+		d, err := p.m.shared.Reader.Answer(ctx, p.Stream, a.at, a.position)
 		if err != nil {
 			return refuse.Log(sardinerock.OutcomeNotRun, "results can't be read from the log: "+err.Error())
 		}
@@ -162,7 +162,7 @@
 	return nil
 }
 
-func (p *part) answers(id string, from, to int) []answerPlace {
+func (p *held) answers(id string, from, to int) []answerPlace {
 	p.Lock()
 	defer p.Unlock()
 	j := p.State.Jobs[id]
@@ -180,7 +180,7 @@
 
 // current brings the shard up to the end of its stream. In an outage of the
 // log what is known already is good enough to look at: it only can be old.
-func (p *part) current(ctx context.Context) error {
+func (p *held) current(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	err := p.Sync(ctx)
@@ -195,7 +195,7 @@
 	return refuse.Log(sardinerock.OutcomeNotRun, "the log can't be read: "+err.Error())
 }
 
-func (p *part) status(caller, id string) (*sardinerock.JobStatus, error) {
+func (p *held) status(caller, id string) (*sardinerock.JobStatus, error) {
 	p.Lock()
 	defer p.Unlock()
 	j := p.State.Jobs[id]
--- a/jobs/claim.go
+++ b/part/claim.go
@@ -1,4 +1,4 @@
-package jobs
+package part
 
 import (
 	"context"
@@ -8,39 +8,43 @@
 )
 
 const (
-	// handBackRunning is how long items may still run in an entry that stops; the rest of handBackTime is for the log.
+	// HandBackTime bounds how long a stopping entry records results and releases its shards.
+	HandBackTime = 5 * time.Second
+	// handBackPoll is how often such an entry looks whether all is recorded.
+	handBackPoll = 50 * time.Millisecond
+	// handBackRunning is how long items may still run in an entry that stops; the rest of HandBackTime is for the log.
 	handBackRunning = 3 * time.Second
 	// controlTimeout bounds the wait for one of an owner's own records.
 	controlTimeout = 10 * time.Second
 )
 
-// tick moves the shard's ownership on. Time and liveness decide only who tries; the log's order decides who owns.
-func (p *part) tick(wanted bool, preferred string, isLive func(string) bool) {
+// Tick moves the shard's ownership on. Time and liveness decide only who tries; the log's order decides who owns.
+func (p *Part) Tick(wanted bool, preferred string, isLive func(string) bool) {
 	p.Lock()
 	defer p.Unlock()
 	if p.State == nil {
 		return
 	}
-	if p.owns() {
+	if p.Owns() {
 		p.tickOwned(wanted, preferred, isLive)
 		return
 	}
-	if !wanted || p.appending || !p.Current() || p.m.handBack.Load() {
+	if !wanted || p.appending || !p.Current() || p.shared.HandBack.Load() {
 		p.claim.NotWanted()
 		return
 	}
 	owner := p.State.Owner
-	other := owner != "" && owner != p.m.EntryID
-	if !p.claim.May(p.m.Now(), other, isLive(owner)) {
+	other := owner != "" && owner != p.shared.EntryID
+	if !p.claim.May(p.shared.Now(), other, isLive(owner)) {
 		return
 	}
-	p.send(&shard.Record{Kind: &shard.Record_Claim{Claim: &shard.Claim{Owner: p.m.EntryID, Replaces: p.State.Epoch}}})
+	p.send(&shard.Record{Kind: &shard.Record_Claim{Claim: &shard.Claim{Owner: p.shared.EntryID, Replaces: p.State.Epoch}}})
 }
 
-func (p *part) tickOwned(wanted bool, preferred string, isLive func(string) bool) {
+func (p *Part) tickOwned(wanted bool, preferred string, isLive func(string) bool) {
 	p.retryDue()
 	if p.results.Due() {
-		p.writer.Wake()
+		p.Writer.Wake()
 	}
 	if wanted || preferred == "" || !isLive(preferred) {
 		if p.claim.Draining() {
@@ -50,7 +54,7 @@
 		p.keepUp()
 		return
 	}
-	if p.claim.Drain(p.m.Now()) {
+	if p.claim.Drain(p.shared.Now()) {
 		p.cancelRunning()
 	}
 	if p.inHand() == 0 && !p.appending {
@@ -60,15 +64,15 @@
 
 // callOffDrain goes on with a shard whose new owner went away before the
 // hand-over: its jobs were taken out of the queue and would never run again; the lock is held.
-func (p *part) callOffDrain() {
+func (p *Part) callOffDrain() {
 	p.claim.EndDrain()
 	for _, w := range p.works {
-		p.m.queue.Put(w.queued, w)
+		p.shared.queue.Put(w.queued, w)
 	}
 }
 
 // stopCancelled ends cancelled jobs of which nothing runs any more; the lock is held.
-func (p *part) stopCancelled() {
+func (p *Part) stopCancelled() {
 	if p.appending {
 		return
 	}
@@ -82,19 +86,19 @@
 }
 
 // send appends one of the owner's own records beside everything else, one at a time; the lock is held.
-func (p *part) send(r *shard.Record) {
+func (p *Part) send(r *shard.Record) {
 	p.sendMade(func() *shard.Record { return r })
 }
 
 // sendMade is send for a record that takes reading the log to make.
-func (p *part) sendMade(make func() *shard.Record) {
+func (p *Part) sendMade(make func() *shard.Record) {
 	p.appending = true
 	p.done.Go(func() {
 		// The record may be dropped if its fate is open when we stop waiting: what it asks for is asked again.
-		ctx, cancel := context.WithTimeout(p.m.base, controlTimeout)
+		ctx, cancel := context.WithTimeout(p.shared.Base, controlTimeout)
 		defer cancel()
 		if r := make(); r != nil {
-			offset, err := p.append(ctx, r, p.m.Now().Add(controlTimeout/2))
+			offset, err := p.Append(ctx, r, p.shared.Now().Add(controlTimeout/2))
 			if err == nil {
 				_ = p.Reach(ctx, offset)
 			}
@@ -105,30 +109,30 @@
 	})
 }
 
-// handBack lets running items end for a while, records what is in hand and leaves the shard to others.
-func (p *part) handBack(ctx context.Context) {
+// HandBack lets running items end for a while, records what is in hand and leaves the shard to others.
+func (p *Part) HandBack(ctx context.Context) {
 	p.Lock()
-	owned, epoch := p.owns(), p.mine
+	owned, epoch := p.Owns(), p.mine
 	p.Unlock()
 	if !owned {
 		return
 	}
-	deadline := p.m.Now().Add(handBackRunning)
+	deadline := p.shared.Now().Add(handBackRunning)
 	for ctx.Err() == nil && !p.recorded() {
-		if !p.m.Now().Before(deadline) {
+		if !p.shared.Now().Before(deadline) {
 			p.Lock()
 			p.cancelRunning()
 			p.Unlock()
 		}
-		p.writer.Wake()
-		rest(ctx, tickEvery)
+		p.Writer.Wake()
+		rest(ctx, handBackPoll)
 	}
 	r := &shard.Record{Kind: &shard.Record_Release{Release: &shard.Release{Epoch: epoch}}}
-	_, _ = p.append(ctx, r, p.m.Now().Add(handBackTime/2))
+	_, _ = p.Append(ctx, r, p.shared.Now().Add(HandBackTime/2))
 }
 
-func (p *part) recorded() bool {
+func (p *Part) recorded() bool {
 	p.Lock()
 	defer p.Unlock()
-	return !p.owns() || (p.inHand() == 0 && p.results.Len() == 0)
+	return !p.Owns() || (p.inHand() == 0 && p.results.Len() == 0)
 }
--- a/jobs/dispatch.go
+++ b/part/dispatch.go
@@ -1,4 +1,4 @@
-package jobs
+package part
 
 import (
 	"context"
@@ -13,26 +13,26 @@
 	"github.com/sardinerock/sardinerock/shard"
 )
 
-// dispatch starts items whenever the fleet has room for them.
-func (m *Manager) dispatch(ctx context.Context) error {
+// Dispatch starts items whenever the fleet has room for them.
+func (s *Shared) Dispatch(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-m.kick:
+		case <-s.kick:
 		}
-		m.fill(ctx)
+		s.fill(ctx)
 	}
 }
 
 // fill starts items until the idle slots, the buffer of unrecorded results or
 // the items run out. What runs has its place in the buffer already: in an
 // outage of the log every result must find room, or work that is done would be lost.
-func (m *Manager) fill(ctx context.Context) {
+func (s *Shared) fill(ctx context.Context) {
 	// Items on their way to the runner hold a slot that it doesn't know of yet.
-	slots := m.Runner.IdleSlots() - int(m.starting.Load())
-	for slots > 0 && ctx.Err() == nil && m.unrecorded.Load()+m.atRunner.Load() < int64(m.MaxUnrecorded) {
-		w, found := m.queue.Next()
+	slots := s.Runner.IdleSlots() - int(s.Starting.Load())
+	for slots > 0 && ctx.Err() == nil && s.Unrecorded.Load()+s.AtRunner.Load() < int64(s.MaxUnrecorded) {
+		w, found := s.queue.Next()
 		if !found {
 			return
 		}
@@ -47,27 +47,27 @@
 	p := w.p
 	p.Lock()
 	defer p.Unlock()
-	if p.works[w.job.Number] != w || !p.owns() {
-		p.m.queue.Drop(w.job.ID, w)
+	if p.works[w.job.Number] != w || !p.Owns() {
+		p.shared.queue.Drop(w.job.ID, w)
 		return false
 	}
 	if p.claim.Draining() {
-		p.m.queue.Pause(w.job.ID)
+		p.shared.queue.Pause(w.job.ID)
 		return false
 	}
-	index, ok := w.open.Next(p.m.Now())
+	index, ok := w.open.Next(p.shared.Now())
 	if !ok {
-		p.m.queue.Pause(w.job.ID)
+		p.shared.queue.Pause(w.job.ID)
 		return false
 	}
-	ctx, cancel := context.WithTimeout(p.m.base, p.m.ItemTimeout)
+	ctx, cancel := context.WithTimeout(p.shared.Base, p.shared.ItemTimeout)
 	w.inHand[index] = cancel
 	w.running.Add(1)
-	p.m.atRunner.Add(1)
-	p.m.starting.Add(1)
-	p.m.running.Go(func() {
+	p.shared.AtRunner.Add(1)
+	p.shared.Starting.Add(1)
+	p.shared.Running.Go(func() {
 		defer cancel()
-		defer p.m.atRunner.Add(-1)
+		defer p.shared.AtRunner.Add(-1)
 		defer w.running.Add(-1)
 		p.run(ctx, w, index)
 	})
@@ -75,15 +75,15 @@
 }
 
 // run runs one item and says what came of it.
-func (p *part) run(ctx context.Context, w *work, index uint32) {
+func (p *Part) run(ctx context.Context, w *work, index uint32) {
 	it, err := p.item(ctx, w.job, index)
-	p.m.starting.Add(-1)
+	p.shared.Starting.Add(-1)
 	if err != nil {
 		p.end(w, index, "", refuse.Input(err), p.judge(w, index, refuse.Input(err)))
 		return
 	}
-	r := item.Request(w.job, index, it, p.m.Now().Add(p.m.ItemTimeout))
-	result, text, err := p.m.Runner.RunItem(ctx, r)
+	r := item.Request(w.job, index, it, p.shared.Now().Add(p.shared.ItemTimeout))
+	result, text, err := p.shared.Runner.RunItem(ctx, r)
 	if err != nil {
 		refusal := sardinerock.AsRefusal(err)
 		p.end(w, index, it.GetCustomId(), refusal, p.judge(w, index, refusal))
@@ -99,46 +99,46 @@
 }
 
 // item returns an item's input.
-func (p *part) item(ctx context.Context, j *shard.Job, index uint32) (*shard.Item, error) {
+func (p *Part) item(ctx context.Context, j *shard.Job, index uint32) (*shard.Item, error) {
 	p.Lock()
 	at, ok := j.Chunk(index)
 	p.Unlock()
 	if !ok {
 		return nil, sardinerock.ErrNotFound
 	}
-	return p.m.reader.Item(ctx, p.Stream, at, index)
+	return p.shared.Reader.Item(ctx, p.Stream, at, index)
 }
 
 // judge decides what happens to an item that was refused.
-func (p *part) judge(w *work, index uint32, refusal *sardinerock.Refusal) queue.Verdict {
+func (p *Part) judge(w *work, index uint32, refusal *sardinerock.Refusal) queue.Verdict {
 	p.Lock()
 	defer p.Unlock()
 	w.notRun[index]++
 	return queue.Judge(refusal, queue.Attempts{
-		Failed: max(w.job.Failures[index], w.failed[index]), NotRun: w.notRun[index], Due: w.job.Due, Now: p.m.Now(), Most: limits.MaxAttempts(p.m.Config),
+		Failed: max(w.job.Failures[index], w.failed[index]), NotRun: w.notRun[index], Due: w.job.Due, Now: p.shared.Now(), Most: limits.MaxAttempts(p.shared.Config),
 	})
 }
 
-func (p *part) succeed(w *work, index uint32, done *shard.ItemDone, result sardinerock.Result) {
+func (p *Part) succeed(w *work, index uint32, done *shard.ItemDone, result sardinerock.Result) {
 	p.Lock()
 	defer p.Unlock()
-	if p.works[w.job.Number] != w || !p.owns() {
+	if p.works[w.job.Number] != w || !p.Owns() {
 		return
 	}
-	p.m.queue.Learn(w.queued, float64(result.PromptTokens+result.CompletionTokens))
+	p.shared.queue.Learn(w.queued, float64(result.PromptTokens+result.CompletionTokens))
 	p.results.Add(buffer.Outcome{Job: w.job.Number, Index: index, Done: done})
 	p.afterItem()
 }
 
 // end takes an item back that did not succeed, or records its failure.
-func (p *part) end(w *work, index uint32, customID string, refusal *sardinerock.Refusal, v queue.Verdict) {
+func (p *Part) end(w *work, index uint32, customID string, refusal *sardinerock.Refusal, v queue.Verdict) {
 	p.Lock()
 	defer p.Unlock()
-	if p.works[w.job.Number] != w || !p.owns() {
+	if p.works[w.job.Number] != w || !p.Owns() {
 		return
 	}
 	if !v.Again {
-		p.m.Events.Warn(event.ItemFailed).Str("job", w.job.ID).Int("item", int(index)).
+		p.shared.Events.Warn(event.ItemFailed).Str("job", w.job.ID).Int("item", int(index)).
 			Str("code", string(refusal.Code)).Str("reason", refusal.Message).Msg("item can't be done")
 		p.results.Add(buffer.Outcome{Job: w.job.Number, Index: index, Done: item.Failure(index, customID, refusal)})
 		p.afterItem()
@@ -150,14 +150,14 @@
 		p.results.Add(buffer.Outcome{Job: w.job.Number, Index: index, Failure: true})
 	}
 	delete(w.inHand, index)
-	w.open.Again(index, p.m.Now().Add(v.Wait))
+	w.open.Again(index, p.shared.Now().Add(v.Wait))
 	p.afterItem()
 }
 
 // afterItem lets the freed slot be used, and results be recorded; the lock is held.
-func (p *part) afterItem() {
+func (p *Part) afterItem() {
 	if p.results.Due() {
-		p.writer.Wake()
+		p.Writer.Wake()
 	}
-	p.m.poke()
+	p.shared.Poke()
 }
--- a/jobs/keep.go
+++ b/part/keep.go
@@ -1,4 +1,4 @@
-package jobs
+package part
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 const checkpointTimeout = time.Minute
 
 // keepUp starts what is due; the lock is held.
-func (p *part) keepUp() {
-	now := p.m.Now()
+func (p *Part) keepUp() {
+	now := p.shared.Now()
 	if p.keeper.StartCheckpoint(now) {
 		p.done.Go(p.checkpoint)
 	}
@@ -24,22 +24,22 @@
 	}
 }
 
-func (p *part) checkpoint() {
-	ctx, cancel := context.WithTimeout(p.m.base, checkpointTimeout)
+func (p *Part) checkpoint() {
+	ctx, cancel := context.WithTimeout(p.shared.Base, checkpointTimeout)
 	defer cancel()
 	c, err := p.Checkpoint(ctx)
 	if err == nil {
 		p.Lock()
 		p.keeper.SavedState()
 		p.Unlock()
-		err = stream.SaveCheckpoint(ctx, p.m.Log, p.m.budget, p.Stream, draw(), c)
+		err = stream.SaveCheckpoint(ctx, p.shared.Log, p.shared.Budget, p.Stream, Draw(), c)
 	}
 	p.Lock()
 	defer p.Unlock()
-	p.keeper.EndCheckpoint(p.m.Now())
+	p.keeper.EndCheckpoint(p.shared.Now())
 	if err != nil {
-		p.m.Events.Warn(event.Checkpointed).Int("shard", p.id).Err(err).Msg("checkpoint failed")
+		p.shared.Events.Warn(event.Checkpointed).Int("shard", p.ID).Err(err).Msg("checkpoint failed")
 		return
 	}
-	p.m.Events.Info(event.Checkpointed).Int("shard", p.id).Int64("resume", c.Resume).Int("bytes", len(c.State)).Msg("checkpoint written")
+	p.shared.Events.Info(event.Checkpointed).Int("shard", p.ID).Int64("resume", c.Resume).Int("bytes", len(c.State)).Msg("checkpoint written")
 }
--- a/jobs/part.go
+++ b/part/part.go
@@ -1,4 +1,4 @@
-package jobs
+package part
 
 import (
 	"context"
@@ -19,19 +19,17 @@
 	"github.com/sardinerock/sardinerock/stream"
 )
 
-// part is what this entry holds of one shard while it follows it. The
+// Part is what this entry holds of one shard while it follows it. The
 // follower's lock guards all that is below it.
-type part struct {
-	m      *Manager
-	id     int
-	writer *stream.Writer
+type Part struct {
+	// ID is the shard's number, Writer writes its stream.
+	ID     int
+	Writer *stream.Writer
+
+	shared *Shared
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 
-	// users and lastUsed are guarded by the manager's mutex.
-	users    int
-	lastUsed time.Time
-
 	follow.Follower
 	loaded bool
 	// mine is the epoch that a claim of this process made, if it made one.
@@ -50,40 +48,43 @@
 	keeper   keep.Keeper
 }
 
-func newPart(m *Manager, id int) *part {
-	p := &part{m: m, id: id, works: map[uint32]*work{}, stopping: map[uint32]*atomic.Int64{}, lastUsed: m.Now()}
-	p.Log, p.Stream, p.Now, p.Apply, p.Loaded = m.Log, streamName(id), m.Now, p.apply, p.load
+// New returns a part that follows its shard once it is started.
+func New(s *Shared, id int) *Part {
+	p := &Part{shared: s, ID: id, works: map[uint32]*work{}, stopping: map[uint32]*atomic.Int64{}}
+	p.Log, p.Stream, p.Now, p.Apply, p.Loaded = s.Log, StreamName(id), s.Now, p.apply, p.load
 	p.results = buffer.Buffer{
-		Locker: p, Now: m.Now, Owned: func() (int64, bool) { return p.mine, p.owns() }, Unrecorded: &m.unrecorded, Acked: m.poke,
-		Hurry: func() bool { return m.handBack.Load() || p.quiet() },
+		Locker: p, Now: s.Now, Owned: func() (int64, bool) { return p.mine, p.Owns() }, Unrecorded: &s.Unrecorded, Acked: s.Poke,
+		Hurry: func() bool { return s.HandBack.Load() || p.quiet() },
 		Linger: func() time.Duration {
-			return buffer.LingerFor(m.owners.LiveCount(), m.owners.OwnCount(), m.AppendsPerSecond)
+			return buffer.LingerFor(s.Owners.LiveCount(), s.Owners.OwnCount(), s.AppendsPerSecond)
 		},
 	}
 	p.keeper = keep.Keeper{
 		Locker: p, Shard: func() (*shard.State, int64) { return p.State, p.mine },
-		Read:       func(at shard.Location) (*shard.Record, error) { return m.reader.Read(m.base, p.Stream, at) },
-		ResultLife: func() time.Duration { return limits.ResultLife(m.Config) },
-		Retention:  m.Retention, CheckpointEvery: m.CheckpointEvery,
+		Read:       func(at shard.Location) (*shard.Record, error) { return s.Reader.Read(s.Base, p.Stream, at) },
+		ResultLife: func() time.Duration { return limits.ResultLife(s.Config) },
+		Retention:  s.Retention, CheckpointEvery: s.CheckpointEvery,
 	}
-	p.writer = &stream.Writer{
-		Log: m.Log, Stream: p.Stream, ID: draw(), Budget: m.budget, Now: m.Now, Health: &m.health,
+	p.Writer = &stream.Writer{
+		Log: s.Log, Stream: p.Stream, ID: Draw(), Budget: s.Budget, Now: s.Now, Health: &s.Health,
 		Bulk: &p.results, ReadsBack: true,
 	}
 	return p
 }
 
-func (p *part) start(base context.Context) {
+// Start follows the shard until base is done or Stop is called; to start again changes nothing.
+func (p *Part) Start(base context.Context) {
 	if p.cancel != nil {
 		return
 	}
 	ctx, cancel := context.WithCancel(base)
 	p.cancel = cancel
 	p.done.Go(func() { p.Run(ctx) })
-	p.done.Go(func() { _ = p.writer.Run(ctx) })
+	p.done.Go(func() { _ = p.Writer.Run(ctx) })
 }
 
-func (p *part) stop() {
+// Stop ends what Start began.
+func (p *Part) Stop() {
 	if p.cancel != nil {
 		p.cancel()
 	}
@@ -91,22 +92,22 @@
 }
 
 // load goes on from the state of a checkpoint; the lock is held.
-func (p *part) load(c *stream.Checkpoint) {
+func (p *Part) load(c *stream.Checkpoint) {
 	if p.loaded && p.claimed {
 		p.lose("read again from a checkpoint")
 	}
 	p.loaded = true
 	p.keeper.Loaded(c)
 	p.State.OnChange(p.jobChanged)
-	if p.owns() {
+	if p.Owns() {
 		p.gain()
 	}
 }
 
 // apply folds one entry; the lock is held.
-func (p *part) apply(e *stream.Entry) {
-	owned, epoch := p.owns(), p.State.Epoch
-	p.writer.Observe(e)
+func (p *Part) apply(e *stream.Entry) {
+	owned, epoch := p.Owns(), p.State.Epoch
+	p.Writer.Observe(e)
 	p.State.Apply(e)
 	p.keeper.Folded()
 	if p.State.Epoch != epoch {
@@ -114,45 +115,45 @@
 	}
 	if e.Writer == p.ownerWriter && p.Current() {
 		// Not while catching up: what the owner wrote an hour ago says nothing.
-		p.claim.OwnerSeen(p.m.Now())
+		p.claim.OwnerSeen(p.shared.Now())
 	}
 	if p.State.Epoch == epoch {
 		return
 	}
-	if p.State.Owner == p.m.EntryID && e.Writer == p.writer.ID {
+	if p.State.Owner == p.shared.EntryID && e.Writer == p.Writer.ID {
 		p.mine, p.claimed = p.State.Epoch, true
 	}
 	if owned && p.State.Owner == "" {
 		p.lose("released")
 	} else if owned {
 		p.lose("another owner in the log")
-		p.claim.HoldBack(p.m.Now())
+		p.claim.HoldBack(p.shared.Now())
 	}
-	if p.owns() {
+	if p.Owns() {
 		p.gain()
 	}
 }
 
-// owns says that this process made the last claim; the lock is held. A claim of an
+// Owns says that this process made the last claim; the lock is held. A claim of an
 // earlier process with the same id doesn't count: what that one had under way
 // may still turn up in the log.
-func (p *part) owns() bool {
-	return p.State != nil && p.claimed && p.State.Epoch == p.mine && p.State.Owner == p.m.EntryID
+func (p *Part) Owns() bool {
+	return p.State != nil && p.claimed && p.State.Epoch == p.mine && p.State.Owner == p.shared.EntryID
 }
 
 // gain starts to dispatch the shard; the lock is held.
-func (p *part) gain() {
+func (p *Part) gain() {
 	p.claim.Gained()
-	p.m.Events.Info(event.ShardClaimed).Int("shard", p.id).Int64("epoch", p.mine).Int("jobs", len(p.State.Jobs)).Msg("owns the shard")
+	p.shared.Events.Info(event.ShardClaimed).Int("shard", p.ID).Int64("epoch", p.mine).Int("jobs", len(p.State.Jobs)).Msg("owns the shard")
 	for _, j := range p.State.Numbers {
 		p.jobChanged(j)
 	}
-	p.m.poke()
+	p.shared.Poke()
 }
 
 // lose stops what runs and forgets results that are not in the log: the new owner runs those items again; the lock is held.
-func (p *part) lose(reason string) {
-	p.m.Events.Info(event.ShardLost).Int("shard", p.id).Int64("epoch", p.mine).Str("reason", reason).Msg("no longer owns the shard")
+func (p *Part) lose(reason string) {
+	p.shared.Events.Info(event.ShardLost).Int("shard", p.ID).Int64("epoch", p.mine).Str("reason", reason).Msg("no longer owns the shard")
 	for _, w := range p.works {
 		p.dropWork(w)
 	}
@@ -162,13 +163,13 @@
 }
 
 // jobChanged follows a job's life where it concerns dispatch; the lock is held.
-func (p *part) jobChanged(j *shard.Job) {
-	if !p.owns() {
+func (p *Part) jobChanged(j *shard.Job) {
+	if !p.Owns() {
 		return
 	}
 	w := p.works[j.Number]
 	if w == nil && j.Runs() {
-		p.m.Events.Info(event.JobAccepted).Str("job", j.ID).Str("caller", j.Caller).Int("items", int(j.Total)).Msg("job is dispatched")
+		p.shared.Events.Info(event.JobAccepted).Str("job", j.ID).Str("caller", j.Caller).Int("items", int(j.Total)).Msg("job is dispatched")
 		p.addWork(j)
 		return
 	}
@@ -190,30 +191,31 @@
 	if j.State != sardinerock.JobFinished {
 		id = event.JobCancelled
 	}
-	p.m.Events.Info(id).Str("job", j.ID).Int("completed", int(j.Completed)).Int("failed", int(j.Failed)).Msg("job ended")
+	p.shared.Events.Info(id).Str("job", j.ID).Int("completed", int(j.Completed)).Int("failed", int(j.Failed)).Msg("job ended")
 	p.dropWork(w)
 }
 
-func (p *part) caughtUp() bool {
+// CaughtUp says that the shard was read to the end of its stream.
+func (p *Part) CaughtUp() bool {
 	p.Lock()
 	defer p.Unlock()
 	return p.Current()
 }
 
-// busy says that dropping the shard would lose work in hand.
-func (p *part) busy() bool {
+// Busy says that dropping the shard would lose work in hand.
+func (p *Part) Busy() bool {
 	p.Lock()
 	defer p.Unlock()
-	return p.appending || p.owns() || p.results.Len() > 0
+	return p.appending || p.Owns() || p.results.Len() > 0
 }
 
-// append puts one record into the shard's stream.
-func (p *part) append(ctx context.Context, r *shard.Record, giveUp time.Time) (int64, error) {
+// Append puts one record into the shard's stream.
+func (p *Part) Append(ctx context.Context, r *shard.Record, giveUp time.Time) (int64, error) {
 	data, err := proto.Marshal(r)
 	if err != nil {
 		return 0, err
 	}
-	return p.writer.Append(ctx, data, giveUp)
+	return p.Writer.Append(ctx, data, giveUp)
 }
 
 func rest(ctx context.Context, d time.Duration) {
--- a/jobs/work.go
+++ b/part/work.go
@@ -1,4 +1,4 @@
-package jobs
+package part
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 
 // work is the dispatch of one running job; the part's mutex guards it.
 type work struct {
-	p   *part
+	p   *Part
 	job *shard.Job
 	// open is what of the job may still start.
 	open cursor.Cursor
@@ -31,20 +31,20 @@
 // defaultCost stands for the tokens of an item until some of the job have run.
 const defaultCost = 500
 
-func (p *part) addWork(j *shard.Job) {
+func (p *Part) addWork(j *shard.Job) {
 	w := &work{p: p, job: j, open: cursor.Cursor{Job: j}, inHand: map[uint32]context.CancelFunc{}, notRun: map[uint32]int{}, failed: map[uint32]uint32{}}
-	w.queued = &queue.Job{ID: j.ID, Share: limits.Share(p.m.Config, j.Caller), Due: j.Due, Cost: defaultCost}
+	w.queued = &queue.Job{ID: j.ID, Share: limits.Share(p.shared.Config, j.Caller), Due: j.Due, Cost: defaultCost}
 	p.works[j.Number] = w
-	p.m.queue.Put(w.queued, w)
+	p.shared.queue.Put(w.queued, w)
 }
 
 // dropWork cancels what runs of the job and forgets it.
-func (p *part) dropWork(w *work) {
+func (p *Part) dropWork(w *work) {
 	for _, cancel := range w.inHand {
 		cancel()
 	}
 	delete(p.works, w.job.Number)
-	p.m.queue.Drop(w.job.ID, w)
+	p.shared.queue.Drop(w.job.ID, w)
 }
 
 // settle lets go of the items whose result the log has.
@@ -60,17 +60,17 @@
 }
 
 // retryDue puts jobs back into the queue whose waiting items may start; the lock is held.
-func (p *part) retryDue() {
-	now := p.m.Now()
+func (p *Part) retryDue() {
+	now := p.shared.Now()
 	for _, w := range p.works {
 		if w.open.Due(now) {
-			p.m.queue.Put(w.queued, w)
+			p.shared.queue.Put(w.queued, w)
 		}
 	}
 }
 
 // inHand counts the items that run or whose result is on its way to the log; the lock is held.
-func (p *part) inHand() int {
+func (p *Part) inHand() int {
 	n := 0
 	for _, w := range p.works {
 		n += len(w.inHand)
@@ -79,7 +79,7 @@
 }
 
 // cancelRunning stops all items of the shard; the lock is held.
-func (p *part) cancelRunning() {
+func (p *Part) cancelRunning() {
 	for _, w := range p.works {
 		for _, cancel := range w.inHand {
 			cancel()
@@ -88,7 +88,7 @@
 }
 
 // quiet says that the results in the buffer are all that the shard's items come to for now; the lock is held.
-func (p *part) quiet() bool {
+func (p *Part) quiet() bool {
 	hand := 0
 	for _, w := range p.works {
 		if !w.open.Idle() {
