--- a/jobs/manager_test.go
+++ b/jobs/manager_test.go
@@ -79,7 +79,7 @@
 
 // fleet is some entries on one log.
 type fleet struct {
-	t    *testing.T
+	t    testing.TB
 	log  sardinerock.Log
 	mu   sync.Mutex
 	live []string
@@ -93,7 +93,7 @@
 	done   chan struct{}
 }
 
-func newFleet(t *testing.T, log sardinerock.Log) *fleet {
+func newFleet(t testing.TB, log sardinerock.Log) *fleet {
 	return &fleet{t: t, log: log, all: map[string]*entry{}}
 }
 
@@ -177,15 +177,9 @@
 func (f *fleet) dump() {
 	for id, e := range f.all {
 		for _, p := range e.allParts() {
-			p.Lock()
-			f.t.Logf("%s shard %d: owner %q epoch %d mine %d claimed %v drain %v appending %v in hand %d buffered %d current %v",
-				id, p.id, p.State.Owner, p.State.Epoch, p.mine, p.claimed, p.drainSince, p.appending, p.inHand(), p.results.len(), p.Current())
-			for n, w := range p.works {
-				f.t.Logf("  job %d: cursor %d of %d, %d done, %d retries, %d in hand", n, w.open.Seen, w.job.Total, w.job.Completed, w.open.Waiting(), len(w.inHand))
-			}
-			p.Unlock()
+			f.t.Logf("%s %s", id, p)
 		}
-		f.t.Logf("  running %d unrecorded %d starting %d queue %d", e.atRunner.Load(), e.unrecorded.Load(), e.starting.Load(), e.queue.Len())
+		f.t.Logf("  %s", e.shared)
 	}
 }
 
@@ -205,7 +199,7 @@
 
 func TestJobRunsFromEntryToResults(t *testing.T) {
 	g := NewWithT(t)
-	f := newFleet(t, newFakeLog())
+	f := newFleet(t, newLog())
 	one := f.start("entry1", nil)
 	two := f.start("entry2", nil)
 	s, err := two.Create(context.Background(), spec("k"), items(1000))
@@ -228,7 +222,7 @@
 
 func TestCancelledJobStopsAndKeepsItsResults(t *testing.T) {
 	g := NewWithT(t)
-	f := newFleet(t, newFakeLog())
+	f := newFleet(t, newLog())
 	one := f.startWith("entry1", &fakeRunner{slots: 16, delay: 20 * time.Millisecond}, nil)
 	s, err := one.Create(context.Background(), spec("k"), items(2000))
 	g.Expect(err).NotTo(HaveOccurred())
@@ -244,7 +238,7 @@
 }
 
 func TestJobsThatAreRefused(t *testing.T) {
-	f := newFleet(t, newFakeLog())
+	f := newFleet(t, newLog())
 	one := f.start("entry1", nil)
 	list := func(all ...sardinerock.JobItem) func(func(sardinerock.JobItem) error) error {
 		return func(yield func(sardinerock.JobItem) error) error {
--- /dev/null
+++ b/part/keep.go
@@ -0,0 +1,45 @@
+package part
+
+import (
+	"context"
+	"time"
+
+	"github.com/sardinerock/sardinerock/chkpt"
+	"github.com/sardinerock/sardinerock/event"
+)
+
+const checkpointTimeout = time.Minute
+
+// keepUp starts what is due; the lock is held.
+func (p *Part) keepUp() {
+	now := p.shared.Now()
+	if p.keeper.StartCheckpoint(now) {
+		p.done.Go(p.checkpoint)
+	}
+	if p.appending {
+		return
+	}
+	if next := p.keeper.Next(now); next != nil {
+		p.sendMade(next)
+	}
+}
+
+func (p *Part) checkpoint() {
+	ctx, cancel := context.WithTimeout(p.shared.Base, checkpointTimeout)
+	defer cancel()
+	c, err := p.Checkpoint(ctx)
+	if err == nil {
+		p.Lock()
+		p.keeper.SavedState()
+		p.Unlock()
+		err = chkpt.Save(ctx, p.shared.Log, p.shared.Budget, p.Stream, Draw(), c)
+	}
+	p.Lock()
+	defer p.Unlock()
+	p.keeper.EndCheckpoint(p.shared.Now())
+	if err != nil {
+		p.shared.Events.Warn(event.Checkpointed).Int("shard", p.ID).Err(err).Msg("checkpoint failed")
+		return
+	}
+	p.shared.Events.Info(event.Checkpointed).Int("shard", p.ID).Int64("resume", c.Resume).Int("bytes", len(c.State)).Msg("checkpoint written")
+}
