--- a/jobs/bench_test.go
+++ b/jobs/bench_test.go
@@ -32,16 +32,7 @@
 }
 
 func benchItems(n, size int) func(yield func(sardinerock.JobItem) error) error {
-	pad := strings.Repeat("x", size)
-	return func(yield func(sardinerock.JobItem) error) error {
-		for i := range n {
-			it := sardinerock.JobItem{CustomID: fmt.Sprintf("item-%07d", i), Body: fmt.Appendf(nil, `{"model":"m","prompt":"%d %s"}`, i, pad)}
-			if err := yield(it); err != nil {
-				return err
-			}
-		}
-		return nil
-	}
+	return itemsWith(n, `,"pad":"`+strings.Repeat("x", size)+`"`)
 }
 
 func waitFinished(b *testing.B, m *Manager, caller, id string) {
--- a/jobs/fault_test.go
+++ b/jobs/fault_test.go
@@ -59,15 +59,13 @@
 	wire := &cable{Log: log}
 	one := f.startWith("entry1", &fakeRunner{slots: 16, delay: 5 * time.Millisecond}, func(m *Manager) { m.Log = wire; m.Shards = 1 })
 	f.expectOwned(map[*entry]int{one: 1})
-	s, err := one.Create(context.Background(), spec("k"), items(500))
-	g.Expect(err).NotTo(HaveOccurred())
+	s := f.create(one, "k", 500)
 	wire.sever()
 	two := f.start("entry2", func(m *Manager) { m.Shards = 1 })
 	f.setLive("entry2")
 	// A few seconds are promised; the claim without a hand-over would come after fifteen.
 	g.Eventually(two.owns, claim.HandOverTime/2).Should(Equal(1))
-	f.expectState(two, s.ID, sardinerock.JobFinished)
-	f.expectResults(two, s.ID, 500)
+	f.expectFinished(two, s.ID, 500)
 }
 
 // The caller sees each item once although two entries believe that they own
@@ -82,8 +80,7 @@
 	wire := &cable{Log: log}
 	one := f.startWith("entry1", &fakeRunner{slots: 16, delay: 2 * time.Millisecond}, func(m *Manager) { m.Log = wire; m.Shards = 1 })
 	f.expectOwned(map[*entry]int{one: 1})
-	s, err := one.Create(context.Background(), spec("k"), items(3000))
-	g.Expect(err).NotTo(HaveOccurred())
+	s := f.create(one, "k", 3000)
 	g.Eventually(func() int { n := one.runner.count(); return n }, patience).Should(BeNumerically(">", 100))
 	wire.pause()
 	g.Eventually(wire.held.Load, patience).Should(BeNumerically(">", 0))
@@ -92,8 +89,7 @@
 	f.expectOwned(map[*entry]int{two: 1})
 	wire.resume()
 	f.expectOwned(map[*entry]int{one: 0})
-	f.expectState(two, s.ID, sardinerock.JobFinished)
-	f.expectResults(two, s.ID, 3000)
+	f.expectFinished(two, s.ID, 3000)
 	f.expectResults(one, s.ID, 3000)
 	g.Expect(two.stale("jobs-0")).To(BeNumerically(">", 0), "the old owner's records")
 }
@@ -120,8 +116,7 @@
 	f := newFleet(t, log)
 	one := f.startWith("entry1", &fakeRunner{slots: 16, delay: time.Millisecond}, func(m *Manager) { m.MaxUnrecorded = 300 })
 	g.Eventually(one.Ready, patience).Should(BeTrue())
-	s, err := one.Create(context.Background(), spec("k"), items(2000))
-	g.Expect(err).NotTo(HaveOccurred())
+	s := f.create(one, "k", 2000)
 	g.Eventually(one.runner.count, patience).Should(BeNumerically(">", 50))
 	log.set(func(c *cable) { outage(c, true) })
 	g.Eventually(one.logFailing, patience).ShouldNot(BeNil())
@@ -135,12 +130,11 @@
 	g.Eventually(one.shared.Unrecorded.Load, patience).Should(BeNumerically(">=", 300))
 	g.Consistently(one.shared.Unrecorded.Load, 300*time.Millisecond).Should(BeNumerically("<=", 300))
 	started := time.Now()
-	_, err = one.Create(context.Background(), spec("k2"), items(10))
+	_, err := one.Create(context.Background(), spec("k2"), items(10))
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(time.Since(started)).To(BeNumerically("<", 2*time.Second))
 	log.set(func(c *cable) { outage(c, false) })
-	f.expectState(one, s.ID, sardinerock.JobFinished)
-	f.expectResults(one, s.ID, 2000)
+	f.expectFinished(one, s.ID, 2000)
 	for id, n := range one.runner.all() {
 		g.Expect(n).To(Equal(1), id)
 	}
@@ -191,8 +185,7 @@
 	// One caller's jobs go to all four shards.
 	var ids []string
 	for i := range 8 {
-		s, err := one.Create(context.Background(), spec(fmt.Sprint("k", i)), items(30))
-		g.Expect(err).NotTo(HaveOccurred())
+		s := f.create(one, fmt.Sprint("k", i), 30)
 		ids = append(ids, s.ID)
 	}
 	// More than half of all is in hand, in every shard that is to move.
@@ -202,8 +195,7 @@
 	two.end()
 	f.setLive("entry1")
 	for _, id := range ids {
-		f.expectState(one, id, sardinerock.JobFinished)
-		f.expectResults(one, id, 30)
+		f.expectFinished(one, id, 30)
 	}
 	for id, n := range one.runner.all() {
 		g.Expect(n+two.runner.runs(id)).To(Equal(1), id)
@@ -221,8 +213,7 @@
 	f.expectOwned(map[*entry]int{one: 4})
 	var ids []string
 	for i := range 8 {
-		s, err := one.Create(context.Background(), spec(fmt.Sprint("k", i)), items(10))
-		g.Expect(err).NotTo(HaveOccurred())
+		s := f.create(one, fmt.Sprint("k", i), 10)
 		ids = append(ids, s.ID)
 	}
 	g.Eventually(one.shared.AtRunner.Load, patience).Should(BeNumerically(">=", 16))
@@ -255,8 +246,7 @@
 		}
 	}
 	one := f.startWith("entry1", runner, nil)
-	s, err := one.Create(context.Background(), spec("k"), items(50))
-	g.Expect(err).NotTo(HaveOccurred())
+	s := f.create(one, "k", 50)
 	done := f.expectState(one, s.ID, sardinerock.JobFinished)
 	g.Expect(done.Failed).To(Equal(2))
 	g.Expect(one.runner.runs(s.ID + "-8")).To(Equal(limits.DefaultMaxAttempts))
@@ -281,8 +271,7 @@
 	}
 	one := f.startWith("entry1", &fakeRunner{slots: 16, delay: 5 * time.Millisecond}, alone("entry1"))
 	two := f.startWith("entry2", &fakeRunner{slots: 16, delay: 5 * time.Millisecond}, alone("entry2"))
-	s, err := one.Create(context.Background(), spec("k"), items(6000))
-	g.Expect(err).NotTo(HaveOccurred())
+	s := f.create(one, "k", 6000)
 	f.expectState(two, s.ID, sardinerock.JobFinished)
 	f.expectResults(one, s.ID, 6000)
 	runs := 0
--- a/jobs/keep_test.go
+++ b/jobs/keep_test.go
@@ -25,8 +25,7 @@
 	f := newFleet(t, log)
 	short := func(m *Manager) { m.Shards = 1; m.Retention = 2 * time.Second }
 	one := f.start("entry1", short)
-	s, err := one.Create(context.Background(), spec("k"), items(400))
-	g.Expect(err).NotTo(HaveOccurred())
+	s := f.create(one, "k", 400)
 	f.expectState(one, s.ID, sardinerock.JobFinished)
 	bounds := log.retain(2*time.Second, 5*time.Second, "jobs-0", stream.CheckpointStream("jobs-0"))
 	g.Expect(bounds[0].First).To(BeNumerically(">", 0))
@@ -42,13 +41,12 @@
 	log := newLog()
 	f := newFleet(t, log)
 	one := f.start("entry1", func(m *Manager) { m.Shards = 1 })
-	_, err := one.Create(context.Background(), spec("k"), items(10))
-	g.Expect(err).NotTo(HaveOccurred())
+	f.create(one, "k", 10)
 	one.end()
 	log.forget("jobs-0")
 	f.setLive()
 	two := f.start("entry2", func(m *Manager) { m.Shards = 1 })
-	_, err = two.Create(context.Background(), spec("k"), items(10))
+	_, err := two.Create(context.Background(), spec("k"), items(10))
 	g.Expect(sardinerock.AsRefusal(err).Code).To(Equal(sardinerock.CodeLogUnavailable))
 	g.Expect(sardinerock.AsRefusal(err).Outcome).To(Equal(sardinerock.OutcomeNotRun))
 	g.Expect(two.owns()).To(BeZero())
@@ -66,13 +64,12 @@
 		m.Shards = 1
 		m.Now = func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
 	})
-	s, err := one.Create(context.Background(), spec("k"), items(10))
-	g.Expect(err).NotTo(HaveOccurred())
+	s := f.create(one, "k", 10)
 	f.expectState(one, s.ID, sardinerock.JobFinished)
 	ahead.Store(int64(limits.DefaultResultLife + time.Hour))
 	kept := f.expectState(one, s.ID, sardinerock.JobExpired)
 	g.Expect(kept.Completed).To(Equal(10))
-	err = one.Results(context.Background(), "finance", s.ID, func(sardinerock.ItemResult) error { return nil })
+	err := one.Results(context.Background(), "finance", s.ID, func(sardinerock.ItemResult) error { return nil })
 	g.Expect(sardinerock.AsRefusal(err).Code).To(Equal(sardinerock.CodeNotFound))
 	ahead.Store(int64(2*limits.DefaultResultLife + 2*time.Hour))
 	g.Eventually(func() error {
@@ -95,8 +92,7 @@
 		m.Live = func() []string { return []string{"entry1"} }
 	})
 	f.setLive("entry1")
-	s, err := two.Create(context.Background(), spec("k"), items(10))
-	g.Expect(err).NotTo(HaveOccurred())
+	s := f.create(two, "k", 10)
 	g.Expect(two.allParts()).To(HaveLen(1))
 	g.Eventually(two.allParts, patience).Should(BeEmpty())
 	f.expectState(two, s.ID, sardinerock.JobFinished)
@@ -136,17 +132,16 @@
 	f := newFleet(t, log)
 	wire := &cable{Log: log}
 	one := f.start("entry1", func(m *Manager) { m.Log = wire; m.Shards = 1 })
-	s, err := one.Create(context.Background(), spec("k"), items(10))
-	g.Expect(err).NotTo(HaveOccurred())
+	s := f.create(one, "k", 10)
 	f.expectState(one, s.ID, sardinerock.JobFinished)
 	wire.pause()
 	// Its last read ends, and the next one is held.
 	g.Eventually(wire.heldReads.Load, patience).Should(BeNumerically(">", 0))
 	two := f.start("entry2", func(m *Manager) { m.Shards = 1 })
-	_, err = two.Create(context.Background(), spec("k2"), items(10))
-	g.Expect(err).NotTo(HaveOccurred())
+	f.create(two, "k2", 10)
 	log.forget("jobs-0")
 	wire.resume()
+	var err error
 	for range 50 {
 		_, err = one.Get(context.Background(), "finance", s.ID)
 		if err != nil {
--- a/jobs/manager_test.go
+++ b/jobs/manager_test.go
@@ -142,10 +142,12 @@
 	return sardinerock.JobSpec{Caller: "finance", IdempotencyKey: key, Path: item.ChatPath, Due: time.Now().Add(time.Hour)}
 }
 
-func items(n int) func(yield func(sardinerock.JobItem) error) error {
+func items(n int) func(yield func(sardinerock.JobItem) error) error { return itemsWith(n, "") }
+
+func itemsWith(n int, pad string) func(yield func(sardinerock.JobItem) error) error {
 	return func(yield func(sardinerock.JobItem) error) error {
 		for i := range n {
-			it := sardinerock.JobItem{CustomID: fmt.Sprintf("report-%d", i), Body: fmt.Appendf(nil, `{"model":"m","messages":[%d]}`, i)}
+			it := sardinerock.JobItem{CustomID: fmt.Sprintf("report-%d", i), Body: fmt.Appendf(nil, `{"model":"m","messages":[%d]%s}`, i, pad)}
 			if err := yield(it); err != nil {
 				return err
 			}
@@ -154,6 +156,19 @@
 	}
 }
 
+// create hands in a job of n items.
+func (f *fleet) create(e *entry, key string, n int) *sardinerock.JobStatus {
+	s, err := e.Create(context.Background(), spec(key), items(n))
+	NewWithT(f.t).Expect(err).NotTo(HaveOccurred())
+	return s
+}
+
+// expectFinished waits for the job's end and for each of its n results once.
+func (f *fleet) expectFinished(e *entry, id string, n int) {
+	f.expectState(e, id, sardinerock.JobFinished)
+	f.expectResults(e, id, n)
+}
+
 func (f *fleet) expectState(e *entry, id string, state sardinerock.JobState) *sardinerock.JobStatus {
 	g := NewWithT(f.t)
 	f.t.Cleanup(func() {
@@ -202,18 +217,16 @@
 	f := newFleet(t, newLog())
 	one := f.start("entry1", nil)
 	two := f.start("entry2", nil)
-	s, err := two.Create(context.Background(), spec("k"), items(1000))
-	g.Expect(err).NotTo(HaveOccurred())
+	s := f.create(two, "k", 1000)
 	g.Expect(s.State).To(Equal(sardinerock.JobRunning))
 	done := f.expectState(one, s.ID, sardinerock.JobFinished)
 	g.Expect(done.Completed).To(Equal(1000))
 	f.expectResults(one, s.ID, 1000)
 	f.expectResults(two, s.ID, 1000)
 
-	again, err := one.Create(context.Background(), spec("k"), items(1000))
-	g.Expect(err).NotTo(HaveOccurred())
+	again := f.create(one, "k", 1000)
 	g.Expect(again.ID).To(Equal(s.ID))
-	_, err = one.Create(context.Background(), spec("k"), items(999))
+	_, err := one.Create(context.Background(), spec("k"), items(999))
 	g.Expect(sardinerock.AsRefusal(err).Code).To(Equal(sardinerock.CodeConflict))
 	all, err := one.List(context.Background(), "finance", 10)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -224,13 +237,12 @@
 	g := NewWithT(t)
 	f := newFleet(t, newLog())
 	one := f.startWith("entry1", &fakeRunner{slots: 16, delay: 20 * time.Millisecond}, nil)
-	s, err := one.Create(context.Background(), spec("k"), items(2000))
-	g.Expect(err).NotTo(HaveOccurred())
+	s := f.create(one, "k", 2000)
 	g.Eventually(func() int {
 		s, _ := one.Get(context.Background(), "finance", s.ID)
 		return s.Completed
 	}, patience).Should(BeNumerically(">", 0))
-	_, err = one.Cancel(context.Background(), "finance", s.ID)
+	_, err := one.Cancel(context.Background(), "finance", s.ID)
 	g.Expect(err).NotTo(HaveOccurred())
 	done := f.expectState(one, s.ID, sardinerock.JobCancelled)
 	g.Expect(one.runner.running.Load()).To(BeZero())
