--- a/entry/peer.go
+++ b/entry/peer.go
@@ -16,7 +16,7 @@
 
 // maxUsage bounds the callers that one ping tells of. All of 1,800 would make
 // a ping 40 KB long; a limit is strained by the busiest.
-const maxUsage = 32
+const maxUsage = 16
 
 // word is what this entry tells its peers of itself.
 func (e *Entry) word() peers.Word {
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -24,6 +24,10 @@
 	// maxPeers bounds the entries that one entry pings. With a handful of entries
 	// all know each other; at 370 a full mesh would cost each 740 pings a second.
 	maxPeers = 8
+	// usageEvery is the number of pings of which one tells the usage of callers.
+	// The figures are means over ten seconds; telling them every four is enough,
+	// and with each ping they would be nine tenths of its bytes.
+	usageEvery = 10
 	// heardLately is how long a peer's figures count after its last answer.
 	heardLately = 10 * time.Second
 )
@@ -91,9 +95,12 @@
 // Ping implements the generated server interface.
 func (m *Mesh) Ping(_ context.Context, ping *wire.PeerPing) (*wire.PeerPong, error) {
 	now := time.Now()
-	m.take(now, ping.EntryId, Word{ConfigVersion: ping.ConfigVersion, Leaving: ping.Leaving, Usage: ping.Usage})
+	m.take(now, ping.EntryId, Word{ConfigVersion: ping.ConfigVersion, Leaving: ping.Leaving, Usage: ping.Usage}, ping.WantUsage)
 	word := m.Word()
-	pong := &wire.PeerPong{EntryId: m.EntryID, Leaving: word.Leaving, Usage: word.Usage, ConfigVersion: word.ConfigVersion}
+	pong := &wire.PeerPong{Leaving: word.Leaving, ConfigVersion: word.ConfigVersion}
+	if ping.WantUsage {
+		pong.Usage = word.Usage
+	}
 	if !ping.WantBundle {
 		return pong, nil
 	}
@@ -184,9 +191,15 @@
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	word := m.Word()
-	pong, err := p.call(ctx, &wire.PeerPing{
-		EntryId: m.EntryID, ConfigVersion: word.ConfigVersion, Usage: word.Usage, Leaving: word.Leaving, WantBundle: wantBundle,
-	})
+	ping := &wire.PeerPing{EntryId: m.EntryID, ConfigVersion: word.ConfigVersion, Leaving: word.Leaving, WantBundle: wantBundle}
+	m.mu.Lock()
+	ping.WantUsage = p.pings%usageEvery == 0
+	p.pings++
+	m.mu.Unlock()
+	if ping.WantUsage {
+		ping.Usage = word.Usage
+	}
+	pong, err := p.call(ctx, ping)
 	now := time.Now()
 	m.mu.Lock()
 	p.busy = false
@@ -196,12 +209,12 @@
 		return nil
 	}
 	m.Tracker.Heard(now, p.Instance.ID)
-	m.take(now, p.Instance.ID, Word{ConfigVersion: pong.ConfigVersion, Leaving: pong.Leaving, Usage: pong.Usage})
+	m.take(now, p.Instance.ID, Word{ConfigVersion: pong.ConfigVersion, Leaving: pong.Leaving, Usage: pong.Usage}, ping.WantUsage)
 	return pong
 }
 
-// take notes what another entry told.
-func (m *Mesh) take(now time.Time, id string, word Word) {
+// take notes what another entry told, its usage only if that was among it.
+func (m *Mesh) take(now time.Time, id string, word Word, usage bool) {
 	if word.Leaving {
 		m.Tracker.Leaving(now, id)
 	}
@@ -214,5 +227,8 @@
 	if p.Word.ConfigVersion != word.ConfigVersion {
 		p.VersionSince = now
 	}
+	if !usage {
+		word.Usage = p.Word.Usage
+	}
 	p.Word, p.Heard = word, now
 }
--- a/peers/peer.go
+++ b/peers/peer.go
@@ -15,6 +15,8 @@
 	Peer
 	// busy is set while a ping is under way.
 	busy bool
+	// pings counts those sent.
+	pings int
 
 	mu   sync.Mutex
 	conn *drpcconn.Conn
