queue, gate, bundle: short waits after a full gate; the share of batch prompts is the bundle's

Change: an item that met a full gate waits 2 s at most; batch.promptPercent in the bundle, 0 for the tenth that held so far. Ran: go test ./queue ./bundle ./gate.

--- a/adapt/prefill.go
+++ b/adapt/prefill.go
@@ -8,7 +8,9 @@
 
 const (
 	// prefillShare is the part of the engine's time that batch prompts may take
-	// while online work decodes.
+	// while online work decodes, if the bundle says nothing else. Twice as much
+	// gives more batch throughput and longer gaps between online tokens; which
+	// of the two weighs more is for each deployment to say.
 	prefillShare = 0.1
 	// prefillBurst is how much unused time batch prompts may save up.
 	prefillBurst = 50 * time.Millisecond
@@ -48,12 +50,15 @@
 	unread int
 }
 
-// Refill adds what the budget has gained by now.
-func (p *Prefill) Refill(now time.Time) {
+// Refill adds what the budget has gained by now at the given share; zero takes the default.
+func (p *Prefill) Refill(now time.Time, share float64) {
+	if share <= 0 {
+		share = prefillShare
+	}
 	if p.at.IsZero() {
 		p.budget = prefillBurst
 	} else {
-		p.budget = min(prefillBurst, p.budget+time.Duration(prefillShare*float64(now.Sub(p.at))))
+		p.budget = min(prefillBurst, p.budget+time.Duration(share*float64(now.Sub(p.at))))
 	}
 	p.at = now
 }
--- a/bundle.go
+++ b/bundle.go
@@ -101,6 +101,9 @@
 	MaxItems int `json:"maxItems"`
 	// MaxAttempts bounds the tries at an item that fails by its own doing.
 	MaxAttempts int `json:"maxAttempts"`
+	// PromptPercent is the part of an engine's time, in percent, that batch
+	// prompts may take while online work decodes there; 0 means 10.
+	PromptPercent int `json:"promptPercent,omitempty"`
 }
 
 // SignOff is one Ed25519 signature over a bundle's digest.
--- a/bundle/check.go
+++ b/bundle/check.go
@@ -14,8 +14,10 @@
 const (
 	maxName        = 128
 	maxResultHours = 24 * 90
-	maxJobItems    = 1_000_000
-	maxAttempts    = 20
+	// maxPromptPercent leaves online work half of the engine's time.
+	maxPromptPercent = 50
+	maxJobItems      = 1_000_000
+	maxAttempts      = 20
 )
 
 // checker looks at a bundle whose fields are already of the right kind.
@@ -227,4 +229,6 @@
 	c.atMost("batch.maxItems", int64(b.MaxItems), maxJobItems)
 	c.atLeast("batch.maxAttempts", int64(b.MaxAttempts), 1)
 	c.atMost("batch.maxAttempts", int64(b.MaxAttempts), maxAttempts)
+	c.atLeast("batch.promptPercent", int64(b.PromptPercent), 0)
+	c.atMost("batch.promptPercent", int64(b.PromptPercent), maxPromptPercent)
 }
--- a/gate.go
+++ b/gate.go
@@ -87,6 +87,8 @@
 	FirstTokenTarget time.Duration
 	// TokenGapTarget is the time between tokens that the gate steers for; zero means none.
 	TokenGapTarget time.Duration
+	// PromptShare is the part of the engine's time that batch prompts may take while online work decodes; zero means a tenth.
+	PromptShare float64
 }
 
 // GateState is what a gate shows of itself in heartbeats.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -242,7 +242,7 @@
 	g.standing.Observe(now, g.queue.Len())
 	g.slots.Adapt(now, g.Limits, g.online+len(g.batch))
 	g.reserve.Observe(now, g.online+g.queue.Len())
-	g.prefill.Refill(now)
+	g.prefill.Refill(now, g.Limits.PromptShare)
 	g.dropHopeless(now)
 	g.advanceAlone(now)
 	g.startOnline(now)
--- a/queue/judge.go
+++ b/queue/judge.go
@@ -11,6 +11,10 @@
 	// room: it doubles, so that thousands of items that can't run don't crowd out those that can.
 	notRunWaitFirst = 200 * time.Millisecond
 	notRunWaitMost  = 30 * time.Second
+	// overloadedWaitMost bounds the wait after a full gate. Slots come free all the
+	// time while online work comes and goes; an item that waits half a minute for
+	// having met a full gate seven times leaves them idle.
+	overloadedWaitMost = 2 * time.Second
 	// failedWait grows with each failed attempt: a crash must not follow a crash at once.
 	failedWait = 2 * time.Second
 	// lateGrace is how long after its due time an item that nobody will run is
@@ -78,5 +82,8 @@
 	if a.NotRun < 8 {
 		wait = notRunWaitFirst << max(a.NotRun-1, 0)
 	}
+	if r.Code == sardinerock.CodeOverloaded {
+		wait = min(wait, overloadedWaitMost)
+	}
 	return Verdict{Again: true, Wait: min(max(wait, r.RetryAfter), notRunWaitMost)}
 }
--- a/side/config.go
+++ b/side/config.go
@@ -64,5 +64,6 @@
 		limits.MaxSlots = max(limits.MaxSlots, m.MaxSlots)
 		limits.FirstTokenTarget = max(limits.FirstTokenTarget, time.Duration(m.FirstTokenMs)*time.Millisecond)
 	}
+	limits.PromptShare = float64(c.Bundle.Batch.PromptPercent) / 100
 	return limits, len(c.Bundle.Models) > 0
 }
