--- a/clis/operator.go
+++ b/clis/operator.go
@@ -14,6 +14,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/conf"
+	"github.com/sardinerock/sardinerock/forms"
 	"github.com/sardinerock/sardinerock/front"
 )
 
@@ -62,7 +63,7 @@
 }
 
 func refused(answer *http.Response, raw []byte) error {
-	var body front.ErrorBody
+	var body forms.ErrorBody
 	if err := json.Unmarshal(raw, &body); err != nil || body.Error.Code == "" {
 		return fmt.Errorf("refused with status %s", answer.Status)
 	}
--- a/front/answer.go
+++ b/forms/answer.go
@@ -1,4 +1,4 @@
-package front
+package forms
 
 import (
 	"time"
@@ -41,7 +41,7 @@
 // NewAnswer puts a finished generation into the form that callers of the request's path expect.
 func NewAnswer(r *sardinerock.Request, e sardinerock.EngineResult, text string, now time.Time) Answer {
 	c := Choice{FinishReason: &e.FinishReason}
-	a := newAnswer(r, now)
+	a := BlankAnswer(r, now)
 	if r.Path == PathChat {
 		a.Object = "chat.completion"
 		c.Message = &Message{Role: "assistant", Content: text}
@@ -50,11 +50,12 @@
 		c.Text = &text
 	}
 	a.Choices = []Choice{c}
-	a.Usage = newUsage(e)
+	a.Usage = NewUsage(e)
 	return a
 }
 
-func newAnswer(r *sardinerock.Request, now time.Time) Answer {
+// BlankAnswer is the part that an answer and every event of its stream have in common.
+func BlankAnswer(r *sardinerock.Request, now time.Time) Answer {
 	prefix := "cmpl-"
 	if r.Path == PathChat {
 		prefix = "chatcmpl-"
@@ -66,7 +67,8 @@
 	return Answer{ID: prefix + r.ID, Created: now.Unix(), Model: name}
 }
 
-func newUsage(e sardinerock.EngineResult) *Usage {
+// NewUsage counts the tokens of a finished generation.
+func NewUsage(e sardinerock.EngineResult) *Usage {
 	return &Usage{
 		PromptTokens:     e.PromptTokens,
 		CompletionTokens: e.CompletionTokens,
--- a/front/line.go
+++ b/forms/line.go
@@ -1,4 +1,4 @@
-package front
+package forms
 
 import (
 	"bufio"
@@ -30,7 +30,7 @@
 func ParseLine(raw []byte, path string, number int) (*Line, error) {
 	var l Line
 	if err := json.Unmarshal(raw, &l); err != nil {
-		f := jsonFault(err)
+		f := JSONFault(err)
 		f.Message = lineMessage(number, f.Message)
 		return nil, f
 	}
@@ -48,15 +48,15 @@
 }
 
 func lineFault(number int, param, text string) *sardinerock.Refusal {
-	return refuse(sardinerock.CodeInvalidRequest, param, "%s", lineMessage(number, text))
+	return Refuse(sardinerock.CodeInvalidRequest, param, "%s", lineMessage(number, text))
 }
 
 func lineMessage(number int, text string) string {
-	return refuse("", "", "line %d of the input file: %s", number, text).Message
+	return Refuse("", "", "line %d of the input file: %s", number, text).Message
 }
 
-// eachLine calls yield for each line of a job's file, in order; empty lines count but are passed over.
-func eachLine(content io.Reader, path string, yield func(number int, l *Line) error) error {
+// EachLine calls yield for each line of a job's file, in order; empty lines count but are passed over.
+func EachLine(content io.Reader, path string, yield func(number int, l *Line) error) error {
 	lines := bufio.NewScanner(content)
 	lines.Buffer(make([]byte, 0, 64<<10), maxLine)
 	number := 0
@@ -77,29 +77,29 @@
 	if err := lines.Err(); errors.Is(err, bufio.ErrTooLong) {
 		return lineFault(number+1, "body", "the line is too long")
 	} else if err != nil {
-		return readFault(err)
+		return ReadFault(err)
 	}
 	return nil
 }
 
-// inspection is what a first pass over a job's file finds.
-type inspection struct {
-	items  int
-	digest string
+// Inspection is what a first pass over a job's file finds.
+type Inspection struct {
+	Items  int
+	Digest string
 }
 
-// inspect checks a whole file before any of it is accepted: a fault in the last
+// Inspect checks a whole file before any of it is accepted: a fault in the last
 // of 200,000 lines must not leave half a job behind. The custom ids are kept as
 // 8-byte hashes, so memory stays at a few megabytes at that size.
-func inspect(content io.Reader, path string, maxItems int) (inspection, error) {
-	var found inspection
+func Inspect(content io.Reader, path string, maxItems int) (Inspection, error) {
+	var found Inspection
 	sum := sha256.New()
 	sum.Write([]byte(path + "\n"))
 	seen := map[uint64]bool{}
-	err := eachLine(io.TeeReader(content, sum), path, func(number int, l *Line) error {
-		found.items++
-		if maxItems > 0 && found.items > maxItems {
-			return refuse(sardinerock.CodeInvalidRequest, "input_file_id", "the file has over %d items, the most that the bundle allows", maxItems)
+	err := EachLine(io.TeeReader(content, sum), path, func(number int, l *Line) error {
+		found.Items++
+		if maxItems > 0 && found.Items > maxItems {
+			return Refuse(sardinerock.CodeInvalidRequest, "input_file_id", "the file has over %d items, the most that the bundle allows", maxItems)
 		}
 		id := xxhash.Sum64String(l.CustomID)
 		if seen[id] {
@@ -111,9 +111,9 @@
 	if err != nil {
 		return found, err
 	}
-	if found.items == 0 {
-		return found, refuse(sardinerock.CodeInvalidRequest, "input_file_id", "the file has no items")
+	if found.Items == 0 {
+		return found, Refuse(sardinerock.CodeInvalidRequest, "input_file_id", "the file has no items")
 	}
-	found.digest = hex.EncodeToString(sum.Sum(nil))
+	found.Digest = hex.EncodeToString(sum.Sum(nil))
 	return found, nil
 }
--- a/front/parse.go
+++ b/forms/parse.go
@@ -1,10 +1,9 @@
-package front
+package forms
 
 import (
 	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"strings"
 
 	"github.com/sardinerock/sardinerock"
@@ -18,13 +17,14 @@
 
 // Completion is what the system reads of a generation's body; the engine gets the body as it came.
 type Completion struct {
-	Model         string
-	Prompt        string
-	MaxTokens     int
-	Stream        bool
-	IncludeUsage  bool
-	User          string
-	maxTokenField string
+	Model        string
+	Prompt       string
+	MaxTokens    int
+	Stream       bool
+	IncludeUsage bool
+	User         string
+	// MaxTokenField is the name under which the body may give MaxTokens, for messages.
+	MaxTokenField string
 }
 
 // completionBody lists every field that callers may send. Raw fields are looked at only as far as is told below.
@@ -81,11 +81,11 @@
 	}
 	var b completionBody
 	if err := json.Unmarshal(raw, &b); err != nil {
-		return nil, jsonFault(err)
+		return nil, JSONFault(err)
 	}
 	c := &Completion{Model: b.Model, Stream: b.Stream, IncludeUsage: b.StreamOptions.IncludeUsage, User: b.User}
 	if c.Model == "" {
-		return nil, refuse(sardinerock.CodeInvalidRequest, "model", "the field model is missing")
+		return nil, Refuse(sardinerock.CodeInvalidRequest, "model", "the field model is missing")
 	}
 	if err := c.readPrompt(path, &b); err != nil {
 		return nil, err
@@ -98,14 +98,14 @@
 func checkFields(raw []byte) error {
 	fields := map[string]json.RawMessage{}
 	if err := json.Unmarshal(raw, &fields); err != nil {
-		return jsonFault(err)
+		return JSONFault(err)
 	}
 	for name, value := range fields {
 		if ownFields[name] || engineFields[name] || string(value) == "null" {
 			continue
 		}
 		if !isNeutral(name, value) {
-			return refuse(sardinerock.CodeInvalidRequest, name, "the field %s is not supported with this value; leave it out", name)
+			return Refuse(sardinerock.CodeInvalidRequest, name, "the field %s is not supported with this value; leave it out", name)
 		}
 	}
 	return nil
@@ -124,39 +124,40 @@
 	return false
 }
 
-func jsonFault(err error) *sardinerock.Refusal {
+// JSONFault tells a caller what was wrong with the JSON that could not be read.
+func JSONFault(err error) *sardinerock.Refusal {
 	var syntax *json.SyntaxError
 	if errors.As(err, &syntax) {
-		return refuse(sardinerock.CodeInvalidRequest, "", "malformed JSON at byte %d: %v", syntax.Offset, err)
+		return Refuse(sardinerock.CodeInvalidRequest, "", "malformed JSON at byte %d: %v", syntax.Offset, err)
 	}
 	var kind *json.UnmarshalTypeError
 	if errors.As(err, &kind) {
-		return refuse(sardinerock.CodeInvalidRequest, kind.Field, "the field %s can't be a %s", kind.Field, kind.Value)
+		return Refuse(sardinerock.CodeInvalidRequest, kind.Field, "the field %s can't be a %s", kind.Field, kind.Value)
 	}
-	return refuse(sardinerock.CodeInvalidRequest, "", "malformed JSON: %v", err)
+	return Refuse(sardinerock.CodeInvalidRequest, "", "malformed JSON: %v", err)
 }
 
 func (c *Completion) readPrompt(path string, b *completionBody) error {
 	if path == PathCompletions {
 		if len(b.Messages) > 0 {
-			return refuse(sardinerock.CodeInvalidRequest, "messages", "the field messages belongs to %s", PathChat)
+			return Refuse(sardinerock.CodeInvalidRequest, "messages", "the field messages belongs to %s", PathChat)
 		}
 		if err := json.Unmarshal(b.Prompt, &c.Prompt); err != nil || c.Prompt == "" {
-			return refuse(sardinerock.CodeInvalidRequest, "prompt", "the field prompt must be one string that is not empty")
+			return Refuse(sardinerock.CodeInvalidRequest, "prompt", "the field prompt must be one string that is not empty")
 		}
 		return nil
 	}
 	if len(b.Prompt) > 0 {
-		return refuse(sardinerock.CodeInvalidRequest, "prompt", "the field prompt belongs to %s", PathCompletions)
+		return Refuse(sardinerock.CodeInvalidRequest, "prompt", "the field prompt belongs to %s", PathCompletions)
 	}
 	if len(b.Messages) == 0 {
-		return refuse(sardinerock.CodeInvalidRequest, "messages", "the field messages must hold at least one message")
+		return Refuse(sardinerock.CodeInvalidRequest, "messages", "the field messages must hold at least one message")
 	}
 	var text strings.Builder
 	for i, m := range b.Messages {
 		content, err := m.text()
 		if err != nil || m.Role == "" {
-			return refuse(sardinerock.CodeInvalidRequest, "messages", "message %d needs a role, and content that is text", i)
+			return Refuse(sardinerock.CodeInvalidRequest, "messages", "message %d needs a role, and content that is text", i)
 		}
 		text.WriteString(m.Role + "\n" + content + "\n")
 	}
@@ -185,27 +186,18 @@
 }
 
 func (c *Completion) readMaxTokens(b *completionBody) error {
-	c.maxTokenField = "max_tokens"
+	c.MaxTokenField = "max_tokens"
 	asked := b.MaxTokens
 	if b.MaxCompletionTokens != nil {
-		c.maxTokenField = "max_completion_tokens"
+		c.MaxTokenField = "max_completion_tokens"
 		asked = b.MaxCompletionTokens
 	}
 	if asked == nil {
 		return nil
 	}
 	if *asked <= 0 {
-		return refuse(sardinerock.CodeInvalidRequest, c.maxTokenField, "the field %s must be above 0", c.maxTokenField)
+		return Refuse(sardinerock.CodeInvalidRequest, c.MaxTokenField, "the field %s must be above 0", c.MaxTokenField)
 	}
 	c.MaxTokens = *asked
 	return nil
 }
-
-// readAll reads a body that is bounded already.
-func readAll(r io.Reader) ([]byte, error) {
-	raw, err := io.ReadAll(r)
-	if err != nil {
-		return nil, readFault(err)
-	}
-	return raw, nil
-}
--- /dev/null
+++ b/forms/refuse.go
@@ -0,0 +1,74 @@
+package forms
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// ErrorDetail is the inner part of an error in the usual JSON form.
+type ErrorDetail struct {
+	Message string           `json:"message"`
+	Type    string           `json:"type"`
+	Param   *string          `json:"param"`
+	Code    sardinerock.Code `json:"code"`
+	// Outcome repeats the header for those who only see the body, as in a stream or an error file.
+	Outcome string `json:"outcome"`
+	// RetryAfterMs is when to come back, in milliseconds.
+	RetryAfterMs int64 `json:"retry_after_ms,omitempty"`
+}
+
+// ErrorBody is an error in the usual JSON form.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// Refuse makes the refusal of a request that this process turned away before it went anywhere.
+func Refuse(code sardinerock.Code, param, format string, a ...any) *sardinerock.Refusal {
+	return &sardinerock.Refusal{Code: code, Param: param, Message: fmt.Sprintf(format, a...), Outcome: sardinerock.OutcomeNotRun}
+}
+
+// NewErrorBody puts a refusal into the usual JSON form.
+func NewErrorBody(f *sardinerock.Refusal) ErrorBody {
+	d := ErrorDetail{
+		Message:      f.Message,
+		Type:         errorType(f.Status()),
+		Code:         f.Code,
+		Outcome:      f.Outcome.String(),
+		RetryAfterMs: f.RetryAfter.Milliseconds(),
+	}
+	if f.Param != "" {
+		d.Param = &f.Param
+	}
+	return ErrorBody{Error: d}
+}
+
+func errorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusForbidden:
+		return "permission_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+// ReadFault tells a caller what was wrong with the body that could not be read.
+func ReadFault(err error) *sardinerock.Refusal {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return Refuse(sardinerock.CodeBodyTooLarge, "", "the body is over the limit of %d bytes", tooLarge.Limit)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return Refuse(sardinerock.CodeInvalidRequest, "", "the body did not arrive in time")
+	}
+	return Refuse(sardinerock.CodeInvalidRequest, "", "the body could not be read: %v", err)
+}
--- a/front/batches.go
+++ b/front/batches.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/forms"
 )
 
 const (
@@ -114,7 +115,7 @@
 		return err
 	}
 	if spec.IdempotencyKey == "" {
-		spec.IdempotencyKey = found.digest
+		spec.IdempotencyKey = found.Digest
 	}
 	content, _, err := s.Files.Open(x.r.Context(), x.caller.Name, body.InputFileID)
 	if err != nil {
@@ -139,22 +140,22 @@
 	}
 	var b batchBody
 	if err := json.Unmarshal(raw, &b); err != nil {
-		return nil, spec, jsonFault(err)
+		return nil, spec, forms.JSONFault(err)
 	}
 	if b.InputFileID == "" {
-		return nil, spec, refuse(sardinerock.CodeInvalidRequest, "input_file_id", "the field input_file_id is missing")
+		return nil, spec, forms.Refuse(sardinerock.CodeInvalidRequest, "input_file_id", "the field input_file_id is missing")
 	}
-	if b.Endpoint != PathChat && b.Endpoint != PathCompletions {
-		return nil, spec, refuse(sardinerock.CodeInvalidRequest, "endpoint", "the endpoint must be %s or %s", PathChat, PathCompletions)
+	if b.Endpoint != forms.PathChat && b.Endpoint != forms.PathCompletions {
+		return nil, spec, forms.Refuse(sardinerock.CodeInvalidRequest, "endpoint", "the endpoint must be %s or %s", forms.PathChat, forms.PathCompletions)
 	}
 	window, err := time.ParseDuration(b.CompletionWindow)
 	if err != nil || window <= 0 || window > maxWindow {
-		return nil, spec, refuse(sardinerock.CodeInvalidRequest, "completion_window",
+		return nil, spec, forms.Refuse(sardinerock.CodeInvalidRequest, "completion_window",
 			"the completion_window must be a duration such as 24h, up to %s", maxWindow)
 	}
 	key := x.r.Header.Get("Idempotency-Key")
 	if len(key) > maxKey {
-		return nil, spec, refuse(sardinerock.CodeInvalidRequest, "Idempotency-Key", "the header Idempotency-Key is over %d bytes", maxKey)
+		return nil, spec, forms.Refuse(sardinerock.CodeInvalidRequest, "Idempotency-Key", "the header Idempotency-Key is over %d bytes", maxKey)
 	}
 	spec = sardinerock.JobSpec{
 		Caller: x.caller.Name, IdempotencyKey: key, Path: b.Endpoint,
@@ -163,18 +164,18 @@
 	return &b, spec, nil
 }
 
-func (s *Server) inspectFile(x *exchange, id, path string) (inspection, error) {
+func (s *Server) inspectFile(x *exchange, id, path string) (forms.Inspection, error) {
 	content, _, err := s.Files.Open(x.r.Context(), x.caller.Name, id)
 	if err != nil {
-		return inspection{}, err
+		return forms.Inspection{}, err
 	}
 	defer content.Close()
-	return inspect(content, path, x.directory.snapshot.Bundle.Batch.MaxItems)
+	return forms.Inspect(content, path, x.directory.snapshot.Bundle.Batch.MaxItems)
 }
 
 func jobItems(content io.Reader, path string) func(yield func(sardinerock.JobItem) error) error {
 	return func(yield func(sardinerock.JobItem) error) error {
-		return eachLine(content, path, func(_ int, l *Line) error {
+		return forms.EachLine(content, path, func(_ int, l *forms.Line) error {
 			return yield(sardinerock.JobItem{CustomID: l.CustomID, Body: l.Body})
 		})
 	}
@@ -204,12 +205,12 @@
 	if q := x.r.URL.Query().Get("limit"); q != "" {
 		n, err := strconv.Atoi(q)
 		if err != nil || n < 1 || n > maxList {
-			return refuse(sardinerock.CodeInvalidRequest, "limit", "limit must be a number from 1 to %d", maxList)
+			return forms.Refuse(sardinerock.CodeInvalidRequest, "limit", "limit must be a number from 1 to %d", maxList)
 		}
 		limit = n
 	}
 	if x.r.URL.Query().Has("after") {
-		return refuse(sardinerock.CodeInvalidRequest, "after", "pages are not supported; ask for up to %d jobs by limit", maxList)
+		return forms.Refuse(sardinerock.CodeInvalidRequest, "after", "pages are not supported; ask for up to %d jobs by limit", maxList)
 	}
 	jobs, err := s.Jobs.List(x.r.Context(), x.caller.Name, limit)
 	if err != nil {
--- a/front/caller.go
+++ b/front/caller.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/forms"
 )
 
 // comeBackReady is when a process without configuration asks to be tried again; a bundle is in force within seconds.
@@ -70,7 +71,7 @@
 }
 
 func notReady() error {
-	f := refuse(sardinerock.CodeNotReady, "", "no configuration is in force here yet")
+	f := forms.Refuse(sardinerock.CodeNotReady, "", "no configuration is in force here yet")
 	f.RetryAfter = comeBackReady
 	return f
 }
@@ -78,7 +79,7 @@
 func bearer(x *exchange) (string, error) {
 	scheme, token, found := strings.Cut(x.r.Header.Get("Authorization"), " ")
 	if !found || !strings.EqualFold(scheme, "Bearer") || token == "" {
-		return "", refuse(sardinerock.CodeUnauthorized, "", "send the header Authorization: Bearer with your token")
+		return "", forms.Refuse(sardinerock.CodeUnauthorized, "", "send the header Authorization: Bearer with your token")
 	}
 	return strings.TrimSpace(token), nil
 }
@@ -95,7 +96,7 @@
 	}
 	x.caller = x.directory.callersByKey[HashToken(token)]
 	if x.caller == nil {
-		return refuse(sardinerock.CodeUnauthorized, "", "the bearer token belongs to no caller of the bundle in force")
+		return forms.Refuse(sardinerock.CodeUnauthorized, "", "the bearer token belongs to no caller of the bundle in force")
 	}
 	return nil
 }
@@ -112,14 +113,14 @@
 	modelName, adapter := d.split(name)
 	m := d.models[modelName]
 	if m == nil || adapter != "" && !slices.Contains(m.Adapters, adapter) {
-		return target{}, refuse(sardinerock.CodeModelNotFound, "model", "no model %q is in the bundle in force", name)
+		return target{}, forms.Refuse(sardinerock.CodeModelNotFound, "model", "no model %q is in the bundle in force", name)
 	}
 	for _, g := range c.Grants {
 		if g.Model == modelName && (adapter == "" || slices.Contains(g.Adapters, adapter)) {
 			return target{model: m, version: g.Version, adapter: adapter}, nil
 		}
 	}
-	return target{}, refuse(sardinerock.CodeForbidden, "model", "caller %q has no grant for %q", c.Name, name)
+	return target{}, forms.Refuse(sardinerock.CodeForbidden, "model", "caller %q has no grant for %q", c.Name, name)
 }
 
 // split cuts the adapter off a name; a model's own name may hold colons too.
--- a/front/client_test.go
+++ b/front/client_test.go
@@ -132,24 +132,6 @@
 	return string(raw)
 }
 
-func TestFaultyLinesRefuseTheWholeJob(t *testing.T) {
-	line := `{"custom_id":"a","method":"POST","url":"/v1/completions","body":{}}`
-	tests := map[string]struct{ lines, says string }{
-		"nothing":        {"\n\n", "no items"},
-		"malformed":      {line + "\n{", "line 2"},
-		"twice":          {line + "\n" + line, "there twice"},
-		"other endpoint": {strings.Replace(line, "/v1/completions", PathChat, 1), "url must be"},
-		"no id":          {strings.Replace(line, `"a"`, `""`, 1), "custom_id is missing"},
-		"too many":       {line + "\n" + strings.Replace(line, `"a"`, `"b"`, 1), "over 1 items"},
-	}
-	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
-			_, err := inspect(strings.NewReader(tt.lines), PathCompletions, 1+strings.Count(name, "twice"))
-			NewWithT(t).Expect(err).To(MatchError(ContainSubstring(tt.says)))
-		})
-	}
-}
-
 func TestWindowIsShownAsCallersWriteIt(t *testing.T) {
 	created := time.Unix(1_800_000_000, 0)
 	for _, text := range []string{"24h", "30m", "10s", "1h30m", "1h0m10s", "20s"} {
@@ -159,27 +141,3 @@
 		g.Expect(window(&sardinerock.JobStatus{CreatedAt: created, Due: created.Add(length)})).To(Equal(text))
 	}
 }
-
-func FuzzParseLine(f *testing.F) {
-	f.Add([]byte(`{"custom_id":"a","method":"POST","url":"/v1/completions","body":{}}`))
-	f.Add([]byte(`{"custom_id":1}`))
-	f.Fuzz(func(t *testing.T, raw []byte) {
-		l, err := ParseLine(raw, PathCompletions, 1)
-		if (l == nil) == (err == nil) {
-			t.Fatal("a line is either read or refused")
-		}
-	})
-}
-
-func FuzzParseCompletion(f *testing.F) {
-	f.Add([]byte(goodChat))
-	f.Add([]byte(`{"model":"m","prompt":"x","n":1,"logprobs":null}`))
-	f.Fuzz(func(t *testing.T, raw []byte) {
-		for _, path := range []string{PathChat, PathCompletions} {
-			c, err := ParseCompletion(path, raw)
-			if err == nil && (c.Model == "" || c.Prompt == "" || c.MaxTokens < 0) {
-				t.Fatalf("taken as good: %+v", c)
-			}
-		}
-	})
-}
--- a/front/complete.go
+++ b/front/complete.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/forms"
 )
 
 // complete answers a generation, as a stream or whole.
@@ -44,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	s.writeJSON(x, http.StatusOK, NewAnswer(r, result.EngineResult, text.String(), s.Clock()))
+	s.writeJSON(x, http.StatusOK, forms.NewAnswer(r, result.EngineResult, text.String(), s.Clock()))
 	return nil
 }
 
@@ -65,12 +66,12 @@
 type streamer struct {
 	server *Server
 	x      *exchange
-	blank  Answer
+	blank  forms.Answer
 	chat   bool
 }
 
 func (s *Server) stream(x *exchange, r *sardinerock.Request, includeUsage bool) error {
-	st := &streamer{server: s, x: x, blank: newAnswer(r, s.Clock()), chat: r.Path == PathChat}
+	st := &streamer{server: s, x: x, blank: forms.BlankAnswer(r, s.Clock()), chat: r.Path == forms.PathChat}
 	st.blank.Object = "text_completion"
 	if st.chat {
 		st.blank.Object = "chat.completion.chunk"
@@ -89,16 +90,16 @@
 // token writes one piece. The header goes out with the first, so that a request
 // refused before it still gets an ordinary error status.
 func (st *streamer) token(t sardinerock.Token) error {
-	return st.choice(Choice{}, t.Text)
+	return st.choice(forms.Choice{}, t.Text)
 }
 
-func (st *streamer) choice(c Choice, text string) error {
+func (st *streamer) choice(c forms.Choice, text string) error {
 	first := !st.x.answering
 	if first {
 		st.open()
 	}
 	if st.chat {
-		c.Delta = &Message{Content: text}
+		c.Delta = &forms.Message{Content: text}
 		if first {
 			c.Delta.Role = "assistant"
 		}
@@ -106,7 +107,7 @@
 		c.Text = &text
 	}
 	a := st.blank
-	a.Choices = []Choice{c}
+	a.Choices = []forms.Choice{c}
 	return st.server.writeEvent(st.x, a)
 }
 
@@ -118,13 +119,13 @@
 }
 
 func (st *streamer) finish(e sardinerock.EngineResult, includeUsage bool) error {
-	if err := st.choice(Choice{FinishReason: &e.FinishReason}, ""); err != nil {
+	if err := st.choice(forms.Choice{FinishReason: &e.FinishReason}, ""); err != nil {
 		return err
 	}
 	if includeUsage {
 		a := st.blank
-		a.Choices = []Choice{}
-		a.Usage = newUsage(e)
+		a.Choices = []forms.Choice{}
+		a.Usage = forms.NewUsage(e)
 		if err := st.server.writeEvent(st.x, a); err != nil {
 			return err
 		}
--- a/front/fakes_test.go
+++ b/front/fakes_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/forms"
 )
 
 // scriptedOnline answers every generation with the same tokens, or as its function says.
@@ -110,7 +111,7 @@
 			return job, nil
 		}
 	}
-	return nil, refuse(sardinerock.CodeNotFound, "", "no job %q", id)
+	return nil, forms.Refuse(sardinerock.CodeNotFound, "", "no job %q", id)
 }
 
 func (j *memoryJobs) List(context.Context, string, int) ([]sardinerock.JobStatus, error) {
@@ -164,7 +165,7 @@
 	defer f.mu.Unlock()
 	raw, found := f.files[caller+"/"+id]
 	if !found {
-		return nil, sardinerock.FileInfo{}, refuse(sardinerock.CodeNotFound, "", "no file %q", id)
+		return nil, sardinerock.FileInfo{}, forms.Refuse(sardinerock.CodeNotFound, "", "no file %q", id)
 	}
 	return io.NopCloser(bytes.NewReader(raw)), sardinerock.FileInfo{ID: id, Bytes: int64(len(raw))}, nil
 }
@@ -189,7 +190,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.current != nil && p.current.Version != b.BasedOn {
-		return nil, refuse(sardinerock.CodeVersionConflict, "basedOn", "version %d is in force", p.current.Version)
+		return nil, forms.Refuse(sardinerock.CodeVersionConflict, "basedOn", "version %d is in force", p.current.Version)
 	}
 	p.current = &sardinerock.ConfigSnapshot{Bundle: &b, Version: b.Version()}
 	return p.current, nil
@@ -273,7 +274,7 @@
 
 // expectRefusal checks code, outcome and the field at fault of a refusal.
 func (b *bench) expectRefusal(answer *http.Response, raw string, code sardinerock.Code, outcome sardinerock.Outcome, param string) {
-	var body ErrorBody
+	var body forms.ErrorBody
 	b.Expect(json.Unmarshal([]byte(raw), &body)).To(Succeed(), raw)
 	b.Expect(body.Error.Code).To(Equal(code), raw)
 	b.Expect(answer.Header.Get(OutcomeHeader)).To(Equal(outcome.String()))
--- a/front/files.go
+++ b/front/files.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/forms"
 )
 
 // The files of a job's results are named after the job; they are written as they are read.
@@ -43,7 +44,7 @@
 	s.limitRead(x, s.limits.FileBody, s.limits.UploadTimeout)
 	form, err := x.r.MultipartReader()
 	if err != nil {
-		return refuse(sardinerock.CodeInvalidRequest, "file", "send the file as multipart/form-data: %v", err)
+		return forms.Refuse(sardinerock.CodeInvalidRequest, "file", "send the file as multipart/form-data: %v", err)
 	}
 	part, err := filePart(form)
 	if err != nil {
@@ -52,7 +53,7 @@
 	content := &faultReader{r: part}
 	info, err := s.Files.Put(x.r.Context(), x.caller.Name, part.FileName(), content)
 	if content.fault != nil {
-		return readFault(content.fault)
+		return forms.ReadFault(content.fault)
 	}
 	if err != nil {
 		return err
@@ -81,10 +82,10 @@
 	for {
 		part, err := form.NextPart()
 		if errors.Is(err, io.EOF) {
-			return nil, refuse(sardinerock.CodeInvalidRequest, "file", "the form has no field file")
+			return nil, forms.Refuse(sardinerock.CodeInvalidRequest, "file", "the form has no field file")
 		}
 		if err != nil {
-			return nil, readFault(err)
+			return nil, forms.ReadFault(err)
 		}
 		switch part.FormName() {
 		case "file":
@@ -92,13 +93,13 @@
 		case "purpose":
 			purpose, err := io.ReadAll(io.LimitReader(part, maxPurpose))
 			if err != nil {
-				return nil, readFault(err)
+				return nil, forms.ReadFault(err)
 			}
 			if string(purpose) != "batch" {
-				return nil, refuse(sardinerock.CodeInvalidRequest, "purpose", "the purpose must be batch")
+				return nil, forms.Refuse(sardinerock.CodeInvalidRequest, "purpose", "the purpose must be batch")
 			}
 		default:
-			return nil, refuse(sardinerock.CodeInvalidRequest, part.FormName(), "the form field %q is not supported", part.FormName())
+			return nil, forms.Refuse(sardinerock.CodeInvalidRequest, part.FormName(), "the form field %q is not supported", part.FormName())
 		}
 	}
 }
--- a/front/plain.go
+++ b/front/plain.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/forms"
 )
 
 // connectionHeaders belong to one hop and are not passed on.
@@ -49,10 +50,10 @@
 	name := x.r.PathValue("service")
 	service := x.directory.services[name]
 	if service == nil {
-		return nil, refuse(sardinerock.CodeNotFound, "", "no service %q is in the bundle in force", name)
+		return nil, forms.Refuse(sardinerock.CodeNotFound, "", "no service %q is in the bundle in force", name)
 	}
 	if !slices.Contains(x.caller.Services, name) {
-		return nil, refuse(sardinerock.CodeForbidden, "", "caller %q may not call the service %q", x.caller.Name, name)
+		return nil, forms.Refuse(sardinerock.CodeForbidden, "", "caller %q may not call the service %q", x.caller.Name, name)
 	}
 	return service, nil
 }
@@ -70,7 +71,7 @@
 		clean += "/"
 	}
 	if clean != within || strings.Contains(within, `\`) {
-		return "", refuse(sardinerock.CodeInvalidRequest, "", "the path %q must be written without empty, . or .. parts", within)
+		return "", forms.Refuse(sardinerock.CodeInvalidRequest, "", "the path %q must be written without empty, . or .. parts", within)
 	}
 	return within, nil
 }
--- a/front/request.go
+++ b/front/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/rand"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/forms"
 )
 
 // TimeoutHeader carries how long the caller waits for the whole answer, in milliseconds.
@@ -23,14 +25,14 @@
 	}
 	found := d.callers[caller]
 	if found == nil {
-		return nil, refuse(sardinerock.CodeForbidden, "", "caller %q is not in the bundle in force", caller)
+		return nil, forms.Refuse(sardinerock.CodeForbidden, "", "caller %q is not in the bundle in force", caller)
 	}
 	r, _, err := d.newRequest(found, path, body)
 	return r, err
 }
 
-func (d *directory) newRequest(c *sardinerock.Caller, path string, body []byte) (*sardinerock.Request, *Completion, error) {
-	parsed, err := ParseCompletion(path, body)
+func (d *directory) newRequest(c *sardinerock.Caller, path string, body []byte) (*sardinerock.Request, *forms.Completion, error) {
+	parsed, err := forms.ParseCompletion(path, body)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -39,8 +41,8 @@
 		return nil, nil, err
 	}
 	if parsed.MaxTokens > t.model.MaxTokens {
-		return nil, nil, refuse(sardinerock.CodeInvalidRequest, parsed.maxTokenField,
-			"the field %s is over the model's bound of %d", parsed.maxTokenField, t.model.MaxTokens)
+		return nil, nil, forms.Refuse(sardinerock.CodeInvalidRequest, parsed.MaxTokenField,
+			"the field %s is over the model's bound of %d", parsed.MaxTokenField, t.model.MaxTokens)
 	}
 	if parsed.MaxTokens == 0 {
 		parsed.MaxTokens = t.model.MaxTokens
@@ -82,7 +84,7 @@
 	if h := r.Header.Get(TimeoutHeader); h != "" {
 		ms, err := strconv.ParseInt(h, 10, 64)
 		if err != nil || ms < 1 || ms > s.limits.MaxDeadline.Milliseconds() {
-			return time.Time{}, refuse(sardinerock.CodeInvalidRequest, TimeoutHeader,
+			return time.Time{}, forms.Refuse(sardinerock.CodeInvalidRequest, TimeoutHeader,
 				"the header %s must be a number of milliseconds from 1 to %d", TimeoutHeader, s.limits.MaxDeadline.Milliseconds())
 		}
 		wait = time.Duration(ms) * time.Millisecond
@@ -121,3 +123,12 @@
 func (s *Server) extendWrite(x *exchange) {
 	_ = http.NewResponseController(x.w).SetWriteDeadline(s.Clock().Add(s.limits.WriteTimeout))
 }
+
+// readAll reads a body that is bounded already.
+func readAll(r io.Reader) ([]byte, error) {
+	raw, err := io.ReadAll(r)
+	if err != nil {
+		return nil, forms.ReadFault(err)
+	}
+	return raw, nil
+}
--- a/front/server.go
+++ b/front/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/forms"
 )
 
 // Limits bounds what one call may take; a zero field takes its default.
@@ -110,7 +111,7 @@
 	s.handle("GET /operator/status", s.showStatus)
 	s.handle("POST /operator/jobs/{id}/cancel", s.cancelJob)
 	s.mux.HandleFunc("/", s.plainly(func(_ *exchange) error {
-		return refuse(sardinerock.CodeNotFound, "", "no such path; the paths of this server begin with /v1/, /services/ or /operator/")
+		return forms.Refuse(sardinerock.CodeNotFound, "", "no such path; the paths of this server begin with /v1/, /services/ or /operator/")
 	}))
 }
 
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/forms"
 )
 
 const goodChat = `{"model":"drafts:panels","messages":[{"role":"user","content":"draft a panel"}]}`
@@ -26,26 +27,26 @@
 		code                      sardinerock.Code
 		param                     string
 	}{
-		"no token":           {path: PathChat, body: goodChat, code: sardinerock.CodeUnauthorized},
-		"wrong token":        {path: PathChat, token: "x", body: goodChat, code: sardinerock.CodeUnauthorized},
-		"malformed JSON":     {path: PathChat, token: supervisorToken, body: `{"model":`, code: sardinerock.CodeInvalidRequest},
-		"wrong kind":         {path: PathChat, token: supervisorToken, body: `{"model":7}`, code: sardinerock.CodeInvalidRequest, param: "model"},
-		"body over limit":    {path: PathChat, token: supervisorToken, body: manyLines, code: sardinerock.CodeBodyTooLarge},
-		"no model":           {path: PathChat, token: supervisorToken, body: `{"messages":[{"role":"user","content":"x"}]}`, code: sardinerock.CodeInvalidRequest, param: "model"},
-		"no messages":        {path: PathChat, token: supervisorToken, body: `{"model":"drafts"}`, code: sardinerock.CodeInvalidRequest, param: "messages"},
-		"picture":            {path: PathChat, token: supervisorToken, body: `{"model":"drafts","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, code: sardinerock.CodeInvalidRequest, param: "messages"},
-		"unknown model":      {path: PathChat, token: supervisorToken, body: strings.Replace(goodChat, "drafts:panels", "none", 1), code: sardinerock.CodeModelNotFound, param: "model"},
-		"unknown adapter":    {path: PathChat, token: supervisorToken, body: strings.Replace(goodChat, "panels", "none", 1), code: sardinerock.CodeModelNotFound, param: "model"},
-		"no grant":           {path: PathChat, token: supervisorToken, body: strings.Replace(goodChat, "drafts:panels", "secret", 1), code: sardinerock.CodeForbidden, param: "model"},
-		"no adapter grant":   {path: PathChat, token: supervisorToken, body: strings.Replace(goodChat, "panels", "letters", 1), code: sardinerock.CodeForbidden, param: "model"},
-		"two choices":        {path: PathChat, token: supervisorToken, body: `{"n":2,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "n"},
-		"tools":              {path: PathChat, token: supervisorToken, body: `{"tools":[{"type":"function"}],` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "tools"},
-		"logprobs":           {path: PathChat, token: supervisorToken, body: `{"logprobs":true,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "logprobs"},
-		"unheard-of field":   {path: PathChat, token: supervisorToken, body: `{"colour":1,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "colour"},
-		"too many tokens":    {path: PathChat, token: supervisorToken, body: `{"max_completion_tokens":101,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "max_completion_tokens"},
-		"list of prompts":    {path: PathCompletions, token: supervisorToken, body: `{"model":"drafts","prompt":["a","b"]}`, code: sardinerock.CodeInvalidRequest, param: "prompt"},
-		"both prompts":       {path: PathChat, token: supervisorToken, body: `{"prompt":"x",` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "prompt"},
-		"senseless timeout":  {path: PathChat, token: supervisorToken, body: goodChat, headers: []string{TimeoutHeader, "-1"}, code: sardinerock.CodeInvalidRequest, param: TimeoutHeader},
+		"no token":           {path: forms.PathChat, body: goodChat, code: sardinerock.CodeUnauthorized},
+		"wrong token":        {path: forms.PathChat, token: "x", body: goodChat, code: sardinerock.CodeUnauthorized},
+		"malformed JSON":     {path: forms.PathChat, token: supervisorToken, body: `{"model":`, code: sardinerock.CodeInvalidRequest},
+		"wrong kind":         {path: forms.PathChat, token: supervisorToken, body: `{"model":7}`, code: sardinerock.CodeInvalidRequest, param: "model"},
+		"body over limit":    {path: forms.PathChat, token: supervisorToken, body: manyLines, code: sardinerock.CodeBodyTooLarge},
+		"no model":           {path: forms.PathChat, token: supervisorToken, body: `{"messages":[{"role":"user","content":"x"}]}`, code: sardinerock.CodeInvalidRequest, param: "model"},
+		"no messages":        {path: forms.PathChat, token: supervisorToken, body: `{"model":"drafts"}`, code: sardinerock.CodeInvalidRequest, param: "messages"},
+		"picture":            {path: forms.PathChat, token: supervisorToken, body: `{"model":"drafts","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, code: sardinerock.CodeInvalidRequest, param: "messages"},
+		"unknown model":      {path: forms.PathChat, token: supervisorToken, body: strings.Replace(goodChat, "drafts:panels", "none", 1), code: sardinerock.CodeModelNotFound, param: "model"},
+		"unknown adapter":    {path: forms.PathChat, token: supervisorToken, body: strings.Replace(goodChat, "panels", "none", 1), code: sardinerock.CodeModelNotFound, param: "model"},
+		"no grant":           {path: forms.PathChat, token: supervisorToken, body: strings.Replace(goodChat, "drafts:panels", "secret", 1), code: sardinerock.CodeForbidden, param: "model"},
+		"no adapter grant":   {path: forms.PathChat, token: supervisorToken, body: strings.Replace(goodChat, "panels", "letters", 1), code: sardinerock.CodeForbidden, param: "model"},
+		"two choices":        {path: forms.PathChat, token: supervisorToken, body: `{"n":2,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "n"},
+		"tools":              {path: forms.PathChat, token: supervisorToken, body: `{"tools":[{"type":"function"}],` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "tools"},
+		"logprobs":           {path: forms.PathChat, token: supervisorToken, body: `{"logprobs":true,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "logprobs"},
+		"unheard-of field":   {path: forms.PathChat, token: supervisorToken, body: `{"colour":1,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "colour"},
+		"too many tokens":    {path: forms.PathChat, token: supervisorToken, body: `{"max_completion_tokens":101,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "max_completion_tokens"},
+		"list of prompts":    {path: forms.PathCompletions, token: supervisorToken, body: `{"model":"drafts","prompt":["a","b"]}`, code: sardinerock.CodeInvalidRequest, param: "prompt"},
+		"both prompts":       {path: forms.PathChat, token: supervisorToken, body: `{"prompt":"x",` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "prompt"},
+		"senseless timeout":  {path: forms.PathChat, token: supervisorToken, body: goodChat, headers: []string{TimeoutHeader, "-1"}, code: sardinerock.CodeInvalidRequest, param: TimeoutHeader},
 		"no operator":        {path: "/operator/bundles", token: supervisorToken, body: `{}`, code: sardinerock.CodeForbidden},
 		"unknown service":    {path: "/services/none/x", token: supervisorToken, code: sardinerock.CodeNotFound},
 		"service not given":  {path: "/services/ledger/x", token: supervisorToken, code: sardinerock.CodeForbidden},
@@ -78,7 +79,7 @@
 		b.online.serve = func(context.Context, *sardinerock.Request, func(sardinerock.Token) error) (sardinerock.Result, error) {
 			return sardinerock.Result{}, &sardinerock.Refusal{Code: sardinerock.CodeOverloaded, Outcome: outcome, RetryAfter: 1200 * time.Millisecond}
 		}
-		answer, raw := b.call(http.MethodPost, PathChat, supervisorToken, `{"stream":true,`+goodChat[1:])
+		answer, raw := b.call(http.MethodPost, forms.PathChat, supervisorToken, `{"stream":true,`+goodChat[1:])
 		b.expectRefusal(answer, raw, sardinerock.CodeOverloaded, outcome, "")
 		b.Expect(answer.Header.Get("Retry-After")).To(Equal("2"))
 	}
@@ -95,7 +96,7 @@
 		}
 		return sardinerock.Result{}, &sardinerock.Refusal{Code: sardinerock.CodeBackendLost, Outcome: sardinerock.OutcomeRan}
 	}
-	_, raw := b.call(http.MethodPost, PathChat, supervisorToken, `{"stream":true,`+goodChat[1:])
+	_, raw := b.call(http.MethodPost, forms.PathChat, supervisorToken, `{"stream":true,`+goodChat[1:])
 	events := strings.Split(strings.TrimSpace(raw), "\n\n")
 	b.Expect(events).To(HaveLen(3))
 	b.Expect(events[2]).To(And(ContainSubstring(`"code":"backendServerLost"`), ContainSubstring(`"outcome":"ran"`)))
@@ -108,7 +109,7 @@
 	b := newBench(t, Limits{})
 	b.online.serve = endlessTokens("x")
 	ctx, hangUp := context.WithCancel(context.Background())
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, b.url+PathChat, strings.NewReader(`{"stream":true,`+goodChat[1:]))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, b.url+forms.PathChat, strings.NewReader(`{"stream":true,`+goodChat[1:]))
 	b.Expect(err).NotTo(HaveOccurred())
 	r.Header.Set("Authorization", "Bearer "+supervisorToken)
 	answer, err := http.DefaultClient.Do(r)
@@ -130,7 +131,7 @@
 	b.Expect(err).NotTo(HaveOccurred())
 	defer c.Close()
 	body := `{"stream":true,` + goodChat[1:]
-	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", PathChat, supervisorToken, len(body), body)
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", forms.PathChat, supervisorToken, len(body), body)
 	b.Eventually(b.online.running, 10*time.Second).Should(Equal(1))
 	b.expectNothingHeld()
 }
@@ -142,7 +143,7 @@
 	c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
 	b.Expect(err).NotTo(HaveOccurred())
 	defer c.Close()
-	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{", PathChat, supervisorToken)
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{", forms.PathChat, supervisorToken)
 	b.Expect(c.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
 	raw, err := io.ReadAll(c)
 	b.Expect(err).NotTo(HaveOccurred())
@@ -162,7 +163,7 @@
 		}
 		return sardinerock.Result{EngineResult: sardinerock.EngineResult{FinishReason: "stop"}}, emitAll(emit, "late")
 	}
-	answer, raw := b.call(http.MethodPost, PathChat, supervisorToken, goodChat)
+	answer, raw := b.call(http.MethodPost, forms.PathChat, supervisorToken, goodChat)
 	b.Expect(answer.StatusCode).To(Equal(http.StatusOK), raw)
 }
 
@@ -214,7 +215,7 @@
 	b.publisher.current = nil
 	answer, _ := b.call(http.MethodGet, "/readyz", "", "")
 	b.Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
-	answer, raw := b.call(http.MethodPost, PathChat, supervisorToken, goodChat)
+	answer, raw := b.call(http.MethodPost, forms.PathChat, supervisorToken, goodChat)
 	b.expectRefusal(answer, raw, sardinerock.CodeNotReady, sardinerock.OutcomeNotRun, "")
 	b.Expect(answer.Header.Get("Retry-After")).To(Equal("1"))
 	first := firstBundle(0)
@@ -237,8 +238,8 @@
 
 func TestMetricsAreScrapable(t *testing.T) {
 	b := newBench(t, Limits{})
-	b.call(http.MethodPost, PathChat, supervisorToken, goodChat)
-	b.call(http.MethodPost, PathChat, "", goodChat)
+	b.call(http.MethodPost, forms.PathChat, supervisorToken, goodChat)
+	b.call(http.MethodPost, forms.PathChat, "", goodChat)
 	_, raw := b.call(http.MethodGet, "/metrics", "", "")
 	b.Expect(raw).To(And(
 		ContainSubstring("sardinerock_front_refused_unauthorized 1\n"),
--- a/front/status.go
+++ b/front/status.go
@@ -7,6 +7,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/bundle"
+	"github.com/sardinerock/sardinerock/forms"
 )
 
 // Status is what one process knows of the fleet.
@@ -58,7 +59,7 @@
 
 func (x *exchange) needOperator() error {
 	if !x.caller.Operator {
-		return refuse(sardinerock.CodeForbidden, "", "caller %q is no operator", x.caller.Name)
+		return forms.Refuse(sardinerock.CodeForbidden, "", "caller %q is no operator", x.caller.Name)
 	}
 	return nil
 }
@@ -138,7 +139,7 @@
 	if s.current() == nil {
 		first, faults := bundle.Parse(raw)
 		if len(faults) > 0 {
-			return "", refuse(sardinerock.CodeInvalidRequest, faults[0].Path, "%s", faults[0])
+			return "", forms.Refuse(sardinerock.CodeInvalidRequest, faults[0].Path, "%s", faults[0])
 		}
 		if first.BasedOn != 0 {
 			return "", notReady()
@@ -150,7 +151,7 @@
 		}
 		x.caller = x.directory.callersByKey[HashToken(token)]
 		if x.caller == nil {
-			return "", refuse(sardinerock.CodeUnauthorized, "", "the first bundle must name your bearer token as that of an operator")
+			return "", forms.Refuse(sardinerock.CodeUnauthorized, "", "the first bundle must name your bearer token as that of an operator")
 		}
 	} else if err := s.authenticate(x); err != nil {
 		return "", err
--- a/proof/batch_test.go
+++ b/proof/batch_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/forms"
 	"github.com/sardinerock/sardinerock/front"
 )
 
@@ -126,7 +127,7 @@
 
 func (f *fleet) expectJobRefusedAsNotRun(n *node, file string) {
 	f.t.Helper()
-	body := fmt.Appendf(nil, `{"input_file_id":%q,"endpoint":%q,"completion_window":"24h"}`, file, front.PathChat)
+	body := fmt.Appendf(nil, `{"input_file_id":%q,"endpoint":%q,"completion_window":"24h"}`, file, forms.PathChat)
 	answer, raw, err := f.call(n, http.MethodPost, "/v1/batches", callerToken, body, "Idempotency-Key", "later")
 	f.Expect(err).NotTo(HaveOccurred())
 	f.Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable), raw)
--- a/proof/calls_test.go
+++ b/proof/calls_test.go
@@ -13,7 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock/engine"
-	"github.com/sardinerock/sardinerock/front"
+	"github.com/sardinerock/sardinerock/forms"
 )
 
 // outcome is what a caller got for one request.
@@ -47,25 +47,25 @@
 }
 
 func expectedText(prompt string, tokens int) string {
-	return engine.AnswerText(front.PathChat, chatBody(prompt, tokens))
+	return engine.AnswerText(forms.PathChat, chatBody(prompt, tokens))
 }
 
 // chat sends one online request and waits for the answer.
 func (f *fleet) chat(n *node, prompt string) *outcome {
 	o := &outcome{prompt: prompt}
-	answer, body, err := f.call(n, http.MethodPost, front.PathChat, callerToken, chatBody(prompt, onlineTokens))
+	answer, body, err := f.call(n, http.MethodPost, forms.PathChat, callerToken, chatBody(prompt, onlineTokens))
 	if err != nil {
 		o.err = err
 		return o
 	}
 	o.status, o.header = answer.StatusCode, answer.Header
 	if o.status != http.StatusOK {
-		var refusal front.ErrorBody
+		var refusal forms.ErrorBody
 		o.err = json.Unmarshal([]byte(body), &refusal)
 		o.code = string(refusal.Error.Code)
 		return o
 	}
-	var a front.Answer
+	var a forms.Answer
 	if o.err = json.Unmarshal([]byte(body), &a); o.err == nil {
 		o.text = a.Choices[0].Message.Content
 	}
@@ -173,7 +173,7 @@
 func (f *fleet) upload(n *node, name string, items int) (string, error) {
 	var lines bytes.Buffer
 	for i := range items {
-		fmt.Fprintf(&lines, `{"custom_id":"item%d","method":"POST","url":%q,"body":%s}`+"\n", i, front.PathChat, chatBody(itemPrompt(name, i), f.itemTokens))
+		fmt.Fprintf(&lines, `{"custom_id":"item%d","method":"POST","url":%q,"body":%s}`+"\n", i, forms.PathChat, chatBody(itemPrompt(name, i), f.itemTokens))
 	}
 	var form bytes.Buffer
 	w := multipart.NewWriter(&form)
@@ -198,7 +198,7 @@
 
 // create makes a job of an uploaded file.
 func (f *fleet) create(n *node, file, key string) (*job, error) {
-	body := fmt.Appendf(nil, `{"input_file_id":%q,"endpoint":%q,"completion_window":"24h"}`, file, front.PathChat)
+	body := fmt.Appendf(nil, `{"input_file_id":%q,"endpoint":%q,"completion_window":"24h"}`, file, forms.PathChat)
 	return f.jobCall(n, http.MethodPost, "/v1/batches", body, "Idempotency-Key", key)
 }
 
@@ -273,7 +273,7 @@
 		var line struct {
 			CustomID string `json:"custom_id"`
 			Response struct {
-				Body front.Answer `json:"body"`
+				Body forms.Answer `json:"body"`
 			} `json:"response"`
 		}
 		f.Expect(json.Unmarshal([]byte(raw), &line)).To(Succeed(), raw)
--- a/proof/client_test.go
+++ b/proof/client_test.go
@@ -10,7 +10,7 @@
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 
-	"github.com/sardinerock/sardinerock/front"
+	"github.com/sardinerock/sardinerock/forms"
 )
 
 // A caller uses a client library for the usual forms against a whole fleet: a
@@ -36,7 +36,7 @@
 	const items = 10
 	var lines strings.Builder
 	for i := range items {
-		fmt.Fprintf(&lines, `{"custom_id":"item%d","method":"POST","url":%q,"body":%s}`+"\n", i, front.PathChat, chatBody(itemPrompt("library", i), f.itemTokens))
+		fmt.Fprintf(&lines, `{"custom_id":"item%d","method":"POST","url":%q,"body":%s}`+"\n", i, forms.PathChat, chatBody(itemPrompt("library", i), f.itemTokens))
 	}
 	file, err := first.Files.New(ctx, openai.FileNewParams{
 		File: openai.File(strings.NewReader(lines.String()), "letters.jsonl", "application/jsonl"), Purpose: openai.FilePurposeBatch,
--- a/proof/overhead_test.go
+++ b/proof/overhead_test.go
@@ -12,7 +12,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/sardinerock/sardinerock/front"
+	"github.com/sardinerock/sardinerock/forms"
 )
 
 // maxOverhead is what an entry and a side together may add to the median first token.
@@ -46,7 +46,7 @@
 // firstToken sends a streaming request and returns the time to its first token.
 func (f *fleet) firstToken(url string, i int) time.Duration {
 	body := fmt.Appendf(nil, `{"model":%q,"stream":true,"max_tokens":2,"messages":[{"role":"user","content":"draft %d"}]}`, modelName, i)
-	r, err := http.NewRequest(http.MethodPost, url+front.PathChat, bytes.NewReader(body))
+	r, err := http.NewRequest(http.MethodPost, url+forms.PathChat, bytes.NewReader(body))
 	f.Expect(err).NotTo(HaveOccurred())
 	r.Header.Set("Authorization", "Bearer "+callerToken)
 	started := time.Now()
