grants: what the bundle in force lets callers ask for, in a package of its own

Moved, behaviour unchanged: the index of a configuration, the hash of tokens, reading the bearer token, the look-up of models and services through grants, requests of generations and their fingerprints. front.Server.NewRequest stays and passes on. The server keeps the cached index, and authenticates.

Ruled out: an alias front.HashToken; trace, capa, config and proof name it where it is now.

--- a/capa/fleets/processes.go
+++ b/capa/fleets/processes.go
@@ -22,7 +22,7 @@
 	"github.com/sardinerock/sardinerock/capa/meter"
 	"github.com/sardinerock/sardinerock/capa/sample"
 	"github.com/sardinerock/sardinerock/event"
-	"github.com/sardinerock/sardinerock/front"
+	"github.com/sardinerock/sardinerock/grants"
 	"github.com/sardinerock/sardinerock/remote"
 )
 
@@ -295,7 +295,7 @@
 	next := func(basedOn int64) *sardinerock.Bundle {
 		b := sample.Bundle(basedOn, teams, 600+int(basedOn))
 		b.Callers[1].Operator = true
-		b.Callers[1].KeyHashes = []string{front.HashToken(operatorToken)}
+		b.Callers[1].KeyHashes = []string{grants.HashToken(operatorToken)}
 		return b
 	}
 	if err := eventually(func() bool { return f.publish(next(0), f.entries[0]) == nil }); err != nil {
--- a/capa/fleets/whole.go
+++ b/capa/fleets/whole.go
@@ -10,7 +10,7 @@
 	"github.com/sardinerock/sardinerock/capa/meter"
 	"github.com/sardinerock/sardinerock/capa/sample"
 	"github.com/sardinerock/sardinerock/fleet"
-	"github.com/sardinerock/sardinerock/front"
+	"github.com/sardinerock/sardinerock/grants"
 )
 
 // operatorToken is the key of the one caller that may publish.
@@ -52,7 +52,7 @@
 	b := sample.Bundle(0, 50, 600)
 	operator := &b.Callers[0]
 	operator.Operator = true
-	operator.KeyHashes = []string{front.HashToken(operatorToken)}
+	operator.KeyHashes = []string{grants.HashToken(operatorToken)}
 	f := &fleet.Fleet{Entries: entries, Sides: sides, Zones: []string{"a", "b", "c"}, Bundle: *b, Operator: operatorToken}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/capa/sample/bundle.go
+++ b/capa/sample/bundle.go
@@ -8,7 +8,7 @@
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/bundle"
 	"github.com/sardinerock/sardinerock/config"
-	"github.com/sardinerock/sardinerock/front"
+	"github.com/sardinerock/sardinerock/grants"
 )
 
 // callersPerTeam and the rest of the sample are an assumption about ordinary bundles.
@@ -32,7 +32,7 @@
 		b.Teams = append(b.Teams, sardinerock.Team{Name: name, Weight: 1})
 		for j := range callersPerTeam {
 			a := sardinerock.Caller{
-				Name: fmt.Sprintf("%s-app%d", name, j), Team: name, KeyHashes: []string{front.HashToken(fmt.Sprint(name, j))}, Weight: 1,
+				Name: fmt.Sprintf("%s-app%d", name, j), Team: name, KeyHashes: []string{grants.HashToken(fmt.Sprint(name, j))}, Weight: 1,
 				Grants:   []sardinerock.Grant{{Model: "model-0", Version: "2026-11", Adapters: []string{"panels"}}, {Model: "model-1", Version: "2026-11"}},
 				Services: []string{"portal"}, RequestsPerMinute: 600, TokensPerMinute: 100000, MaxInFlight: 20,
 			}
--- a/config/keeper_test.go
+++ b/config/keeper_test.go
@@ -12,7 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock"
-	"github.com/sardinerock/sardinerock/front"
+	"github.com/sardinerock/sardinerock/grants"
 	"github.com/sardinerock/sardinerock/order"
 )
 
@@ -30,7 +30,7 @@
 		name := fmt.Sprintf("team%04d", i)
 		b.Teams = append(b.Teams, sardinerock.Team{Name: name, Weight: 1})
 		b.Callers = append(b.Callers, sardinerock.Caller{
-			Name: name + "-app", Team: name, KeyHashes: []string{front.HashToken(name)}, Weight: 1,
+			Name: name + "-app", Team: name, KeyHashes: []string{grants.HashToken(name)}, Weight: 1,
 			Grants:   []sardinerock.Grant{{Model: "draft", Version: "1", Adapters: []string{"panels"}}},
 			Services: []string{"portal"}, RequestsPerMinute: 600, TokensPerMinute: 100000, MaxInFlight: 20,
 		})
--- a/front/batches.go
+++ b/front/batches.go
@@ -170,7 +170,7 @@
 		return forms.Inspection{}, err
 	}
 	defer content.Close()
-	return forms.Inspect(content, path, x.directory.snapshot.Bundle.Batch.MaxItems)
+	return forms.Inspect(content, path, x.directory.Snapshot.Bundle.Batch.MaxItems)
 }
 
 func jobItems(content io.Reader, path string) func(yield func(sardinerock.JobItem) error) error {
--- a/front/complete.go
+++ b/front/complete.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return err
 	}
-	r, parsed, err := x.directory.newRequest(x.caller, x.r.URL.Path, body)
+	r, parsed, err := x.directory.NewRequest(x.caller, x.r.URL.Path, body)
 	if err != nil {
 		return err
 	}
@@ -184,9 +184,9 @@
 func (s *Server) listModels(x *exchange) error {
 	models := []modelObject{}
 	for _, g := range x.caller.Grants {
-		models = append(models, newModelObject(g.Model, x.directory.snapshot.Since))
+		models = append(models, newModelObject(g.Model, x.directory.Snapshot.Since))
 		for _, a := range g.Adapters {
-			models = append(models, newModelObject(g.Model+":"+a, x.directory.snapshot.Since))
+			models = append(models, newModelObject(g.Model+":"+a, x.directory.Snapshot.Since))
 		}
 	}
 	s.writeJSON(x, http.StatusOK, list[modelObject]{Object: "list", Data: models})
@@ -195,10 +195,10 @@
 
 func (s *Server) getModel(x *exchange) error {
 	name := x.r.PathValue("model")
-	if _, err := x.directory.resolve(x.caller, name); err != nil {
+	if _, err := x.directory.Resolve(x.caller, name); err != nil {
 		return err
 	}
-	s.writeJSON(x, http.StatusOK, newModelObject(name, x.directory.snapshot.Since))
+	s.writeJSON(x, http.StatusOK, newModelObject(name, x.directory.Snapshot.Since))
 	return nil
 }
 
--- a/front/fakes_test.go
+++ b/front/fakes_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/forms"
+	"github.com/sardinerock/sardinerock/grants"
 )
 
 // scriptedOnline answers every generation with the same tokens, or as its function says.
@@ -223,13 +224,13 @@
 		},
 		Callers: []sardinerock.Caller{
 			{
-				Name: "supervisor", KeyHashes: []string{HashToken(supervisorToken)}, Services: []string{"portal"},
+				Name: "supervisor", KeyHashes: []string{grants.HashToken(supervisorToken)}, Services: []string{"portal"},
 				Grants: []sardinerock.Grant{
 					{Model: "drafts", Version: "v2", Adapters: []string{"panels"}},
 					{Model: "tiny:8b", Version: "v1"},
 				},
 			},
-			{Name: "operator", KeyHashes: []string{HashToken(operatorToken)}, Operator: true},
+			{Name: "operator", KeyHashes: []string{grants.HashToken(operatorToken)}, Operator: true},
 		},
 		Batch: sardinerock.Batch{MaxItems: 1000},
 	}
--- a/front/plain.go
+++ b/front/plain.go
@@ -9,6 +9,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/forms"
+	"github.com/sardinerock/sardinerock/grants"
 )
 
 // connectionHeaders belong to one hop and are not passed on.
@@ -19,7 +20,7 @@
 
 // callService passes a call on to a plain service.
 func (s *Server) callService(x *exchange) error {
-	service, err := x.service()
+	service, err := x.directory.Service(x.caller, x.r.PathValue("service"))
 	if err != nil {
 		return err
 	}
@@ -46,18 +47,6 @@
 	return nil
 }
 
-func (x *exchange) service() (*sardinerock.Service, error) {
-	name := x.r.PathValue("service")
-	service := x.directory.services[name]
-	if service == nil {
-		return nil, forms.Refuse(sardinerock.CodeNotFound, "", "no service %q is in the bundle in force", name)
-	}
-	if !slices.Contains(x.caller.Services, name) {
-		return nil, forms.Refuse(sardinerock.CodeForbidden, "", "caller %q may not call the service %q", x.caller.Name, name)
-	}
-	return service, nil
-}
-
 // innerPath returns the path that the service sees, decoded.
 //
 // The patterns of calls that may not be repeated are matched against it, so it
@@ -91,8 +80,8 @@
 		Header:        passOn(x.r.Header),
 		Body:          body,
 		Idempotent:    repeatable(service, x.r.Method, within),
-		Fingerprint:   fingerprint(service.Name, x.r.Method, escaped, string(body)),
-		ConfigVersion: x.directory.snapshot.Version,
+		Fingerprint:   grants.Fingerprint(service.Name, x.r.Method, escaped, string(body)),
+		ConfigVersion: x.directory.Snapshot.Version,
 	}
 }
 
--- a/front/request.go
+++ b/front/request.go
@@ -1,16 +1,14 @@
 package front
 
 import (
-	"crypto/rand"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/forms"
+	"github.com/sardinerock/sardinerock/grants"
 )
 
 // TimeoutHeader carries how long the caller waits for the whole answer, in milliseconds.
@@ -21,61 +19,40 @@
 func (s *Server) NewRequest(caller, path string, body []byte) (*sardinerock.Request, error) {
 	d := s.current()
 	if d == nil {
-		return nil, notReady()
-	}
-	found := d.callers[caller]
-	if found == nil {
-		return nil, forms.Refuse(sardinerock.CodeForbidden, "", "caller %q is not in the bundle in force", caller)
+		return nil, grants.NotReady()
 	}
-	r, _, err := d.newRequest(found, path, body)
-	return r, err
+	return d.ItemRequest(caller, path, body)
 }
 
-func (d *directory) newRequest(c *sardinerock.Caller, path string, body []byte) (*sardinerock.Request, *forms.Completion, error) {
-	parsed, err := forms.ParseCompletion(path, body)
-	if err != nil {
-		return nil, nil, err
-	}
-	t, err := d.resolve(c, parsed.Model)
-	if err != nil {
-		return nil, nil, err
+// current returns the index of the configuration in force, or nil.
+func (s *Server) current() *grants.Directory {
+	c := s.Publisher.Current()
+	if c == nil {
+		return nil
 	}
-	if parsed.MaxTokens > t.model.MaxTokens {
-		return nil, nil, forms.Refuse(sardinerock.CodeInvalidRequest, parsed.MaxTokenField,
-			"the field %s is over the model's bound of %d", parsed.MaxTokenField, t.model.MaxTokens)
+	d := s.directory.Load()
+	if d == nil || d.Snapshot != c {
+		d = grants.New(c)
+		s.directory.Store(d)
 	}
-	if parsed.MaxTokens == 0 {
-		parsed.MaxTokens = t.model.MaxTokens
-	}
-	loaded := sardinerock.LoadedModel{Model: t.model.Name, Version: t.version, Adapter: t.adapter}
-	return &sardinerock.Request{
-		ID:            rand.Text(),
-		Caller:        c.Name,
-		Key:           parsed.User,
-		Path:          path,
-		Model:         t.model.Name,
-		Version:       t.version,
-		Adapter:       t.adapter,
-		Method:        http.MethodPost,
-		Body:          body,
-		Idempotent:    true,
-		PromptTokens:  sardinerock.PromptTokens(parsed.Prompt),
-		MaxTokens:     parsed.MaxTokens,
-		Prefixes:      sardinerock.PrefixHashes(loaded, parsed.Prompt),
-		Fingerprint:   fingerprint(loaded.Model, loaded.Version, loaded.Adapter, parsed.Prompt),
-		ConfigVersion: d.snapshot.Version,
-	}, parsed, nil
+	return d
 }
 
-// fingerprint is the same for every resend of the same content, whoever sends it.
-func fingerprint(parts ...string) uint64 {
-	d := xxhash.New()
-	for _, p := range parts {
-		_, _ = d.WriteString(p)
-		// A separator keeps ("ab", "c") apart from ("a", "bc").
-		_, _ = d.Write([]byte{0})
+// authenticate finds the caller by the bearer token, under the configuration that holds for the whole call.
+func (s *Server) authenticate(x *exchange) error {
+	x.directory = s.current()
+	if x.directory == nil {
+		return grants.NotReady()
+	}
+	token, err := grants.Bearer(x.r)
+	if err != nil {
+		return err
+	}
+	x.caller = x.directory.Holder(token)
+	if x.caller == nil {
+		return forms.Refuse(sardinerock.CodeUnauthorized, "", "the bearer token belongs to no caller of the bundle in force")
 	}
-	return d.Sum64()
+	return nil
 }
 
 // deadline reads until when the caller waits.
--- a/front/server.go
+++ b/front/server.go
@@ -11,6 +11,7 @@
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/forms"
+	"github.com/sardinerock/sardinerock/grants"
 )
 
 // Limits bounds what one call may take; a zero field takes its default.
@@ -74,7 +75,7 @@
 	once      sync.Once
 	mux       *http.ServeMux
 	limits    Limits
-	directory atomic.Pointer[directory]
+	directory atomic.Pointer[grants.Directory]
 }
 
 // ServeHTTP implements http.Handler.
@@ -121,7 +122,7 @@
 	r *http.Request
 	// caller and directory are nil where none are needed.
 	caller    *sardinerock.Caller
-	directory *directory
+	directory *grants.Directory
 	// request is the id under which the lines of other events tell of the same request; empty for calls that run nothing.
 	request string
 	// answering is set once the answer's header is out; errors then need a form of their own.
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/forms"
+	"github.com/sardinerock/sardinerock/grants"
 )
 
 const goodChat = `{"model":"drafts:panels","messages":[{"role":"user","content":"draft a panel"}]}`
@@ -233,7 +234,7 @@
 
 func firstBundle(basedOn int) string {
 	return fmt.Sprintf(`{"basedOn":%d,"models":[],"services":[{"name":"portal","maxInFlight":8,"timeoutMs":1000}],"teams":[{"name":"office","weight":1}],"batch":{"resultHours":24,"maxItems":1000,"maxAttempts":3},
-		"callers":[{"name":"operator","team":"office","weight":1,"grants":[],"operator":true,"keyHashes":[%q]}]}`, basedOn, HashToken(operatorToken))
+		"callers":[{"name":"operator","team":"office","weight":1,"grants":[],"operator":true,"keyHashes":[%q]}]}`, basedOn, grants.HashToken(operatorToken))
 }
 
 func TestMetricsAreScrapable(t *testing.T) {
--- a/front/status.go
+++ b/front/status.go
@@ -8,6 +8,7 @@
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/bundle"
 	"github.com/sardinerock/sardinerock/forms"
+	"github.com/sardinerock/sardinerock/grants"
 )
 
 // Status is what one process knows of the fleet.
@@ -72,7 +73,7 @@
 	if s.Status != nil {
 		st = s.Status()
 	}
-	c := x.directory.snapshot
+	c := x.directory.Snapshot
 	st.Version, st.Digest, st.Since = c.Version, c.Digest, c.Since
 	s.addJobs(x, &st)
 	s.writeJSON(x, http.StatusOK, st)
@@ -142,14 +143,14 @@
 			return "", forms.Refuse(sardinerock.CodeInvalidRequest, faults[0].Path, "%s", faults[0])
 		}
 		if first.BasedOn != 0 {
-			return "", notReady()
+			return "", grants.NotReady()
 		}
-		x.directory = newDirectory(&sardinerock.ConfigSnapshot{Bundle: first})
-		token, err := bearer(x)
+		x.directory = grants.New(&sardinerock.ConfigSnapshot{Bundle: first})
+		token, err := grants.Bearer(x.r)
 		if err != nil {
 			return "", err
 		}
-		x.caller = x.directory.callersByKey[HashToken(token)]
+		x.caller = x.directory.Holder(token)
 		if x.caller == nil {
 			return "", forms.Refuse(sardinerock.CodeUnauthorized, "", "the first bundle must name your bearer token as that of an operator")
 		}
--- a/front/caller.go
+++ b/grants/grants.go
@@ -1,8 +1,9 @@
-package front
+package grants
 
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -14,9 +15,10 @@
 // comeBackReady is when a process without configuration asks to be tried again; a bundle is in force within seconds.
 const comeBackReady = time.Second
 
-// directory is a configuration in force, indexed for look-ups on the path of each request.
-type directory struct {
-	snapshot *sardinerock.ConfigSnapshot
+// Directory is a configuration in force, indexed for look-ups on the path of each request.
+type Directory struct {
+	// Snapshot is the configuration itself.
+	Snapshot *sardinerock.ConfigSnapshot
 	// callersByKey is indexed by the SHA-256 of the bearer token, in hex. A look-up
 	// by hash needs no constant-time comparison: how long it takes tells about
 	// hashes, from which no token can be worked out.
@@ -26,9 +28,10 @@
 	services     map[string]*sardinerock.Service
 }
 
-func newDirectory(c *sardinerock.ConfigSnapshot) *directory {
-	d := &directory{
-		snapshot:     c,
+// New indexes a configuration.
+func New(c *sardinerock.ConfigSnapshot) *Directory {
+	d := &Directory{
+		Snapshot:     c,
 		callersByKey: map[string]*sardinerock.Caller{},
 		callers:      map[string]*sardinerock.Caller{},
 		models:       map[string]*sardinerock.Model{},
@@ -50,81 +53,69 @@
 	return d
 }
 
-// current returns the index of the configuration in force, or nil.
-func (s *Server) current() *directory {
-	c := s.Publisher.Current()
-	if c == nil {
-		return nil
-	}
-	d := s.directory.Load()
-	if d == nil || d.snapshot != c {
-		d = newDirectory(c)
-		s.directory.Store(d)
-	}
-	return d
-}
-
 // HashToken returns the form in which a bundle holds a bearer token: its SHA-256 in hex.
 func HashToken(token string) string {
 	sum := sha256.Sum256([]byte(token))
 	return hex.EncodeToString(sum[:])
 }
 
-func notReady() error {
+// NotReady is the refusal of a process that has no configuration yet.
+func NotReady() error {
 	f := forms.Refuse(sardinerock.CodeNotReady, "", "no configuration is in force here yet")
 	f.RetryAfter = comeBackReady
 	return f
 }
 
-func bearer(x *exchange) (string, error) {
-	scheme, token, found := strings.Cut(x.r.Header.Get("Authorization"), " ")
+// Bearer returns the bearer token of a call.
+func Bearer(r *http.Request) (string, error) {
+	scheme, token, found := strings.Cut(r.Header.Get("Authorization"), " ")
 	if !found || !strings.EqualFold(scheme, "Bearer") || token == "" {
 		return "", forms.Refuse(sardinerock.CodeUnauthorized, "", "send the header Authorization: Bearer with your token")
 	}
 	return strings.TrimSpace(token), nil
 }
 
-// authenticate finds the caller by the bearer token, under the configuration that holds for the whole call.
-func (s *Server) authenticate(x *exchange) error {
-	x.directory = s.current()
-	if x.directory == nil {
-		return notReady()
-	}
-	token, err := bearer(x)
-	if err != nil {
-		return err
+// Holder returns the caller to whom a bearer token belongs, or nil.
+func (d *Directory) Holder(token string) *sardinerock.Caller {
+	return d.callersByKey[HashToken(token)]
+}
+
+// Service returns a plain service that a caller may call.
+func (d *Directory) Service(c *sardinerock.Caller, name string) (*sardinerock.Service, error) {
+	service := d.services[name]
+	if service == nil {
+		return nil, forms.Refuse(sardinerock.CodeNotFound, "", "no service %q is in the bundle in force", name)
 	}
-	x.caller = x.directory.callersByKey[HashToken(token)]
-	if x.caller == nil {
-		return forms.Refuse(sardinerock.CodeUnauthorized, "", "the bearer token belongs to no caller of the bundle in force")
+	if !slices.Contains(c.Services, name) {
+		return nil, forms.Refuse(sardinerock.CodeForbidden, "", "caller %q may not call the service %q", c.Name, name)
 	}
-	return nil
+	return service, nil
 }
 
-// target is what a caller's model name stands for.
-type target struct {
-	model   *sardinerock.Model
-	version string
-	adapter string
+// Target is what a caller's model name stands for.
+type Target struct {
+	Model   *sardinerock.Model
+	Version string
+	Adapter string
 }
 
-// resolve turns "model" or "model:adapter" into what the caller's grants make of it.
-func (d *directory) resolve(c *sardinerock.Caller, name string) (target, error) {
+// Resolve turns "model" or "model:adapter" into what the caller's grants make of it.
+func (d *Directory) Resolve(c *sardinerock.Caller, name string) (Target, error) {
 	modelName, adapter := d.split(name)
 	m := d.models[modelName]
 	if m == nil || adapter != "" && !slices.Contains(m.Adapters, adapter) {
-		return target{}, forms.Refuse(sardinerock.CodeModelNotFound, "model", "no model %q is in the bundle in force", name)
+		return Target{}, forms.Refuse(sardinerock.CodeModelNotFound, "model", "no model %q is in the bundle in force", name)
 	}
 	for _, g := range c.Grants {
 		if g.Model == modelName && (adapter == "" || slices.Contains(g.Adapters, adapter)) {
-			return target{model: m, version: g.Version, adapter: adapter}, nil
+			return Target{Model: m, Version: g.Version, Adapter: adapter}, nil
 		}
 	}
-	return target{}, forms.Refuse(sardinerock.CodeForbidden, "model", "caller %q has no grant for %q", c.Name, name)
+	return Target{}, forms.Refuse(sardinerock.CodeForbidden, "model", "caller %q has no grant for %q", c.Name, name)
 }
 
 // split cuts the adapter off a name; a model's own name may hold colons too.
-func (d *directory) split(name string) (model, adapter string) {
+func (d *Directory) split(name string) (model, adapter string) {
 	i := strings.LastIndexByte(name, ':')
 	if i < 0 || d.models[name] != nil {
 		return name, ""
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/front"
+	"github.com/sardinerock/sardinerock/grants"
 	"github.com/sardinerock/sardinerock/remote"
 )
 
@@ -226,11 +227,11 @@
 		Teams: []sardinerock.Team{{Name: "tutors", Weight: 1}},
 		Callers: []sardinerock.Caller{
 			{
-				Name: "tutor", Team: "tutors", Weight: 1, KeyHashes: []string{front.HashToken(callerToken)},
+				Name: "tutor", Team: "tutors", Weight: 1, KeyHashes: []string{grants.HashToken(callerToken)},
 				Grants: []sardinerock.Grant{{Model: modelName, Version: "v1"}}, Services: []string{serviceName},
 			},
 			{
-				Name: "operator", Team: "tutors", Weight: 1, KeyHashes: []string{front.HashToken(operatorToken)},
+				Name: "operator", Team: "tutors", Weight: 1, KeyHashes: []string{grants.HashToken(operatorToken)},
 				Grants: []sardinerock.Grant{}, Operator: true,
 			},
 		},
--- a/trace/bundle.go
+++ b/trace/bundle.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/sardinerock/sardinerock"
-	"github.com/sardinerock/sardinerock/front"
+	"github.com/sardinerock/sardinerock/grants"
 )
 
 // The callers that every bundle of this package has.
@@ -30,13 +30,13 @@
 	}
 	for _, name := range h.Callers {
 		b.Callers = append(b.Callers, sardinerock.Caller{
-			Name: name, Team: h.Deployment, Weight: 1, KeyHashes: []string{front.HashToken(Token(name))},
+			Name: name, Team: h.Deployment, Weight: 1, KeyHashes: []string{grants.HashToken(Token(name))},
 			Grants:   []sardinerock.Grant{{Model: h.Model, Version: modelVersion}},
 			Services: h.ServiceNames,
 		})
 	}
 	b.Callers = append(b.Callers, sardinerock.Caller{
-		Name: Operator, Team: h.Deployment, Weight: 1, KeyHashes: []string{front.HashToken(Token(Operator))},
+		Name: Operator, Team: h.Deployment, Weight: 1, KeyHashes: []string{grants.HashToken(Token(Operator))},
 		Grants: []sardinerock.Grant{}, Operator: true,
 	})
 	return b
