forms, front: the forms of jobs, files, results and models are with the others

Moved, behaviour unchanged: the batch object with its states, window and counts, the file object and the names of result files, result lines, the model object and lists; TestWindowIsShownAsCallersWriteIt goes along.

--- a/forms/doc.go
+++ b/forms/doc.go
@@ -1,3 +1,3 @@
 // Package forms holds the usual JSON forms of model servers: it reads the bodies
-// of generations and the lines of jobs, and writes answers and errors.
+// of generations and the lines of jobs, and writes answers, jobs, files and errors.
 package forms
--- /dev/null
+++ b/forms/file.go
@@ -0,0 +1,78 @@
+package forms
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// The files of a job's results are named after the job; they are written as they are read.
+const (
+	outputPrefix = "output-"
+	errorPrefix  = "error-"
+)
+
+// File is a file in the usual form.
+type File struct {
+	ID        string `json:"id"`
+	Object    string `json:"object"`
+	Bytes     int64  `json:"bytes"`
+	CreatedAt int64  `json:"created_at"`
+	Filename  string `json:"filename"`
+	Purpose   string `json:"purpose"`
+	Status    string `json:"status"`
+}
+
+// NewFile puts an uploaded file into the usual form.
+func NewFile(f sardinerock.FileInfo) File {
+	return File{
+		ID: f.ID, Object: "file", Bytes: f.Bytes, CreatedAt: f.CreatedAt.Unix(),
+		Filename: f.Name, Purpose: "batch", Status: "processed",
+	}
+}
+
+// NewResultFile puts the results of a job into the form of a file.
+func NewResultFile(info sardinerock.FileInfo, errorsOnly bool) File {
+	o := NewFile(info)
+	o.Purpose = "batch_output"
+	if errorsOnly {
+		o.Purpose = "batch_error"
+	}
+	return o
+}
+
+// ResultFile tells whether a file id names the results of a job, and which of them.
+func ResultFile(id string) (job string, errorsOnly, found bool) {
+	if job, found := strings.CutPrefix(id, outputPrefix); found {
+		return job, false, true
+	}
+	if job, found := strings.CutPrefix(id, errorPrefix); found {
+		return job, true, true
+	}
+	return "", false, false
+}
+
+// ResultLine is one line of a job's results.
+type ResultLine struct {
+	ID       string          `json:"id"`
+	CustomID string          `json:"custom_id"`
+	Response *ResultResponse `json:"response"`
+	Error    json.RawMessage `json:"error"`
+}
+
+// ResultResponse is the answer to one item.
+type ResultResponse struct {
+	StatusCode int             `json:"status_code"`
+	RequestID  string          `json:"request_id"`
+	Body       json.RawMessage `json:"body"`
+}
+
+// NewResultLine puts an item's result into the usual form.
+func NewResultLine(job string, r sardinerock.ItemResult) ResultLine {
+	id := job + "/" + r.CustomID
+	return ResultLine{
+		ID: id, CustomID: r.CustomID, Error: json.RawMessage("null"),
+		Response: &ResultResponse{StatusCode: r.Status, RequestID: id, Body: r.Body},
+	}
+}
--- a/forms/forms_test.go
+++ b/forms/forms_test.go
@@ -3,8 +3,11 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock"
 )
 
 func TestFaultyLinesRefuseTheWholeJob(t *testing.T) {
@@ -25,6 +28,16 @@
 	}
 }
 
+func TestWindowIsShownAsCallersWriteIt(t *testing.T) {
+	created := time.Unix(1_800_000_000, 0)
+	for _, text := range []string{"24h", "30m", "10s", "1h30m", "1h0m10s", "20s"} {
+		g := NewWithT(t)
+		length, err := time.ParseDuration(text)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(Window(&sardinerock.JobStatus{CreatedAt: created, Due: created.Add(length)})).To(Equal(text))
+	}
+}
+
 func FuzzParseLine(f *testing.F) {
 	f.Add([]byte(`{"custom_id":"a","method":"POST","url":"/v1/completions","body":{}}`))
 	f.Add([]byte(`{"custom_id":1}`))
--- a/front/batches.go
+++ b/front/batches.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/sardinerock/sardinerock"
@@ -22,87 +21,6 @@
 	maxKey = 256
 )
 
-type batchBody struct {
-	InputFileID      string            `json:"input_file_id"`
-	Endpoint         string            `json:"endpoint"`
-	CompletionWindow string            `json:"completion_window"`
-	Metadata         map[string]string `json:"metadata"`
-}
-
-type batchCounts struct {
-	Total     int `json:"total"`
-	Completed int `json:"completed"`
-	Failed    int `json:"failed"`
-}
-
-type batchObject struct {
-	ID               string            `json:"id"`
-	Object           string            `json:"object"`
-	Endpoint         string            `json:"endpoint"`
-	InputFileID      string            `json:"input_file_id"`
-	CompletionWindow string            `json:"completion_window"`
-	Status           string            `json:"status"`
-	OutputFileID     string            `json:"output_file_id,omitempty"`
-	ErrorFileID      string            `json:"error_file_id,omitempty"`
-	CreatedAt        int64             `json:"created_at"`
-	InProgressAt     int64             `json:"in_progress_at"`
-	ExpiresAt        *int64            `json:"expires_at,omitempty"`
-	CompletedAt      *int64            `json:"completed_at,omitempty"`
-	CancelledAt      *int64            `json:"cancelled_at,omitempty"`
-	ExpiredAt        *int64            `json:"expired_at,omitempty"`
-	RequestCounts    batchCounts       `json:"request_counts"`
-	Metadata         map[string]string `json:"metadata"`
-}
-
-// batchStates gives the usual names of a job's states.
-var batchStates = map[sardinerock.JobState]string{
-	sardinerock.JobUploading:  "validating",
-	sardinerock.JobRunning:    "in_progress",
-	sardinerock.JobCancelling: "cancelling",
-	sardinerock.JobCancelled:  "cancelled",
-	sardinerock.JobFinished:   "completed",
-	sardinerock.JobExpired:    "expired",
-}
-
-// window writes 24h0m0s as callers gave it, 24h.
-func window(j *sardinerock.JobStatus) string {
-	text := j.Due.Sub(j.CreatedAt).Round(time.Second).String()
-	if strings.HasSuffix(text, "m0s") {
-		text = strings.TrimSuffix(text, "0s")
-	}
-	if strings.HasSuffix(text, "h0m") {
-		text = strings.TrimSuffix(text, "0m")
-	}
-	return text
-}
-
-func newBatchObject(j *sardinerock.JobStatus) batchObject {
-	b := batchObject{
-		ID: j.ID, Object: "batch", Endpoint: j.Path, Status: batchStates[j.State],
-		CompletionWindow: window(j),
-		CreatedAt:        j.CreatedAt.Unix(), InProgressAt: j.CreatedAt.Unix(), ExpiresAt: unix(j.Due),
-		RequestCounts: batchCounts{Total: j.Total, Completed: j.Completed, Failed: j.Failed},
-		Metadata:      j.Metadata,
-	}
-	switch j.State {
-	case sardinerock.JobFinished:
-		b.CompletedAt = unix(j.EndedAt)
-	case sardinerock.JobCancelled:
-		b.CancelledAt = unix(j.EndedAt)
-	case sardinerock.JobExpired:
-		b.ExpiredAt = unix(j.EndedAt)
-	default:
-		return b
-	}
-	if j.Completed > 0 {
-		b.OutputFileID = outputPrefix + j.ID
-	}
-	if j.Failed > 0 {
-		b.ErrorFileID = errorPrefix + j.ID
-	}
-	return b
-}
-
 // createBatch accepts a job. It reads the file twice: once to check and digest
 // all of it, once to hand it over.
 func (s *Server) createBatch(x *exchange) error {
@@ -126,19 +44,19 @@
 	if err != nil {
 		return err
 	}
-	b := newBatchObject(job)
+	b := forms.NewBatch(job)
 	b.InputFileID = body.InputFileID
 	s.writeJSON(x, http.StatusOK, b)
 	return nil
 }
 
-func (s *Server) readBatch(x *exchange) (*batchBody, sardinerock.JobSpec, error) {
+func (s *Server) readBatch(x *exchange) (*forms.BatchBody, sardinerock.JobSpec, error) {
 	var spec sardinerock.JobSpec
 	raw, err := s.readBody(x)
 	if err != nil {
 		return nil, spec, err
 	}
-	var b batchBody
+	var b forms.BatchBody
 	if err := json.Unmarshal(raw, &b); err != nil {
 		return nil, spec, forms.JSONFault(err)
 	}
@@ -195,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	s.writeJSON(x, http.StatusOK, newBatchObject(job))
+	s.writeJSON(x, http.StatusOK, forms.NewBatch(job))
 	return nil
 }
 
@@ -216,9 +134,9 @@
 	if err != nil {
 		return err
 	}
-	batches := list[batchObject]{Object: "list", Data: []batchObject{}}
+	batches := forms.List[forms.Batch]{Object: "list", Data: []forms.Batch{}}
 	for i := range jobs {
-		batches.Data = append(batches.Data, newBatchObject(&jobs[i]))
+		batches.Data = append(batches.Data, forms.NewBatch(&jobs[i]))
 	}
 	if n := len(jobs); n > 0 {
 		batches.FirstID, batches.LastID = jobs[0].ID, jobs[n-1].ID
--- a/front/client_test.go
+++ b/front/client_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/openai/openai-go/v3"
@@ -131,13 +130,3 @@
 	b.Expect(err).NotTo(HaveOccurred())
 	return string(raw)
 }
-
-func TestWindowIsShownAsCallersWriteIt(t *testing.T) {
-	created := time.Unix(1_800_000_000, 0)
-	for _, text := range []string{"24h", "30m", "10s", "1h30m", "1h0m10s", "20s"} {
-		g := NewWithT(t)
-		length, err := time.ParseDuration(text)
-		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(window(&sardinerock.JobStatus{CreatedAt: created, Due: created.Add(length)})).To(Equal(text))
-	}
-}
--- a/front/complete.go
+++ b/front/complete.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -165,31 +164,15 @@
 	}
 }
 
-// modelObject is a model in the usual form.
-type modelObject struct {
-	ID      string `json:"id"`
-	Object  string `json:"object"`
-	Created int64  `json:"created"`
-	OwnedBy string `json:"owned_by"`
-}
-
-type list[T any] struct {
-	Object  string `json:"object"`
-	Data    []T    `json:"data"`
-	HasMore bool   `json:"has_more"`
-	FirstID string `json:"first_id,omitempty"`
-	LastID  string `json:"last_id,omitempty"`
-}
-
 func (s *Server) listModels(x *exchange) error {
-	models := []modelObject{}
+	models := []forms.Model{}
 	for _, g := range x.caller.Grants {
-		models = append(models, newModelObject(g.Model, x.directory.Snapshot.Since))
+		models = append(models, forms.NewModel(g.Model, x.directory.Snapshot.Since))
 		for _, a := range g.Adapters {
-			models = append(models, newModelObject(g.Model+":"+a, x.directory.Snapshot.Since))
+			models = append(models, forms.NewModel(g.Model+":"+a, x.directory.Snapshot.Since))
 		}
 	}
-	s.writeJSON(x, http.StatusOK, list[modelObject]{Object: "list", Data: models})
+	s.writeJSON(x, http.StatusOK, forms.List[forms.Model]{Object: "list", Data: models})
 	return nil
 }
 
@@ -198,10 +181,6 @@
 	if _, err := x.directory.Resolve(x.caller, name); err != nil {
 		return err
 	}
-	s.writeJSON(x, http.StatusOK, newModelObject(name, x.directory.Snapshot.Since))
+	s.writeJSON(x, http.StatusOK, forms.NewModel(name, x.directory.Snapshot.Since))
 	return nil
 }
-
-func newModelObject(name string, since time.Time) modelObject {
-	return modelObject{ID: name, Object: "model", Created: since.Unix(), OwnedBy: "sardinerock"}
-}
--- a/front/files.go
+++ b/front/files.go
@@ -6,39 +6,14 @@
 	"io"
 	"mime/multipart"
 	"net/http"
-	"strings"
-	"time"
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/forms"
 )
 
-// The files of a job's results are named after the job; they are written as they are read.
-const (
-	outputPrefix = "output-"
-	errorPrefix  = "error-"
-)
-
 // maxPurpose bounds the form field before the file.
 const maxPurpose = 1 << 10
 
-type fileObject struct {
-	ID        string `json:"id"`
-	Object    string `json:"object"`
-	Bytes     int64  `json:"bytes"`
-	CreatedAt int64  `json:"created_at"`
-	Filename  string `json:"filename"`
-	Purpose   string `json:"purpose"`
-	Status    string `json:"status"`
-}
-
-func newFileObject(f sardinerock.FileInfo) fileObject {
-	return fileObject{
-		ID: f.ID, Object: "file", Bytes: f.Bytes, CreatedAt: f.CreatedAt.Unix(),
-		Filename: f.Name, Purpose: "batch", Status: "processed",
-	}
-}
-
 // putFile takes an uploaded file as it streams in, without holding it whole.
 func (s *Server) putFile(x *exchange) error {
 	s.limitRead(x, s.limits.FileBody, s.limits.UploadTimeout)
@@ -59,7 +34,7 @@
 		return err
 	}
 	s.unlimitRead(x)
-	s.writeJSON(x, http.StatusOK, newFileObject(info))
+	s.writeJSON(x, http.StatusOK, forms.NewFile(info))
 	return nil
 }
 
@@ -106,13 +81,13 @@
 
 func (s *Server) getFile(x *exchange) error {
 	id := x.r.PathValue("id")
-	if job, errorsOnly, found := resultFile(id); found {
+	if job, errorsOnly, found := forms.ResultFile(id); found {
 		status, err := s.Jobs.Get(x.r.Context(), x.caller.Name, job)
 		if err != nil {
 			return err
 		}
 		info := sardinerock.FileInfo{ID: id, Name: id + ".jsonl", CreatedAt: status.CreatedAt}
-		s.writeJSON(x, http.StatusOK, newResultObject(info, errorsOnly))
+		s.writeJSON(x, http.StatusOK, forms.NewResultFile(info, errorsOnly))
 		return nil
 	}
 	content, info, err := s.Files.Open(x.r.Context(), x.caller.Name, id)
@@ -120,33 +95,13 @@
 		return err
 	}
 	content.Close()
-	s.writeJSON(x, http.StatusOK, newFileObject(info))
+	s.writeJSON(x, http.StatusOK, forms.NewFile(info))
 	return nil
 }
 
-func newResultObject(info sardinerock.FileInfo, errorsOnly bool) fileObject {
-	o := newFileObject(info)
-	o.Purpose = "batch_output"
-	if errorsOnly {
-		o.Purpose = "batch_error"
-	}
-	return o
-}
-
-// resultFile tells whether a file id names the results of a job, and which of them.
-func resultFile(id string) (job string, errorsOnly, found bool) {
-	if job, found := strings.CutPrefix(id, outputPrefix); found {
-		return job, false, true
-	}
-	if job, found := strings.CutPrefix(id, errorPrefix); found {
-		return job, true, true
-	}
-	return "", false, false
-}
-
 func (s *Server) getContent(x *exchange) error {
 	id := x.r.PathValue("id")
-	if job, errorsOnly, found := resultFile(id); found {
+	if job, errorsOnly, found := forms.ResultFile(id); found {
 		return s.writeResults(x, job, errorsOnly)
 	}
 	content, _, err := s.Files.Open(x.r.Context(), x.caller.Name, id)
@@ -174,27 +129,6 @@
 	return p.x.w.Write(b)
 }
 
-type resultLine struct {
-	ID       string          `json:"id"`
-	CustomID string          `json:"custom_id"`
-	Response *resultResponse `json:"response"`
-	Error    json.RawMessage `json:"error"`
-}
-
-type resultResponse struct {
-	StatusCode int             `json:"status_code"`
-	RequestID  string          `json:"request_id"`
-	Body       json.RawMessage `json:"body"`
-}
-
-func newResultLine(job string, r sardinerock.ItemResult) resultLine {
-	id := job + "/" + r.CustomID
-	return resultLine{
-		ID: id, CustomID: r.CustomID, Error: json.RawMessage("null"),
-		Response: &resultResponse{StatusCode: r.Status, RequestID: id, Body: r.Body},
-	}
-}
-
 func (s *Server) writeResults(x *exchange, job string, errorsOnly bool) error {
 	x.w.Header().Set("Content-Type", "application/jsonl")
 	lines := json.NewEncoder(&pacedWriter{server: s, x: x})
@@ -205,7 +139,7 @@
 			return nil
 		}
 		wrote = true
-		return lines.Encode(newResultLine(job, r))
+		return lines.Encode(forms.NewResultLine(job, r))
 	})
 	if err != nil && wrote {
 		// Lines are out under status 200. Ending here would pass for the whole file,
@@ -214,12 +148,3 @@
 	}
 	return err
 }
-
-// unix returns the seconds of a time, or nil for none.
-func unix(t time.Time) *int64 {
-	if t.IsZero() {
-		return nil
-	}
-	n := t.Unix()
-	return &n
-}
