calls: one call, its limits, its body and its answer, in a package of its own

Moved, behaviour unchanged: Limits, the exchange (now calls.Exchange, which carries the limits and the clock that its methods took from the server), deadlines, bounded reading, paced writing, server-sent events, the written part of a refusal, both headers. Counting and logging a refusal stays with the server. proof names the headers where they are now.

Ruled out: handlers of batches and files in a package of their own; they share stores and limits with the server, and would take it along as an argument.

--- a/front/batches.go
+++ b/front/batches.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/calls"
 	"github.com/sardinerock/sardinerock/forms"
 )
 
@@ -23,7 +24,7 @@
 
 // createBatch accepts a job. It reads the file twice: once to check and digest
 // all of it, once to hand it over.
-func (s *Server) createBatch(x *exchange) error {
+func (s *Server) createBatch(x *calls.Exchange) error {
 	body, spec, err := s.readBatch(x)
 	if err != nil {
 		return err
@@ -35,24 +36,24 @@
 	if spec.IdempotencyKey == "" {
 		spec.IdempotencyKey = found.Digest
 	}
-	content, _, err := s.Files.Open(x.r.Context(), x.caller.Name, body.InputFileID)
+	content, _, err := s.Files.Open(x.R.Context(), x.Caller.Name, body.InputFileID)
 	if err != nil {
 		return err
 	}
 	defer content.Close()
-	job, err := s.Jobs.Create(x.r.Context(), spec, jobItems(content, spec.Path))
+	job, err := s.Jobs.Create(x.R.Context(), spec, jobItems(content, spec.Path))
 	if err != nil {
 		return err
 	}
 	b := forms.NewBatch(job)
 	b.InputFileID = body.InputFileID
-	s.writeJSON(x, http.StatusOK, b)
+	x.WriteJSON(http.StatusOK, b)
 	return nil
 }
 
-func (s *Server) readBatch(x *exchange) (*forms.BatchBody, sardinerock.JobSpec, error) {
+func (s *Server) readBatch(x *calls.Exchange) (*forms.BatchBody, sardinerock.JobSpec, error) {
 	var spec sardinerock.JobSpec
-	raw, err := s.readBody(x)
+	raw, err := x.ReadBody()
 	if err != nil {
 		return nil, spec, err
 	}
@@ -71,24 +72,24 @@
 		return nil, spec, forms.Refuse(sardinerock.CodeInvalidRequest, "completion_window",
 			"the completion_window must be a duration such as 24h, up to %s", maxWindow)
 	}
-	key := x.r.Header.Get("Idempotency-Key")
+	key := x.R.Header.Get("Idempotency-Key")
 	if len(key) > maxKey {
 		return nil, spec, forms.Refuse(sardinerock.CodeInvalidRequest, "Idempotency-Key", "the header Idempotency-Key is over %d bytes", maxKey)
 	}
 	spec = sardinerock.JobSpec{
-		Caller: x.caller.Name, IdempotencyKey: key, Path: b.Endpoint,
+		Caller: x.Caller.Name, IdempotencyKey: key, Path: b.Endpoint,
 		Due: s.Clock().Add(window), Metadata: b.Metadata,
 	}
 	return &b, spec, nil
 }
 
-func (s *Server) inspectFile(x *exchange, id, path string) (forms.Inspection, error) {
-	content, _, err := s.Files.Open(x.r.Context(), x.caller.Name, id)
+func (s *Server) inspectFile(x *calls.Exchange, id, path string) (forms.Inspection, error) {
+	content, _, err := s.Files.Open(x.R.Context(), x.Caller.Name, id)
 	if err != nil {
 		return forms.Inspection{}, err
 	}
 	defer content.Close()
-	return forms.Inspect(content, path, x.directory.Snapshot.Bundle.Batch.MaxItems)
+	return forms.Inspect(content, path, x.Directory.Snapshot.Bundle.Batch.MaxItems)
 }
 
 func jobItems(content io.Reader, path string) func(yield func(sardinerock.JobItem) error) error {
@@ -99,38 +100,38 @@
 	}
 }
 
-func (s *Server) getBatch(x *exchange) error {
-	job, err := s.Jobs.Get(x.r.Context(), x.caller.Name, x.r.PathValue("id"))
+func (s *Server) getBatch(x *calls.Exchange) error {
+	job, err := s.Jobs.Get(x.R.Context(), x.Caller.Name, x.R.PathValue("id"))
 	return s.writeBatch(x, job, err)
 }
 
-func (s *Server) cancelBatch(x *exchange) error {
-	job, err := s.Jobs.Cancel(x.r.Context(), x.caller.Name, x.r.PathValue("id"))
+func (s *Server) cancelBatch(x *calls.Exchange) error {
+	job, err := s.Jobs.Cancel(x.R.Context(), x.Caller.Name, x.R.PathValue("id"))
 	return s.writeBatch(x, job, err)
 }
 
-func (s *Server) writeBatch(x *exchange, job *sardinerock.JobStatus, err error) error {
+func (s *Server) writeBatch(x *calls.Exchange, job *sardinerock.JobStatus, err error) error {
 	if err != nil {
 		return err
 	}
-	s.writeJSON(x, http.StatusOK, forms.NewBatch(job))
+	x.WriteJSON(http.StatusOK, forms.NewBatch(job))
 	return nil
 }
 
 // listBatches shows the caller's newest jobs; pages beyond them are not offered, and has_more stays false.
-func (s *Server) listBatches(x *exchange) error {
+func (s *Server) listBatches(x *calls.Exchange) error {
 	limit := listLimit
-	if q := x.r.URL.Query().Get("limit"); q != "" {
+	if q := x.R.URL.Query().Get("limit"); q != "" {
 		n, err := strconv.Atoi(q)
 		if err != nil || n < 1 || n > maxList {
 			return forms.Refuse(sardinerock.CodeInvalidRequest, "limit", "limit must be a number from 1 to %d", maxList)
 		}
 		limit = n
 	}
-	if x.r.URL.Query().Has("after") {
+	if x.R.URL.Query().Has("after") {
 		return forms.Refuse(sardinerock.CodeInvalidRequest, "after", "pages are not supported; ask for up to %d jobs by limit", maxList)
 	}
-	jobs, err := s.Jobs.List(x.r.Context(), x.caller.Name, limit)
+	jobs, err := s.Jobs.List(x.R.Context(), x.Caller.Name, limit)
 	if err != nil {
 		return err
 	}
@@ -141,6 +142,6 @@
 	if n := len(jobs); n > 0 {
 		batches.FirstID, batches.LastID = jobs[0].ID, jobs[n-1].ID
 	}
-	s.writeJSON(x, http.StatusOK, batches)
+	x.WriteJSON(http.StatusOK, batches)
 	return nil
 }
--- a/front/client_test.go
+++ b/front/client_test.go
@@ -12,6 +12,7 @@
 	"github.com/openai/openai-go/v3/option"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/calls"
 )
 
 // These tests speak through a client library that users of model servers have
@@ -22,7 +23,7 @@
 }
 
 func TestClientLibraryGenerates(t *testing.T) {
-	b := newBench(t, Limits{})
+	b := newBench(t, calls.Limits{})
 	client := newClient(b)
 	ctx := context.Background()
 	chat := openai.ChatCompletionNewParams{
@@ -64,7 +65,7 @@
 }
 
 func TestClientLibrarySeesTheErrorOfABrokenStream(t *testing.T) {
-	b := newBench(t, Limits{})
+	b := newBench(t, calls.Limits{})
 	b.online.serve = func(_ context.Context, _ *sardinerock.Request, emit func(sardinerock.Token) error) (sardinerock.Result, error) {
 		if err := emitAll(emit, "half"); err != nil {
 			return sardinerock.Result{}, err
@@ -82,7 +83,7 @@
 }
 
 func TestClientLibraryRunsABatch(t *testing.T) {
-	b := newBench(t, Limits{})
+	b := newBench(t, calls.Limits{})
 	client := newClient(b)
 	ctx := context.Background()
 	lines := `{"custom_id":"a","method":"POST","url":"/v1/completions","body":{"model":"drafts","prompt":"x"}}
--- a/front/fakes_test.go
+++ b/front/fakes_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/calls"
 	"github.com/sardinerock/sardinerock/forms"
 	"github.com/sardinerock/sardinerock/grants"
 )
@@ -236,7 +237,7 @@
 	}
 }
 
-func newBench(t *testing.T, limits Limits) *bench {
+func newBench(t *testing.T, limits calls.Limits) *bench {
 	b := &bench{
 		GomegaWithT: NewWithT(t),
 		online:      &scriptedOnline{},
@@ -278,7 +279,7 @@
 	var body forms.ErrorBody
 	b.Expect(json.Unmarshal([]byte(raw), &body)).To(Succeed(), raw)
 	b.Expect(body.Error.Code).To(Equal(code), raw)
-	b.Expect(answer.Header.Get(OutcomeHeader)).To(Equal(outcome.String()))
+	b.Expect(answer.Header.Get(calls.OutcomeHeader)).To(Equal(outcome.String()))
 	b.Expect(answer.StatusCode).To(Equal((&sardinerock.Refusal{Code: code}).Status()))
 	if param != "" {
 		b.Expect(body.Error.Param).To(HaveValue(Equal(param)), raw)
--- a/front/files.go
+++ b/front/files.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/calls"
 	"github.com/sardinerock/sardinerock/forms"
 )
 
@@ -15,9 +16,9 @@
 const maxPurpose = 1 << 10
 
 // putFile takes an uploaded file as it streams in, without holding it whole.
-func (s *Server) putFile(x *exchange) error {
-	s.limitRead(x, s.limits.FileBody, s.limits.UploadTimeout)
-	form, err := x.r.MultipartReader()
+func (s *Server) putFile(x *calls.Exchange) error {
+	x.LimitRead(s.limits.FileBody, s.limits.UploadTimeout)
+	form, err := x.R.MultipartReader()
 	if err != nil {
 		return forms.Refuse(sardinerock.CodeInvalidRequest, "file", "send the file as multipart/form-data: %v", err)
 	}
@@ -26,15 +27,15 @@
 		return err
 	}
 	content := &faultReader{r: part}
-	info, err := s.Files.Put(x.r.Context(), x.caller.Name, part.FileName(), content)
+	info, err := s.Files.Put(x.R.Context(), x.Caller.Name, part.FileName(), content)
 	if content.fault != nil {
 		return forms.ReadFault(content.fault)
 	}
 	if err != nil {
 		return err
 	}
-	s.unlimitRead(x)
-	s.writeJSON(x, http.StatusOK, forms.NewFile(info))
+	x.UnlimitRead()
+	x.WriteJSON(http.StatusOK, forms.NewFile(info))
 	return nil
 }
 
@@ -79,61 +80,48 @@
 	}
 }
 
-func (s *Server) getFile(x *exchange) error {
-	id := x.r.PathValue("id")
+func (s *Server) getFile(x *calls.Exchange) error {
+	id := x.R.PathValue("id")
 	if job, errorsOnly, found := forms.ResultFile(id); found {
-		status, err := s.Jobs.Get(x.r.Context(), x.caller.Name, job)
+		status, err := s.Jobs.Get(x.R.Context(), x.Caller.Name, job)
 		if err != nil {
 			return err
 		}
 		info := sardinerock.FileInfo{ID: id, Name: id + ".jsonl", CreatedAt: status.CreatedAt}
-		s.writeJSON(x, http.StatusOK, forms.NewResultFile(info, errorsOnly))
+		x.WriteJSON(http.StatusOK, forms.NewResultFile(info, errorsOnly))
 		return nil
 	}
-	content, info, err := s.Files.Open(x.r.Context(), x.caller.Name, id)
+	content, info, err := s.Files.Open(x.R.Context(), x.Caller.Name, id)
 	if err != nil {
 		return err
 	}
 	content.Close()
-	s.writeJSON(x, http.StatusOK, forms.NewFile(info))
+	x.WriteJSON(http.StatusOK, forms.NewFile(info))
 	return nil
 }
 
-func (s *Server) getContent(x *exchange) error {
-	id := x.r.PathValue("id")
+func (s *Server) getContent(x *calls.Exchange) error {
+	id := x.R.PathValue("id")
 	if job, errorsOnly, found := forms.ResultFile(id); found {
 		return s.writeResults(x, job, errorsOnly)
 	}
-	content, _, err := s.Files.Open(x.r.Context(), x.caller.Name, id)
+	content, _, err := s.Files.Open(x.R.Context(), x.Caller.Name, id)
 	if err != nil {
 		return err
 	}
 	defer content.Close()
-	x.w.Header().Set("Content-Type", "application/jsonl")
-	if _, err := io.Copy(&pacedWriter{server: s, x: x}, content); err != nil {
+	x.W.Header().Set("Content-Type", "application/jsonl")
+	if _, err := io.Copy(&calls.PacedWriter{Exchange: x}, content); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	return nil
 }
 
-// pacedWriter gives each write its own deadline, so that a large file may take
-// long as a whole but a caller that does not read is not waited for.
-type pacedWriter struct {
-	server *Server
-	x      *exchange
-}
-
-// Write implements io.Writer.
-func (p *pacedWriter) Write(b []byte) (int, error) {
-	p.server.extendWrite(p.x)
-	return p.x.w.Write(b)
-}
-
-func (s *Server) writeResults(x *exchange, job string, errorsOnly bool) error {
-	x.w.Header().Set("Content-Type", "application/jsonl")
-	lines := json.NewEncoder(&pacedWriter{server: s, x: x})
+func (s *Server) writeResults(x *calls.Exchange, job string, errorsOnly bool) error {
+	x.W.Header().Set("Content-Type", "application/jsonl")
+	lines := json.NewEncoder(&calls.PacedWriter{Exchange: x})
 	wrote := false
-	err := s.Jobs.Results(x.r.Context(), x.caller.Name, job, func(r sardinerock.ItemResult) error {
+	err := s.Jobs.Results(x.R.Context(), x.Caller.Name, job, func(r sardinerock.ItemResult) error {
 		failed := r.Status >= http.StatusBadRequest
 		if failed != errorsOnly {
 			return nil
--- a/front/plain.go
+++ b/front/plain.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/calls"
 	"github.com/sardinerock/sardinerock/forms"
 	"github.com/sardinerock/sardinerock/grants"
 )
@@ -15,31 +16,31 @@
 // connectionHeaders belong to one hop and are not passed on.
 var connectionHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length", "Authorization", TimeoutHeader, OutcomeHeader,
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Authorization", calls.TimeoutHeader, calls.OutcomeHeader,
 }
 
 // callService passes a call on to a plain service.
-func (s *Server) callService(x *exchange) error {
-	service, err := x.directory.Service(x.caller, x.r.PathValue("service"))
+func (s *Server) callService(x *calls.Exchange) error {
+	service, err := x.Directory.Service(x.Caller, x.R.PathValue("service"))
 	if err != nil {
 		return err
 	}
-	until, err := s.deadline(x.r)
+	until, err := x.Deadline()
 	if err != nil {
 		return err
 	}
-	within, err := innerPath(x.r)
+	within, err := innerPath(x.R)
 	if err != nil {
 		return err
 	}
-	body, err := s.readBody(x)
+	body, err := x.ReadBody()
 	if err != nil {
 		return err
 	}
 	r := s.serviceRequest(x, service, within, body)
 	r.Deadline = until
-	x.request = r.ID
-	result, err := s.Online.Serve(x.r.Context(), r, func(sardinerock.Token) error { return nil })
+	x.Request = r.ID
+	result, err := s.Online.Serve(x.R.Context(), r, func(sardinerock.Token) error { return nil })
 	if err != nil {
 		return err
 	}
@@ -65,23 +66,23 @@
 	return within, nil
 }
 
-func (s *Server) serviceRequest(x *exchange, service *sardinerock.Service, within string, body []byte) *sardinerock.Request {
+func (s *Server) serviceRequest(x *calls.Exchange, service *sardinerock.Service, within string, body []byte) *sardinerock.Request {
 	// The path goes on as the caller escaped it, without the part that chose the service.
-	escaped := strings.TrimPrefix(x.r.URL.EscapedPath(), "/services/"+x.r.PathValue("service"))
-	if x.r.URL.RawQuery != "" {
-		escaped += "?" + x.r.URL.RawQuery
+	escaped := strings.TrimPrefix(x.R.URL.EscapedPath(), "/services/"+x.R.PathValue("service"))
+	if x.R.URL.RawQuery != "" {
+		escaped += "?" + x.R.URL.RawQuery
 	}
 	return &sardinerock.Request{
 		ID:            rand.Text(),
-		Caller:        x.caller.Name,
+		Caller:        x.Caller.Name,
 		Path:          escaped,
 		Service:       service.Name,
-		Method:        x.r.Method,
-		Header:        passOn(x.r.Header),
+		Method:        x.R.Method,
+		Header:        passOn(x.R.Header),
 		Body:          body,
-		Idempotent:    repeatable(service, x.r.Method, within),
-		Fingerprint:   grants.Fingerprint(service.Name, x.r.Method, escaped, string(body)),
-		ConfigVersion: x.directory.Snapshot.Version,
+		Idempotent:    repeatable(service, x.R.Method, within),
+		Fingerprint:   grants.Fingerprint(service.Name, x.R.Method, escaped, string(body)),
+		ConfigVersion: x.Directory.Snapshot.Version,
 	}
 }
 
@@ -107,14 +108,14 @@
 	return out
 }
 
-func (s *Server) writeReply(x *exchange, reply *sardinerock.ServiceReply) {
-	h := x.w.Header()
+func (s *Server) writeReply(x *calls.Exchange, reply *sardinerock.ServiceReply) {
+	h := x.W.Header()
 	for name, value := range reply.Header {
 		if !slices.Contains(connectionHeaders, http.CanonicalHeaderKey(name)) {
 			h.Set(name, value)
 		}
 	}
-	s.extendWrite(x)
-	x.w.WriteHeader(reply.Status)
-	x.w.Write(reply.Body)
+	x.ExtendWrite()
+	x.W.WriteHeader(reply.Status)
+	x.W.Write(reply.Body)
 }
--- a/front/server.go
+++ b/front/server.go
@@ -9,52 +9,12 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/calls"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/forms"
 	"github.com/sardinerock/sardinerock/grants"
 )
 
-// Limits bounds what one call may take; a zero field takes its default.
-type Limits struct {
-	// OnlineBody is the largest body of an online request, in bytes; 8 MiB by default.
-	OnlineBody int64
-	// FileBody is the largest uploaded file, in bytes; 1 GiB by default.
-	FileBody int64
-	// ReadTimeout bounds the reading of an online request's body; 30 s by default.
-	ReadTimeout time.Duration
-	// UploadTimeout bounds the reading of an uploaded file; 10 min by default.
-	UploadTimeout time.Duration
-	// WriteTimeout bounds one write to a caller, who may read slowly; 10 s by default.
-	WriteTimeout time.Duration
-	// DefaultDeadline holds for requests that set none; 60 s by default.
-	DefaultDeadline time.Duration
-	// MaxDeadline bounds what requests may ask for; 10 min by default.
-	MaxDeadline time.Duration
-}
-
-func (l Limits) withDefaults() Limits {
-	orBytes(&l.OnlineBody, 8<<20)
-	orBytes(&l.FileBody, 1<<30)
-	orDuration(&l.ReadTimeout, 30*time.Second)
-	orDuration(&l.UploadTimeout, 10*time.Minute)
-	orDuration(&l.WriteTimeout, 10*time.Second)
-	orDuration(&l.DefaultDeadline, time.Minute)
-	orDuration(&l.MaxDeadline, 10*time.Minute)
-	return l
-}
-
-func orBytes(n *int64, byDefault int64) {
-	if *n == 0 {
-		*n = byDefault
-	}
-}
-
-func orDuration(d *time.Duration, byDefault time.Duration) {
-	if *d == 0 {
-		*d = byDefault
-	}
-}
-
 // Server is the HTTP handler of an entry; its fields are set before the first call.
 type Server struct {
 	Online    sardinerock.OnlineServer
@@ -65,7 +25,7 @@
 	Status func() Status
 	// Ready returns why the process must get no requests yet, or nil.
 	Ready  func() error
-	Limits Limits
+	Limits calls.Limits
 	Events *event.Logger
 	// Metrics is what /metrics shows; nil makes a registry of the server's own.
 	Metrics metrics.Registry
@@ -74,7 +34,7 @@
 
 	once      sync.Once
 	mux       *http.ServeMux
-	limits    Limits
+	limits    calls.Limits
 	directory atomic.Pointer[grants.Directory]
 }
 
@@ -91,7 +51,7 @@
 	if s.Clock == nil {
 		s.Clock = time.Now
 	}
-	s.limits = s.Limits.withDefaults()
+	s.limits = s.Limits.WithDefaults()
 	s.mux = http.NewServeMux()
 	s.mux.HandleFunc("GET /healthz", s.health)
 	s.mux.HandleFunc("GET /readyz", s.ready)
@@ -111,27 +71,14 @@
 	s.mux.HandleFunc("POST /operator/bundles", s.plainly(s.publish))
 	s.handle("GET /operator/status", s.showStatus)
 	s.handle("POST /operator/jobs/{id}/cancel", s.cancelJob)
-	s.mux.HandleFunc("/", s.plainly(func(_ *exchange) error {
+	s.mux.HandleFunc("/", s.plainly(func(_ *calls.Exchange) error {
 		return forms.Refuse(sardinerock.CodeNotFound, "", "no such path; the paths of this server begin with /v1/, /services/ or /operator/")
 	}))
 }
 
-// exchange is one call by a caller that is known.
-type exchange struct {
-	w http.ResponseWriter
-	r *http.Request
-	// caller and directory are nil where none are needed.
-	caller    *sardinerock.Caller
-	directory *grants.Directory
-	// request is the id under which the lines of other events tell of the same request; empty for calls that run nothing.
-	request string
-	// answering is set once the answer's header is out; errors then need a form of their own.
-	answering bool
-}
-
 // handle registers a handler for calls that name their caller.
-func (s *Server) handle(pattern string, h func(*exchange) error) {
-	s.mux.HandleFunc(pattern, s.plainly(func(x *exchange) error {
+func (s *Server) handle(pattern string, h func(*calls.Exchange) error) {
+	s.mux.HandleFunc(pattern, s.plainly(func(x *calls.Exchange) error {
 		if err := s.authenticate(x); err != nil {
 			return err
 		}
@@ -140,10 +87,10 @@
 }
 
 // plainly turns a handler that returns its refusal into an ordinary one, and counts and logs how each call ends.
-func (s *Server) plainly(h func(*exchange) error) http.HandlerFunc {
+func (s *Server) plainly(h func(*calls.Exchange) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		started := s.Clock()
-		x := &exchange{w: w, r: r}
+		x := &calls.Exchange{W: w, R: r, Limits: s.limits, Clock: s.Clock}
 		open := metrics.GetOrRegisterCounter("front.open", s.Metrics)
 		open.Inc(1)
 		defer open.Dec(1)
@@ -152,14 +99,16 @@
 			return
 		}
 		metrics.GetOrRegisterTimer("front.served", s.Metrics).Update(s.Clock().Sub(started))
-		s.Events.Info(event.RequestServed).Str("request", x.request).Str("caller", x.callerName()).Str("path", r.URL.Path).
+		s.Events.Info(event.RequestServed).Str("request", x.Request).Str("caller", x.CallerName()).Str("path", r.URL.Path).
 			Dur("took", s.Clock().Sub(started)).Msg("request served")
 	}
 }
 
-func (x *exchange) callerName() string {
-	if x.caller == nil {
-		return ""
-	}
-	return x.caller.Name
+// writeRefusal gives the caller the final answer to a request that was not wholly served.
+func (s *Server) writeRefusal(x *calls.Exchange, f *sardinerock.Refusal) {
+	metrics.GetOrRegisterCounter("front.refused."+string(f.Code), s.Metrics).Inc(1)
+	s.Events.Warn(event.RequestRefused).Str("request", x.Request).Str("caller", x.CallerName()).Str("path", x.R.URL.Path).
+		Str("code", string(f.Code)).Str("outcome", f.Outcome.String()).Dur("retryAfter", f.RetryAfter).
+		Str("reason", f.Message).Msg("request refused")
+	x.WriteRefusal(f)
 }
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/calls"
 	"github.com/sardinerock/sardinerock/forms"
 	"github.com/sardinerock/sardinerock/grants"
 )
@@ -47,7 +48,7 @@
 		"too many tokens":    {path: forms.PathChat, token: supervisorToken, body: `{"max_completion_tokens":101,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "max_completion_tokens"},
 		"list of prompts":    {path: forms.PathCompletions, token: supervisorToken, body: `{"model":"drafts","prompt":["a","b"]}`, code: sardinerock.CodeInvalidRequest, param: "prompt"},
 		"both prompts":       {path: forms.PathChat, token: supervisorToken, body: `{"prompt":"x",` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "prompt"},
-		"senseless timeout":  {path: forms.PathChat, token: supervisorToken, body: goodChat, headers: []string{TimeoutHeader, "-1"}, code: sardinerock.CodeInvalidRequest, param: TimeoutHeader},
+		"senseless timeout":  {path: forms.PathChat, token: supervisorToken, body: goodChat, headers: []string{calls.TimeoutHeader, "-1"}, code: sardinerock.CodeInvalidRequest, param: calls.TimeoutHeader},
 		"no operator":        {path: "/operator/bundles", token: supervisorToken, body: `{}`, code: sardinerock.CodeForbidden},
 		"unknown service":    {path: "/services/none/x", token: supervisorToken, code: sardinerock.CodeNotFound},
 		"service not given":  {path: "/services/ledger/x", token: supervisorToken, code: sardinerock.CodeForbidden},
@@ -60,7 +61,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			b := newBench(t, Limits{OnlineBody: 1024})
+			b := newBench(t, calls.Limits{OnlineBody: 1024})
 			if tt.method == "" {
 				tt.method = http.MethodPost
 			}
@@ -76,7 +77,7 @@
 // must pass on the outcome as it was proved, not one of its own.
 func TestRefusalFromBehindIsPassedOnWhole(t *testing.T) {
 	for _, outcome := range []sardinerock.Outcome{sardinerock.OutcomeNotRun, sardinerock.OutcomeRan, sardinerock.OutcomeUnknown} {
-		b := newBench(t, Limits{})
+		b := newBench(t, calls.Limits{})
 		b.online.serve = func(context.Context, *sardinerock.Request, func(sardinerock.Token) error) (sardinerock.Result, error) {
 			return sardinerock.Result{}, &sardinerock.Refusal{Code: sardinerock.CodeOverloaded, Outcome: outcome, RetryAfter: 1200 * time.Millisecond}
 		}
@@ -90,7 +91,7 @@
 // lost half-way and could not be replaced. Had the stream just ended, the half
 // answer would have passed for a whole one.
 func TestStreamThatBreaksEndsWithAnError(t *testing.T) {
-	b := newBench(t, Limits{})
+	b := newBench(t, calls.Limits{})
 	b.online.serve = func(_ context.Context, _ *sardinerock.Request, emit func(sardinerock.Token) error) (sardinerock.Result, error) {
 		if err := emitAll(emit, "half", " an"); err != nil {
 			return sardinerock.Result{}, err
@@ -107,7 +108,7 @@
 // The caller hangs up after the first token, as a dashboard that was closed
 // does. The request's context must end, or its slot would stay taken.
 func TestCallerThatHangsUpHoldsNothing(t *testing.T) {
-	b := newBench(t, Limits{})
+	b := newBench(t, calls.Limits{})
 	b.online.serve = endlessTokens("x")
 	ctx, hangUp := context.WithCancel(context.Background())
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, b.url+forms.PathChat, strings.NewReader(`{"stream":true,`+goodChat[1:]))
@@ -126,7 +127,7 @@
 // write blocks, and without a deadline on each write the slot would be held for
 // as long as the caller likes.
 func TestSlowReaderHoldsNothing(t *testing.T) {
-	b := newBench(t, Limits{WriteTimeout: 200 * time.Millisecond})
+	b := newBench(t, calls.Limits{WriteTimeout: 200 * time.Millisecond})
 	b.online.serve = endlessTokens(strings.Repeat("x", 64<<10))
 	c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
 	b.Expect(err).NotTo(HaveOccurred())
@@ -140,7 +141,7 @@
 // The caller announces a body and never sends the rest. It gets an error once
 // the read timeout is over, and nothing was held meanwhile.
 func TestBodyThatNeverArrives(t *testing.T) {
-	b := newBench(t, Limits{ReadTimeout: 100 * time.Millisecond})
+	b := newBench(t, calls.Limits{ReadTimeout: 100 * time.Millisecond})
 	c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
 	b.Expect(err).NotTo(HaveOccurred())
 	defer c.Close()
@@ -155,7 +156,7 @@
 // An answer takes longer than the read timeout of its request's body. The
 // deadline on reading must be off by then, or it would end the answer.
 func TestAnswerMayOutlastTheReadTimeout(t *testing.T) {
-	b := newBench(t, Limits{ReadTimeout: 50 * time.Millisecond})
+	b := newBench(t, calls.Limits{ReadTimeout: 50 * time.Millisecond})
 	b.online.serve = func(ctx context.Context, _ *sardinerock.Request, emit func(sardinerock.Token) error) (sardinerock.Result, error) {
 		select {
 		case <-ctx.Done():
@@ -193,7 +194,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			b := newBench(t, Limits{})
+			b := newBench(t, calls.Limits{})
 			b.online.serve = func(context.Context, *sardinerock.Request, func(sardinerock.Token) error) (sardinerock.Result, error) {
 				return sardinerock.Result{Reply: &sardinerock.ServiceReply{Status: http.StatusTeapot, Header: map[string]string{"X-Kind": "tea"}, Body: []byte("short")}}, nil
 			}
@@ -212,7 +213,7 @@
 // A new entry has no configuration: the balancer must not send it callers, and
 // a caller that comes all the same is told when to come back.
 func TestNotReadyWithoutConfiguration(t *testing.T) {
-	b := newBench(t, Limits{})
+	b := newBench(t, calls.Limits{})
 	b.publisher.current = nil
 	answer, _ := b.call(http.MethodGet, "/readyz", "", "")
 	b.Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
@@ -238,7 +239,7 @@
 }
 
 func TestMetricsAreScrapable(t *testing.T) {
-	b := newBench(t, Limits{})
+	b := newBench(t, calls.Limits{})
 	b.call(http.MethodPost, forms.PathChat, supervisorToken, goodChat)
 	b.call(http.MethodPost, forms.PathChat, "", goodChat)
 	_, raw := b.call(http.MethodGet, "/metrics", "", "")
--- a/front/status.go
+++ b/front/status.go
@@ -7,6 +7,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/bundle"
+	"github.com/sardinerock/sardinerock/calls"
 	"github.com/sardinerock/sardinerock/forms"
 	"github.com/sardinerock/sardinerock/grants"
 )
@@ -58,32 +59,25 @@
 	statusPatience = 2 * time.Second
 )
 
-func (x *exchange) needOperator() error {
-	if !x.caller.Operator {
-		return forms.Refuse(sardinerock.CodeForbidden, "", "caller %q is no operator", x.caller.Name)
-	}
-	return nil
-}
-
-func (s *Server) showStatus(x *exchange) error {
-	if err := x.needOperator(); err != nil {
+func (s *Server) showStatus(x *calls.Exchange) error {
+	if err := x.NeedOperator(); err != nil {
 		return err
 	}
 	var st Status
 	if s.Status != nil {
 		st = s.Status()
 	}
-	c := x.directory.Snapshot
+	c := x.Directory.Snapshot
 	st.Version, st.Digest, st.Since = c.Version, c.Digest, c.Since
 	s.addJobs(x, &st)
-	s.writeJSON(x, http.StatusOK, st)
+	x.WriteJSON(http.StatusOK, st)
 	return nil
 }
 
 // addJobs shows the jobs if the log can be read in time. An operator looks at
 // the status most of all when the log is out, and must then see the rest.
-func (s *Server) addJobs(x *exchange, st *Status) {
-	ctx, cancel := context.WithTimeout(x.r.Context(), statusPatience)
+func (s *Server) addJobs(x *calls.Exchange, st *Status) {
+	ctx, cancel := context.WithTimeout(x.R.Context(), statusPatience)
 	defer cancel()
 	jobs, err := s.Jobs.List(ctx, "", statusJobs)
 	if err != nil {
@@ -93,15 +87,15 @@
 	st.Jobs = jobs
 }
 
-func (s *Server) cancelJob(x *exchange) error {
-	if err := x.needOperator(); err != nil {
+func (s *Server) cancelJob(x *calls.Exchange) error {
+	if err := x.NeedOperator(); err != nil {
 		return err
 	}
-	job, err := s.Jobs.Cancel(x.r.Context(), x.caller.Name, x.r.PathValue("id"))
+	job, err := s.Jobs.Cancel(x.R.Context(), x.Caller.Name, x.R.PathValue("id"))
 	if err != nil {
 		return err
 	}
-	s.writeJSON(x, http.StatusOK, job)
+	x.WriteJSON(http.StatusOK, job)
 	return nil
 }
 
@@ -112,8 +106,8 @@
 	Since   time.Time `json:"since"`
 }
 
-func (s *Server) publish(x *exchange) error {
-	raw, err := s.readBody(x)
+func (s *Server) publish(x *calls.Exchange) error {
+	raw, err := x.ReadBody()
 	if err != nil {
 		return err
 	}
@@ -125,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	s.writeJSON(x, http.StatusOK, Published{Version: c.Version, Digest: c.Digest, Since: c.Since})
+	x.WriteJSON(http.StatusOK, Published{Version: c.Version, Digest: c.Digest, Since: c.Since})
 	return nil
 }
 
@@ -136,7 +130,7 @@
 // that has the sign-offs demanded by the settings. It must be based on version
 // 0: an entry that has only just started has no configuration either, and would
 // otherwise let a stranger publish over a bundle that it has yet to read.
-func (s *Server) operator(x *exchange, raw []byte) (string, error) {
+func (s *Server) operator(x *calls.Exchange, raw []byte) (string, error) {
 	if s.current() == nil {
 		first, faults := bundle.Parse(raw)
 		if len(faults) > 0 {
@@ -145,17 +139,17 @@
 		if first.BasedOn != 0 {
 			return "", grants.NotReady()
 		}
-		x.directory = grants.New(&sardinerock.ConfigSnapshot{Bundle: first})
-		token, err := grants.Bearer(x.r)
+		x.Directory = grants.New(&sardinerock.ConfigSnapshot{Bundle: first})
+		token, err := grants.Bearer(x.R)
 		if err != nil {
 			return "", err
 		}
-		x.caller = x.directory.Holder(token)
-		if x.caller == nil {
+		x.Caller = x.Directory.Holder(token)
+		if x.Caller == nil {
 			return "", forms.Refuse(sardinerock.CodeUnauthorized, "", "the first bundle must name your bearer token as that of an operator")
 		}
 	} else if err := s.authenticate(x); err != nil {
 		return "", err
 	}
-	return x.caller.Name, x.needOperator()
+	return x.Caller.Name, x.NeedOperator()
 }
--- a/proof/batch_test.go
+++ b/proof/batch_test.go
@@ -11,9 +11,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/sardinerock/sardinerock/calls"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/forms"
-	"github.com/sardinerock/sardinerock/front"
 )
 
 // logLine is how an event shows in a process's log.
@@ -131,7 +131,7 @@
 	answer, raw, err := f.call(n, http.MethodPost, "/v1/batches", callerToken, body, "Idempotency-Key", "later")
 	f.Expect(err).NotTo(HaveOccurred())
 	f.Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable), raw)
-	f.Expect(answer.Header.Get(front.OutcomeHeader)).To(Equal("notRun"), raw)
+	f.Expect(answer.Header.Get(calls.OutcomeHeader)).To(Equal("notRun"), raw)
 	f.Expect(answer.Header.Get("Retry-After")).NotTo(BeEmpty())
 }
 
--- a/proof/online_test.go
+++ b/proof/online_test.go
@@ -14,9 +14,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/calls"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/fakes"
-	"github.com/sardinerock/sardinerock/front"
 )
 
 // Sides are killed under load. A stream that was half delivered must go on
@@ -289,7 +289,7 @@
 	if answer.StatusCode == http.StatusOK {
 		return "answered"
 	}
-	return answer.Header.Get(front.OutcomeHeader)
+	return answer.Header.Get(calls.OutcomeHeader)
 }
 
 // runs counts how often each call ran, over all backend servers of the plain service.
