plain: requests of calls of plain services, in a package of their own

What may be repeated, which headers are passed on and which path a service sees is one duty.

Moved, behaviour unchanged: the inner path, the request of a call, passed-on headers, the written reply. front.callService wires them, in service.go.

Ruled out: package grants as their place; it would have to know the headers of package calls, which uses grants.

--- /dev/null
+++ b/front/service.go
@@ -0,0 +1,36 @@
+package front
+
+import (
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/calls"
+	"github.com/sardinerock/sardinerock/plain"
+)
+
+// callService passes a call on to a plain service.
+func (s *Server) callService(x *calls.Exchange) error {
+	service, err := x.Directory.Service(x.Caller, x.R.PathValue("service"))
+	if err != nil {
+		return err
+	}
+	until, err := x.Deadline()
+	if err != nil {
+		return err
+	}
+	within, err := plain.InnerPath(x.R)
+	if err != nil {
+		return err
+	}
+	body, err := x.ReadBody()
+	if err != nil {
+		return err
+	}
+	r := plain.NewRequest(x, service, within, body)
+	r.Deadline = until
+	x.Request = r.ID
+	result, err := s.Online.Serve(x.R.Context(), r, func(sardinerock.Token) error { return nil })
+	if err != nil {
+		return err
+	}
+	plain.WriteReply(x, result.Reply)
+	return nil
+}
--- /dev/null
+++ b/plain/doc.go
@@ -0,0 +1,2 @@
+// Package plain turns calls of plain services into requests, and writes their answers.
+package plain
--- a/front/plain.go
+++ b/plain/plain.go
@@ -1,4 +1,4 @@
-package front
+package plain
 
 import (
 	"crypto/rand"
@@ -19,42 +19,13 @@
 	"Transfer-Encoding", "Upgrade", "Content-Length", "Authorization", calls.TimeoutHeader, calls.OutcomeHeader,
 }
 
-// callService passes a call on to a plain service.
-func (s *Server) callService(x *calls.Exchange) error {
-	service, err := x.Directory.Service(x.Caller, x.R.PathValue("service"))
-	if err != nil {
-		return err
-	}
-	until, err := x.Deadline()
-	if err != nil {
-		return err
-	}
-	within, err := innerPath(x.R)
-	if err != nil {
-		return err
-	}
-	body, err := x.ReadBody()
-	if err != nil {
-		return err
-	}
-	r := s.serviceRequest(x, service, within, body)
-	r.Deadline = until
-	x.Request = r.ID
-	result, err := s.Online.Serve(x.R.Context(), r, func(sardinerock.Token) error { return nil })
-	if err != nil {
-		return err
-	}
-	s.writeReply(x, result.Reply)
-	return nil
-}
-
-// innerPath returns the path that the service sees, decoded.
+// InnerPath returns the path that the service sees, decoded.
 //
 // The patterns of calls that may not be repeated are matched against it, so it
 // must be the path that the service will act on. With "/orders/%2e%2e/print"
 // let through, a service that resolves the dots runs "/print", which the
 // patterns forbid to repeat, while the system sees a call below "/orders/".
-func innerPath(r *http.Request) (string, error) {
+func InnerPath(r *http.Request) (string, error) {
 	within := "/" + r.PathValue("path")
 	clean := path.Clean(within)
 	if strings.HasSuffix(within, "/") && clean != "/" {
@@ -66,7 +37,8 @@
 	return within, nil
 }
 
-func (s *Server) serviceRequest(x *calls.Exchange, service *sardinerock.Service, within string, body []byte) *sardinerock.Request {
+// NewRequest makes the request of a call; within is its inner path.
+func NewRequest(x *calls.Exchange, service *sardinerock.Service, within string, body []byte) *sardinerock.Request {
 	// The path goes on as the caller escaped it, without the part that chose the service.
 	escaped := strings.TrimPrefix(x.R.URL.EscapedPath(), "/services/"+x.R.PathValue("service"))
 	if x.R.URL.RawQuery != "" {
@@ -108,7 +80,8 @@
 	return out
 }
 
-func (s *Server) writeReply(x *calls.Exchange, reply *sardinerock.ServiceReply) {
+// WriteReply passes a service's answer on.
+func WriteReply(x *calls.Exchange, reply *sardinerock.ServiceReply) {
 	h := x.W.Header()
 	for name, value := range reply.Header {
 		if !slices.Contains(connectionHeaders, http.CanonicalHeaderKey(name)) {
