traces: the command that writes the traces is named as its folder

Cause: traces/gen was a command of three letters without doc.go, two rules of the house broken.

Ruled out: the subcommand `sardinerock traces` in its place; it prints a trace but not the bundle under which the trace is played.

--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -21,7 +21,7 @@
 			g.Expect(made.Write(&again)).To(Succeed())
 			kept, err := os.ReadFile("../traces/" + deployment + ".jsonl")
 			g.Expect(err).NotTo(HaveOccurred())
-			g.Expect(bytes.Equal(kept, again.Bytes())).To(BeTrue(), "run: go run ./traces/gen traces")
+			g.Expect(bytes.Equal(kept, again.Bytes())).To(BeTrue(), "run: go run ./traces traces")
 			read, err := Read(&again)
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(read).To(Equal(made))
--- a/traces/gen/main.go
+++ b/traces/main.go
@@ -1,5 +1,3 @@
-// Command gen writes the traces of both deployments anew, each with the bundle
-// under which it is played: go run ./traces/gen traces
 package main
 
 import (
