--- a/front/batches.go
+++ b/front/batches.go
@@ -5,10 +5,11 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/calls"
+	"github.com/sardinerock/sardinerock/forms"
 )
 
 const (
@@ -21,90 +22,9 @@
 	maxKey = 256
 )
 
-type batchBody struct {
-	InputFileID      string            `json:"input_file_id"`
-	Endpoint         string            `json:"endpoint"`
-	CompletionWindow string            `json:"completion_window"`
-	Metadata         map[string]string `json:"metadata"`
-}
-
-type batchCounts struct {
-	Total     int `json:"total"`
-	Completed int `json:"completed"`
-	Failed    int `json:"failed"`
-}
-
-type batchObject struct {
-	ID               string            `json:"id"`
-	Object           string            `json:"object"`
-	Endpoint         string            `json:"endpoint"`
-	InputFileID      string            `json:"input_file_id"`
-	CompletionWindow string            `json:"completion_window"`
-	Status           string            `json:"status"`
-	OutputFileID     string            `json:"output_file_id,omitempty"`
-	ErrorFileID      string            `json:"error_file_id,omitempty"`
-	CreatedAt        int64             `json:"created_at"`
-	InProgressAt     int64             `json:"in_progress_at"`
-	ExpiresAt        *int64            `json:"expires_at,omitempty"`
-	CompletedAt      *int64            `json:"completed_at,omitempty"`
-	CancelledAt      *int64            `json:"cancelled_at,omitempty"`
-	ExpiredAt        *int64            `json:"expired_at,omitempty"`
-	RequestCounts    batchCounts       `json:"request_counts"`
-	Metadata         map[string]string `json:"metadata"`
-}
-
-// batchStates gives the usual names of a job's states.
-var batchStates = map[sardinerock.JobState]string{
-	sardinerock.JobUploading:  "validating",
-	sardinerock.JobRunning:    "in_progress",
-	sardinerock.JobCancelling: "cancelling",
-	sardinerock.JobCancelled:  "cancelled",
-	sardinerock.JobFinished:   "completed",
-	sardinerock.JobExpired:    "expired",
-}
-
-// window writes 24h0m0s as callers gave it, 24h.
-func window(j *sardinerock.JobStatus) string {
-	text := j.Due.Sub(j.CreatedAt).Round(time.Second).String()
-	if strings.HasSuffix(text, "m0s") {
-		text = strings.TrimSuffix(text, "0s")
-	}
-	if strings.HasSuffix(text, "h0m") {
-		text = strings.TrimSuffix(text, "0m")
-	}
-	return text
-}
-
-func newBatchObject(j *sardinerock.JobStatus) batchObject {
-	b := batchObject{
-		ID: j.ID, Object: "batch", Endpoint: j.Path, Status: batchStates[j.State],
-		CompletionWindow: window(j),
-		CreatedAt:        j.CreatedAt.Unix(), InProgressAt: j.CreatedAt.Unix(), ExpiresAt: unix(j.Due),
-		RequestCounts: batchCounts{Total: j.Total, Completed: j.Completed, Failed: j.Failed},
-		Metadata:      j.Metadata,
-	}
-	switch j.State {
-	case sardinerock.JobFinished:
-		b.CompletedAt = unix(j.EndedAt)
-	case sardinerock.JobCancelled:
-		b.CancelledAt = unix(j.EndedAt)
-	case sardinerock.JobExpired:
-		b.ExpiredAt = unix(j.EndedAt)
-	default:
-		return b
-	}
-	if j.Completed > 0 {
-		b.OutputFileID = outputPrefix + j.ID
-	}
-	if j.Failed > 0 {
-		b.ErrorFileID = errorPrefix + j.ID
-	}
-	return b
-}
-
 // createBatch accepts a job. It reads the file twice: once to check and digest
 // all of it, once to hand it over.
-func (s *Server) createBatch(x *exchange) error {
+func (s *Server) createBatch(x *calls.Exchange) error {
 	body, spec, err := s.readBatch(x)
 	if err != nil {
 		return err
@@ -114,114 +34,114 @@
 		return err
 	}
 	if spec.IdempotencyKey == "" {
-		spec.IdempotencyKey = found.digest
+		spec.IdempotencyKey = found.Digest
 	}
-	content, _, err := s.Files.Open(x.r.Context(), x.caller.Name, body.InputFileID)
+	content, _, err := s.Files.Open(x.R.Context(), x.Caller.Name, body.InputFileID)
 	if err != nil {
 		return err
 	}
 	defer content.Close()
-	job, err := s.Jobs.Create(x.r.Context(), spec, jobItems(content, spec.Path))
+	job, err := s.Jobs.Create(x.R.Context(), spec, jobItems(content, spec.Path))
 	if err != nil {
 		return err
 	}
-	b := newBatchObject(job)
+	b := forms.NewBatch(job)
 	b.InputFileID = body.InputFileID
-	s.writeJSON(x, http.StatusOK, b)
+	x.WriteJSON(http.StatusOK, b)
 	return nil
 }
 
-func (s *Server) readBatch(x *exchange) (*batchBody, sardinerock.JobSpec, error) {
+func (s *Server) readBatch(x *calls.Exchange) (*forms.BatchBody, sardinerock.JobSpec, error) {
 	var spec sardinerock.JobSpec
-	raw, err := s.readBody(x)
+	raw, err := x.ReadBody()
 	if err != nil {
 		return nil, spec, err
 	}
-	var b batchBody
+	var b forms.BatchBody
 	if err := json.Unmarshal(raw, &b); err != nil {
-		return nil, spec, jsonFault(err)
+		return nil, spec, forms.JSONFault(err)
 	}
 	if b.InputFileID == "" {
-		return nil, spec, refuse(sardinerock.CodeInvalidRequest, "input_file_id", "the field input_file_id is missing")
+		return nil, spec, forms.Refuse(sardinerock.CodeInvalidRequest, "input_file_id", "the field input_file_id is missing")
 	}
-	if b.Endpoint != PathChat && b.Endpoint != PathCompletions {
-		return nil, spec, refuse(sardinerock.CodeInvalidRequest, "endpoint", "the endpoint must be %s or %s", PathChat, PathCompletions)
+	if b.Endpoint != forms.PathChat && b.Endpoint != forms.PathCompletions {
+		return nil, spec, forms.Refuse(sardinerock.CodeInvalidRequest, "endpoint", "the endpoint must be %s or %s", forms.PathChat, forms.PathCompletions)
 	}
 	window, err := time.ParseDuration(b.CompletionWindow)
 	if err != nil || window <= 0 || window > maxWindow {
-		return nil, spec, refuse(sardinerock.CodeInvalidRequest, "completion_window",
+		return nil, spec, forms.Refuse(sardinerock.CodeInvalidRequest, "completion_window",
 			"the completion_window must be a duration such as 24h, up to %s", maxWindow)
 	}
-	key := x.r.Header.Get("Idempotency-Key")
+	key := x.R.Header.Get("Idempotency-Key")
 	if len(key) > maxKey {
-		return nil, spec, refuse(sardinerock.CodeInvalidRequest, "Idempotency-Key", "the header Idempotency-Key is over %d bytes", maxKey)
+		return nil, spec, forms.Refuse(sardinerock.CodeInvalidRequest, "Idempotency-Key", "the header Idempotency-Key is over %d bytes", maxKey)
 	}
 	spec = sardinerock.JobSpec{
-		Caller: x.caller.Name, IdempotencyKey: key, Path: b.Endpoint,
+		Caller: x.Caller.Name, IdempotencyKey: key, Path: b.Endpoint,
 		Due: s.Clock().Add(window), Metadata: b.Metadata,
 	}
 	return &b, spec, nil
 }
 
-func (s *Server) inspectFile(x *exchange, id, path string) (inspection, error) {
-	content, _, err := s.Files.Open(x.r.Context(), x.caller.Name, id)
+func (s *Server) inspectFile(x *calls.Exchange, id, path string) (forms.Inspection, error) {
+	content, _, err := s.Files.Open(x.R.Context(), x.Caller.Name, id)
 	if err != nil {
-		return inspection{}, err
+		return forms.Inspection{}, err
 	}
 	defer content.Close()
-	return inspect(content, path, x.directory.snapshot.Bundle.Batch.MaxItems)
+	return forms.Inspect(content, path, x.Directory.Snapshot.Bundle.Batch.MaxItems)
 }
 
 func jobItems(content io.Reader, path string) func(yield func(sardinerock.JobItem) error) error {
 	return func(yield func(sardinerock.JobItem) error) error {
-		return eachLine(content, path, func(_ int, l *Line) error {
+		return forms.EachLine(content, path, func(_ int, l *forms.Line) error {
 			return yield(sardinerock.JobItem{CustomID: l.CustomID, Body: l.Body})
 		})
 	}
 }
 
-func (s *Server) getBatch(x *exchange) error {
-	job, err := s.Jobs.Get(x.r.Context(), x.caller.Name, x.r.PathValue("id"))
+func (s *Server) getBatch(x *calls.Exchange) error {
+	job, err := s.Jobs.Get(x.R.Context(), x.Caller.Name, x.R.PathValue("id"))
 	return s.writeBatch(x, job, err)
 }
 
-func (s *Server) cancelBatch(x *exchange) error {
-	job, err := s.Jobs.Cancel(x.r.Context(), x.caller.Name, x.r.PathValue("id"))
+func (s *Server) cancelBatch(x *calls.Exchange) error {
+	job, err := s.Jobs.Cancel(x.R.Context(), x.Caller.Name, x.R.PathValue("id"))
 	return s.writeBatch(x, job, err)
 }
 
-func (s *Server) writeBatch(x *exchange, job *sardinerock.JobStatus, err error) error {
+func (s *Server) writeBatch(x *calls.Exchange, job *sardinerock.JobStatus, err error) error {
 	if err != nil {
 		return err
 	}
-	s.writeJSON(x, http.StatusOK, newBatchObject(job))
+	x.WriteJSON(http.StatusOK, forms.NewBatch(job))
 	return nil
 }
 
 // listBatches shows the caller's newest jobs; pages beyond them are not offered, and has_more stays false.
-func (s *Server) listBatches(x *exchange) error {
+func (s *Server) listBatches(x *calls.Exchange) error {
 	limit := listLimit
-	if q := x.r.URL.Query().Get("limit"); q != "" {
+	if q := x.R.URL.Query().Get("limit"); q != "" {
 		n, err := strconv.Atoi(q)
 		if err != nil || n < 1 || n > maxList {
-			return refuse(sardinerock.CodeInvalidRequest, "limit", "limit must be a number from 1 to %d", maxList)
+			return forms.Refuse(sardinerock.CodeInvalidRequest, "limit", "limit must be a number from 1 to %d", maxList)
 		}
 		limit = n
 	}
-	if x.r.URL.Query().Has("after") {
-		return refuse(sardinerock.CodeInvalidRequest, "after", "pages are not supported; ask for up to %d jobs by limit", maxList)
+	if x.R.URL.Query().Has("after") {
+		return forms.Refuse(sardinerock.CodeInvalidRequest, "after", "pages are not supported; ask for up to %d jobs by limit", maxList)
 	}
-	jobs, err := s.Jobs.List(x.r.Context(), x.caller.Name, limit)
+	jobs, err := s.Jobs.List(x.R.Context(), x.Caller.Name, limit)
 	if err != nil {
 		return err
 	}
-	batches := list[batchObject]{Object: "list", Data: []batchObject{}}
+	batches := forms.List[forms.Batch]{Object: "list", Data: []forms.Batch{}}
 	for i := range jobs {
-		batches.Data = append(batches.Data, newBatchObject(&jobs[i]))
+		batches.Data = append(batches.Data, forms.NewBatch(&jobs[i]))
 	}
 	if n := len(jobs); n > 0 {
 		batches.FirstID, batches.LastID = jobs[0].ID, jobs[n-1].ID
 	}
-	s.writeJSON(x, http.StatusOK, batches)
+	x.WriteJSON(http.StatusOK, batches)
 	return nil
 }
--- a/front/client_test.go
+++ b/front/client_test.go
@@ -6,13 +6,13 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/calls"
 )
 
 // These tests speak through a client library that users of model servers have
@@ -23,7 +23,7 @@
 }
 
 func TestClientLibraryGenerates(t *testing.T) {
-	b := newBench(t, Limits{})
+	b := newBench(t, calls.Limits{})
 	client := newClient(b)
 	ctx := context.Background()
 	chat := openai.ChatCompletionNewParams{
@@ -65,7 +65,7 @@
 }
 
 func TestClientLibrarySeesTheErrorOfABrokenStream(t *testing.T) {
-	b := newBench(t, Limits{})
+	b := newBench(t, calls.Limits{})
 	b.online.serve = func(_ context.Context, _ *sardinerock.Request, emit func(sardinerock.Token) error) (sardinerock.Result, error) {
 		if err := emitAll(emit, "half"); err != nil {
 			return sardinerock.Result{}, err
@@ -83,7 +83,7 @@
 }
 
 func TestClientLibraryRunsABatch(t *testing.T) {
-	b := newBench(t, Limits{})
+	b := newBench(t, calls.Limits{})
 	client := newClient(b)
 	ctx := context.Background()
 	lines := `{"custom_id":"a","method":"POST","url":"/v1/completions","body":{"model":"drafts","prompt":"x"}}
@@ -131,55 +131,3 @@
 	b.Expect(err).NotTo(HaveOccurred())
 	return string(raw)
 }
-
-func TestFaultyLinesRefuseTheWholeJob(t *testing.T) {
-	line := `{"custom_id":"a","method":"POST","url":"/v1/completions","body":{}}`
-	tests := map[string]struct{ lines, says string }{
-		"nothing":        {"\n\n", "no items"},
-		"malformed":      {line + "\n{", "line 2"},
-		"twice":          {line + "\n" + line, "there twice"},
-		"other endpoint": {strings.Replace(line, "/v1/completions", PathChat, 1), "url must be"},
-		"no id":          {strings.Replace(line, `"a"`, `""`, 1), "custom_id is missing"},
-		"too many":       {line + "\n" + strings.Replace(line, `"a"`, `"b"`, 1), "over 1 items"},
-	}
-	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
-			_, err := inspect(strings.NewReader(tt.lines), PathCompletions, 1+strings.Count(name, "twice"))
-			NewWithT(t).Expect(err).To(MatchError(ContainSubstring(tt.says)))
-		})
-	}
-}
-
-func TestWindowIsShownAsCallersWriteIt(t *testing.T) {
-	created := time.Unix(1_800_000_000, 0)
-	for _, text := range []string{"24h", "30m", "10s", "1h30m", "1h0m10s", "20s"} {
-		g := NewWithT(t)
-		length, err := time.ParseDuration(text)
-		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(window(&sardinerock.JobStatus{CreatedAt: created, Due: created.Add(length)})).To(Equal(text))
-	}
-}
-
-func FuzzParseLine(f *testing.F) {
-	f.Add([]byte(`{"custom_id":"a","method":"POST","url":"/v1/completions","body":{}}`))
-	f.Add([]byte(`{"custom_id":1}`))
-	f.Fuzz(func(t *testing.T, raw []byte) {
-		l, err := ParseLine(raw, PathCompletions, 1)
-		if (l == nil) == (err == nil) {
-			t.Fatal("a line is either read or refused")
-		}
-	})
-}
-
-func FuzzParseCompletion(f *testing.F) {
-	f.Add([]byte(goodChat))
-	f.Add([]byte(`{"model":"m","prompt":"x","n":1,"logprobs":null}`))
-	f.Fuzz(func(t *testing.T, raw []byte) {
-		for _, path := range []string{PathChat, PathCompletions} {
-			c, err := ParseCompletion(path, raw)
-			if err == nil && (c.Model == "" || c.Prompt == "" || c.MaxTokens < 0) {
-				t.Fatalf("taken as good: %+v", c)
-			}
-		}
-	})
-}
--- a/front/complete.go
+++ b/front/complete.go
@@ -1,42 +1,42 @@
 package front
 
 import (
-	"encoding/json"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/calls"
+	"github.com/sardinerock/sardinerock/forms"
 )
 
 // complete answers a generation, as a stream or whole.
-func (s *Server) complete(x *exchange) error {
-	until, err := s.deadline(x.r)
+func (s *Server) complete(x *calls.Exchange) error {
+	until, err := x.Deadline()
 	if err != nil {
 		return err
 	}
-	body, err := s.readBody(x)
+	body, err := x.ReadBody()
 	if err != nil {
 		return err
 	}
-	r, parsed, err := x.directory.newRequest(x.caller, x.r.URL.Path, body)
+	r, parsed, err := x.Directory.NewRequest(x.Caller, x.R.URL.Path, body)
 	if err != nil {
 		return err
 	}
 	r.Deadline = until
-	x.request = r.ID
+	x.Request = r.ID
 	if parsed.Stream {
 		return s.stream(x, r, parsed.IncludeUsage)
 	}
 	return s.whole(x, r)
 }
 
-func (s *Server) whole(x *exchange, r *sardinerock.Request) error {
+func (s *Server) whole(x *calls.Exchange, r *sardinerock.Request) error {
 	var text strings.Builder
 	watch := s.watchFirstToken()
-	result, err := s.Online.Serve(x.r.Context(), r, func(t sardinerock.Token) error {
+	result, err := s.Online.Serve(x.R.Context(), r, func(t sardinerock.Token) error {
 		watch()
 		text.WriteString(t.Text)
 		return nil
@@ -44,7 +44,7 @@
 	if err != nil {
 		return err
 	}
-	s.writeJSON(x, http.StatusOK, NewAnswer(r, result.EngineResult, text.String(), s.Clock()))
+	x.WriteJSON(http.StatusOK, forms.NewAnswer(r, result.EngineResult, text.String(), s.Clock()))
 	return nil
 }
 
@@ -64,19 +64,19 @@
 // streamer writes one answer as server-sent events.
 type streamer struct {
 	server *Server
-	x      *exchange
-	blank  Answer
+	x      *calls.Exchange
+	blank  forms.Answer
 	chat   bool
 }
 
-func (s *Server) stream(x *exchange, r *sardinerock.Request, includeUsage bool) error {
-	st := &streamer{server: s, x: x, blank: newAnswer(r, s.Clock()), chat: r.Path == PathChat}
+func (s *Server) stream(x *calls.Exchange, r *sardinerock.Request, includeUsage bool) error {
+	st := &streamer{server: s, x: x, blank: forms.BlankAnswer(r, s.Clock()), chat: r.Path == forms.PathChat}
 	st.blank.Object = "text_completion"
 	if st.chat {
 		st.blank.Object = "chat.completion.chunk"
 	}
 	watch := s.watchFirstToken()
-	result, err := s.Online.Serve(x.r.Context(), r, func(t sardinerock.Token) error {
+	result, err := s.Online.Serve(x.R.Context(), r, func(t sardinerock.Token) error {
 		watch()
 		return st.token(t)
 	})
@@ -89,16 +89,16 @@
 // token writes one piece. The header goes out with the first, so that a request
 // refused before it still gets an ordinary error status.
 func (st *streamer) token(t sardinerock.Token) error {
-	return st.choice(Choice{}, t.Text)
+	return st.choice(forms.Choice{}, t.Text)
 }
 
-func (st *streamer) choice(c Choice, text string) error {
-	first := !st.x.answering
+func (st *streamer) choice(c forms.Choice, text string) error {
+	first := !st.x.Answering
 	if first {
 		st.open()
 	}
 	if st.chat {
-		c.Delta = &Message{Content: text}
+		c.Delta = &forms.Message{Content: text}
 		if first {
 			c.Delta.Role = "assistant"
 		}
@@ -106,101 +106,49 @@
 		c.Text = &text
 	}
 	a := st.blank
-	a.Choices = []Choice{c}
-	return st.server.writeEvent(st.x, a)
+	a.Choices = []forms.Choice{c}
+	return st.x.WriteEvent(a)
 }
 
 func (st *streamer) open() {
-	h := st.x.w.Header()
+	h := st.x.W.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-cache")
-	st.x.answering = true
+	st.x.Answering = true
 }
 
 func (st *streamer) finish(e sardinerock.EngineResult, includeUsage bool) error {
-	if err := st.choice(Choice{FinishReason: &e.FinishReason}, ""); err != nil {
+	if err := st.choice(forms.Choice{FinishReason: &e.FinishReason}, ""); err != nil {
 		return err
 	}
 	if includeUsage {
 		a := st.blank
-		a.Choices = []Choice{}
-		a.Usage = newUsage(e)
-		if err := st.server.writeEvent(st.x, a); err != nil {
+		a.Choices = []forms.Choice{}
+		a.Usage = forms.NewUsage(e)
+		if err := st.x.WriteEvent(a); err != nil {
 			return err
 		}
 	}
-	return st.server.writeData(st.x, []byte("[DONE]"))
+	return st.x.WriteData([]byte("[DONE]"))
 }
 
-func (s *Server) writeEvent(x *exchange, body any) error {
-	raw, err := json.Marshal(body)
-	if err != nil {
-		return err
-	}
-	return s.writeData(x, raw)
-}
-
-// writeData writes one server-sent event; an error means that the caller hung up or does not read.
-func (s *Server) writeData(x *exchange, data []byte) error {
-	s.extendWrite(x)
-	line := make([]byte, 0, len(data)+8)
-	line = append(line, "data: "...)
-	line = append(line, data...)
-	line = append(line, "\n\n"...)
-	if _, err := x.w.Write(line); err != nil {
-		return callerGone(err)
-	}
-	if err := http.NewResponseController(x.w).Flush(); err != nil {
-		return callerGone(err)
-	}
-	return nil
-}
-
-func callerGone(err error) error {
-	return &sardinerock.Refusal{
-		Code:    sardinerock.CodeCancelled,
-		Message: "the caller hung up or does not read: " + err.Error(),
-		Outcome: sardinerock.OutcomeRan,
-	}
-}
-
-// modelObject is a model in the usual form.
-type modelObject struct {
-	ID      string `json:"id"`
-	Object  string `json:"object"`
-	Created int64  `json:"created"`
-	OwnedBy string `json:"owned_by"`
-}
-
-type list[T any] struct {
-	Object  string `json:"object"`
-	Data    []T    `json:"data"`
-	HasMore bool   `json:"has_more"`
-	FirstID string `json:"first_id,omitempty"`
-	LastID  string `json:"last_id,omitempty"`
-}
-
-func (s *Server) listModels(x *exchange) error {
-	models := []modelObject{}
-	for _, g := range x.caller.Grants {
-		models = append(models, newModelObject(g.Model, x.directory.snapshot.Since))
+func (s *Server) listModels(x *calls.Exchange) error {
+	models := []forms.Model{}
+	for _, g := range x.Caller.Grants {
+		models = append(models, forms.NewModel(g.Model, x.Directory.Snapshot.Since))
 		for _, a := range g.Adapters {
-			models = append(models, newModelObject(g.Model+":"+a, x.directory.snapshot.Since))
+			models = append(models, forms.NewModel(g.Model+":"+a, x.Directory.Snapshot.Since))
 		}
 	}
-	s.writeJSON(x, http.StatusOK, list[modelObject]{Object: "list", Data: models})
+	x.WriteJSON(http.StatusOK, forms.List[forms.Model]{Object: "list", Data: models})
 	return nil
 }
 
-func (s *Server) getModel(x *exchange) error {
-	name := x.r.PathValue("model")
-	if _, err := x.directory.resolve(x.caller, name); err != nil {
+func (s *Server) getModel(x *calls.Exchange) error {
+	name := x.R.PathValue("model")
+	if _, err := x.Directory.Resolve(x.Caller, name); err != nil {
 		return err
 	}
-	s.writeJSON(x, http.StatusOK, newModelObject(name, x.directory.snapshot.Since))
+	x.WriteJSON(http.StatusOK, forms.NewModel(name, x.Directory.Snapshot.Since))
 	return nil
 }
-
-func newModelObject(name string, since time.Time) modelObject {
-	return modelObject{ID: name, Object: "model", Created: since.Unix(), OwnedBy: "sardinerock"}
-}
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -14,6 +14,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/calls"
+	"github.com/sardinerock/sardinerock/forms"
+	"github.com/sardinerock/sardinerock/grants"
 )
 
 const goodChat = `{"model":"drafts:panels","messages":[{"role":"user","content":"draft a panel"}]}`
@@ -26,26 +29,26 @@
 		code                      sardinerock.Code
 		param                     string
 	}{
-		"no token":           {path: PathChat, body: goodChat, code: sardinerock.CodeUnauthorized},
-		"wrong token":        {path: PathChat, token: "x", body: goodChat, code: sardinerock.CodeUnauthorized},
-		"malformed JSON":     {path: PathChat, token: supervisorToken, body: `{"model":`, code: sardinerock.CodeInvalidRequest},
-		"wrong kind":         {path: PathChat, token: supervisorToken, body: `{"model":7}`, code: sardinerock.CodeInvalidRequest, param: "model"},
-		"body over limit":    {path: PathChat, token: supervisorToken, body: manyLines, code: sardinerock.CodeBodyTooLarge},
-		"no model":           {path: PathChat, token: supervisorToken, body: `{"messages":[{"role":"user","content":"x"}]}`, code: sardinerock.CodeInvalidRequest, param: "model"},
-		"no messages":        {path: PathChat, token: supervisorToken, body: `{"model":"drafts"}`, code: sardinerock.CodeInvalidRequest, param: "messages"},
-		"picture":            {path: PathChat, token: supervisorToken, body: `{"model":"drafts","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, code: sardinerock.CodeInvalidRequest, param: "messages"},
-		"unknown model":      {path: PathChat, token: supervisorToken, body: strings.Replace(goodChat, "drafts:panels", "none", 1), code: sardinerock.CodeModelNotFound, param: "model"},
-		"unknown adapter":    {path: PathChat, token: supervisorToken, body: strings.Replace(goodChat, "panels", "none", 1), code: sardinerock.CodeModelNotFound, param: "model"},
-		"no grant":           {path: PathChat, token: supervisorToken, body: strings.Replace(goodChat, "drafts:panels", "secret", 1), code: sardinerock.CodeForbidden, param: "model"},
-		"no adapter grant":   {path: PathChat, token: supervisorToken, body: strings.Replace(goodChat, "panels", "letters", 1), code: sardinerock.CodeForbidden, param: "model"},
-		"two choices":        {path: PathChat, token: supervisorToken, body: `{"n":2,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "n"},
-		"tools":              {path: PathChat, token: supervisorToken, body: `{"tools":[{"type":"function"}],` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "tools"},
-		"logprobs":           {path: PathChat, token: supervisorToken, body: `{"logprobs":true,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "logprobs"},
-		"unheard-of field":   {path: PathChat, token: supervisorToken, body: `{"colour":1,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "colour"},
-		"too many tokens":    {path: PathChat, token: supervisorToken, body: `{"max_completion_tokens":101,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "max_completion_tokens"},
-		"list of prompts":    {path: PathCompletions, token: supervisorToken, body: `{"model":"drafts","prompt":["a","b"]}`, code: sardinerock.CodeInvalidRequest, param: "prompt"},
-		"both prompts":       {path: PathChat, token: supervisorToken, body: `{"prompt":"x",` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "prompt"},
-		"senseless timeout":  {path: PathChat, token: supervisorToken, body: goodChat, headers: []string{TimeoutHeader, "-1"}, code: sardinerock.CodeInvalidRequest, param: TimeoutHeader},
+		"no token":           {path: forms.PathChat, body: goodChat, code: sardinerock.CodeUnauthorized},
+		"wrong token":        {path: forms.PathChat, token: "x", body: goodChat, code: sardinerock.CodeUnauthorized},
+		"malformed JSON":     {path: forms.PathChat, token: supervisorToken, body: `{"model":`, code: sardinerock.CodeInvalidRequest},
+		"wrong kind":         {path: forms.PathChat, token: supervisorToken, body: `{"model":7}`, code: sardinerock.CodeInvalidRequest, param: "model"},
+		"body over limit":    {path: forms.PathChat, token: supervisorToken, body: manyLines, code: sardinerock.CodeBodyTooLarge},
+		"no model":           {path: forms.PathChat, token: supervisorToken, body: `{"messages":[{"role":"user","content":"x"}]}`, code: sardinerock.CodeInvalidRequest, param: "model"},
+		"no messages":        {path: forms.PathChat, token: supervisorToken, body: `{"model":"drafts"}`, code: sardinerock.CodeInvalidRequest, param: "messages"},
+		"picture":            {path: forms.PathChat, token: supervisorToken, body: `{"model":"drafts","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, code: sardinerock.CodeInvalidRequest, param: "messages"},
+		"unknown model":      {path: forms.PathChat, token: supervisorToken, body: strings.Replace(goodChat, "drafts:panels", "none", 1), code: sardinerock.CodeModelNotFound, param: "model"},
+		"unknown adapter":    {path: forms.PathChat, token: supervisorToken, body: strings.Replace(goodChat, "panels", "none", 1), code: sardinerock.CodeModelNotFound, param: "model"},
+		"no grant":           {path: forms.PathChat, token: supervisorToken, body: strings.Replace(goodChat, "drafts:panels", "secret", 1), code: sardinerock.CodeForbidden, param: "model"},
+		"no adapter grant":   {path: forms.PathChat, token: supervisorToken, body: strings.Replace(goodChat, "panels", "letters", 1), code: sardinerock.CodeForbidden, param: "model"},
+		"two choices":        {path: forms.PathChat, token: supervisorToken, body: `{"n":2,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "n"},
+		"tools":              {path: forms.PathChat, token: supervisorToken, body: `{"tools":[{"type":"function"}],` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "tools"},
+		"logprobs":           {path: forms.PathChat, token: supervisorToken, body: `{"logprobs":true,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "logprobs"},
+		"unheard-of field":   {path: forms.PathChat, token: supervisorToken, body: `{"colour":1,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "colour"},
+		"too many tokens":    {path: forms.PathChat, token: supervisorToken, body: `{"max_completion_tokens":101,` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "max_completion_tokens"},
+		"list of prompts":    {path: forms.PathCompletions, token: supervisorToken, body: `{"model":"drafts","prompt":["a","b"]}`, code: sardinerock.CodeInvalidRequest, param: "prompt"},
+		"both prompts":       {path: forms.PathChat, token: supervisorToken, body: `{"prompt":"x",` + goodChat[1:], code: sardinerock.CodeInvalidRequest, param: "prompt"},
+		"senseless timeout":  {path: forms.PathChat, token: supervisorToken, body: goodChat, headers: []string{calls.TimeoutHeader, "-1"}, code: sardinerock.CodeInvalidRequest, param: calls.TimeoutHeader},
 		"no operator":        {path: "/operator/bundles", token: supervisorToken, body: `{}`, code: sardinerock.CodeForbidden},
 		"unknown service":    {path: "/services/none/x", token: supervisorToken, code: sardinerock.CodeNotFound},
 		"service not given":  {path: "/services/ledger/x", token: supervisorToken, code: sardinerock.CodeForbidden},
@@ -58,7 +61,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			b := newBench(t, Limits{OnlineBody: 1024})
+			b := newBench(t, calls.Limits{OnlineBody: 1024})
 			if tt.method == "" {
 				tt.method = http.MethodPost
 			}
@@ -74,11 +77,11 @@
 // must pass on the outcome as it was proved, not one of its own.
 func TestRefusalFromBehindIsPassedOnWhole(t *testing.T) {
 	for _, outcome := range []sardinerock.Outcome{sardinerock.OutcomeNotRun, sardinerock.OutcomeRan, sardinerock.OutcomeUnknown} {
-		b := newBench(t, Limits{})
+		b := newBench(t, calls.Limits{})
 		b.online.serve = func(context.Context, *sardinerock.Request, func(sardinerock.Token) error) (sardinerock.Result, error) {
 			return sardinerock.Result{}, &sardinerock.Refusal{Code: sardinerock.CodeOverloaded, Outcome: outcome, RetryAfter: 1200 * time.Millisecond}
 		}
-		answer, raw := b.call(http.MethodPost, PathChat, supervisorToken, `{"stream":true,`+goodChat[1:])
+		answer, raw := b.call(http.MethodPost, forms.PathChat, supervisorToken, `{"stream":true,`+goodChat[1:])
 		b.expectRefusal(answer, raw, sardinerock.CodeOverloaded, outcome, "")
 		b.Expect(answer.Header.Get("Retry-After")).To(Equal("2"))
 	}
@@ -88,14 +91,14 @@
 // lost half-way and could not be replaced. Had the stream just ended, the half
 // answer would have passed for a whole one.
 func TestStreamThatBreaksEndsWithAnError(t *testing.T) {
-	b := newBench(t, Limits{})
+	b := newBench(t, calls.Limits{})
 	b.online.serve = func(_ context.Context, _ *sardinerock.Request, emit func(sardinerock.Token) error) (sardinerock.Result, error) {
 		if err := emitAll(emit, "half", " an"); err != nil {
 			return sardinerock.Result{}, err
 		}
 		return sardinerock.Result{}, &sardinerock.Refusal{Code: sardinerock.CodeBackendLost, Outcome: sardinerock.OutcomeRan}
 	}
-	_, raw := b.call(http.MethodPost, PathChat, supervisorToken, `{"stream":true,`+goodChat[1:])
+	_, raw := b.call(http.MethodPost, forms.PathChat, supervisorToken, `{"stream":true,`+goodChat[1:])
 	events := strings.Split(strings.TrimSpace(raw), "\n\n")
 	b.Expect(events).To(HaveLen(3))
 	b.Expect(events[2]).To(And(ContainSubstring(`"code":"backendServerLost"`), ContainSubstring(`"outcome":"ran"`)))
@@ -105,10 +108,10 @@
 // The caller hangs up after the first token, as a dashboard that was closed
 // does. The request's context must end, or its slot would stay taken.
 func TestCallerThatHangsUpHoldsNothing(t *testing.T) {
-	b := newBench(t, Limits{})
+	b := newBench(t, calls.Limits{})
 	b.online.serve = endlessTokens("x")
 	ctx, hangUp := context.WithCancel(context.Background())
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, b.url+PathChat, strings.NewReader(`{"stream":true,`+goodChat[1:]))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, b.url+forms.PathChat, strings.NewReader(`{"stream":true,`+goodChat[1:]))
 	b.Expect(err).NotTo(HaveOccurred())
 	r.Header.Set("Authorization", "Bearer "+supervisorToken)
 	answer, err := http.DefaultClient.Do(r)
@@ -124,13 +127,13 @@
 // write blocks, and without a deadline on each write the slot would be held for
 // as long as the caller likes.
 func TestSlowReaderHoldsNothing(t *testing.T) {
-	b := newBench(t, Limits{WriteTimeout: 200 * time.Millisecond})
+	b := newBench(t, calls.Limits{WriteTimeout: 200 * time.Millisecond})
 	b.online.serve = endlessTokens(strings.Repeat("x", 64<<10))
 	c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
 	b.Expect(err).NotTo(HaveOccurred())
 	defer c.Close()
 	body := `{"stream":true,` + goodChat[1:]
-	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", PathChat, supervisorToken, len(body), body)
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", forms.PathChat, supervisorToken, len(body), body)
 	b.Eventually(b.online.running, 10*time.Second).Should(Equal(1))
 	b.expectNothingHeld()
 }
@@ -138,11 +141,11 @@
 // The caller announces a body and never sends the rest. It gets an error once
 // the read timeout is over, and nothing was held meanwhile.
 func TestBodyThatNeverArrives(t *testing.T) {
-	b := newBench(t, Limits{ReadTimeout: 100 * time.Millisecond})
+	b := newBench(t, calls.Limits{ReadTimeout: 100 * time.Millisecond})
 	c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
 	b.Expect(err).NotTo(HaveOccurred())
 	defer c.Close()
-	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{", PathChat, supervisorToken)
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{", forms.PathChat, supervisorToken)
 	b.Expect(c.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
 	raw, err := io.ReadAll(c)
 	b.Expect(err).NotTo(HaveOccurred())
@@ -153,7 +156,7 @@
 // An answer takes longer than the read timeout of its request's body. The
 // deadline on reading must be off by then, or it would end the answer.
 func TestAnswerMayOutlastTheReadTimeout(t *testing.T) {
-	b := newBench(t, Limits{ReadTimeout: 50 * time.Millisecond})
+	b := newBench(t, calls.Limits{ReadTimeout: 50 * time.Millisecond})
 	b.online.serve = func(ctx context.Context, _ *sardinerock.Request, emit func(sardinerock.Token) error) (sardinerock.Result, error) {
 		select {
 		case <-ctx.Done():
@@ -162,7 +165,7 @@
 		}
 		return sardinerock.Result{EngineResult: sardinerock.EngineResult{FinishReason: "stop"}}, emitAll(emit, "late")
 	}
-	answer, raw := b.call(http.MethodPost, PathChat, supervisorToken, goodChat)
+	answer, raw := b.call(http.MethodPost, forms.PathChat, supervisorToken, goodChat)
 	b.Expect(answer.StatusCode).To(Equal(http.StatusOK), raw)
 }
 
@@ -191,7 +194,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			b := newBench(t, Limits{})
+			b := newBench(t, calls.Limits{})
 			b.online.serve = func(context.Context, *sardinerock.Request, func(sardinerock.Token) error) (sardinerock.Result, error) {
 				return sardinerock.Result{Reply: &sardinerock.ServiceReply{Status: http.StatusTeapot, Header: map[string]string{"X-Kind": "tea"}, Body: []byte("short")}}, nil
 			}
@@ -210,11 +213,11 @@
 // A new entry has no configuration: the balancer must not send it callers, and
 // a caller that comes all the same is told when to come back.
 func TestNotReadyWithoutConfiguration(t *testing.T) {
-	b := newBench(t, Limits{})
+	b := newBench(t, calls.Limits{})
 	b.publisher.current = nil
 	answer, _ := b.call(http.MethodGet, "/readyz", "", "")
 	b.Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
-	answer, raw := b.call(http.MethodPost, PathChat, supervisorToken, goodChat)
+	answer, raw := b.call(http.MethodPost, forms.PathChat, supervisorToken, goodChat)
 	b.expectRefusal(answer, raw, sardinerock.CodeNotReady, sardinerock.OutcomeNotRun, "")
 	b.Expect(answer.Header.Get("Retry-After")).To(Equal("1"))
 	first := firstBundle(0)
@@ -232,13 +235,13 @@
 
 func firstBundle(basedOn int) string {
 	return fmt.Sprintf(`{"basedOn":%d,"models":[],"services":[{"name":"portal","maxInFlight":8,"timeoutMs":1000}],"teams":[{"name":"office","weight":1}],"batch":{"resultHours":24,"maxItems":1000,"maxAttempts":3},
-		"callers":[{"name":"operator","team":"office","weight":1,"grants":[],"operator":true,"keyHashes":[%q]}]}`, basedOn, HashToken(operatorToken))
+		"callers":[{"name":"operator","team":"office","weight":1,"grants":[],"operator":true,"keyHashes":[%q]}]}`, basedOn, grants.HashToken(operatorToken))
 }
 
 func TestMetricsAreScrapable(t *testing.T) {
-	b := newBench(t, Limits{})
-	b.call(http.MethodPost, PathChat, supervisorToken, goodChat)
-	b.call(http.MethodPost, PathChat, "", goodChat)
+	b := newBench(t, calls.Limits{})
+	b.call(http.MethodPost, forms.PathChat, supervisorToken, goodChat)
+	b.call(http.MethodPost, forms.PathChat, "", goodChat)
 	_, raw := b.call(http.MethodGet, "/metrics", "", "")
 	b.Expect(raw).To(And(
 		ContainSubstring("sardinerock_front_refused_unauthorized 1\n"),
--- a/proof/batch_test.go
+++ b/proof/batch_test.go
@@ -11,8 +11,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/sardinerock/sardinerock/calls"
 	"github.com/sardinerock/sardinerock/event"
-	"github.com/sardinerock/sardinerock/front"
+	"github.com/sardinerock/sardinerock/forms"
 )
 
 // logLine is how an event shows in a process's log.
@@ -126,11 +127,11 @@
 
 func (f *fleet) expectJobRefusedAsNotRun(n *node, file string) {
 	f.t.Helper()
-	body := fmt.Appendf(nil, `{"input_file_id":%q,"endpoint":%q,"completion_window":"24h"}`, file, front.PathChat)
+	body := fmt.Appendf(nil, `{"input_file_id":%q,"endpoint":%q,"completion_window":"24h"}`, file, forms.PathChat)
 	answer, raw, err := f.call(n, http.MethodPost, "/v1/batches", callerToken, body, "Idempotency-Key", "later")
 	f.Expect(err).NotTo(HaveOccurred())
 	f.Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable), raw)
-	f.Expect(answer.Header.Get(front.OutcomeHeader)).To(Equal("notRun"), raw)
+	f.Expect(answer.Header.Get(calls.OutcomeHeader)).To(Equal("notRun"), raw)
 	f.Expect(answer.Header.Get("Retry-After")).NotTo(BeEmpty())
 }
 
