demo: the demo in a package of its own

Moved, behaviour unchanged: the demo with TestDemoLosesNothing and TestJobOutlivesTheEntryThatAcceptedIt, which runs the demo's job. Names lose the prefix demo. The benchmark in bench holds its line as a literal.

Ruled out: the pictures or the rows of the report; they are the replay's only output and share its rows.

--- a/bench/overhead_test.go
+++ b/bench/overhead_test.go
@@ -32,7 +32,7 @@
 	through := &client.Client{URL: f.URLs()[0], Token: trace.Token("supervisors"), HTTP: web}
 	straight := &client.Client{URL: f.EngineURL(0), HTTP: web}
 	var added, direct []time.Duration
-	line := demoRequest
+	line := trace.Line{Prefix: "line", PrefixTokens: 512, PromptTokens: 120, MaxTokens: 64}
 	line.MaxTokens = 2
 	for i := 0; b.Loop(); i++ {
 		body := line.Request(h.Model, fmt.Sprintf("request-%d", i))
--- a/clis/bench.go
+++ b/clis/bench.go
@@ -5,12 +5,13 @@
 
 	"github.com/sardinerock/sardinerock/bench"
 	"github.com/sardinerock/sardinerock/conf"
+	"github.com/sardinerock/sardinerock/demo"
 	"github.com/sardinerock/sardinerock/trace"
 )
 
 func (p *Program) addBench() {
 	p.add(&p.parser.Subcommand, "demo", "show a whole fleet in one process on loopback, with a backend server killed on the way", nil,
-		func(ctx context.Context) error { return bench.Demo(ctx, p.Out) })
+		func(ctx context.Context) error { return demo.Run(ctx, p.Out) })
 	r := &conf.Replay{}
 	p.add(&p.parser.Subcommand, "replay", "play a trace, alone, with batch and under a baseline, and write a report", r,
 		func(ctx context.Context) error { return p.replay(ctx, r) })
--- a/bench/demo.go
+++ b/demo/demo.go
@@ -1,4 +1,4 @@
-package bench
+package demo
 
 import (
 	"context"
@@ -20,24 +20,24 @@
 
 // The sizes of the demo: a few seconds of work for a small fleet.
 const (
-	demoItems   = 300
-	demoCallers = 6
-	demoTimeout = 90 * time.Second
-	// demoKillAt is how many items are done when the backend server is killed.
-	demoKillAt = demoItems / 4
-	demoPoll   = 100 * time.Millisecond
-	// demoRetry is how long a refused caller waits before it comes back.
-	demoRetry = 200 * time.Millisecond
+	items   = 300
+	callers = 6
+	timeout = 90 * time.Second
+	// killAt is how many items are done when the backend server is killed.
+	killAt = items / 4
+	poll   = 100 * time.Millisecond
+	// retryAfter is how long a refused caller waits before it comes back.
+	retryAfter = 200 * time.Millisecond
 )
 
-// demoRequest and demoItem are what callers and the job ask for.
+// onlineLine and itemLine are what callers and the job ask for.
 var (
-	demoRequest = trace.Line{Prefix: "line", PrefixTokens: 512, PromptTokens: 120, MaxTokens: 64}
-	demoItem    = trace.Line{Prefix: "report", PrefixTokens: 32, PromptTokens: 64, MaxTokens: 64}
+	onlineLine = trace.Line{Prefix: "line", PrefixTokens: 512, PromptTokens: 120, MaxTokens: 64}
+	itemLine   = trace.Line{Prefix: "report", PrefixTokens: 32, PromptTokens: 64, MaxTokens: 64}
 )
 
-// DemoResult is the last line of the demo.
-type DemoResult struct {
+// Result is the last line of the demo.
+type Result struct {
 	OnlineAnswers int `json:"onlineAnswers"`
 	BatchItems    int `json:"batchItems"`
 	Lost          int `json:"lost"`
@@ -52,20 +52,20 @@
 	header trace.Header
 
 	mu      sync.Mutex
-	result  DemoResult
+	result  Result
 	refused int
 	slowest time.Duration
 }
 
-// Demo starts a fleet in this process, answers online requests while a batch job
+// Run starts a fleet in this process, answers online requests while a batch job
 // runs, kills one backend server on the way and prints what it saw. The error is
 // nil only if nothing was lost and nothing doubled.
-func Demo(ctx context.Context, out io.Writer) error {
-	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
+func Run(ctx context.Context, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	h := trace.HeaderOf(trace.KesslingMarrow)
 	h.Entries, h.Sides, h.Services = 2, 4, 1
-	d := &demo{out: out, header: h, http: client.NewHTTP(2 * demoCallers)}
+	d := &demo{out: out, header: h, http: client.NewHTTP(2 * callers)}
 	d.fleet = &fleet.Fleet{
 		Entries: h.Entries, Sides: h.Sides, Services: h.Services, Zones: h.Zones, Seed: 1,
 		Bundle: trace.BundleOf(h), Operator: trace.Token(trace.Operator),
@@ -90,7 +90,7 @@
 }
 
 func (d *demo) run(ctx context.Context) error {
-	j, err := demoJob(d.header.Model)
+	j, err := makeJob(d.header.Model)
 	if err != nil {
 		return err
 	}
@@ -99,17 +99,17 @@
 	if err != nil {
 		return merry.Prepend(err, "demo: job")
 	}
-	fmt.Fprintf(d.out, "A batch job of %d items is accepted as %s; %d callers ask online beside it.\n", demoItems, accepted.ID, demoCallers)
+	fmt.Fprintf(d.out, "A batch job of %d items is accepted as %s; %d callers ask online beside it.\n", items, accepted.ID, callers)
 
 	asking, stopAsking := context.WithCancel(ctx)
 	defer stopAsking()
-	var callers sync.WaitGroup
-	for i := range demoCallers {
-		callers.Go(func() { d.askUntil(ctx, asking, i) })
+	var asked sync.WaitGroup
+	for i := range callers {
+		asked.Go(func() { d.askUntil(ctx, asking, i) })
 	}
 	finished, err := d.follow(ctx, accepted.ID)
 	stopAsking()
-	callers.Wait()
+	asked.Wait()
 	if err != nil {
 		return err
 	}
@@ -124,11 +124,11 @@
 	return nil
 }
 
-func demoJob(model string) (*client.Job, error) {
+func makeJob(model string) (*client.Job, error) {
 	j := &client.Job{Key: "demo"}
-	for i := range demoItems {
+	for i := range items {
 		id := fmt.Sprintf("report-%04d", i)
-		if err := j.Add(id, demoItem.Request(model, id)); err != nil {
+		if err := j.Add(id, itemLine.Request(model, id)); err != nil {
 			return nil, err
 		}
 	}
@@ -143,15 +143,15 @@
 		if err == nil && b.Ended() {
 			return b, nil
 		}
-		if err == nil && !killed && b.RequestCounts.Completed >= demoKillAt {
+		if err == nil && !killed && b.RequestCounts.Completed >= killAt {
 			killed = true
 			d.fleet.KillSide(0)
 			fmt.Fprintf(d.out, "With %d items done, a backend server is killed with all its connections.\n", b.RequestCounts.Completed)
 		}
 		select {
 		case <-ctx.Done():
-			return b, errors.Join(merry.Errorf("demo: the job did not end in time; %d of %d items are done", b.RequestCounts.Completed, demoItems), err)
-		case <-time.After(demoPoll):
+			return b, errors.Join(merry.Errorf("demo: the job did not end in time; %d of %d items are done", b.RequestCounts.Completed, items), err)
+		case <-time.After(poll):
 		}
 	}
 }
@@ -159,7 +159,7 @@
 // askUntil asks one request after the other until asking ends; each is waited for.
 func (d *demo) askUntil(ctx, asking context.Context, caller int) {
 	for i := 0; asking.Err() == nil; i++ {
-		body := demoRequest.Request(d.header.Model, fmt.Sprintf("panel-%d-%d", caller, i))
+		body := onlineLine.Request(d.header.Model, fmt.Sprintf("panel-%d-%d", caller, i))
 		body.Stream = true
 		raw, err := json.Marshal(body)
 		if err != nil {
@@ -180,7 +180,7 @@
 			select {
 			case <-asking.Done():
 				return
-			case <-time.After(demoRetry):
+			case <-time.After(retryAfter):
 				continue
 			}
 		}
--- a/bench/demo_test.go
+++ b/demo/demo_test.go
@@ -1,4 +1,4 @@
-package bench
+package demo
 
 import (
 	"strings"
@@ -13,7 +13,7 @@
 func TestDemoLosesNothing(t *testing.T) {
 	g := NewWithT(t)
 	var out strings.Builder
-	err := Demo(t.Context(), &out)
+	err := Run(t.Context(), &out)
 	t.Log(out.String())
 	g.Expect(err).NotTo(HaveOccurred())
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
--- a/bench/entry_test.go
+++ b/demo/entry_test.go
@@ -1,4 +1,4 @@
-package bench
+package demo
 
 import (
 	"context"
@@ -27,9 +27,9 @@
 	defer cancel()
 	g.Expect(f.Start(ctx)).To(Succeed())
 	defer f.Stop()
-	web := client.NewHTTP(connections)
+	web := client.NewHTTP(2 * callers)
 	first := &client.Client{URL: f.URLs()[0], Token: trace.Token("office"), HTTP: web}
-	j, err := demoJob(h.Model)
+	j, err := makeJob(h.Model)
 	g.Expect(err).NotTo(HaveOccurred())
 	b, err := first.Submit(ctx, j.Key, client.ChatPath, j.Lines.Bytes())
 	g.Expect(err).NotTo(HaveOccurred())
@@ -46,6 +46,6 @@
 		}).WithTimeout(70 * time.Second).WithPolling(200 * time.Millisecond).Should(Equal("completed"))
 		v, err := j.Check(ctx, other, b)
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(v).To(Equal(client.Verdict{Right: demoItems}))
+		g.Expect(v).To(Equal(client.Verdict{Right: items}))
 	}
 }
