--- a/jobs/fault_test.go
+++ b/jobs/fault_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/claim"
 	"github.com/sardinerock/sardinerock/limits"
 )
 
@@ -20,7 +21,7 @@
 	n := 0
 	for _, p := range e.allParts() {
 		p.Lock()
-		if p.owns() {
+		if p.Owns() {
 			n++
 		}
 		p.Unlock()
@@ -53,20 +54,18 @@
 func TestOwnerLostAfterAcknowledgement(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	log := newFakeLog()
+	log := newLog()
 	f := newFleet(t, log)
 	wire := &cable{Log: log}
 	one := f.startWith("entry1", &fakeRunner{slots: 16, delay: 5 * time.Millisecond}, func(m *Manager) { m.Log = wire; m.Shards = 1 })
 	f.expectOwned(map[*entry]int{one: 1})
-	s, err := one.Create(context.Background(), spec("k"), items(500))
-	g.Expect(err).NotTo(HaveOccurred())
+	s := f.create(one, "k", 500)
 	wire.sever()
 	two := f.start("entry2", func(m *Manager) { m.Shards = 1 })
 	f.setLive("entry2")
 	// A few seconds are promised; the claim without a hand-over would come after fifteen.
-	g.Eventually(two.owns, handOverTime/2).Should(Equal(1))
-	f.expectState(two, s.ID, sardinerock.JobFinished)
-	f.expectResults(two, s.ID, 500)
+	g.Eventually(two.owns, claim.HandOverTime/2).Should(Equal(1))
+	f.expectFinished(two, s.ID, 500)
 }
 
 // The caller sees each item once although two entries believe that they own
@@ -76,13 +75,12 @@
 func TestPausedOwnerComesBack(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	log := newFakeLog()
+	log := newLog()
 	f := newFleet(t, log)
 	wire := &cable{Log: log}
 	one := f.startWith("entry1", &fakeRunner{slots: 16, delay: 2 * time.Millisecond}, func(m *Manager) { m.Log = wire; m.Shards = 1 })
 	f.expectOwned(map[*entry]int{one: 1})
-	s, err := one.Create(context.Background(), spec("k"), items(3000))
-	g.Expect(err).NotTo(HaveOccurred())
+	s := f.create(one, "k", 3000)
 	g.Eventually(func() int { n := one.runner.count(); return n }, patience).Should(BeNumerically(">", 100))
 	wire.pause()
 	g.Eventually(wire.held.Load, patience).Should(BeNumerically(">", 0))
@@ -91,8 +89,7 @@
 	f.expectOwned(map[*entry]int{two: 1})
 	wire.resume()
 	f.expectOwned(map[*entry]int{one: 0})
-	f.expectState(two, s.ID, sardinerock.JobFinished)
-	f.expectResults(two, s.ID, 3000)
+	f.expectFinished(two, s.ID, 3000)
 	f.expectResults(one, s.ID, 3000)
 	g.Expect(two.stale("jobs-0")).To(BeNumerically(">", 0), "the old owner's records")
 }
@@ -101,9 +98,9 @@
 // while the log is down. Running items go on until the buffer of results is
 // full. When the log is back all results are recorded, each once.
 func TestLogOutage(t *testing.T) {
-	tables := map[string]func(l *fakeLog, out bool){
-		"no answer to anything": func(l *fakeLog, out bool) { l.down = out },
-		"reads go on":           func(l *fakeLog, out bool) { l.noAppends = out },
+	tables := map[string]func(c *cable, out bool){
+		"no answer to anything": func(c *cable, out bool) { c.cut = out },
+		"reads go on":           func(c *cable, out bool) { c.noAppends = out },
 	}
 	for name, outage := range tables {
 		t.Run(name, func(t *testing.T) {
@@ -113,16 +110,15 @@
 	}
 }
 
-func playOutage(t *testing.T, outage func(l *fakeLog, out bool)) {
+func playOutage(t *testing.T, outage func(c *cable, out bool)) {
 	g := NewWithT(t)
-	log := newFakeLog()
+	log := newLog()
 	f := newFleet(t, log)
 	one := f.startWith("entry1", &fakeRunner{slots: 16, delay: time.Millisecond}, func(m *Manager) { m.MaxUnrecorded = 300 })
 	g.Eventually(one.Ready, patience).Should(BeTrue())
-	s, err := one.Create(context.Background(), spec("k"), items(2000))
-	g.Expect(err).NotTo(HaveOccurred())
+	s := f.create(one, "k", 2000)
 	g.Eventually(one.runner.count, patience).Should(BeNumerically(">", 50))
-	log.set(func(l *fakeLog) { outage(l, true) })
+	log.set(func(c *cable) { outage(c, true) })
 	g.Eventually(one.logFailing, patience).ShouldNot(BeNil())
 	g.Eventually(func() sardinerock.Code {
 		_, err := one.Create(context.Background(), spec("k2"), items(10))
@@ -131,15 +127,14 @@
 		g.Expect(r.Outcome).To(Equal(sardinerock.OutcomeNotRun))
 		return r.Code
 	}, patience).Should(Equal(sardinerock.CodeLogUnavailable))
-	g.Eventually(one.unrecorded.Load, patience).Should(BeNumerically(">=", 300))
-	g.Consistently(one.unrecorded.Load, 300*time.Millisecond).Should(BeNumerically("<=", 300))
+	g.Eventually(one.shared.Unrecorded.Load, patience).Should(BeNumerically(">=", 300))
+	g.Consistently(one.shared.Unrecorded.Load, 300*time.Millisecond).Should(BeNumerically("<=", 300))
 	started := time.Now()
-	_, err = one.Create(context.Background(), spec("k2"), items(10))
+	_, err := one.Create(context.Background(), spec("k2"), items(10))
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(time.Since(started)).To(BeNumerically("<", 2*time.Second))
-	log.set(func(l *fakeLog) { outage(l, false) })
-	f.expectState(one, s.ID, sardinerock.JobFinished)
-	f.expectResults(one, s.ID, 2000)
+	log.set(func(c *cable) { outage(c, false) })
+	f.expectFinished(one, s.ID, 2000)
 	for id, n := range one.runner.all() {
 		g.Expect(n).To(Equal(1), id)
 	}
@@ -151,7 +146,7 @@
 func TestResentJobWithLostAnswers(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	log := newFakeLog()
+	log := newLog()
 	log.lose, log.refuse = 0.3, 0.2
 	f := newFleet(t, log)
 	entries := []*entry{f.start("entry1", nil), f.start("entry2", nil), f.start("entry3", nil)}
@@ -183,26 +178,24 @@
 func TestRebalancingStopsNoWork(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	log := newFakeLog()
+	log := newLog()
 	f := newFleet(t, log)
 	one := f.startWith("entry1", &fakeRunner{slots: 200, delay: 300 * time.Millisecond}, nil)
 	f.expectOwned(map[*entry]int{one: 4})
 	// One caller's jobs go to all four shards.
 	var ids []string
 	for i := range 8 {
-		s, err := one.Create(context.Background(), spec(fmt.Sprint("k", i)), items(30))
-		g.Expect(err).NotTo(HaveOccurred())
+		s := f.create(one, fmt.Sprint("k", i), 30)
 		ids = append(ids, s.ID)
 	}
 	// More than half of all is in hand, in every shard that is to move.
-	g.Eventually(one.atRunner.Load, patience).Should(BeNumerically(">=", 200))
+	g.Eventually(one.shared.AtRunner.Load, patience).Should(BeNumerically(">=", 200))
 	two := f.startWith("entry2", &fakeRunner{slots: 16, delay: 5 * time.Millisecond}, nil)
 	g.Eventually(func() bool { return two.owns() > 0 && one.owns()+two.owns() == 4 }, patience).Should(BeTrue())
 	two.end()
 	f.setLive("entry1")
 	for _, id := range ids {
-		f.expectState(one, id, sardinerock.JobFinished)
-		f.expectResults(one, id, 30)
+		f.expectFinished(one, id, 30)
 	}
 	for id, n := range one.runner.all() {
 		g.Expect(n+two.runner.runs(id)).To(Equal(1), id)
@@ -215,16 +208,15 @@
 func TestHandOverCalledOff(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	f := newFleet(t, newFakeLog())
+	f := newFleet(t, newLog())
 	one := f.startWith("entry1", &fakeRunner{slots: 16, delay: 400 * time.Millisecond}, nil)
 	f.expectOwned(map[*entry]int{one: 4})
 	var ids []string
 	for i := range 8 {
-		s, err := one.Create(context.Background(), spec(fmt.Sprint("k", i)), items(10))
-		g.Expect(err).NotTo(HaveOccurred())
+		s := f.create(one, fmt.Sprint("k", i), 10)
 		ids = append(ids, s.ID)
 	}
-	g.Eventually(one.atRunner.Load, patience).Should(BeNumerically(">=", 16))
+	g.Eventually(one.shared.AtRunner.Load, patience).Should(BeNumerically(">=", 16))
 	f.setLive("entry1", "entry2", "entry3", "entry4")
 	time.Sleep(12 * tickEvery)
 	f.setLive("entry1")
@@ -239,7 +231,7 @@
 func TestItemsThatCannotBeDone(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	f := newFleet(t, newFakeLog())
+	f := newFleet(t, newLog())
 	runner := &fakeRunner{slots: 16}
 	runner.refuse = func(r *sardinerock.Request) error {
 		switch {
@@ -254,8 +246,7 @@
 		}
 	}
 	one := f.startWith("entry1", runner, nil)
-	s, err := one.Create(context.Background(), spec("k"), items(50))
-	g.Expect(err).NotTo(HaveOccurred())
+	s := f.create(one, "k", 50)
 	done := f.expectState(one, s.ID, sardinerock.JobFinished)
 	g.Expect(done.Failed).To(Equal(2))
 	g.Expect(one.runner.runs(s.ID + "-8")).To(Equal(limits.DefaultMaxAttempts))
@@ -270,7 +261,7 @@
 func TestEntriesThatLostEachOther(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	log := newFakeLog()
+	log := newLog()
 	f := newFleet(t, log)
 	alone := func(id string) func(*Manager) {
 		return func(m *Manager) {
@@ -280,8 +271,7 @@
 	}
 	one := f.startWith("entry1", &fakeRunner{slots: 16, delay: 5 * time.Millisecond}, alone("entry1"))
 	two := f.startWith("entry2", &fakeRunner{slots: 16, delay: 5 * time.Millisecond}, alone("entry2"))
-	s, err := one.Create(context.Background(), spec("k"), items(6000))
-	g.Expect(err).NotTo(HaveOccurred())
+	s := f.create(one, "k", 6000)
 	f.expectState(two, s.ID, sardinerock.JobFinished)
 	f.expectResults(one, s.ID, 6000)
 	runs := 0
@@ -291,7 +281,7 @@
 	for id := range two.runner.all() {
 		runs += two.runner.runs(id)
 	}
-	t.Logf("%d runs for 6000 items, %d appends", runs, log.appended())
+	t.Logf("%d runs for 6000 items, %d appends", runs, log.appends.Load())
 	g.Expect(runs).To(BeNumerically("<", 2*6000))
-	g.Expect(log.appended()).To(BeNumerically("<", 200))
+	g.Expect(log.appends.Load()).To(BeNumerically("<", 200))
 }
--- a/jobs/keep_test.go
+++ b/jobs/keep_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/chkpt"
 	"github.com/sardinerock/sardinerock/limits"
 )
 
@@ -20,22 +21,14 @@
 func TestResultsOutliveRetention(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	log := newFakeLog()
+	log := newLog()
 	f := newFleet(t, log)
 	short := func(m *Manager) { m.Shards = 1; m.Retention = 2 * time.Second }
 	one := f.start("entry1", short)
-	s, err := one.Create(context.Background(), spec("k"), items(400))
-	g.Expect(err).NotTo(HaveOccurred())
+	s := f.create(one, "k", 400)
 	f.expectState(one, s.ID, sardinerock.JobFinished)
-	until := time.Now().Add(5 * time.Second)
-	for time.Now().Before(until) {
-		cut := log.ages(2 * time.Second)
-		for name, before := range cut {
-			log.trim(name, before)
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	g.Expect(log.firstOf("jobs-0")).To(BeNumerically(">", 0))
+	bounds := log.retain(2*time.Second, 5*time.Second, "jobs-0", chkpt.StreamName("jobs-0"))
+	g.Expect(bounds[0].First).To(BeNumerically(">", 0))
 	two := f.start("entry2", func(m *Manager) { m.Shards = 1; m.Retention = time.Hour })
 	f.expectResults(two, s.ID, 400)
 }
@@ -45,16 +38,15 @@
 func TestGapWithoutCheckpointIsNotEmpty(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	log := newFakeLog()
+	log := newLog()
 	f := newFleet(t, log)
 	one := f.start("entry1", func(m *Manager) { m.Shards = 1 })
-	_, err := one.Create(context.Background(), spec("k"), items(10))
-	g.Expect(err).NotTo(HaveOccurred())
+	f.create(one, "k", 10)
 	one.end()
-	log.trim("jobs-0", log.nextOf("jobs-0"))
+	log.forget("jobs-0")
 	f.setLive()
 	two := f.start("entry2", func(m *Manager) { m.Shards = 1 })
-	_, err = two.Create(context.Background(), spec("k"), items(10))
+	_, err := two.Create(context.Background(), spec("k"), items(10))
 	g.Expect(sardinerock.AsRefusal(err).Code).To(Equal(sardinerock.CodeLogUnavailable))
 	g.Expect(sardinerock.AsRefusal(err).Outcome).To(Equal(sardinerock.OutcomeNotRun))
 	g.Expect(two.owns()).To(BeZero())
@@ -66,19 +58,18 @@
 func TestResultsExpire(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	f := newFleet(t, newFakeLog())
+	f := newFleet(t, newLog())
 	var ahead atomic.Int64
 	one := f.start("entry1", func(m *Manager) {
 		m.Shards = 1
 		m.Now = func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
 	})
-	s, err := one.Create(context.Background(), spec("k"), items(10))
-	g.Expect(err).NotTo(HaveOccurred())
+	s := f.create(one, "k", 10)
 	f.expectState(one, s.ID, sardinerock.JobFinished)
 	ahead.Store(int64(limits.DefaultResultLife + time.Hour))
 	kept := f.expectState(one, s.ID, sardinerock.JobExpired)
 	g.Expect(kept.Completed).To(Equal(10))
-	err = one.Results(context.Background(), "finance", s.ID, func(sardinerock.ItemResult) error { return nil })
+	err := one.Results(context.Background(), "finance", s.ID, func(sardinerock.ItemResult) error { return nil })
 	g.Expect(sardinerock.AsRefusal(err).Code).To(Equal(sardinerock.CodeNotFound))
 	ahead.Store(int64(2*limits.DefaultResultLife + 2*time.Hour))
 	g.Eventually(func() error {
@@ -92,7 +83,7 @@
 func TestForeignShardIsFollowedOnlyWhileAskedFor(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	f := newFleet(t, newFakeLog())
+	f := newFleet(t, newLog())
 	one := f.start("entry1", nil)
 	f.expectOwned(map[*entry]int{one: 4})
 	// entry2 believes that only entry1 is live, so no shard is its own.
@@ -101,8 +92,7 @@
 		m.Live = func() []string { return []string{"entry1"} }
 	})
 	f.setLive("entry1")
-	s, err := two.Create(context.Background(), spec("k"), items(10))
-	g.Expect(err).NotTo(HaveOccurred())
+	s := f.create(two, "k", 10)
 	g.Expect(two.allParts()).To(HaveLen(1))
 	g.Eventually(two.allParts, patience).Should(BeEmpty())
 	f.expectState(two, s.ID, sardinerock.JobFinished)
@@ -113,7 +103,7 @@
 func TestFileComesBackWhole(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	log := newFakeLog()
+	log := newLog()
 	log.lose = 0.3
 	f := newFleet(t, log)
 	one, two := f.start("entry1", nil), f.start("entry2", nil)
@@ -138,21 +128,20 @@
 func TestReaderThatLostItsPlaceDoesNotDenyJobs(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	log := newFakeLog()
+	log := newLog()
 	f := newFleet(t, log)
 	wire := &cable{Log: log}
 	one := f.start("entry1", func(m *Manager) { m.Log = wire; m.Shards = 1 })
-	s, err := one.Create(context.Background(), spec("k"), items(10))
-	g.Expect(err).NotTo(HaveOccurred())
+	s := f.create(one, "k", 10)
 	f.expectState(one, s.ID, sardinerock.JobFinished)
 	wire.pause()
 	// Its last read ends, and the next one is held.
 	g.Eventually(wire.heldReads.Load, patience).Should(BeNumerically(">", 0))
 	two := f.start("entry2", func(m *Manager) { m.Shards = 1 })
-	_, err = two.Create(context.Background(), spec("k2"), items(10))
-	g.Expect(err).NotTo(HaveOccurred())
-	log.trim("jobs-0", log.nextOf("jobs-0"))
+	f.create(two, "k2", 10)
+	log.forget("jobs-0")
 	wire.resume()
+	var err error
 	for range 50 {
 		_, err = one.Get(context.Background(), "finance", s.ID)
 		if err != nil {
