proof: a change of version under load refuses nothing

Cause: the shift of callers to a new version had only a test without a network. The weight store takes a second a load, so that the first request under the new bundle finds no engine with it.

--- a/proof/config_test.go
+++ b/proof/config_test.go
@@ -94,6 +94,56 @@
 	f.Expect(o.whole()).To(BeTrue(), o.String())
 }
 
+// A bundle moves a caller from version 1 to version 2, which each of four engines
+// takes a second to load, one after the other; a later one withdraws version 1.
+// The caller asks all the time and must never be refused, although for the first
+// second no engine holds what it is granted.
+func TestVersionChangeUnderLoadRefusesNothing(t *testing.T) {
+	f := newParallel(t, shape{entries: 2, sides: 4, engine: slowEngine, weights: true})
+	callers := f.startLoad(6, f.entries...)
+	time.Sleep(time.Second)
+	v2 := sardinerock.ModelVersion{Name: "v2", Bytes: 1}
+	moved := f.next(1, "moved")
+	moved.Models = []sardinerock.Model{f.bundle.Models[0]}
+	moved.Models[0].Versions = append([]sardinerock.ModelVersion{v2}, f.bundle.Models[0].Versions...)
+	moved.Callers = append([]sardinerock.Caller{}, f.bundle.Callers...)
+	moved.Callers[0].Grants = []sardinerock.Grant{{Model: modelName, Version: v2.Name}}
+	status, body := f.publish(f.entries[0], moved)
+	f.Expect(status).To(Equal(http.StatusOK), body)
+	f.waitHolding(4, "v1", "v2")
+	withdrawn := moved
+	withdrawn.BasedOn, withdrawn.Note = 2, "withdrawn"
+	withdrawn.Models = []sardinerock.Model{moved.Models[0]}
+	withdrawn.Models[0].Versions = []sardinerock.ModelVersion{v2}
+	status, body = f.publish(f.entries[1], withdrawn)
+	f.Expect(status).To(Equal(http.StatusOK), body)
+	f.waitHolding(4, "v2")
+	f.expectAllWhole(callers.finish())
+}
+
+// waitHolding waits until that many engines hold exactly these versions.
+func (f *fleet) waitHolding(engines int, versions ...string) {
+	f.t.Helper()
+	f.Eventually(func() (int, error) {
+		st, err := f.status(f.entries[0])
+		holding := 0
+		for _, b := range st.Backends {
+			held := map[string]bool{}
+			for _, m := range b.Loaded {
+				held[m.Version] = true
+			}
+			all := len(held) == len(versions)
+			for _, v := range versions {
+				all = all && held[v]
+			}
+			if all {
+				holding++
+			}
+		}
+		return holding, err
+	}, patience, 100*time.Millisecond).Should(Equal(engines))
+}
+
 // An entry starts where no bundle was ever published: it must be live but not
 // ready, and turn callers away as not run.
 func TestNewInstanceIsNotReadyWithoutConfiguration(t *testing.T) {
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -54,12 +54,14 @@
 	relayed     bool
 	relays      []*relay
 	listURL     string
-	list        *remote.Instances
-	mu          sync.Mutex
-	entries     []*node
-	sides       []*node
-	services    []*node
-	bundle      sardinerock.Bundle
+	// weightsURL is set where loading a model takes time.
+	weightsURL string
+	list       *remote.Instances
+	mu         sync.Mutex
+	entries    []*node
+	sides      []*node
+	services   []*node
+	bundle     sardinerock.Bundle
 	// itemTokens bounds the answers to the items of jobs.
 	itemTokens int
 }
@@ -69,6 +71,8 @@
 	entries, sides, services int
 	// relayed puts a relay before the log and each side.
 	relayed bool
+	// weights lets each load of a model take a second at a store that serves one at a time.
+	weights bool
 	// engine is the engines' knobs, as JSON; empty for a fast engine.
 	engine string
 }
@@ -97,6 +101,9 @@
 	t.Helper()
 	f := &fleet{GomegaWithT: NewWithT(t), t: t, itemTokens: shortItem, relayed: s.relayed}
 	f.startPlatform()
+	if s.weights {
+		f.startWeights()
+	}
 	if s.engine == "" {
 		s.engine = fastEngine
 	}
@@ -132,6 +139,13 @@
 	f.waitListening(f.listURL + "/knobs")
 }
 
+func (f *fleet) startWeights() {
+	address := freeAddress(f.t)
+	start(f.t, "weights", "standin", "weights", "--address", address, "--knobs", `{"bytesPerSecond":1,"bytesPerModel":1}`)
+	f.weightsURL = "http://" + address
+	f.waitListening(f.weightsURL + "/knobs")
+}
+
 func (f *fleet) waitListening(url string) {
 	f.t.Helper()
 	f.Eventually(func() error {
@@ -167,7 +181,11 @@
 	address := freeAddress(f.t)
 	id := fmt.Sprintf("side%d", i)
 	n := &node{backendURL: "http://" + address}
-	n.backend = start(f.t, "engine"+strconv.Itoa(i), "standin", "engine", "--address", address, "--knobs", knobs, "--revive-after", "1s")
+	flags := []string{"standin", "engine", "--address", address, "--knobs", knobs, "--revive-after", "1s"}
+	if f.weightsURL != "" {
+		flags = append(flags, "--weights-url", f.weightsURL)
+	}
+	n.backend = start(f.t, "engine"+strconv.Itoa(i), flags...)
 	f.startSide(n, id, i, "--engine-url", n.backendURL)
 	f.sides = append(f.sides, n)
 }
