--- a/capa/nodes/link.go
+++ b/capa/nodes/link.go
@@ -88,7 +88,7 @@
 		c := &link.Client{
 			SideID: fmt.Sprint("side", i), Address: listener.Addr().String(), EntryID: "entry-0001", Zone: "zone-a",
 			Beat: func() *wire.EntryBeat {
-				return &wire.EntryBeat{Sequence: 1000, ConfigVersion: 38000}
+				return &wire.EntryBeat{Sequence: 1000, ConfigVersion: 38000, SideDigest: 1 << 60}
 			},
 			OnBeat:   func(*wire.SideBeat) {},
 			Sections: func(*wire.WantSections) *wire.Sections { return nil },
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -22,13 +22,13 @@
 }
 
 // attempt runs the request once, on one backend server.
-func (c *course) attempt(ctx context.Context) (sardinerock.Result, *failure) {
+func (c *execution) attempt(ctx context.Context) (sardinerock.Result, *failure) {
 	started := time.Now()
-	wish := sides.Wish{Request: c.request, Attempt: c.attempts, Tried: c.tried, Alone: c.alone}
+	spec := sides.Spec{Request: c.request, Attempt: c.attempts, Tried: c.tried, Alone: c.alone}
 	if c.delivered > 0 {
-		wish.Pinned = c.version
+		spec.Pinned = c.version
 	}
-	place, ok := c.entry.sides.Choose(started, wish)
+	place, ok := c.entry.sides.Choose(started, spec)
 	if !ok {
 		f := failed(sardinerock.CodeNoBackend, sardinerock.OutcomeNotRun, "no backend server can take the request now")
 		f.refusal.RetryAfter = noBackendRetry
@@ -43,7 +43,7 @@
 	if err != nil {
 		return sardinerock.Result{}, notSent(err)
 	}
-	t := &taker{course: c}
+	t := &reader{execution: c}
 	result, f := t.takeAll(ctx, a)
 	sample, load = t.sample(f), t.load
 	if f == nil {
@@ -56,7 +56,7 @@
 const noBackendRetry = 2 * time.Second
 
 // frame builds the attempt's Start.
-func (c *course) frame(now time.Time) *wire.Start {
+func (c *execution) frame(now time.Time) *wire.Start {
 	e, r := c.entry, c.request
 	start := &wire.Start{
 		RequestId:    r.ID,
@@ -88,12 +88,12 @@
 	return start
 }
 
-// taker takes the frames of one attempt.
-type taker struct {
-	course *course
-	first  time.Time
-	last   time.Time
-	tokens int
+// reader takes the frames of one attempt.
+type reader struct {
+	execution *execution
+	first     time.Time
+	last      time.Time
+	tokens    int
 	// load is what the attempt's end told of the side.
 	load *wire.Load
 }
@@ -109,7 +109,7 @@
 }
 
 // takeAll passes tokens on until the attempt ends.
-func (t *taker) takeAll(ctx context.Context, a *link.Attempt) (sardinerock.Result, *failure) {
+func (t *reader) takeAll(ctx context.Context, a *link.Attempt) (sardinerock.Result, *failure) {
 	for {
 		frame, err := a.Next(ctx)
 		if err != nil {
@@ -130,8 +130,8 @@
 // take passes one token on. An index seen before is left out and one too high
 // ends the attempt: with either passed on, the caller would read a sentence with
 // words doubled or missing and could not tell.
-func (t *taker) take(token *wire.Token) *failure {
-	c := t.course
+func (t *reader) take(token *wire.Token) *failure {
+	c := t.execution
 	index := int(token.Index)
 	if index < c.delivered {
 		return nil
@@ -152,7 +152,7 @@
 	return nil
 }
 
-func (t *taker) broken(ctx context.Context, a *link.Attempt, err error) *failure {
+func (t *reader) broken(ctx context.Context, a *link.Attempt, err error) *failure {
 	switch {
 	case errors.Is(err, link.ErrNotSent):
 		return notSent(err)
@@ -168,7 +168,7 @@
 	return failed(sardinerock.CodeCancelled, sardinerock.OutcomeUnknown, "the caller has gone")
 }
 
-func (t *taker) ended(end *wire.End) (sardinerock.Result, *failure) {
+func (t *reader) ended(end *wire.End) (sardinerock.Result, *failure) {
 	t.load = end.Load
 	if end.Code != "" {
 		return sardinerock.Result{}, &failure{
@@ -192,7 +192,7 @@
 }
 
 // sample is what the attempt showed of its backend server.
-func (t *taker) sample(f *failure) route.Sample {
+func (t *reader) sample(f *failure) route.Sample {
 	var s route.Sample
 	if t.tokens > 1 {
 		s.TokenGap = t.last.Sub(t.first) / time.Duration(t.tokens-1)
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -27,7 +27,7 @@
 		text = append(text, t.Text...)
 		return nil
 	}
-	c := &course{entry: e, request: r, emit: collect, outcome: sardinerock.OutcomeNotRun, attempts: 1}
+	c := &execution{entry: e, request: r, emit: collect, outcome: sardinerock.OutcomeNotRun, attempts: 1}
 	result, f := c.attempt(ctx)
 	if f != nil {
 		return result, "", f.refusal
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -137,7 +137,7 @@
 		EntryID:  e.ID,
 		Listener: e.PeerListener,
 		Tracker:  e.tracker,
-		Word:     e.word,
+		Report:   e.report,
 		Offer:    e.keeper.Offer,
 	}
 	e.sides = &sides.Sides{
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -18,17 +18,17 @@
 // a ping 40 KB long; a limit is strained by the busiest.
 const maxUsage = 16
 
-// word is what this entry tells its peers of itself.
-func (e *Entry) word() peers.Word {
+// report is what this entry tells its peers of itself.
+func (e *Entry) report() peers.Report {
 	current := e.keeper.Current()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	word := peers.Word{Leaving: e.leaving}
+	report := peers.Report{Leaving: e.leaving}
 	if current != nil {
-		word.ConfigVersion = current.Version
-		word.Usage = e.usage(time.Now(), e.callers.of(current))
+		report.ConfigVersion = current.Version
+		report.Usage = e.usage(time.Now(), e.callers.of(current))
 	}
-	return word
+	return report
 }
 
 // usage returns the demand figures of the busiest callers that have a limit. Callers hold e.mu.
@@ -58,7 +58,7 @@
 				continue
 			}
 			heard++
-			for _, u := range p.Word.Usage {
+			for _, u := range p.Report.Usage {
 				usage = append(usage, quota.Usage{Caller: u.Caller, Requests: u.Requests, Tokens: u.Tokens})
 			}
 		}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -18,7 +18,7 @@
 		e.Events.Info(event.RequestRefused).Str("request", r.ID).Str("caller", r.Caller).Str("code", string(refusal.Code)).Msg(refusal.Message)
 		return sardinerock.Result{}, refusal
 	}
-	c := &course{entry: e, request: r, emit: emit, outcome: sardinerock.OutcomeNotRun}
+	c := &execution{entry: e, request: r, emit: emit, outcome: sardinerock.OutcomeNotRun}
 	result, refusal := c.run(ctx)
 	used := estimate
 	if refusal == nil && r.Service == "" {
@@ -55,8 +55,8 @@
 	return nil
 }
 
-// course is one request's way through its attempts.
-type course struct {
+// execution is one request's way through its attempts.
+type execution struct {
 	entry   *Entry
 	request *sardinerock.Request
 	emit    func(sardinerock.Token) error
@@ -73,7 +73,7 @@
 }
 
 // run tries until there is an answer or no further attempt is allowed.
-func (c *course) run(ctx context.Context) (sardinerock.Result, *sardinerock.Refusal) {
+func (c *execution) run(ctx context.Context) (sardinerock.Result, *sardinerock.Refusal) {
 	for {
 		c.attempts++
 		result, failure := c.attempt(ctx)
@@ -97,7 +97,7 @@
 	}
 }
 
-func (c *course) decide(f *failure) retry.Decision {
+func (c *execution) decide(f *failure) retry.Decision {
 	now := time.Now()
 	c.outcome = worse(c.outcome, f.refusal.Outcome)
 	refusal := *f.refusal
--- a/entry/status.go
+++ b/entry/status.go
@@ -31,7 +31,7 @@
 	for _, p := range e.mesh.Peers() {
 		st.Processes = append(st.Processes, front.ProcessStatus{
 			ID: p.Instance.ID, Role: sardinerock.RoleEntry, Zone: p.Instance.Zone,
-			State: peerState(&p, time.Now()), Version: p.Word.ConfigVersion, Since: p.VersionSince,
+			State: peerState(&p, time.Now()), Version: p.Report.ConfigVersion, Since: p.VersionSince,
 		})
 	}
 	backends, processes := e.sides.Status()
@@ -43,7 +43,7 @@
 
 func peerState(p *peers.Peer, now time.Time) string {
 	switch {
-	case p.Word.Leaving:
+	case p.Report.Leaving:
 		return stateLeaving
 	case p.Silent(now):
 		return stateSilent
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -40,8 +40,8 @@
 	Listener net.Listener
 	// Tracker gives the entries there are, and hears which of them answer.
 	Tracker *member.Tracker
-	// Word returns what this entry tells of itself with each ping and answer.
-	Word func() Word
+	// Report returns what this entry tells of itself with each ping and answer.
+	Report func() Report
 	// Offer returns the configuration for a peer that lacks it; nil when there is none.
 	Offer func() *config.Offer
 
@@ -49,8 +49,8 @@
 	peers map[string]*peer
 }
 
-// Word is what an entry tells of itself.
-type Word struct {
+// Report is what an entry tells of itself.
+type Report struct {
 	// ConfigVersion is the bundle version in force, or 0.
 	ConfigVersion int64
 	Leaving       bool
@@ -61,13 +61,13 @@
 // Peer is what is known of another entry.
 type Peer struct {
 	Instance sardinerock.Instance
-	Word     Word
+	Report   Report
 	// Heard is when it last said something, VersionSince when it first told of its present version.
 	Heard        time.Time
 	VersionSince time.Time
 }
 
-// Silent tells whether the peer has not been heard for so long that its word no longer counts.
+// Silent tells whether the peer has not been heard for so long that its report no longer counts.
 func (p *Peer) Silent(now time.Time) bool { return now.Sub(p.Heard) > heardLately }
 
 // Run pings this entry's share of the others, and answers them, until ctx is done.
@@ -95,11 +95,11 @@
 // Ping implements the generated server interface.
 func (m *Mesh) Ping(_ context.Context, ping *wire.PeerPing) (*wire.PeerPong, error) {
 	now := time.Now()
-	m.take(now, ping.EntryId, Word{ConfigVersion: ping.ConfigVersion, Leaving: ping.Leaving, Usage: ping.Usage}, ping.WantUsage)
-	word := m.Word()
-	pong := &wire.PeerPong{Leaving: word.Leaving, ConfigVersion: word.ConfigVersion}
+	m.take(now, ping.EntryId, Report{ConfigVersion: ping.ConfigVersion, Leaving: ping.Leaving, Usage: ping.Usage}, ping.WantUsage)
+	report := m.Report()
+	pong := &wire.PeerPong{Leaving: report.Leaving, ConfigVersion: report.ConfigVersion}
 	if ping.WantUsage {
-		pong.Usage = word.Usage
+		pong.Usage = report.Usage
 	}
 	if !ping.WantBundle {
 		return pong, nil
@@ -190,14 +190,14 @@
 func (m *Mesh) ping(ctx context.Context, p *peer, wantBundle bool) *wire.PeerPong {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	word := m.Word()
-	ping := &wire.PeerPing{EntryId: m.EntryID, ConfigVersion: word.ConfigVersion, Leaving: word.Leaving, WantBundle: wantBundle}
+	report := m.Report()
+	ping := &wire.PeerPing{EntryId: m.EntryID, ConfigVersion: report.ConfigVersion, Leaving: report.Leaving, WantBundle: wantBundle}
 	m.mu.Lock()
 	ping.WantUsage = p.pings%usageEvery == 0
 	p.pings++
 	m.mu.Unlock()
 	if ping.WantUsage {
-		ping.Usage = word.Usage
+		ping.Usage = report.Usage
 	}
 	pong, err := p.call(ctx, ping)
 	now := time.Now()
@@ -209,13 +209,13 @@
 		return nil
 	}
 	m.Tracker.Heard(now, p.Instance.ID)
-	m.take(now, p.Instance.ID, Word{ConfigVersion: pong.ConfigVersion, Leaving: pong.Leaving, Usage: pong.Usage}, ping.WantUsage)
+	m.take(now, p.Instance.ID, Report{ConfigVersion: pong.ConfigVersion, Leaving: pong.Leaving, Usage: pong.Usage}, ping.WantUsage)
 	return pong
 }
 
 // take notes what another entry told, its usage only if that was among it.
-func (m *Mesh) take(now time.Time, id string, word Word, usage bool) {
-	if word.Leaving {
+func (m *Mesh) take(now time.Time, id string, report Report, usage bool) {
+	if report.Leaving {
 		m.Tracker.Leaving(now, id)
 	}
 	m.mu.Lock()
@@ -224,11 +224,11 @@
 	if p == nil {
 		return
 	}
-	if p.Word.ConfigVersion != word.ConfigVersion {
+	if p.Report.ConfigVersion != report.ConfigVersion {
 		p.VersionSince = now
 	}
 	if !usage {
-		word.Usage = p.Word.Usage
+		report.Usage = p.Report.Usage
 	}
-	p.Word, p.Heard = word, now
+	p.Report, p.Heard = report, now
 }
--- a/sides/place.go
+++ b/sides/assign.go
@@ -14,8 +14,8 @@
 	"github.com/sardinerock/sardinerock/wire"
 )
 
-// Wish is what the next attempt at a request asks for.
-type Wish struct {
+// Spec is what the next attempt at a request asks for.
+type Spec struct {
 	Request *sardinerock.Request
 	// Attempt counts the request's attempts from 1, and Tried names where they went.
 	Attempt int
@@ -26,8 +26,8 @@
 	Pinned string
 }
 
-// Place is where an attempt goes.
-type Place struct {
+// Assignment is where an attempt goes.
+type Assignment struct {
 	// Backend is the side's id, Version the one that answers.
 	Backend string
 	Version string
@@ -41,7 +41,7 @@
 
 // Choose picks a backend server and counts the attempt there, until Finished;
 // false means that none can take it.
-func (s *Sides) Choose(now time.Time, w Wish) (*Place, bool) {
+func (s *Sides) Choose(now time.Time, w Spec) (*Assignment, bool) {
 	r := w.Request
 	query := route.Query{
 		Model: r.Model, Version: r.Version, Adapter: r.Adapter, Service: r.Service,
@@ -64,7 +64,7 @@
 	s.Events.Info(event.RouteChosen).Str("request", r.ID).Str("caller", r.Caller).Str("backend", choice.ID).
 		Str("reason", string(choice.Reason)).Int("prefix", choice.Matched).Int("attempt", w.Attempt).Msg("routed")
 	s.counter++
-	p := &Place{
+	p := &Assignment{
 		Backend: choice.ID, Version: query.Version, Alone: query.Alone,
 		side: s.links[choice.ID], class: r.Class, attempt: strconv.FormatUint(s.counter, 36),
 	}
@@ -73,14 +73,14 @@
 }
 
 // Start sends an attempt to its place; an error proves that it was not sent.
-func (s *Sides) Start(p *Place, start *wire.Start) (*link.Attempt, error) {
+func (s *Sides) Start(p *Assignment, start *wire.Start) (*link.Attempt, error) {
 	start.Attempt = p.attempt
 	return p.side.client.Start(start)
 }
 
 // Finished takes the attempt off its place again, with what it showed and the
 // load that its end brought, if any.
-func (s *Sides) Finished(p *Place, sample route.Sample, load *wire.Load) {
+func (s *Sides) Finished(p *Assignment, sample route.Sample, load *wire.Load) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(p.side.inFlight, p.attempt)
--- a/sides/links.go
+++ b/sides/links.go
@@ -103,8 +103,8 @@
 		Leaving:     s.Leaving(),
 		Quarantined: link.ToWire(s.suspects.Snapshot(time.Now())),
 	}
-	if told := s.told.Load(); told != nil {
-		beat.ConfigVersion, beat.SideDigest = told.version, told.sideDigest
+	if announced := s.announced.Load(); announced != nil {
+		beat.ConfigVersion, beat.SideDigest = announced.version, announced.sideDigest
 	}
 	return beat
 }
@@ -196,8 +196,8 @@
 	return answer
 }
 
-// told is what heartbeats tell sides of the configuration in force.
-type told struct {
+// announced is what heartbeats tell sides of the configuration in force.
+type announced struct {
 	version    int64
 	sideDigest uint64
 }
@@ -208,10 +208,10 @@
 	for {
 		changed := s.Keeper.Changed()
 		sections, version, _ := s.Keeper.SideSections()
-		before := s.told.Load()
+		before := s.announced.Load()
 		if version > 0 && (before == nil || version > before.version) {
-			now := &told{version: version, sideDigest: bundle.SideDigest(sections)}
-			s.told.Store(now)
+			now := &announced{version: version, sideDigest: bundle.SideDigest(sections)}
+			s.announced.Store(now)
 			if before == nil || before.sideDigest != now.sideDigest {
 				s.beatAll()
 			}
--- a/sides/sides.go
+++ b/sides/sides.go
@@ -30,7 +30,7 @@
 	Leaving func() bool
 	Events  *event.Logger
 
-	told atomic.Pointer[told]
+	announced atomic.Pointer[announced]
 
 	mu       sync.Mutex
 	table    route.Table
--- a/sides/version.go
+++ b/sides/version.go
@@ -14,7 +14,7 @@
 // pickVersion returns the version that answers, which is for a while the
 // previous one after a change. The rest of an answer comes from the version that
 // began it. Callers hold s.mu.
-func (s *Sides) pickVersion(query route.Query, w Wish) string {
+func (s *Sides) pickVersion(query route.Query, w Spec) string {
 	if w.Pinned != "" {
 		return w.Pinned
 	}
