--- a/clis/bench.go
+++ b/clis/bench.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"github.com/sardinerock/sardinerock/bench"
 	"github.com/sardinerock/sardinerock/conf"
@@ -25,7 +26,7 @@
 		Trace:           s.Trace,
 		Report:          s.Report,
 		Entries:         s.Entries,
-		Policy:          s.Policy,
+		Policy:          strings.TrimPrefix(s.Policy, conf.PolicyNone),
 		BaselineEntries: s.BaselineEntries,
 		Length:          s.Length,
 		Out:             p.Out,
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -15,6 +15,9 @@
 // PolicyFifo is the baseline without gate and priorities.
 const PolicyFifo = "fifo"
 
+// PolicyNone leaves the baseline out of a replay; an empty flag would mean the default.
+const PolicyNone = "none"
+
 // Place says which instance this is and where it stands.
 type Place struct {
 	ID     string `flag:"id" env:"ID" help:"instance id, never used again"`
@@ -217,7 +220,7 @@
 	Trace           string   `flag:"trace" env:"TRACE" help:"trace to play, JSONL as traces prints it"`
 	Report          string   `flag:"report" env:"REPORT" envDefault:"report" help:"folder for the raw rows and pictures"`
 	Entries         []string `flag:"entries" env:"ENTRIES" help:"base URLs of a running fleet's entries, separated by commas; empty: a fleet embedded on loopback"`
-	Policy          string   `flag:"policy" env:"POLICY" envDefault:"fifo" help:"baseline that is played after: fifo, or empty for none"`
+	Policy          string   `flag:"policy" env:"POLICY" envDefault:"fifo" help:"baseline that is played after: fifo or none"`
 	BaselineEntries []string `flag:"baseline-entries" env:"BASELINE_ENTRIES" help:"base URLs of a running fleet under the baseline, needed for it beside --entries"`
 	Length          Duration `flag:"length" env:"LENGTH" envDefault:"8s" help:"how much of the trace each phase plays"`
 }
@@ -233,7 +236,7 @@
 	for _, u := range s.BaselineEntries {
 		c.url("baseline-entries", u)
 	}
-	c.oneOf("policy", s.Policy, "", PolicyFifo)
+	c.oneOf("policy", s.Policy, PolicyNone, PolicyFifo)
 	c.span("length", s.Length, time.Second)
 	if len(s.BaselineEntries) > 0 && len(s.Entries) == 0 {
 		c.fault("baseline-entries", "is set without --entries", "give both, or neither for embedded fleets")
