--- a/proof/batch_test.go
+++ b/proof/batch_test.go
@@ -110,7 +110,7 @@
 			f.Expect(err).NotTo(HaveOccurred())
 			f.knobs(f.logURL, fmt.Sprintf(`{"outage":%q}`, outage))
 			callers := f.startLoad(4, f.entries...)
-			time.Sleep(5 * time.Second)
+			time.Sleep(27 * time.Second)
 			f.expectJobRefusedAsNotRun(f.entries[1], file)
 			time.Sleep(3 * time.Second)
 			f.expectAllWhole(callers.finish())
