status: a version that is accepted and not run here

Cause: an entry whose settings ask for sign-offs that an accepted bundle lacks stays at the version before, and the operator could see it in the log only. Ran: go test ./front ./clis, vet, linter.

--- a/clis/operator.go
+++ b/clis/operator.go
@@ -107,6 +107,9 @@
 // writeStatus writes a status for a person to read.
 func writeStatus(w io.Writer, st *front.Status) error {
 	fmt.Fprintf(w, "As seen by %s: version %d is in force since %s, digest %s\n", st.Process, st.Version, st.Since.Format(time.RFC3339), st.Digest)
+	if st.Blocked > 0 {
+		fmt.Fprintf(w, "Version %d was accepted and is not run here: it lacks sign-offs that this entry's settings ask for\n", st.Blocked)
+	}
 	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(t, "\nBACKEND SERVER\tZONE\tSTATE\tSLOTS\tONLINE\tWAITING\tBATCH\tHOLDS")
 	for _, b := range st.Backends {
--- a/entry/status.go
+++ b/entry/status.go
@@ -19,7 +19,7 @@
 
 // status is what this entry knows of the fleet.
 func (e *Entry) status() front.Status {
-	st := front.Status{Process: e.ID}
+	st := front.Status{Process: e.ID, Blocked: e.keeper.Blocked()}
 	own := front.ProcessStatus{ID: e.ID, Role: sardinerock.RoleEntry, Zone: e.Zone, State: stateUp}
 	if e.isLeaving() {
 		own.State = stateLeaving
--- a/front/status.go
+++ b/front/status.go
@@ -17,9 +17,12 @@
 	// Process is the id of the entry that answers.
 	Process string `json:"process"`
 	// Version and Digest are those of the bundle in force here; Since is when it came into force.
-	Version   int64           `json:"version"`
-	Digest    string          `json:"digest,omitempty"`
-	Since     time.Time       `json:"since,omitzero"`
+	Version int64     `json:"version"`
+	Digest  string    `json:"digest,omitempty"`
+	Since   time.Time `json:"since,omitzero"`
+	// Blocked is a version that the log's order accepted and this process does not
+	// run, for want of sign-offs that its settings know; 0 when there is none.
+	Blocked   int64           `json:"blocked,omitempty"`
 	Backends  []BackendStatus `json:"backends"`
 	Processes []ProcessStatus `json:"processes"`
 	// Jobs are the newest jobs of all callers; JobsFault says why they are missing.
