--- a/clis/clis.go
+++ b/clis/clis.go
@@ -122,6 +122,7 @@
 	p.parser.Version = version()
 	p.parser.ShowCompletion = false
 	p.addRoles()
+	p.addNode()
 	p.addOperators()
 	p.addBundles()
 	p.addStandins()
--- /dev/null
+++ b/clis/node.go
@@ -0,0 +1,57 @@
+package clis
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/sardinerock/sardinerock/node"
+	"github.com/sardinerock/sardinerock/platform"
+)
+
+// The project's own topics in the platform's store.
+const (
+	membersTopic = "members"
+	jobsTopic    = "jobs"
+)
+
+// nodeSettings are the settings of the command that the settings file doesn't hold.
+type nodeSettings struct {
+	File     string `flag:"settings" env:"NODE_FILE" help:"settings file of the platform"`
+	LogLevel string `flag:"log-level" env:"NODE_LOG_LEVEL" envDefault:"info" help:"least level of log lines: debug, info, warn, error"`
+}
+
+func (p *Program) addNode() {
+	s := &nodeSettings{}
+	p.add(&p.parser.Subcommand, "node", "run an entry on the users' platform, with its settings file", s,
+		func(ctx context.Context) error { return p.runNode(ctx, s) })
+}
+
+func (p *Program) runNode(ctx context.Context, s *nodeSettings) error {
+	if s.File == "" {
+		return fmt.Errorf("--settings (%s) is missing; give the path of the settings file", platform.SettingsVariable)
+	}
+	settings, err := platform.ReadSettings(s.File)
+	if err != nil {
+		return err
+	}
+	events, stop := newLogger(os.Stdout, s.LogLevel, settings.ID)
+	defer stop()
+	n := &node.Node{
+		Settings: settings,
+		Store:    platform.NewStore(settings.StoreAddress),
+		Topics: node.Topics{
+			Configuration:    platform.TopicConfiguration,
+			ConfigurationKey: platform.ConfigurationKey,
+			Servers:          platform.TopicServers,
+			Members:          platform.Topic(membersTopic),
+			Jobs:             platform.Topic(jobsTopic),
+		},
+		Dialect:     platform.Dialect{},
+		Batch:       platform.Dialect{},
+		ParseTable:  platform.ParseConfiguration,
+		ParseServer: platform.ParseServer,
+		Events:      events,
+	}
+	return n.Run(ctx)
+}
--- /dev/null
+++ b/commit/commit.go
@@ -0,0 +1,272 @@
+package commit
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/ledger"
+	"github.com/sardinerock/sardinerock/watch"
+)
+
+const (
+	// gather is how long changes that nobody waits for are gathered, so that one append takes many.
+	gather = 25 * time.Millisecond
+	// firstPause and longestPause bound the pause after a failed append; refused calls are billed too.
+	firstPause   = 20 * time.Millisecond
+	longestPause = 320 * time.Millisecond
+	// followTime is how long the news of another entry's append is waited for
+	// before it is asked for; it usually comes within a few milliseconds.
+	followTime = 40 * time.Millisecond
+	// queueLength is how many changes may wait for the appender.
+	queueLength = 1024
+)
+
+// ErrUncertain means that a change may hold, now or later, and may not.
+var ErrUncertain = errors.New("commit: the store didn't say whether the change holds")
+
+// Change plans one change.
+type Change func(p *ledger.Plan) (ledger.Verdict, error)
+
+// waiting is a change that somebody waits for.
+type waiting struct {
+	ctx    context.Context
+	change Change
+	answer chan result
+	// lazy changes may be held back for others to go with them.
+	lazy bool
+	// uncertainAt is the offset at which an append with this change was tried without an answer, or -1.
+	uncertainAt int64
+}
+
+type result struct {
+	verdict ledger.Verdict
+	err     error
+}
+
+// Appender appends the changes of this entry, one append at a time.
+type Appender struct {
+	Store       sardinerock.Store
+	Topic       string
+	Follower    *watch.Follower
+	Ledger      *ledger.Ledger
+	RecordBytes int
+	// AppendBytes is the largest append of the store.
+	AppendBytes int
+	Events      *event.Logger
+	Metrics     metrics.Registry
+
+	queue chan *waiting
+}
+
+// Prepare makes the appender usable; it is called once before all else.
+func (a *Appender) Prepare() { a.queue = make(chan *waiting, queueLength) }
+
+// Submit brings a change into the order and returns what it came to. An error
+// that wraps sardinerock.ErrStoreRefused means that the change doesn't hold and
+// never will; ErrUncertain that this isn't known.
+func (a *Appender) Submit(ctx context.Context, change Change) (ledger.Verdict, error) {
+	return a.submit(&waiting{ctx: ctx, change: change})
+}
+
+// SubmitLazily does the same for a change that no caller waits for: it may go
+// a little later, in one append with others.
+func (a *Appender) SubmitLazily(ctx context.Context, change Change) (ledger.Verdict, error) {
+	return a.submit(&waiting{ctx: ctx, change: change, lazy: true})
+}
+
+func (a *Appender) submit(w *waiting) (ledger.Verdict, error) {
+	w.answer, w.uncertainAt = make(chan result, 1), -1
+	select {
+	case a.queue <- w:
+	case <-w.ctx.Done():
+		return ledger.Void, fmt.Errorf("%w: too many changes wait", sardinerock.ErrStoreRefused)
+	}
+	r := <-w.answer
+	return r.verdict, r.err
+}
+
+// Run appends until ctx ends.
+func (a *Appender) Run(ctx context.Context) {
+	var batch []*waiting
+	pause := firstPause
+	for {
+		batch = a.collect(ctx, batch)
+		if ctx.Err() != nil {
+			return
+		}
+		rest, err := a.attempt(ctx, batch)
+		batch = rest
+		if err == nil {
+			pause = firstPause
+			continue
+		}
+		a.Events.Warn(event.LogOutage).Str("topic", a.Topic).Int("changes", len(batch)).Err(err).Msg("append failed")
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, longestPause)
+	}
+}
+
+// collect waits for changes and returns all that are there.
+func (a *Appender) collect(ctx context.Context, batch []*waiting) []*waiting {
+	if len(batch) == 0 {
+		select {
+		case <-ctx.Done():
+			return batch
+		case w := <-a.queue:
+			batch = append(batch, w)
+		}
+	}
+	timer := time.NewTimer(gather)
+	defer timer.Stop()
+	for allLazy(batch) {
+		select {
+		case w := <-a.queue:
+			batch = append(batch, w)
+			continue
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		break
+	}
+	for {
+		select {
+		case w := <-a.queue:
+			batch = append(batch, w)
+		default:
+			return batch
+		}
+	}
+}
+
+func allLazy(batch []*waiting) bool {
+	for _, w := range batch {
+		if !w.lazy {
+			return false
+		}
+	}
+	return true
+}
+
+// attempt plans the changes on the state as it is and appends them once. It
+// returns those that are still waiting.
+func (a *Appender) attempt(ctx context.Context, batch []*waiting) ([]*waiting, error) {
+	at := a.Follower.Next()
+	batch = a.expire(batch, at)
+	if len(batch) == 0 {
+		return nil, nil
+	}
+	if !a.Follower.Loaded() {
+		return batch, fmt.Errorf("%w: the topic isn't read yet", sardinerock.ErrStoreRefused)
+	}
+	planned, records := a.plan(batch)
+	if a.Follower.Next() != at {
+		// Records came in while the plan was made; it may count some twice.
+		return batch, nil
+	}
+	if len(records) == 0 {
+		answer(planned)
+		return nil, nil
+	}
+	end, err := a.Store.AppendAt(ctx, a.Topic, at, records)
+	metrics.GetOrRegisterCounter("store.appends", a.Metrics).Inc(1)
+	switch {
+	case err == nil:
+		for i := range records {
+			records[i].Offset = at + int64(i)
+		}
+		a.Follower.Advance(records, at)
+		answer(planned)
+		return leftOver(batch, planned), nil
+	case errors.Is(err, sardinerock.ErrStoreMoved):
+		return batch, a.catchUp(ctx, end)
+	case errors.Is(err, sardinerock.ErrStoreRefused):
+		return batch, err
+	}
+	for _, w := range batch {
+		w.uncertainAt = at
+	}
+	// If it did take effect, the follower's own read tells.
+	if syncErr := a.Follower.Sync(ctx); syncErr != nil {
+		return batch, errors.Join(err, syncErr)
+	}
+	return batch, nil
+}
+
+// expire answers the changes whose caller waits no longer.
+func (a *Appender) expire(batch []*waiting, at int64) []*waiting {
+	kept := batch[:0]
+	for _, w := range batch {
+		if at > w.uncertainAt {
+			w.uncertainAt = -1
+		}
+		switch {
+		case w.ctx.Err() == nil:
+			kept = append(kept, w)
+		case w.uncertainAt >= 0:
+			w.answer <- result{ledger.Void, ErrUncertain}
+		default:
+			w.answer <- result{ledger.Void, fmt.Errorf("%w: no time left", sardinerock.ErrStoreRefused)}
+		}
+	}
+	return kept
+}
+
+// planned is a change with what it came to.
+type planned struct {
+	*waiting
+	result result
+}
+
+// plan plans the changes in order, until the append is as large as one may be.
+func (a *Appender) plan(batch []*waiting) ([]planned, []sardinerock.StoreRecord) {
+	p := a.Ledger.NewPlan(a.RecordBytes)
+	var done []planned
+	size := 0
+	for _, w := range batch {
+		before := len(p.Records)
+		v, err := w.change(p)
+		for _, r := range p.Records[before:] {
+			size += len(r.Key) + len(r.Value) + recordHead
+		}
+		if size > a.AppendBytes && len(done) > 0 {
+			p.Records = p.Records[:before]
+			break
+		}
+		done = append(done, planned{w, result{v, err}})
+	}
+	return done, p.Records
+}
+
+// recordHead is what the store's format adds to each record.
+const recordHead = 5
+
+func answer(done []planned) {
+	for _, d := range done {
+		d.answer <- d.result
+	}
+}
+
+func leftOver(batch []*waiting, done []planned) []*waiting {
+	return append([]*waiting(nil), batch[len(done):]...)
+}
+
+// catchUp waits until the state holds what others appended.
+func (a *Appender) catchUp(ctx context.Context, end int64) error {
+	metrics.GetOrRegisterCounter("store.moved", a.Metrics).Inc(1)
+	wait, cancel := context.WithTimeout(ctx, followTime)
+	defer cancel()
+	if a.Follower.WaitFor(wait, end) == nil {
+		return nil
+	}
+	return a.Follower.Sync(ctx)
+}
--- /dev/null
+++ b/conf/node.go
@@ -0,0 +1,31 @@
+package conf
+
+import "time"
+
+// Node holds the settings of an entry on the users' platform.
+type Node struct {
+	// ID is the instance's name.
+	ID string
+	// Zone is the instance's availability zone.
+	Zone string
+	// CallerAddress and ReadyAddress are the host:port of callers and of the readiness check.
+	CallerAddress string
+	ReadyAddress  string
+	// PeerAddress is the host:port of datagrams between entries.
+	PeerAddress string
+	// MetricsAddress is the host:port of the metrics.
+	MetricsAddress string
+	// StoreAddress is the host:port of the platform's store.
+	StoreAddress string
+	// RecordBytes and AppendBytes are the largest record and append of the store.
+	RecordBytes int
+	AppendBytes int
+	// ShutdownTimeout is the time between the request to stop and the end by force.
+	ShutdownTimeout time.Duration
+	// DrainTimeout is the time in which new work must stop going to a draining backend server.
+	DrainTimeout time.Duration
+	// KeepResults is how long results stay readable after a job came.
+	KeepResults time.Duration
+	// MemoryBytes is the memory at which the process is ended.
+	MemoryBytes int64
+}
--- /dev/null
+++ b/gossip/gossip.go
@@ -0,0 +1,250 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/pool"
+)
+
+const (
+	// interval is between two regular datagrams to each peer. Bursts build up
+	// within a few hundred milliseconds; an interval well below keeps the view usable.
+	interval = 100 * time.Millisecond
+	// PeerTimeout is the silence after which a peer is taken as gone: ten datagrams.
+	PeerTimeout = time.Second
+	// silentInterval is between two datagrams to a peer that is silent.
+	silentInterval = time.Second
+	// largestDatagram bounds what is read; what is sent stays far below.
+	largestDatagram = 64 << 10
+)
+
+// Message is one datagram.
+type Message struct {
+	// From is the sender's name and Start tells its incarnations apart.
+	From  string `cbor:"1,keyasint"`
+	Start int64  `cbor:"2,keyasint"`
+	// Sequence orders the datagrams of one incarnation.
+	Sequence uint64      `cbor:"3,keyasint"`
+	Loads    []pool.Load `cbor:"4,keyasint,omitempty"`
+	// Items are hashes of the batch items that the sender runs.
+	Items []uint64 `cbor:"5,keyasint,omitempty"`
+	// Leaving is set in the last datagrams before the sender stops.
+	Leaving bool `cbor:"6,keyasint,omitempty"`
+	// Crashes are fingerprints of requests during which backend servers
+	// crashed, with how often the sender saw it.
+	Crashes map[uint64]int `cbor:"7,keyasint,omitempty"`
+}
+
+// peer is another entry.
+type peer struct {
+	name    string
+	address *net.UDPAddr
+	heard   time.Time
+	sent    time.Time
+	last    Message
+}
+
+// Gossip exchanges datagrams with the other entries.
+type Gossip struct {
+	// Name is this entry's name.
+	Name string
+	// Start tells this incarnation from earlier ones; it grows with each.
+	Start int64
+	Conn  *net.UDPConn
+	// Tell fills a datagram before it is sent.
+	Tell func(m *Message)
+	// Heard takes each newer datagram.
+	Heard  func(m *Message)
+	Events *event.Logger
+
+	mu       sync.Mutex
+	peers    map[string]*peer
+	sequence uint64
+	leaving  bool
+	urgent   chan struct{}
+}
+
+// Prepare makes the exchange usable; it is called once before all else.
+func (g *Gossip) Prepare() {
+	g.peers = map[string]*peer{}
+	g.urgent = make(chan struct{}, 1)
+}
+
+// SetPeers takes the addresses of the other entries by name.
+func (g *Gossip) SetPeers(addresses map[string]string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, text := range addresses {
+		if name == g.Name {
+			continue
+		}
+		address, err := net.ResolveUDPAddr("udp", text)
+		if err != nil {
+			g.Events.Warn(event.PeerDown).Str("peer", name).Err(err).Msg("peer address isn't usable")
+			continue
+		}
+		if p := g.peers[name]; p != nil {
+			p.address = address
+			continue
+		}
+		g.peers[name] = &peer{name: name, address: address}
+	}
+	for name := range g.peers {
+		if _, ok := addresses[name]; !ok {
+			delete(g.peers, name)
+		}
+	}
+}
+
+// Live returns the names of the entries that were heard lately, this one included.
+func (g *Gossip) Live(now time.Time) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var names []string
+	if !g.leaving {
+		names = append(names, g.Name)
+	}
+	for name, p := range g.peers {
+		if p.live(now) && !p.last.Leaving {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (p *peer) live(now time.Time) bool { return now.Sub(p.heard) < PeerTimeout }
+
+// RunningElsewhere returns the hashes of the batch items that live peers run.
+func (g *Gossip) RunningElsewhere(now time.Time) map[uint64]bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	running := map[uint64]bool{}
+	for _, p := range g.peers {
+		if !p.live(now) {
+			continue
+		}
+		for _, i := range p.last.Items {
+			running[i] = true
+		}
+	}
+	return running
+}
+
+// Crashes returns how often live peers saw backend servers crash during a request.
+func (g *Gossip) Crashes(fingerprint uint64, now time.Time) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, p := range g.peers {
+		if p.live(now) {
+			n += p.last.Crashes[fingerprint]
+		}
+	}
+	return n
+}
+
+// Leave says in all later datagrams that this entry stops.
+func (g *Gossip) Leave() {
+	g.mu.Lock()
+	g.leaving = true
+	g.mu.Unlock()
+	g.Urgent()
+}
+
+// Urgent sends a datagram to all live peers at once.
+func (g *Gossip) Urgent() {
+	select {
+	case g.urgent <- struct{}{}:
+	default:
+		// One is waiting already, and it will tell this too.
+	}
+}
+
+// Run sends and receives until ctx ends.
+func (g *Gossip) Run(ctx context.Context) {
+	go g.receive(ctx)
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			g.send(true)
+		case <-g.urgent:
+			g.send(false)
+		}
+	}
+}
+
+// send tells all live peers, and the silent ones now and then if asked.
+func (g *Gossip) send(silent bool) {
+	m := Message{From: g.Name, Start: g.Start}
+	g.Tell(&m)
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sequence++
+	m.Sequence, m.Leaving = g.sequence, g.leaving
+	raw, err := cbor.Marshal(m)
+	if err != nil {
+		g.Events.Warn(event.PeerDown).Err(err).Msg("datagram can't be written")
+		return
+	}
+	for _, p := range g.peers {
+		if !p.live(now) && (!silent || now.Sub(p.sent) < silentInterval) {
+			continue
+		}
+		p.sent = now
+		// A datagram that can't be sent is like one that is lost: the next one holds all of it again.
+		_, _ = g.Conn.WriteToUDP(raw, p.address)
+	}
+}
+
+func (g *Gossip) receive(ctx context.Context) {
+	context.AfterFunc(ctx, func() { g.Conn.Close() })
+	b := make([]byte, largestDatagram)
+	for {
+		n, _, err := g.Conn.ReadFromUDP(b)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			// A peer's closed port shows here as a refused connection; nothing is lost by it.
+			continue
+		}
+		var m Message
+		if err := cbor.Unmarshal(b[:n], &m); err != nil {
+			g.Events.Warn(event.PeerDown).Err(err).Msg("datagram isn't readable")
+			continue
+		}
+		if g.take(&m) {
+			g.Heard(&m)
+		}
+	}
+}
+
+// take notes a datagram, and says false of one that is older than the last.
+func (g *Gossip) take(m *Message) bool {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.peers[m.From]
+	if p == nil || m.Start < p.last.Start || m.Start == p.last.Start && m.Sequence <= p.last.Sequence {
+		return false
+	}
+	if !p.live(now) {
+		g.Events.Info(event.PeerUp).Str("peer", m.From).Msg("peer heard")
+	}
+	p.heard, p.last = now, *m
+	return true
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,268 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/commit"
+	"github.com/sardinerock/sardinerock/conf"
+	"github.com/sardinerock/sardinerock/conns"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/gossip"
+	"github.com/sardinerock/sardinerock/ledger"
+	"github.com/sardinerock/sardinerock/pool"
+	"github.com/sardinerock/sardinerock/relay"
+	"github.com/sardinerock/sardinerock/runner"
+	"github.com/sardinerock/sardinerock/submit"
+	"github.com/sardinerock/sardinerock/watch"
+)
+
+// Topics names the topics of the store.
+type Topics struct {
+	Configuration string
+	// ConfigurationKey is the key of the newest configuration.
+	ConfigurationKey string
+	Servers          string
+	Members          string
+	Jobs             string
+}
+
+// Node is one entry.
+type Node struct {
+	Settings *conf.Node
+	Store    sardinerock.Store
+	Topics   Topics
+	Dialect  sardinerock.Dialect
+	Batch    sardinerock.BatchDialect
+	// ParseTable and ParseServer read the records of the operator and of backend servers.
+	ParseTable  func(raw []byte) (*sardinerock.RouteTable, error)
+	ParseServer func(id string, raw []byte) (sardinerock.BackendServer, error)
+	Events      *event.Logger
+
+	table    *watch.Table
+	servers  *watch.Servers
+	pool     *pool.Pool
+	conns    *conns.Conns
+	gossip   *gossip.Gossip
+	ledger   *ledger.Ledger
+	appender *commit.Appender
+	runner   *runner.Runner
+	relay    *relay.Relay
+	metrics  metrics.Registry
+
+	configuration *watch.Follower
+	registrations *watch.Follower
+	members       *watch.Follower
+	jobs          *watch.Follower
+
+	leaving atomic.Bool
+	group   sync.WaitGroup
+}
+
+const (
+	// membersWait is longer than for other topics: entries come and go seldom, and nothing waits for the news.
+	membersWait = 5 * time.Second
+	// janitorTick is between two looks at idle connections and lapsed registrations.
+	janitorTick = 250 * time.Millisecond
+	// joinPause is between two tries to write the own address.
+	joinPause = 300 * time.Millisecond
+)
+
+// Run serves until ctx ends and what was begun is done.
+func (n *Node) Run(ctx context.Context) error {
+	front, err := net.Listen("tcp", n.Settings.CallerAddress)
+	if err != nil {
+		return fmt.Errorf("callers' address: %w", err)
+	}
+	ready, err := net.Listen("tcp", n.Settings.ReadyAddress)
+	if err != nil {
+		return fmt.Errorf("address of the readiness check: %w", err)
+	}
+	scrape, err := net.Listen("tcp", n.Settings.MetricsAddress)
+	if err != nil {
+		return fmt.Errorf("metrics address: %w", err)
+	}
+	address, err := net.ResolveUDPAddr("udp", n.Settings.PeerAddress)
+	if err != nil {
+		return fmt.Errorf("peers' address: %w", err)
+	}
+	datagrams, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return fmt.Errorf("peers' address: %w", err)
+	}
+	n.build(datagrams)
+	n.Events.Info(event.Started).Str("callers", n.Settings.CallerAddress).Str("zone", n.Settings.Zone).
+		Str("store", n.Settings.StoreAddress).Msg("started")
+
+	// What callers wait for goes on after the request to stop; work ends it.
+	work, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	n.start(work)
+	callers := &http.Server{Handler: n.front(), ReadHeaderTimeout: headerTimeout}
+	idle := &idleConns{limit: n.idleLimit}
+	callers.ConnState = idle.state
+	n.serve(callers, front)
+	probes := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
+	n.serve(probes, ready)
+	pages := &http.Server{Handler: http.HandlerFunc(n.serveMetrics), ReadHeaderTimeout: headerTimeout}
+	n.serve(pages, scrape)
+	n.goRun(work, func(ctx context.Context) { n.janitor(ctx, idle) })
+
+	<-ctx.Done()
+	n.stop(callers)
+	end()
+	probes.Close()
+	pages.Close()
+	n.group.Wait()
+	n.Events.Info(event.Stopped).Msg("stopped")
+	return nil
+}
+
+func (n *Node) build(datagrams *net.UDPConn) {
+	n.metrics = metrics.NewRegistry()
+	start := time.Now()
+	n.table = &watch.Table{Key: n.Topics.ConfigurationKey, Parse: n.ParseTable, Events: n.Events}
+	n.pool = &pool.Pool{Zone: n.Settings.Zone, Random: rand.New(rand.NewPCG(uint64(start.UnixNano()), pool.Hash(n.Settings.ID)))}
+	n.servers = &watch.Servers{Parse: n.ParseServer, Changed: n.pool.SetServers, Events: n.Events}
+	n.conns = &conns.Conns{Dialect: n.Dialect}
+	n.ledger = &ledger.Ledger{Events: n.Events}
+	n.ledger.Prepare()
+	n.configuration = n.follower(n.Topics.Configuration, n.table.Apply)
+	n.registrations = n.follower(n.Topics.Servers, n.servers.Apply)
+	n.registrations.Back = n.servers.Back
+	n.jobs = n.follower(n.Topics.Jobs, n.applyJobs)
+	n.gossip = &gossip.Gossip{
+		Name: n.Settings.ID, Start: start.UnixMilli(), Conn: datagrams, Events: n.Events,
+		Tell: n.tell, Heard: n.heard,
+	}
+	n.gossip.Prepare()
+	n.members = n.follower(n.Topics.Members, (&watch.Members{Changed: n.gossip.SetPeers}).Apply)
+	n.members.Wait = membersWait
+	n.appender = &commit.Appender{
+		Store: n.Store, Topic: n.Topics.Jobs, Follower: n.jobs, Ledger: n.ledger, RecordBytes: n.Settings.RecordBytes,
+		AppendBytes: n.Settings.AppendBytes, Events: n.Events, Metrics: n.metrics,
+	}
+	n.appender.Prepare()
+	n.runner = &runner.Runner{
+		Name: n.Settings.ID, Batch: n.Batch, Table: n.table.Current, Ledger: n.ledger, Appender: n.appender,
+		Pool: n.pool, Conns: n.conns, Events: n.Events, Metrics: n.metrics,
+		Live:             func() []string { return n.gossip.Live(time.Now()) },
+		RunningElsewhere: func() map[uint64]bool { return n.gossip.RunningElsewhere(time.Now()) },
+	}
+	n.runner.Prepare()
+	n.relay = &relay.Relay{
+		Dialect: n.Dialect, BatchDialect: n.Batch, Table: n.table.Current, Pool: n.pool, Conns: n.conns,
+		Batch: &submit.Front{
+			Dialect: n.Dialect, Batch: n.Batch, Ledger: n.ledger, Follower: n.jobs, Appender: n.appender,
+			Events: n.Events, Metrics: n.metrics,
+		},
+		Press:       n.press,
+		PeerCrashes: func(f uint64) int { return n.gossip.Crashes(f, time.Now()) },
+		Events:      n.Events, Metrics: n.metrics,
+	}
+}
+
+func (n *Node) follower(topic string, apply func([]sardinerock.StoreRecord, bool)) *watch.Follower {
+	f := &watch.Follower{Store: n.Store, Topic: topic, Apply: apply, Events: n.Events}
+	f.Prepare()
+	return f
+}
+
+// applyJobs also wakes the runner: a job that was accepted starts, and one that was ended stops, at once.
+func (n *Node) applyJobs(records []sardinerock.StoreRecord, reset bool) {
+	n.ledger.Apply(records, reset)
+	n.runner.Wake()
+}
+
+// press makes batch items give way to online work on a backend server, here at
+// once and at the other entries by a datagram that says what is sent there.
+func (n *Node) press(server string) {
+	n.runner.Yield(server)
+	n.gossip.Urgent()
+}
+
+func (n *Node) tell(m *gossip.Message) {
+	m.Loads = n.pool.Own()
+	m.Items = n.runner.Running()
+	m.Crashes = n.relay.Crashes()
+}
+
+func (n *Node) heard(m *gossip.Message) {
+	if m.Leaving && len(m.Loads) == 0 {
+		n.pool.DropPeer(m.From)
+		return
+	}
+	n.pool.SetPeer(m.From, m.Loads, time.Now())
+	n.runner.YieldAll()
+}
+
+func (n *Node) start(ctx context.Context) {
+	n.goRun(ctx, n.configuration.Run)
+	n.goRun(ctx, n.registrations.Run)
+	n.goRun(ctx, n.jobs.Run)
+	n.goRun(ctx, n.members.Run)
+	n.goRun(ctx, n.gossip.Run)
+	n.goRun(ctx, n.appender.Run)
+	n.goRun(ctx, n.runner.Run)
+	n.goRun(ctx, n.join)
+}
+
+func (n *Node) goRun(ctx context.Context, run func(context.Context)) {
+	n.group.Add(1)
+	go func() {
+		defer n.group.Done()
+		run(ctx)
+	}()
+}
+
+func (n *Node) serve(s *http.Server, l net.Listener) {
+	n.group.Add(1)
+	go func() {
+		defer n.group.Done()
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			n.Events.Warn(event.Failed).Str("address", l.Addr().String()).Err(err).Msg("listener ended")
+		}
+	}()
+}
+
+// join writes the own address, so that the other entries find this one.
+func (n *Node) join(ctx context.Context) {
+	record := sardinerock.StoreRecord{Key: n.Settings.ID, Value: []byte(n.Settings.PeerAddress)}
+	for ctx.Err() == nil {
+		err := n.Store.Put(ctx, n.Topics.Members, record)
+		if err == nil {
+			return
+		}
+		n.Events.Warn(event.ListChanged).Err(err).Msg("own address isn't written yet")
+		select {
+		case <-ctx.Done():
+		case <-time.After(joinPause):
+		}
+	}
+}
+
+// janitor does what time alone brings about.
+func (n *Node) janitor(ctx context.Context, idle *idleConns) {
+	t := time.NewTicker(janitorTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			n.servers.Expire(now)
+			n.conns.Retire(n.pool.Known, now)
+			idle.expire(now)
+		}
+	}
+}
--- /dev/null
+++ b/node/serve.go
@@ -0,0 +1,129 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/scrape"
+)
+
+const (
+	// headerTimeout is how long a caller may take for the head of a request.
+	headerTimeout = 10 * time.Second
+	// defaultIdle is how long callers' connections may idle before a configuration says so.
+	defaultIdle = time.Minute
+	// idleMargin is kept beyond the configured idle time, so that a request on
+	// its way at the end of it doesn't meet a closed connection.
+	idleMargin = 2 * time.Second
+	// rotationTime is how long the balancer takes to send no more connections
+	// to an entry that isn't ready: two checks, one a second, and a little.
+	rotationTime = 2300 * time.Millisecond
+	// stopMargin is kept of the time to stop, for the last answers' way.
+	stopMargin = 700 * time.Millisecond
+	// itemMargin is kept of the time to stop after items are broken off, so
+	// that others can go on with them before this process is gone.
+	itemMargin = 1500 * time.Millisecond
+)
+
+// ready says whether callers can be served.
+func (n *Node) ready() bool {
+	return !n.leaving.Load() && n.table.Current() != nil && n.registrations.Loaded()
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !n.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	scrape.Write(w, n.metrics)
+}
+
+// front tells callers to come back on another connection once this entry is to stop.
+func (n *Node) front() http.Handler {
+	requests := metrics.GetOrRegisterTimer("front.requests", n.metrics)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer requests.UpdateSince(time.Now())
+		if n.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		n.relay.ServeHTTP(w, r)
+	})
+}
+
+// stop takes the entry out of service: first the balancer has to notice, then
+// what was begun ends.
+func (n *Node) stop(callers *http.Server) {
+	begin := time.Now()
+	n.leaving.Store(true)
+	n.runner.Leave()
+	n.gossip.Leave()
+	n.Events.Info(event.Stopping).Int("items", len(n.runner.Running())).Msg("asked to stop")
+	time.Sleep(rotationTime)
+	end := begin.Add(n.Settings.ShutdownTimeout - stopMargin)
+	breakOff := time.AfterFunc(time.Until(end)-itemMargin, n.runner.BreakOff)
+	defer breakOff.Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		n.Events.Warn(event.Stopping).Err(err).Msg("answers were still under way")
+		callers.Close()
+	}
+	n.runner.Drain(ctx)
+	// An address that stays behind costs the others a datagram a second.
+	if err := n.Store.Put(ctx, n.Topics.Members, sardinerock.StoreRecord{Key: n.Settings.ID}); err != nil {
+		n.Events.Info(event.ListChanged).Err(err).Msg("own address stays in the store")
+	}
+}
+
+func (n *Node) idleLimit() time.Duration {
+	if t := n.table.Current(); t != nil && t.Limits.IdleTimeout > 0 {
+		return t.Limits.IdleTimeout + idleMargin
+	}
+	return defaultIdle
+}
+
+// idleConns closes callers' connections that idle for too long. The server's
+// own bound can't change while it runs, and the configuration's can.
+type idleConns struct {
+	limit func() time.Duration
+
+	mu    sync.Mutex
+	since map[net.Conn]time.Time
+}
+
+// state implements the ConnState of a server.
+func (i *idleConns) state(c net.Conn, s http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.since == nil {
+		i.since = map[net.Conn]time.Time{}
+	}
+	if s == http.StateIdle {
+		i.since[c] = time.Now()
+		return
+	}
+	delete(i.since, c)
+}
+
+func (i *idleConns) expire(now time.Time) {
+	limit := i.limit()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c, since := range i.since {
+		if now.Sub(since) > limit {
+			c.Close()
+			delete(i.since, c)
+		}
+	}
+}
--- /dev/null
+++ b/pool/pool.go
@@ -0,0 +1,346 @@
+package pool
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+const (
+	// peerTimeout is the age at which another entry's counts are no longer
+	// believed: five of its regular datagrams are missing by then.
+	peerTimeout = time.Second
+	// firstDoubt and longestDoubt bound how long a backend server that failed
+	// is passed over. A crash takes seconds to be over; a lone reset is over at once.
+	firstDoubt   = 250 * time.Millisecond
+	longestDoubt = 4 * time.Second
+	// defaultSlots stands for backend servers that don't say how many requests they run at once.
+	defaultSlots = 4
+)
+
+// Load is what one entry runs on one backend server.
+type Load struct {
+	// Server is Hash of the backend server's id.
+	Server uint64 `cbor:"1,keyasint"`
+	Online int    `cbor:"2,keyasint"`
+	Batch  int    `cbor:"3,keyasint"`
+}
+
+// Hash is the short form of an id in what entries tell each other.
+func Hash(id string) uint64 { return xxhash.Sum64String(id) }
+
+// server is the view of one backend server.
+type server struct {
+	sardinerock.BackendServer
+	hash   uint64
+	online int
+	batch  int
+	// doubtedUntil and doubt tell how long it is passed over, and for how long after the next failure.
+	doubtedUntil time.Time
+	doubt        time.Duration
+}
+
+// peer is what another entry last said.
+type peer struct {
+	at    time.Time
+	loads map[uint64]Load
+}
+
+// Pool is the view of all backend servers. Its methods may be called at the same time.
+type Pool struct {
+	// Zone is this entry's availability zone; its backend servers are preferred.
+	Zone string
+	// Random breaks ties.
+	Random *rand.Rand
+
+	mu      sync.Mutex
+	servers map[string]*server
+	peers   map[string]*peer
+}
+
+// SetServers takes a new list of backend servers; counts of those that stay are kept.
+func (p *Pool) SetServers(list []sardinerock.BackendServer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	servers := make(map[string]*server, len(list))
+	for _, b := range list {
+		s := p.servers[b.ID]
+		if s == nil {
+			s = &server{hash: Hash(b.ID)}
+		}
+		s.BackendServer = b
+		if s.Slots <= 0 {
+			s.Slots = defaultSlots
+		}
+		servers[b.ID] = s
+	}
+	for id, s := range p.servers {
+		// A backend server that left the list still runs what was sent to it.
+		if servers[id] == nil && s.online+s.batch > 0 {
+			s.Draining = true
+			servers[id] = s
+		}
+	}
+	p.servers = servers
+}
+
+// Known says whether a backend server is on the list.
+func (p *Pool) Known(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.servers[id] != nil
+}
+
+// SetPeer takes what another entry said it runs.
+func (p *Pool) SetPeer(name string, loads []Load, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.peers == nil {
+		p.peers = map[string]*peer{}
+	}
+	one := &peer{at: now, loads: make(map[uint64]Load, len(loads))}
+	for _, l := range loads {
+		one.loads[l.Server] = l
+	}
+	p.peers[name] = one
+}
+
+// DropPeer forgets an entry that said it stops.
+func (p *Pool) DropPeer(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.peers, name)
+}
+
+// Own returns what this entry runs.
+func (p *Pool) Own() []Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var loads []Load
+	for _, s := range p.servers {
+		if s.online+s.batch > 0 {
+			loads = append(loads, Load{Server: s.hash, Online: s.online, Batch: s.batch})
+		}
+	}
+	return loads
+}
+
+// counts returns what all entries together run on a backend server.
+func (p *Pool) counts(s *server, now time.Time) (online, batch int) {
+	online, batch = s.online, s.batch
+	for _, one := range p.peers {
+		if now.Sub(one.at) > peerTimeout {
+			continue
+		}
+		l := one.loads[s.hash]
+		online += l.Online
+		batch += l.Batch
+	}
+	return online, batch
+}
+
+// Choice is a backend server that was chosen, with the figures that decided it.
+type Choice struct {
+	sardinerock.BackendServer
+	// Online and Batch are what all entries run there, as far as this one knows.
+	Online int
+	Batch  int
+	// Doubted is set if it failed lately and there was none that didn't.
+	Doubted bool
+}
+
+// Full says whether the next request has to wait for a slot.
+func (c *Choice) Full() bool { return c.Online+c.Batch >= c.Slots }
+
+// candidate is a backend server with what its rank depends on.
+type candidate struct {
+	s             *server
+	online, batch int
+	rank          float64
+}
+
+// The weights of a rank; the lowest rank is chosen. Each is far from the next,
+// so that they act one after the other.
+const (
+	// rankDoubted puts a backend server that failed lately after all others.
+	rankDoubted = 1000
+	// rankQueue puts one where a request has to wait behind online work after those with room.
+	rankQueue = 100
+	// rankYield puts one where a batch item has to give way after those with a free slot.
+	rankYield = 10
+	// rankZone puts one of another availability zone after those of this zone
+	// that are up to this share of their slots more loaded.
+	rankZone = 0.35
+)
+
+// Online chooses the backend server of a service for an online request and
+// counts the request there; the caller ends it with Done. Those in tried are
+// passed over. The load that this answers: bursts of nearly twice the mean
+// that fill three quarters of all slots within a second, while batch items
+// hold the rest. Choosing by own counts alone sends several entries to the same
+// backend server, where the last ones wait for a whole answer of another.
+func (p *Pool) Online(service string, tried map[string]bool, now time.Time) (Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *candidate
+	for _, s := range p.servers {
+		if s.Service != service || s.Draining || tried[s.ID] {
+			continue
+		}
+		c := p.rankOnline(s, now)
+		if best == nil || c.rank < best.rank {
+			best = c
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	best.s.online++
+	return best.choice(now), true
+}
+
+func (p *Pool) rankOnline(s *server, now time.Time) *candidate {
+	c := &candidate{s: s}
+	c.online, c.batch = p.counts(s, now)
+	slots := float64(s.Slots)
+	// The random part only orders those that are equal.
+	c.rank = float64(c.online+c.batch)/slots + p.Random.Float64()/slots/2
+	if s.Zone != p.Zone {
+		c.rank += rankZone
+	}
+	switch {
+	case c.online >= s.Slots:
+		c.rank += rankQueue * float64(c.online) / slots
+	case c.online+c.batch >= s.Slots:
+		c.rank += rankYield
+	}
+	if now.Before(s.doubtedUntil) {
+		c.rank += rankDoubted
+	}
+	return c
+}
+
+func (c *candidate) choice(now time.Time) Choice {
+	return Choice{BackendServer: c.s.BackendServer, Online: c.online, Batch: c.batch, Doubted: now.Before(c.s.doubtedUntil)}
+}
+
+// Batch chooses a backend server of a service with a free slot for a batch
+// item, and counts the item there; none is chosen if fewer than reserve slots
+// would stay free on it.
+func (p *Pool) Batch(service string, reserve int, now time.Time) (Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *candidate
+	for _, s := range p.servers {
+		if s.Service != service || s.Draining || now.Before(s.doubtedUntil) {
+			continue
+		}
+		c := &candidate{s: s}
+		c.online, c.batch = p.counts(s, now)
+		free := s.Slots - c.online - c.batch
+		if free <= reserve {
+			continue
+		}
+		c.rank = -float64(free) + p.Random.Float64()
+		if s.Zone != p.Zone {
+			c.rank += rankZone
+		}
+		if best == nil || c.rank < best.rank {
+			best = c
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	best.s.batch++
+	return best.choice(now), true
+}
+
+// Excess returns how many of this entry's batch items on a backend server have
+// to give way to online work that waits there. Entries share what has to go by
+// the number of items that each runs, the largest first, so that two entries
+// with the same view don't both stop theirs for one request.
+func (p *Pool) Excess(id string, now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[id]
+	if s == nil || s.batch == 0 {
+		return 0
+	}
+	online, batch := p.counts(s, now)
+	over := min(online+batch-s.Slots, batch)
+	for _, one := range p.peers {
+		if over <= 0 {
+			return 0
+		}
+		if now.Sub(one.at) > peerTimeout {
+			continue
+		}
+		if theirs := one.loads[s.hash].Batch; theirs > s.batch {
+			over -= theirs
+		}
+	}
+	return max(min(over, s.batch), 0)
+}
+
+// Servers returns the ids of the backend servers on which this entry runs batch items.
+func (p *Pool) Servers() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ids []string
+	for id, s := range p.servers {
+		if s.batch > 0 {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Done ends a request that Online or Batch counted. A failure that speaks
+// against the backend server makes it doubted, twice as long each time.
+func (p *Pool) Done(id string, batch, failed bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[id]
+	if s == nil {
+		return
+	}
+	if batch {
+		s.batch--
+	} else {
+		s.online--
+	}
+	if !failed {
+		return
+	}
+	s.doubt = min(max(2*s.doubt, firstDoubt), longestDoubt)
+	s.doubtedUntil = now.Add(s.doubt)
+}
+
+// Served notes a success, which ends all doubt.
+func (p *Pool) Served(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.servers[id]; s != nil {
+		s.doubt, s.doubtedUntil = 0, time.Time{}
+	}
+}
+
+// Free returns how many slots of a service are free and how many there are.
+func (p *Pool) Free(service string, now time.Time) (free, all int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		if s.Service != service || s.Draining {
+			continue
+		}
+		online, batch := p.counts(s, now)
+		free += max(s.Slots-online-batch, 0)
+		all += s.Slots
+	}
+	return free, all
+}
--- /dev/null
+++ b/relay/pass.go
@@ -0,0 +1,340 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/conns"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/pool"
+)
+
+const (
+	// headSilence is how long a backend server with a free slot may take to
+	// begin its answer before a request that may be repeated goes elsewhere; it
+	// begins after some 30 ms, and one that went dark never does.
+	headSilence = 800 * time.Millisecond
+	// eventSilence is the same between two events, which come every 30 ms; late
+	// enough to be no engine's pause, and before callers give up after 2 s.
+	eventSilence = 700 * time.Millisecond
+	// leastLeft is the time below which no new try is begun: an answer could not be there in time.
+	leastLeft = 20 * time.Millisecond
+	// wholeBytes bounds an answer that is held back until it is whole.
+	wholeBytes = 256 << 10
+)
+
+// verdict says what is to be done after a try.
+type verdict int
+
+const (
+	// done means that the caller has its final answer.
+	done verdict = iota
+	// notRun means that the backend server didn't run the request.
+	notRun
+	// broken means that the request may have run and no whole answer came.
+	broken
+)
+
+// pass is one request on its way to a backend server and back.
+type pass struct {
+	relay    *Relay
+	writer   http.ResponseWriter
+	ctx      context.Context
+	cancel   context.CancelFunc
+	route    *sardinerock.Route
+	call     *sardinerock.Call
+	version  int64
+	service  string
+	received time.Time
+	deadline time.Time
+	print    uint64
+
+	// tried are the backend servers that are not to be tried again.
+	tried map[string]bool
+	// runs counts the tries that may have run, refusals those that didn't.
+	runs, refusals int
+	// resume is the id of the last event that the caller has.
+	resume string
+	// begun is set once the head of the answer went to the caller.
+	begun  bool
+	events int
+	first  time.Duration
+}
+
+func (p *pass) run() {
+	defer p.cancel()
+	if p.relay.suspect(p.print) {
+		p.final(http.StatusUnprocessableEntity, "backend servers broke during this request before", 0)
+		return
+	}
+	for {
+		choice, ok := p.choose()
+		if !ok {
+			return
+		}
+		v := p.try(&choice)
+		if v == done || !p.again(v, &choice) {
+			return
+		}
+	}
+}
+
+// choose picks the next backend server, or gives the final answer if there is none.
+func (p *pass) choose() (pool.Choice, bool) {
+	choice, ok := p.relay.Pool.Online(p.service, p.tried, time.Now())
+	if !ok {
+		p.giveUp("no backend server to send to", lostRetry)
+		return choice, false
+	}
+	if float64(choice.Online) >= float64(choice.Slots)*(1+waitingShare) {
+		p.relay.Pool.Done(choice.ID, false, false, time.Now())
+		p.giveUp("all slots and waiting places are taken", fullRetry)
+		return choice, false
+	}
+	if choice.Full() && choice.Batch > 0 {
+		p.relay.Press(choice.ID)
+	}
+	p.relay.Events.Info(event.RouteChosen).Str("request", p.call.ID).Str("route", p.route.Name).Int64("config", p.version).
+		Str("server", choice.ID).Int("online", choice.Online).Int("batch", choice.Batch).Int("slots", choice.Slots).
+		Bool("doubted", choice.Doubted).Str("resume", p.resume).Int("runs", p.runs).Msg("sent")
+	return choice, true
+}
+
+// try sends the request once.
+func (p *pass) try(choice *pool.Choice) verdict {
+	left := time.Until(p.deadline)
+	answer, err := p.relay.Conns.Send(p.ctx, &choice.BackendServer, p.call, sardinerock.Attempt{
+		Instance: choice.ID, Left: left, ResumeAfter: p.resume, HeadTimeout: p.headTimeout(choice),
+	})
+	if err != nil {
+		p.relay.Pool.Done(choice.ID, false, p.ctx.Err() == nil, time.Now())
+		p.log(choice, err)
+		if errors.Is(err, conns.ErrNotSent) {
+			return notRun
+		}
+		p.runs++
+		if p.ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			p.relay.crashed(p.print)
+		}
+		return broken
+	}
+	defer answer.Finish()
+	v, failed := p.take(answer)
+	p.relay.Pool.Done(choice.ID, false, failed, time.Now())
+	if !failed && v == done {
+		p.relay.Pool.Served(choice.ID)
+	}
+	return v
+}
+
+// headTimeout is how long the head of the answer may take; 0 is until the deadline.
+func (p *pass) headTimeout(choice *pool.Choice) time.Duration {
+	if !p.mayRepeat() || choice.Full() {
+		return 0
+	}
+	return headSilence
+}
+
+// mayRepeat says whether one more run is allowed after this one.
+func (p *pass) mayRepeat() bool {
+	return p.route.Repeatable() && p.runs+1 < p.route.MaxAttempts
+}
+
+// take passes an answer on and says what became of it, and whether it speaks
+// against the backend server.
+func (p *pass) take(answer *conns.Answer) (v verdict, failed bool) {
+	switch {
+	case answer.NotRun:
+		// Another incarnation has the address: the one that was meant is gone.
+		return notRun, answer.StatusCode == http.StatusMisdirectedRequest
+	case answer.StatusCode < 300 && !answer.Signed:
+		p.runs++
+		return broken, true
+	case answer.StatusCode >= 500 && p.mayRepeat() && !p.begun:
+		p.runs++
+		return broken, false
+	case p.begun && answer.StatusCode >= 300:
+		p.runs++
+		return broken, false
+	}
+	p.runs++
+	if answer.StatusCode < 300 && p.route.Kind == sardinerock.RouteStream && isStream(answer) {
+		return p.stream(answer)
+	}
+	return p.whole(answer)
+}
+
+// whole passes an answer on once it is complete, so that one that breaks off
+// can be asked for again; a large one is passed on as it comes.
+func (p *pass) whole(answer *conns.Answer) (verdict, bool) {
+	body, err := io.ReadAll(io.LimitReader(answer, wholeBytes+1))
+	if err != nil {
+		return broken, p.ctx.Err() == nil
+	}
+	if len(body) <= wholeBytes {
+		p.begin(answer, len(body))
+		p.write(body)
+		p.served(answer)
+		return done, false
+	}
+	p.begin(answer, int(answer.ContentLength))
+	p.write(body)
+	if _, err := io.Copy(p.writer, answer); err != nil {
+		p.abort(err)
+	}
+	p.served(answer)
+	return done, false
+}
+
+// begin sends the head of the answer; a negative size is one that isn't known.
+func (p *pass) begin(answer *conns.Answer, size int) {
+	if p.begun {
+		return
+	}
+	p.begun = true
+	p.first = time.Since(p.received)
+	h := p.writer.Header()
+	p.relay.Dialect.CopyAnswer(h, answer.Response)
+	if size >= 0 {
+		h.Set("Content-Length", strconv.Itoa(size))
+	}
+	p.writer.WriteHeader(answer.StatusCode)
+}
+
+// write sends bytes to the caller. A caller that can't be written to has left,
+// which ends the request's context.
+func (p *pass) write(b []byte) {
+	if _, err := p.writer.Write(b); err != nil {
+		p.cancel()
+	}
+}
+
+// stream passes events on as they come, whole ones only: after a break the
+// caller's answer goes on right behind the last of them.
+func (p *pass) stream(answer *conns.Answer) (verdict, bool) {
+	flush := http.NewResponseController(p.writer)
+	reader := &conns.EventReader{Answer: answer, Silence: p.eventTimeout}
+	for {
+		one, err := reader.Next()
+		if len(one.Raw) > 0 && (err == nil || errors.Is(err, io.EOF)) {
+			if !conns.Follows(p.resume, one.ID) {
+				return broken, true
+			}
+			p.begin(answer, -1)
+			p.write(one.Raw)
+			if one.ID != "" {
+				p.resume = one.ID
+			}
+			p.events++
+			if err == nil {
+				// A caller that can't be written to has left, which ends the request's context.
+				_ = flush.Flush()
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			p.begin(answer, -1)
+			p.served(answer)
+			return done, false
+		}
+		if err != nil {
+			return broken, p.ctx.Err() == nil
+		}
+	}
+}
+
+// eventTimeout is the longest pause after which the stream is taken as broken.
+func (p *pass) eventTimeout() time.Time {
+	if p.mayResume() && p.events > 0 {
+		return time.Now().Add(eventSilence)
+	}
+	return time.Time{}
+}
+
+// mayResume says whether a broken stream may go on elsewhere; p.runs counts the run that broke.
+func (p *pass) mayResume() bool {
+	return p.route.Repeatable() && p.runs < p.route.MaxAttempts
+}
+
+// again decides after a try that gave no final answer whether there is another.
+func (p *pass) again(v verdict, choice *pool.Choice) bool {
+	p.tried[choice.ID] = true
+	switch {
+	case errors.Is(p.ctx.Err(), context.Canceled):
+		p.left()
+		return false
+	case p.ctx.Err() != nil || time.Until(p.deadline) < leastLeft:
+		p.giveUp("the time is up", fullRetry)
+		return false
+	case v == notRun:
+		p.refusals++
+		if p.refusals < maxRefusals {
+			return true
+		}
+		p.giveUp("backend servers turned it away", fullRetry)
+		return false
+	case p.mayResume():
+		p.relay.count("relay.retried")
+		p.relay.Events.Info(event.Retried).Str("request", p.call.ID).Str("server", choice.ID).Int("runs", p.runs).
+			Str("resume", p.resume).Int("events", p.events).Msg("tried again elsewhere")
+		return true
+	}
+	p.giveUp("the backend server broke off", 0)
+	return false
+}
+
+// left notes a caller that didn't wait for its answer.
+func (p *pass) left() {
+	p.relay.count("relay.left")
+	p.relay.Events.Info(event.RequestServed).Str("request", p.call.ID).Str("outcome", "callerLeft").
+		Dur("took", time.Since(p.received)).Int("events", p.events).Msg("caller left")
+}
+
+// giveUp gives the final answer of a request that can't be served: that it did
+// not run only if that is so.
+func (p *pass) giveUp(reason string, retry time.Duration) {
+	switch {
+	case p.begun:
+		p.abort(errors.New(reason))
+	case errors.Is(p.ctx.Err(), context.Canceled):
+		p.left()
+	case p.runs == 0:
+		p.final(http.StatusServiceUnavailable, reason, retry)
+	case time.Until(p.deadline) < leastLeft:
+		p.final(http.StatusGatewayTimeout, reason, 0)
+	default:
+		p.final(http.StatusBadGateway, reason, 0)
+	}
+}
+
+func (p *pass) final(status int, reason string, retry time.Duration) {
+	p.relay.count("relay.failed." + strconv.Itoa(status))
+	p.relay.Events.Warn(event.RequestRefused).Str("request", p.call.ID).Str("route", p.route.Name).Int64("config", p.version).
+		Int("status", status).Str("reason", reason).Int("runs", p.runs).Int("refusals", p.refusals).
+		Dur("took", time.Since(p.received)).Dur("retryAfter", retry).Msg("given up")
+	writeRefusal(p.relay.Dialect, p.writer, status, reason, retry)
+}
+
+// abort ends the caller's connection in the middle of an answer, so that it can't be taken for a whole one.
+func (p *pass) abort(err error) {
+	p.relay.count("relay.aborted")
+	p.relay.Events.Warn(event.RequestRefused).Str("request", p.call.ID).Str("route", p.route.Name).Err(err).
+		Int("events", p.events).Int("runs", p.runs).Dur("took", time.Since(p.received)).Msg("answer broken off")
+	panic(http.ErrAbortHandler)
+}
+
+func (p *pass) served(answer *conns.Answer) {
+	p.relay.count("relay.served." + strconv.Itoa(answer.StatusCode/100) + "xx")
+	p.relay.Events.Info(event.RequestServed).Str("request", p.call.ID).Str("route", p.route.Name).Int("status", answer.StatusCode).
+		Dur("first", p.first).Dur("took", time.Since(p.received)).Int("events", p.events).Int("runs", p.runs).Msg("answered")
+}
+
+func (p *pass) log(choice *pool.Choice, err error) {
+	p.relay.Events.Warn(event.BackendState).Str("request", p.call.ID).Str("server", choice.ID).Err(err).
+		Dur("took", time.Since(p.received)).Msg("try failed")
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,238 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/conns"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/pool"
+)
+
+const (
+	// startupRetry is told to callers while no configuration is known; one is read within a second of the start.
+	startupRetry = 500 * time.Millisecond
+	// fullRetry is told when all slots and places to wait are taken: answers
+	// take 0.7 s and end spread over that time, so that places are free again after this.
+	fullRetry = 200 * time.Millisecond
+	// lostRetry is told when no backend server could be reached; one that is back registers within a second or two.
+	lostRetry = 400 * time.Millisecond
+	// waitingShare of a backend server's slots may wait at it for a slot. What
+	// waits longer misses its time at the caller anyway, who had better hear so at once.
+	waitingShare = 1.0
+	// maxRefusals bounds the tries of one request that were turned away without a run.
+	maxRefusals = 4
+	// crashLimit is how many backend servers may break during one request before it is refused everywhere.
+	crashLimit = 3
+)
+
+// Batch takes the requests that concern batch jobs.
+type Batch interface {
+	// Submit takes a batch job; received is when its request came.
+	Submit(w http.ResponseWriter, r *http.Request, route *sardinerock.Route, call *sardinerock.Call, received time.Time)
+	// Call answers a call on a batch job.
+	Call(w http.ResponseWriter, r *http.Request, call sardinerock.BatchCall)
+}
+
+// Relay is the HTTP handler of callers' requests.
+type Relay struct {
+	Dialect      sardinerock.Dialect
+	BatchDialect sardinerock.BatchDialect
+	// Table returns the route table in force, or nil before one is known.
+	Table func() *sardinerock.RouteTable
+	Pool  *pool.Pool
+	Conns *conns.Conns
+	Batch Batch
+	// Press is called when a request was sent to a backend server where batch items hold slots that it needs.
+	Press func(server string)
+	// PeerCrashes returns how often other entries saw backend servers break during a request.
+	PeerCrashes func(fingerprint uint64) int
+	Events      *event.Logger
+	Metrics     metrics.Registry
+
+	mu      sync.Mutex
+	crashes map[uint64]int
+}
+
+// ServeHTTP implements http.Handler.
+func (l *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	received := time.Now()
+	table := l.Table()
+	if table == nil {
+		l.refuse(w, r, http.StatusServiceUnavailable, "no configuration is known yet", startupRetry)
+		return
+	}
+	if call, ok := l.BatchDialect.ReadBatchCall(r); ok && table.HasBatch(r.Host) {
+		l.Batch.Call(w, r, call)
+		return
+	}
+	route := table.Match(r.Host, r.URL.EscapedPath())
+	if route == nil {
+		l.refuse(w, r, http.StatusNotFound, "no route for this host and path", 0)
+		return
+	}
+	call := l.Dialect.ReadCall(r)
+	body, err := readBody(r, table.Limits.MaxBodyBytes)
+	if err != nil {
+		l.refuse(w, r, bodyStatus(err), err.Error(), 0)
+		return
+	}
+	call.Body = body
+	if route.Kind == sardinerock.RouteBatch {
+		l.Batch.Submit(w, r, route, &call, received)
+		return
+	}
+	p := l.newPass(w, r, table, route, &call, received)
+	p.run()
+}
+
+var errBodyTooLarge = errors.New("the body is larger than the configuration allows")
+
+func bodyStatus(err error) int {
+	if errors.Is(err, errBodyTooLarge) {
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusBadRequest
+}
+
+// readBody reads a request's body whole: a try that is repeated needs it again.
+func readBody(r *http.Request, limit int64) ([]byte, error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	if limit <= 0 {
+		return io.ReadAll(r.Body)
+	}
+	if r.ContentLength > limit {
+		return nil, errBodyTooLarge
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, errBodyTooLarge
+	}
+	return body, nil
+}
+
+// refuse answers a request that nothing was sent of.
+func (l *Relay) refuse(w http.ResponseWriter, r *http.Request, status int, reason string, retry time.Duration) {
+	l.count("relay.refused." + strconv.Itoa(status))
+	l.Events.Info(event.RequestRefused).Str("request", l.Dialect.ReadCall(r).ID).Str("host", r.Host).Str("path", r.URL.Path).
+		Int("status", status).Str("reason", reason).Dur("retryAfter", retry).Msg("refused")
+	writeRefusal(l.Dialect, w, status, reason, retry)
+}
+
+func writeRefusal(d sardinerock.Dialect, w http.ResponseWriter, status int, reason string, retry time.Duration) {
+	if retry > 0 {
+		d.WriteRetryAfter(w.Header(), retry)
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	// A caller that is gone can't be told; its connection ends by itself.
+	_, _ = io.WriteString(w, reason+"\n")
+}
+
+func (l *Relay) count(name string) {
+	metrics.GetOrRegisterCounter(name, l.Metrics).Inc(1)
+}
+
+// fingerprint is the same for each resend of the same content.
+func fingerprint(c *sardinerock.Call) uint64 {
+	h := xxhash.New()
+	for _, part := range []string{c.Method, c.Host, c.Target} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(c.Body)
+	return h.Sum64()
+}
+
+// crashed notes that a backend server broke during a request.
+func (l *Relay) crashed(fingerprint uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	const remembered = 256
+	if l.crashes == nil || len(l.crashes) >= remembered {
+		l.crashes = map[uint64]int{}
+	}
+	l.crashes[fingerprint]++
+}
+
+// Crashes returns the requests during which backend servers broke more than
+// once here. A single one is no sign of a request that crashes them.
+func (l *Relay) Crashes() map[uint64]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var several map[uint64]int
+	for f, n := range l.crashes {
+		if n > 1 {
+			if several == nil {
+				several = map[uint64]int{}
+			}
+			several[f] = n
+		}
+	}
+	return several
+}
+
+// suspect says whether a request broke so many backend servers that it isn't sent again.
+func (l *Relay) suspect(fingerprint uint64) bool {
+	l.mu.Lock()
+	n := l.crashes[fingerprint]
+	l.mu.Unlock()
+	return n+l.PeerCrashes(fingerprint) >= crashLimit
+}
+
+// pickService draws the service of a request by the weights of its route.
+func pickService(route *sardinerock.Route) string {
+	total := 0.0
+	for _, s := range route.Shares {
+		total += s.Weight
+	}
+	at := rand.Float64() * total
+	for _, s := range route.Shares {
+		if at -= s.Weight; at < 0 {
+			return s.Service
+		}
+	}
+	return route.Shares[len(route.Shares)-1].Service
+}
+
+func isStream(a *conns.Answer) bool {
+	return strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// newPass prepares a request's way to a backend server.
+func (l *Relay) newPass(w http.ResponseWriter, r *http.Request, table *sardinerock.RouteTable, route *sardinerock.Route, call *sardinerock.Call, received time.Time) *pass {
+	p := &pass{
+		relay:    l,
+		writer:   w,
+		route:    route,
+		call:     call,
+		version:  table.Version,
+		service:  pickService(route),
+		received: received,
+		print:    fingerprint(call),
+		tried:    map[string]bool{},
+		resume:   call.ResumeAfter,
+		deadline: received.Add(route.Timeout),
+	}
+	if call.Wait > 0 && call.Wait < route.Timeout {
+		p.deadline = received.Add(call.Wait)
+	}
+	p.ctx, p.cancel = context.WithDeadline(r.Context(), p.deadline)
+	return p
+}
--- /dev/null
+++ b/runner/order.go
@@ -0,0 +1,63 @@
+package runner
+
+import (
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/ledger"
+)
+
+// key names an item in what entries tell each other.
+func key(i *ledger.OpenItem) uint64 {
+	return xxhash.Sum64String(i.Job + "/" + strconv.Itoa(i.Index))
+}
+
+// Owner returns which of the live entries runs a job: the one whose name hashes
+// highest with the job's id. All that know the same entries agree without a
+// message, and when one goes only its own jobs move.
+func Owner(job string, live []string) string {
+	var best string
+	var bestScore uint64
+	for _, name := range live {
+		score := xxhash.Sum64String(name + "\x00" + job)
+		if best == "" || score > bestScore || score == bestScore && name < best {
+			best, bestScore = name, score
+		}
+	}
+	return best
+}
+
+// due is when an item has to be done to be worth most to its caller.
+func due(i *ledger.OpenItem, table *sardinerock.RouteTable) time.Time {
+	for n := range table.Routes {
+		if table.Routes[n].Name == i.Route {
+			return i.CreatedAt.Add(table.Routes[n].Completion)
+		}
+	}
+	return i.CreatedAt
+}
+
+// sortByDue puts the items that are due first before the others, and those
+// that have come furthest first among them: what has begun holds text in memory.
+func sortByDue(items []ledger.OpenItem, table *sardinerock.RouteTable) {
+	times := make(map[string]time.Time)
+	for n := range items {
+		if _, ok := times[items[n].Job]; !ok {
+			times[items[n].Job] = due(&items[n], table)
+		}
+	}
+	sort.Slice(items, func(a, b int) bool {
+		x, y := &items[a], &items[b]
+		if tx, ty := times[x.Job], times[y.Job]; !tx.Equal(ty) {
+			return tx.Before(ty)
+		}
+		if x.Job != y.Job {
+			return x.Job < y.Job
+		}
+		return x.Index < y.Index
+	})
+}
--- /dev/null
+++ b/runner/run.go
@@ -0,0 +1,126 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/conns"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/ledger"
+	"github.com/sardinerock/sardinerock/pool"
+)
+
+// outcome is what a run of an item came to.
+type outcome int
+
+const (
+	// succeeded means that the text is whole.
+	succeeded outcome = iota
+	// refused means that the backend server can never run the item.
+	refused
+	// failed means that the backend server ran the item and failed at it.
+	failed
+	// interrupted means that the item goes on later.
+	interrupted
+	// turnedAway means that the backend server had no room.
+	turnedAway
+)
+
+// run runs an item once.
+func (r *Runner) run(ctx context.Context, i *item, choice *pool.Choice, route *sardinerock.Route) {
+	o, err := r.exchange(ctx, i, choice)
+	against := err != nil && ctx.Err() == nil && (o == interrupted)
+	r.Pool.Done(choice.ID, true, against, time.Now())
+	metrics.GetOrRegisterCounter("batch.runs", r.Metrics).Inc(1)
+	if o == succeeded {
+		r.Pool.Served(choice.ID)
+	}
+	r.Events.Info(event.GateSlots).Str("job", i.open.Job).Str("item", i.open.Item.ID).Str("server", choice.ID).
+		Int("outcome", int(o)).Int("events", i.events).Dur("took", time.Since(i.started)).Err(err).Msg("item left its slot")
+	switch o {
+	case succeeded:
+		r.record(ctx, &i.open, sardinerock.BatchResult{Item: i.open.Item.ID, Succeeded: true, Text: i.progress.Text})
+	case refused:
+		r.record(ctx, &i.open, sardinerock.BatchResult{Item: i.open.Item.ID})
+	case failed:
+		if i.failures++; i.failures >= route.MaxAttempts {
+			r.record(ctx, &i.open, sardinerock.BatchResult{Item: i.open.Item.ID})
+		}
+	}
+	r.mu.Lock()
+	i.running = false
+	if !i.gaveWay {
+		i.rests = time.Now().Add(retryPause)
+	}
+	r.mu.Unlock()
+	r.Wake()
+}
+
+func (r *Runner) exchange(ctx context.Context, i *item, choice *pool.Choice) (outcome, error) {
+	answer, err := r.Conns.Send(ctx, &choice.BackendServer, r.Batch.ItemCall(i.open.Host, i.open.Item), sardinerock.Attempt{
+		Instance: choice.ID, Left: r.Batch.ItemDeadline(), ResumeAfter: i.progress.LastEvent, HeadTimeout: eventSilence,
+	})
+	if err != nil {
+		return interrupted, err
+	}
+	defer answer.Finish()
+	switch {
+	case answer.NotRun:
+		return turnedAway, nil
+	case answer.StatusCode == http.StatusUnprocessableEntity:
+		return refused, nil
+	case answer.StatusCode >= http.StatusMultipleChoices:
+		return failed, nil
+	case !answer.Signed:
+		return interrupted, errors.New("the answer has no signature")
+	}
+	return r.read(answer, i)
+}
+
+// read adds the events of an answer to the item's text. What came before a
+// break stays: the next run goes on after it.
+func (r *Runner) read(answer *conns.Answer, i *item) (outcome, error) {
+	reader := &conns.EventReader{Answer: answer, Silence: func() time.Time { return time.Now().Add(eventSilence) }}
+	for {
+		e, err := reader.Next()
+		if err != nil && !errors.Is(err, io.EOF) {
+			return interrupted, err
+		}
+		if data, ok := e.Data(); ok {
+			if !conns.Follows(i.progress.LastEvent, e.ID) {
+				return interrupted, errors.New("the stream doesn't go on where it was asked to")
+			}
+			r.mu.Lock()
+			i.progress = appendEvent(i.progress, e.ID, data)
+			i.events++
+			r.mu.Unlock()
+		}
+		if err != nil {
+			return succeeded, nil
+		}
+	}
+}
+
+func appendEvent(p ledger.Progress, id, data string) ledger.Progress {
+	if p.LastEvent != "" {
+		data = p.Text + "\n" + data
+	}
+	return ledger.Progress{LastEvent: id, Text: data}
+}
+
+// record brings a result into the store's order. It goes on until the store
+// has it or the process ends: the work is done and must not be lost to an outage.
+func (r *Runner) record(ctx context.Context, open *ledger.OpenItem, result sardinerock.BatchResult) {
+	verdict, err := r.Appender.SubmitLazily(context.WithoutCancel(ctx), func(p *ledger.Plan) (ledger.Verdict, error) {
+		return p.Finish(open.Job, open.Index, &result)
+	})
+	metrics.GetOrRegisterCounter("batch.recorded", r.Metrics).Inc(1)
+	r.Events.Info(event.JobFinished).Str("job", open.Job).Str("item", open.Item.ID).Bool("succeeded", result.Succeeded).
+		Int("verdict", int(verdict)).Err(err).Msg("item recorded")
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,311 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/commit"
+	"github.com/sardinerock/sardinerock/conns"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/ledger"
+	"github.com/sardinerock/sardinerock/pool"
+)
+
+const (
+	// tick is between two looks for free slots. Bursts end within a second; a
+	// slot that stays free for a fraction of that is little lost.
+	tick = 25 * time.Millisecond
+	// startsPerTick bounds the items that begin at once, so that the other
+	// entries see them before they start theirs in the same slots.
+	startsPerTick = 3
+	// reserve is how many slots of each backend server stay free for the next
+	// online request that comes there.
+	reserve = 1
+	// settleTime is how long after its start an entry runs no items: it hears
+	// within it who else lives and what they run.
+	settleTime = 600 * time.Millisecond
+	// retryPause is how long an item rests after a try that failed.
+	retryPause = 200 * time.Millisecond
+	// eventSilence is the longest pause in an item's stream after which it goes
+	// on elsewhere; events come every 30 ms.
+	eventSilence = 2 * time.Second
+)
+
+// Runner runs the items of batch jobs.
+type Runner struct {
+	// Name is this entry's name.
+	Name     string
+	Batch    sardinerock.BatchDialect
+	Table    func() *sardinerock.RouteTable
+	Ledger   *ledger.Ledger
+	Appender *commit.Appender
+	Pool     *pool.Pool
+	Conns    *conns.Conns
+	// Live returns the names of the live entries.
+	Live func() []string
+	// RunningElsewhere returns the items that other live entries run.
+	RunningElsewhere func() map[uint64]bool
+	Events           *event.Logger
+	Metrics          metrics.Registry
+
+	mu      sync.Mutex
+	items   map[uint64]*item
+	wake    chan struct{}
+	leaving bool
+	group   sync.WaitGroup
+}
+
+// item is an item that this entry has begun.
+type item struct {
+	open ledger.OpenItem
+	key  uint64
+	// running is set while it holds a slot.
+	running bool
+	server  string
+	started time.Time
+	cancel  context.CancelFunc
+	// gaveWay is set when its slot was taken for online work.
+	gaveWay  bool
+	progress ledger.Progress
+	events   int
+	// failures counts the answers that say that the run failed.
+	failures int
+	// rests is when it may be tried again.
+	rests time.Time
+}
+
+// Prepare makes the runner usable; it is called once before all else.
+func (r *Runner) Prepare() {
+	r.items = map[uint64]*item{}
+	r.wake = make(chan struct{}, 1)
+}
+
+// Run starts items until ctx ends; then all that run are broken off.
+func (r *Runner) Run(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(settleTime):
+	}
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			r.group.Wait()
+			return
+		case <-t.C:
+		case <-r.wake:
+		}
+		r.YieldAll()
+		r.stopEnded()
+		r.startSome(ctx)
+	}
+}
+
+// Leave starts no more items.
+func (r *Runner) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+}
+
+// BreakOff ends the runs that are still under way; they go on at another entry.
+func (r *Runner) BreakOff() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, i := range r.items {
+		if i.running {
+			i.cancel()
+		}
+	}
+}
+
+// Drain waits until no item runs, or ctx ends.
+func (r *Runner) Drain(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		r.group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// Running returns the items that hold slots.
+func (r *Runner) Running() []uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var keys []uint64
+	for k, i := range r.items {
+		if i.running {
+			keys = append(keys, k)
+		}
+	}
+	return keys
+}
+
+// Yield gives up slots of a backend server where online work waits.
+func (r *Runner) Yield(server string) {
+	n := r.Pool.Excess(server, time.Now())
+	if n == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for range n {
+		i := r.youngest(server)
+		if i == nil {
+			return
+		}
+		i.gaveWay = true
+		i.cancel()
+		r.Events.Info(event.GatePreempted).Str("job", i.open.Job).Str("item", i.open.Item.ID).Str("server", server).
+			Int("events", i.events).Msg("item gives way")
+		metrics.GetOrRegisterCounter("batch.gaveWay", r.Metrics).Inc(1)
+	}
+}
+
+// youngest returns the item on a backend server whose job came last.
+func (r *Runner) youngest(server string) *item {
+	var best *item
+	for _, i := range r.items {
+		if !i.running || i.gaveWay || i.server != server {
+			continue
+		}
+		if best == nil || i.open.CreatedAt.After(best.open.CreatedAt) {
+			best = i
+		}
+	}
+	return best
+}
+
+// YieldAll gives way wherever the datagrams of others say that online work waits.
+func (r *Runner) YieldAll() {
+	for _, id := range r.Pool.Servers() {
+		r.Yield(id)
+	}
+}
+
+// stopEnded breaks off items whose job was ended or whose result another entry recorded.
+func (r *Runner) stopEnded() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for k, i := range r.items {
+		if r.Ledger.IsOpen(i.open.Job, i.open.Index) {
+			continue
+		}
+		if i.running {
+			i.cancel()
+		} else {
+			delete(r.items, k)
+		}
+	}
+}
+
+// Wake looks for work at once.
+func (r *Runner) Wake() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+		// One look is due already.
+	}
+}
+
+// startSome starts the items that are due first in free slots.
+func (r *Runner) startSome(ctx context.Context) {
+	table := r.Table()
+	r.mu.Lock()
+	leaving := r.leaving
+	r.mu.Unlock()
+	if table == nil || leaving {
+		return
+	}
+	live := r.Live()
+	open := r.Ledger.OpenItems(func(job string) bool { return Owner(job, live) == r.Name })
+	if len(open) == 0 {
+		return
+	}
+	elsewhere := r.RunningElsewhere()
+	sortByDue(open, table)
+	started := 0
+	for n := range open {
+		if started == startsPerTick {
+			return
+		}
+		k := key(&open[n])
+		if elsewhere[k] || !r.ready(k) {
+			continue
+		}
+		if !r.start(ctx, &open[n], k, table) {
+			return
+		}
+		started++
+	}
+}
+
+// ready says whether an item neither runs nor rests.
+func (r *Runner) ready(k uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := r.items[k]
+	return i == nil || !i.running && time.Now().After(i.rests)
+}
+
+// start runs an item if a slot is free, and says false if none is.
+func (r *Runner) start(ctx context.Context, open *ledger.OpenItem, k uint64, table *sardinerock.RouteTable) bool {
+	route := table.Match(open.Host, open.Item.Path)
+	if route == nil {
+		r.giveUp(ctx, open, "its route was removed")
+		return true
+	}
+	if time.Since(open.CreatedAt) > route.Retention && route.Retention > 0 {
+		r.giveUp(ctx, open, "it is too old")
+		return true
+	}
+	choice, ok := r.Pool.Batch(route.Shares[0].Service, reserve, time.Now())
+	if !ok {
+		return false
+	}
+	run, cancel := context.WithCancel(ctx)
+	r.mu.Lock()
+	i := r.items[k]
+	if i == nil {
+		i = &item{key: k, progress: open.Progress}
+		r.items[k] = i
+	}
+	i.open, i.running, i.server, i.started, i.cancel, i.gaveWay = *open, true, choice.ID, time.Now(), cancel, false
+	r.mu.Unlock()
+	r.Events.Info(event.PlacementChosen).Str("job", open.Job).Str("item", open.Item.ID).Str("server", choice.ID).
+		Int("online", choice.Online).Int("batch", choice.Batch).Str("resume", i.progress.LastEvent).Msg("item started")
+	r.group.Add(1)
+	go func() {
+		defer r.group.Done()
+		defer cancel()
+		r.run(run, i, &choice, route)
+	}()
+	return true
+}
+
+// giveUp records that an item can't be done.
+func (r *Runner) giveUp(ctx context.Context, open *ledger.OpenItem, reason string) {
+	k := key(open)
+	r.mu.Lock()
+	if r.items[k] == nil {
+		r.items[k] = &item{key: k, open: *open}
+	}
+	r.items[k].rests = time.Now().Add(time.Second)
+	r.mu.Unlock()
+	r.Events.Warn(event.ItemFailed).Str("job", open.Job).Str("item", open.Item.ID).Str("reason", reason).Msg("item given up")
+	r.group.Add(1)
+	go func() {
+		defer r.group.Done()
+		r.record(ctx, open, sardinerock.BatchResult{Item: open.Item.ID})
+	}()
+}
--- /dev/null
+++ b/serving.go
@@ -0,0 +1,226 @@
+package sardinerock
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// RouteKind says what may be repeated of a route's requests.
+type RouteKind int
+
+// The kinds of routes.
+const (
+	// RouteOnce holds requests that run at most once.
+	RouteOnce RouteKind = iota
+	// RouteIdempotent holds requests that may run more than once.
+	RouteIdempotent
+	// RouteStream holds requests that are answered by a stream of events.
+	RouteStream
+	// RouteBatch takes batch jobs.
+	RouteBatch
+)
+
+// ServiceShare is the part of a route's requests that a service gets.
+type ServiceShare struct {
+	Service string
+	// Weight is relative to the other shares of the route.
+	Weight float64
+}
+
+// Route says where the requests under one host and path prefix go.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   RouteKind
+	// Resumable streams may be continued after any event, on any backend server.
+	Resumable bool
+	// Timeout is the longest time until the final answer of a request.
+	Timeout time.Duration
+	// Target is the time within which an answer is worth most to its caller.
+	Target time.Duration
+	// Pause is the longest pause between two events of a stream that its caller takes as on time.
+	Pause time.Duration
+	// Completion is the time within which all results of a batch job are due.
+	Completion time.Duration
+	// Retention is the time after which items of a batch job may be given up.
+	Retention time.Duration
+	// MaxAttempts is how many backend servers may run one request.
+	MaxAttempts int
+	// MaxTokens is how many tokens of batch items may wait on the route; 0 is no limit.
+	MaxTokens int64
+	// Priority is the route's rank, 0 the most urgent.
+	Priority int
+	Shares   []ServiceShare
+}
+
+// Repeatable says whether a request whose outcome is unknown may run once more.
+func (r *Route) Repeatable() bool {
+	return r.Kind == RouteIdempotent || r.Kind == RouteStream && r.Resumable
+}
+
+// ServiceInfo is what the configuration says of one service.
+type ServiceInfo struct {
+	// MaxConnections bounds the open connections of all callers to one backend server; 0 is no bound.
+	MaxConnections int
+	// Slots is how many requests an engine runs at once; 0 for plain services.
+	Slots int
+}
+
+// CallerLimits bounds what a caller may send and how long it may idle.
+type CallerLimits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// RouteTable is one version of the routes and services in force.
+type RouteTable struct {
+	Version  int64
+	Routes   []Route
+	Services map[string]ServiceInfo
+	Limits   CallerLimits
+}
+
+// Match returns the route of the host whose prefix is the longest that begins
+// the path, or nil.
+func (t *RouteTable) Match(host, path string) *Route {
+	var best *Route
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if r.Host != host || !strings.HasPrefix(path, r.Prefix) {
+			continue
+		}
+		if best == nil || len(r.Prefix) > len(best.Prefix) {
+			best = r
+		}
+	}
+	return best
+}
+
+// HasBatch says whether batch jobs are taken under a host.
+func (t *RouteTable) HasBatch(host string) bool {
+	for i := range t.Routes {
+		if t.Routes[i].Host == host && t.Routes[i].Kind == RouteBatch {
+			return true
+		}
+	}
+	return false
+}
+
+// BackendServer is one incarnation of a backend server as it last registered itself.
+type BackendServer struct {
+	// ID is unique for the incarnation.
+	ID      string
+	Service string
+	Address string
+	// Zone is the availability zone.
+	Zone  string
+	Slots int
+	// Draining backend servers finish what they run and take nothing new.
+	Draining bool
+	// WarmUp is how much longer the backend server is slow after its start.
+	WarmUp time.Duration
+	// Sequence grows with each registration of the incarnation.
+	Sequence int64
+}
+
+// Call is one caller's request, its body opaque.
+type Call struct {
+	// ID is the caller's id of this attempt.
+	ID     string
+	Method string
+	// Target is the path with the query, as the caller wrote it.
+	Target string
+	Host   string
+	// Header holds what is passed on, without what concerns one connection only.
+	Header http.Header
+	Body   []byte
+	// Wait is how long the caller waits for the answer; 0 is not said.
+	Wait time.Duration
+	// ResumeAfter is the id of the last event that the caller has; empty for a new stream.
+	ResumeAfter string
+}
+
+// Attempt is what one try adds to a call.
+type Attempt struct {
+	// Instance is the id of the only backend server that may run it.
+	Instance string
+	// Left is the time that is left for the answer.
+	Left time.Duration
+	// ResumeAfter is the id of the last event that need not come again.
+	ResumeAfter string
+	// HeadTimeout is how long the head of the answer may take; 0 is no bound of its own.
+	HeadTimeout time.Duration
+}
+
+// AnswerFacts is what the head of a backend server's answer says about it.
+type AnswerFacts struct {
+	// CallID is the id of the call that it answers; empty if it doesn't say.
+	CallID string
+	// Signed answers were made by a run of the request.
+	Signed bool
+	// NotRun is set if the backend server states that it didn't run the request.
+	NotRun bool
+	// IdleTimeout is how long the backend server keeps the connection when idle; 0 is not said.
+	IdleTimeout time.Duration
+}
+
+// Dialect reads and writes the headers by which callers, backend servers and
+// this system understand each other.
+type Dialect interface {
+	// ReadCall reads all of a caller's request but its body.
+	ReadCall(r *http.Request) Call
+	// AttemptHeader returns the headers of one try.
+	AttemptHeader(c *Call, a Attempt) http.Header
+	// ReadAnswer reads the head of a backend server's answer.
+	ReadAnswer(r *http.Response) AnswerFacts
+	// CopyAnswer copies what a caller gets of an answer's headers.
+	CopyAnswer(to http.Header, r *http.Response)
+	// WriteRetryAfter tells a caller when to come back.
+	WriteRetryAfter(to http.Header, after time.Duration)
+}
+
+// StoreRecord is one record of a partition of the platform's store.
+type StoreRecord struct {
+	Offset int64
+	Key    string
+	// Value is nil when the record removes its key.
+	Value []byte
+}
+
+// StorePage is what one read of a partition returned.
+type StorePage struct {
+	Records []StoreRecord
+	// End is the offset that the next record of the partition gets.
+	End int64
+}
+
+// Errors of the platform's store.
+var (
+	// ErrStoreRefused means that nothing was done and nothing will be.
+	ErrStoreRefused = errors.New("store: call refused, nothing was done")
+	// ErrStoreMoved means that the partition doesn't end where the append expected it to.
+	ErrStoreMoved = errors.New("store: the partition has a later end")
+	// ErrStoreGap means that records at this offset are no longer kept.
+	ErrStoreGap = errors.New("store: records at this offset are no longer kept")
+)
+
+// Store is the platform's store: partitions of records that keep the newest of each key.
+type Store interface {
+	// AppendAt adds records, all or none, if the partition ends at the given
+	// offset, and returns the new end. Errors other than ErrStoreRefused and
+	// ErrStoreMoved leave open whether the records are, or will be, there.
+	AppendAt(ctx context.Context, topic string, at int64, records []StoreRecord) (int64, error)
+	// Put adds one record wherever the partition ends.
+	Put(ctx context.Context, topic string, record StoreRecord) error
+	// Read returns records from an offset on and waits for the first at most the given time.
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) (StorePage, error)
+	// Newest returns the newest record of each key, in the order of their offsets,
+	// and an offset from which reading on misses nothing.
+	Newest(ctx context.Context, topic string) (StorePage, error)
+}
--- /dev/null
+++ b/submit/submit.go
@@ -0,0 +1,209 @@
+package submit
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/commit"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/ledger"
+	"github.com/sardinerock/sardinerock/watch"
+)
+
+const (
+	// acceptTime is how long the store may take for a job. Callers wait a few
+	// seconds in all; what is left is for coming back at another entry.
+	acceptTime = 1500 * time.Millisecond
+	// endTime is the same for the end of a job.
+	endTime = 2 * time.Second
+	// checkTime bounds the read that makes sure that a job doesn't exist.
+	checkTime = 800 * time.Millisecond
+	// storeRetry is told while the store doesn't answer; outages last seconds.
+	storeRetry = time.Second
+	// quotaRetry is told when the waiting tokens leave no room: an item takes
+	// some five seconds, so that room comes up within this time, not before.
+	quotaRetry = time.Second
+	// longestWait bounds how long a read may wait for a result.
+	longestWait = time.Second
+)
+
+// Front answers the requests on batch jobs.
+type Front struct {
+	Dialect  sardinerock.Dialect
+	Batch    sardinerock.BatchDialect
+	Ledger   *ledger.Ledger
+	Follower *watch.Follower
+	Appender *commit.Appender
+	Events   *event.Logger
+	Metrics  metrics.Registry
+}
+
+// Submit takes a batch job. It is accepted once the store has it: any entry
+// answers for it from then on, and the one that took it may be gone at once.
+func (f *Front) Submit(w http.ResponseWriter, r *http.Request, route *sardinerock.Route, call *sardinerock.Call, received time.Time) {
+	if r.Method != http.MethodPost {
+		f.answer(w, call.ID, http.StatusMethodNotAllowed, "a batch job is handed in by POST", 0)
+		return
+	}
+	if !ledger.ValidID(call.ID) {
+		f.answer(w, call.ID, http.StatusBadRequest, "the request's id is missing, too long or has a slash", 0)
+		return
+	}
+	items, err := f.Batch.ParseBatch(call.Body)
+	if err != nil {
+		f.answer(w, call.ID, http.StatusBadRequest, err.Error(), 0)
+		return
+	}
+	if f.Follower.Lost() || !f.Follower.Loaded() {
+		f.answer(w, call.ID, http.StatusServiceUnavailable, "the store can't be reached", storeRetry)
+		return
+	}
+	job := &ledger.Accepted{
+		ID: call.ID, Route: route.Name, Host: call.Host, CreatedAt: received.UnixMilli(),
+		Digest: xxhash.Sum64(call.Body), Items: items,
+	}
+	// The change goes on when the caller leaves: its end decides what a resend is told.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), received.Add(acceptTime))
+	defer cancel()
+	verdict, err := f.Appender.Submit(ctx, func(p *ledger.Plan) (ledger.Verdict, error) {
+		return p.Accept(job, route.MaxTokens)
+	})
+	f.accepted(w, job, verdict, err, received)
+}
+
+func (f *Front) accepted(w http.ResponseWriter, job *ledger.Accepted, verdict ledger.Verdict, err error, received time.Time) {
+	switch {
+	case errors.Is(err, sardinerock.ErrStoreRefused):
+		f.answer(w, job.ID, http.StatusServiceUnavailable, err.Error(), storeRetry)
+	case errors.Is(err, commit.ErrUncertain):
+		// It may still be accepted: neither that nor the opposite can be promised.
+		f.answer(w, job.ID, http.StatusGatewayTimeout, err.Error(), 0)
+	case err != nil:
+		f.answer(w, job.ID, http.StatusInternalServerError, err.Error(), 0)
+	case verdict == ledger.OverQuota:
+		f.answer(w, job.ID, http.StatusTooManyRequests, "the tokens that wait on this route leave no room", quotaRetry)
+	case verdict == ledger.Conflict:
+		f.answer(w, job.ID, http.StatusConflict, "another batch job has this id", 0)
+	default:
+		metrics.GetOrRegisterCounter("batch.accepted", f.Metrics).Inc(1)
+		f.Events.Info(event.JobAccepted).Str("job", job.ID).Str("route", job.Route).Int("items", len(job.Items)).
+			Int64("waitingTokens", f.Ledger.Waiting(job.Route)).Dur("took", time.Since(received)).Msg("job accepted")
+		w.Header().Set("Content-Length", "0")
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
+
+// Call answers a call on a batch job.
+func (f *Front) Call(w http.ResponseWriter, r *http.Request, call sardinerock.BatchCall) {
+	switch call.Kind {
+	case sardinerock.BatchRead:
+		f.read(w, r, call)
+	case sardinerock.BatchBody:
+		f.body(w, r, call)
+	case sardinerock.BatchEnd:
+		f.end(w, r, call)
+	}
+}
+
+// known makes sure that a job that isn't known doesn't exist: it may have been
+// accepted elsewhere a moment ago. It answers the caller if it doesn't, or if that can't be known.
+func (f *Front) known(w http.ResponseWriter, r *http.Request, job string) bool {
+	if _, ok := f.Ledger.Results(job, 0); ok {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), checkTime)
+	defer cancel()
+	if err := f.Follower.Sync(ctx); err != nil {
+		f.answer(w, job, http.StatusServiceUnavailable, "the store can't be asked: "+err.Error(), storeRetry)
+		return false
+	}
+	if _, ok := f.Ledger.Results(job, 0); ok {
+		return true
+	}
+	f.answer(w, job, http.StatusNotFound, "there is no such batch job", 0)
+	return false
+}
+
+func (f *Front) read(w http.ResponseWriter, r *http.Request, call sardinerock.BatchCall) {
+	if !f.known(w, r, call.Job) {
+		return
+	}
+	timeout := time.NewTimer(min(call.Wait, longestWait))
+	defer timeout.Stop()
+	for waiting := true; ; {
+		changed := f.Ledger.Changed()
+		page, ok := f.Ledger.Results(call.Job, call.From)
+		if !ok {
+			f.answer(w, call.Job, http.StatusServiceUnavailable, "the batch job's state is being read anew", storeRetry)
+			return
+		}
+		if len(page.Results) > 0 || !page.Open || !waiting {
+			if err := f.Batch.WriteResults(w, page.Total, call.From, page.Results); err != nil {
+				f.Events.Info(event.RequestRefused).Str("job", call.Job).Err(err).Msg("caller left")
+			}
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-timeout.C:
+			waiting = false
+		case <-changed:
+		}
+	}
+}
+
+func (f *Front) body(w http.ResponseWriter, r *http.Request, call sardinerock.BatchCall) {
+	if !f.known(w, r, call.Job) {
+		return
+	}
+	body, found, _ := f.Ledger.Body(call.Job, call.Item)
+	if !found {
+		f.answer(w, call.Job, http.StatusNotFound, "the batch job has no such item", 0)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	// A caller that is gone can't be told; its connection ends by itself.
+	_, _ = w.Write(body)
+}
+
+func (f *Front) end(w http.ResponseWriter, r *http.Request, call sardinerock.BatchCall) {
+	if !f.known(w, r, call.Job) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), endTime)
+	defer cancel()
+	verdict, err := f.Appender.Submit(ctx, func(p *ledger.Plan) (ledger.Verdict, error) { return p.End(call.Job) })
+	switch {
+	case err != nil:
+		f.answer(w, call.Job, http.StatusBadGateway, err.Error(), 0)
+	case verdict == ledger.Unknown:
+		f.answer(w, call.Job, http.StatusServiceUnavailable, "the batch job's state is being read anew", storeRetry)
+	default:
+		f.Events.Info(event.JobCancelled).Str("job", call.Job).Msg("job ended by its caller")
+		w.Header().Set("Content-Length", "0")
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+func (f *Front) answer(w http.ResponseWriter, job string, status int, reason string, retry time.Duration) {
+	metrics.GetOrRegisterCounter("batch.answered."+strconv.Itoa(status), f.Metrics).Inc(1)
+	f.Events.Warn(event.RequestRefused).Str("job", job).Int("status", status).Str("reason", reason).
+		Dur("retryAfter", retry).Msg("batch request not done")
+	if retry > 0 {
+		f.Dialect.WriteRetryAfter(w.Header(), retry)
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	// A caller that is gone can't be told; its connection ends by itself.
+	_, _ = io.WriteString(w, reason+"\n")
+}
--- /dev/null
+++ b/watch/follow.go
@@ -0,0 +1,241 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/event"
+)
+
+const (
+	// defaultWait is how long a read waits for news. A connection that went silent is noticed a little later.
+	defaultWait = time.Second
+	// firstPause and longestPause bound the pause after a failed read; refused calls are billed too.
+	firstPause   = 50 * time.Millisecond
+	longestPause = 400 * time.Millisecond
+	// lostAfter is how long reads fail before the topic counts as lost.
+	lostAfter = time.Second
+)
+
+// Follower follows one topic.
+type Follower struct {
+	Store sardinerock.Store
+	Topic string
+	// Apply takes records in the order of their offsets. After a gap, reset is
+	// set and the records are the newest of each key: keys that aren't among them are gone.
+	Apply func(records []sardinerock.StoreRecord, reset bool)
+	// Back is called, if set, when reads succeed again after they failed for a second.
+	Back func()
+	// Wait is how long a read waits for news; 0 is a second.
+	Wait   time.Duration
+	Events *event.Logger
+
+	mu     sync.Mutex
+	next   int64
+	loaded bool
+	// confirmed is when a read that returned the end of the topic was sent.
+	confirmed time.Time
+	moved     chan struct{}
+	failing   time.Time
+	lost      bool
+}
+
+// Prepare makes the follower usable; it is called once before all else.
+func (f *Follower) Prepare() { f.moved = make(chan struct{}) }
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	wait := f.Wait
+	if wait == 0 {
+		wait = defaultWait
+	}
+	pause := firstPause
+	for ctx.Err() == nil {
+		if err := f.step(ctx, wait); err != nil {
+			f.failed(err)
+			if !sleep(ctx, pause) {
+				return
+			}
+			pause = min(2*pause, longestPause)
+			continue
+		}
+		pause = firstPause
+	}
+}
+
+// Sync reads until the topic's end as it is now, and returns an error if that can't be known.
+func (f *Follower) Sync(ctx context.Context) error {
+	f.mu.Lock()
+	loaded := f.loaded
+	f.mu.Unlock()
+	if !loaded {
+		return f.load(ctx)
+	}
+	return f.read(ctx, 0)
+}
+
+// WaitFor returns once everything before the offset is applied.
+func (f *Follower) WaitFor(ctx context.Context, offset int64) error {
+	for {
+		f.mu.Lock()
+		next, moved := f.next, f.moved
+		f.mu.Unlock()
+		if next >= offset {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-moved:
+		}
+	}
+}
+
+// Loaded says whether the topic was read once.
+func (f *Follower) Loaded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.loaded
+}
+
+// Confirmed returns how old the view of the topic may be.
+func (f *Follower) Confirmed(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Sub(f.confirmed)
+}
+
+// Lost says whether reads have failed for a while.
+func (f *Follower) Lost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost
+}
+
+// Next returns the offset up to which everything is applied.
+func (f *Follower) Next() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.next
+}
+
+func (f *Follower) step(ctx context.Context, wait time.Duration) error {
+	if !f.Loaded() {
+		return f.load(ctx)
+	}
+	err := f.read(ctx, wait)
+	if errors.Is(err, sardinerock.ErrStoreGap) {
+		return f.load(ctx)
+	}
+	return err
+}
+
+func (f *Follower) load(ctx context.Context) error {
+	sent := time.Now()
+	page, err := f.Store.Newest(ctx, f.Topic)
+	if err != nil {
+		return err
+	}
+	f.worked()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	// An answer from before what is known already must not take anything back.
+	if f.loaded && page.End < f.next {
+		return errStale
+	}
+	f.Apply(page.Records, true)
+	f.loaded = true
+	f.advance(page.End, sent)
+	return nil
+}
+
+var errStale = errors.New("store: an answer older than what was read before")
+
+func (f *Follower) read(ctx context.Context, wait time.Duration) error {
+	f.mu.Lock()
+	from := f.next
+	f.mu.Unlock()
+	sent := time.Now()
+	page, err := f.Store.Read(ctx, f.Topic, from, wait)
+	if err != nil {
+		return err
+	}
+	f.worked()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.take(page.Records, from)
+	if f.next >= page.End && page.End >= from {
+		f.confirmed = sent
+	}
+	return nil
+}
+
+// Advance takes records that this process has itself appended.
+func (f *Follower) Advance(records []sardinerock.StoreRecord, from int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.take(records, from)
+}
+
+// take applies the records that aren't applied yet; those of two reads may overlap.
+func (f *Follower) take(records []sardinerock.StoreRecord, from int64) {
+	skip := f.next - from
+	if skip < 0 || skip >= int64(len(records)) {
+		return
+	}
+	fresh := records[skip:]
+	f.Apply(fresh, false)
+	f.advance(f.next+int64(len(fresh)), time.Time{})
+}
+
+func (f *Follower) advance(next int64, confirmed time.Time) {
+	f.next = next
+	if !confirmed.IsZero() {
+		f.confirmed = confirmed
+	}
+	close(f.moved)
+	f.moved = make(chan struct{})
+}
+
+func (f *Follower) failed(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if f.failing.IsZero() {
+		f.failing = now
+	}
+	if !f.lost && now.Sub(f.failing) > lostAfter {
+		f.lost = true
+		f.Events.Warn(event.LogOutage).Str("topic", f.Topic).Int64("next", f.next).Err(err).Msg("store can't be read")
+	}
+}
+
+// worked comes before the records of the read that worked are applied: whoever
+// takes them has to know that some may have come about while the store was away.
+func (f *Follower) worked() {
+	f.mu.Lock()
+	lost := f.lost
+	f.failing, f.lost = time.Time{}, false
+	f.mu.Unlock()
+	if !lost {
+		return
+	}
+	f.Events.Info(event.LogBack).Str("topic", f.Topic).Int64("next", f.Next()).Msg("store is read again")
+	if f.Back != nil {
+		f.Back()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
