node: SIGHUP and changed settings files are taken

Change: the settings file is read again on SIGHUP and every 2 s; what changed is logged, a faulty file is passed over with its fault.

--- a/clis/node.go
+++ b/clis/node.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 
+	"github.com/sardinerock/sardinerock/conf"
 	"github.com/sardinerock/sardinerock/node"
 	"github.com/sardinerock/sardinerock/platform"
 )
@@ -37,9 +38,12 @@
 	}
 	events, stop := newLogger(os.Stdout, s.LogLevel, settings.ID)
 	defer stop()
+	store := platform.NewStore(settings.StoreAddress)
 	n := &node.Node{
-		Settings: settings,
-		Store:    platform.NewStore(settings.StoreAddress),
+		Settings:     settings,
+		ReadSettings: func() (*conf.Node, error) { return platform.ReadSettings(s.File) },
+		MoveStore:    store.Move,
+		Store:        store,
 		Topics: node.Topics{
 			Configuration:    platform.TopicConfiguration,
 			ConfigurationKey: platform.ConfigurationKey,
--- a/event/event.go
+++ b/event/event.go
@@ -14,6 +14,7 @@
 	Stopping        ID = 102
 	Stopped         ID = 103
 	Failed          ID = 104
+	Reloaded        ID = 105
 	RouteChosen     ID = 201
 	RouteNone       ID = 202
 	LinkUp          ID = 203
--- a/node/node.go
+++ b/node/node.go
@@ -40,10 +40,14 @@
 // Node is one entry.
 type Node struct {
 	Settings *conf.Node
-	Store    sardinerock.Store
-	Topics   Topics
-	Dialect  sardinerock.Dialect
-	Batch    sardinerock.BatchDialect
+	// ReadSettings reads the settings anew; nil if they never change.
+	ReadSettings func() (*conf.Node, error)
+	// MoveStore takes a changed address of the store.
+	MoveStore func(address string)
+	Store     sardinerock.Store
+	Topics    Topics
+	Dialect   sardinerock.Dialect
+	Batch     sardinerock.BatchDialect
 	// ParseTable and ParseServer read the records of the operator and of backend servers.
 	ParseTable  func(raw []byte) (*sardinerock.RouteTable, error)
 	ParseServer func(id string, raw []byte) (sardinerock.BackendServer, error)
@@ -65,8 +69,10 @@
 	members       *watch.Follower
 	jobs          *watch.Follower
 
-	leaving atomic.Bool
-	group   sync.WaitGroup
+	// settings are those in force; addresses to listen on stay those of the start.
+	settings atomic.Pointer[conf.Node]
+	leaving  atomic.Bool
+	group    sync.WaitGroup
 }
 
 const (
@@ -80,6 +86,8 @@
 
 // Run serves until ctx ends and what was begun is done.
 func (n *Node) Run(ctx context.Context) error {
+	asked := notifyReload()
+	n.settings.Store(n.Settings)
 	front, err := net.Listen("tcp", n.Settings.CallerAddress)
 	if err != nil {
 		return fmt.Errorf("callers' address: %w", err)
@@ -117,6 +125,7 @@
 	pages := &http.Server{Handler: http.HandlerFunc(n.serveMetrics), ReadHeaderTimeout: headerTimeout}
 	n.serve(pages, scrape)
 	n.goRun(work, func(ctx context.Context) { n.janitor(ctx, idle) })
+	n.goRun(work, func(ctx context.Context) { n.followSettings(ctx, asked) })
 
 	<-ctx.Done()
 	n.stop(callers)
--- a/node/serve.go
+++ b/node/serve.go
@@ -70,7 +70,7 @@
 	n.gossip.Leave()
 	n.Events.Info(event.Stopping).Int("items", len(n.runner.Running())).Msg("asked to stop")
 	time.Sleep(rotationTime)
-	end := begin.Add(n.Settings.ShutdownTimeout - stopMargin)
+	end := begin.Add(n.settings.Load().ShutdownTimeout - stopMargin)
 	breakOff := time.AfterFunc(time.Until(end)-itemMargin, n.runner.BreakOff)
 	defer breakOff.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
