runner, ledger: items start by share of the free slots; progress in the store

After a restart of all entries no job could be read: a load of the jobs' topic that failed on one page began anew. After a kill of all entries each open item began from its beginning. Change: runner.Pace gives each entry its part of the free slots per view; pool.Batch draws by free slots; watch.Follower keeps the pages of a load that isn't complete and reads the jobs' topic 5 times a second at most; what a running item has generated is recorded each 1.2 s, and a result only records what comes after.

--- a/commit/commit.go
+++ b/commit/commit.go
@@ -16,7 +16,7 @@
 
 const (
 	// gather is how long changes that nobody waits for are gathered, so that one append takes many.
-	gather = 25 * time.Millisecond
+	gather = 100 * time.Millisecond
 	// firstPause and longestPause bound the pause after a failed append; refused calls are billed too.
 	firstPause   = 20 * time.Millisecond
 	longestPause = 320 * time.Millisecond
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// interval is between two regular datagrams to each peer. Bursts build up
+	// Interval is between two regular datagrams to each peer. Bursts build up
 	// within a few hundred milliseconds; an interval well below keeps the view usable.
-	interval = 100 * time.Millisecond
+	Interval = 100 * time.Millisecond
 	// PeerTimeout is the silence after which a peer is taken as gone: ten datagrams.
 	PeerTimeout = time.Second
 	// silentInterval is between two datagrams to a peer that is silent.
@@ -40,6 +40,8 @@
 	// Crashes are fingerprints of requests during which backend servers
 	// crashed, with how often the sender saw it.
 	Crashes map[uint64]int `cbor:"7,keyasint,omitempty"`
+	// Waiting is how many batch items the sender could start.
+	Waiting int `cbor:"8,keyasint,omitempty"`
 }
 
 // peer is another entry.
@@ -137,6 +139,19 @@
 	return running
 }
 
+// Waiting returns how many batch items the live peers could start.
+func (g *Gossip) Waiting(now time.Time) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, p := range g.peers {
+		if p.live(now) {
+			n += p.last.Waiting
+		}
+	}
+	return n
+}
+
 // Crashes returns how often live peers saw backend servers crash during a request.
 func (g *Gossip) Crashes(fingerprint uint64, now time.Time) int {
 	g.mu.Lock()
@@ -170,7 +185,7 @@
 // Run sends and receives until ctx ends.
 func (g *Gossip) Run(ctx context.Context) {
 	go g.receive(ctx)
-	t := time.NewTicker(interval)
+	t := time.NewTicker(Interval)
 	defer t.Stop()
 	for {
 		select {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -19,6 +19,8 @@
 	index    map[string]int
 	finished []bool
 	progress map[int]Progress
+	// steps counts the records of progress that each finished item has.
+	steps []int
 }
 
 // Open says whether items of the job are still to be run.
@@ -122,6 +124,7 @@
 		return nil
 	}
 	j.finished = make([]bool, len(j.Items))
+	j.steps = make([]int, len(j.Items))
 	for i := range j.Items {
 		j.index[j.Items[i].ID] = i
 		l.waiting[j.Route] += j.Items[i].Tokens
@@ -131,20 +134,25 @@
 }
 
 func (l *Ledger) finish(k recordKey, raw []byte) error {
-	var r sardinerock.BatchResult
-	if err := cbor.Unmarshal(raw, &r); err != nil {
+	var o outcome
+	if err := cbor.Unmarshal(raw, &o); err != nil {
 		return err
 	}
 	j := l.jobs[k.job]
 	if j == nil {
 		return nil
 	}
-	i, ok := j.index[r.Item]
+	i, ok := j.index[o.Item]
 	if !ok || j.finished[i] || k.place != len(j.Results) {
 		return nil
 	}
-	j.Results = append(j.Results, r)
+	text := o.Text
+	if o.Rest {
+		text = j.progress[i].Text + o.Text
+	}
+	j.Results = append(j.Results, sardinerock.BatchResult{Item: o.Item, Succeeded: o.Succeeded, Text: text})
 	j.finished[i] = true
+	j.steps[i] = j.progress[i].Steps
 	delete(j.progress, i)
 	if !j.Ended {
 		l.waiting[j.Route] -= j.Items[i].Tokens
@@ -166,13 +174,19 @@
 }
 
 func (l *Ledger) proceed(k recordKey, raw []byte) error {
-	var p Progress
-	if err := cbor.Unmarshal(raw, &p); err != nil {
+	var one step
+	if err := cbor.Unmarshal(raw, &one); err != nil {
 		return err
 	}
-	if j := l.jobs[k.job]; j != nil && k.place < len(j.Items) && !j.finished[k.place] {
-		j.progress[k.place] = p
+	j := l.jobs[k.job]
+	if j == nil || k.place >= len(j.Items) || j.finished[k.place] {
+		return nil
+	}
+	p := j.progress[k.place]
+	if k.step != p.Steps {
+		return nil
 	}
+	j.progress[k.place] = Progress{LastEvent: one.LastEvent, Text: p.Text + one.Text, Steps: p.Steps + 1}
 	return nil
 }
 
--- a/ledger/plan.go
+++ b/ledger/plan.go
@@ -1,8 +1,8 @@
 package ledger
 
 import (
-	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sardinerock/sardinerock"
@@ -38,6 +38,7 @@
 	accepted map[string]uint64
 	results  map[string]int
 	finished map[string]bool
+	steps    map[string]Progress
 	ended    map[string]bool
 }
 
@@ -50,6 +51,7 @@
 		accepted:    map[string]uint64{},
 		results:     map[string]int{},
 		finished:    map[string]bool{},
+		steps:       map[string]Progress{},
 		ended:       map[string]bool{},
 	}
 }
@@ -86,7 +88,7 @@
 	}
 	p.tokens[a.Route] += tokens
 	p.accepted[a.ID] = a.Digest
-	return Made, p.add(kindJob+"/"+a.ID, a)
+	return Made, p.add(jobKey(a.ID), a)
 }
 
 // Finish plans the result of an item.
@@ -97,27 +99,48 @@
 	if j == nil || index >= len(j.Items) {
 		return Unknown, nil
 	}
-	item := job + "/" + strconv.Itoa(index)
+	item := itemName(job, index)
 	if j.finished[index] || p.finished[item] {
 		return Void, nil
 	}
+	o := outcome{Item: r.Item, Succeeded: r.Succeeded, Text: r.Text}
+	if rest, ok := strings.CutPrefix(r.Text, p.progress(j, index).Text); ok && r.Succeeded {
+		o.Text, o.Rest = rest, true
+	}
 	place := len(j.Results) + p.results[job]
 	p.results[job]++
 	p.finished[item] = true
-	return Made, p.add(fmt.Sprintf("%s/%s/%d", kindResult, job, place), r)
+	return Made, p.add(resultKey(job, place), &o)
 }
 
-// Proceed plans a note of how far an item has come.
+// Proceed plans a record of how far an item has come, of what isn't recorded yet.
+// Where another entry recorded something else, what it has holds.
 func (p *Plan) Proceed(job string, index int, progress Progress) (Verdict, error) {
 	p.ledger.mu.Lock()
 	defer p.ledger.mu.Unlock()
 	j := p.ledger.jobs[job]
-	if j == nil || index >= len(j.Items) || j.finished[index] || j.Ended {
+	if j == nil || index >= len(j.Items) || j.finished[index] || j.Ended || p.finished[itemName(job, index)] {
+		return Void, nil
+	}
+	old := p.progress(j, index)
+	rest, ok := strings.CutPrefix(progress.Text, old.Text)
+	if !ok || rest == "" {
 		return Void, nil
 	}
-	return Made, p.add(fmt.Sprintf("%s/%s/%d", kindProgress, job, index), progress)
+	p.steps[itemName(job, index)] = Progress{LastEvent: progress.LastEvent, Text: progress.Text, Steps: old.Steps + 1}
+	return Made, p.add(stepKey(job, index, old.Steps), &step{LastEvent: progress.LastEvent, Text: rest})
+}
+
+// progress returns how far an item has come with what the plan itself adds.
+func (p *Plan) progress(j *Job, index int) Progress {
+	if planned, ok := p.steps[itemName(j.ID, index)]; ok {
+		return planned
+	}
+	return j.progress[index]
 }
 
+func itemName(job string, index int) string { return job + "/" + strconv.Itoa(index) }
+
 // End plans the end of a job.
 func (p *Plan) End(job string) (Verdict, error) {
 	p.ledger.mu.Lock()
@@ -130,7 +153,7 @@
 		return Made, nil
 	}
 	p.ended[job] = true
-	return Made, p.add(kindEnd+"/"+job, true)
+	return Made, p.add(endKey(job), true)
 }
 
 // Expire plans the removal of the jobs that came before a time.
@@ -151,15 +174,17 @@
 // expire removes the job's own record last: as long as it is there, a later try finds the others.
 func (p *Plan) expire(id string, j *Job) error {
 	for place := range j.Results {
-		if err := p.drop(fmt.Sprintf("%s/%s/%d", kindResult, id, place), &j.Results[place]); err != nil {
+		if err := p.drop(resultKey(id, place), &j.Results[place]); err != nil {
 			return err
 		}
 	}
 	for index := range j.Items {
-		p.Records = append(p.Records, sardinerock.StoreRecord{Key: fmt.Sprintf("%s/%s/%d/0", kindProgress, id, index)})
+		for number := range j.steps[index] + j.progress[index].Steps {
+			p.Records = append(p.Records, sardinerock.StoreRecord{Key: stepKey(id, index, number) + "/0"})
+		}
 	}
-	p.Records = append(p.Records, sardinerock.StoreRecord{Key: kindEnd + "/" + id + "/0"})
-	return p.drop(kindJob+"/"+id, &j.Accepted)
+	p.Records = append(p.Records, sardinerock.StoreRecord{Key: endKey(id) + "/0"})
+	return p.drop(jobKey(id), &j.Accepted)
 }
 
 // drop removes all parts of a value.
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -33,10 +33,28 @@
 // Progress is how far an item has come.
 type Progress struct {
 	// LastEvent is the id of the last event whose data is in Text.
+	LastEvent string
+	// Text is the data of all events so far, a line feed between two.
+	Text string
+	// Steps counts the records that it is made of.
+	Steps int
+}
+
+// step is the record of what came after the steps before it.
+type step struct {
 	LastEvent string `cbor:"1,keyasint"`
 	Text      string `cbor:"2,keyasint"`
 }
 
+// outcome is the record of a result.
+type outcome struct {
+	Item      string `cbor:"1,keyasint"`
+	Succeeded bool   `cbor:"2,keyasint"`
+	// Text is the whole text, or with Rest what comes after the item's steps.
+	Text string `cbor:"3,keyasint"`
+	Rest bool   `cbor:"4,keyasint,omitempty"`
+}
+
 // keyRoom is the part of a record's bound that its key and head may take.
 const keyRoom = 300
 
@@ -74,35 +92,49 @@
 	job  string
 	// place is the position of a result or the index of an item.
 	place int
+	// step counts the records of an item's progress.
+	step int
 	// whole is the key without the number of its part.
 	whole string
-	part  int
 }
 
+// keyNumbers is how many numbers follow the job in a key of each kind; the last is that of the part.
+var keyNumbers = map[string]int{kindJob: 1, kindEnd: 1, kindResult: 2, kindProgress: 3}
+
 func parseKey(key string) (recordKey, error) {
 	parts := strings.Split(key, "/")
-	k := recordKey{kind: parts[0]}
-	want := 3
-	if k.kind == kindResult || k.kind == kindProgress {
-		want = 4
+	want, ok := keyNumbers[parts[0]]
+	if !ok || len(parts) != 2+want {
+		return recordKey{}, fmt.Errorf("ledger: key %q isn't known", key)
 	}
-	if len(parts) != want {
-		return k, fmt.Errorf("ledger: key %q has %d parts, not %d", key, len(parts), want)
+	k := recordKey{kind: parts[0], job: parts[1], whole: key[:strings.LastIndexByte(key, '/')]}
+	numbers := make([]int, want)
+	for n, text := range parts[2:] {
+		number, err := strconv.Atoi(text)
+		if err != nil || number < 0 {
+			return recordKey{}, fmt.Errorf("ledger: key %q: %q isn't a number", key, text)
+		}
+		numbers[n] = number
 	}
-	k.job = parts[1]
-	k.whole = key[:strings.LastIndexByte(key, '/')]
-	var err error
-	if k.part, err = strconv.Atoi(parts[want-1]); err != nil {
-		return k, fmt.Errorf("ledger: key %q: %w", key, err)
+	if want > 1 {
+		k.place = numbers[0]
 	}
-	if want == 4 {
-		if k.place, err = strconv.Atoi(parts[2]); err != nil {
-			return k, fmt.Errorf("ledger: key %q: %w", key, err)
-		}
+	if want > 2 {
+		k.step = numbers[1]
 	}
 	return k, nil
 }
 
+func jobKey(job string) string { return kindJob + "/" + job }
+
+func endKey(job string) string { return kindEnd + "/" + job }
+
+func resultKey(job string, place int) string { return fmt.Sprintf("%s/%s/%d", kindResult, job, place) }
+
+func stepKey(job string, index, number int) string {
+	return fmt.Sprintf("%s/%s/%d/%d", kindProgress, job, index, number)
+}
+
 // ValidID says whether a job's id can be part of a key.
 func ValidID(id string) bool {
 	const longest = 128
--- a/node/node.go
+++ b/node/node.go
@@ -78,6 +78,9 @@
 const (
 	// membersWait is longer than for other topics: entries come and go seldom, and nothing waits for the news.
 	membersWait = 5 * time.Second
+	// jobsInterval is between two reads of the jobs' topic. Nothing waits for
+	// its news but the start of items, which are due seconds later.
+	jobsInterval = 200 * time.Millisecond
 	// janitorTick is between two looks at idle connections and lapsed registrations.
 	janitorTick = 250 * time.Millisecond
 	// joinPause is between two tries to write the own address.
@@ -141,7 +144,10 @@
 	n.metrics = metrics.NewRegistry()
 	start := time.Now()
 	n.table = &watch.Table{Key: n.Topics.ConfigurationKey, Parse: n.ParseTable, Events: n.Events}
-	n.pool = &pool.Pool{Zone: n.Settings.Zone, Random: rand.New(rand.NewPCG(uint64(start.UnixNano()), pool.Hash(n.Settings.ID)))}
+	seed := func(part uint64) *rand.Rand {
+		return rand.New(rand.NewPCG(uint64(start.UnixNano()), pool.Hash(n.Settings.ID)+part))
+	}
+	n.pool = &pool.Pool{Name: n.Settings.ID, Zone: n.Settings.Zone, Random: seed(0)}
 	n.servers = &watch.Servers{Parse: n.ParseServer, Changed: n.pool.SetServers, Events: n.Events}
 	n.conns = &conns.Conns{Dialect: n.Dialect}
 	n.ledger = &ledger.Ledger{Events: n.Events}
@@ -150,6 +156,7 @@
 	n.registrations = n.follower(n.Topics.Servers, n.servers.Apply)
 	n.registrations.Back = n.servers.Back
 	n.jobs = n.follower(n.Topics.Jobs, n.applyJobs)
+	n.jobs.Interval = jobsInterval
 	n.gossip = &gossip.Gossip{
 		Name: n.Settings.ID, Start: start.UnixMilli(), Conn: datagrams, Events: n.Events,
 		Tell: n.tell, Heard: n.heard,
@@ -165,6 +172,8 @@
 	n.runner = &runner.Runner{
 		Name: n.Settings.ID, Batch: n.Batch, Table: n.table.Current, Ledger: n.ledger, Appender: n.appender,
 		Pool: n.pool, Conns: n.conns, Events: n.Events, Metrics: n.metrics,
+		Pace:             &runner.Pace{View: gossip.Interval, Random: seed(1)},
+		WaitingElsewhere: func() int { return n.gossip.Waiting(time.Now()) },
 		Live:             func() []string { return n.gossip.Live(time.Now()) },
 		RunningElsewhere: func() map[uint64]bool { return n.gossip.RunningElsewhere(time.Now()) },
 	}
@@ -203,6 +212,7 @@
 func (n *Node) tell(m *gossip.Message) {
 	m.Loads = n.pool.Own()
 	m.Items = n.runner.Running()
+	m.Waiting = n.runner.Waiting()
 	m.Crashes = n.relay.Crashes()
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -52,6 +52,8 @@
 
 // Pool is the view of all backend servers. Its methods may be called at the same time.
 type Pool struct {
+	// Name is this entry's name.
+	Name string
 	// Zone is this entry's availability zone; its backend servers are preferred.
 	Zone string
 	// Random breaks ties.
@@ -229,35 +231,39 @@
 }
 
 // Batch chooses a backend server of a service with a free slot for a batch
-// item, and counts the item there; none is chosen if fewer than reserve slots
-// would stay free on it.
+// item, and counts the item there; none is chosen if no more than reserve slots
+// are free on each. It is drawn by the number of free slots: if all entries
+// took the emptiest one, they would meet there and most would have to leave again.
 func (p *Pool) Batch(service string, reserve int, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var best *candidate
+	var all []candidate
+	total := 0
 	for _, s := range p.servers {
 		if s.Service != service || s.Draining || now.Before(s.doubtedUntil) {
 			continue
 		}
-		c := &candidate{s: s}
+		c := candidate{s: s}
 		c.online, c.batch = p.counts(s, now)
-		free := s.Slots - c.online - c.batch
-		if free <= reserve {
-			continue
-		}
-		c.rank = -float64(free) + p.Random.Float64()
-		if s.Zone != p.Zone {
-			c.rank += rankZone
-		}
-		if best == nil || c.rank < best.rank {
-			best = c
+		if free := s.Slots - c.online - c.batch - reserve; free > 0 {
+			c.rank = float64(free)
+			total += free
+			all = append(all, c)
 		}
 	}
-	if best == nil {
+	if total == 0 {
 		return Choice{}, false
 	}
-	best.s.batch++
-	return best.choice(now), true
+	at := p.Random.Float64() * float64(total)
+	chosen := &all[len(all)-1]
+	for n := range all {
+		if at -= all[n].rank; at < 0 {
+			chosen = &all[n]
+			break
+		}
+	}
+	chosen.s.batch++
+	return chosen.choice(now), true
 }
 
 // Excess returns how many of this entry's batch items on a backend server have
@@ -273,14 +279,15 @@
 	}
 	online, batch := p.counts(s, now)
 	over := min(online+batch-s.Slots, batch)
-	for _, one := range p.peers {
+	for name, one := range p.peers {
 		if over <= 0 {
 			return 0
 		}
 		if now.Sub(one.at) > peerTimeout {
 			continue
 		}
-		if theirs := one.loads[s.hash].Batch; theirs > s.batch {
+		theirs := one.loads[s.hash].Batch
+		if theirs > s.batch || theirs == s.batch && Hash(name) > Hash(p.Name) {
 			over -= theirs
 		}
 	}
@@ -330,17 +337,18 @@
 	}
 }
 
-// Free returns how many slots of a service are free and how many there are.
-func (p *Pool) Free(service string, now time.Time) (free, all int) {
+// Free returns how many slots of a service batch items may take now, over all
+// backend servers, if reserve slots stay free on each.
+func (p *Pool) Free(service string, reserve int, now time.Time) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	free := 0
 	for _, s := range p.servers {
-		if s.Service != service || s.Draining {
+		if s.Service != service || s.Draining || now.Before(s.doubtedUntil) {
 			continue
 		}
 		online, batch := p.counts(s, now)
-		free += max(s.Slots-online-batch, 0)
-		all += s.Slots
+		free += max(s.Slots-online-batch-reserve, 0)
 	}
-	return free, all
+	return free
 }
--- /dev/null
+++ b/runner/pace.go
@@ -0,0 +1,45 @@
+package runner
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Pace bounds how many items this entry starts while it can't see what the
+// others start. The load that it answers: a burst ends and fifty slots come
+// free on all backend servers at once, while every entry has items that wait.
+// If each took what it sees, thirty entries would start a thousand items in
+// fifty slots, break nearly all of them off again, and begin anew.
+type Pace struct {
+	// View is the age that other entries' counts may have.
+	View   time.Duration
+	Random *rand.Rand
+
+	begun time.Time
+	left  int
+}
+
+// startShare is the part of the free slots that all entries together take
+// within one View. A half leaves room for slots that online work takes
+// meanwhile, and still fills nine in ten within four views.
+const startShare = 0.5
+
+// Allow returns how many items may start now: this entry's part of the free
+// slots, by how many of the waiting items are its own.
+func (p *Pace) Allow(free, own, others int, now time.Time) int {
+	if now.Sub(p.begun) >= p.View {
+		p.begun = now
+		share := startShare * float64(free) * float64(own) / float64(max(own+others, 1))
+		whole := math.Floor(share)
+		// The fraction counts on average, or entries with few items would never start one.
+		if p.Random.Float64() < share-whole {
+			whole++
+		}
+		p.left = int(whole)
+	}
+	return min(p.left, free)
+}
+
+// Started notes an item that was started.
+func (p *Pace) Started() { p.left-- }
--- a/runner/run.go
+++ b/runner/run.go
@@ -45,12 +45,12 @@
 		Int("outcome", int(o)).Int("events", i.events).Dur("took", time.Since(i.started)).Err(err).Msg("item left its slot")
 	switch o {
 	case succeeded:
-		r.record(ctx, &i.open, sardinerock.BatchResult{Item: i.open.Item.ID, Succeeded: true, Text: i.progress.Text})
+		r.record(&i.open, sardinerock.BatchResult{Item: i.open.Item.ID, Succeeded: true, Text: i.progress.Text})
 	case refused:
-		r.record(ctx, &i.open, sardinerock.BatchResult{Item: i.open.Item.ID})
+		r.record(&i.open, sardinerock.BatchResult{Item: i.open.Item.ID})
 	case failed:
 		if i.failures++; i.failures >= route.MaxAttempts {
-			r.record(ctx, &i.open, sardinerock.BatchResult{Item: i.open.Item.ID})
+			r.record(&i.open, sardinerock.BatchResult{Item: i.open.Item.ID})
 		}
 	}
 	r.mu.Lock()
@@ -111,13 +111,13 @@
 	if p.LastEvent != "" {
 		data = p.Text + "\n" + data
 	}
-	return ledger.Progress{LastEvent: id, Text: data}
+	return ledger.Progress{LastEvent: id, Text: data, Steps: p.Steps}
 }
 
 // record brings a result into the store's order. It goes on until the store
 // has it or the process ends: the work is done and must not be lost to an outage.
-func (r *Runner) record(ctx context.Context, open *ledger.OpenItem, result sardinerock.BatchResult) {
-	verdict, err := r.Appender.SubmitLazily(context.WithoutCancel(ctx), func(p *ledger.Plan) (ledger.Verdict, error) {
+func (r *Runner) record(open *ledger.OpenItem, result sardinerock.BatchResult) {
+	verdict, err := r.Appender.SubmitLazily(context.Background(), func(p *ledger.Plan) (ledger.Verdict, error) {
 		return p.Finish(open.Job, open.Index, &result)
 	})
 	metrics.GetOrRegisterCounter("batch.recorded", r.Metrics).Inc(1)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -19,9 +19,6 @@
 	// tick is between two looks for free slots. Bursts end within a second; a
 	// slot that stays free for a fraction of that is little lost.
 	tick = 25 * time.Millisecond
-	// startsPerTick bounds the items that begin at once, so that the other
-	// entries see them before they start theirs in the same slots.
-	startsPerTick = 3
 	// reserve is how many slots of each backend server stay free for the next
 	// online request that comes there.
 	reserve = 1
@@ -30,6 +27,9 @@
 	settleTime = 600 * time.Millisecond
 	// retryPause is how long an item rests after a try that failed.
 	retryPause = 200 * time.Millisecond
+	// noteTimeout is how long the store may take to record progress; the next
+	// record holds all that this one would have.
+	noteTimeout = 3 * time.Second
 	// eventSilence is the longest pause in an item's stream after which it goes
 	// on elsewhere; events come every 30 ms.
 	eventSilence = 2 * time.Second
@@ -45,6 +45,10 @@
 	Appender *commit.Appender
 	Pool     *pool.Pool
 	Conns    *conns.Conns
+	// Pace bounds how many items start at once.
+	Pace *Pace
+	// WaitingElsewhere returns how many items the other entries could start.
+	WaitingElsewhere func() int
 	// Live returns the names of the live entries.
 	Live func() []string
 	// RunningElsewhere returns the items that other live entries run.
@@ -56,6 +60,8 @@
 	items   map[uint64]*item
 	wake    chan struct{}
 	leaving bool
+	// waiting is how many items could be started at the last look.
+	waiting int
 	group   sync.WaitGroup
 }
 
@@ -72,6 +78,10 @@
 	gaveWay  bool
 	progress ledger.Progress
 	events   int
+	// recorded and recordedAt tell what of the progress is in the store, and since when.
+	recorded   int
+	recordedAt time.Time
+	recording  bool
 	// failures counts the answers that say that the run failed.
 	failures int
 	// rests is when it may be tried again.
@@ -103,6 +113,7 @@
 		}
 		r.YieldAll()
 		r.stopEnded()
+		r.noteProgress()
 		r.startSome(ctx)
 	}
 }
@@ -221,33 +232,74 @@
 // startSome starts the items that are due first in free slots.
 func (r *Runner) startSome(ctx context.Context) {
 	table := r.Table()
+	waiting := r.waitingItems(table)
+	r.mu.Lock()
+	r.waiting = len(waiting)
+	r.mu.Unlock()
+	// Most routes have one service; a second one shares the pace of the first.
+	for n := range waiting {
+		now := time.Now()
+		service := waiting[n].service
+		if r.Pace.Allow(r.Pool.Free(service, reserve, now), len(waiting), r.WaitingElsewhere(), now) <= 0 {
+			return
+		}
+		if !r.start(ctx, &waiting[n]) {
+			return
+		}
+		r.Pace.Started()
+	}
+}
+
+// candidate is an item that may be started.
+type candidate struct {
+	ledger.OpenItem
+	key     uint64
+	route   *sardinerock.Route
+	service string
+}
+
+// waitingItems returns this entry's items that neither run nor rest, those that
+// are due first before the others. Items that can't be done any more are given up.
+func (r *Runner) waitingItems(table *sardinerock.RouteTable) []candidate {
 	r.mu.Lock()
 	leaving := r.leaving
 	r.mu.Unlock()
 	if table == nil || leaving {
-		return
+		return nil
 	}
 	live := r.Live()
 	open := r.Ledger.OpenItems(func(job string) bool { return Owner(job, live) == r.Name })
 	if len(open) == 0 {
-		return
+		return nil
 	}
 	elsewhere := r.RunningElsewhere()
 	sortByDue(open, table)
-	started := 0
+	var waiting []candidate
 	for n := range open {
-		if started == startsPerTick {
-			return
-		}
-		k := key(&open[n])
-		if elsewhere[k] || !r.ready(k) {
+		c := candidate{OpenItem: open[n], key: key(&open[n])}
+		if elsewhere[c.key] || !r.ready(c.key) {
 			continue
 		}
-		if !r.start(ctx, &open[n], k, table) {
-			return
+		c.route = table.Match(c.Host, c.Item.Path)
+		switch {
+		case c.route == nil:
+			r.giveUp(&c.OpenItem, "its route was removed")
+			continue
+		case c.route.Retention > 0 && time.Since(c.CreatedAt) > c.route.Retention:
+			r.giveUp(&c.OpenItem, "it is too old")
+			continue
 		}
-		started++
+		c.service = c.route.Shares[0].Service
+		waiting = append(waiting, c)
 	}
+	return waiting
+}
+
+// Waiting returns how many items this entry could start.
+func (r *Runner) Waiting() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.waiting
 }
 
 // ready says whether an item neither runs nor rests.
@@ -259,42 +311,36 @@
 }
 
 // start runs an item if a slot is free, and says false if none is.
-func (r *Runner) start(ctx context.Context, open *ledger.OpenItem, k uint64, table *sardinerock.RouteTable) bool {
-	route := table.Match(open.Host, open.Item.Path)
-	if route == nil {
-		r.giveUp(ctx, open, "its route was removed")
-		return true
-	}
-	if time.Since(open.CreatedAt) > route.Retention && route.Retention > 0 {
-		r.giveUp(ctx, open, "it is too old")
-		return true
-	}
-	choice, ok := r.Pool.Batch(route.Shares[0].Service, reserve, time.Now())
+func (r *Runner) start(ctx context.Context, c *candidate) bool {
+	choice, ok := r.Pool.Batch(c.service, reserve, time.Now())
 	if !ok {
 		return false
 	}
 	run, cancel := context.WithCancel(ctx)
 	r.mu.Lock()
-	i := r.items[k]
+	i := r.items[c.key]
 	if i == nil {
-		i = &item{key: k, progress: open.Progress}
-		r.items[k] = i
+		i = &item{key: c.key, recordedAt: time.Now()}
+		r.items[c.key] = i
 	}
-	i.open, i.running, i.server, i.started, i.cancel, i.gaveWay = *open, true, choice.ID, time.Now(), cancel, false
+	if len(c.Progress.Text) > len(i.progress.Text) {
+		i.progress, i.recorded = c.Progress, len(c.Progress.Text)
+	}
+	i.open, i.running, i.server, i.started, i.cancel, i.gaveWay = c.OpenItem, true, choice.ID, time.Now(), cancel, false
 	r.mu.Unlock()
-	r.Events.Info(event.PlacementChosen).Str("job", open.Job).Str("item", open.Item.ID).Str("server", choice.ID).
+	r.Events.Info(event.PlacementChosen).Str("job", c.Job).Str("item", c.Item.ID).Str("server", choice.ID).
 		Int("online", choice.Online).Int("batch", choice.Batch).Str("resume", i.progress.LastEvent).Msg("item started")
 	r.group.Add(1)
 	go func() {
 		defer r.group.Done()
 		defer cancel()
-		r.run(run, i, &choice, route)
+		r.run(run, i, &choice, c.route)
 	}()
 	return true
 }
 
 // giveUp records that an item can't be done.
-func (r *Runner) giveUp(ctx context.Context, open *ledger.OpenItem, reason string) {
+func (r *Runner) giveUp(open *ledger.OpenItem, reason string) {
 	k := key(open)
 	r.mu.Lock()
 	if r.items[k] == nil {
@@ -306,6 +352,51 @@
 	r.group.Add(1)
 	go func() {
 		defer r.group.Done()
-		r.record(ctx, open, sardinerock.BatchResult{Item: open.Item.ID})
+		r.record(open, sardinerock.BatchResult{Item: open.Item.ID})
 	}()
 }
+
+const (
+	// noteAfter is the age at which what an item has generated is brought into
+	// the store: what a lost entry hadn't recorded is generated again.
+	noteAfter = 1200 * time.Millisecond
+	// leastNoted is the length of text below which a record isn't worth its call.
+	leastNoted = 512
+)
+
+// noteProgress brings the progress of long runs into the store. If this entry
+// is lost, the next owner goes on from there and not from the beginning.
+func (r *Runner) noteProgress() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	for _, i := range r.items {
+		if i.recording || now.Sub(i.recordedAt) < noteAfter || len(i.progress.Text)-i.recorded < leastNoted {
+			continue
+		}
+		i.recording = true
+		progress, open := i.progress, i.open
+		r.group.Add(1)
+		go func() {
+			defer r.group.Done()
+			r.note(i, &open, progress)
+		}()
+	}
+}
+
+func (r *Runner) note(i *item, open *ledger.OpenItem, progress ledger.Progress) {
+	ctx, cancel := context.WithTimeout(context.Background(), noteTimeout)
+	defer cancel()
+	verdict, err := r.Appender.SubmitLazily(ctx, func(p *ledger.Plan) (ledger.Verdict, error) {
+		return p.Proceed(open.Job, open.Index, progress)
+	})
+	if err != nil {
+		r.Events.Info(event.ItemFailed).Str("job", open.Job).Str("item", open.Item.ID).Err(err).Msg("progress isn't recorded")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i.recording, i.recordedAt = false, time.Now()
+	if err == nil && verdict == ledger.Made {
+		i.recorded = len(progress.Text)
+	}
+}
--- a/serving.go
+++ b/serving.go
@@ -198,6 +198,8 @@
 	Records []StoreRecord
 	// End is the offset that the next record of the partition gets.
 	End int64
+	// More is set when a page of the newest records isn't the last.
+	More bool
 }
 
 // Errors of the platform's store.
@@ -220,7 +222,7 @@
 	Put(ctx context.Context, topic string, record StoreRecord) error
 	// Read returns records from an offset on and waits for the first at most the given time.
 	Read(ctx context.Context, topic string, from int64, wait time.Duration) (StorePage, error)
-	// Newest returns the newest record of each key, in the order of their offsets,
-	// and an offset from which reading on misses nothing.
-	Newest(ctx context.Context, topic string) (StorePage, error)
+	// Newest returns a page of the newest record of each key, in the order of the
+	// keys, from behind a key on.
+	Newest(ctx context.Context, topic, after string) (StorePage, error)
 }
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sort"
 	"sync"
 	"time"
 
@@ -16,6 +17,9 @@
 	// firstPause and longestPause bound the pause after a failed read; refused calls are billed too.
 	firstPause   = 50 * time.Millisecond
 	longestPause = 400 * time.Millisecond
+	// loadTimeout is the age at which the pages of an incomplete load are too
+	// old: the records after them may be gone before they are read.
+	loadTimeout = 10 * time.Second
 	// lostAfter is how long reads fail before the topic counts as lost.
 	lostAfter = time.Second
 )
@@ -30,17 +34,25 @@
 	// Back is called, if set, when reads succeed again after they failed for a second.
 	Back func()
 	// Wait is how long a read waits for news; 0 is a second.
-	Wait   time.Duration
-	Events *event.Logger
+	Wait time.Duration
+	// Interval is the least time between two reads. Where many append, a reader
+	// that asks again at once makes a call for each append.
+	Interval time.Duration
+	Events   *event.Logger
+
+	// loads is held during a load.
+	loads sync.Mutex
 
 	mu     sync.Mutex
 	next   int64
 	loaded bool
 	// confirmed is when a read that returned the end of the topic was sent.
 	confirmed time.Time
-	moved     chan struct{}
-	failing   time.Time
-	lost      bool
+	// loading holds the pages of a load that isn't complete.
+	loading *loading
+	moved   chan struct{}
+	failing time.Time
+	lost    bool
 }
 
 // Prepare makes the follower usable; it is called once before all else.
@@ -54,6 +66,7 @@
 	}
 	pause := firstPause
 	for ctx.Err() == nil {
+		sent := time.Now()
 		if err := f.step(ctx, wait); err != nil {
 			f.failed(err)
 			if !sleep(ctx, pause) {
@@ -63,6 +76,9 @@
 			continue
 		}
 		pause = firstPause
+		if rest := f.Interval - time.Since(sent); rest > 0 && !sleep(ctx, rest) {
+			return
+		}
 	}
 }
 
@@ -133,22 +149,56 @@
 	return err
 }
 
+// loading is a topic's newest records as far as they are read.
+type loading struct {
+	sent    time.Time
+	end     int64
+	after   string
+	records []sardinerock.StoreRecord
+}
+
+// load reads the newest record of each key. What was read of it is kept when
+// one of its pages fails: after all entries were restarted they load together,
+// each page takes its time, and one that began anew each time would never end.
 func (f *Follower) load(ctx context.Context) error {
-	sent := time.Now()
-	page, err := f.Store.Newest(ctx, f.Topic)
-	if err != nil {
-		return err
+	f.loads.Lock()
+	defer f.loads.Unlock()
+	l := f.loading
+	if l == nil || time.Since(l.sent) > loadTimeout {
+		l = &loading{sent: time.Now()}
+		f.loading = l
 	}
+	for {
+		page, err := f.Store.Newest(ctx, f.Topic, l.after)
+		if err != nil {
+			return err
+		}
+		// Pages are no snapshot: what changes between two of them is read again from the first one's end on.
+		if l.after == "" {
+			l.end = page.End
+		}
+		l.records = append(l.records, page.Records...)
+		if !page.More || len(page.Records) == 0 {
+			break
+		}
+		l.after = page.Records[len(page.Records)-1].Key
+	}
+	f.loading = nil
+	return f.loadedAll(l)
+}
+
+func (f *Follower) loadedAll(l *loading) error {
+	sort.Slice(l.records, func(i, j int) bool { return l.records[i].Offset < l.records[j].Offset })
 	f.worked()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	// An answer from before what is known already must not take anything back.
-	if f.loaded && page.End < f.next {
+	if f.loaded && l.end < f.next {
 		return errStale
 	}
-	f.Apply(page.Records, true)
+	f.Apply(l.records, true)
 	f.loaded = true
-	f.advance(page.End, sent)
+	f.advance(l.end, l.sent)
 	return nil
 }
 
