commit: a refusal that says not run is true after a lost answer

Change: a change that an unanswered append carried is looked up in the state before it is refused. fakes.MemStore is the stand-in of the store, with calls refused, lost, done late.

--- a/commit/commit.go
+++ b/commit/commit.go
@@ -42,6 +42,8 @@
 	lazy bool
 	// uncertainAt is the offset at which an append with this change was tried without an answer, or -1.
 	uncertainAt int64
+	// unanswered is set once an append with this change got no answer.
+	unanswered bool
 }
 
 type result struct {
@@ -61,11 +63,15 @@
 	Events      *event.Logger
 	Metrics     metrics.Registry
 
-	queue chan *waiting
+	queue      chan *waiting
+	followTime time.Duration
 }
 
 // Prepare makes the appender usable; it is called once before all else.
-func (a *Appender) Prepare() { a.queue = make(chan *waiting, queueLength) }
+func (a *Appender) Prepare() {
+	a.queue = make(chan *waiting, queueLength)
+	a.followTime = followTime
+}
 
 // Submit brings a change into the order and returns what it came to. An error
 // that wraps sardinerock.ErrStoreRefused means that the change doesn't hold and
@@ -193,7 +199,7 @@
 		return batch, err
 	}
 	for _, w := range batch {
-		w.uncertainAt = at
+		w.uncertainAt, w.unanswered = at, true
 	}
 	// If it did take effect, the follower's own read tells.
 	if syncErr := a.Follower.Sync(ctx); syncErr != nil {
@@ -206,21 +212,35 @@
 func (a *Appender) expire(batch []*waiting, at int64) []*waiting {
 	kept := batch[:0]
 	for _, w := range batch {
-		if at > w.uncertainAt {
-			w.uncertainAt = -1
-		}
+		settled := at > w.uncertainAt
 		switch {
 		case w.ctx.Err() == nil:
+			if settled {
+				w.uncertainAt = -1
+			}
 			kept = append(kept, w)
-		case w.uncertainAt >= 0:
+		case !settled:
 			w.answer <- result{ledger.Void, ErrUncertain}
 		default:
-			w.answer <- result{ledger.Void, fmt.Errorf("%w: no time left", sardinerock.ErrStoreRefused)}
+			w.answer <- a.settle(w)
 		}
 	}
 	return kept
 }
 
+// settle tells whether a change that there is no time left for holds all the
+// same: an append whose answer was lost may have been the one that stands at
+// its offset, and saying that the change never will hold would be false.
+func (a *Appender) settle(w *waiting) result {
+	if w.unanswered {
+		p := a.Ledger.NewPlan(a.RecordBytes)
+		if v, err := w.change(p); err == nil && len(p.Records) == 0 {
+			return result{v, nil}
+		}
+	}
+	return result{ledger.Void, fmt.Errorf("%w: no time left", sardinerock.ErrStoreRefused)}
+}
+
 // planned is a change with what it came to.
 type planned struct {
 	*waiting
@@ -263,7 +283,7 @@
 // catchUp waits until the state holds what others appended.
 func (a *Appender) catchUp(ctx context.Context, end int64) error {
 	metrics.GetOrRegisterCounter("store.moved", a.Metrics).Inc(1)
-	wait, cancel := context.WithTimeout(ctx, followTime)
+	wait, cancel := context.WithTimeout(ctx, a.followTime)
 	defer cancel()
 	if a.Follower.WaitFor(wait, end) == nil {
 		return nil
--- /dev/null
+++ b/commit/interleave_test.go
@@ -0,0 +1,214 @@
+package commit
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/fakes"
+	"github.com/sardinerock/sardinerock/ledger"
+	"github.com/sardinerock/sardinerock/watch"
+)
+
+// interleavings is how many random runs are played; make interleavings asks for a million.
+var interleavings = flag.Int("interleavings", 10_000, "random runs")
+
+// testEntry is an entry without its network: each step is taken by the test.
+type testEntry struct {
+	*Appender
+	batch []*waiting
+}
+
+// callerView is what the callers of a run were told.
+type callerView struct {
+	change string
+	wait   *waiting
+	cancel context.CancelFunc
+}
+
+type interleaving struct {
+	r       *rand.Rand
+	store   *fakes.MemStore
+	entries []*testEntry
+	told    []*callerView
+	calm    bool
+}
+
+const testQuota = 40
+
+func newInterleaving(seed uint64) *interleaving {
+	run := &interleaving{r: rand.New(rand.NewPCG(seed, 1))}
+	run.store = &fakes.MemStore{PageSize: 3, Fault: run.fault}
+	for range 3 {
+		run.entries = append(run.entries, newTestEntry(run.store))
+	}
+	return run
+}
+
+func newTestEntry(store sardinerock.Store) *testEntry {
+	events := &event.Logger{}
+	l := &ledger.Ledger{Events: events}
+	l.Prepare()
+	f := &watch.Follower{Store: store, Topic: "jobs", Apply: l.Apply, Events: events}
+	f.Prepare()
+	a := &Appender{Store: store, Topic: "jobs", Follower: f, Ledger: l, RecordBytes: 1000, AppendBytes: 4000, Events: events, Metrics: metrics.NewRegistry()}
+	a.Prepare()
+	// Nothing reads in the background here.
+	a.followTime = 0
+	return &testEntry{Appender: a}
+}
+
+// fault draws what goes wrong with a call.
+func (run *interleaving) fault(string, string) fakes.StoreFault {
+	if run.calm {
+		return fakes.StoreWorks
+	}
+	return []fakes.StoreFault{
+		fakes.StoreWorks, fakes.StoreWorks, fakes.StoreWorks, fakes.StoreWorks,
+		fakes.StoreRefuses, fakes.StoreLosesAnswer, fakes.StoreLosesCall, fakes.StoreIsLate,
+	}[run.r.IntN(8)]
+}
+
+func (run *interleaving) submit(e *testEntry, name string, change Change) {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &waiting{ctx: ctx, change: change, answer: make(chan result, 1), uncertainAt: -1}
+	e.batch = append(e.batch, w)
+	run.told = append(run.told, &callerView{change: name, wait: w, cancel: cancel})
+}
+
+// step takes one random step at one random entry.
+func (run *interleaving) step() {
+	e := run.entries[run.r.IntN(len(run.entries))]
+	job := fmt.Sprint("j", run.r.IntN(4))
+	switch run.r.IntN(8) {
+	case 0, 1:
+		run.submit(e, "accept "+job, func(p *ledger.Plan) (ledger.Verdict, error) { return p.Accept(interleavedJob(job), testQuota) })
+	case 2:
+		index := run.r.IntN(2)
+		text := fmt.Sprint("by ", run.r.IntN(100))
+		run.submit(e, "finish "+job, func(p *ledger.Plan) (ledger.Verdict, error) {
+			return p.Finish(job, index, &sardinerock.BatchResult{Item: fmt.Sprint(job, index), Succeeded: true, Text: text})
+		})
+	case 3:
+		run.submit(e, "end "+job, func(p *ledger.Plan) (ledger.Verdict, error) { return p.End(job) })
+	case 4:
+		run.store.Settle()
+	case 5:
+		if len(run.told) > 0 {
+			run.told[run.r.IntN(len(run.told))].cancel()
+		}
+	case 6:
+		// What is lost here is read at the next step.
+		_ = e.Follower.Sync(context.Background())
+		if run.r.IntN(4) == 0 {
+			run.store.DropHistory("jobs")
+		}
+	case 7:
+		// An entry that is killed and starts again: its callers hear nothing.
+		if run.r.IntN(10) == 0 {
+			i := run.r.IntN(len(run.entries))
+			run.entries[i] = newTestEntry(run.store)
+		}
+	}
+	run.attempt(e)
+}
+
+func (run *interleaving) attempt(e *testEntry) {
+	if !e.Follower.Loaded() {
+		_ = e.Follower.Sync(context.Background())
+	}
+	e.batch, _ = e.Appender.attempt(context.Background(), e.batch)
+	_ = e.Follower.Sync(context.Background())
+}
+
+func interleavedJob(id string) *ledger.Accepted {
+	a := &ledger.Accepted{ID: id, Route: "r", Digest: 1}
+	for i := range 2 {
+		a.Items = append(a.Items, sardinerock.BatchItem{ID: fmt.Sprint(id, i), Path: "/", Tokens: 10})
+	}
+	return a
+}
+
+// TestInterleavings plays random steps of three entries against a store that
+// refuses, loses and delays calls. Whatever callers were told must hold in the
+// end for every entry: accepted jobs are there, refused ones never come,
+// results stand at one position, the quota is kept.
+func TestInterleavings(t *testing.T) {
+	for seed := range uint64(*interleavings) {
+		if fault := playInterleaving(seed); fault != "" {
+			t.Fatalf("seed %d: %s", seed, fault)
+		}
+	}
+}
+
+func playInterleaving(seed uint64) string {
+	run := newInterleaving(seed)
+	for range 40 {
+		run.step()
+	}
+	run.calm = true
+	run.store.Settle()
+	for range 20 {
+		for _, e := range run.entries {
+			run.attempt(e)
+		}
+	}
+	return run.check()
+}
+
+// check compares what callers were told with what a new entry reads.
+func (run *interleaving) check() string {
+	fresh := newTestEntry(run.store)
+	if err := fresh.Follower.Sync(context.Background()); err != nil {
+		return err.Error()
+	}
+	accepted, refused := map[string]bool{}, map[string]int{}
+	tries := map[string]int{}
+	for _, c := range run.told {
+		var kind, job string
+		if _, err := fmt.Sscan(c.change, &kind, &job); err != nil {
+			return err.Error()
+		}
+		if kind != "accept" {
+			continue
+		}
+		tries[job]++
+		select {
+		case r := <-c.wait.answer:
+			switch {
+			case r.err == nil && r.verdict == ledger.Made:
+				accepted[job] = true
+			case errors.Is(r.err, sardinerock.ErrStoreRefused), r.err == nil && r.verdict == ledger.OverQuota:
+				refused[job]++
+			}
+		default:
+			// Its entry was killed.
+		}
+	}
+	for n := range 4 {
+		job := fmt.Sprint("j", n)
+		page, known := fresh.Ledger.Results(job, 0)
+		if accepted[job] && !known {
+			return job + " was accepted and isn't there"
+		}
+		if known && refused[job] == tries[job] {
+			return job + " was refused at every try and is there"
+		}
+		for i, e := range run.entries {
+			if got, _ := e.Ledger.Results(job, 0); fmt.Sprint(got) != fmt.Sprint(page) {
+				return fmt.Sprintf("%s: entry %d reads %v, a new one %v", job, i, got, page)
+			}
+		}
+	}
+	if w := fresh.Ledger.Waiting("r"); w < 0 || w > testQuota {
+		return fmt.Sprint("tokens that wait: ", w)
+	}
+	return ""
+}
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -84,13 +84,7 @@
 
 // Sync reads until the topic's end as it is now, and returns an error if that can't be known.
 func (f *Follower) Sync(ctx context.Context) error {
-	f.mu.Lock()
-	loaded := f.loaded
-	f.mu.Unlock()
-	if !loaded {
-		return f.load(ctx)
-	}
-	return f.read(ctx, 0)
+	return f.step(ctx, 0)
 }
 
 // WaitFor returns once everything before the offset is applied.
