--- /dev/null
+++ b/conns/conns_test.go
@@ -0,0 +1,274 @@
+package conns_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/conns"
+	"github.com/sardinerock/sardinerock/platform"
+)
+
+// backend is a backend server that answers the n-th request it gets, over all
+// connections, with the n-th script.
+type backend struct {
+	sardinerock.BackendServer
+	connections atomic.Int32
+	requests    chan *http.Request
+}
+
+// script writes an answer to a request and says whether the connection stays open.
+type script func(c net.Conn, r *http.Request) (open bool)
+
+func startBackend(t *testing.T, scripts ...script) *backend {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { l.Close() })
+	b := &backend{
+		BackendServer: sardinerock.BackendServer{ID: "i-1", Address: l.Addr().String(), Slots: 4},
+		requests:      make(chan *http.Request, len(scripts)),
+	}
+	var next atomic.Int32
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			b.connections.Add(1)
+			go func() {
+				defer c.Close()
+				reader := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					b.requests <- r
+					if !scripts[next.Add(1)-1](c, r) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return b
+}
+
+func write(text string) script {
+	return func(c net.Conn, r *http.Request) bool {
+		_, err := io.WriteString(c, strings.ReplaceAll(text, "$ID", r.Header.Get("Request-Id")))
+		return err == nil
+	}
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\nbody"
+
+func call(id string) *sardinerock.Call {
+	return &sardinerock.Call{ID: id, Method: "POST", Target: "/a/b?c=%20d", Host: "h.example", Header: http.Header{"Model": {"m"}}, Body: []byte("xyz")}
+}
+
+// exchange sends a call and reads its answer whole.
+func exchange(c *conns.Conns, b *backend, id string) (string, error) {
+	a, err := c.Send(context.Background(), &b.BackendServer, call(id), sardinerock.Attempt{Instance: b.ID, Left: time.Second})
+	if err != nil {
+		return "", err
+	}
+	defer a.Finish()
+	body, err := io.ReadAll(a)
+	return string(body), err
+}
+
+func TestRequestArrivesUnchanged(t *testing.T) {
+	g := NewWithT(t)
+	b := startBackend(t, write(okAnswer))
+	body, err := exchange(&conns.Conns{Dialect: platform.Dialect{}}, b, "r1")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("body"))
+	r := <-b.requests
+	g.Expect(r.RequestURI).To(Equal("/a/b?c=%20d"))
+	g.Expect(r.Host).To(Equal("h.example"))
+	g.Expect(r.Header.Get("Expect-Instance")).To(Equal("i-1"))
+	g.Expect(r.Header.Get("Deadline-Ms")).To(Equal("1000"))
+	g.Expect(r.Header).NotTo(HaveKey("User-Agent"))
+	g.Expect(r.Header).NotTo(HaveKey("Accept-Encoding"))
+	g.Expect(r.ContentLength).To(BeEquivalentTo(3))
+}
+
+func TestConnectionIsKept(t *testing.T) {
+	g := NewWithT(t)
+	b := startBackend(t, write(okAnswer), write(okAnswer))
+	c := &conns.Conns{Dialect: platform.Dialect{}}
+	for _, id := range []string{"r1", "r2"} {
+		body, err := exchange(c, b, id)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(body).To(Equal("body"))
+	}
+	g.Expect(b.connections.Load()).To(BeEquivalentTo(1))
+}
+
+// The backend server sends more bytes after a whole answer. If the connection
+// were kept, the next caller would get them as the beginning of its answer.
+func TestBytesAfterAnAnswerEndTheConnection(t *testing.T) {
+	g := NewWithT(t)
+	b := startBackend(t, write(okAnswer+"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 5\r\n\r\nwrong"), write(okAnswer))
+	c := &conns.Conns{Dialect: platform.Dialect{}}
+	for _, id := range []string{"r1", "r2"} {
+		body, err := exchange(c, b, id)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(body).To(Equal("body"))
+	}
+	g.Expect(b.connections.Load()).To(BeEquivalentTo(2))
+}
+
+// A second answer to an earlier request comes late, in front of the answer to
+// the next one. Only the latter may reach its caller.
+func TestAnswerOfAnotherRequestIsPassedOver(t *testing.T) {
+	g := NewWithT(t)
+	stray := strings.ReplaceAll(okAnswer, "$ID", "earlier")
+	b := startBackend(t, write(strings.ReplaceAll(stray, "body", "evil")+okAnswer))
+	body, err := exchange(&conns.Conns{Dialect: platform.Dialect{}}, b, "r1")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("body"))
+}
+
+func TestWhatIsNoWholeAnswerIsBroken(t *testing.T) {
+	hangUp := func(text string) script {
+		return func(c net.Conn, r *http.Request) bool {
+			write(text)(c, r)
+			return false
+		}
+	}
+	for name, s := range map[string]script{
+		"no answer":    hangUp(""),
+		"no protocol":  hangUp("garbage garbage\r\n\r\n"),
+		"cut body":     hangUp(strings.Replace(okAnswer, "Content-Length: 4", "Content-Length: 9", 1)),
+		"cut chunks":   hangUp("HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"),
+		"only other's": hangUp(strings.ReplaceAll(okAnswer, "$ID", "other")),
+		"reset while unframed": func(c net.Conn, r *http.Request) bool {
+			write("HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\n\r\nbo")(c, r)
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return false
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := startBackend(t, s)
+			_, err := exchange(&conns.Conns{Dialect: platform.Dialect{}}, b, "r1")
+			NewWithT(t).Expect(err).To(HaveOccurred())
+			NewWithT(t).Expect(errors.Is(err, conns.ErrNotSent)).To(BeFalse())
+		})
+	}
+}
+
+func TestUnframedAnswerEndsWithItsConnection(t *testing.T) {
+	g := NewWithT(t)
+	b := startBackend(t, func(c net.Conn, r *http.Request) bool {
+		write("HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\n\r\nbody")(c, r)
+		return false
+	})
+	body, err := exchange(&conns.Conns{Dialect: platform.Dialect{}}, b, "r1")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("body"))
+}
+
+// Nothing listens at the address: the request never left, so that it may be
+// sent elsewhere whatever its kind.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	b := &backend{BackendServer: sardinerock.BackendServer{ID: "i-1", Address: l.Addr().String()}}
+	l.Close()
+	_, err = exchange(&conns.Conns{Dialect: platform.Dialect{}}, b, "r1")
+	g.Expect(errors.Is(err, conns.ErrNotSent)).To(BeTrue())
+}
+
+// The backend server closed an idle connection meanwhile. A request sent on it
+// would have an unknown outcome; it has to go out on a new one.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	g := NewWithT(t)
+	b := startBackend(t, func(c net.Conn, r *http.Request) bool {
+		write(okAnswer)(c, r)
+		time.Sleep(30 * time.Millisecond)
+		return false
+	}, write(okAnswer))
+	c := &conns.Conns{Dialect: platform.Dialect{}}
+	_, err := exchange(c, b, "r1")
+	g.Expect(err).NotTo(HaveOccurred())
+	time.Sleep(200 * time.Millisecond)
+	_, err = exchange(c, b, "r2")
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+// The caller leaves: the connection is closed at once, at which the backend server stops work.
+func TestCancelClosesTheConnection(t *testing.T) {
+	g := NewWithT(t)
+	closed := make(chan struct{})
+	b := startBackend(t, func(c net.Conn, _ *http.Request) bool {
+		_, _ = c.Read(make([]byte, 1))
+		close(closed)
+		return false
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-b.requests
+		cancel()
+	}()
+	_, err := (&conns.Conns{Dialect: platform.Dialect{}}).Send(ctx, &b.BackendServer, call("r1"), sardinerock.Attempt{Instance: b.ID, Left: time.Second})
+	g.Expect(err).To(HaveOccurred())
+	g.Eventually(closed, 5*time.Second).Should(BeClosed())
+}
+
+func TestEventsAreCutWhole(t *testing.T) {
+	g := NewWithT(t)
+	stream := "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nweight-versions: 3\nid: 3\ndata: c\ndata: d\n\nrest"
+	b := startBackend(t, func(c net.Conn, r *http.Request) bool {
+		write("HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\n\r\n")(c, r)
+		for _, one := range []byte(stream) {
+			_, _ = c.Write([]byte{one})
+		}
+		return false
+	})
+	a, err := (&conns.Conns{Dialect: platform.Dialect{}}).Send(context.Background(), &b.BackendServer, call("r1"), sardinerock.Attempt{Left: time.Second})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer a.Finish()
+	reader := &conns.EventReader{Answer: a, Silence: func() time.Time { return time.Time{} }}
+	var ids, data []string
+	var all strings.Builder
+	for {
+		e, err := reader.Next()
+		all.Write(e.Raw)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		g.Expect(err).NotTo(HaveOccurred())
+		text, _ := e.Data()
+		ids, data = append(ids, e.ID), append(data, text)
+	}
+	g.Expect(all.String()).To(Equal(stream))
+	g.Expect(ids).To(Equal([]string{"1", "2", "3"}))
+	g.Expect(data).To(Equal([]string{"a", "b", "c\nd"}))
+}
+
+func FuzzEventReader(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+	f.Add([]byte("data: \r\n\r\n\n\n"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		e := conns.Event{Raw: raw}
+		if _, ok := e.Data(); ok && !strings.Contains(string(raw), "data:") {
+			t.Fatal("data from nowhere")
+		}
+	})
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -39,6 +39,9 @@
 	hash   uint64
 	online int
 	batch  int
+	// peers is what the other entries run there, kept up with each datagram: a
+	// choice adds up two numbers a backend server, however many entries there are.
+	peers Load
 	// doubtedUntil and doubt tell how long it is passed over, and for how long after the next failure.
 	doubtedUntil time.Time
 	doubt        time.Duration
@@ -61,7 +64,9 @@
 
 	mu      sync.Mutex
 	servers map[string]*server
-	peers   map[string]*peer
+	// hashes finds the same by the short form of their ids.
+	hashes map[uint64]*server
+	peers  map[string]*peer
 }
 
 // SetServers takes a new list of backend servers; counts of those that stay are kept.
@@ -88,6 +93,7 @@
 		}
 	}
 	p.servers = servers
+	p.sumPeers()
 }
 
 // Known says whether a backend server is on the list.
@@ -101,21 +107,64 @@
 func (p *Pool) SetPeer(name string, loads []Load, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.forget(name)
 	if p.peers == nil {
 		p.peers = map[string]*peer{}
 	}
 	one := &peer{at: now, loads: make(map[uint64]Load, len(loads))}
 	for _, l := range loads {
 		one.loads[l.Server] = l
+		if s := p.hashes[l.Server]; s != nil {
+			s.peers.Online += l.Online
+			s.peers.Batch += l.Batch
+		}
 	}
 	p.peers[name] = one
 }
 
+// forget takes an entry's counts out of the sums.
+func (p *Pool) forget(name string) {
+	one := p.peers[name]
+	if one == nil {
+		return
+	}
+	for _, l := range one.loads {
+		if s := p.hashes[l.Server]; s != nil {
+			s.peers.Online -= l.Online
+			s.peers.Batch -= l.Batch
+		}
+	}
+	delete(p.peers, name)
+}
+
+// sumPeers adds up what the other entries run, for a new list of backend servers.
+func (p *Pool) sumPeers() {
+	p.hashes = make(map[uint64]*server, len(p.servers))
+	for _, s := range p.servers {
+		p.hashes[s.hash] = s
+		s.peers = Load{}
+		for _, one := range p.peers {
+			l := one.loads[s.hash]
+			s.peers.Online += l.Online
+			s.peers.Batch += l.Batch
+		}
+	}
+}
+
+// dropSilent forgets the entries that weren't heard for too long.
+func (p *Pool) dropSilent(now time.Time) {
+	for name, one := range p.peers {
+		if now.Sub(one.at) > peerTimeout {
+			p.forget(name)
+		}
+	}
+}
+
 // DropPeer forgets an entry that said it stops.
 func (p *Pool) DropPeer(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.peers, name)
+	p.forget(name)
 }
 
 // Own returns what this entry runs.
@@ -132,17 +181,8 @@
 }
 
 // counts returns what all entries together run on a backend server.
-func (p *Pool) counts(s *server, now time.Time) (online, batch int) {
-	online, batch = s.online, s.batch
-	for _, one := range p.peers {
-		if now.Sub(one.at) > peerTimeout {
-			continue
-		}
-		l := one.loads[s.hash]
-		online += l.Online
-		batch += l.Batch
-	}
-	return online, batch
+func (s *server) counts() (online, batch int) {
+	return s.online + s.peers.Online, s.batch + s.peers.Batch
 }
 
 // Choice is a backend server that was chosen, with the figures that decided it.
@@ -188,26 +228,27 @@
 func (p *Pool) Online(service string, tried map[string]bool, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var best *candidate
+	p.dropSilent(now)
+	var best candidate
 	for _, s := range p.servers {
 		if s.Service != service || s.Draining || tried[s.ID] {
 			continue
 		}
 		c := p.rankOnline(s, now)
-		if best == nil || c.rank < best.rank {
+		if best.s == nil || c.rank < best.rank {
 			best = c
 		}
 	}
-	if best == nil {
+	if best.s == nil {
 		return Choice{}, false
 	}
 	best.s.online++
 	return best.choice(now), true
 }
 
-func (p *Pool) rankOnline(s *server, now time.Time) *candidate {
-	c := &candidate{s: s}
-	c.online, c.batch = p.counts(s, now)
+func (p *Pool) rankOnline(s *server, now time.Time) candidate {
+	c := candidate{s: s}
+	c.online, c.batch = s.counts()
 	slots := float64(s.Slots)
 	// The random part only orders those that are equal.
 	c.rank = float64(c.online+c.batch)/slots + p.Random.Float64()/slots/2
@@ -237,6 +278,7 @@
 func (p *Pool) Batch(service string, reserve int, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.dropSilent(now)
 	var all []candidate
 	total := 0
 	for _, s := range p.servers {
@@ -244,7 +286,7 @@
 			continue
 		}
 		c := candidate{s: s}
-		c.online, c.batch = p.counts(s, now)
+		c.online, c.batch = s.counts()
 		if free := s.Slots - c.online - c.batch - reserve; free > 0 {
 			c.rank = float64(free)
 			total += free
@@ -273,19 +315,17 @@
 func (p *Pool) Excess(id string, now time.Time) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.dropSilent(now)
 	s := p.servers[id]
 	if s == nil || s.batch == 0 {
 		return 0
 	}
-	online, batch := p.counts(s, now)
+	online, batch := s.counts()
 	over := min(online+batch-s.Slots, batch)
 	for name, one := range p.peers {
 		if over <= 0 {
 			return 0
 		}
-		if now.Sub(one.at) > peerTimeout {
-			continue
-		}
 		theirs := one.loads[s.hash].Batch
 		if theirs > s.batch || theirs == s.batch && Hash(name) > Hash(p.Name) {
 			over -= theirs
@@ -342,12 +382,13 @@
 func (p *Pool) Free(service string, reserve int, now time.Time) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.dropSilent(now)
 	free := 0
 	for _, s := range p.servers {
 		if s.Service != service || s.Draining || now.Before(s.doubtedUntil) {
 			continue
 		}
-		online, batch := p.counts(s, now)
+		online, batch := s.counts()
 		free += max(s.Slots-online-batch-reserve, 0)
 	}
 	return free
--- /dev/null
+++ b/watch/watch_test.go
@@ -0,0 +1,241 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/fakes"
+)
+
+// view is the newest value of each key that a follower was told of.
+type view struct {
+	mu     sync.Mutex
+	values map[string]string
+	resets int
+}
+
+func (v *view) apply(records []sardinerock.StoreRecord, reset bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if reset || v.values == nil {
+		v.values = map[string]string{}
+	}
+	if reset {
+		v.resets++
+	}
+	for _, r := range records {
+		v.values[r.Key] = string(r.Value)
+	}
+}
+
+func (v *view) get(key string) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.values[key]
+}
+
+func newFollower(store *fakes.MemStore) (*Follower, *view) {
+	v := &view{}
+	f := &Follower{Store: store, Topic: "t", Apply: v.apply, Events: &event.Logger{}}
+	f.Prepare()
+	return f, v
+}
+
+func put(g *WithT, store *fakes.MemStore, key, value string) {
+	g.Expect(store.Put(context.Background(), "t", sardinerock.StoreRecord{Key: key, Value: []byte(value)})).To(Succeed())
+}
+
+func TestFollowsChangesAndGaps(t *testing.T) {
+	g := NewWithT(t)
+	store := &fakes.MemStore{PageSize: 2}
+	for n := range 5 {
+		put(g, store, fmt.Sprint("k", n), "old")
+	}
+	f, v := newFollower(store)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.Run(ctx)
+	g.Eventually(func() string { return v.get("k4") }, 5*time.Second).Should(Equal("old"))
+	put(g, store, "k4", "new")
+	g.Eventually(func() string { return v.get("k4") }, 5*time.Second).Should(Equal("new"))
+	g.Expect(f.Next()).To(BeEquivalentTo(6))
+	store.DropHistory("t")
+	put(g, store, "k0", "after the gap")
+	g.Eventually(func() string { return v.get("k0") }, 5*time.Second).Should(Equal("after the gap"))
+	g.Expect(v.get("k4")).To(Equal("new"))
+}
+
+// All entries were restarted and load a large topic together, so that pages
+// fail now and then. A load that began anew each time would never end.
+func TestLoadKeepsItsPages(t *testing.T) {
+	g := NewWithT(t)
+	store := &fakes.MemStore{PageSize: 1}
+	for n := range 9 {
+		put(g, store, strconv.Itoa(n), "x")
+	}
+	calls := 0
+	store.Fault = func(call, _ string) fakes.StoreFault {
+		if calls++; calls%2 == 0 {
+			return fakes.StoreRefuses
+		}
+		return fakes.StoreWorks
+	}
+	f, v := newFollower(store)
+	for tries := 0; !f.Loaded(); tries++ {
+		g.Expect(tries).To(BeNumerically("<", 20))
+		_ = f.Sync(context.Background())
+	}
+	g.Expect(v.values).To(HaveLen(9))
+	g.Expect(v.resets).To(Equal(1))
+}
+
+// staleStore answers the newest records as they were before.
+type staleStore struct {
+	*fakes.MemStore
+	page *sardinerock.StorePage
+}
+
+func (s *staleStore) Newest(ctx context.Context, topic, after string) (sardinerock.StorePage, error) {
+	if s.page != nil {
+		return *s.page, nil
+	}
+	return s.MemStore.Newest(ctx, topic, after)
+}
+
+// The store's history is gone and its answer is seconds old: what the process
+// knows already must not be taken back by it.
+func TestStaleAnswerTakesNothingBack(t *testing.T) {
+	g := NewWithT(t)
+	store := &fakes.MemStore{}
+	put(g, store, "k", "old")
+	stale, err := store.Newest(context.Background(), "t", "")
+	g.Expect(err).NotTo(HaveOccurred())
+	put(g, store, "k", "new")
+	behind := &staleStore{MemStore: store}
+	f, v := newFollower(store)
+	f.Store = behind
+	g.Expect(f.Sync(context.Background())).To(Succeed())
+	behind.page = &stale
+	store.DropHistory("t")
+	put(g, store, "k", "newest")
+	store.DropHistory("t")
+	g.Expect(errors.Is(f.Sync(context.Background()), errStale)).To(BeTrue())
+	g.Expect(v.get("k")).To(Equal("new"))
+	behind.page = nil
+	g.Expect(f.Sync(context.Background())).To(Succeed())
+	g.Expect(v.get("k")).To(Equal("newest"))
+}
+
+func TestOwnAppendsAreAppliedOnce(t *testing.T) {
+	g := NewWithT(t)
+	store := &fakes.MemStore{}
+	f, _ := newFollower(store)
+	applied := 0
+	f.Apply = func(records []sardinerock.StoreRecord, _ bool) { applied += len(records) }
+	g.Expect(f.Sync(context.Background())).To(Succeed())
+	records := []sardinerock.StoreRecord{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("1")}}
+	_, err := store.AppendAt(context.Background(), "t", 0, records)
+	g.Expect(err).NotTo(HaveOccurred())
+	f.Advance(records, 0)
+	g.Expect(f.Sync(context.Background())).To(Succeed())
+	f.Advance(records, 0)
+	g.Expect(applied).To(Equal(2))
+}
+
+func newTable() *Table {
+	return &Table{Key: "config", Events: &event.Logger{}, Parse: func(raw []byte) (*sardinerock.RouteTable, error) {
+		version, err := strconv.ParseInt(string(raw), 10, 64)
+		return &sardinerock.RouteTable{Version: version}, err
+	}}
+}
+
+func record(key, value string) []sardinerock.StoreRecord {
+	r := sardinerock.StoreRecord{Key: key}
+	if value != "" {
+		r.Value = []byte(value)
+	}
+	return []sardinerock.StoreRecord{r}
+}
+
+// A store that forgot its history answers with an older configuration. One
+// that was in force must not come back, nor may a faulty one replace it.
+func TestVersionNeverGoesBack(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable()
+	g.Expect(table.Current()).To(BeNil())
+	for _, step := range []struct {
+		value string
+		want  int64
+	}{{"7", 7}, {"3", 7}, {"broken", 7}, {"", 7}, {"12", 12}} {
+		table.Apply(record("config", step.value), true)
+		g.Expect(table.Current().Version).To(Equal(step.want), step.value)
+	}
+	table.Apply(record("other", "99"), false)
+	g.Expect(table.Current().Version).To(BeEquivalentTo(12))
+}
+
+// list is a list of backend servers as the pool gets it.
+type list struct {
+	*Servers
+	now map[string]sardinerock.BackendServer
+}
+
+func newList() *list {
+	l := &list{}
+	l.Servers = &Servers{
+		Events: &event.Logger{},
+		Parse: func(id string, raw []byte) (sardinerock.BackendServer, error) {
+			sequence, err := strconv.ParseInt(string(raw[1:]), 10, 64)
+			return sardinerock.BackendServer{ID: id, Draining: raw[0] == 'd', Sequence: sequence}, err
+		},
+		Changed: func(all []sardinerock.BackendServer) {
+			l.now = map[string]sardinerock.BackendServer{}
+			for _, b := range all {
+				l.now[b.ID] = b
+			}
+		},
+	}
+	return l
+}
+
+func TestServersComeDrainAndGo(t *testing.T) {
+	g := NewWithT(t)
+	l := newList()
+	l.Apply(append(record("i-1", "r1"), record("i-2", "r1")...), true)
+	g.Expect(l.now).To(HaveLen(2))
+	l.Apply(record("i-1", "d2"), false)
+	g.Expect(l.now["i-1"].Draining).To(BeTrue())
+	l.Apply(record("i-1", "r1"), false)
+	g.Expect(l.now["i-1"].Draining).To(BeTrue(), "an older registration doesn't bring it back")
+	l.Apply(record("i-1", ""), false)
+	g.Expect(l.now).NotTo(HaveKey("i-1"))
+	l.Apply(record("i-3", "r1"), true)
+	g.Expect(l.now).To(HaveLen(1))
+	l.Apply(record("i-4", "x"), false)
+	g.Expect(l.now).To(HaveLen(1), "a registration that can't be read changes nothing")
+}
+
+// The store was away and all registrations lapsed. The backend servers live:
+// taking them off the list at once would leave nowhere to send to. Those that
+// don't return in time go.
+func TestLapsedServersAreKeptUntilTheyMustBeBack(t *testing.T) {
+	g := NewWithT(t)
+	l := newList()
+	l.Apply(append(record("i-1", "r1"), record("i-2", "r1")...), true)
+	l.Back()
+	l.Apply(append(record("i-1", ""), record("i-2", "")...), false)
+	g.Expect(l.now).To(HaveLen(2))
+	l.Apply(record("i-1", "r2"), false)
+	l.Expire(time.Now().Add(returnTime + time.Second))
+	g.Expect(l.now).To(HaveLen(1))
+	g.Expect(l.now).To(HaveKey("i-1"))
+}
