--- a/commit/interleave_test.go
+++ b/commit/interleave_test.go
@@ -43,9 +43,12 @@
 
 const testQuota = 40
 
+// wholeText is the text of each item's result; parts of it are recorded on the way.
+const wholeText = "abcd"
+
 func newInterleaving(seed uint64) *interleaving {
 	run := &interleaving{r: rand.New(rand.NewPCG(seed, 1))}
-	run.store = &fakes.MemStore{PageSize: 3, Fault: run.fault}
+	run.store = &fakes.MemStore{PageSize: 1, Fault: run.fault}
 	for range 3 {
 		run.entries = append(run.entries, newTestEntry(run.store))
 	}
@@ -87,14 +90,19 @@
 func (run *interleaving) step() {
 	e := run.entries[run.r.IntN(len(run.entries))]
 	job := fmt.Sprint("j", run.r.IntN(4))
-	switch run.r.IntN(8) {
+	switch run.r.IntN(10) {
 	case 0, 1:
 		run.submit(e, "accept "+job, func(p *ledger.Plan) (ledger.Verdict, error) { return p.Accept(interleavedJob(job), testQuota) })
-	case 2:
+	case 2, 8, 9:
 		index := run.r.IntN(2)
-		text := fmt.Sprint("by ", run.r.IntN(100))
+		if n := 1 + run.r.IntN(len(wholeText)); n < len(wholeText) {
+			run.submit(e, "proceed "+job, func(p *ledger.Plan) (ledger.Verdict, error) {
+				return p.Proceed(job, index, ledger.Progress{LastEvent: fmt.Sprint(n), Text: wholeText[:n]})
+			})
+			break
+		}
 		run.submit(e, "finish "+job, func(p *ledger.Plan) (ledger.Verdict, error) {
-			return p.Finish(job, index, &sardinerock.BatchResult{Item: fmt.Sprint(job, index), Succeeded: true, Text: text})
+			return p.Finish(job, index, &sardinerock.BatchResult{Item: fmt.Sprint(job, index), Succeeded: true, Text: wholeText})
 		})
 	case 3:
 		run.submit(e, "end "+job, func(p *ledger.Plan) (ledger.Verdict, error) { return p.End(job) })
@@ -112,7 +120,7 @@
 		}
 	case 7:
 		// An entry that is killed and starts again: its callers hear nothing.
-		if run.r.IntN(10) == 0 {
+		if run.r.IntN(2) == 0 {
 			i := run.r.IntN(len(run.entries))
 			run.entries[i] = newTestEntry(run.store)
 		}
@@ -150,7 +158,7 @@
 
 func playInterleaving(seed uint64) string {
 	run := newInterleaving(seed)
-	for range 40 {
+	for range 80 {
 		run.step()
 	}
 	run.calm = true
@@ -201,6 +209,11 @@
 		if known && refused[job] == tries[job] {
 			return job + " was refused at every try and is there"
 		}
+		for _, r := range page.Results {
+			if r.Text != wholeText {
+				return fmt.Sprintf("%s: the text of %s is %q", job, r.Item, r.Text)
+			}
+		}
 		for i, e := range run.entries {
 			if got, _ := e.Ledger.Results(job, 0); fmt.Sprint(got) != fmt.Sprint(page) {
 				return fmt.Sprintf("%s: entry %d reads %v, a new one %v", job, i, got, page)
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -151,6 +151,18 @@
 	records []sardinerock.StoreRecord
 }
 
+// add takes the records from before the first page's end. Pages are no
+// snapshot: one that was read later may hold a record whose predecessors came
+// too late for an earlier page, such as a result without the first part of its
+// text. All that came after that end is read again, in its order.
+func (l *loading) add(records []sardinerock.StoreRecord) {
+	for _, r := range records {
+		if r.Offset < l.end {
+			l.records = append(l.records, r)
+		}
+	}
+}
+
 // load reads the newest record of each key. What was read of it is kept when
 // one of its pages fails: after all entries were restarted they load together,
 // each page takes its time, and one that began anew each time would never end.
@@ -167,11 +179,10 @@
 		if err != nil {
 			return err
 		}
-		// Pages are no snapshot: what changes between two of them is read again from the first one's end on.
 		if l.after == "" {
 			l.end = page.End
 		}
-		l.records = append(l.records, page.Records...)
+		l.add(page.Records)
 		if !page.More || len(page.Records) == 0 {
 			break
 		}
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -239,3 +239,41 @@
 	g.Expect(l.now).To(HaveLen(1))
 	g.Expect(l.now).To(HaveKey("i-1"))
 }
+
+// between appends a record before each page but the first is read.
+type between struct {
+	*fakes.MemStore
+	append func()
+}
+
+func (s *between) Newest(ctx context.Context, topic, after string) (sardinerock.StorePage, error) {
+	if after != "" {
+		s.append()
+	}
+	return s.MemStore.Newest(ctx, topic, after)
+}
+
+// While an entry loads the topic page by page, others append. A record that a
+// later page shows already must not be applied before one that came earlier
+// and whose page was read before it came: a result would miss its text's beginning.
+func TestLoadAppliesNothingOutOfOrder(t *testing.T) {
+	g := NewWithT(t)
+	store := &fakes.MemStore{PageSize: 2}
+	for _, key := range []string{"a", "b", "y"} {
+		put(g, store, key, "old")
+	}
+	f, _ := newFollower(store)
+	f.Store = &between{MemStore: store, append: func() {
+		put(g, store, "aa", "part")
+		put(g, store, "z", "result")
+	}}
+	var order []string
+	f.Apply = func(records []sardinerock.StoreRecord, _ bool) {
+		for _, r := range records {
+			order = append(order, r.Key)
+		}
+	}
+	g.Expect(f.Sync(context.Background())).To(Succeed())
+	g.Expect(f.Sync(context.Background())).To(Succeed())
+	g.Expect(order).To(Equal([]string{"a", "b", "y", "aa", "z"}))
+}
