logs and metrics: budget of lines, events of the platform's entry, explain, check

Cause: lines had one number for several meanings, no bound under load, and nothing told the story of a request; old jobs stayed in the store for good.

--- a/clis/bundles.go
+++ b/clis/bundles.go
@@ -13,9 +13,9 @@
 
 func (p *Program) addBundles() {
 	var checkFile, signFile string
-	c := p.add(&p.parser.Subcommand, "check", "check a bundle without publishing it", nil,
+	c := p.add(&p.parser.Subcommand, "check", "check a bundle, or a settings file of the platform, without using it", nil,
 		func(context.Context) error { return p.check(checkFile) })
-	c.sub.AddPositionalValue(&checkFile, "FILE", 1, true, "bundle in JSON or YAML")
+	c.sub.AddPositionalValue(&checkFile, "FILE", 1, true, "bundle in JSON or YAML, or settings in TOML")
 	s := &conf.Sign{}
 	c = p.add(&p.parser.Subcommand, "sign", "sign a bundle off and print it", s,
 		func(context.Context) error { return p.sign(s, signFile) })
@@ -42,6 +42,9 @@
 }
 
 func (p *Program) check(file string) error {
+	if strings.HasSuffix(file, ".toml") {
+		return p.checkNode(file)
+	}
 	b, err := parse(file)
 	if err != nil {
 		return err
--- a/clis/clis.go
+++ b/clis/clis.go
@@ -123,6 +123,7 @@
 	p.parser.ShowCompletion = false
 	p.addRoles()
 	p.addNode()
+	p.addExplain()
 	p.addOperators()
 	p.addBundles()
 	p.addStandins()
--- a/clis/node.go
+++ b/clis/node.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"os"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/sardinerock/sardinerock/conf"
+	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/node"
 	"github.com/sardinerock/sardinerock/platform"
 )
@@ -28,6 +31,17 @@
 		func(ctx context.Context) error { return p.runNode(ctx, s) })
 }
 
+// checkNode checks a settings file of the platform.
+func (p *Program) checkNode(file string) error {
+	s, err := platform.ReadSettings(file)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(p.Out, "%s is usable: entry %s in %s, callers at %s, store at %s, metrics at http://%s/metrics\n",
+		file, s.ID, s.Zone, s.CallerAddress, s.StoreAddress, s.MetricsAddress)
+	return nil
+}
+
 func (p *Program) runNode(ctx context.Context, s *nodeSettings) error {
 	if s.File == "" {
 		return fmt.Errorf("--settings (%s) is missing; give the path of the settings file", platform.SettingsVariable)
@@ -37,8 +51,11 @@
 		return err
 	}
 	events, stop := newLogger(os.Stdout, s.LogLevel, settings.ID)
+	events.Budget = event.NewBudget()
 	defer stop()
+	registry := metrics.NewRegistry()
 	store := platform.NewStore(settings.StoreAddress)
+	store.Metrics = registry
 	n := &node.Node{
 		Settings:     settings,
 		ReadSettings: func() (*conf.Node, error) { return platform.ReadSettings(s.File) },
@@ -56,6 +73,7 @@
 		ParseTable:  platform.ParseConfiguration,
 		ParseServer: platform.ParseServer,
 		Events:      events,
+		Metrics:     registry,
 	}
 	return n.Run(ctx)
 }
--- a/commit/commit.go
+++ b/commit/commit.go
@@ -112,7 +112,7 @@
 			pause = firstPause
 			continue
 		}
-		a.Events.Warn(event.LogOutage).Str("topic", a.Topic).Int("changes", len(batch)).Err(err).Msg("append failed")
+		a.Events.Warn(event.AppendFailed).Str("topic", a.Topic).Int("changes", len(batch)).Err(err).Msg("append failed")
 		select {
 		case <-ctx.Done():
 			return
--- a/event/event.go
+++ b/event/event.go
@@ -15,6 +15,7 @@
 	Stopped         ID = 103
 	Failed          ID = 104
 	Reloaded        ID = 105
+	LinesDropped    ID = 106
 	RouteChosen     ID = 201
 	RouteNone       ID = 202
 	LinkUp          ID = 203
@@ -40,6 +41,13 @@
 	Checkpointed    ID = 507
 	LogOutage       ID = 508
 	LogBack         ID = 509
+	ItemStarted     ID = 510
+	ItemStopped     ID = 511
+	ItemRecorded    ID = 512
+	ItemGaveWay     ID = 513
+	RecordSkipped   ID = 514
+	AppendFailed    ID = 515
+	JobsExpired     ID = 516
 	BundleAccepted  ID = 601
 	BundleRejected  ID = 602
 	BundleInForce   ID = 603
@@ -52,6 +60,9 @@
 	ListChanged     ID = 803
 	RequestRefused  ID = 901
 	RequestServed   ID = 902
+	CallerLeft      ID = 903
+	AnswerBroken    ID = 904
+	TryFailed       ID = 905
 )
 
 // Logger writes numbered events; its zero value writes nowhere.
@@ -60,6 +71,8 @@
 	Sink *log.Logger
 	// Process is the instance's id, put on every line.
 	Process string
+	// Budget bounds the lines a second; nil is no bound.
+	Budget *Budget
 }
 
 // Info starts the line of an ordinary event; the caller adds fields and ends it with Msg.
@@ -78,8 +91,17 @@
 }
 
 func (l *Logger) start(level log.Level, id ID) *log.Entry {
-	if l == nil || l.Sink == nil {
+	if l == nil || l.Sink == nil || level < l.Sink.Level {
 		return nil
 	}
+	if l.Budget != nil {
+		if !l.Budget.allow(level) {
+			return nil
+		}
+		if n := l.Budget.take(); n > 0 {
+			l.Sink.WithLevel(log.WarnLevel).Int("event", int(LinesDropped)).Str("process", l.Process).Int64("lines", n).
+				Msg("lines dropped over the budget")
+		}
+	}
 	return l.Sink.WithLevel(level).Int("event", int(id)).Str("process", l.Process)
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -51,6 +51,8 @@
 	heard   time.Time
 	sent    time.Time
 	last    Message
+	// up is set between the lines that tell that the peer was heard and that it is silent.
+	up bool
 }
 
 // Gossip exchanges datagrams with the other entries.
@@ -192,6 +194,7 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
+			g.noteSilent(time.Now())
 			g.send(true)
 		case <-g.urgent:
 			g.send(false)
@@ -199,6 +202,18 @@
 	}
 }
 
+// noteSilent tells of the peers that were heard before and aren't any more.
+func (g *Gossip) noteSilent(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, p := range g.peers {
+		if p.up && !p.live(now) {
+			p.up = false
+			g.Events.Warn(event.PeerDown).Str("peer", name).Bool("leaving", p.last.Leaving).Dur("silent", now.Sub(p.heard)).Msg("peer silent")
+		}
+	}
+}
+
 // send tells all live peers, and the silent ones now and then if asked.
 func (g *Gossip) send(silent bool) {
 	m := Message{From: g.Name, Start: g.Start}
@@ -257,7 +272,8 @@
 	if p == nil || m.Start < p.last.Start || m.Start == p.last.Start && m.Sequence <= p.last.Sequence {
 		return false
 	}
-	if !p.live(now) {
+	if !p.up {
+		p.up = true
 		g.Events.Info(event.PeerUp).Str("peer", m.From).Msg("peer heard")
 	}
 	p.heard, p.last = now, *m
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -26,8 +26,20 @@
 // Open says whether items of the job are still to be run.
 func (j *Job) Open() bool { return !j.Ended && len(j.Results) < len(j.Items) }
 
-// Finished says whether the item at an index has its result.
-func (j *Job) Finished(index int) bool { return j.finished[index] }
+// expired says whether nobody may ask for the job any more.
+func (j *Job) expired(before time.Time) bool { return j.CreatedAt < before.UnixMilli() && !j.Open() }
+
+// HasBefore says whether there are jobs to be removed that came before a time.
+func (l *Ledger) HasBefore(before time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, j := range l.jobs {
+		if j.expired(before) {
+			return true
+		}
+	}
+	return false
+}
 
 // Ledger is the state of all batch jobs.
 type Ledger struct {
@@ -69,7 +81,7 @@
 	}
 	for i := range records {
 		if err := l.apply(&records[i]); err != nil {
-			l.Events.Warn(event.ItemFailed).Str("key", records[i].Key).Int64("offset", records[i].Offset).Err(err).Msg("record passed over")
+			l.Events.Warn(event.RecordSkipped).Str("key", records[i].Key).Int64("offset", records[i].Offset).Err(err).Msg("record passed over")
 		}
 	}
 	close(l.changed)
@@ -277,3 +289,16 @@
 	defer l.mu.Unlock()
 	return l.waiting[route]
 }
+
+// Open returns how many jobs are open and how many items they still have.
+func (l *Ledger) Open() (jobs, items int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, j := range l.jobs {
+		if j.Open() {
+			jobs++
+			items += len(j.Items) - len(j.Results)
+		}
+	}
+	return jobs, items
+}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -166,7 +166,7 @@
 	l.commit(accept(testJob("j1", 1, 1), 0), accept(testJob("j2", 1, 1), 0))
 	l.commit(proceed("j1", 0, "1", "e1"))
 	l.commit(finish("j1", 0, "e1\n"+strings.Repeat("x", 2*testRecordBytes)))
-	l.commit(func(p *Plan) (Verdict, error) { return p.Expire(time.UnixMilli(2000)) })
+	l.commit(func(p *Plan) (Verdict, error) { return p.Expire(time.UnixMilli(2000), 1000) })
 	_, known := l.Results("j1", 0)
 	l.g.Expect(known).To(BeFalse())
 	_, known = l.Results("j2", 0)
--- a/ledger/plan.go
+++ b/ledger/plan.go
@@ -156,14 +156,18 @@
 	return Made, p.add(endKey(job), true)
 }
 
-// Expire plans the removal of the jobs that came before a time.
-func (p *Plan) Expire(before time.Time) (Verdict, error) {
+// Expire plans the removal of the jobs that came before a time, of as many as
+// fit into a number of records and at least one.
+func (p *Plan) Expire(before time.Time, most int) (Verdict, error) {
 	p.ledger.mu.Lock()
 	defer p.ledger.mu.Unlock()
 	for id, j := range p.ledger.jobs {
-		if j.CreatedAt >= before.UnixMilli() || j.Open() {
+		if !j.expired(before) {
 			continue
 		}
+		if len(p.Records) > most {
+			return Made, nil
+		}
 		if err := p.expire(id, j); err != nil {
 			return Void, err
 		}
--- /dev/null
+++ b/node/gauge.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"runtime"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// gauge brings the gauges up to now; they are read when they are asked for.
+func (n *Node) gauge() {
+	now := time.Now()
+	set := func(name string, value int64) { metrics.GetOrRegisterGauge(name, n.Metrics).Update(value) }
+	if t := n.table.Current(); t != nil {
+		set("configuration.version", t.Version)
+	}
+	set("configuration.ageMillis", n.configuration.Confirmed(now).Milliseconds())
+	set("servers.ageMillis", n.registrations.Confirmed(now).Milliseconds())
+	set("jobs.ageMillis", n.jobs.Confirmed(now).Milliseconds())
+	counts := n.pool.Counts(now)
+	set("servers.listed", int64(counts.Listed))
+	set("servers.doubted", int64(counts.Doubted))
+	set("slots.all", int64(counts.Slots))
+	set("slots.ownOnline", int64(counts.OwnOnline))
+	set("slots.ownBatch", int64(counts.OwnBatch))
+	set("slots.peersOnline", int64(counts.PeersOnline))
+	set("slots.peersBatch", int64(counts.PeersBatch))
+	jobs, items := n.ledger.Open()
+	set("batch.openJobs", int64(jobs))
+	set("batch.openItems", int64(items))
+	set("batch.waitingItems", int64(n.runner.Waiting()))
+	set("peers.live", int64(len(n.gossip.Live(now))))
+	if n.Events.Budget != nil {
+		set("log.dropped", n.Events.Budget.Dropped())
+	}
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	set("process.goroutines", int64(runtime.NumGoroutine()))
+	set("process.memoryBytes", int64(memory.Sys))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -52,6 +52,8 @@
 	ParseTable  func(raw []byte) (*sardinerock.RouteTable, error)
 	ParseServer func(id string, raw []byte) (sardinerock.BackendServer, error)
 	Events      *event.Logger
+	// Metrics takes all counters and times of the process.
+	Metrics metrics.Registry
 
 	table    *watch.Table
 	servers  *watch.Servers
@@ -62,7 +64,6 @@
 	appender *commit.Appender
 	runner   *runner.Runner
 	relay    *relay.Relay
-	metrics  metrics.Registry
 
 	configuration *watch.Follower
 	registrations *watch.Follower
@@ -81,6 +82,9 @@
 	// jobsInterval is between two reads of the jobs' topic. Nothing waits for
 	// its news but the start of items, which are due seconds later.
 	jobsInterval = 200 * time.Millisecond
+	// keepMargin is kept beyond the time for which results are promised, for
+	// clocks that differ between entries.
+	keepMargin = time.Minute
 	// janitorTick is between two looks at idle connections and lapsed registrations.
 	janitorTick = 250 * time.Millisecond
 	// joinPause is between two tries to write the own address.
@@ -141,7 +145,6 @@
 }
 
 func (n *Node) build(datagrams *net.UDPConn) {
-	n.metrics = metrics.NewRegistry()
 	start := time.Now()
 	n.table = &watch.Table{Key: n.Topics.ConfigurationKey, Parse: n.ParseTable, Events: n.Events}
 	seed := func(part uint64) *rand.Rand {
@@ -166,12 +169,13 @@
 	n.members.Wait = membersWait
 	n.appender = &commit.Appender{
 		Store: n.Store, Topic: n.Topics.Jobs, Follower: n.jobs, Ledger: n.ledger, RecordBytes: n.Settings.RecordBytes,
-		AppendBytes: n.Settings.AppendBytes, Events: n.Events, Metrics: n.metrics,
+		AppendBytes: n.Settings.AppendBytes, Events: n.Events, Metrics: n.Metrics,
 	}
 	n.appender.Prepare()
 	n.runner = &runner.Runner{
 		Name: n.Settings.ID, Batch: n.Batch, Table: n.table.Current, Ledger: n.ledger, Appender: n.appender,
-		Pool: n.pool, Conns: n.conns, Events: n.Events, Metrics: n.metrics,
+		Pool: n.pool, Conns: n.conns, Events: n.Events, Metrics: n.Metrics,
+		Keep:             n.Settings.KeepResults + keepMargin,
 		Pace:             &runner.Pace{View: gossip.Interval, Random: seed(1)},
 		WaitingElsewhere: func() int { return n.gossip.Waiting(time.Now()) },
 		Live:             func() []string { return n.gossip.Live(time.Now()) },
@@ -182,11 +186,11 @@
 		Dialect: n.Dialect, BatchDialect: n.Batch, Table: n.table.Current, Pool: n.pool, Conns: n.conns,
 		Batch: &submit.Front{
 			Dialect: n.Dialect, Batch: n.Batch, Ledger: n.ledger, Follower: n.jobs, Appender: n.appender,
-			Events: n.Events, Metrics: n.metrics,
+			Events: n.Events, Metrics: n.Metrics,
 		},
 		Press:       n.press,
 		PeerCrashes: func(f uint64) int { return n.gossip.Crashes(f, time.Now()) },
-		Events:      n.Events, Metrics: n.metrics,
+		Events:      n.Events, Metrics: n.Metrics,
 	}
 }
 
--- a/node/serve.go
+++ b/node/serve.go
@@ -46,12 +46,13 @@
 }
 
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	scrape.Write(w, n.metrics)
+	n.gauge()
+	scrape.Write(w, n.Metrics)
 }
 
 // front tells callers to come back on another connection once this entry is to stop.
 func (n *Node) front() http.Handler {
-	requests := metrics.GetOrRegisterTimer("front.requests", n.metrics)
+	requests := metrics.GetOrRegisterTimer("front.requests", n.Metrics)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer requests.UpdateSince(time.Now())
 		if n.leaving.Load() {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -393,3 +393,35 @@
 	}
 	return free
 }
+
+// Counts sums up the view.
+type Counts struct {
+	// Listed are the backend servers that aren't draining, Doubted those of them that failed lately.
+	Listed, Doubted int
+	// Slots are those of the listed ones.
+	Slots                                        int
+	OwnOnline, OwnBatch, PeersOnline, PeersBatch int
+}
+
+// Counts returns the sums of the view as it is now.
+func (p *Pool) Counts(now time.Time) Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropSilent(now)
+	var c Counts
+	for _, s := range p.servers {
+		c.OwnOnline += s.online
+		c.OwnBatch += s.batch
+		c.PeersOnline += s.peers.Online
+		c.PeersBatch += s.peers.Batch
+		if s.Draining {
+			continue
+		}
+		c.Listed++
+		c.Slots += s.Slots
+		if now.Before(s.doubtedUntil) {
+			c.Doubted++
+		}
+	}
+	return c
+}
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -291,7 +291,7 @@
 // left notes a caller that didn't wait for its answer.
 func (p *pass) left() {
 	p.relay.count("relay.left")
-	p.relay.Events.Info(event.RequestServed).Str("request", p.call.ID).Str("outcome", "callerLeft").
+	p.relay.Events.Info(event.CallerLeft).Str("request", p.call.ID).Str("route", p.route.Name).
 		Dur("took", time.Since(p.received)).Int("events", p.events).Msg("caller left")
 }
 
@@ -323,7 +323,7 @@
 // abort ends the caller's connection in the middle of an answer, so that it can't be taken for a whole one.
 func (p *pass) abort(err error) {
 	p.relay.count("relay.aborted")
-	p.relay.Events.Warn(event.RequestRefused).Str("request", p.call.ID).Str("route", p.route.Name).Err(err).
+	p.relay.Events.Warn(event.AnswerBroken).Str("request", p.call.ID).Str("route", p.route.Name).Err(err).
 		Int("events", p.events).Int("runs", p.runs).Dur("took", time.Since(p.received)).Msg("answer broken off")
 	panic(http.ErrAbortHandler)
 }
@@ -335,6 +335,6 @@
 }
 
 func (p *pass) log(choice *pool.Choice, err error) {
-	p.relay.Events.Warn(event.BackendState).Str("request", p.call.ID).Str("server", choice.ID).Err(err).
+	p.relay.Events.Warn(event.TryFailed).Str("request", p.call.ID).Str("server", choice.ID).Err(err).
 		Dur("took", time.Since(p.received)).Msg("try failed")
 }
--- a/runner/run.go
+++ b/runner/run.go
@@ -41,7 +41,7 @@
 	if o == succeeded {
 		r.Pool.Served(choice.ID)
 	}
-	r.Events.Info(event.GateSlots).Str("job", i.open.Job).Str("item", i.open.Item.ID).Str("server", choice.ID).
+	r.Events.Info(event.ItemStopped).Str("job", i.open.Job).Str("item", i.open.Item.ID).Str("server", choice.ID).
 		Int("outcome", int(o)).Int("events", i.events).Dur("took", time.Since(i.started)).Err(err).Msg("item left its slot")
 	switch o {
 	case succeeded:
@@ -121,6 +121,6 @@
 		return p.Finish(open.Job, open.Index, &result)
 	})
 	metrics.GetOrRegisterCounter("batch.recorded", r.Metrics).Inc(1)
-	r.Events.Info(event.JobFinished).Str("job", open.Job).Str("item", open.Item.ID).Bool("succeeded", result.Succeeded).
+	r.Events.Info(event.ItemRecorded).Str("job", open.Job).Str("item", open.Item.ID).Bool("succeeded", result.Succeeded).
 		Int("verdict", int(verdict)).Err(err).Msg("item recorded")
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -27,6 +27,9 @@
 	settleTime = 600 * time.Millisecond
 	// retryPause is how long an item rests after a try that failed.
 	retryPause = 200 * time.Millisecond
+	// expiryTick is between two removals of old jobs: at 200 results a second
+	// that is 25 MB of the store's 400 in between.
+	expiryTick = 10 * time.Second
 	// noteTimeout is how long the store may take to record progress; the next
 	// record holds all that this one would have.
 	noteTimeout = 3 * time.Second
@@ -35,6 +38,13 @@
 	eventSilence = 2 * time.Second
 )
 
+// expiryKey decides by its hash which entry removes old jobs.
+const expiryKey = "expiry"
+
+// expiryRecords bounds the records of one removal, so that an append stays
+// small; what is left goes with the next one.
+const expiryRecords = 2000
+
 // Runner runs the items of batch jobs.
 type Runner struct {
 	// Name is this entry's name.
@@ -53,8 +63,10 @@
 	Live func() []string
 	// RunningElsewhere returns the items that other live entries run.
 	RunningElsewhere func() map[uint64]bool
-	Events           *event.Logger
-	Metrics          metrics.Registry
+	// Keep is how long jobs stay in the store after they came.
+	Keep    time.Duration
+	Events  *event.Logger
+	Metrics metrics.Registry
 
 	mu      sync.Mutex
 	items   map[uint64]*item
@@ -103,11 +115,16 @@
 	}
 	t := time.NewTicker(tick)
 	defer t.Stop()
+	e := time.NewTicker(expiryTick)
+	defer e.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			r.group.Wait()
 			return
+		case <-e.C:
+			r.expireJobs(ctx)
+			continue
 		case <-t.C:
 		case <-r.wake:
 		}
@@ -118,6 +135,26 @@
 	}
 }
 
+// expireJobs removes old jobs from the store, at one entry of all: the store
+// keeps the newest record of each key for good, and is full at some size.
+func (r *Runner) expireJobs(ctx context.Context) {
+	if r.Keep <= 0 || Owner(expiryKey, r.Live()) != r.Name {
+		return
+	}
+	before := time.Now().Add(-r.Keep)
+	if !r.Ledger.HasBefore(before) {
+		return
+	}
+	r.group.Add(1)
+	go func() {
+		defer r.group.Done()
+		ctx, cancel := context.WithTimeout(ctx, noteTimeout)
+		defer cancel()
+		_, err := r.Appender.SubmitLazily(ctx, func(p *ledger.Plan) (ledger.Verdict, error) { return p.Expire(before, expiryRecords) })
+		r.Events.Info(event.JobsExpired).Time("before", before).Err(err).Msg("old jobs removed")
+	}()
+}
+
 // Leave starts no more items.
 func (r *Runner) Leave() {
 	r.mu.Lock()
@@ -177,7 +214,7 @@
 		}
 		i.gaveWay = true
 		i.cancel()
-		r.Events.Info(event.GatePreempted).Str("job", i.open.Job).Str("item", i.open.Item.ID).Str("server", server).
+		r.Events.Info(event.ItemGaveWay).Str("job", i.open.Job).Str("item", i.open.Item.ID).Str("server", server).
 			Int("events", i.events).Msg("item gives way")
 		metrics.GetOrRegisterCounter("batch.gaveWay", r.Metrics).Inc(1)
 	}
@@ -328,7 +365,7 @@
 	}
 	i.open, i.running, i.server, i.started, i.cancel, i.gaveWay = c.OpenItem, true, choice.ID, time.Now(), cancel, false
 	r.mu.Unlock()
-	r.Events.Info(event.PlacementChosen).Str("job", c.Job).Str("item", c.Item.ID).Str("server", choice.ID).
+	r.Events.Info(event.ItemStarted).Str("job", c.Job).Str("item", c.Item.ID).Str("server", choice.ID).
 		Int("online", choice.Online).Int("batch", choice.Batch).Str("resume", i.progress.LastEvent).Msg("item started")
 	r.group.Add(1)
 	go func() {
--- /dev/null
+++ b/story/story.go
@@ -0,0 +1,192 @@
+package story
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/sardinerock/sardinerock/event"
+)
+
+// Line is one line of a log.
+type Line struct {
+	Time    time.Time
+	Process string
+	Event   event.ID
+	Message string
+	// Fields are the others, as they stand in the line.
+	Fields map[string]any
+}
+
+// longestLine bounds a line that is read, in bytes.
+const longestLine = 1 << 20
+
+// Read reads the lines of a log; what isn't one of our lines is passed over.
+// Whatever stands before the line's first brace is passed over too: collectors put a name there.
+func Read(r io.Reader) ([]Line, error) {
+	var lines []Line
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, longestLine)
+	for s.Scan() {
+		if line, ok := parse(s.Bytes()); ok {
+			lines = append(lines, line)
+		}
+	}
+	return lines, s.Err()
+}
+
+func parse(raw []byte) (Line, bool) {
+	at := bytes.IndexByte(raw, '{')
+	if at < 0 {
+		return Line{}, false
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(raw[at:], &fields); err != nil {
+		return Line{}, false
+	}
+	number, ok := fields["event"].(float64)
+	if !ok {
+		return Line{}, false
+	}
+	line := Line{Event: event.ID(number), Fields: fields}
+	line.Process, _ = fields["process"].(string)
+	line.Message, _ = fields["message"].(string)
+	text, _ := fields["time"].(string)
+	at0, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return Line{}, false
+	}
+	line.Time = at0
+	for _, name := range []string{"time", "level", "event", "process", "message"} {
+		delete(fields, name)
+	}
+	return line, true
+}
+
+// idFields are the fields in which the id of a request, job or item may stand.
+var idFields = []string{"request", "job", "item"}
+
+// about says whether a line is about an id.
+func (l *Line) about(id string) bool {
+	return slices.ContainsFunc(idFields, func(name string) bool { return l.Fields[name] == id })
+}
+
+// background are events that concern many requests: what was believed of the
+// store, the configuration, the peers and the backend servers.
+var background = []event.ID{
+	event.BackendState, event.LogOutage, event.LogBack, event.AppendFailed, event.BundleInForce, event.BundleRejected,
+	event.PeerUp, event.PeerDown, event.Started, event.Stopping, event.Stopped, event.Reloaded, event.LinesDropped,
+}
+
+// around is how long before a request's first line its background is told.
+const around = 2 * time.Second
+
+// Select returns the lines about an id in the order of their times, with the
+// background of the processes and backend servers that they name. The order
+// between processes is as good as their clocks.
+func Select(lines []Line, id string) []Line {
+	var own []Line
+	processes, servers := map[string]bool{}, map[any]bool{}
+	for _, l := range lines {
+		if l.about(id) {
+			own = append(own, l)
+			processes[l.Process] = true
+			if s := l.Fields["server"]; s != nil {
+				servers[s] = true
+			}
+		}
+	}
+	if len(own) == 0 {
+		return nil
+	}
+	sort.SliceStable(own, func(i, j int) bool { return own[i].Time.Before(own[j].Time) })
+	first, last := own[0].Time.Add(-around), own[len(own)-1].Time
+	for _, l := range lines {
+		if l.about(id) || !processes[l.Process] || l.Time.Before(first) || l.Time.After(last) || !slices.Contains(background, l.Event) {
+			continue
+		}
+		if s := l.Fields["server"]; s == nil || servers[s] {
+			own = append(own, l)
+		}
+	}
+	sort.SliceStable(own, func(i, j int) bool { return own[i].Time.Before(own[j].Time) })
+	return own
+}
+
+// Tell writes the lines for a reader, each with the time since the first line
+// about the id, and after them what it came to.
+func Tell(w io.Writer, lines []Line, id string) error {
+	start := lines[slices.IndexFunc(lines, func(l Line) bool { return l.about(id) })].Time
+	for i := range lines {
+		l := &lines[i]
+		mark := " "
+		if l.about(id) {
+			mark = "*"
+		}
+		if _, err := fmt.Fprintf(w, "%+9.3fs %s %-22s %3d %s%s\n", l.Time.Sub(start).Seconds(), mark, l.Process, l.Event, l.Message, l.details(id)); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintln(w, "outcome: "+Outcome(lines, id))
+	return err
+}
+
+// details writes the fields in the order of their names.
+func (l *Line) details(id string) string {
+	names := make([]string, 0, len(l.Fields))
+	for name, value := range l.Fields {
+		if value != id && value != "" && value != nil {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	var b strings.Builder
+	for _, name := range names {
+		fmt.Fprintf(&b, " %s=%v", name, l.Fields[name])
+	}
+	return b.String()
+}
+
+// endings are the events after which nothing more comes of a request, with what each means.
+var endings = map[event.ID]string{
+	event.RequestServed:  "answered",
+	event.RequestRefused: "refused or given up",
+	event.AnswerBroken:   "broken off in the middle of the answer",
+	event.CallerLeft:     "the caller left",
+	event.ItemRecorded:   "recorded",
+	event.JobAccepted:    "accepted",
+	event.JobCancelled:   "ended by its caller",
+	event.ItemFailed:     "given up",
+}
+
+// Outcome says in one line what became of an id, with the last try that failed.
+func Outcome(lines []Line, id string) string {
+	text, tries := "no line tells how it ended: its process was lost, or its lines were dropped or are not in these files", ""
+	for i := range lines {
+		l := &lines[i]
+		if !l.about(id) {
+			continue
+		}
+		switch l.Event {
+		case event.TryFailed, event.ItemStopped:
+			if l.Fields["error"] != nil {
+				tries = fmt.Sprintf("; last failed try: server=%v %v", l.Fields["server"], l.Fields["error"])
+			}
+		}
+		if ending, ok := endings[l.Event]; ok {
+			text = ending
+			for _, name := range []string{"status", "reason", "error", "succeeded", "runs", "took"} {
+				if value := l.Fields[name]; value != nil {
+					text += fmt.Sprintf(", %s %v", name, value)
+				}
+			}
+		}
+	}
+	return text + tries
+}
--- /dev/null
+++ b/story/story_test.go
@@ -0,0 +1,50 @@
+package story
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+const logs = `  3.1 front-1 {"time":"2026-01-02T10:00:01.000Z","level":"info","event":201,"process":"front-1","request":"r1","server":"i-1","online":3,"message":"sent"}
+no line of ours
+{"time":"2026-01-02T10:00:00.500Z","level":"info","event":407,"process":"front-1","server":"i-1","message":"backend server seen"}
+{"time":"2026-01-02T10:00:00.600Z","level":"info","event":407,"process":"front-1","server":"i-9","message":"backend server seen"}
+{"time":"2026-01-02T10:00:01.200Z","level":"warn","event":905,"process":"front-1","request":"r1","server":"i-1","error":"reset","message":"try failed"}
+{"time":"2026-01-02T10:00:01.300Z","level":"warn","event":901,"process":"front-1","request":"r1","status":502,"reason":"the backend server broke off","runs":1,"message":"given up"}
+{"time":"2026-01-02T10:00:01.250Z","level":"info","event":902,"process":"front-2","request":"r2","message":"answered"}
+`
+
+func TestStoryOfARequest(t *testing.T) {
+	g := NewWithT(t)
+	lines, err := Read(strings.NewReader(logs))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(lines).To(HaveLen(6))
+	chosen := Select(lines, "r1")
+	g.Expect(chosen).To(HaveLen(4), "three of its own and the state of its backend server")
+	g.Expect(chosen[0].Message).To(Equal("backend server seen"))
+	var out bytes.Buffer
+	g.Expect(Tell(&out, chosen, "r1")).To(Succeed())
+	g.Expect(out.String()).To(ContainSubstring("outcome: refused or given up, status 502, reason the backend server broke off, runs 1; last failed try: server=i-1 reset"))
+	g.Expect(out.String()).To(ContainSubstring("   -0.500s"))
+	g.Expect(Select(lines, "r3")).To(BeEmpty())
+}
+
+func TestLostProcessIsSaid(t *testing.T) {
+	g := NewWithT(t)
+	lines, err := Read(strings.NewReader(strings.SplitAfter(logs, "\n")[0]))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(Outcome(Select(lines, "r1"), "r1")).To(ContainSubstring("its process was lost"))
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(logs))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		lines, err := Read(bytes.NewReader(raw))
+		if err == nil && len(lines) > bytes.Count(raw, []byte("\n"))+1 {
+			t.Fatal("more lines than there are")
+		}
+	})
+}
