relay: late requests wait at the entry while slots are taken; start is awaited

Requests that met a process in its first 80 ms were refused for want of a configuration. Change: relay.admission sends a request into a backend server's queue only if it will begin in time there; others wait at the entry until a slot is free or their time is short. A request waits up to 0.3 s for a process that has just started; the jobs are read after configuration and backend servers.

--- a/event/event.go
+++ b/event/event.go
@@ -63,6 +63,7 @@
 	CallerLeft      ID = 903
 	AnswerBroken    ID = 904
 	TryFailed       ID = 905
+	RequestHeld     ID = 906
 )
 
 // Logger writes numbered events; its zero value writes nowhere.
--- a/node/node.go
+++ b/node/node.go
@@ -73,7 +73,9 @@
 	// settings are those in force; addresses to listen on stay those of the start.
 	settings atomic.Pointer[conf.Node]
 	leaving  atomic.Bool
-	group    sync.WaitGroup
+	// started is closed once callers can be served.
+	started chan struct{}
+	group   sync.WaitGroup
 }
 
 const (
@@ -87,6 +89,8 @@
 	keepMargin = time.Minute
 	// janitorTick is between two looks at idle connections and lapsed registrations.
 	janitorTick = 250 * time.Millisecond
+	// startTick is between two looks whether the start is complete.
+	startTick = 5 * time.Millisecond
 	// joinPause is between two tries to write the own address.
 	joinPause = 300 * time.Millisecond
 )
@@ -147,6 +151,7 @@
 func (n *Node) build(datagrams *net.UDPConn) {
 	start := time.Now()
 	n.table = &watch.Table{Key: n.Topics.ConfigurationKey, Parse: n.ParseTable, Events: n.Events}
+	n.started = make(chan struct{})
 	seed := func(part uint64) *rand.Rand {
 		return rand.New(rand.NewPCG(uint64(start.UnixNano()), pool.Hash(n.Settings.ID)+part))
 	}
@@ -189,6 +194,8 @@
 			Events: n.Events, Metrics: n.Metrics,
 		},
 		Press:       n.press,
+		Started:     n.started,
+		Entries:     func() int { return len(n.gossip.Live(time.Now())) },
 		PeerCrashes: func(f uint64) int { return n.gossip.Crashes(f, time.Now()) },
 		Events:      n.Events, Metrics: n.Metrics,
 	}
@@ -232,7 +239,7 @@
 func (n *Node) start(ctx context.Context) {
 	n.goRun(ctx, n.configuration.Run)
 	n.goRun(ctx, n.registrations.Run)
-	n.goRun(ctx, n.jobs.Run)
+	n.goRun(ctx, n.awaitStart)
 	n.goRun(ctx, n.members.Run)
 	n.goRun(ctx, n.gossip.Run)
 	n.goRun(ctx, n.appender.Run)
@@ -240,6 +247,22 @@
 	n.goRun(ctx, n.join)
 }
 
+// awaitStart notes when callers can be served. The jobs are read after that:
+// they are many megabytes, and online requests don't need them.
+func (n *Node) awaitStart(ctx context.Context) {
+	t := time.NewTicker(startTick)
+	defer t.Stop()
+	for n.table.Current() == nil || !n.registrations.Loaded() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+	close(n.started)
+	n.jobs.Run(ctx)
+}
+
 func (n *Node) goRun(ctx context.Context, run func(context.Context)) {
 	n.group.Add(1)
 	go func() {
--- /dev/null
+++ b/relay/admit.go
@@ -0,0 +1,79 @@
+package relay
+
+import "time"
+
+const (
+	// firstEventTime is from the beginning of a run to its first event: reading
+	// a prompt of 450 tokens at 85 tokens/ms and the first steps take 20 to 30 ms.
+	firstEventTime = 40 * time.Millisecond
+	// serveMargin is kept of a request's time beyond the time that a run takes
+	// on average; long answers take twice that.
+	serveMargin = 2
+	// holdTick is between two looks for a free slot; answers end every few
+	// milliseconds over the whole fleet.
+	holdTick = 15 * time.Millisecond
+	// heldRuns is how many runs a slot can do while a request waits: five
+	// seconds of patience, less two at the end, in runs of 0.7 s.
+	heldRuns = 4
+)
+
+// admission is what decides whether a request is sent now.
+type admission struct {
+	// Online is what the least loaded backend server runs and has waiting, Slots what it runs at once.
+	Online, Slots int
+	// Run is how long a run takes on average.
+	Run time.Duration
+	// Waited is how long the caller has waited, over all its tries; Left is the time until it gives up.
+	Waited, Left time.Duration
+	// Target is the time within which the answer has to begin, or to be whole if it is no stream.
+	Target time.Duration
+	Stream bool
+	// Held is how many requests this entry holds back, Most how many can be served in time.
+	Held, Most int
+}
+
+// action is what is done with a request.
+type action int
+
+const (
+	// send passes it on now.
+	send action = iota
+	// hold keeps it until a slot is free or its time runs short.
+	hold
+	// refuse gives its final answer now.
+	refuse
+)
+
+// decide orders requests when all slots are taken. The load that it answers:
+// all entries were lost for two seconds, and whoever asked meanwhile asks again
+// at the same moment, together with the ordinary load. Backend servers take
+// requests in order of arrival; if all were sent at once, those whose time is
+// over anyway would stand in front of the fresh ones and make each of them late
+// too, for as long as the queue lasts. So a request waits at a backend server
+// only if it will still begin in time there; all others wait here, where a
+// fresh one can overtake them, and go once there is room or their time is short.
+func (a *admission) decide() action {
+	ahead := a.Online - a.Slots + 1
+	if ahead <= 0 {
+		return send
+	}
+	wait := time.Duration(ahead) * a.Run / time.Duration(a.Slots)
+	needed := firstEventTime
+	if !a.Stream {
+		needed = a.Run
+	}
+	if a.Waited+wait+needed <= a.Target {
+		return send
+	}
+	if a.Left < wait+serveMargin*a.Run {
+		// Later it could not be whole in time; now it may be.
+		if float64(a.Online) < float64(a.Slots)*(1+waitingShare) {
+			return send
+		}
+		return refuse
+	}
+	if a.Held >= a.Most {
+		return refuse
+	}
+	return hold
+}
--- /dev/null
+++ b/relay/admit_test.go
@@ -0,0 +1,123 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const ms = time.Millisecond
+
+func TestDecide(t *testing.T) {
+	base := admission{Online: 8, Slots: 8, Run: 700 * ms, Left: 5 * time.Second, Target: 300 * ms, Stream: true, Most: 10}
+	for name, one := range map[string]struct {
+		change func(a *admission)
+		want   action
+	}{
+		"a free slot":                           {func(a *admission) { a.Online = 7; a.Waited = time.Second }, send},
+		"fresh, short queue":                    {func(*admission) {}, send},
+		"fresh, long queue":                     {func(a *admission) { a.Online = 12 }, hold},
+		"late already":                          {func(a *admission) { a.Waited = 400 * ms }, hold},
+		"late, time runs short":                 {func(a *admission) { a.Waited = 3 * time.Second; a.Left = 1400 * ms }, send},
+		"late, time runs short, no place":       {func(a *admission) { a.Online = 16; a.Waited = 3 * time.Second; a.Left = 1400 * ms }, refuse},
+		"more held than can be served":          {func(a *admission) { a.Waited = time.Second; a.Held = 10 }, refuse},
+		"no stream has to be whole":             {func(a *admission) { a.Stream = false }, hold},
+		"short calls wait for more before them": {func(a *admission) { a.Stream = false; a.Run = 30 * ms; a.Online = 16 }, send},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := base
+			one.change(&a)
+			NewWithT(t).Expect(a.decide()).To(Equal(one.want))
+		})
+	}
+}
+
+// All entries were lost for two seconds at twice the mean load; then all
+// callers of that time come back at once, while the ordinary load goes on.
+// Requests that are sent as they come all wait in one queue, and the fresh
+// ones are late until it is gone. Held back, the late ones cost the fresh ones nothing.
+func TestFreshRequestsDontWaitBehindLateOnes(t *testing.T) {
+	g := NewWithT(t)
+	plain := playReturn(func(a *admission) action { return send })
+	ordered := playReturn((*admission).decide)
+	t.Logf("on time of %d fresh: %d sent as they come, %d ordered; answered in all: %d and %d of %d",
+		plain.fresh, plain.onTime, ordered.onTime, plain.served, ordered.served, plain.asked)
+	g.Expect(ordered.onTime).To(BeNumerically(">=", ordered.fresh*9/10))
+	g.Expect(ordered.onTime).To(BeNumerically(">", plain.onTime*5/4))
+	g.Expect(ordered.served).To(Equal(ordered.asked), "nobody is lost for it")
+}
+
+// returned is what became of the requests of a played return.
+type returned struct{ asked, fresh, onTime, served int }
+
+// playReturn plays the return in steps of a millisecond on one queue before
+// all slots: 144 of them, 0.35 to 1.05 s a run, 100 requests a second and 250 at once.
+func playReturn(decide func(a *admission) action) returned {
+	const slots, run, rate, back = 144, 700, 100, 250
+	random := rand.New(rand.NewPCG(1, 1))
+	type request struct{ asked, waited int }
+	var queue, held []request
+	busy := make([]int, 0, slots)
+	var out returned
+	admit := func(now int, r request) bool {
+		a := admission{
+			Online: (len(busy) + len(queue)) * 8 / slots, Slots: 8, Run: run * ms, Target: 300 * ms, Stream: true,
+			Waited: time.Duration(r.waited+now-r.asked) * ms, Left: time.Duration(5000-r.waited-(now-r.asked)) * ms,
+			Held: len(held), Most: 1000,
+		}
+		if decide(&a) != send {
+			return false
+		}
+		queue = append(queue, r)
+		return true
+	}
+	for now := range 8000 {
+		var arrivals []request
+		if now == 0 {
+			for n := range back {
+				arrivals = append(arrivals, request{asked: 0, waited: 300 + 8*n%1900})
+			}
+		}
+		if now < 3000 && now%(1000/rate) == 0 {
+			arrivals = append(arrivals, request{asked: now})
+			out.fresh++
+		}
+		out.asked += len(arrivals)
+		still := busy[:0]
+		for _, end := range busy {
+			if end > now {
+				still = append(still, end)
+			}
+		}
+		busy = still
+		for _, r := range arrivals {
+			if !admit(now, r) {
+				held = append(held, r)
+			}
+		}
+		if now%15 == 0 {
+			waiting := held
+			held = nil
+			for _, r := range waiting {
+				if !admit(now, r) {
+					held = append(held, r)
+				}
+			}
+		}
+		for len(queue) > 0 && len(busy) < slots {
+			r := queue[0]
+			queue = queue[1:]
+			took := run/2 + random.IntN(run)
+			busy = append(busy, now+took)
+			if r.waited+now-r.asked+took <= 5000 {
+				out.served++
+			}
+			if r.waited == 0 && now-r.asked+20 <= 300 {
+				out.onTime++
+			}
+		}
+	}
+	return out
+}
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -52,6 +52,8 @@
 	version  int64
 	service  string
 	received time.Time
+	// before is how long the caller had waited when this try came.
+	before   time.Duration
 	deadline time.Time
 	print    uint64
 
@@ -87,14 +89,8 @@
 
 // choose picks the next backend server, or gives the final answer if there is none.
 func (p *pass) choose() (pool.Choice, bool) {
-	choice, ok := p.relay.Pool.Online(p.service, p.tried, time.Now())
+	choice, ok := p.admitted()
 	if !ok {
-		p.giveUp("no backend server to send to", lostRetry)
-		return choice, false
-	}
-	if float64(choice.Online) >= float64(choice.Slots)*(1+waitingShare) {
-		p.relay.Pool.Done(choice.ID, false, false, time.Now())
-		p.giveUp("all slots and waiting places are taken", fullRetry)
 		return choice, false
 	}
 	if choice.Full() && choice.Batch > 0 {
@@ -106,6 +102,65 @@
 	return choice, true
 }
 
+// admitted waits until a backend server is to get the request.
+func (p *pass) admitted() (pool.Choice, bool) {
+	for held := false; ; held = true {
+		choice, ok := p.relay.Pool.Online(p.service, p.tried, time.Now())
+		if !ok {
+			p.giveUp("no backend server to send to", lostRetry)
+			return choice, false
+		}
+		a := p.admission(&choice)
+		switch a.decide() {
+		case send:
+			if held {
+				p.relay.Events.Info(event.RequestHeld).Str("request", p.call.ID).Dur("waited", a.Waited).Dur("left", a.Left).
+					Int("held", a.Held).Msg("held back until now")
+			}
+			return choice, true
+		case refuse:
+			p.relay.Pool.Done(choice.ID, false, false, time.Now())
+			p.giveUp("all slots and waiting places are taken", fullRetry)
+			return choice, false
+		}
+		p.relay.Pool.Done(choice.ID, false, false, time.Now())
+		if !p.wait() {
+			p.left()
+			return choice, false
+		}
+	}
+}
+
+// wait holds the request back for a moment, and says false if its caller left.
+func (p *pass) wait() bool {
+	p.relay.held.Add(1)
+	defer p.relay.held.Add(-1)
+	t := time.NewTimer(holdTick)
+	defer t.Stop()
+	select {
+	case <-p.ctx.Done():
+		return !errors.Is(p.ctx.Err(), context.Canceled)
+	case <-t.C:
+		return true
+	}
+}
+
+func (p *pass) admission(choice *pool.Choice) admission {
+	now := time.Now()
+	run, slots := p.relay.Pool.Capacity(p.service, now)
+	return admission{
+		Online: choice.Online,
+		Slots:  choice.Slots,
+		Run:    run,
+		Waited: p.before + now.Sub(p.received),
+		Left:   p.deadline.Sub(now),
+		Target: p.route.Target,
+		Stream: p.route.Kind == sardinerock.RouteStream,
+		Held:   int(p.relay.held.Load()),
+		Most:   heldRuns * slots / max(p.relay.Entries(), 1),
+	}
+}
+
 // try sends the request once.
 func (p *pass) try(choice *pool.Choice) verdict {
 	left := time.Until(p.deadline)
@@ -125,10 +180,11 @@
 		return broken
 	}
 	defer answer.Finish()
+	sent := time.Now()
 	v, failed := p.take(answer)
 	p.relay.Pool.Done(choice.ID, false, failed, time.Now())
 	if !failed && v == done {
-		p.relay.Pool.Served(choice.ID)
+		p.relay.Pool.Served(choice.ID, time.Since(sent))
 	}
 	return v
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,9 @@
 const (
 	// startupRetry is told to callers while no configuration is known; one is read within a second of the start.
 	startupRetry = 500 * time.Millisecond
+	// startupTime is how long a request waits for a process that has just
+	// started; the configuration is read within 0.1 s if the store answers.
+	startupTime = 300 * time.Millisecond
 	// fullRetry is told when all slots and places to wait are taken: answers
 	// take 0.7 s and end spread over that time, so that places are free again after this.
 	fullRetry = 200 * time.Millisecond
@@ -58,16 +62,26 @@
 	Press func(server string)
 	// PeerCrashes returns how often other entries saw backend servers break during a request.
 	PeerCrashes func(fingerprint uint64) int
-	Events      *event.Logger
-	Metrics     metrics.Registry
+	// Started is closed once the configuration and the backend servers are known.
+	Started <-chan struct{}
+	// Entries returns how many entries live, this one included.
+	Entries func() int
+	Events  *event.Logger
+	Metrics metrics.Registry
+
+	// held counts the requests that wait here for a slot.
+	held atomic.Int64
 
 	mu      sync.Mutex
 	crashes map[uint64]int
+	// patience is the longest time that callers of each route were ready to wait.
+	patience map[string]time.Duration
 }
 
 // ServeHTTP implements http.Handler.
 func (l *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
+	l.awaitStart(r.Context())
 	table := l.Table()
 	if table == nil {
 		l.refuse(w, r, http.StatusServiceUnavailable, "no configuration is known yet", startupRetry)
@@ -97,6 +111,23 @@
 	p.run()
 }
 
+// awaitStart holds a request back while the process has just started: both are
+// known a few hundredths of a second later, and the caller has one more try at most.
+func (l *Relay) awaitStart(ctx context.Context) {
+	select {
+	case <-l.Started:
+		return
+	default:
+	}
+	t := time.NewTimer(startupTime)
+	defer t.Stop()
+	select {
+	case <-l.Started:
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 var errBodyTooLarge = errors.New("the body is larger than the configuration allows")
 
 func bodyStatus(err error) int {
@@ -211,6 +242,24 @@
 	return route.Shares[len(route.Shares)-1].Service
 }
 
+// waitedBefore returns how long a caller waited before this try of its. What
+// callers are ready to wait is the same for all first tries of a route; a later
+// try has less left.
+func (l *Relay) waitedBefore(route string, wait time.Duration) time.Duration {
+	if wait <= 0 {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.patience == nil {
+		l.patience = map[string]time.Duration{}
+	}
+	if wait > l.patience[route] {
+		l.patience[route] = wait
+	}
+	return l.patience[route] - wait
+}
+
 func isStream(a *conns.Answer) bool {
 	return strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream")
 }
@@ -233,6 +282,7 @@
 	if call.Wait > 0 && call.Wait < route.Timeout {
 		p.deadline = received.Add(call.Wait)
 	}
+	p.before = l.waitedBefore(route.Name, call.Wait)
 	p.ctx, p.cancel = context.WithDeadline(r.Context(), p.deadline)
 	return p
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -66,13 +66,20 @@
 	l := &relay.Relay{
 		Dialect: platform.Dialect{}, BatchDialect: platform.Dialect{}, Table: func() *sardinerock.RouteTable { return s.table },
 		Pool: s.pool, Conns: &conns.Conns{Dialect: platform.Dialect{}}, Press: func(string) {},
-		PeerCrashes: func(uint64) int { return 0 }, Events: &event.Logger{}, Metrics: metrics.NewRegistry(),
+		PeerCrashes: func(uint64) int { return 0 }, Entries: func() int { return 1 }, Started: s.started(), Events: &event.Logger{}, Metrics: metrics.NewRegistry(),
 	}
 	s.front = httptest.NewServer(l)
 	t.Cleanup(s.front.Close)
 	return s
 }
 
+// started returns a closed channel: the site knows all it needs.
+func (s *site) started() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
+
 func route(prefix string, kind sardinerock.RouteKind, attempts int, resumable bool) sardinerock.Route {
 	return sardinerock.Route{
 		Name: prefix, Host: "h.example", Prefix: prefix, Kind: kind, Resumable: resumable, MaxAttempts: attempts,
--- a/runner/run.go
+++ b/runner/run.go
@@ -39,7 +39,7 @@
 	r.Pool.Done(choice.ID, true, against, time.Now())
 	metrics.GetOrRegisterCounter("batch.runs", r.Metrics).Inc(1)
 	if o == succeeded {
-		r.Pool.Served(choice.ID)
+		r.Pool.Works(choice.ID)
 	}
 	r.Events.Info(event.ItemStopped).Str("job", i.open.Job).Str("item", i.open.Item.ID).Str("server", choice.ID).
 		Int("outcome", int(o)).Int("events", i.events).Dur("took", time.Since(i.started)).Err(err).Msg("item left its slot")
