--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,383 @@
+package node_test
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/conf"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/fakes"
+	"github.com/sardinerock/sardinerock/node"
+	"github.com/sardinerock/sardinerock/platform"
+)
+
+// patience is how long anything may take here on a busy machine.
+const patience = 30 * time.Second
+
+// fleet is a few entries in this process before a store in memory and engines
+// that stream events.
+type fleet struct {
+	t       *testing.T
+	g       *WithT
+	store   *fakes.MemStore
+	entries []*entry
+	// events is how many events an engine makes for a request, one a pace.
+	events int
+	pace   time.Duration
+	// runs counts the runs by request.
+	mu      sync.Mutex
+	runs    map[string]int
+	resumed map[string][]string
+	status  atomic.Int32
+}
+
+type entry struct {
+	settings *conf.Node
+	stop     context.CancelFunc
+	done     chan error
+}
+
+const (
+	configTopic  = "operator"
+	serversTopic = "servers"
+)
+
+func newFleet(t *testing.T, entries int) *fleet {
+	f := &fleet{t: t, g: NewWithT(t), store: &fakes.MemStore{PageSize: 50}, events: 5, pace: time.Millisecond, runs: map[string]int{}, resumed: map[string][]string{}}
+	f.status.Store(http.StatusOK)
+	f.configure(1, "/letters/")
+	for i := range 2 {
+		f.startEngine(fmt.Sprint("i-", i))
+	}
+	for i := range entries {
+		f.entries = append(f.entries, f.start(fmt.Sprint("front-", i)))
+	}
+	for _, e := range f.entries {
+		f.g.Eventually(func() int { return f.get("http://" + e.settings.ReadyAddress) }, patience).Should(Equal(http.StatusOK))
+	}
+	return f
+}
+
+func (f *fleet) put(topic, key, value string) {
+	f.g.Expect(f.store.Put(context.Background(), topic, sardinerock.StoreRecord{Key: key, Value: []byte(value)})).To(Succeed())
+}
+
+// configure puts a configuration in force, with one more route for online work.
+func (f *fleet) configure(version int, prefix string) {
+	f.put(configTopic, "config", fmt.Sprintf(`{"version":%d,"routes":[
+		{"name":"b","host":"h","path_prefix":"/batch/","kind":"batch","service":"s","max_attempts":2,"completion_target_ms":18000,"retention_s":60,"max_count":100},
+		{"name":"l","host":"h","path_prefix":%q,"kind":"streaming","resumable":true,"service":"s","max_attempts":2,"timeout_ms":5000,"target_latency_ms":300}],
+		"limits":{"max_body_bytes":100000,"idle_timeout_ms":15000}}`, version, prefix))
+}
+
+// startEngine registers a backend server that streams as many events as it should, from where it is asked to go on.
+func (f *fleet) startEngine(id string) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		request := r.Header.Get("Request-Id")
+		f.mu.Lock()
+		f.runs[request]++
+		if after := r.Header.Get("Last-Event-Id"); after != "" {
+			f.resumed[request] = append(f.resumed[request], after)
+		}
+		f.mu.Unlock()
+		w.Header().Set("Request-Id", request)
+		w.Header().Set("Response-Signature", "sig")
+		if status := int(f.status.Load()); status != http.StatusOK {
+			w.WriteHeader(status)
+			return
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		for i := first + 1; i <= f.events; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i, request, i)
+			_ = http.NewResponseController(w).Flush()
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(f.pace):
+			}
+		}
+	}))
+	f.t.Cleanup(s.Close)
+	f.put(serversTopic, id, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","slots":4,"state":"ready","sequence":1}`, s.Listener.Addr()))
+}
+
+func freeAddress(g *WithT) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (f *fleet) start(name string) *entry {
+	e := &entry{done: make(chan error, 1), settings: &conf.Node{
+		ID: name, Zone: "z", CallerAddress: freeAddress(f.g), ReadyAddress: freeAddress(f.g), PeerAddress: freeAddress(f.g),
+		MetricsAddress: freeAddress(f.g), RecordBytes: 1000, AppendBytes: 50_000, ShutdownTimeout: 5 * time.Second, KeepResults: time.Hour,
+	}}
+	ctx, stop := context.WithCancel(context.Background())
+	e.stop = stop
+	n := &node.Node{
+		Settings: e.settings, Store: f.store, Dialect: platform.Dialect{}, Batch: platform.Dialect{}, Events: &event.Logger{}, Metrics: metrics.NewRegistry(),
+		Topics:     node.Topics{Configuration: configTopic, ConfigurationKey: "config", Servers: serversTopic, Members: "members", Jobs: "jobs"},
+		ParseTable: platform.ParseConfiguration, ParseServer: platform.ParseServer,
+	}
+	go func() { e.done <- n.Run(ctx) }()
+	f.t.Cleanup(func() {
+		stop()
+		select {
+		case err := <-e.done:
+			f.g.Expect(err).NotTo(HaveOccurred())
+		case <-time.After(patience):
+			f.t.Error("an entry doesn't stop")
+		}
+	})
+	return e
+}
+
+func (f *fleet) get(url string) int {
+	answer, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	answer.Body.Close()
+	return answer.StatusCode
+}
+
+// call sends a request to an entry and returns the status and the body.
+func (f *fleet) call(e *entry, method, path, id, body string) (int, string) {
+	r, err := http.NewRequest(method, "http://"+e.settings.CallerAddress+path, strings.NewReader(body))
+	f.g.Expect(err).NotTo(HaveOccurred())
+	r.Host = "h"
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Deadline-Ms", "5000")
+	answer, err := http.DefaultClient.Do(r)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	defer answer.Body.Close()
+	raw, err := io.ReadAll(answer.Body)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	return answer.StatusCode, string(raw)
+}
+
+func jobBody(items, tokens int) string {
+	var list []string
+	for i := range items {
+		list = append(list, fmt.Sprintf(`{"id":"item%d","path":"/batch/x/%d","headers":{"Model":"m"},"body":%q,"tokens":%d}`,
+			i, i, base64.StdEncoding.EncodeToString([]byte(fmt.Sprint("body ", i))), tokens))
+	}
+	return `{"items":[` + strings.Join(list, ",") + `]}`
+}
+
+type results struct {
+	Total   int `json:"total"`
+	Next    int `json:"next_token"`
+	Results []struct{ ID, State, Text string }
+}
+
+func (f *fleet) results(e *entry, job string, after int) results {
+	status, body := f.call(e, http.MethodGet, fmt.Sprintf("/v1/lots/%s?after=%d", job, after), "", "")
+	f.g.Expect(status).To(Equal(http.StatusOK), body)
+	var r results
+	f.g.Expect(json.Unmarshal([]byte(body), &r)).To(Succeed())
+	return r
+}
+
+// expectDone waits until a job's items have succeeded, each once and whole, at the same positions everywhere.
+func (f *fleet) expectDone(job string, items int) {
+	f.g.Eventually(func() int { return len(f.results(f.entries[0], job, 0).Results) }, patience).Should(Equal(items))
+	first := f.results(f.entries[0], job, 0)
+	seen := map[string]bool{}
+	for _, r := range first.Results {
+		f.g.Expect(seen[r.ID]).To(BeFalse(), "listed twice")
+		seen[r.ID] = true
+		f.g.Expect(r.State).To(Equal("succeeded"))
+		var lines []string
+		for i := 1; i <= f.events; i++ {
+			lines = append(lines, fmt.Sprintf("%s %d", r.ID, i))
+		}
+		f.g.Expect(r.Text).To(Equal(strings.Join(lines, "\n")))
+	}
+	for _, e := range f.entries[1:] {
+		f.g.Eventually(func() results { return f.results(e, job, 0) }, patience).Should(Equal(first))
+	}
+}
+
+func TestOnlineAndBatch(t *testing.T) {
+	f := newFleet(t, 2)
+	status, body := f.call(f.entries[0], http.MethodPost, "/letters/x", "r1", "")
+	f.g.Expect(status).To(Equal(http.StatusOK))
+	f.g.Expect(body).To(HavePrefix("id: 1\ndata: r1 1\n\n"))
+	f.g.Expect(strings.Count(body, "id:")).To(Equal(5))
+
+	status, body = f.call(f.entries[0], http.MethodPost, "/batch/j", "job1", jobBody(6, 1))
+	f.g.Expect(status).To(Equal(http.StatusAccepted), body)
+	// The resend reaches another entry, at once.
+	status, _ = f.call(f.entries[1], http.MethodPost, "/batch/j", "job1", jobBody(6, 1))
+	f.g.Expect(status).To(Equal(http.StatusAccepted))
+	status, body = f.call(f.entries[1], http.MethodGet, "/v1/items/job1?id=item3", "", "")
+	f.g.Expect(status).To(Equal(http.StatusOK))
+	f.g.Expect(body).To(Equal("body 3"))
+	f.expectDone("job1", 6)
+	f.g.Expect(f.results(f.entries[1], "job1", 4).Next).To(Equal(6))
+	f.g.Expect(f.get("http://" + f.entries[0].settings.MetricsAddress + "/metrics")).To(Equal(http.StatusOK))
+}
+
+func TestBatchRequestsAreAnsweredClearly(t *testing.T) {
+	f := newFleet(t, 1)
+	e := f.entries[0]
+	for name, one := range map[string]struct {
+		method, path, id, body string
+		status                 int
+	}{
+		"no such job":     {http.MethodGet, "/v1/lots/none", "", "", 404},
+		"no such body":    {http.MethodGet, "/v1/items/none?id=a", "", "", 404},
+		"end of no job":   {http.MethodDelete, "/v1/lots/none", "", "", 404},
+		"no document":     {http.MethodPost, "/batch/j", "j", "{", 400},
+		"no id":           {http.MethodPost, "/batch/j", "", jobBody(1, 1), 400},
+		"id with a slash": {http.MethodPost, "/batch/j", "a/b", jobBody(1, 1), 400},
+		"over the quota":  {http.MethodPost, "/batch/j", "big", jobBody(2, 60), 429},
+		"other method":    {http.MethodPut, "/batch/j", "j", jobBody(1, 1), 405},
+		"unknown path":    {http.MethodPost, "/none/", "r", "", 404},
+	} {
+		t.Run(name, func(t *testing.T) {
+			status, body := f.call(e, one.method, one.path, one.id, one.body)
+			NewWithT(t).Expect(status).To(Equal(one.status), body)
+		})
+	}
+}
+
+// A caller ends its job. What runs is broken off, nothing more starts, and the
+// end may be sent again.
+func TestEndedJobStops(t *testing.T) {
+	f := newFleet(t, 2)
+	f.events, f.pace = 1000, 10*time.Millisecond
+	status, _ := f.call(f.entries[0], http.MethodPost, "/batch/j", "job1", jobBody(3, 1))
+	f.g.Expect(status).To(Equal(http.StatusAccepted))
+	f.g.Eventually(func() int { f.mu.Lock(); defer f.mu.Unlock(); return len(f.runs) }, patience).Should(Equal(3))
+	for _, e := range f.entries {
+		status, _ = f.call(e, http.MethodDelete, "/v1/lots/job1", "", "")
+		f.g.Expect(status).To(Equal(http.StatusOK))
+	}
+	time.Sleep(time.Second)
+	f.mu.Lock()
+	before := fmt.Sprint(f.runs)
+	f.mu.Unlock()
+	time.Sleep(time.Second)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.g.Expect(fmt.Sprint(f.runs)).To(Equal(before))
+}
+
+// Items that fail at each run are given up after the route's number of tries,
+// one that can never be done after the first.
+func TestItemsThatFailAreGivenUp(t *testing.T) {
+	for name, one := range map[string]struct{ status, runs int }{"failure": {500, 2}, "refused for good": {422, 1}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.status.Store(int32(one.status))
+			f.call(f.entries[0], http.MethodPost, "/batch/j", "job1", jobBody(1, 1))
+			f.g.Eventually(func() int { return len(f.results(f.entries[0], "job1", 0).Results) }, patience).Should(Equal(1))
+			f.g.Expect(f.results(f.entries[0], "job1", 0).Results[0].State).To(Equal("dead_letter"))
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.g.Expect(f.runs["item0"]).To(Equal(one.runs))
+		})
+	}
+}
+
+// An entry stops while it runs items: another one takes its jobs and goes on
+// from the text in the store, and the caller gets each event once.
+func TestItemsGoOnElsewhere(t *testing.T) {
+	f := newFleet(t, 3)
+	f.events, f.pace = 300, 12*time.Millisecond
+	status, _ := f.call(f.entries[0], http.MethodPost, "/batch/j", "job1", jobBody(4, 1))
+	f.g.Expect(status).To(Equal(http.StatusAccepted))
+	f.g.Eventually(func() int { f.mu.Lock(); defer f.mu.Unlock(); return len(f.runs) }, patience).Should(Equal(4))
+	time.Sleep(2 * time.Second)
+	f.entries[2].stop()
+	f.entries = f.entries[:2]
+	f.entries[1].stop()
+	f.entries = f.entries[:1]
+	f.expectDone("job1", 4)
+}
+
+// The store is away: online work goes on, jobs are refused as not run with when
+// to come back, and a job of before ends once the store is back.
+func TestStoreAway(t *testing.T) {
+	f := newFleet(t, 2)
+	f.events, f.pace = 100, 10*time.Millisecond
+	status, _ := f.call(f.entries[0], http.MethodPost, "/batch/j", "job1", jobBody(2, 1))
+	f.g.Expect(status).To(Equal(http.StatusAccepted))
+	var away atomic.Bool
+	f.store.Fault = func(string, string) fakes.StoreFault {
+		if away.Load() {
+			return fakes.StoreRefuses
+		}
+		return fakes.StoreWorks
+	}
+	away.Store(true)
+	status, _ = f.call(f.entries[0], http.MethodPost, "/letters/x", "r1", "")
+	f.g.Expect(status).To(Equal(http.StatusOK))
+	status, _ = f.call(f.entries[1], http.MethodPost, "/batch/j", "job2", jobBody(2, 1))
+	f.g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+	status, _ = f.call(f.entries[1], http.MethodGet, "/v1/lots/job2", "", "")
+	f.g.Expect(status).To(Equal(http.StatusServiceUnavailable), "whether it exists isn't known")
+	f.g.Expect(f.get("http://" + f.entries[0].settings.ReadyAddress)).To(Equal(http.StatusOK))
+	time.Sleep(2 * time.Second)
+	away.Store(false)
+	f.expectDone("job1", 2)
+}
+
+// A new configuration is in force without a restart, and an old one never comes back.
+func TestConfigurationChanges(t *testing.T) {
+	f := newFleet(t, 1)
+	e := f.entries[0]
+	f.configure(7, "/notes/")
+	f.g.Eventually(func() int { status, _ := f.call(e, http.MethodPost, "/notes/x", "r1", ""); return status }, patience).Should(Equal(http.StatusOK))
+	f.configure(3, "/letters/")
+	time.Sleep(500 * time.Millisecond)
+	status, _ := f.call(e, http.MethodPost, "/notes/x", "r2", "")
+	f.g.Expect(status).To(Equal(http.StatusOK))
+	status, _ = f.call(e, http.MethodPost, "/letters/x", "r3", "")
+	f.g.Expect(status).To(Equal(http.StatusNotFound))
+}
+
+// An entry is asked to stop while an answer is under way: the balancer is told
+// at once, the answer ends whole, new requests are still served meanwhile.
+func TestStopCutsNothing(t *testing.T) {
+	f := newFleet(t, 2)
+	f.events, f.pace = 100, 20*time.Millisecond
+	type answer struct {
+		status int
+		body   string
+	}
+	got := make(chan answer, 1)
+	go func() {
+		status, body := f.call(f.entries[0], http.MethodPost, "/letters/x", "r1", "")
+		got <- answer{status, body}
+	}()
+	time.Sleep(300 * time.Millisecond)
+	f.entries[0].stop()
+	f.g.Eventually(func() int { return f.get("http://" + f.entries[0].settings.ReadyAddress) }, patience).Should(Equal(http.StatusServiceUnavailable))
+	status, body := f.call(f.entries[0], http.MethodPost, "/letters/x", "r2", "")
+	f.g.Expect(status).To(Equal(http.StatusOK))
+	f.g.Expect(strings.Count(body, "id:")).To(Equal(100))
+	a := <-got
+	f.g.Expect(a.status).To(Equal(http.StatusOK))
+	f.g.Expect(strings.Count(a.body, "id:")).To(Equal(100))
+}
