commit: waiters are let go when the process stops; lint

A result waited for the store's answer after the appender had ended, and the runner waited for the result. Change: Submit returns when the appender's loop has ended.

--- a/clis/explain.go
+++ b/clis/explain.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"io"
 	"os"
 	"strings"
 
@@ -41,9 +41,8 @@
 		if err != nil {
 			return nil, err
 		}
-		lines, err := story.Read(io.Reader(f))
-		f.Close()
-		if err != nil {
+		lines, err := story.Read(f)
+		if err := errors.Join(err, f.Close()); err != nil {
 			return nil, fmt.Errorf("%s: %w", name, err)
 		}
 		all = append(all, lines...)
--- a/commit/commit.go
+++ b/commit/commit.go
@@ -63,13 +63,17 @@
 	Events      *event.Logger
 	Metrics     metrics.Registry
 
-	queue      chan *waiting
+	queue chan *waiting
+	// ended is closed when Run returns: nobody answers the changes any more, and
+	// whoever waited for one would keep the process from ending.
+	ended      chan struct{}
 	followTime time.Duration
 }
 
 // Prepare makes the appender usable; it is called once before all else.
 func (a *Appender) Prepare() {
 	a.queue = make(chan *waiting, queueLength)
+	a.ended = make(chan struct{})
 	a.followTime = followTime
 }
 
@@ -93,12 +97,18 @@
 	case <-w.ctx.Done():
 		return ledger.Void, fmt.Errorf("%w: too many changes wait", sardinerock.ErrStoreRefused)
 	}
-	r := <-w.answer
-	return r.verdict, r.err
+	select {
+	case r := <-w.answer:
+		return r.verdict, r.err
+	case <-a.ended:
+		// The process stops; an append may be under way.
+		return ledger.Void, ErrUncertain
+	}
 }
 
 // Run appends until ctx ends.
 func (a *Appender) Run(ctx context.Context) {
+	defer close(a.ended)
 	var batch []*waiting
 	pause := firstPause
 	for {
--- /dev/null
+++ b/commit/commit_test.go
@@ -0,0 +1,92 @@
+package commit
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/fakes"
+	"github.com/sardinerock/sardinerock/ledger"
+)
+
+// running is an appender with its loop and its reader.
+func running(t *testing.T, store *fakes.MemStore) *testEntry {
+	e := newTestEntry(store)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go e.Follower.Run(ctx)
+	go e.Run(ctx)
+	return e
+}
+
+func acceptJob(id string) Change {
+	return func(p *ledger.Plan) (ledger.Verdict, error) { return p.Accept(interleavedJob(id), 0) }
+}
+
+// Three entries append at the same time. Each has to see what the others
+// appended before it, and nobody may wait for ever.
+func TestEntriesShareOneOrder(t *testing.T) {
+	g := NewWithT(t)
+	store := &fakes.MemStore{}
+	const each = 10
+	results := make(chan error, 3*each)
+	for i := range 3 {
+		e := running(t, store)
+		g.Eventually(e.Follower.Loaded, 10*time.Second).Should(BeTrue())
+		for n := range each {
+			go func() {
+				verdict, err := e.Submit(context.Background(), acceptJob(string(rune('a'+i))+string(rune('a'+n))))
+				if err == nil && verdict != ledger.Made {
+					err = errors.New("not made")
+				}
+				results <- err
+			}()
+		}
+	}
+	for range 3 * each {
+		g.Eventually(results, 20*time.Second).Should(Receive(BeNil()))
+	}
+}
+
+// The store refuses all calls until the caller has no time left: the change
+// does not hold, and the caller is told so for certain.
+func TestRefusedIsCertain(t *testing.T) {
+	g := NewWithT(t)
+	store := &fakes.MemStore{}
+	e := running(t, store)
+	g.Eventually(e.Follower.Loaded, 10*time.Second).Should(BeTrue())
+	store.Fault = func(call, _ string) fakes.StoreFault {
+		if call == "append" {
+			return fakes.StoreRefuses
+		}
+		return fakes.StoreWorks
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	_, err := e.Submit(ctx, acceptJob("j"))
+	g.Expect(errors.Is(err, sardinerock.ErrStoreRefused)).To(BeTrue())
+}
+
+// An entry is stopped while the store is away and results wait to be recorded.
+// Whoever waits for them must be let go, or the process doesn't end in time
+// and is killed with answers under way.
+func TestStopLetsWaitersGo(t *testing.T) {
+	g := NewWithT(t)
+	store := &fakes.MemStore{}
+	e := newTestEntry(store)
+	ctx, cancel := context.WithCancel(context.Background())
+	go e.Run(ctx)
+	store.Fault = func(string, string) fakes.StoreFault { return fakes.StoreRefuses }
+	done := make(chan error, 1)
+	go func() {
+		_, err := e.Submit(context.Background(), acceptJob("j"))
+		done <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	cancel()
+	g.Eventually(done, 10*time.Second).Should(Receive(MatchError(ErrUncertain)))
+}
--- a/commit/interleave_test.go
+++ b/commit/interleave_test.go
@@ -132,7 +132,7 @@
 	if !e.Follower.Loaded() {
 		_ = e.Follower.Sync(context.Background())
 	}
-	e.batch, _ = e.Appender.attempt(context.Background(), e.batch)
+	e.batch, _ = e.attempt(context.Background(), e.batch)
 	_ = e.Follower.Sync(context.Background())
 }
 
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -179,7 +179,7 @@
 		}
 	}
 	for range maxStray + 1 {
-		response, err := c.readHead(one, call.Method)
+		response, err := c.readHead(one, call.Method) //nolint:bodyclose // the body ends with the connection, which Finish closes or keeps
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -239,7 +239,8 @@
 }
 
 func (g *Gossip) receive(ctx context.Context) {
-	context.AfterFunc(ctx, func() { g.Conn.Close() })
+	// The close ends the read below; there is nothing to do about a failure of it.
+	context.AfterFunc(ctx, func() { _ = g.Conn.Close() })
 	b := make([]byte, largestDatagram)
 	for {
 		n, _, err := g.Conn.ReadFromUDP(b)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -97,12 +97,15 @@
 		l.remove(k)
 		return nil
 	}
-	raw := append(l.parts[k.whole], r.Value[1:]...)
+	raw := r.Value[1:]
 	if r.Value[0] == morePart {
-		l.parts[k.whole] = raw
+		l.parts[k.whole] = append(l.parts[k.whole], raw...)
 		return nil
 	}
-	delete(l.parts, k.whole)
+	if begun, ok := l.parts[k.whole]; ok {
+		raw = append(begun, raw...)
+		delete(l.parts, k.whole)
+	}
 	switch k.kind {
 	case kindJob:
 		return l.accept(raw)
