submit: jobs wait for the store's return within their caller's time

Change: if no other entry reads the store either, a first try waits for half of its caller's time and a later one for the rest; if another entry does, or none is heard, the caller is sent there at once. Entries tell each other whether they read the store.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -42,6 +42,8 @@
 	Crashes map[uint64]int `cbor:"7,keyasint,omitempty"`
 	// Waiting is how many batch items the sender could start.
 	Waiting int `cbor:"8,keyasint,omitempty"`
+	// StoreLost is set while the sender can't read the store.
+	StoreLost bool `cbor:"9,keyasint,omitempty"`
 }
 
 // peer is another entry.
@@ -154,6 +156,24 @@
 	return n
 }
 
+// StoreLostByAll says whether no other entry reads the store either. One that
+// hears nobody can't say so: it is itself cut off, more likely than all others.
+func (g *Gossip) StoreLostByAll(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	heard := 0
+	for _, p := range g.peers {
+		if !p.live(now) || p.last.Leaving {
+			continue
+		}
+		if !p.last.StoreLost {
+			return false
+		}
+		heard++
+	}
+	return heard > 0 || len(g.peers) == 0
+}
+
 // Crashes returns how often live peers saw backend servers crash during a request.
 func (g *Gossip) Crashes(fingerprint uint64, now time.Time) int {
 	g.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -191,7 +191,8 @@
 		Dialect: n.Dialect, BatchDialect: n.Batch, Table: n.table.Current, Pool: n.pool, Conns: n.conns,
 		Batch: &submit.Front{
 			Dialect: n.Dialect, Batch: n.Batch, Ledger: n.ledger, Follower: n.jobs, Appender: n.appender,
-			Events: n.Events, Metrics: n.Metrics,
+			StoreLostByAll: func() bool { return n.gossip.StoreLostByAll(time.Now()) },
+			Events:         n.Events, Metrics: n.Metrics,
 		},
 		Press:       n.press,
 		Started:     n.started,
@@ -224,6 +225,7 @@
 	m.Loads = n.pool.Own()
 	m.Items = n.runner.Running()
 	m.Waiting = n.runner.Waiting()
+	m.StoreLost = n.jobs.Lost()
 	m.Crashes = n.relay.Crashes()
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -43,8 +43,9 @@
 
 // Batch takes the requests that concern batch jobs.
 type Batch interface {
-	// Submit takes a batch job; received is when its request came.
-	Submit(w http.ResponseWriter, r *http.Request, route *sardinerock.Route, call *sardinerock.Call, received time.Time)
+	// Submit takes a batch job; received is when its request came, and before
+	// how long its caller had waited by then.
+	Submit(w http.ResponseWriter, r *http.Request, route *sardinerock.Route, call *sardinerock.Call, received time.Time, before time.Duration)
 	// Call answers a call on a batch job.
 	Call(w http.ResponseWriter, r *http.Request, call sardinerock.BatchCall)
 }
@@ -104,7 +105,7 @@
 	}
 	call.Body = body
 	if route.Kind == sardinerock.RouteBatch {
-		l.Batch.Submit(w, r, route, &call, received)
+		l.Batch.Submit(w, r, route, &call, received, l.waitedBefore(route.Name, call.Wait))
 		return
 	}
 	p := l.newPass(w, r, table, route, &call, received)
--- a/submit/submit.go
+++ b/submit/submit.go
@@ -19,15 +19,20 @@
 )
 
 const (
-	// acceptTime is how long the store may take for a job. Callers wait a few
-	// seconds in all; what is left is for coming back at another entry.
+	// acceptTime is how long the store may take for a job whose caller doesn't say how long it waits.
 	acceptTime = 1500 * time.Millisecond
+	// firstShare of a caller's time is taken for its first try; the rest is for
+	// a second one at another entry.
+	firstShare = 0.5
+	// answerMargin is kept of a caller's time for the answer's way.
+	answerMargin = 400 * time.Millisecond
 	// endTime is the same for the end of a job.
 	endTime = 2 * time.Second
 	// checkTime bounds the read that makes sure that a job doesn't exist.
 	checkTime = 800 * time.Millisecond
-	// storeRetry is told while the store doesn't answer; outages last seconds.
-	storeRetry = time.Second
+	// storeRetry is told while the store doesn't answer. The caller's next try
+	// waits at its entry for the store, which it can't do before it is there.
+	storeRetry = 100 * time.Millisecond
 	// quotaRetry is told when the waiting tokens leave no room: an item takes
 	// some five seconds, so that room comes up within this time, not before.
 	quotaRetry = time.Second
@@ -42,13 +47,15 @@
 	Ledger   *ledger.Ledger
 	Follower *watch.Follower
 	Appender *commit.Appender
-	Events   *event.Logger
-	Metrics  metrics.Registry
+	// StoreLostByAll says whether no other entry reaches the store either.
+	StoreLostByAll func() bool
+	Events         *event.Logger
+	Metrics        metrics.Registry
 }
 
 // Submit takes a batch job. It is accepted once the store has it: any entry
 // answers for it from then on, and the one that took it may be gone at once.
-func (f *Front) Submit(w http.ResponseWriter, r *http.Request, route *sardinerock.Route, call *sardinerock.Call, received time.Time) {
+func (f *Front) Submit(w http.ResponseWriter, r *http.Request, route *sardinerock.Route, call *sardinerock.Call, received time.Time, before time.Duration) {
 	if r.Method != http.MethodPost {
 		f.answer(w, call.ID, http.StatusMethodNotAllowed, "a batch job is handed in by POST", 0)
 		return
@@ -62,8 +69,8 @@
 		f.answer(w, call.ID, http.StatusBadRequest, err.Error(), 0)
 		return
 	}
-	if f.Follower.Lost() || !f.Follower.Loaded() {
-		f.answer(w, call.ID, http.StatusServiceUnavailable, "the store can't be reached", storeRetry)
+	if f.Follower.Lost() && !f.StoreLostByAll() {
+		f.answer(w, call.ID, http.StatusServiceUnavailable, "the store can't be reached from here", storeRetry)
 		return
 	}
 	job := &ledger.Accepted{
@@ -71,7 +78,7 @@
 		Digest: xxhash.Sum64(call.Body), Items: items,
 	}
 	// The change goes on when the caller leaves: its end decides what a resend is told.
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), received.Add(acceptTime))
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), received.Add(f.acceptTime(call.Wait, before)))
 	defer cancel()
 	verdict, err := f.Appender.Submit(ctx, func(p *ledger.Plan) (ledger.Verdict, error) {
 		return p.Accept(job, route.MaxTokens)
@@ -79,6 +86,21 @@
 	f.accepted(w, job, verdict, err, received)
 }
 
+// acceptTime returns how long to try to bring a job into the store. While the
+// store is away for all entries nobody else can do it either: callers come
+// back once, so that a job refused at once is lost to an outage of two seconds,
+// and one that waits here for half of its caller's time, and for the rest at
+// the next entry, outlives one of three.
+func (f *Front) acceptTime(wait, before time.Duration) time.Duration {
+	if wait <= 0 {
+		return acceptTime
+	}
+	if before > 0 {
+		return max(wait-answerMargin, answerMargin)
+	}
+	return time.Duration(firstShare * float64(wait))
+}
+
 func (f *Front) accepted(w http.ResponseWriter, job *ledger.Accepted, verdict ledger.Verdict, err error, received time.Time) {
 	switch {
 	case errors.Is(err, sardinerock.ErrStoreRefused):
