--- a/commit/commit_test.go
+++ b/commit/commit_test.go
@@ -59,12 +59,12 @@
 	store := &fakes.MemStore{}
 	e := running(t, store)
 	g.Eventually(e.Follower.Loaded, 10*time.Second).Should(BeTrue())
-	store.Fault = func(call, _ string) fakes.StoreFault {
+	store.SetFault(func(call, _ string) fakes.StoreFault {
 		if call == "append" {
 			return fakes.StoreRefuses
 		}
 		return fakes.StoreWorks
-	}
+	})
 	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 	defer cancel()
 	_, err := e.Submit(ctx, acceptJob("j"))
@@ -80,7 +80,7 @@
 	e := newTestEntry(store)
 	ctx, cancel := context.WithCancel(context.Background())
 	go e.Run(ctx)
-	store.Fault = func(string, string) fakes.StoreFault { return fakes.StoreRefuses }
+	store.SetFault(func(string, string) fakes.StoreFault { return fakes.StoreRefuses })
 	done := make(chan error, 1)
 	go func() {
 		_, err := e.Submit(context.Background(), acceptJob("j"))
--- a/fakes/memstore.go
+++ b/fakes/memstore.go
@@ -32,7 +32,8 @@
 
 // MemStore is a stand-in of the platform's store in memory.
 type MemStore struct {
-	// Fault, if set, says what goes wrong with the next call; call is append, put, read or newest.
+	// Fault, if set, says what goes wrong with the next call; call is append,
+	// put, read or newest. SetFault changes it while the store is in use.
 	Fault func(call, topic string) StoreFault
 	// PageSize is how many records a page of the newest ones holds; 0 is all.
 	PageSize int
@@ -79,11 +80,19 @@
 		s.calls = map[string]int{}
 	}
 	s.calls[call]++
+	fault := s.Fault
 	s.mu.Unlock()
-	if s.Fault == nil {
+	if fault == nil {
 		return StoreWorks
 	}
-	return s.Fault(call, topic)
+	return fault(call, topic)
+}
+
+// SetFault changes what goes wrong from now on.
+func (s *MemStore) SetFault(fault func(call, topic string) StoreFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Fault = fault
 }
 
 // Calls returns how often a call was made.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -324,12 +324,12 @@
 	status, _ := f.call(f.entries[0], http.MethodPost, "/batch/j", "job1", jobBody(2, 1))
 	f.g.Expect(status).To(Equal(http.StatusAccepted))
 	var away atomic.Bool
-	f.store.Fault = func(string, string) fakes.StoreFault {
+	f.store.SetFault(func(string, string) fakes.StoreFault {
 		if away.Load() {
 			return fakes.StoreRefuses
 		}
 		return fakes.StoreWorks
-	}
+	})
 	away.Store(true)
 	status, _ = f.call(f.entries[0], http.MethodPost, "/letters/x", "r1", "")
 	f.g.Expect(status).To(Equal(http.StatusOK))
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/conns"
 	"github.com/sardinerock/sardinerock/event"
@@ -114,6 +116,7 @@
 		switch a.decide() {
 		case send:
 			if held {
+				metrics.GetOrRegisterTimer("relay.held", p.relay.Metrics).Update(time.Since(p.received))
 				p.relay.Events.Info(event.RequestHeld).Str("request", p.call.ID).Dur("waited", a.Waited).Dur("left", a.Left).
 					Int("held", a.Held).Msg("held back until now")
 			}
@@ -347,6 +350,7 @@
 // left notes a caller that didn't wait for its answer.
 func (p *pass) left() {
 	p.relay.count("relay.left")
+	p.relay.count("route." + p.route.Name + ".left")
 	p.relay.Events.Info(event.CallerLeft).Str("request", p.call.ID).Str("route", p.route.Name).
 		Dur("took", time.Since(p.received)).Int("events", p.events).Msg("caller left")
 }
@@ -370,6 +374,7 @@
 
 func (p *pass) final(status int, reason string, retry time.Duration) {
 	p.relay.count("relay.failed." + strconv.Itoa(status))
+	p.relay.count("route." + p.route.Name + ".failed")
 	p.relay.Events.Warn(event.RequestRefused).Str("request", p.call.ID).Str("route", p.route.Name).Int64("config", p.version).
 		Int("status", status).Str("reason", reason).Int("runs", p.runs).Int("refusals", p.refusals).
 		Dur("took", time.Since(p.received)).Dur("retryAfter", retry).Msg("given up")
@@ -379,6 +384,7 @@
 // abort ends the caller's connection in the middle of an answer, so that it can't be taken for a whole one.
 func (p *pass) abort(err error) {
 	p.relay.count("relay.aborted")
+	p.relay.count("route." + p.route.Name + ".failed")
 	p.relay.Events.Warn(event.AnswerBroken).Str("request", p.call.ID).Str("route", p.route.Name).Err(err).
 		Int("events", p.events).Int("runs", p.runs).Dur("took", time.Since(p.received)).Msg("answer broken off")
 	panic(http.ErrAbortHandler)
@@ -386,6 +392,9 @@
 
 func (p *pass) served(answer *conns.Answer) {
 	p.relay.count("relay.served." + strconv.Itoa(answer.StatusCode/100) + "xx")
+	p.relay.count("route." + p.route.Name + ".served")
+	metrics.GetOrRegisterTimer("relay.first", p.relay.Metrics).Update(p.first)
+	metrics.GetOrRegisterTimer("relay.whole", p.relay.Metrics).UpdateSince(p.received)
 	p.relay.Events.Info(event.RequestServed).Str("request", p.call.ID).Str("route", p.route.Name).Int("status", answer.StatusCode).
 		Dur("first", p.first).Dur("took", time.Since(p.received)).Int("events", p.events).Int("runs", p.runs).Msg("answered")
 }
