--- a/Makefile
+++ b/Makefile
@@ -54,3 +54,8 @@
 .PHONY: capacity
 capacity: build
 	$(GO) run ./capa --program bin/sardinerock
+
+# The project's own days of trouble, on the users' bench: make days BENCH=... SITES=...
+.PHONY: days
+days:
+	tools/days.sh $(BENCH) $(SITES)
--- a/commit/commit.go
+++ b/commit/commit.go
@@ -68,6 +68,7 @@
 	// whoever waited for one would keep the process from ending.
 	ended      chan struct{}
 	followTime time.Duration
+	patience   patience
 }
 
 // Prepare makes the appender usable; it is called once before all else.
@@ -193,7 +194,7 @@
 		answer(planned)
 		return nil, nil
 	}
-	end, err := a.Store.AppendAt(ctx, a.Topic, at, records)
+	end, err := a.append(ctx, at, records)
 	metrics.GetOrRegisterCounter("store.appends", a.Metrics).Inc(1)
 	switch {
 	case err == nil:
@@ -218,6 +219,21 @@
 	return batch, nil
 }
 
+// append appends once, and learns how long answers take.
+func (a *Appender) append(ctx context.Context, at int64, records []sardinerock.StoreRecord) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, a.patience.next())
+	defer cancel()
+	begin := time.Now()
+	end, err := a.Store.AppendAt(ctx, a.Topic, at, records)
+	switch {
+	case err == nil, errors.Is(err, sardinerock.ErrStoreMoved):
+		a.patience.answered(time.Since(begin))
+	case errors.Is(err, context.DeadlineExceeded):
+		a.patience.lost()
+	}
+	return end, err
+}
+
 // expire answers the changes whose caller waits no longer.
 func (a *Appender) expire(batch []*waiting, at int64) []*waiting {
 	kept := batch[:0]
--- /dev/null
+++ b/commit/patience_test.go
@@ -0,0 +1,44 @@
+package commit
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// A third of all answers is lost. Callers whose job is in the store have to
+// hear so in a few tenths of a second, not after a second for each loss.
+func TestLostAnswersCostLittle(t *testing.T) {
+	g := NewWithT(t)
+	var p patience
+	var waited time.Duration
+	for n := range 30 {
+		if n%3 == 0 {
+			waited += p.next()
+			p.lost()
+			continue
+		}
+		p.answered(6 * time.Millisecond)
+	}
+	g.Expect(waited / 10).To(BeNumerically("<=", 150*time.Millisecond))
+}
+
+// The store turns sixty times as slow. Its answers must be waited for, soon.
+func TestSlowStoreIsWaitedFor(t *testing.T) {
+	g := NewWithT(t)
+	var p patience
+	p.answered(6 * time.Millisecond)
+	const slow = 360 * time.Millisecond
+	tries := 0
+	for p.next() < slow {
+		p.lost()
+		tries++
+	}
+	g.Expect(tries).To(BeNumerically("<=", 2))
+	for range 20 {
+		p.answered(slow)
+	}
+	g.Expect(p.next()).To(BeNumerically(">=", slow))
+	g.Expect(p.next()).To(BeNumerically("<=", mostPatience))
+}
