runner, ledger: failed runs of an item are counted in the store; fault soak

An item that fails at each run was tried anew by each owner, three runs for each change of owner; that fits one count of the rule. Change: each failed run is a record, and the item rests until it stands. soak/: the real program as processes, proxies and signals, callers that check.

--- a/Makefile
+++ b/Makefile
@@ -59,3 +59,14 @@
 .PHONY: days
 days:
 	tools/days.sh $(BENCH) $(SITES)
+
+# Many seeds of the fault soak; `make soak SEED=100 SEEDS=50`.
+SEED  ?= 1
+SEEDS ?= 50
+.PHONY: soak interleavings
+soak:
+	$(GO) test ./soak -v -timeout 120m -args -seed $(SEED) -seeds $(SEEDS)
+
+# A million random runs of three entries against a failing store.
+interleavings:
+	$(GO) test ./commit -run TestInterleavings -timeout 60m -args -interleavings 1000000
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -19,6 +19,8 @@
 	index    map[string]int
 	finished []bool
 	progress map[int]Progress
+	// failures counts the runs of each item that failed.
+	failures map[int]int
 	// steps counts the records of progress that each finished item has.
 	steps []int
 }
@@ -115,6 +117,8 @@
 		l.end(k.job)
 	case kindProgress:
 		return l.proceed(k, raw)
+	case kindFailure:
+		l.fail(k)
 	}
 	return nil
 }
@@ -131,7 +135,7 @@
 }
 
 func (l *Ledger) accept(raw []byte) error {
-	j := &Job{index: map[string]int{}, progress: map[int]Progress{}}
+	j := &Job{index: map[string]int{}, progress: map[int]Progress{}, failures: map[int]int{}}
 	if err := cbor.Unmarshal(raw, &j.Accepted); err != nil {
 		return err
 	}
@@ -175,6 +179,12 @@
 	return nil
 }
 
+func (l *Ledger) fail(k recordKey) {
+	if j := l.jobs[k.job]; j != nil && k.step == j.failures[k.place] {
+		j.failures[k.place]++
+	}
+}
+
 func (l *Ledger) end(id string) {
 	j := l.jobs[id]
 	if j == nil || j.Ended {
@@ -254,6 +264,8 @@
 	Left     int
 	Item     *sardinerock.BatchItem
 	Progress Progress
+	// Failures is how many runs of the item are recorded as failed.
+	Failures int
 }
 
 // OpenItems returns the open items of the jobs that are wanted.
@@ -271,7 +283,7 @@
 			}
 			open = append(open, OpenItem{
 				Job: id, Route: j.Route, Host: j.Host, CreatedAt: time.UnixMilli(j.CreatedAt), Index: i,
-				Left: len(j.Items) - len(j.Results), Item: &j.Items[i], Progress: j.progress[i],
+				Left: len(j.Items) - len(j.Results), Item: &j.Items[i], Progress: j.progress[i], Failures: j.failures[i],
 			})
 		}
 	}
--- a/ledger/plan.go
+++ b/ledger/plan.go
@@ -131,6 +131,19 @@
 	return Made, p.add(stepKey(job, index, old.Steps), &step{LastEvent: progress.LastEvent, Text: rest})
 }
 
+// Fail plans a record of a run that failed; known is how many the runner knew
+// of before it. Where another entry recorded one meanwhile, both count as one:
+// they were the same owner's part of the tries.
+func (p *Plan) Fail(job string, index, known int) (Verdict, error) {
+	p.ledger.mu.Lock()
+	defer p.ledger.mu.Unlock()
+	j := p.ledger.jobs[job]
+	if j == nil || index >= len(j.Items) || j.finished[index] || j.Ended || j.failures[index] > known {
+		return Void, nil
+	}
+	return Made, p.add(failureKey(job, index, j.failures[index]), true)
+}
+
 // progress returns how far an item has come with what the plan itself adds.
 func (p *Plan) progress(j *Job, index int) Progress {
 	if planned, ok := p.steps[itemName(j.ID, index)]; ok {
@@ -186,6 +199,9 @@
 		for number := range j.steps[index] + j.progress[index].Steps {
 			p.Records = append(p.Records, sardinerock.StoreRecord{Key: stepKey(id, index, number) + "/0"})
 		}
+		for number := range j.failures[index] {
+			p.Records = append(p.Records, sardinerock.StoreRecord{Key: failureKey(id, index, number) + "/0"})
+		}
 	}
 	p.Records = append(p.Records, sardinerock.StoreRecord{Key: endKey(id) + "/0"})
 	return p.drop(jobKey(id), &j.Accepted)
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -16,6 +16,7 @@
 	kindResult   = "r"
 	kindEnd      = "e"
 	kindProgress = "p"
+	kindFailure  = "f"
 )
 
 // Accepted is the record of a job that was accepted.
@@ -99,7 +100,7 @@
 }
 
 // keyNumbers is how many numbers follow the job in a key of each kind; the last is that of the part.
-var keyNumbers = map[string]int{kindJob: 1, kindEnd: 1, kindResult: 2, kindProgress: 3}
+var keyNumbers = map[string]int{kindJob: 1, kindEnd: 1, kindResult: 2, kindProgress: 3, kindFailure: 3}
 
 func parseKey(key string) (recordKey, error) {
 	parts := strings.Split(key, "/")
@@ -131,6 +132,10 @@
 
 func resultKey(job string, place int) string { return fmt.Sprintf("%s/%s/%d", kindResult, job, place) }
 
+func failureKey(job string, index, number int) string {
+	return fmt.Sprintf("%s/%s/%d/%d", kindFailure, job, index, number)
+}
+
 func stepKey(job string, index, number int) string {
 	return fmt.Sprintf("%s/%s/%d/%d", kindProgress, job, index, number)
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,6 +26,7 @@
 	"github.com/sardinerock/sardinerock/fakes"
 	"github.com/sardinerock/sardinerock/node"
 	"github.com/sardinerock/sardinerock/platform"
+	"github.com/sardinerock/sardinerock/runner"
 )
 
 // patience is how long anything may take here on a busy machine.
@@ -300,6 +302,38 @@
 	}
 }
 
+// An item fails at each run while its owners change. What the owners before
+// tried counts: a backend server must not get it anew from each of them.
+func TestFailuresOutliveTheirOwner(t *testing.T) {
+	const attempts = 6
+	f := newFleet(t, 4)
+	f.status.Store(http.StatusInternalServerError)
+	f.put(configTopic, "config", fmt.Sprintf(`{"version":9,"routes":[{"name":"b","host":"h","path_prefix":"/batch/","kind":"batch",
+		"service":"s","max_attempts":%d,"completion_target_ms":18000,"retention_s":60,"max_count":100}]}`, attempts))
+	f.g.Eventually(func() int { status, _ := f.call(f.entries[0], http.MethodPost, "/letters/x", "r", ""); return status }, patience).Should(Equal(404))
+	f.g.Eventually(func() int { status, _ := f.call(f.entries[3], http.MethodPost, "/letters/x", "r", ""); return status }, patience).Should(Equal(404))
+	status, _ := f.call(f.entries[0], http.MethodPost, "/batch/j", "job1", jobBody(1, 1))
+	f.g.Expect(status).To(Equal(http.StatusAccepted))
+	tried := func() int { f.mu.Lock(); defer f.mu.Unlock(); return f.runs["item0"] }
+	live := []string{"front-0", "front-1", "front-2", "front-3"}
+	for stopped := 0; stopped < 2; stopped++ {
+		before := tried()
+		f.g.Eventually(tried, patience).Should(BeNumerically(">", before))
+		owner := runner.Owner("job1", live)
+		for i, e := range f.entries {
+			if e.settings.ID == owner {
+				e.stop()
+				live = slices.DeleteFunc(live, func(name string) bool { return name == owner })
+				f.entries = slices.Delete(f.entries, i, i+1)
+				break
+			}
+		}
+	}
+	f.g.Eventually(func() int { return len(f.results(f.entries[0], "job1", 0).Results) }, patience).Should(Equal(1))
+	f.g.Expect(f.results(f.entries[0], "job1", 0).Results[0].State).To(Equal("dead_letter"))
+	f.g.Expect(tried()).To(BeNumerically("~", attempts, 1))
+}
+
 // An entry stops while it runs items: another one takes its jobs and goes on
 // from the text in the store, and the caller gets each event once.
 func TestItemsGoOnElsewhere(t *testing.T) {
--- a/runner/run.go
+++ b/runner/run.go
@@ -49,9 +49,7 @@
 	case refused:
 		r.record(&i.open, sardinerock.BatchResult{Item: i.open.Item.ID})
 	case failed:
-		if i.failures++; i.failures >= route.MaxAttempts {
-			r.record(&i.open, sardinerock.BatchResult{Item: i.open.Item.ID})
-		}
+		r.failed(i, route)
 	}
 	r.mu.Lock()
 	i.running = false
@@ -62,6 +60,25 @@
 	r.Wake()
 }
 
+// failed counts a run that failed, in the store: the next owner of the job
+// would else try it as often again, and an item that crashes or blocks backend
+// servers would come to them as many times as its owners change. Until the
+// count is there the item rests.
+func (r *Runner) failed(i *item, route *sardinerock.Route) {
+	known := i.failures
+	if i.failures++; i.failures >= route.MaxAttempts {
+		r.record(&i.open, sardinerock.BatchResult{Item: i.open.Item.ID})
+		return
+	}
+	open := &i.open
+	_, err := r.Appender.Submit(context.Background(), func(p *ledger.Plan) (ledger.Verdict, error) {
+		return p.Fail(open.Job, open.Index, known)
+	})
+	if err != nil {
+		r.Events.Info(event.ItemFailed).Str("job", open.Job).Str("item", open.Item.ID).Err(err).Msg("failure isn't recorded")
+	}
+}
+
 func (r *Runner) exchange(ctx context.Context, i *item, choice *pool.Choice) (outcome, error) {
 	answer, err := r.Conns.Send(ctx, &choice.BackendServer, r.Batch.ItemCall(i.open.Host, i.open.Item), sardinerock.Attempt{
 		Instance: choice.ID, Left: r.Batch.ItemDeadline(), ResumeAfter: i.progress.LastEvent, HeadTimeout: eventSilence,
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -363,6 +363,7 @@
 	if len(c.Progress.Text) > len(i.progress.Text) {
 		i.progress, i.recorded = c.Progress, len(c.Progress.Text)
 	}
+	i.failures = max(i.failures, c.Failures)
 	i.open, i.running, i.server, i.started, i.cancel, i.gaveWay = c.OpenItem, true, choice.ID, time.Now(), cancel, false
 	r.mu.Unlock()
 	r.Events.Info(event.ItemStarted).Str("job", c.Job).Str("item", c.Item.ID).Str("server", choice.ID).
--- /dev/null
+++ b/soak/proxy_test.go
@@ -0,0 +1,129 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// proxyMode is what a proxy does with what it gets.
+type proxyMode int
+
+const (
+	pass proxyMode = iota
+	// delay holds each piece back for a while.
+	delay
+	// silent takes bytes and passes none on, in either direction.
+	silent
+	// oneWay passes what callers send and none of the answers.
+	oneWay
+	// refuse resets each new connection.
+	refuse
+)
+
+const delayTime = 60 * time.Millisecond
+
+// proxy stands before a service on loopback and does harm to its connections.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	mode  proxyMode
+	conns map[net.Conn]bool
+}
+
+func newProxy(target string) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) set(mode proxyMode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = mode
+}
+
+func (p *proxy) now() proxyMode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
+// reset resets all connections that are open.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if p.now() == refuse {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+			continue
+		}
+		go p.serve(c)
+	}
+}
+
+func (p *proxy) serve(c net.Conn) {
+	b, err := net.Dial("tcp", p.target)
+	if err != nil {
+		c.Close()
+		return
+	}
+	p.mu.Lock()
+	p.conns[c], p.conns[b] = true, true
+	p.mu.Unlock()
+	go p.copy(b, c, false)
+	p.copy(c, b, true)
+	p.mu.Lock()
+	delete(p.conns, c)
+	delete(p.conns, b)
+	p.mu.Unlock()
+}
+
+// copy passes bytes on until either side ends; what a silent mode took is lost,
+// so that the connection never speaks again.
+func (p *proxy) copy(to, from net.Conn, answers bool) {
+	defer to.Close()
+	defer from.Close()
+	lost := false
+	b := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(b)
+		mode := p.now()
+		lost = lost || n > 0 && (mode == silent || mode == oneWay && answers)
+		if mode == delay {
+			time.Sleep(delayTime)
+		}
+		if !lost && n > 0 {
+			if _, err := to.Write(b[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			if lost && err == io.EOF {
+				time.Sleep(time.Second)
+			}
+			return
+		}
+	}
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,460 @@
+package soak
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+var (
+	firstSeed = flag.Uint64("seed", 1, "first seed")
+	seeds     = flag.Int("seeds", 2, "how many seeds to play, one after the other")
+	trouble   = flag.Duration("trouble", 8*time.Second, "how long faults come in a run")
+	entries   = flag.Int("entries", 4, "entries of a run")
+)
+
+// The calm after the faults, in which everything accepted has to end.
+const calmTime = 40 * time.Second
+
+var program string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "sardinerock")
+	if out, err := exec.Command("go", "build", "-o", program, "../cmd/sardinerock").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// soak is one run.
+type soak struct {
+	t       *testing.T
+	r       *rand.Rand
+	store   *storeServer
+	runs    *runs
+	mu      sync.Mutex
+	entries []*process
+	engines []*engineServer
+	version int
+	count   int
+	dir     string
+	stop    chan struct{}
+	callers sync.WaitGroup
+	faults  []string
+	jobs    []string
+	served  int
+}
+
+// process is one entry.
+type process struct {
+	name, front, ready string
+	file               string
+	cmd                *exec.Cmd
+	log                *os.File
+	paused             bool
+}
+
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (s *soak) newEntry(i int) *process {
+	p := &process{name: fmt.Sprint("front-", i), front: freeAddress(), ready: freeAddress()}
+	// Each entry has an address of its own on loopback, as the metrics' port is the same for all.
+	ip := fmt.Sprintf("127.0.%d.%d", 1+os.Getpid()%200, 10+i)
+	_, port, _ := net.SplitHostPort(freeAddress())
+	var first int
+	_, _ = fmt.Sscan(port, &first)
+	p.file = filepath.Join(s.dir, p.name+".toml")
+	text := fmt.Sprintf("node = %q\nip = %q\nzone = \"z\"\nport_range = [%d,%d]\n[listen]\nfront = %q\nready = %q\n[bounds]\ngrace_s = 6\nstatus_s = 600\n[platform]\naddress = %q\nrecord_bytes = 4000\ncall_bytes = 100000\n",
+		p.name, ip, first, first+1, p.front, p.ready, s.store.proxy.address())
+	s.must(os.WriteFile(p.file, []byte(text), 0o600))
+	return p
+}
+
+func (s *soak) must(err error) {
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *soak) start(p *process) {
+	var err error
+	p.log, err = os.OpenFile(filepath.Join(s.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	s.must(err)
+	p.cmd = exec.Command(program, "node", "--settings", p.file)
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	s.must(p.cmd.Start())
+	p.paused = false
+}
+
+func (s *soak) signal(p *process, sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) }
+
+// restart waits for the end of an entry and starts it again.
+func (s *soak) restart(p *process) {
+	_ = p.cmd.Wait()
+	p.log.Close()
+	s.start(p)
+}
+
+func (s *soak) configure() {
+	s.version += 1 + s.r.IntN(3)
+	route := func(name, kind string, resumable bool, attempts int) map[string]any {
+		return map[string]any{"name": name, "host": "h", "path_prefix": "/" + name + "/", "kind": kind, "resumable": resumable, "service": "models",
+			"max_attempts": attempts, "timeout_ms": 4000, "target_latency_ms": 300, "completion_target_ms": 20000, "retention_s": 600}
+	}
+	s.store.put("keyed.op", "config", map[string]any{
+		"version": s.version, "limits": map[string]any{"max_body_bytes": 100000, "idle_timeout_ms": 15000},
+		"routes": []any{route("resumable", "streaming", true, 3), route("once", "streaming", false, 1), route("batch", "batch", false, 3)},
+	})
+}
+
+func newSoak(t *testing.T, seed uint64) *soak {
+	s := &soak{t: t, r: rand.New(rand.NewPCG(seed, 9)), runs: &runs{begun: map[string]int{}}, dir: t.TempDir(), stop: make(chan struct{})}
+	var err error
+	s.store, err = newStoreServer()
+	s.must(err)
+	s.configure()
+	for range 3 {
+		s.addEngine()
+	}
+	for i := range *entries {
+		p := s.newEntry(i)
+		s.start(p)
+		s.entries = append(s.entries, p)
+	}
+	t.Cleanup(func() {
+		for _, p := range s.entries {
+			s.signal(p, syscall.SIGCONT)
+			s.signal(p, syscall.SIGKILL)
+			_ = p.cmd.Wait()
+			p.log.Close()
+		}
+	})
+	for _, p := range s.entries {
+		s.awaitReady(p)
+	}
+	return s
+}
+
+func (s *soak) awaitReady(p *process) {
+	for end := time.Now().Add(calmTime); ; time.Sleep(20 * time.Millisecond) {
+		answer, err := http.Get("http://" + p.ready + "/v1/ready")
+		if err == nil {
+			answer.Body.Close()
+			if answer.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		if time.Now().After(end) {
+			s.fail("%s isn't ready", p.name)
+		}
+	}
+}
+
+func (s *soak) addEngine() {
+	e, err := newEngineServer(fmt.Sprint("i-", s.count), s.runs)
+	s.must(err)
+	s.count++
+	e.register(s.store, "ready", 1)
+	s.engines = append(s.engines, e)
+}
+
+// fail ends the run with its faults; the logs of the entries are kept.
+func (s *soak) fail(format string, args ...any) {
+	s.t.Helper()
+	kept, err := os.MkdirTemp("", "soak-failed")
+	if err == nil {
+		logs, _ := filepath.Glob(filepath.Join(s.dir, "*.log"))
+		for _, name := range logs {
+			if raw, err := os.ReadFile(name); err == nil {
+				_ = os.WriteFile(filepath.Join(kept, filepath.Base(name)), raw, 0o600)
+			}
+		}
+	}
+	s.t.Fatalf("%s\nfaults: %s\nlogs: %s", fmt.Sprintf(format, args...), strings.Join(s.faults, "; "), kept)
+}
+
+// fault brings one fault about; some end by themselves a little later, while others begin.
+func (s *soak) fault() {
+	p := s.entries[s.r.IntN(len(s.entries))]
+	e := s.engines[s.r.IntN(len(s.engines))]
+	span := time.Duration(300+s.r.IntN(1500)) * time.Millisecond
+	later := func(do func()) { time.AfterFunc(span, do) }
+	kind := s.r.IntN(13)
+	s.faults = append(s.faults, fmt.Sprint(kind, " ", p.name, " ", e.id, " ", span))
+	switch kind {
+	case 0:
+		s.signal(p, syscall.SIGKILL)
+		s.restart(p)
+	case 1:
+		s.signal(p, syscall.SIGSTOP)
+		later(func() { s.signal(p, syscall.SIGCONT) })
+	case 2:
+		s.signal(p, syscall.SIGTERM)
+		s.signal(p, syscall.SIGCONT)
+		s.restart(p)
+	case 3:
+		s.signal(p, syscall.SIGHUP)
+		s.configure()
+	case 4:
+		s.store.refuses.Store(true)
+		later(func() { s.store.refuses.Store(false) })
+	case 5:
+		s.store.loses.Store(true)
+		later(func() { s.store.loses.Store(false) })
+	case 6:
+		mode := []proxyMode{delay, silent, oneWay, refuse}[s.r.IntN(4)]
+		s.store.proxy.set(mode)
+		later(func() { s.store.proxy.set(pass) })
+	case 7:
+		mode := []proxyMode{delay, silent, oneWay, refuse}[s.r.IntN(4)]
+		e.proxy.set(mode)
+		later(func() { e.proxy.set(pass) })
+	case 8:
+		e.proxy.reset()
+	case 9:
+		s.store.proxy.reset()
+		s.store.DropHistory("keyed.jobs")
+	case 10:
+		e.register(s.store, "draining", int64(s.r.IntN(1000)+2))
+		s.addEngine()
+	case 11:
+		for _, p := range s.entries {
+			s.signal(p, syscall.SIGKILL)
+		}
+		for _, p := range s.entries {
+			s.restart(p)
+		}
+	case 12:
+		s.configure()
+	}
+}
+
+func (s *soak) running() bool {
+	select {
+	case <-s.stop:
+		return false
+	default:
+		return true
+	}
+}
+
+func (s *soak) pick(n int) *process { return s.entries[n%len(s.entries)] }
+
+// send sends one request and returns the status, 0 for no whole answer.
+func send(client *http.Client, method, front, path, id, body string, header map[string]string) (int, string) {
+	r, err := http.NewRequest(method, "http://"+front+path, strings.NewReader(body))
+	if err != nil {
+		return 0, ""
+	}
+	r.Host = "h"
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Deadline-Ms", "4000")
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	answer, err := client.Do(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer answer.Body.Close()
+	raw, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return answer.StatusCode, string(raw)
+}
+
+// stream is a caller that asks for streams one after the other and holds the answers against the promises.
+func (s *soak) stream(n int, route string) {
+	defer s.callers.Done()
+	client := &http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{}}
+	type refused struct{ id string }
+	var notRun []refused
+	for i := 0; s.running(); i++ {
+		id := fmt.Sprintf("%s-%d-%d", route, n, i)
+		status, body := send(client, http.MethodPost, s.pick(n+i).front, "/"+route+"/x", id, "body", nil)
+		switch {
+		case status == http.StatusOK && body != wholeStream(id):
+			s.t.Errorf("%s: an answer that looks whole isn't: %q", id, body)
+		case status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests:
+			notRun = append(notRun, refused{id})
+		case status == http.StatusNotFound:
+			s.t.Errorf("%s: 404 for a route that is there", id)
+		}
+		if status == http.StatusOK {
+			s.mu.Lock()
+			s.served++
+			s.mu.Unlock()
+		}
+		if route == "once" && s.runs.count(id) > 1 {
+			s.t.Errorf("%s ran %d times", id, s.runs.count(id))
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+	for _, r := range notRun {
+		if s.runs.count(r.id) > 0 {
+			s.t.Errorf("%s was refused as not run, and ran", r.id)
+		}
+	}
+}
+
+// batch is a caller that hands in jobs, and again until each is accepted or refused for good.
+func (s *soak) batch(n int) {
+	defer s.callers.Done()
+	client := &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for i := 0; s.running(); i++ {
+		job := fmt.Sprintf("job-%d-%d", n, i)
+		var items []string
+		for k := range 3 {
+			items = append(items, fmt.Sprintf(`{"id":"%s-%d","path":"/batch/x","headers":{"Model":"batch"},"body":"YQ==","tokens":1}`, job, k))
+		}
+		body := `{"items":[` + strings.Join(items, ",") + `]}`
+		accepted, onlyRefused := false, true
+		for try := range 4 {
+			status, _ := send(client, http.MethodPost, s.pick(n+i+try).front, "/batch/j", job, body, nil)
+			if accepted = status == http.StatusAccepted; accepted {
+				break
+			}
+			onlyRefused = onlyRefused && status == http.StatusServiceUnavailable
+			time.Sleep(200 * time.Millisecond)
+		}
+		s.mu.Lock()
+		if accepted {
+			s.jobs = append(s.jobs, job)
+		}
+		s.mu.Unlock()
+		if !accepted && onlyRefused && s.runs.count(job+"-0") > 0 {
+			s.t.Errorf("%s was refused at every try, and ran", job)
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+type listing struct {
+	Total   int
+	Results []struct{ ID, State, Text string }
+}
+
+func (s *soak) list(p *process, job string) (listing, int) {
+	var l listing
+	status, body := send(http.DefaultClient, http.MethodGet, p.front, "/v1/lots/"+job, "read", "", nil)
+	if status == http.StatusOK {
+		s.must(json.Unmarshal([]byte(body), &l))
+	}
+	return l, status
+}
+
+// expectJobs waits until all accepted jobs are done, the same at every entry.
+func (s *soak) expectJobs() {
+	end := time.Now().Add(calmTime)
+	for _, job := range s.jobs {
+		for {
+			l, status := s.list(s.entries[0], job)
+			if status == http.StatusNotFound {
+				s.fail("%s was accepted, and isn't there", job)
+			}
+			if status == http.StatusOK && len(l.Results) == l.Total {
+				s.expectResults(job, l)
+				break
+			}
+			if time.Now().After(end) {
+				s.fail("%s isn't done in time: %v of %d", job, len(l.Results), l.Total)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
+func (s *soak) expectResults(job string, first listing) {
+	seen := map[string]bool{}
+	for _, r := range first.Results {
+		if seen[r.ID] || r.State != "succeeded" || r.Text != wholeText(r.ID) {
+			s.fail("%s: item %s: twice %v, %s, text %q", job, r.ID, seen[r.ID], r.State, r.Text)
+		}
+		seen[r.ID] = true
+	}
+	for _, p := range s.entries[1:] {
+		for end := time.Now().Add(calmTime); ; time.Sleep(50 * time.Millisecond) {
+			l, _ := s.list(p, job)
+			if fmt.Sprint(l) == fmt.Sprint(first) {
+				break
+			}
+			if time.Now().After(end) {
+				s.fail("%s: %s lists %v, another entry %v", job, p.name, l, first)
+			}
+		}
+	}
+}
+
+// TestSoak plays faults in series and overlapping, by the seed, while callers
+// check: an answer that looks whole is whole, what may run once runs once at
+// most, what is called not run never ran, and each accepted job ends with each
+// item once and whole, the same at every entry.
+func TestSoak(t *testing.T) {
+	for n := range *seeds {
+		seed := *firstSeed + uint64(n)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playSoak(t, seed) })
+	}
+}
+
+// failedSeeds are seeds that failed once, each with its cause.
+var failedSeeds = map[uint64]string{}
+
+func TestFailedSeeds(t *testing.T) {
+	for seed, cause := range failedSeeds {
+		t.Run(fmt.Sprint("seed ", seed, ": ", cause), func(t *testing.T) { playSoak(t, seed) })
+	}
+}
+
+func playSoak(t *testing.T, seed uint64) {
+	s := newSoak(t, seed)
+	for n := range 4 {
+		s.callers.Add(3)
+		go s.stream(n, "resumable")
+		go s.stream(n, "once")
+		go s.batch(n)
+	}
+	for end := time.Now().Add(*trouble); time.Now().Before(end); {
+		time.Sleep(time.Duration(200+s.r.IntN(700)) * time.Millisecond)
+		s.fault()
+	}
+	// The last faults end by themselves.
+	time.Sleep(2 * time.Second)
+	for _, p := range s.entries {
+		s.signal(p, syscall.SIGCONT)
+		s.awaitReady(p)
+	}
+	close(s.stop)
+	s.callers.Wait()
+	s.expectJobs()
+	t.Logf("%d faults, %d streams served, %d jobs", len(s.faults), s.served, len(s.jobs))
+	if s.served == 0 || len(s.jobs) == 0 {
+		s.fail("nothing was served")
+	}
+}
--- /dev/null
+++ b/soak/world_test.go
@@ -0,0 +1,233 @@
+package soak
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/fakes"
+)
+
+// storeServer is the platform's store over HTTP, as far as entries use it.
+type storeServer struct {
+	fakes.MemStore
+	proxy *proxy
+	// loses and refuses say what is done with calls now.
+	loses, refuses atomic.Bool
+}
+
+func newStoreServer() (*storeServer, error) {
+	s := &storeServer{}
+	s.PageSize = 100
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	go func() { _ = http.Serve(l, s) }()
+	s.proxy, err = newProxy(l.Addr().String())
+	return s, err
+}
+
+func (s *storeServer) put(topic, key string, value any) {
+	raw, err := json.Marshal(value)
+	if err == nil {
+		err = s.Put(context.Background(), topic, sardinerock.StoreRecord{Key: key, Value: raw})
+	}
+	if err != nil {
+		panic(err)
+	}
+}
+
+func (s *storeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.refuses.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	topic := r.URL.Query().Get("topic")
+	switch r.URL.Path {
+	case "/v1/log-append":
+		s.append(w, r, topic)
+	case "/v1/log-read":
+		s.read(w, r, topic)
+	case "/v1/log-newest":
+		page, err := s.Newest(r.Context(), topic, r.URL.Query().Get("after"))
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		items := []map[string]any{}
+		for _, one := range page.Records {
+			items = append(items, map[string]any{"key": one.Key, "value": base64.StdEncoding.EncodeToString(one.Value), "offset": one.Offset})
+		}
+		_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "has_more": page.More, "end_offset": page.End})
+	}
+}
+
+func (s *storeServer) append(w http.ResponseWriter, r *http.Request, topic string) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	records := decode(body)
+	end := int64(0)
+	if at := r.URL.Query().Get("at"); at != "" {
+		offset, _ := strconv.ParseInt(at, 10, 64)
+		end, err = s.AppendAt(r.Context(), topic, offset, records)
+	} else {
+		err = s.Put(r.Context(), topic, records[0])
+	}
+	if s.loses.Load() && len(body)%3 != 0 {
+		panic(http.ErrAbortHandler)
+	}
+	if err != nil {
+		w.WriteHeader(http.StatusPreconditionFailed)
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"end_offset": end})
+}
+
+func decode(b []byte) []sardinerock.StoreRecord {
+	var records []sardinerock.StoreRecord
+	for len(b) >= 4 {
+		size := binary.BigEndian.Uint32(b)
+		one := b[4 : 4+size]
+		b = b[4+size:]
+		r := sardinerock.StoreRecord{Key: string(one[1 : 1+one[0]])}
+		if value := one[1+one[0]:]; len(value) > 0 {
+			r.Value = append([]byte(nil), value...)
+		}
+		records = append(records, r)
+	}
+	return records
+}
+
+func (s *storeServer) read(w http.ResponseWriter, r *http.Request, topic string) {
+	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	page, err := s.Read(r.Context(), topic, from, time.Duration(wait)*time.Millisecond)
+	if err != nil {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
+	b := binary.BigEndian.AppendUint64(nil, uint64(page.End))
+	b = binary.BigEndian.AppendUint64(b, 0)
+	for _, one := range page.Records {
+		b = binary.BigEndian.AppendUint32(b, uint32(1+len(one.Key)+len(one.Value)))
+		b = append(b, byte(len(one.Key)))
+		b = append(append(b, one.Key...), one.Value...)
+	}
+	_, _ = w.Write(b)
+}
+
+const (
+	engineSlots  = 4
+	streamEvents = 12
+	itemEvents   = 40
+	eventPause   = 15 * time.Millisecond
+)
+
+// runs is what the engines saw of each request.
+type runs struct {
+	mu    sync.Mutex
+	begun map[string]int
+}
+
+func (r *runs) begin(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.begun[id]++
+}
+
+func (r *runs) count(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.begun[id]
+}
+
+// engineServer is a backend server that streams events.
+type engineServer struct {
+	id    string
+	proxy *proxy
+	runs  *runs
+	busy  atomic.Int32
+}
+
+func newEngineServer(id string, seen *runs) (*engineServer, error) {
+	e := &engineServer{id: id, runs: seen}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	go func() { _ = http.Serve(l, e) }()
+	e.proxy, err = newProxy(l.Addr().String())
+	return e, err
+}
+
+func (e *engineServer) register(s *storeServer, state string, sequence int64) {
+	s.put("keyed.servers", e.id, map[string]any{
+		"service": "models", "address": e.proxy.address(), "zone": "z", "slots": engineSlots, "state": state, "sequence": sequence,
+	})
+}
+
+func (e *engineServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	if r.Header.Get("Expect-Instance") != e.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if e.busy.Add(1) > 2*engineSlots {
+		e.busy.Add(-1)
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer e.busy.Add(-1)
+	e.runs.begin(id)
+	w.Header().Set("Request-Id", id)
+	w.Header().Set("Response-Signature", "sig")
+	w.Header().Set("Content-Type", "text/event-stream")
+	events := streamEvents
+	if r.Header.Get("Model") == "batch" {
+		events = itemEvents
+	}
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for i := after + 1; i <= events; i++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i, id, i); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(eventPause):
+		}
+	}
+}
+
+// wholeStream is the answer to a request, and wholeText the text of an item.
+func wholeStream(id string) string {
+	text := ""
+	for i := 1; i <= streamEvents; i++ {
+		text += fmt.Sprintf("id: %d\ndata: %s %d\n\n", i, id, i)
+	}
+	return text
+}
+
+func wholeText(id string) string {
+	text := ""
+	for i := 1; i <= itemEvents; i++ {
+		if i > 1 {
+			text += "\n"
+		}
+		text += fmt.Sprintf("%s %d", id, i)
+	}
+	return text
+}
