--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 
 build:
 	$(GO) build -o bin/sardinerock ./cmd/sardinerock
+	$(GO) vet -tags lean ./clis ./cmd/...
 
 demo: build
 	bin/sardinerock demo
