--- a/relay/relay.go
+++ b/relay/relay.go
@@ -228,21 +228,6 @@
 	return n+l.PeerCrashes(fingerprint) >= crashLimit
 }
 
-// pickService draws the service of a request by the weights of its route.
-func pickService(route *sardinerock.Route) string {
-	total := 0.0
-	for _, s := range route.Shares {
-		total += s.Weight
-	}
-	at := rand.Float64() * total
-	for _, s := range route.Shares {
-		if at -= s.Weight; at < 0 {
-			return s.Service
-		}
-	}
-	return route.Shares[len(route.Shares)-1].Service
-}
-
 // waitedBefore returns how long a caller waited before this try of its. What
 // callers are ready to wait is the same for all first tries of a route; a later
 // try has less left.
@@ -273,7 +258,7 @@
 		route:    route,
 		call:     call,
 		version:  table.Version,
-		service:  pickService(route),
+		service:  route.Service(rand.Float64()),
 		received: received,
 		print:    fingerprint(call),
 		tried:    map[string]bool{},
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -30,6 +30,10 @@
 	// expiryTick is between two removals of old jobs: at 200 results a second
 	// that is 25 MB of the store's 400 in between.
 	expiryTick = 10 * time.Second
+	// clockMargin is added to the age at which an item is given up: jobs carry
+	// the time of another entry's clock, and clocks have been seen 4 s apart. An
+	// item given up too early is lost to its caller.
+	clockMargin = 10 * time.Second
 	// noteTimeout is how long the store may take to record progress; the next
 	// record holds all that this one would have.
 	noteTimeout = 3 * time.Second
@@ -322,11 +326,11 @@
 		case c.route == nil:
 			r.giveUp(&c.OpenItem, "its route was removed")
 			continue
-		case c.route.Retention > 0 && time.Since(c.CreatedAt) > c.route.Retention:
+		case c.route.Retention > 0 && time.Since(c.CreatedAt) > c.route.Retention+clockMargin:
 			r.giveUp(&c.OpenItem, "it is too old")
 			continue
 		}
-		c.service = c.route.Shares[0].Service
+		c.service = c.route.Service(r.Pace.Random.Float64())
 		waiting = append(waiting, c)
 	}
 	return waiting
--- a/serving.go
+++ b/serving.go
@@ -62,6 +62,22 @@
 	return r.Kind == RouteIdempotent || r.Kind == RouteStream && r.Resumable
 }
 
+// Service returns the service of a request by the weights of the shares; draw
+// is a random number from 0 to below 1.
+func (r *Route) Service(draw float64) string {
+	total := 0.0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	at := draw * total
+	for _, s := range r.Shares {
+		if at -= s.Weight; at < 0 {
+			return s.Service
+		}
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
+
 // ServiceInfo is what the configuration says of one service.
 type ServiceInfo struct {
 	// MaxConnections bounds the open connections of all callers to one backend server; 0 is no bound.
