runner: items whose time runs short take the reserve as well

Cause: on the grown sites bursts leave batch items little more than they need; a slot kept free on each backend server is a seventh of all, and items are late. Change: items older than 0.35 of their job's time leave none free.

--- a/runner/order_test.go
+++ b/runner/order_test.go
@@ -88,3 +88,9 @@
 		})
 	}
 }
+
+func TestOldItemsTakeTheReserve(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(slotReserve(time.Second, 18*time.Second)).To(Equal(onlineReserve))
+	g.Expect(slotReserve(7*time.Second, 18*time.Second)).To(BeZero())
+}
--- a/runner/pace.go
+++ b/runner/pace.go
@@ -43,3 +43,23 @@
 
 // Started notes an item that was started.
 func (p *Pace) Started() { p.left-- }
+
+const (
+	// onlineReserve is how many slots of each backend server stay free for the
+	// next online request that comes there.
+	onlineReserve = 1
+	// urgentAge is the part of a job's time after which its items take these
+	// slots too: a run takes a quarter of that time, with breaks half of it.
+	urgentAge = 0.35
+)
+
+// slotReserve returns how many slots of a backend server an item leaves free.
+// Where bursts leave batch items little more than they need, a slot kept on
+// each backend server is a seventh of all, and items come late for want of it;
+// taken by all of them at once, online requests find none in the first moment of a burst.
+func slotReserve(age, completion time.Duration) int {
+	if float64(age) > urgentAge*float64(completion) {
+		return 0
+	}
+	return onlineReserve
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -19,9 +19,6 @@
 	// tick is between two looks for free slots. Bursts end within a second; a
 	// slot that stays free for a fraction of that is little lost.
 	tick = 25 * time.Millisecond
-	// reserve is how many slots of each backend server stay free for the next
-	// online request that comes there.
-	reserve = 1
 	// settleTime is how long after its start an entry runs no items: it hears
 	// within it who else lives and what they run.
 	settleTime = 600 * time.Millisecond
@@ -281,10 +278,11 @@
 	for n := range waiting {
 		now := time.Now()
 		service := waiting[n].service
+		reserve := slotReserve(now.Sub(waiting[n].CreatedAt), waiting[n].route.Completion)
 		if r.Pace.Allow(r.Pool.Free(service, reserve, now), len(waiting), r.WaitingElsewhere(), now) <= 0 {
 			return
 		}
-		if !r.start(ctx, &waiting[n]) {
+		if !r.start(ctx, &waiting[n], reserve) {
 			return
 		}
 		r.Pace.Started()
@@ -352,7 +350,7 @@
 }
 
 // start runs an item if a slot is free, and says false if none is.
-func (r *Runner) start(ctx context.Context, c *candidate) bool {
+func (r *Runner) start(ctx context.Context, c *candidate, reserve int) bool {
 	choice, ok := r.Pool.Batch(c.service, reserve, time.Now())
 	if !ok {
 		return false
