--- a/node/node_test.go
+++ b/node/node_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -120,8 +121,14 @@
 	f.put(serversTopic, id, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","slots":4,"state":"ready","sequence":1}`, s.Listener.Addr()))
 }
 
+// addresses counts the loopback addresses that tests took.
+var addresses atomic.Int32
+
+// freeAddress returns a free port on a loopback address of its own: one on the
+// common address may be taken by an outgoing connection before it is used.
 func freeAddress(g *WithT) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid, n := os.Getpid(), addresses.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid%250, 1+n/250, 1+n%250))
 	g.Expect(err).NotTo(HaveOccurred())
 	defer l.Close()
 	return l.Addr().String()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -73,25 +72,16 @@
 	paused             bool
 }
 
-func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
+// newEntry writes the settings of an entry. Each has an address of its own on
+// loopback: a port that was free a moment ago on the common one may be taken by
+// an outgoing connection before the entry listens on it.
 func (s *soak) newEntry(i int) *process {
-	p := &process{name: fmt.Sprint("front-", i), front: freeAddress(), ready: freeAddress()}
-	// Each entry has an address of its own on loopback, as the metrics' port is the same for all.
-	ip := fmt.Sprintf("127.0.%d.%d", 1+os.Getpid()%200, 10+i)
-	_, port, _ := net.SplitHostPort(freeAddress())
-	var first int
-	_, _ = fmt.Sscan(port, &first)
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+pid%250, pid/250%250, 10+i)
+	p := &process{name: fmt.Sprint("front-", i), front: ip + ":8144", ready: ip + ":8140"}
 	p.file = filepath.Join(s.dir, p.name+".toml")
-	text := fmt.Sprintf("node = %q\nip = %q\nzone = \"z\"\nport_range = [%d,%d]\n[listen]\nfront = %q\nready = %q\n[bounds]\ngrace_s = 6\nstatus_s = 600\n[platform]\naddress = %q\nrecord_bytes = 4000\ncall_bytes = 100000\n",
-		p.name, ip, first, first+1, p.front, p.ready, s.store.proxy.address())
+	text := fmt.Sprintf("node = %q\nip = %q\nzone = \"z\"\nport_range = [7660,7675]\n[listen]\nfront = %q\nready = %q\n[bounds]\ngrace_s = 6\nstatus_s = 600\n[platform]\naddress = %q\nrecord_bytes = 4000\ncall_bytes = 100000\n",
+		p.name, ip, p.front, p.ready, s.store.proxy.address())
 	s.must(os.WriteFile(p.file, []byte(text), 0o600))
 	return p
 }
