--- a/commit/commit_test.go
+++ b/commit/commit_test.go
@@ -9,12 +9,12 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock"
-	"github.com/sardinerock/sardinerock/fakes"
 	"github.com/sardinerock/sardinerock/ledger"
+	"github.com/sardinerock/sardinerock/memkv"
 )
 
 // running is an appender with its loop and its reader.
-func running(t *testing.T, store *fakes.MemStore) *testEntry {
+func running(t *testing.T, store *memkv.Store) *testEntry {
 	e := newTestEntry(store)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -31,7 +31,7 @@
 // appended before it, and nobody may wait for ever.
 func TestEntriesShareOneOrder(t *testing.T) {
 	g := NewWithT(t)
-	store := &fakes.MemStore{}
+	store := &memkv.Store{}
 	const each = 10
 	results := make(chan error, 3*each)
 	for i := range 3 {
@@ -56,14 +56,14 @@
 // does not hold, and the caller is told so for certain.
 func TestRefusedIsCertain(t *testing.T) {
 	g := NewWithT(t)
-	store := &fakes.MemStore{}
+	store := &memkv.Store{}
 	e := running(t, store)
 	g.Eventually(e.Follower.Loaded, 10*time.Second).Should(BeTrue())
-	store.SetFault(func(call, _ string) fakes.StoreFault {
+	store.SetFault(func(call, _ string) memkv.Fault {
 		if call == "append" {
-			return fakes.StoreRefuses
+			return memkv.Refuses
 		}
-		return fakes.StoreWorks
+		return memkv.Works
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 	defer cancel()
@@ -76,11 +76,11 @@
 // and is killed with answers under way.
 func TestStopLetsWaitersGo(t *testing.T) {
 	g := NewWithT(t)
-	store := &fakes.MemStore{}
+	store := &memkv.Store{}
 	e := newTestEntry(store)
 	ctx, cancel := context.WithCancel(context.Background())
 	go e.Run(ctx)
-	store.SetFault(func(string, string) fakes.StoreFault { return fakes.StoreRefuses })
+	store.SetFault(func(string, string) memkv.Fault { return memkv.Refuses })
 	done := make(chan error, 1)
 	go func() {
 		_, err := e.Submit(context.Background(), acceptJob("j"))
--- a/commit/interleave_test.go
+++ b/commit/interleave_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/event"
-	"github.com/sardinerock/sardinerock/fakes"
 	"github.com/sardinerock/sardinerock/ledger"
+	"github.com/sardinerock/sardinerock/memkv"
 	"github.com/sardinerock/sardinerock/watch"
 )
 
@@ -35,7 +35,7 @@
 
 type interleaving struct {
 	r       *rand.Rand
-	store   *fakes.MemStore
+	store   *memkv.Store
 	entries []*testEntry
 	told    []*callerView
 	calm    bool
@@ -48,7 +48,7 @@
 
 func newInterleaving(seed uint64) *interleaving {
 	run := &interleaving{r: rand.New(rand.NewPCG(seed, 1))}
-	run.store = &fakes.MemStore{PageSize: 1, Fault: run.fault}
+	run.store = &memkv.Store{PageSize: 1, Fault: run.fault}
 	for range 3 {
 		run.entries = append(run.entries, newTestEntry(run.store))
 	}
@@ -69,13 +69,13 @@
 }
 
 // fault draws what goes wrong with a call.
-func (run *interleaving) fault(string, string) fakes.StoreFault {
+func (run *interleaving) fault(string, string) memkv.Fault {
 	if run.calm {
-		return fakes.StoreWorks
+		return memkv.Works
 	}
-	return []fakes.StoreFault{
-		fakes.StoreWorks, fakes.StoreWorks, fakes.StoreWorks, fakes.StoreWorks,
-		fakes.StoreRefuses, fakes.StoreLosesAnswer, fakes.StoreLosesCall, fakes.StoreIsLate,
+	return []memkv.Fault{
+		memkv.Works, memkv.Works, memkv.Works, memkv.Works,
+		memkv.Refuses, memkv.LosesAnswer, memkv.LosesCall, memkv.IsLate,
 	}[run.r.IntN(8)]
 }
 
--- a/fakes/memstore.go
+++ b/memkv/memkv.go
@@ -1,4 +1,4 @@
-package fakes
+package memkv
 
 import (
 	"context"
@@ -10,61 +10,61 @@
 	"github.com/sardinerock/sardinerock"
 )
 
-// StoreFault is what goes wrong with one call of a MemStore.
-type StoreFault int
+// Fault is what goes wrong with one call of a Store.
+type Fault int
 
 // The faults of a store.
 const (
-	// StoreWorks means that nothing goes wrong.
-	StoreWorks StoreFault = iota
-	// StoreRefuses means that nothing is done, and the answer says so.
-	StoreRefuses
-	// StoreLosesAnswer means that the call is done and not answered.
-	StoreLosesAnswer
-	// StoreLosesCall means that the call is neither done nor answered.
-	StoreLosesCall
-	// StoreIsLate means that an append isn't answered and is done at the next Settle, if its condition still holds.
-	StoreIsLate
+	// Works means that nothing goes wrong.
+	Works Fault = iota
+	// Refuses means that nothing is done, and the answer says so.
+	Refuses
+	// LosesAnswer means that the call is done and not answered.
+	LosesAnswer
+	// LosesCall means that the call is neither done nor answered.
+	LosesCall
+	// IsLate means that an append isn't answered and is done at the next Settle, if its condition still holds.
+	IsLate
 )
 
-// ErrStoreSilent is what callers of a MemStore get for a lost answer.
-var ErrStoreSilent = errors.New("memstore: no answer")
+// ErrSilent is what callers of a Store get for a lost answer.
+var ErrSilent = errors.New("memkv: no answer")
 
-// MemStore is a stand-in of the platform's store in memory.
-type MemStore struct {
+// Store is a stand-in of the platform's store in memory.
+type Store struct {
 	// Fault, if set, says what goes wrong with the next call; call is append,
 	// put, read or newest. SetFault changes it while the store is in use.
-	Fault func(call, topic string) StoreFault
+	Fault func(call, topic string) Fault
 	// PageSize is how many records a page of the newest ones holds; 0 is all.
 	PageSize int
 
 	mu     sync.Mutex
-	topics map[string]*memTopic
+	topics map[string]*partition
 	late   []func()
 	calls  map[string]int
 }
 
-type memTopic struct {
+type partition struct {
 	records []sardinerock.StoreRecord
 	first   int64
 	moved   chan struct{}
 }
 
-func (s *MemStore) topic(name string) *memTopic {
+func (s *Store) topic(name string) *partition {
 	if s.topics == nil {
-		s.topics = map[string]*memTopic{}
+		s.topics = map[string]*partition{}
 	}
 	t := s.topics[name]
 	if t == nil {
-		t = &memTopic{moved: make(chan struct{})}
+		t = &partition{moved: make(chan struct{})}
 		s.topics[name] = t
 	}
 	return t
 }
 
-func (t *memTopic) end() int64 { return int64(len(t.records)) }
+func (t *partition) end() int64 { return int64(len(t.records)) }
 
-func (t *memTopic) add(records []sardinerock.StoreRecord) {
+func (t *partition) add(records []sardinerock.StoreRecord) {
 	for _, r := range records {
 		r.Offset = t.end()
 		t.records = append(t.records, r)
@@ -74,7 +74,7 @@
 }
 
 // begin counts a call and asks what goes wrong with it.
-func (s *MemStore) begin(call, topic string) StoreFault {
+func (s *Store) begin(call, topic string) Fault {
 	s.mu.Lock()
 	if s.calls == nil {
 		s.calls = map[string]int{}
@@ -83,27 +83,27 @@
 	fault := s.Fault
 	s.mu.Unlock()
 	if fault == nil {
-		return StoreWorks
+		return Works
 	}
 	return fault(call, topic)
 }
 
 // SetFault changes what goes wrong from now on.
-func (s *MemStore) SetFault(fault func(call, topic string) StoreFault) {
+func (s *Store) SetFault(fault func(call, topic string) Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.Fault = fault
 }
 
 // Calls returns how often a call was made.
-func (s *MemStore) Calls(call string) int {
+func (s *Store) Calls(call string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.calls[call]
 }
 
 // AppendAt implements sardinerock.Store.
-func (s *MemStore) AppendAt(_ context.Context, topic string, at int64, records []sardinerock.StoreRecord) (int64, error) {
+func (s *Store) AppendAt(_ context.Context, topic string, at int64, records []sardinerock.StoreRecord) (int64, error) {
 	fault := s.begin("append", topic)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -116,28 +116,28 @@
 		return nil
 	}
 	switch fault {
-	case StoreRefuses:
+	case Refuses:
 		return 0, sardinerock.ErrStoreRefused
-	case StoreLosesCall:
-		return 0, ErrStoreSilent
-	case StoreIsLate:
+	case LosesCall:
+		return 0, ErrSilent
+	case IsLate:
 		copied := append([]sardinerock.StoreRecord(nil), records...)
 		s.late = append(s.late, func() {
 			if t.end() == at {
 				t.add(copied)
 			}
 		})
-		return 0, ErrStoreSilent
+		return 0, ErrSilent
 	}
 	err := try()
-	if fault == StoreLosesAnswer {
-		return 0, ErrStoreSilent
+	if fault == LosesAnswer {
+		return 0, ErrSilent
 	}
 	return t.end(), err
 }
 
 // Settle does the late appends whose conditions still hold.
-func (s *MemStore) Settle() {
+func (s *Store) Settle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, do := range s.late {
@@ -147,12 +147,12 @@
 }
 
 // Put implements sardinerock.Store.
-func (s *MemStore) Put(_ context.Context, topic string, record sardinerock.StoreRecord) error {
+func (s *Store) Put(_ context.Context, topic string, record sardinerock.StoreRecord) error {
 	switch s.begin("put", topic) {
-	case StoreRefuses:
+	case Refuses:
 		return sardinerock.ErrStoreRefused
-	case StoreLosesCall:
-		return ErrStoreSilent
+	case LosesCall:
+		return ErrSilent
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -161,12 +161,12 @@
 }
 
 // Read implements sardinerock.Store.
-func (s *MemStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (sardinerock.StorePage, error) {
+func (s *Store) Read(ctx context.Context, topic string, from int64, wait time.Duration) (sardinerock.StorePage, error) {
 	switch s.begin("read", topic) {
-	case StoreRefuses:
+	case Refuses:
 		return sardinerock.StorePage{}, sardinerock.ErrStoreRefused
-	case StoreLosesCall, StoreLosesAnswer, StoreIsLate:
-		return sardinerock.StorePage{}, ErrStoreSilent
+	case LosesCall, LosesAnswer, IsLate:
+		return sardinerock.StorePage{}, ErrSilent
 	}
 	deadline := time.After(wait)
 	for {
@@ -196,12 +196,12 @@
 }
 
 // Newest implements sardinerock.Store.
-func (s *MemStore) Newest(_ context.Context, topic, after string) (sardinerock.StorePage, error) {
+func (s *Store) Newest(_ context.Context, topic, after string) (sardinerock.StorePage, error) {
 	switch s.begin("newest", topic) {
-	case StoreRefuses:
+	case Refuses:
 		return sardinerock.StorePage{}, sardinerock.ErrStoreRefused
-	case StoreLosesCall, StoreLosesAnswer, StoreIsLate:
-		return sardinerock.StorePage{}, ErrStoreSilent
+	case LosesCall, LosesAnswer, IsLate:
+		return sardinerock.StorePage{}, ErrSilent
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -224,7 +224,7 @@
 }
 
 // DropHistory forgets the records of a topic; the newest of each key stays to be asked for.
-func (s *MemStore) DropHistory(topic string) {
+func (s *Store) DropHistory(topic string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(topic)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -24,7 +24,7 @@
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/conf"
 	"github.com/sardinerock/sardinerock/event"
-	"github.com/sardinerock/sardinerock/fakes"
+	"github.com/sardinerock/sardinerock/memkv"
 	"github.com/sardinerock/sardinerock/node"
 	"github.com/sardinerock/sardinerock/platform"
 	"github.com/sardinerock/sardinerock/runner"
@@ -38,7 +38,7 @@
 type fleet struct {
 	t       *testing.T
 	g       *WithT
-	store   *fakes.MemStore
+	store   *memkv.Store
 	entries []*entry
 	// events is how many events an engine makes for a request, one a pace.
 	events int
@@ -62,7 +62,7 @@
 )
 
 func newFleet(t *testing.T, entries int) *fleet {
-	f := &fleet{t: t, g: NewWithT(t), store: &fakes.MemStore{PageSize: 50}, events: 5, pace: time.Millisecond, runs: map[string]int{}, resumed: map[string][]string{}}
+	f := &fleet{t: t, g: NewWithT(t), store: &memkv.Store{PageSize: 50}, events: 5, pace: time.Millisecond, runs: map[string]int{}, resumed: map[string][]string{}}
 	f.status.Store(http.StatusOK)
 	f.configure(1, "/letters/")
 	for i := range 2 {
@@ -365,11 +365,11 @@
 	status, _ := f.call(f.entries[0], http.MethodPost, "/batch/j", "job1", jobBody(2, 1))
 	f.g.Expect(status).To(Equal(http.StatusAccepted))
 	var away atomic.Bool
-	f.store.SetFault(func(string, string) fakes.StoreFault {
+	f.store.SetFault(func(string, string) memkv.Fault {
 		if away.Load() {
-			return fakes.StoreRefuses
+			return memkv.Refuses
 		}
-		return fakes.StoreWorks
+		return memkv.Works
 	})
 	away.Store(true)
 	status, _ = f.call(f.entries[0], http.MethodPost, "/letters/x", "r1", "")
--- a/runner/run.go
+++ b/runner/run.go
@@ -45,7 +45,7 @@
 		Int("outcome", int(o)).Int("events", i.events).Dur("took", time.Since(i.started)).Err(err).Msg("item left its slot")
 	switch o {
 	case succeeded:
-		r.record(&i.open, sardinerock.BatchResult{Item: i.open.Item.ID, Succeeded: true, Text: i.progress.Text})
+		r.record(&i.open, sardinerock.BatchResult{Item: i.open.Item.ID, Succeeded: true, Text: string(i.text)})
 	case refused:
 		r.record(&i.open, sardinerock.BatchResult{Item: i.open.Item.ID})
 	case failed:
@@ -81,7 +81,7 @@
 
 func (r *Runner) exchange(ctx context.Context, i *item, choice *pool.Choice) (outcome, error) {
 	answer, err := r.Conns.Send(ctx, &choice.BackendServer, r.Batch.ItemCall(i.open.Host, i.open.Item), sardinerock.Attempt{
-		Instance: choice.ID, Left: r.Batch.ItemDeadline(), ResumeAfter: i.progress.LastEvent, HeadTimeout: eventSilence,
+		Instance: choice.ID, Left: r.Batch.ItemDeadline(), ResumeAfter: i.lastEvent, HeadTimeout: eventSilence,
 	})
 	if err != nil {
 		return interrupted, err
@@ -110,11 +110,14 @@
 			return interrupted, err
 		}
 		if data, ok := e.Data(); ok {
-			if !conns.Follows(i.progress.LastEvent, e.ID) {
+			if !conns.Follows(i.lastEvent, e.ID) {
 				return interrupted, errors.New("the stream doesn't go on where it was asked to")
 			}
 			r.mu.Lock()
-			i.progress = appendEvent(i.progress, e.ID, data)
+			if i.lastEvent != "" {
+				i.text = append(i.text, '\n')
+			}
+			i.lastEvent, i.text = e.ID, append(i.text, data...)
 			i.events++
 			r.mu.Unlock()
 		}
@@ -124,13 +127,6 @@
 	}
 }
 
-func appendEvent(p ledger.Progress, id, data string) ledger.Progress {
-	if p.LastEvent != "" {
-		data = p.Text + "\n" + data
-	}
-	return ledger.Progress{LastEvent: id, Text: data, Steps: p.Steps}
-}
-
 // record brings a result into the store's order. It goes on until the store
 // has it or the process ends: the work is done and must not be lost to an outage.
 func (r *Runner) record(open *ledger.OpenItem, result sardinerock.BatchResult) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -88,9 +88,11 @@
 	started time.Time
 	cancel  context.CancelFunc
 	// gaveWay is set when its slot was taken for online work.
-	gaveWay  bool
-	progress ledger.Progress
-	events   int
+	gaveWay bool
+	// lastEvent is the id of the last event whose data is in text.
+	lastEvent string
+	text      []byte
+	events    int
 	// recorded and recordedAt tell what of the progress is in the store, and since when.
 	recorded   int
 	recordedAt time.Time
@@ -362,14 +364,14 @@
 		i = &item{key: c.key, recordedAt: time.Now()}
 		r.items[c.key] = i
 	}
-	if len(c.Progress.Text) > len(i.progress.Text) {
-		i.progress, i.recorded = c.Progress, len(c.Progress.Text)
+	if len(c.Progress.Text) > len(i.text) {
+		i.lastEvent, i.text, i.recorded = c.Progress.LastEvent, []byte(c.Progress.Text), len(c.Progress.Text)
 	}
 	i.failures = max(i.failures, c.Failures)
 	i.open, i.running, i.server, i.started, i.cancel, i.gaveWay = c.OpenItem, true, choice.ID, time.Now(), cancel, false
 	r.mu.Unlock()
 	r.Events.Info(event.ItemStarted).Str("job", c.Job).Str("item", c.Item.ID).Str("server", choice.ID).
-		Int("online", choice.Online).Int("batch", choice.Batch).Str("resume", i.progress.LastEvent).Msg("item started")
+		Int("online", choice.Online).Int("batch", choice.Batch).Str("resume", i.lastEvent).Msg("item started")
 	r.group.Add(1)
 	go func() {
 		defer r.group.Done()
@@ -395,48 +397,3 @@
 		r.record(open, sardinerock.BatchResult{Item: open.Item.ID})
 	}()
 }
-
-const (
-	// noteAfter is the age at which what an item has generated is brought into
-	// the store: what a lost entry hadn't recorded is generated again.
-	noteAfter = 1200 * time.Millisecond
-	// leastNoted is the length of text below which a record isn't worth its call.
-	leastNoted = 512
-)
-
-// noteProgress brings the progress of long runs into the store. If this entry
-// is lost, the next owner goes on from there and not from the beginning.
-func (r *Runner) noteProgress() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := time.Now()
-	for _, i := range r.items {
-		if i.recording || now.Sub(i.recordedAt) < noteAfter || len(i.progress.Text)-i.recorded < leastNoted {
-			continue
-		}
-		i.recording = true
-		progress, open := i.progress, i.open
-		r.group.Add(1)
-		go func() {
-			defer r.group.Done()
-			r.note(i, &open, progress)
-		}()
-	}
-}
-
-func (r *Runner) note(i *item, open *ledger.OpenItem, progress ledger.Progress) {
-	ctx, cancel := context.WithTimeout(context.Background(), noteTimeout)
-	defer cancel()
-	verdict, err := r.Appender.SubmitLazily(ctx, func(p *ledger.Plan) (ledger.Verdict, error) {
-		return p.Proceed(open.Job, open.Index, progress)
-	})
-	if err != nil {
-		r.Events.Info(event.ItemFailed).Str("job", open.Job).Str("item", open.Item.ID).Err(err).Msg("progress isn't recorded")
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	i.recording, i.recordedAt = false, time.Now()
-	if err == nil && verdict == ledger.Made {
-		i.recorded = len(progress.Text)
-	}
-}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -120,7 +121,7 @@
 			}
 		}
 		if err != nil {
-			if lost && err == io.EOF {
+			if lost && errors.Is(err, io.EOF) {
 				time.Sleep(time.Second)
 			}
 			return
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -15,12 +15,12 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
-	"github.com/sardinerock/sardinerock/fakes"
+	"github.com/sardinerock/sardinerock/memkv"
 )
 
 // storeServer is the platform's store over HTTP, as far as entries use it.
 type storeServer struct {
-	fakes.MemStore
+	memkv.Store
 	proxy *proxy
 	// loses and refuses say what is done with calls now.
 	loses, refuses atomic.Bool
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/event"
-	"github.com/sardinerock/sardinerock/fakes"
+	"github.com/sardinerock/sardinerock/memkv"
 )
 
 // view is the newest value of each key that a follower was told of.
@@ -43,20 +43,20 @@
 	return v.values[key]
 }
 
-func newFollower(store *fakes.MemStore) (*Follower, *view) {
+func newFollower(store *memkv.Store) (*Follower, *view) {
 	v := &view{}
 	f := &Follower{Store: store, Topic: "t", Apply: v.apply, Events: &event.Logger{}}
 	f.Prepare()
 	return f, v
 }
 
-func put(g *WithT, store *fakes.MemStore, key, value string) {
+func put(g *WithT, store *memkv.Store, key, value string) {
 	g.Expect(store.Put(context.Background(), "t", sardinerock.StoreRecord{Key: key, Value: []byte(value)})).To(Succeed())
 }
 
 func TestFollowsChangesAndGaps(t *testing.T) {
 	g := NewWithT(t)
-	store := &fakes.MemStore{PageSize: 2}
+	store := &memkv.Store{PageSize: 2}
 	for n := range 5 {
 		put(g, store, fmt.Sprint("k", n), "old")
 	}
@@ -78,16 +78,16 @@
 // fail now and then. A load that began anew each time would never end.
 func TestLoadKeepsItsPages(t *testing.T) {
 	g := NewWithT(t)
-	store := &fakes.MemStore{PageSize: 1}
+	store := &memkv.Store{PageSize: 1}
 	for n := range 9 {
 		put(g, store, strconv.Itoa(n), "x")
 	}
 	calls := 0
-	store.Fault = func(call, _ string) fakes.StoreFault {
+	store.Fault = func(call, _ string) memkv.Fault {
 		if calls++; calls%2 == 0 {
-			return fakes.StoreRefuses
+			return memkv.Refuses
 		}
-		return fakes.StoreWorks
+		return memkv.Works
 	}
 	f, v := newFollower(store)
 	for tries := 0; !f.Loaded(); tries++ {
@@ -100,7 +100,7 @@
 
 // staleStore answers the newest records as they were before.
 type staleStore struct {
-	*fakes.MemStore
+	*memkv.Store
 	page *sardinerock.StorePage
 }
 
@@ -108,19 +108,19 @@
 	if s.page != nil {
 		return *s.page, nil
 	}
-	return s.MemStore.Newest(ctx, topic, after)
+	return s.Store.Newest(ctx, topic, after)
 }
 
 // The store's history is gone and its answer is seconds old: what the process
 // knows already must not be taken back by it.
 func TestStaleAnswerTakesNothingBack(t *testing.T) {
 	g := NewWithT(t)
-	store := &fakes.MemStore{}
+	store := &memkv.Store{}
 	put(g, store, "k", "old")
 	stale, err := store.Newest(context.Background(), "t", "")
 	g.Expect(err).NotTo(HaveOccurred())
 	put(g, store, "k", "new")
-	behind := &staleStore{MemStore: store}
+	behind := &staleStore{Store: store}
 	f, v := newFollower(store)
 	f.Store = behind
 	g.Expect(f.Sync(context.Background())).To(Succeed())
@@ -137,7 +137,7 @@
 
 func TestOwnAppendsAreAppliedOnce(t *testing.T) {
 	g := NewWithT(t)
-	store := &fakes.MemStore{}
+	store := &memkv.Store{}
 	f, _ := newFollower(store)
 	applied := 0
 	f.Apply = func(records []sardinerock.StoreRecord, _ bool) { applied += len(records) }
@@ -242,7 +242,7 @@
 
 // between appends a record before each page but the first is read.
 type between struct {
-	*fakes.MemStore
+	*memkv.Store
 	append func()
 }
 
@@ -250,7 +250,7 @@
 	if after != "" {
 		s.append()
 	}
-	return s.MemStore.Newest(ctx, topic, after)
+	return s.Store.Newest(ctx, topic, after)
 }
 
 // While an entry loads the topic page by page, others append. A record that a
@@ -258,12 +258,12 @@
 // and whose page was read before it came: a result would miss its text's beginning.
 func TestLoadAppliesNothingOutOfOrder(t *testing.T) {
 	g := NewWithT(t)
-	store := &fakes.MemStore{PageSize: 2}
+	store := &memkv.Store{PageSize: 2}
 	for _, key := range []string{"a", "b", "y"} {
 		put(g, store, key, "old")
 	}
 	f, _ := newFollower(store)
-	f.Store = &between{MemStore: store, append: func() {
+	f.Store = &between{Store: store, append: func() {
 		put(g, store, "aa", "part")
 		put(g, store, "z", "result")
 	}}
