gossip: jobs fall to entries that read the store

Change: jobs are shared out among live entries that read the store; while none does all keep what they have.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -125,6 +125,28 @@
 	return names
 }
 
+// Owners returns the names of the entries among which jobs are shared out: the
+// live ones that read the store. One that doesn't hears of no new job, and
+// those that fall to it would wait until it is back. While none reads the store
+// all keep what they have.
+func (g *Gossip) Owners(now time.Time, storeLost bool) []string {
+	g.mu.Lock()
+	var names []string
+	if !g.leaving && !storeLost {
+		names = append(names, g.Name)
+	}
+	for name, p := range g.peers {
+		if p.live(now) && !p.last.Leaving && !p.last.StoreLost {
+			names = append(names, name)
+		}
+	}
+	g.mu.Unlock()
+	if len(names) == 0 {
+		return g.Live(now)
+	}
+	return names
+}
+
 func (p *peer) live(now time.Time) bool { return now.Sub(p.heard) < PeerTimeout }
 
 // RunningElsewhere returns the hashes of the batch items that live peers run.
--- a/node/node.go
+++ b/node/node.go
@@ -183,7 +183,7 @@
 		Keep:             n.Settings.KeepResults + keepMargin,
 		Pace:             &runner.Pace{View: gossip.Interval, Random: seed(1)},
 		WaitingElsewhere: func() int { return n.gossip.Waiting(time.Now()) },
-		Live:             func() []string { return n.gossip.Live(time.Now()) },
+		Owners:           func() []string { return n.gossip.Owners(time.Now(), n.jobs.Lost()) },
 		RunningElsewhere: func() map[uint64]bool { return n.gossip.RunningElsewhere(time.Now()) },
 	}
 	n.runner.Prepare()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -60,8 +60,8 @@
 	Pace *Pace
 	// WaitingElsewhere returns how many items the other entries could start.
 	WaitingElsewhere func() int
-	// Live returns the names of the live entries.
-	Live func() []string
+	// Owners returns the names of the entries among which jobs are shared out.
+	Owners func() []string
 	// RunningElsewhere returns the items that other live entries run.
 	RunningElsewhere func() map[uint64]bool
 	// Keep is how long jobs stay in the store after they came.
@@ -141,7 +141,7 @@
 // expireJobs removes old jobs from the store, at one entry of all: the store
 // keeps the newest record of each key for good, and is full at some size.
 func (r *Runner) expireJobs(ctx context.Context) {
-	if r.Keep <= 0 || Owner(expiryKey, r.Live()) != r.Name {
+	if r.Keep <= 0 || Owner(expiryKey, r.Owners()) != r.Name {
 		return
 	}
 	before := time.Now().Add(-r.Keep)
@@ -308,8 +308,8 @@
 	if table == nil || leaving {
 		return nil
 	}
-	live := r.Live()
-	open := r.Ledger.OpenItems(func(job string) bool { return Owner(job, live) == r.Name })
+	owners := r.Owners()
+	open := r.Ledger.OpenItems(func(job string) bool { return Owner(job, owners) == r.Name })
 	if len(open) == 0 {
 		return nil
 	}
