relay: a begun stream goes on at once; requests that crash are remembered one by one

Cause: by reading: a broken stream that goes on was admitted like a new request and could be held or refused in its middle; the counts of requests that crash were all forgotten at once when 256 were there. Change: both.

--- a/node/node.go
+++ b/node/node.go
@@ -200,6 +200,7 @@
 		PeerCrashes: func(f uint64) int { return n.gossip.Crashes(f, time.Now()) },
 		Events:      n.Events, Metrics: n.Metrics,
 	}
+	n.relay.Prepare()
 }
 
 func (n *Node) follower(topic string, apply func([]sardinerock.StoreRecord, bool)) *watch.Follower {
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -28,6 +28,8 @@
 	// Target is the time within which the answer has to begin, or to be whole if it is no stream.
 	Target time.Duration
 	Stream bool
+	// Begun is set once the caller has a part of the answer.
+	Begun bool
 	// Held is how many requests this entry holds back, Most how many can be served in time.
 	Held, Most int
 }
@@ -53,6 +55,10 @@
 // only if it will still begin in time there; all others wait here, where a
 // fresh one can overtake them, and go once there is room or their time is short.
 func (a *admission) decide() action {
+	// A stream that broke goes on at once: its caller sees each moment of it as a pause.
+	if a.Begun {
+		return send
+	}
 	ahead := a.Online - a.Slots + 1
 	if ahead <= 0 {
 		return send
--- a/relay/admit_test.go
+++ b/relay/admit_test.go
@@ -19,6 +19,7 @@
 		"a free slot":                           {func(a *admission) { a.Online = 7; a.Waited = time.Second }, send},
 		"fresh, short queue":                    {func(*admission) {}, send},
 		"fresh, long queue":                     {func(a *admission) { a.Online = 12 }, hold},
+		"a stream goes on":                      {func(a *admission) { a.Online = 16; a.Begun = true; a.Waited = time.Second }, send},
 		"late already":                          {func(a *admission) { a.Waited = 400 * ms }, hold},
 		"late, time runs short":                 {func(a *admission) { a.Waited = 3 * time.Second; a.Left = 1400 * ms }, send},
 		"late, time runs short, no place":       {func(a *admission) { a.Online = 16; a.Waited = 3 * time.Second; a.Left = 1400 * ms }, refuse},
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -57,7 +57,8 @@
 	// before is how long the caller had waited when this try came.
 	before   time.Duration
 	deadline time.Time
-	print    uint64
+	// fingerprint is the same for each resend of the request.
+	fingerprint uint64
 
 	// tried are the backend servers that are not to be tried again.
 	tried map[string]bool
@@ -73,7 +74,7 @@
 
 func (p *pass) run() {
 	defer p.cancel()
-	if p.relay.suspect(p.print) {
+	if p.relay.suspect(p.fingerprint) {
 		p.final(http.StatusUnprocessableEntity, "backend servers broke during this request before", 0)
 		return
 	}
@@ -159,6 +160,7 @@
 		Left:   p.deadline.Sub(now),
 		Target: p.route.Target,
 		Stream: p.route.Kind == sardinerock.RouteStream,
+		Begun:  p.begun,
 		Held:   int(p.relay.held.Load()),
 		Most:   heldRuns * slots / max(p.relay.Entries(), 1),
 	}
@@ -178,7 +180,7 @@
 		}
 		p.runs++
 		if p.ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			p.relay.crashed(p.print)
+			p.relay.crashed(p.fingerprint)
 		}
 		return broken
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/sardinerock/sardinerock"
@@ -37,6 +38,9 @@
 	waitingShare = 1.0
 	// maxRefusals bounds the tries of one request that were turned away without a run.
 	maxRefusals = 4
+	// remembered is how many requests with breaks are kept in mind; one that
+	// crashes backend servers comes again within seconds.
+	remembered = 256
 	// crashLimit is how many backend servers may break during one request before it is refused everywhere.
 	crashLimit = 3
 )
@@ -73,12 +77,20 @@
 	// held counts the requests that wait here for a slot.
 	held atomic.Int64
 
-	mu      sync.Mutex
-	crashes map[uint64]int
+	mu sync.Mutex
+	// crashes counts the breaks of backend servers by the request that they ran.
+	crashes *lru.Cache[uint64, int]
 	// patience is the longest time that callers of each route were ready to wait.
 	patience map[string]time.Duration
 }
 
+// Prepare makes the relay usable; it is called once before all else.
+func (l *Relay) Prepare() {
+	// The only error is a size that isn't positive.
+	l.crashes, _ = lru.New[uint64, int](remembered)
+	l.patience = map[string]time.Duration{}
+}
+
 // ServeHTTP implements http.Handler.
 func (l *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
@@ -196,11 +208,8 @@
 func (l *Relay) crashed(fingerprint uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	const remembered = 256
-	if l.crashes == nil || len(l.crashes) >= remembered {
-		l.crashes = map[uint64]int{}
-	}
-	l.crashes[fingerprint]++
+	n, _ := l.crashes.Get(fingerprint)
+	l.crashes.Add(fingerprint, n+1)
 }
 
 // Crashes returns the requests during which backend servers broke more than
@@ -209,8 +218,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var several map[uint64]int
-	for f, n := range l.crashes {
-		if n > 1 {
+	for _, f := range l.crashes.Keys() {
+		if n, _ := l.crashes.Peek(f); n > 1 {
 			if several == nil {
 				several = map[uint64]int{}
 			}
@@ -223,7 +232,7 @@
 // suspect says whether a request broke so many backend servers that it isn't sent again.
 func (l *Relay) suspect(fingerprint uint64) bool {
 	l.mu.Lock()
-	n := l.crashes[fingerprint]
+	n, _ := l.crashes.Peek(fingerprint)
 	l.mu.Unlock()
 	return n+l.PeerCrashes(fingerprint) >= crashLimit
 }
@@ -237,9 +246,6 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.patience == nil {
-		l.patience = map[string]time.Duration{}
-	}
 	if wait > l.patience[route] {
 		l.patience[route] = wait
 	}
@@ -253,17 +259,17 @@
 // newPass prepares a request's way to a backend server.
 func (l *Relay) newPass(w http.ResponseWriter, r *http.Request, table *sardinerock.RouteTable, route *sardinerock.Route, call *sardinerock.Call, received time.Time) *pass {
 	p := &pass{
-		relay:    l,
-		writer:   w,
-		route:    route,
-		call:     call,
-		version:  table.Version,
-		service:  route.Service(rand.Float64()),
-		received: received,
-		print:    fingerprint(call),
-		tried:    map[string]bool{},
-		resume:   call.ResumeAfter,
-		deadline: received.Add(route.Timeout),
+		relay:       l,
+		writer:      w,
+		route:       route,
+		call:        call,
+		version:     table.Version,
+		service:     route.Service(rand.Float64()),
+		received:    received,
+		fingerprint: fingerprint(call),
+		tried:       map[string]bool{},
+		resume:      call.ResumeAfter,
+		deadline:    received.Add(route.Timeout),
 	}
 	if call.Wait > 0 && call.Wait < route.Timeout {
 		p.deadline = received.Add(call.Wait)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -68,6 +68,7 @@
 		Pool: s.pool, Conns: &conns.Conns{Dialect: platform.Dialect{}}, Press: func(string) {},
 		PeerCrashes: func(uint64) int { return 0 }, Entries: func() int { return 1 }, Started: s.started(), Events: &event.Logger{}, Metrics: metrics.NewRegistry(),
 	}
+	l.Prepare()
 	s.front = httptest.NewServer(l)
 	t.Cleanup(s.front.Close)
 	return s
