story: a request whose entry was lost is told so

Change: a new start of its process without a stop, or another entry that heard it no more, names the loss.

--- a/story/story.go
+++ b/story/story.go
@@ -84,8 +84,12 @@
 	event.PeerUp, event.PeerDown, event.Started, event.Stopping, event.Stopped, event.Reloaded, event.LinesDropped,
 }
 
-// around is how long before a request's first line its background is told.
-const around = 2 * time.Second
+const (
+	// around is how long before a request's first line its background is told.
+	around = 2 * time.Second
+	// after is how long after its last line a new start of its process is looked for.
+	after = 10 * time.Second
+)
 
 // Select returns the lines about an id in the order of their times, with the
 // background of the processes and backend servers that they name. The order
@@ -108,7 +112,12 @@
 	sort.SliceStable(own, func(i, j int) bool { return own[i].Time.Before(own[j].Time) })
 	first, last := own[0].Time.Add(-around), own[len(own)-1].Time
 	for _, l := range lines {
-		if l.about(id) || !processes[l.Process] || l.Time.Before(first) || l.Time.After(last) || !slices.Contains(background, l.Event) {
+		if l.about(id) || l.Time.Before(first) || l.Time.After(last.Add(after)) || !slices.Contains(background, l.Event) {
+			continue
+		}
+		peer, _ := l.Fields["peer"].(string)
+		lost := l.Event == event.PeerDown && processes[peer]
+		if !lost && (!processes[l.Process] || l.Time.After(last) && l.Event != event.Started) {
 			continue
 		}
 		if s := l.Fields["server"]; s == nil || servers[s] {
@@ -167,12 +176,24 @@
 
 // Outcome says in one line what became of an id, with the last try that failed.
 func Outcome(lines []Line, id string) string {
-	text, tries := "no line tells how it ended: its process was lost, or its lines were dropped or are not in these files", ""
+	text, tries := "no line tells how it ended: its lines were dropped, or are not in these files", ""
+	var last *Line
 	for i := range lines {
 		l := &lines[i]
+		if last != nil && l.Event == event.Started && l.Process == last.Process {
+			// A process that stops in order tells how its requests ended.
+			text = fmt.Sprintf("%s was lost with it: it started again %.1f s after the last line, without a stop before",
+				l.Process, l.Time.Sub(last.Time).Seconds())
+			break
+		}
+		if last != nil && l.Event == event.PeerDown && l.Fields["peer"] == last.Process && l.Fields["leaving"] != true {
+			text = fmt.Sprintf("%s was lost with it: %s heard it no more %.1f s after the last line", last.Process, l.Process, l.Time.Sub(last.Time).Seconds())
+			break
+		}
 		if !l.about(id) {
 			continue
 		}
+		last = l
 		switch l.Event {
 		case event.TryFailed, event.ItemStopped:
 			if l.Fields["error"] != nil {
@@ -180,6 +201,7 @@
 			}
 		}
 		if ending, ok := endings[l.Event]; ok {
+			last = nil
 			text = ending
 			for _, name := range []string{"status", "reason", "error", "succeeded", "runs", "took"} {
 				if value := l.Fields[name]; value != nil {
