--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -14,9 +14,15 @@
 )
 
 const (
-	// Interval is between two regular datagrams to each peer. Bursts build up
-	// within a few hundred milliseconds; an interval well below keeps the view usable.
+	// Interval is the longest time between two regular datagrams to each peer, up
+	// to the number of peers at which the time for each reaches it.
 	Interval = 100 * time.Millisecond
+	// timePerPeer is what each peer adds to the interval, so that an entry sends
+	// 250 datagrams a second however many peers it has.
+	timePerPeer = 4 * time.Millisecond
+	// shortInterval bounds the interval of small fleets; a run begins every 40 ms
+	// at each of a dozen entries in a burst, and what was heard before it has to be usable.
+	shortInterval = 25 * time.Millisecond
 	// PeerTimeout is the silence after which a peer is taken as gone: ten datagrams.
 	PeerTimeout = time.Second
 	// silentInterval is between two datagrams to a peer that is silent.
@@ -229,7 +235,7 @@
 // Run sends and receives until ctx ends.
 func (g *Gossip) Run(ctx context.Context) {
 	go g.receive(ctx)
-	t := time.NewTicker(Interval)
+	t := time.NewTimer(shortInterval)
 	defer t.Stop()
 	for {
 		select {
@@ -238,12 +244,20 @@
 		case <-t.C:
 			g.noteSilent(time.Now())
 			g.send(true)
+			t.Reset(g.interval())
 		case <-g.urgent:
 			g.send(false)
 		}
 	}
 }
 
+// interval returns the time until the next regular datagrams.
+func (g *Gossip) interval() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(time.Duration(len(g.peers))*timePerPeer, shortInterval)
+}
+
 // noteSilent tells of the peers that were heard before and aren't any more.
 func (g *Gossip) noteSilent(now time.Time) {
 	g.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -67,9 +67,11 @@
 type process struct {
 	name, front, ready string
 	file               string
-	cmd                *exec.Cmd
 	log                *os.File
-	paused             bool
+
+	// mu guards cmd: a signal may be due while the entry is started again.
+	mu  sync.Mutex
+	cmd *exec.Cmd
 }
 
 // newEntry writes the settings of an entry. Each has an address of its own on
@@ -96,17 +98,25 @@
 	var err error
 	p.log, err = os.OpenFile(filepath.Join(s.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	s.must(err)
-	p.cmd = exec.Command(program, "node", "--settings", p.file)
-	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
-	s.must(p.cmd.Start())
-	p.paused = false
+	cmd := exec.Command(program, "node", "--settings", p.file)
+	cmd.Stdout, cmd.Stderr = p.log, p.log
+	s.must(cmd.Start())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd = cmd
+}
+
+func (p *process) command() *exec.Cmd {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd
 }
 
-func (s *soak) signal(p *process, sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) }
+func (s *soak) signal(p *process, sig syscall.Signal) { _ = p.command().Process.Signal(sig) }
 
 // restart waits for the end of an entry and starts it again.
 func (s *soak) restart(p *process) {
-	_ = p.cmd.Wait()
+	_ = p.command().Wait()
 	p.log.Close()
 	s.start(p)
 }
@@ -141,7 +151,7 @@
 		for _, p := range s.entries {
 			s.signal(p, syscall.SIGCONT)
 			s.signal(p, syscall.SIGKILL)
-			_ = p.cmd.Wait()
+			_ = p.command().Wait()
 			p.log.Close()
 		}
 	})
