--- a/watch/interleave_test.go
+++ b/watch/interleave_test.go
@@ -97,9 +97,9 @@
 					w.listed = false
 				}
 			}
-			l.Servers.mu.Lock()
-			l.Servers.back = time.Time{}
-			l.Servers.mu.Unlock()
+			l.mu.Lock()
+			l.back = time.Time{}
+			l.mu.Unlock()
 			away = false
 		}
 		for other, w := range state {
