gossip: a peer whose clock was set back is heard after its restart

Cause: by reading: a restart's start time is the wall clock's; after a step back peers would drop all its datagrams as older until its clock had caught up. Measured: the case in TestOldDatagramsAreDropped is red without it.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -326,7 +326,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.peers[m.From]
-	if p == nil || m.Start < p.last.Start || m.Start == p.last.Start && m.Sequence <= p.last.Sequence {
+	if p == nil {
+		return false
+	}
+	// A peer that was silent may have started again with its clock set back:
+	// held against the start before, all that it says would look old for seconds.
+	older := m.Start < p.last.Start || m.Start == p.last.Start && m.Sequence <= p.last.Sequence
+	if older && p.live(now) {
 		return false
 	}
 	if !p.up {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -71,6 +71,8 @@
 	g.Expect(a.take(&Message{From: "b", Start: 1, Sequence: 4})).To(BeFalse(), "overtaken on the way")
 	g.Expect(a.take(&Message{From: "b", Start: 2, Sequence: 1})).To(BeTrue(), "a new incarnation")
 	g.Expect(a.take(&Message{From: "b", Start: 1, Sequence: 9})).To(BeFalse(), "the former one")
+	a.peers["b"].heard = time.Now().Add(-2 * PeerTimeout)
+	g.Expect(a.take(&Message{From: "b", Start: 1, Sequence: 1})).To(BeTrue(), "started again with its clock set back")
 	g.Expect(a.take(&Message{From: "x", Start: 1, Sequence: 1})).To(BeFalse(), "nobody that we know")
 }
 
