submit, watch: an entry that is behind calls no position empty

A read looked only at whether the job is known, not at how old the view is. Ruled out: a result that moved (positions are the store's order). Change: before a position is called empty the view has to be as new as 0.6 of the time in which all entries must agree (settings), or the answer is 503 with when to come back. The jobs' reads wait 0.3 s in place of 1 s, so that a calm topic is known to be calm in time. Tests: TestEntryThatIsBehindCallsNoPositionEmpty, TestJobBehindManyRecordsIsFound, both seen to fail before.

--- a/conf/node.go
+++ b/conf/node.go
@@ -26,6 +26,8 @@
 	DrainTimeout time.Duration
 	// KeepResults is how long results stay readable after a job came.
 	KeepResults time.Duration
+	// SettleTime is the time within which all entries have to show what one of them showed a caller.
+	SettleTime time.Duration
 	// MemoryBytes is the memory at which the process is ended.
 	MemoryBytes int64
 }
--- a/memkv/memkv.go
+++ b/memkv/memkv.go
@@ -37,6 +37,8 @@
 	Fault func(call, topic string) Fault
 	// PageSize is how many records a page of the newest ones holds; 0 is all.
 	PageSize int
+	// ReadSize is how many records a read returns at most; 0 is all.
+	ReadSize int
 
 	mu     sync.Mutex
 	topics map[string]*partition
@@ -176,6 +178,9 @@
 		gap := from < t.first
 		if from < t.end() && !gap {
 			page.Records = append(page.Records, t.records[from:]...)
+			if s.ReadSize > 0 {
+				page.Records = page.Records[:min(len(page.Records), s.ReadSize)]
+			}
 		}
 		moved := t.moved
 		s.mu.Unlock()
--- a/node/node.go
+++ b/node/node.go
@@ -84,6 +84,9 @@
 	// jobsInterval is between two reads of the jobs' topic. Nothing waits for
 	// its news but the start of items, which are due seconds later.
 	jobsInterval = 200 * time.Millisecond
+	// jobsWait is short enough that, with the interval, a calm topic is known to
+	// be calm within the time after which an entry must not call a position empty.
+	jobsWait = 300 * time.Millisecond
 	// keepMargin is kept beyond the time for which results are promised, for
 	// clocks that differ between entries.
 	keepMargin = time.Minute
@@ -164,7 +167,7 @@
 	n.registrations = n.follower(n.Topics.Servers, n.servers.Apply)
 	n.registrations.Back = n.servers.Back
 	n.jobs = n.follower(n.Topics.Jobs, n.applyJobs)
-	n.jobs.Interval = jobsInterval
+	n.jobs.Interval, n.jobs.Wait = jobsInterval, jobsWait
 	n.gossip = &gossip.Gossip{
 		Name: n.Settings.ID, Start: start.UnixMilli(), Conn: datagrams, Events: n.Events,
 		Tell: n.tell, Heard: n.heard,
@@ -191,6 +194,7 @@
 		Dialect: n.Dialect, BatchDialect: n.Batch, Table: n.table.Current, Pool: n.pool, Conns: n.conns,
 		Batch: &submit.Front{
 			Dialect: n.Dialect, Batch: n.Batch, Ledger: n.ledger, Follower: n.jobs, Appender: n.appender,
+			Settle:         n.Settings.SettleTime,
 			StoreLostByAll: func() bool { return n.gossip.StoreLostByAll(time.Now()) },
 			Events:         n.Events, Metrics: n.Metrics,
 		},
--- a/submit/submit.go
+++ b/submit/submit.go
@@ -36,6 +36,12 @@
 	// quotaRetry is told when the waiting tokens leave no room: an item takes
 	// some five seconds, so that room comes up within this time, not before.
 	quotaRetry = time.Second
+	// viewShare of the time within which all entries have to show a result is how
+	// old the view may be from which one says that there is none; the rest is for
+	// the way of the answer that showed it first, and of this one.
+	viewShare = 0.6
+	// defaultSettle stands for that time where the settings don't give it.
+	defaultSettle = time.Second
 	// longestWait bounds how long a read may wait for a result.
 	longestWait = time.Second
 )
@@ -47,6 +53,8 @@
 	Ledger   *ledger.Ledger
 	Follower *watch.Follower
 	Appender *commit.Appender
+	// Settle is the time within which all entries have to show what one of them showed; 0 is a second.
+	Settle time.Duration
 	// StoreLostByAll says whether no other entry reaches the store either.
 	StoreLostByAll func() bool
 	Events         *event.Logger
@@ -154,8 +162,32 @@
 	return false
 }
 
+// fresh makes sure that a position is empty before a caller is told so. An
+// entry that has just started, or whose link is thin, may be seconds behind the
+// others; a caller that read a result there would see it vanish here. It
+// answers the caller if that can't be known.
+func (f *Front) fresh(w http.ResponseWriter, r *http.Request, call sardinerock.BatchCall, received time.Time) bool {
+	page, ok := f.Ledger.Results(call.Job, call.From)
+	if ok && (len(page.Results) > 0 || call.From >= page.Total) {
+		return true
+	}
+	settle := f.Settle
+	if settle == 0 {
+		settle = defaultSettle
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), checkTime)
+	defer cancel()
+	at := received.Add(-time.Duration(viewShare * float64(settle)))
+	if err := f.Follower.FreshSince(ctx, at); err != nil {
+		f.answer(w, call.Job, http.StatusServiceUnavailable, "the store's end isn't known here: "+err.Error(), storeRetry)
+		return false
+	}
+	return true
+}
+
 func (f *Front) read(w http.ResponseWriter, r *http.Request, call sardinerock.BatchCall) {
-	if !f.known(w, r, call.Job) {
+	received := time.Now()
+	if !f.known(w, r, call.Job) || !f.fresh(w, r, call, received) {
 		return
 	}
 	timeout := time.NewTimer(min(call.Wait, longestWait))
--- /dev/null
+++ b/submit/submit_test.go
@@ -0,0 +1,104 @@
+package submit
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/ledger"
+	"github.com/sardinerock/sardinerock/memkv"
+	"github.com/sardinerock/sardinerock/platform"
+	"github.com/sardinerock/sardinerock/watch"
+)
+
+const topic = "jobs"
+
+// newFront returns a front whose view of the jobs is only as new as the test makes it.
+func newFront(store *memkv.Store) *Front {
+	events := &event.Logger{}
+	l := &ledger.Ledger{Events: events}
+	l.Prepare()
+	f := &watch.Follower{Store: store, Topic: topic, Apply: l.Apply, Events: events}
+	f.Prepare()
+	return &Front{Dialect: platform.Dialect{}, Batch: platform.Dialect{}, Ledger: l, Follower: f, Events: events, Metrics: metrics.NewRegistry()}
+}
+
+// appendChanges brings changes into the store, as another entry would.
+func appendChanges(g *WithT, store *memkv.Store, change func(p *ledger.Plan)) {
+	other := newFront(store)
+	g.Expect(other.Follower.Sync(context.Background())).To(Succeed())
+	p := other.Ledger.NewPlan(1 << 20)
+	change(p)
+	_, err := store.AppendAt(context.Background(), topic, other.Follower.Next(), p.Records)
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+func acceptJob(g *WithT, store *memkv.Store, id string) {
+	appendChanges(g, store, func(p *ledger.Plan) {
+		v, err := p.Accept(&ledger.Accepted{ID: id, Route: "r", Items: []sardinerock.BatchItem{{ID: "item", Tokens: 1}}}, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(v).To(Equal(ledger.Made))
+	})
+}
+
+func finishJob(g *WithT, store *memkv.Store, id string) {
+	appendChanges(g, store, func(p *ledger.Plan) {
+		v, err := p.Finish(id, 0, &sardinerock.BatchResult{Item: "item", Succeeded: true, Text: "text"})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(v).To(Equal(ledger.Made))
+	})
+}
+
+func readResults(f *Front, id string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	f.Call(w, httptest.NewRequest(http.MethodGet, "/", nil), sardinerock.BatchCall{Kind: sardinerock.BatchRead, Job: id})
+	return w
+}
+
+// A caller read a result at one entry and asks the next one, which has just
+// started: it read the topic seconds ago and is still behind. Told that there is
+// none, the caller would have seen a result vanish. So the entry says that it
+// isn't sure, and shows the result once its view is as new as the question.
+func TestEntryThatIsBehindCallsNoPositionEmpty(t *testing.T) {
+	g := NewWithT(t)
+	store := &memkv.Store{}
+	acceptJob(g, store, "job")
+	f := newFront(store)
+	f.Settle = 20 * time.Millisecond
+	g.Expect(f.Follower.Sync(context.Background())).To(Succeed())
+	finishJob(g, store, "job")
+	time.Sleep(2 * f.Settle)
+
+	w := readResults(f, "job")
+	g.Expect(w.Code).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(w.Header().Get("Retry-After")).NotTo(BeEmpty())
+
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.Follower.Run(ctx)
+	w = readResults(f, "job")
+	g.Expect(w.Code).To(Equal(http.StatusOK))
+	g.Expect(w.Body.String()).To(ContainSubstring("succeeded"))
+}
+
+// A job was accepted elsewhere a moment ago and is behind many other records,
+// more than one read of the store holds. Asked for it, an entry that took the
+// first part for all would answer that there is no such job.
+func TestJobBehindManyRecordsIsFound(t *testing.T) {
+	g := NewWithT(t)
+	store := &memkv.Store{ReadSize: 2}
+	f := newFront(store)
+	g.Expect(f.Follower.Sync(context.Background())).To(Succeed())
+	for _, id := range []string{"a", "b", "c", "d", "job"} {
+		acceptJob(g, store, id)
+	}
+	g.Expect(f.known(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil), "job")).To(BeTrue())
+	g.Expect(f.known(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil), "none")).To(BeFalse())
+}
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -50,6 +50,7 @@
 	confirmed time.Time
 	// loading holds the pages of a load that isn't complete.
 	loading *loading
+	// moved is closed when next or confirmed grows.
 	moved   chan struct{}
 	failing time.Time
 	lost    bool
@@ -82,9 +83,49 @@
 	}
 }
 
-// Sync reads until the topic's end as it is now, and returns an error if that can't be known.
+// Sync reads until the topic's end as it is now, and returns an error if that
+// can't be known. One read may hold a part only: whoever takes it for all would
+// say of a job in the part that is missing that it doesn't exist.
 func (f *Follower) Sync(ctx context.Context) error {
-	return f.step(ctx, 0)
+	begin := time.Now()
+	for {
+		before := f.Next()
+		if err := f.step(ctx, 0); err != nil {
+			return err
+		}
+		if f.holds(begin) {
+			return nil
+		}
+		if f.Next() == before {
+			return errStale
+		}
+	}
+}
+
+// FreshSince returns once the view holds all that stood in the topic at a time,
+// without a call of its own: Run reads all the while, and on a thin link a
+// second read of the same would only make both take longer.
+func (f *Follower) FreshSince(ctx context.Context, at time.Time) error {
+	for {
+		f.mu.Lock()
+		fresh, moved := !f.confirmed.Before(at), f.moved
+		f.mu.Unlock()
+		if fresh {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-moved:
+		}
+	}
+}
+
+// holds says whether the view holds all that stood in the topic at a time.
+func (f *Follower) holds(at time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.confirmed.Before(at)
 }
 
 // WaitFor returns once everything before the offset is applied.
@@ -223,7 +264,7 @@
 	defer f.mu.Unlock()
 	f.take(page.Records, from)
 	if f.next >= page.End && page.End >= from {
-		f.confirmed = sent
+		f.advance(f.next, sent)
 	}
 	return nil
 }
@@ -248,7 +289,7 @@
 
 func (f *Follower) advance(next int64, confirmed time.Time) {
 	f.next = next
-	if !confirmed.IsZero() {
+	if confirmed.After(f.confirmed) {
 		f.confirmed = confirmed
 	}
 	close(f.moved)
