relay, runner, conns: slots are reserved before requests and items are sent

The log of the first 18 s: of 4,189 requests 681 went to a backend server that had no slot left for them (counted over all entries), and 228 of the 269 late ones were among these. Cause: 28 entries whose counts of each other are 116 ms old, while a burst brings 58 requests in that time. Ruled out: too few slots (280, of which bursts take some 200); batch items in the way (2 of 269). Change: where the configuration says that a service keeps slots, a request or item asks for one first (a round trip, no slot, no run), takes the next backend server where there is none, and goes over the connection that answered. What is sent can't wait behind others, and a backend server that is dark or dropped a connection shows before the request is sent, also one that runs at most once.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -91,6 +91,16 @@
 	}
 }
 
+// drop closes the idle connections to a backend server.
+func (c *Conns) drop(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, one := range c.idle[id] {
+		one.Close()
+	}
+	delete(c.idle, id)
+}
+
 // take returns an idle connection on which nothing has arrived, or nil.
 func (c *Conns) take(id string, now time.Time) *conn {
 	c.mu.Lock()
@@ -127,8 +137,12 @@
 	return err == nil && quiet
 }
 
-func (c *Conns) dial(ctx context.Context, address string) (*conn, error) {
+// dial connects, within the time for the head of the answer if that is shorter than its own.
+func (c *Conns) dial(ctx context.Context, address string, headTimeout time.Duration) (*conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
+	if headTimeout > 0 {
+		d.Timeout = min(dialTimeout, headTimeout)
+	}
 	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -148,16 +162,31 @@
 
 // Send sends one try of a call and returns the head of its answer. The
 // connection is closed when ctx ends, at which the backend server stops work.
-func (c *Conns) Send(ctx context.Context, b *sardinerock.BackendServer, call *sardinerock.Call, a sardinerock.Attempt) (*Answer, error) {
-	one := c.take(b.ID, time.Now())
+//
+// With a reservation the request goes over the connection that brought it: one
+// that answered a moment ago. A kept one may have been dropped without notice,
+// and of a request that meets a reset nobody knows whether it ran.
+func (c *Conns) Send(ctx context.Context, b *sardinerock.BackendServer, call *sardinerock.Call, a sardinerock.Attempt, reserved *Reservation) (*Answer, error) {
+	if reserved == nil {
+		return c.send(ctx, b, call, c.Dialect.AttemptHeader(call, a), a.HeadTimeout, nil)
+	}
+	a.Reservation = reserved.Name
+	return c.send(ctx, b, call, c.Dialect.AttemptHeader(call, a), a.HeadTimeout, reserved.conn)
+}
+
+// send sends a call over a connection, or over a kept or a new one if that is nil.
+func (c *Conns) send(ctx context.Context, b *sardinerock.BackendServer, call *sardinerock.Call, header http.Header, headTimeout time.Duration, one *conn) (*Answer, error) {
+	if one == nil {
+		one = c.take(b.ID, time.Now())
+	}
 	if one == nil {
 		var err error
-		if one, err = c.dial(ctx, b.Address); err != nil {
+		if one, err = c.dial(ctx, b.Address, headTimeout); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { one.Close() })
-	answer, err := c.exchange(one, b.ID, call, a)
+	answer, err := c.exchange(one, b.ID, call, header, headTimeout)
 	if err != nil {
 		stop()
 		one.Close()
@@ -167,14 +196,14 @@
 	return answer, nil
 }
 
-func (c *Conns) exchange(one *conn, id string, call *sardinerock.Call, a sardinerock.Attempt) (*Answer, error) {
-	n, err := one.Write(encode(call, c.Dialect.AttemptHeader(call, a)))
+func (c *Conns) exchange(one *conn, id string, call *sardinerock.Call, header http.Header, headTimeout time.Duration) (*Answer, error) {
+	n, err := one.Write(encode(call, header))
 	if err != nil && n == 0 {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	sent := err == nil
-	if a.HeadTimeout > 0 {
-		if err := one.SetReadDeadline(time.Now().Add(a.HeadTimeout)); err != nil {
+	if headTimeout > 0 {
+		if err := one.SetReadDeadline(time.Now().Add(headTimeout)); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
 	}
@@ -239,27 +268,37 @@
 // SetReadDeadline bounds how long the next reads may take together.
 func (a *Answer) SetReadDeadline(t time.Time) error { return a.conn.SetReadDeadline(t) }
 
-// Finish gives the connection back if the answer was read whole, and closes it otherwise.
-func (a *Answer) Finish() {
+// release ends the answer's hold on its connection, and returns it if another
+// request may follow on it; else it is closed.
+func (a *Answer) release() *conn {
 	running := a.stop()
 	if !running || !a.whole || a.Close || a.ContentLength < 0 && len(a.TransferEncoding) == 0 || a.conn.reader.Buffered() > 0 {
 		a.conn.Close()
+		return nil
+	}
+	if a.conn.SetDeadline(time.Time{}) != nil {
+		a.conn.Close()
+		return nil
+	}
+	return a.conn
+}
+
+// Finish gives the connection back if the answer was read whole, and closes it otherwise.
+func (a *Answer) Finish() {
+	one := a.release()
+	if one == nil {
 		return
 	}
 	idle := defaultIdle
 	if a.IdleTimeout > 0 {
 		idle = time.Duration(float64(a.IdleTimeout) * idleShare)
 	}
-	if a.conn.SetDeadline(time.Time{}) != nil {
-		a.conn.Close()
-		return
-	}
-	a.conn.until = time.Now().Add(idle)
+	one.until = time.Now().Add(idle)
 	c := a.pool
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle == nil {
 		c.idle = map[string][]*conn{}
 	}
-	c.idle[a.server] = append(c.idle[a.server], a.conn)
+	c.idle[a.server] = append(c.idle[a.server], one)
 }
--- /dev/null
+++ b/conns/reserve_test.go
@@ -0,0 +1,95 @@
+package conns_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/conns"
+	"github.com/sardinerock/sardinerock/platform"
+)
+
+const (
+	granted = "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"hold\":\"h-1\"}"
+	noRoom  = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
+)
+
+func reserve(c *conns.Conns, b *backend) (*conns.Reservation, error) {
+	return c.Reserve(context.Background(), &b.BackendServer, 700, time.Second)
+}
+
+func hangUp(net.Conn, *http.Request) bool { return false }
+
+func TestReservationGoesWithItsRequest(t *testing.T) {
+	g := NewWithT(t)
+	b := startBackend(t, write(granted), write(okAnswer))
+	c := &conns.Conns{Dialect: platform.Dialect{}}
+	r, err := reserve(c, b)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.Name).To(Equal("h-1"))
+	a, err := c.Send(context.Background(), &b.BackendServer, call("r1"), sardinerock.Attempt{Instance: b.ID, Left: time.Second}, r)
+	g.Expect(err).NotTo(HaveOccurred())
+	a.Finish()
+	asked := <-b.requests
+	g.Expect(asked.RequestURI).To(Equal("/v1/hold-take"))
+	g.Expect(asked.Header).NotTo(HaveKey("Request-Id"))
+	g.Expect((<-b.requests).Header.Get("Kv-Hold")).To(Equal("h-1"))
+	g.Expect(b.connections.Load()).To(BeEquivalentTo(1), "the request goes where the reservation was answered")
+}
+
+func TestNoRoomIsNoError(t *testing.T) {
+	g := NewWithT(t)
+	r, err := reserve(&conns.Conns{Dialect: platform.Dialect{}}, startBackend(t, write(noRoom)))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r).To(BeNil())
+}
+
+// The backend server dropped an idle connection without notice: what is sent
+// next on it is reset. A request that runs at most once would be lost by that,
+// since nobody knows whether it ran. The reservation meets the reset in its
+// place, and is made once more on a new connection.
+func TestDroppedConnectionCostsNoRequest(t *testing.T) {
+	g := NewWithT(t)
+	b := startBackend(t, write(okAnswer), hangUp, write(granted), write(okAnswer))
+	c := &conns.Conns{Dialect: platform.Dialect{}}
+	_, err := exchange(c, b, "r1")
+	g.Expect(err).NotTo(HaveOccurred())
+	r, err := reserve(c, b)
+	g.Expect(err).NotTo(HaveOccurred())
+	a, err := c.Send(context.Background(), &b.BackendServer, call("r2"), sardinerock.Attempt{Instance: b.ID, Left: time.Second}, r)
+	g.Expect(err).NotTo(HaveOccurred())
+	a.Finish()
+	g.Expect(b.connections.Load()).To(BeEquivalentTo(2))
+}
+
+// A backend server went dark. The reservation says so within a part of the time
+// that the caller allows, before the request was sent anywhere.
+func TestSilentBackendServerShowsBeforeTheRequest(t *testing.T) {
+	g := NewWithT(t)
+	silent := func(net.Conn, *http.Request) bool { time.Sleep(5 * time.Second); return false }
+	begin := time.Now()
+	_, err := reserve(&conns.Conns{Dialect: platform.Dialect{}}, startBackend(t, silent, silent))
+	g.Expect(errors.Is(err, conns.ErrBroken)).To(BeTrue())
+	g.Expect(time.Since(begin)).To(BeNumerically("<", 2*time.Second))
+}
+
+func TestReservationAnswersThatAreNone(t *testing.T) {
+	for name, answer := range map[string]string{
+		"another status": "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n",
+		"no name":        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"no JSON":        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n<>",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			r, err := reserve(&conns.Conns{Dialect: platform.Dialect{}}, startBackend(t, write(answer), write(answer)))
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(r).To(BeNil())
+		})
+	}
+}
--- a/event/event.go
+++ b/event/event.go
@@ -21,6 +21,7 @@
 	LinkUp          ID = 203
 	LinkDown        ID = 204
 	LinkSilent      ID = 205
+	NotReserved     ID = 206
 	GateAdmitted    ID = 301
 	GateRefused     ID = 302
 	GatePreempted   ID = 303
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -18,6 +18,10 @@
 	// is passed over. A crash takes seconds to be over; a lone reset is over at once.
 	firstDoubt   = 250 * time.Millisecond
 	longestDoubt = 4 * time.Second
+	// fullTime is how long a backend server that said so counts as full. With
+	// eight slots and runs of 0.6 s one comes free there every 75 ms, and by then
+	// the other entries have told what they sent there.
+	fullTime = 50 * time.Millisecond
 	// defaultSlots stands for backend servers that don't say how many requests they run at once.
 	defaultSlots = 4
 	// runWeight is the share, one in so many, that one request has in the average
@@ -50,6 +54,8 @@
 	// doubtedUntil and doubt tell how long it is passed over, and for how long after the next failure.
 	doubtedUntil time.Time
 	doubt        time.Duration
+	// fullUntil is until when it counts as full because it said so.
+	fullUntil time.Time
 }
 
 // Pool is the view of all backend servers. Its methods may be called at the same time.
@@ -118,8 +124,22 @@
 }
 
 // counts returns what all entries together run on a backend server.
-func (s *server) counts() (online, batch int) {
-	return s.online + s.peers.Online, s.batch + s.peers.Batch
+func (s *server) counts(now time.Time) (online, batch int) {
+	online, batch = s.online+s.peers.Online, s.batch+s.peers.Batch
+	if now.Before(s.fullUntil) {
+		online = max(online, s.Slots-batch)
+	}
+	return online, batch
+}
+
+// NoteFull notes that a backend server said that it has no free slot: others
+// sent to it what this entry hasn't heard of yet.
+func (p *Pool) NoteFull(id string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.servers[id]; s != nil {
+		s.fullUntil = now.Add(fullTime)
+	}
 }
 
 // Choice is a backend server that was chosen, with the figures that decided it.
@@ -185,7 +205,7 @@
 
 func (p *Pool) rankOnline(s *server, now time.Time) candidate {
 	c := candidate{s: s}
-	c.online, c.batch = s.counts()
+	c.online, c.batch = s.counts(now)
 	slots := float64(s.Slots)
 	// The random part only orders those that are equal.
 	c.rank = float64(c.online+c.batch)/slots + p.Random.Float64()/slots/2
@@ -223,7 +243,7 @@
 			continue
 		}
 		c := candidate{s: s}
-		c.online, c.batch = s.counts()
+		c.online, c.batch = s.counts(now)
 		if free := s.Slots - c.online - c.batch - reserve; free > 0 {
 			c.rank = float64(free)
 			total += free
@@ -257,7 +277,7 @@
 	if s == nil || s.batch == 0 {
 		return 0
 	}
-	online, batch := s.counts()
+	online, batch := s.counts(now)
 	over := min(online+batch-s.Slots, batch)
 	for name, one := range p.peers {
 		if over <= 0 {
@@ -361,7 +381,7 @@
 		if s.Service != service || s.Draining || now.Before(s.doubtedUntil) {
 			continue
 		}
-		online, batch := s.counts()
+		online, batch := s.counts(now)
 		free += max(s.Slots-online-batch-reserve, 0)
 	}
 	return free
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -70,6 +70,10 @@
 	begun  bool
 	events int
 	first  time.Duration
+	// holds is how long a slot of the service can stay reserved; 0 if it reserves none.
+	holds time.Duration
+	// reservation is the slot that is reserved for the next try, if one is.
+	reservation *conns.Reservation
 }
 
 func (p *pass) run() {
@@ -92,7 +96,7 @@
 
 // choose picks the next backend server, or gives the final answer if there is none.
 func (p *pass) choose() (pool.Choice, bool) {
-	choice, ok := p.admitted()
+	choice, ok := p.reserved()
 	if !ok {
 		return choice, false
 	}
@@ -101,7 +105,7 @@
 	}
 	p.relay.Events.Info(event.RouteChosen).Str("request", p.call.ID).Str("route", p.route.Name).Int64("config", p.version).
 		Str("server", choice.ID).Int("online", choice.Online).Int("batch", choice.Batch).Int("slots", choice.Slots).
-		Bool("doubted", choice.Doubted).Str("resume", p.resume).Int("runs", p.runs).Msg("sent")
+		Bool("doubted", choice.Doubted).Bool("reserved", p.reservation != nil).Str("resume", p.resume).Int("runs", p.runs).Msg("sent")
 	return choice, true
 }
 
@@ -171,7 +175,7 @@
 	left := time.Until(p.deadline)
 	answer, err := p.relay.Conns.Send(p.ctx, &choice.BackendServer, p.call, sardinerock.Attempt{
 		Instance: choice.ID, Left: left, ResumeAfter: p.resume, HeadTimeout: p.headTimeout(choice),
-	})
+	}, p.reservation)
 	if err != nil {
 		p.relay.Pool.Done(choice.ID, false, p.ctx.Err() == nil, time.Now())
 		p.log(choice, err)
@@ -326,11 +330,8 @@
 func (p *pass) again(v verdict, choice *pool.Choice) bool {
 	p.tried[choice.ID] = true
 	switch {
-	case errors.Is(p.ctx.Err(), context.Canceled):
-		p.left()
-		return false
 	case p.ctx.Err() != nil || time.Until(p.deadline) < leastLeft:
-		p.giveUp("the time is up", fullRetry)
+		p.outOfTime()
 		return false
 	case v == notRun:
 		p.refusals++
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -274,6 +274,7 @@
 	if call.Wait > 0 && call.Wait < route.Timeout {
 		p.deadline = received.Add(call.Wait)
 	}
+	p.holds = table.Services[p.service].HoldTime
 	p.before = l.waitedBefore(route.Name, call.Wait)
 	p.ctx, p.cancel = context.WithDeadline(r.Context(), p.deadline)
 	return p
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -37,15 +37,20 @@
 	pool  *pool.Pool
 	front *httptest.Server
 
-	mu       sync.Mutex
-	scripts  []script
+	// size is what callers say of a request's tokens.
+	size string
+
+	mu      sync.Mutex
+	scripts []script
+	// fallback is played when there are no more scripts.
+	fallback script
 	requests []*http.Request
 }
 
 const service = "models"
 
 func newSite(t *testing.T, scripts ...script) *site {
-	s := &site{g: NewWithT(t), scripts: scripts}
+	s := &site{g: NewWithT(t), scripts: scripts, size: "200,50"}
 	s.table = &sardinerock.RouteTable{
 		Version: 3,
 		Limits:  sardinerock.CallerLimits{MaxBodyBytes: 1000},
@@ -115,7 +120,7 @@
 	r.Body = io.NopCloser(bytes.NewReader(body))
 	s.mu.Lock()
 	s.requests = append(s.requests, r)
-	var play script
+	play := s.fallback
 	if len(s.scripts) > 0 {
 		play, s.scripts = s.scripts[0], s.scripts[1:]
 	}
@@ -138,6 +143,9 @@
 	r.Host = "h.example"
 	r.Header.Set("Request-Id", "r1")
 	r.Header.Set("Deadline-Ms", "900")
+	if s.size != "" {
+		r.Header.Set("Token-Usage", s.size)
+	}
 	answer, err := s.front.Client().Do(r)
 	if err != nil {
 		return nil, "", err
--- /dev/null
+++ b/relay/reserve_test.go
@@ -0,0 +1,92 @@
+package relay_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// withReservations lets the service keep slots for requests.
+func (s *site) withReservations() *site {
+	s.table.Services = map[string]sardinerock.ServiceInfo{service: {HoldTime: time.Second}}
+	return s
+}
+
+func slotKept(c net.Conn, _ *http.Request) {
+	fmt.Fprint(c, "HTTP/1.1 200 X\r\nConnection: close\r\nContent-Length: 12\r\n\r\n{\"hold\":\"h\"}")
+}
+
+func noSlot(c net.Conn, _ *http.Request) {
+	fmt.Fprint(c, "HTTP/1.1 503 X\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+}
+
+// expectPaths checks the paths of what reached backend servers, in order.
+func (s *site) expectPaths(want ...string) {
+	var paths []string
+	for _, r := range s.seen() {
+		paths = append(paths, r.URL.Path)
+	}
+	s.g.Expect(paths).To(Equal(want))
+}
+
+// Other entries have just filled a backend server that this one sees as empty.
+// Sent there, the request would wait behind a whole answer though another
+// backend server is free. It is asked for a slot first, and the request goes to the next.
+func TestRequestGoesWhereASlotIsKept(t *testing.T) {
+	s := newSite(t, noSlot, slotKept, whole(200, "ok")).withReservations()
+	answer, body, err := s.ask("/once/x")
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.g.Expect(answer.StatusCode).To(Equal(200))
+	s.g.Expect(body).To(Equal("ok"))
+	s.expectPaths("/v1/hold-take", "/v1/hold-take", "/once/x")
+	s.g.Expect(s.seen()[2].Header.Get("Kv-Hold")).To(Equal("h"))
+}
+
+// A backend server has gone dark or breaks off: a request that runs at most
+// once is not lost to it, since only the reservation was sent there.
+func TestRequestThatRunsOnceIsNotSentToADeadBackendServer(t *testing.T) {
+	for name, dead := range map[string]script{"breaks off": hangUp, "silent": silence} {
+		t.Run(name, func(t *testing.T) {
+			scripts := []script{dead, slotKept, whole(200, "ok")}
+			if name == "breaks off" {
+				// It is asked once more on a new connection.
+				scripts = append([]script{dead}, scripts...)
+			}
+			s := newSite(t, scripts...).withReservations()
+			answer, _, err := s.ask("/once/x")
+			s.g.Expect(err).NotTo(HaveOccurred())
+			s.g.Expect(answer.StatusCode).To(Equal(200))
+		})
+	}
+}
+
+// Every backend server says that it is full. The request waits at its entry
+// until its time is nearly over, is sent without a slot, and gets its answer.
+func TestNoSlotAnywhereStillServes(t *testing.T) {
+	s := newSite(t).withReservations()
+	s.fallback = func(c net.Conn, r *http.Request) {
+		if r.URL.Path == "/once/x" {
+			whole(200, "ok")(c, r)
+			return
+		}
+		noSlot(c, r)
+	}
+	answer, _, err := s.ask("/once/x")
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.g.Expect(answer.StatusCode).To(Equal(200))
+}
+
+// A request that names no size can't be given room for it, and goes without.
+func TestRequestWithoutSizeReservesNothing(t *testing.T) {
+	s := newSite(t, whole(200, "ok")).withReservations()
+	s.size = ""
+	_, _, err := s.ask("/once/x")
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.expectPaths("/once/x")
+}
--- a/runner/run.go
+++ b/runner/run.go
@@ -30,11 +30,13 @@
 	interrupted
 	// turnedAway means that the backend server had no room.
 	turnedAway
+	// unreserved means that it had no free slot to reserve, and was sent nothing.
+	unreserved
 )
 
 // run runs an item once.
 func (r *Runner) run(ctx context.Context, i *item, choice *pool.Choice, route *sardinerock.Route) {
-	o, err := r.exchange(ctx, i, choice)
+	o, err := r.attempt(ctx, i, choice)
 	against := err != nil && ctx.Err() == nil && (o == interrupted)
 	r.Pool.Done(choice.ID, true, against, time.Now())
 	metrics.GetOrRegisterCounter("batch.runs", r.Metrics).Inc(1)
@@ -53,7 +55,7 @@
 	}
 	r.mu.Lock()
 	i.running = false
-	if !i.gaveWay {
+	if !i.gaveWay && o != unreserved {
 		i.rests = time.Now().Add(retryPause)
 	}
 	r.mu.Unlock()
@@ -79,10 +81,29 @@
 	}
 }
 
-func (r *Runner) exchange(ctx context.Context, i *item, choice *pool.Choice) (outcome, error) {
+// attempt reserves a slot, if the service reserves any, and runs the item in
+// it. Sent without one to a backend server that has none left, it would wait
+// there in front of the online requests that come after it.
+func (r *Runner) attempt(ctx context.Context, i *item, choice *pool.Choice) (outcome, error) {
+	var reservation *conns.Reservation
+	if hold := r.Table().Services[choice.Service].HoldTime; hold > 0 {
+		var err error
+		reservation, err = r.Conns.Reserve(ctx, &choice.BackendServer, i.open.Item.Tokens, hold)
+		switch {
+		case err != nil:
+			return interrupted, err
+		case reservation == nil:
+			r.Pool.NoteFull(choice.ID, time.Now())
+			return unreserved, nil
+		}
+	}
+	return r.exchange(ctx, i, choice, reservation)
+}
+
+func (r *Runner) exchange(ctx context.Context, i *item, choice *pool.Choice, reservation *conns.Reservation) (outcome, error) {
 	answer, err := r.Conns.Send(ctx, &choice.BackendServer, r.Batch.ItemCall(i.open.Host, i.open.Item), sardinerock.Attempt{
 		Instance: choice.ID, Left: r.Batch.ItemDeadline(), ResumeAfter: i.lastEvent, HeadTimeout: eventSilence,
-	})
+	}, reservation)
 	if err != nil {
 		return interrupted, err
 	}
--- a/serving.go
+++ b/serving.go
@@ -84,6 +84,9 @@
 	MaxConnections int
 	// Slots is how many requests an engine runs at once; 0 for plain services.
 	Slots int
+	// HoldTime is the longest time for which its backend servers keep a slot
+	// reserved; 0 if they reserve none.
+	HoldTime time.Duration
 }
 
 // CallerLimits bounds what a caller may send and how long it may idle.
@@ -158,6 +161,8 @@
 	Body   []byte
 	// Wait is how long the caller waits for the answer; 0 is not said.
 	Wait time.Duration
+	// Tokens is the most that a run keeps in memory, prompt and answer; 0 is not said.
+	Tokens int64
 	// ResumeAfter is the id of the last event that the caller has; empty for a new stream.
 	ResumeAfter string
 }
@@ -172,6 +177,8 @@
 	ResumeAfter string
 	// HeadTimeout is how long the head of the answer may take; 0 is no bound of its own.
 	HeadTimeout time.Duration
+	// Reservation names the slot that is reserved for it; empty if none is.
+	Reservation string
 }
 
 // AnswerFacts is what the head of a backend server's answer says about it.
@@ -195,6 +202,11 @@
 	AttemptHeader(c *Call, a Attempt) http.Header
 	// ReadAnswer reads the head of a backend server's answer.
 	ReadAnswer(r *http.Response) AnswerFacts
+	// ReserveCall returns the call that reserves a slot of a backend server, and
+	// memory for a number of tokens, for a time.
+	ReserveCall(tokens int64, hold time.Duration) *Call
+	// ReadReservation returns the name of the reserved slot, or none if there is no room.
+	ReadReservation(status int, body []byte) (string, error)
 	// CopyAnswer copies what a caller gets of an answer's headers.
 	CopyAnswer(to http.Header, r *http.Response)
 	// WriteRetryAfter tells a caller when to come back.
