--- a/clis/node.go
+++ b/clis/node.go
@@ -17,6 +17,7 @@
 const (
 	membersTopic = "members"
 	jobsTopic    = "jobs"
+	workTopic    = "work"
 )
 
 // nodeSettings are the settings of the command that the settings file doesn't hold.
@@ -67,6 +68,7 @@
 			Servers:          platform.TopicServers,
 			Members:          platform.Topic(membersTopic),
 			Jobs:             platform.Topic(jobsTopic),
+			Work:             platform.Topic(workTopic),
 		},
 		Dialect:     platform.Dialect{},
 		Batch:       platform.Dialect{},
--- a/commit/commit.go
+++ b/commit/commit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -44,6 +45,9 @@
 	uncertainAt int64
 	// unanswered is set once an append with this change got no answer.
 	unanswered bool
+	// number tells the changes of this appender apart, and repeats counts the
+	// appends with this one that got no answer.
+	number, repeats int
 }
 
 type result struct {
@@ -51,10 +55,14 @@
 	err     error
 }
 
-// Appender appends the changes of this entry, one append at a time.
+// Appender appends the changes of this entry to one topic, one append at a time.
 type Appender struct {
-	Store       sardinerock.Store
-	Topic       string
+	Store sardinerock.Store
+	Topic string
+	// Writer, if set, is a name that no other appender has or ever had: changes
+	// are appended wherever the topic ends, under names that begin with it. Else
+	// they are appended only where it ends at the state that they were planned on.
+	Writer      string
 	Follower    *watch.Follower
 	Ledger      *ledger.Ledger
 	RecordBytes int
@@ -64,6 +72,7 @@
 	Metrics     metrics.Registry
 
 	queue chan *waiting
+	count atomic.Int64
 	// ended is closed when Run returns: nobody answers the changes any more, and
 	// whoever waited for one would keep the process from ending.
 	ended      chan struct{}
@@ -93,6 +102,7 @@
 
 func (a *Appender) submit(w *waiting) (ledger.Verdict, error) {
 	w.answer, w.uncertainAt = make(chan result, 1), -1
+	w.number = int(a.count.Add(1))
 	select {
 	case a.queue <- w:
 	case <-w.ctx.Done():
@@ -182,8 +192,11 @@
 	if len(batch) == 0 {
 		return nil, nil
 	}
-	if !a.Follower.Loaded() {
-		return batch, fmt.Errorf("%w: the topic isn't read yet", sardinerock.ErrStoreRefused)
+	if !a.Ledger.Loaded() {
+		return batch, fmt.Errorf("%w: the topics aren't read yet", sardinerock.ErrStoreRefused)
+	}
+	if a.Writer != "" {
+		return a.attemptAnywhere(ctx, batch)
 	}
 	planned, records := a.plan(batch)
 	if a.Follower.Next() != at {
@@ -194,7 +207,7 @@
 		answer(planned)
 		return nil, nil
 	}
-	end, err := a.append(ctx, at, records)
+	end, err := a.append(ctx, func(ctx context.Context) (int64, error) { return a.Store.AppendAt(ctx, a.Topic, at, records) })
 	metrics.GetOrRegisterCounter("store.appends", a.Metrics).Inc(1)
 	switch {
 	case err == nil:
@@ -219,12 +232,51 @@
 	return batch, nil
 }
 
+// attemptAnywhere plans the changes and appends them once wherever the topic
+// ends. Many entries record steps and results all the time. If each of their
+// appends needed the topic's end, an entry that is slower than the others would
+// find it moved each time: results have been seen to wait for half a minute so.
+//
+// Where the answer is lost, the same changes are appended again under names that
+// tell of the repeat, so that the second record doesn't take the first one's place.
+func (a *Appender) attemptAnywhere(ctx context.Context, batch []*waiting) ([]*waiting, error) {
+	planned, records := a.plan(batch)
+	if len(records) == 0 {
+		answer(planned)
+		return leftOver(batch, planned), nil
+	}
+	end, err := a.append(ctx, func(ctx context.Context) (int64, error) { return a.Store.Append(ctx, a.Topic, records) })
+	metrics.GetOrRegisterCounter("store.appends", a.Metrics).Inc(1)
+	switch {
+	case err == nil:
+		a.answerAt(ctx, end, planned)
+		return leftOver(batch, planned), nil
+	case errors.Is(err, sardinerock.ErrStoreRefused):
+		return batch, err
+	}
+	for _, d := range planned {
+		d.unanswered = true
+		d.repeats++
+	}
+	return batch, err
+}
+
+// answerAt answers the changes once the state holds them: who asked for one acts on the state next.
+func (a *Appender) answerAt(ctx context.Context, end int64, done []planned) {
+	go func() {
+		// The waiters of a process that stops are let go by its end.
+		if a.Follower.WaitFor(ctx, end) == nil {
+			answer(done)
+		}
+	}()
+}
+
 // append appends once, and learns how long answers take.
-func (a *Appender) append(ctx context.Context, at int64, records []sardinerock.StoreRecord) (int64, error) {
+func (a *Appender) append(ctx context.Context, call func(ctx context.Context) (int64, error)) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, a.patience.next())
 	defer cancel()
 	begin := time.Now()
-	end, err := a.Store.AppendAt(ctx, a.Topic, at, records)
+	end, err := call(ctx)
 	switch {
 	case err == nil, errors.Is(err, sardinerock.ErrStoreMoved):
 		a.patience.answered(time.Since(begin))
@@ -245,7 +297,7 @@
 				w.uncertainAt = -1
 			}
 			kept = append(kept, w)
-		case !settled:
+		case !settled, a.Writer != "" && w.unanswered:
 			w.answer <- result{ledger.Void, ErrUncertain}
 		default:
 			w.answer <- a.settle(w)
@@ -280,6 +332,7 @@
 	size := 0
 	for _, w := range batch {
 		before := len(p.Records)
+		p.Change = ledger.ChangeName(a.Writer, w.number, w.repeats)
 		v, err := w.change(p)
 		for _, r := range p.Records[before:] {
 			size += len(r.Key) + len(r.Value) + recordHead
--- a/commit/commit_test.go
+++ b/commit/commit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"testing"
 	"time"
 
@@ -19,7 +20,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go e.Follower.Run(ctx)
+	go e.work.Follower.Run(ctx)
 	go e.Run(ctx)
+	go e.work.Run(ctx)
 	return e
 }
 
@@ -36,7 +39,7 @@
 	results := make(chan error, 3*each)
 	for i := range 3 {
 		e := running(t, store)
-		g.Eventually(e.Follower.Loaded, 10*time.Second).Should(BeTrue())
+		g.Eventually(e.Ledger.Loaded, 10*time.Second).Should(BeTrue())
 		for n := range each {
 			go func() {
 				verdict, err := e.Submit(context.Background(), acceptJob(string(rune('a'+i))+string(rune('a'+n))))
@@ -58,9 +61,9 @@
 	g := NewWithT(t)
 	store := &memkv.Store{}
 	e := running(t, store)
-	g.Eventually(e.Follower.Loaded, 10*time.Second).Should(BeTrue())
+	g.Eventually(e.Ledger.Loaded, 10*time.Second).Should(BeTrue())
 	store.SetFault(func(call, _ string) memkv.Fault {
-		if call == "append" {
+		if call == "appendAt" {
 			return memkv.Refuses
 		}
 		return memkv.Works
@@ -90,3 +93,49 @@
 	cancel()
 	g.Eventually(done, 10*time.Second).Should(Receive(MatchError(ErrUncertain)))
 }
+
+// slowStore lets some time pass before each append, in which others append.
+type slowStore struct {
+	*memkv.Store
+	delay time.Duration
+}
+
+func (s slowStore) AppendAt(ctx context.Context, topic string, at int64, records []sardinerock.StoreRecord) (int64, error) {
+	time.Sleep(s.delay)
+	return s.Store.AppendAt(ctx, topic, at, records)
+}
+
+func (s slowStore) Append(ctx context.Context, topic string, records []sardinerock.StoreRecord) (int64, error) {
+	time.Sleep(s.delay)
+	return s.Store.Append(ctx, topic, records)
+}
+
+// An entry on a slow instance has a result to record while the others record
+// theirs all the time. If its append needed the topic's end, it would find it
+// moved at each try, and its caller would get the result when the others rest.
+func TestSlowEntryRecordsAmongFastOnes(t *testing.T) {
+	g := NewWithT(t)
+	store := &memkv.Store{}
+	fast, slow := running(t, store), running(t, store)
+	slow.work.Store = slowStore{store, 30 * time.Millisecond}
+	g.Eventually(slow.Ledger.Loaded, 10*time.Second).Should(BeTrue())
+	g.Eventually(fast.Ledger.Loaded, 10*time.Second).Should(BeTrue())
+	_, err := fast.Submit(context.Background(), acceptJob("j"))
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		for n := int64(0); ctx.Err() == nil; n++ {
+			_, _ = store.Append(ctx, workTopic, []sardinerock.StoreRecord{{Key: "f/other/0/x-" + strconv.FormatInt(n, 10) + ".0/0", Value: []byte{0}}})
+			time.Sleep(2 * time.Millisecond)
+		}
+	}()
+	begin := time.Now()
+	verdict, err := slow.work.Submit(context.Background(), func(p *ledger.Plan) (ledger.Verdict, error) {
+		return p.Finish("j", 0, &sardinerock.BatchResult{Item: "j0", Succeeded: true, Text: "text"})
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(verdict).To(Equal(ledger.Made))
+	g.Expect(time.Since(begin)).To(BeNumerically("<", 5*time.Second))
+	g.Expect(slow.Ledger.IsOpen("j", 0)).To(BeFalse(), "the state holds it once it is answered")
+}
--- a/commit/interleave_test.go
+++ b/commit/interleave_test.go
@@ -6,6 +6,9 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/rcrowley/go-metrics"
@@ -20,10 +23,17 @@
 // interleavings is how many random runs are played; make interleavings asks for a million.
 var interleavings = flag.Int("interleavings", 10_000, "random runs")
 
+const (
+	jobsTopic = "jobs"
+	workTopic = "work"
+)
+
 // testEntry is an entry without its network: each step is taken by the test.
 type testEntry struct {
 	*Appender
-	batch []*waiting
+	work *Appender
+	// batch are the changes of jobs that wait, workBatch those of items.
+	batch, workBatch []*waiting
 }
 
 // callerView is what the callers of a run were told.
@@ -38,6 +48,7 @@
 	store   *memkv.Store
 	entries []*testEntry
 	told    []*callerView
+	changes int
 	calm    bool
 }
 
@@ -59,15 +70,23 @@
 	events := &event.Logger{}
 	l := &ledger.Ledger{Events: events}
 	l.Prepare()
-	f := &watch.Follower{Store: store, Topic: "jobs", Apply: l.Apply, Events: events}
-	f.Prepare()
-	a := &Appender{Store: store, Topic: "jobs", Follower: f, Ledger: l, RecordBytes: 1000, AppendBytes: 4000, Events: events, Metrics: metrics.NewRegistry()}
-	a.Prepare()
-	// Nothing reads in the background here.
-	a.followTime = 0
-	return &testEntry{Appender: a}
+	appender := func(topic string, apply func([]sardinerock.StoreRecord, bool)) *Appender {
+		f := &watch.Follower{Store: store, Topic: topic, Apply: apply, Events: events}
+		f.Prepare()
+		a := &Appender{Store: store, Topic: topic, Follower: f, Ledger: l, RecordBytes: 1000, AppendBytes: 4000, Events: events, Metrics: metrics.NewRegistry()}
+		a.Prepare()
+		// Nothing reads in the background here.
+		a.followTime = 0
+		return a
+	}
+	e := &testEntry{Appender: appender(jobsTopic, l.ApplyJobs), work: appender(workTopic, l.ApplyWork)}
+	e.work.Writer = "w" + strconv.FormatInt(writers.Add(1), 10)
+	return e
 }
 
+// writers counts the entries that were ever started: none has another's name.
+var writers atomic.Int64
+
 // fault draws what goes wrong with a call.
 func (run *interleaving) fault(string, string) memkv.Fault {
 	if run.calm {
@@ -81,8 +100,13 @@
 
 func (run *interleaving) submit(e *testEntry, name string, change Change) {
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &waiting{ctx: ctx, change: change, answer: make(chan result, 1), uncertainAt: -1}
-	e.batch = append(e.batch, w)
+	run.changes++
+	w := &waiting{ctx: ctx, change: change, answer: make(chan result, 1), uncertainAt: -1, number: run.changes}
+	if kind, _, _ := strings.Cut(name, " "); kind == "accept" || kind == "end" {
+		e.batch = append(e.batch, w)
+	} else {
+		e.workBatch = append(e.workBatch, w)
+	}
 	run.told = append(run.told, &callerView{change: name, wait: w, cancel: cancel})
 }
 
@@ -115,8 +139,11 @@
 	case 6:
 		// What is lost here is read at the next step.
 		_ = e.Follower.Sync(context.Background())
-		if run.r.IntN(4) == 0 {
-			run.store.DropHistory("jobs")
+		switch run.r.IntN(8) {
+		case 0:
+			run.store.DropHistory(jobsTopic)
+		case 1:
+			run.store.DropHistory(workTopic)
 		}
 	case 7:
 		// An entry that is killed and starts again: its callers hear nothing.
@@ -129,11 +156,15 @@
 }
 
 func (run *interleaving) attempt(e *testEntry) {
-	if !e.Follower.Loaded() {
-		_ = e.Follower.Sync(context.Background())
+	ctx := context.Background()
+	if !e.Ledger.Loaded() {
+		_ = e.Follower.Sync(ctx)
+		_ = e.work.Follower.Sync(ctx)
 	}
-	e.batch, _ = e.attempt(context.Background(), e.batch)
-	_ = e.Follower.Sync(context.Background())
+	e.batch, _ = e.attempt(ctx, e.batch)
+	e.workBatch, _ = e.work.attempt(ctx, e.workBatch)
+	_ = e.Follower.Sync(ctx)
+	_ = e.work.Follower.Sync(ctx)
 }
 
 func interleavedJob(id string) *ledger.Accepted {
@@ -174,7 +205,7 @@
 // check compares what callers were told with what a new entry reads.
 func (run *interleaving) check() string {
 	fresh := newTestEntry(run.store)
-	if err := fresh.Follower.Sync(context.Background()); err != nil {
+	if err := errors.Join(fresh.Follower.Sync(context.Background()), fresh.work.Follower.Sync(context.Background())); err != nil {
 		return err.Error()
 	}
 	accepted, refused := map[string]bool{}, map[string]int{}
--- /dev/null
+++ b/ledger/fold.go
@@ -0,0 +1,214 @@
+package ledger
+
+import (
+	"errors"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/event"
+)
+
+// ApplyJobs takes records of what was decided about jobs, in the order of their offsets.
+func (l *Ledger) ApplyJobs(records []sardinerock.StoreRecord, reset bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if reset {
+		l.jobs, l.jobsRead = map[string]*Job{}, true
+		l.recount()
+	}
+	l.apply(records)
+}
+
+// ApplyWork takes records of what became of items, in the order of their offsets.
+func (l *Ledger) ApplyWork(records []sardinerock.StoreRecord, reset bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if reset {
+		l.work, l.workRead = map[string]*work{}, true
+		l.recount()
+	}
+	l.apply(records)
+}
+
+// recount adds up anew the tokens that wait.
+func (l *Ledger) recount() {
+	l.waiting = map[string]int64{}
+	for _, j := range l.jobs {
+		if !j.Ended {
+			l.waiting[j.Route] += l.unfinished(j)
+		}
+	}
+}
+
+// unfinished returns the tokens of a job's items that have no result.
+func (l *Ledger) unfinished(j *Job) int64 {
+	w := l.workOf(j.ID)
+	var tokens int64
+	for i := range j.Items {
+		if !w.finished[i] {
+			tokens += j.Items[i].Tokens
+		}
+	}
+	return tokens
+}
+
+func (l *Ledger) apply(records []sardinerock.StoreRecord) {
+	for i := range records {
+		if err := l.applyOne(&records[i]); err != nil {
+			l.Events.Warn(event.RecordSkipped).Str("key", records[i].Key).Int64("offset", records[i].Offset).Err(err).Msg("record passed over")
+		}
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *Ledger) applyOne(r *sardinerock.StoreRecord) error {
+	k, err := parseKey(r.Key)
+	if err != nil {
+		return err
+	}
+	if len(r.Value) == 0 {
+		l.remove(k)
+		return nil
+	}
+	if k.ofItem() {
+		w := l.work[k.job]
+		if w == nil {
+			w = newWork()
+			l.work[k.job] = w
+		}
+		w.keys = append(w.keys, r.Key)
+	}
+	raw := r.Value[1:]
+	if r.Value[0] == morePart {
+		l.parts[k.whole] = append(l.parts[k.whole], raw...)
+		return nil
+	}
+	if begun, ok := l.parts[k.whole]; ok {
+		raw = append(begun, raw...)
+		delete(l.parts, k.whole)
+	}
+	switch k.kind {
+	case kindJob:
+		return l.accept(raw)
+	case kindEnd:
+		l.end(k.job)
+	case kindResult:
+		return l.finish(k, raw)
+	case kindProgress:
+		return l.proceed(k, raw)
+	case kindFailure:
+		l.fail(k)
+	}
+	return nil
+}
+
+// remove forgets a job, or the records of its items, when the first of the
+// records is removed; the others follow.
+func (l *Ledger) remove(k recordKey) {
+	if k.ofItem() {
+		delete(l.work, k.job)
+		return
+	}
+	if j := l.jobs[k.job]; j != nil && k.kind == kindJob {
+		l.end(k.job)
+		delete(l.jobs, k.job)
+	}
+}
+
+func (l *Ledger) accept(raw []byte) error {
+	j := &Job{index: map[string]int{}}
+	if err := cbor.Unmarshal(raw, &j.Accepted); err != nil {
+		return err
+	}
+	if l.jobs[j.ID] != nil {
+		return nil
+	}
+	for i := range j.Items {
+		j.index[j.Items[i].ID] = i
+	}
+	l.jobs[j.ID] = j
+	l.waiting[j.Route] += l.unfinished(j)
+	return nil
+}
+
+func (l *Ledger) end(id string) {
+	j := l.jobs[id]
+	if j == nil || j.Ended {
+		return
+	}
+	j.Ended = true
+	l.waiting[j.Route] -= l.unfinished(j)
+}
+
+var errNoBeginning = errors.New("a result whose text begins with steps that aren't there")
+
+// finish takes a result. Entries append results without knowing what others
+// append at the same time, so an item may have two: the first one counts.
+func (l *Ledger) finish(k recordKey, raw []byte) error {
+	var o outcome
+	if err := cbor.Unmarshal(raw, &o); err != nil {
+		return err
+	}
+	w := l.work[k.job]
+	if w.finished[k.index] {
+		return nil
+	}
+	beginning, ok := w.textUpTo(k.index, o.After)
+	if !ok {
+		return errNoBeginning
+	}
+	text := beginning + o.Text
+	w.results = append(w.results, sardinerock.BatchResult{Item: o.Item, Succeeded: o.Succeeded, Text: text})
+	w.finished[k.index] = true
+	delete(w.progress, k.index)
+	delete(w.steps, k.index)
+	if j := l.jobs[k.job]; j != nil && !j.Ended && k.index < len(j.Items) {
+		l.waiting[j.Route] -= j.Items[k.index].Tokens
+	}
+	return nil
+}
+
+// textUpTo returns the text of an item's steps up to the one that a change
+// recorded; false if that step doesn't count.
+func (w *work) textUpTo(index int, change string) (string, bool) {
+	if change == "" {
+		return "", true
+	}
+	for _, s := range w.steps[index] {
+		if s.change == change {
+			return w.progress[index].Text[:s.end], true
+		}
+	}
+	return "", false
+}
+
+// proceed takes a step. One that doesn't build on the last step that counts came
+// second, or a second time, and counts for nothing. Their number wouldn't do:
+// two entries that record two steps each at the same time would both have a
+// second one, and the text would be made of one's first and the other's second.
+func (l *Ledger) proceed(k recordKey, raw []byte) error {
+	var one step
+	if err := cbor.Unmarshal(raw, &one); err != nil {
+		return err
+	}
+	w := l.work[k.job]
+	p := w.progress[k.index]
+	if w.finished[k.index] || one.After != p.Step {
+		return nil
+	}
+	p = Progress{LastEvent: one.LastEvent, Text: p.Text + one.Text, Step: k.change}
+	w.progress[k.index] = p
+	w.steps[k.index] = append(w.steps[k.index], recordedStep{change: k.change, end: len(p.Text)})
+	return nil
+}
+
+// fail counts a run that failed once, however often its record was appended.
+func (l *Ledger) fail(k recordKey) {
+	w := l.work[k.job]
+	if w.failures[k.index] == nil {
+		w.failures[k.index] = map[string]bool{}
+	}
+	w.failures[k.index][k.change] = true
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -4,51 +4,57 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/event"
 )
 
-// Job is the state of one batch job.
+// Job is one batch job that was accepted.
 type Job struct {
 	Accepted
-	Results []sardinerock.BatchResult
-	Ended   bool
+	Ended bool
 
-	index    map[string]int
-	finished []bool
-	progress map[int]Progress
-	// failures counts the runs of each item that failed.
-	failures map[int]int
-	// steps counts the records of progress that each finished item has.
-	steps []int
+	index map[string]int
 }
 
-// Open says whether items of the job are still to be run.
-func (j *Job) Open() bool { return !j.Ended && len(j.Results) < len(j.Items) }
+// work is what was recorded of a job's items, in the order of the store.
+type work struct {
+	results  []sardinerock.BatchResult
+	finished map[int]bool
+	progress map[int]Progress
+	// steps holds, for each item, the steps that its text is made of.
+	steps map[int][]recordedStep
+	// failures holds, for each item, the changes that recorded a run that failed.
+	failures map[int]map[string]bool
+	// keys are those of all its records.
+	keys []string
+}
 
-// expired says whether nobody may ask for the job any more.
-func (j *Job) expired(before time.Time) bool { return j.CreatedAt < before.UnixMilli() && !j.Open() }
+// recordedStep is a step that counts.
+type recordedStep struct {
+	// change recorded it; end is the length of the item's text after it.
+	change string
+	end    int
+}
 
-// HasBefore says whether there are jobs to be removed that came before a time.
-func (l *Ledger) HasBefore(before time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, j := range l.jobs {
-		if j.expired(before) {
-			return true
-		}
+func newWork() *work {
+	return &work{
+		finished: map[int]bool{}, progress: map[int]Progress{}, steps: map[int][]recordedStep{}, failures: map[int]map[string]bool{},
 	}
-	return false
 }
 
-// Ledger is the state of all batch jobs.
+// noWork stands for jobs of which nothing is recorded; it is never changed.
+var noWork = newWork()
+
+// Ledger is the state of all batch jobs. It is folded from two topics that are
+// read apart: what was decided about jobs, and what became of their items.
 type Ledger struct {
 	Events *event.Logger
 
 	mu   sync.Mutex
 	jobs map[string]*Job
+	work map[string]*work
+	// jobsRead and workRead are set once each topic was read.
+	jobsRead, workRead bool
 	// waiting counts the tokens of unfinished items by route.
 	waiting map[string]int64
 	// parts holds the beginnings of values that are more than one record.
@@ -59,12 +65,16 @@
 
 // Prepare makes the ledger usable; it is called once before all else.
 func (l *Ledger) Prepare() {
-	l.reset()
+	l.jobs, l.work = map[string]*Job{}, map[string]*work{}
+	l.waiting, l.parts = map[string]int64{}, map[string][]byte{}
 	l.changed = make(chan struct{})
 }
 
-func (l *Ledger) reset() {
-	l.jobs, l.waiting, l.parts = map[string]*Job{}, map[string]int64{}, map[string][]byte{}
+// Loaded says whether both topics were read.
+func (l *Ledger) Loaded() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.jobsRead && l.workRead
 }
 
 // Changed returns a channel that is closed at the next change.
@@ -74,145 +84,48 @@
 	return l.changed
 }
 
-// Apply takes records in the order of their offsets.
-func (l *Ledger) Apply(records []sardinerock.StoreRecord, reset bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if reset {
-		l.reset()
-	}
-	for i := range records {
-		if err := l.apply(&records[i]); err != nil {
-			l.Events.Warn(event.RecordSkipped).Str("key", records[i].Key).Int64("offset", records[i].Offset).Err(err).Msg("record passed over")
-		}
-	}
-	close(l.changed)
-	l.changed = make(chan struct{})
-}
-
-func (l *Ledger) apply(r *sardinerock.StoreRecord) error {
-	k, err := parseKey(r.Key)
-	if err != nil {
-		return err
-	}
-	if len(r.Value) == 0 {
-		l.remove(k)
-		return nil
-	}
-	raw := r.Value[1:]
-	if r.Value[0] == morePart {
-		l.parts[k.whole] = append(l.parts[k.whole], raw...)
-		return nil
-	}
-	if begun, ok := l.parts[k.whole]; ok {
-		raw = append(begun, raw...)
-		delete(l.parts, k.whole)
-	}
-	switch k.kind {
-	case kindJob:
-		return l.accept(raw)
-	case kindResult:
-		return l.finish(k, raw)
-	case kindEnd:
-		l.end(k.job)
-	case kindProgress:
-		return l.proceed(k, raw)
-	case kindFailure:
-		l.fail(k)
-	}
-	return nil
-}
-
-// remove forgets a job whose record was removed; its other records follow.
-func (l *Ledger) remove(k recordKey) {
-	if k.kind != kindJob {
-		return
-	}
-	if j := l.jobs[k.job]; j != nil {
-		l.end(k.job)
-		delete(l.jobs, k.job)
-	}
-}
-
-func (l *Ledger) accept(raw []byte) error {
-	j := &Job{index: map[string]int{}, progress: map[int]Progress{}, failures: map[int]int{}}
-	if err := cbor.Unmarshal(raw, &j.Accepted); err != nil {
-		return err
-	}
-	if l.jobs[j.ID] != nil {
-		return nil
+// workOf returns what is recorded of a job's items.
+func (l *Ledger) workOf(job string) *work {
+	if w := l.work[job]; w != nil {
+		return w
 	}
-	j.finished = make([]bool, len(j.Items))
-	j.steps = make([]int, len(j.Items))
-	for i := range j.Items {
-		j.index[j.Items[i].ID] = i
-		l.waiting[j.Route] += j.Items[i].Tokens
-	}
-	l.jobs[j.ID] = j
-	return nil
+	return noWork
 }
 
-func (l *Ledger) finish(k recordKey, raw []byte) error {
-	var o outcome
-	if err := cbor.Unmarshal(raw, &o); err != nil {
-		return err
-	}
-	j := l.jobs[k.job]
-	if j == nil {
-		return nil
-	}
-	i, ok := j.index[o.Item]
-	if !ok || j.finished[i] || k.place != len(j.Results) {
-		return nil
-	}
-	text := o.Text
-	if o.Rest {
-		text = j.progress[i].Text + o.Text
-	}
-	j.Results = append(j.Results, sardinerock.BatchResult{Item: o.Item, Succeeded: o.Succeeded, Text: text})
-	j.finished[i] = true
-	j.steps[i] = j.progress[i].Steps
-	delete(j.progress, i)
-	if !j.Ended {
-		l.waiting[j.Route] -= j.Items[i].Tokens
-	}
-	return nil
+// open says whether items of the job are still to be run.
+func (l *Ledger) open(j *Job) bool {
+	return !j.Ended && len(l.workOf(j.ID).results) < len(j.Items)
 }
 
-func (l *Ledger) fail(k recordKey) {
-	if j := l.jobs[k.job]; j != nil && k.step == j.failures[k.place] {
-		j.failures[k.place]++
-	}
+// expired says whether nobody may ask for the job any more.
+func (l *Ledger) expired(j *Job, before time.Time) bool {
+	return j.CreatedAt < before.UnixMilli() && !l.open(j)
 }
 
-func (l *Ledger) end(id string) {
-	j := l.jobs[id]
-	if j == nil || j.Ended {
-		return
-	}
-	j.Ended = true
-	for i := range j.Items {
-		if !j.finished[i] {
-			l.waiting[j.Route] -= j.Items[i].Tokens
+// HasBefore says whether there are jobs to be removed that came before a time.
+func (l *Ledger) HasBefore(before time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, j := range l.jobs {
+		if l.expired(j, before) {
+			return true
 		}
 	}
+	return false
 }
 
-func (l *Ledger) proceed(k recordKey, raw []byte) error {
-	var one step
-	if err := cbor.Unmarshal(raw, &one); err != nil {
-		return err
-	}
-	j := l.jobs[k.job]
-	if j == nil || k.place >= len(j.Items) || j.finished[k.place] {
-		return nil
-	}
-	p := j.progress[k.place]
-	if k.step != p.Steps {
-		return nil
+// Orphans returns the jobs that aren't known but have records of their items:
+// those that were removed, and those whose acceptance isn't read yet.
+func (l *Ledger) Orphans() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var orphans []string
+	for id := range l.work {
+		if l.jobs[id] == nil {
+			orphans = append(orphans, id)
+		}
 	}
-	j.progress[k.place] = Progress{LastEvent: one.LastEvent, Text: p.Text + one.Text, Steps: p.Steps + 1}
-	return nil
+	return orphans
 }
 
 // Page is a part of a job's results.
@@ -231,9 +144,9 @@
 	if j == nil {
 		return Page{}, false
 	}
-	p := Page{Total: len(j.Items), Open: j.Open()}
-	if from < len(j.Results) {
-		p.Results = j.Results[from:len(j.Results):len(j.Results)]
+	p := Page{Total: len(j.Items), Open: l.open(j)}
+	if all := l.workOf(id).results; from < len(all) {
+		p.Results = all[from:len(all):len(all)]
 	}
 	return p, true
 }
@@ -268,22 +181,27 @@
 	Failures int
 }
 
-// OpenItems returns the open items of the jobs that are wanted.
+// OpenItems returns the open items of the jobs that are wanted; none before
+// both topics were read, since those that are finished can't be told until then.
 func (l *Ledger) OpenItems(wanted func(job string) bool) []OpenItem {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.jobsRead || !l.workRead {
+		return nil
+	}
 	var open []OpenItem
 	for id, j := range l.jobs {
-		if !j.Open() || !wanted(id) {
+		if !l.open(j) || !wanted(id) {
 			continue
 		}
+		w := l.workOf(id)
 		for i := range j.Items {
-			if j.finished[i] {
+			if w.finished[i] {
 				continue
 			}
 			open = append(open, OpenItem{
 				Job: id, Route: j.Route, Host: j.Host, CreatedAt: time.UnixMilli(j.CreatedAt), Index: i,
-				Left: len(j.Items) - len(j.Results), Item: &j.Items[i], Progress: j.progress[i], Failures: j.failures[i],
+				Left: len(j.Items) - len(w.results), Item: &j.Items[i], Progress: w.progress[i], Failures: len(w.failures[i]),
 			})
 		}
 	}
@@ -295,7 +213,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	j := l.jobs[id]
-	return j != nil && !j.Ended && !j.finished[index]
+	return j != nil && !j.Ended && !l.workOf(id).finished[index]
 }
 
 // Waiting returns the tokens of the unfinished items on a route.
@@ -309,10 +227,10 @@
 func (l *Ledger) Open() (jobs, items int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, j := range l.jobs {
-		if j.Open() {
+	for id, j := range l.jobs {
+		if l.open(j) {
 			jobs++
-			items += len(j.Items) - len(j.Results)
+			items += len(j.Items) - len(l.workOf(id).results)
 		}
 	}
 	return jobs, items
--- a/ledger/plan.go
+++ b/ledger/plan.go
@@ -25,18 +25,20 @@
 	Void
 )
 
-// Plan collects the records of several changes that are appended together. It
-// is made while the ledger doesn't change.
+// Plan collects the records of several changes that are appended together.
+// Those of jobs hold only where their topic still ends at the state that the
+// plan was made from; those of items hold wherever they are appended.
 type Plan struct {
 	// RecordBytes is the largest record of the store.
 	RecordBytes int
 	Records     []sardinerock.StoreRecord
+	// Change is the name of the change that is planned next, for the keys of items.
+	Change string
 
 	ledger *Ledger
 	// What the plan itself adds to the ledger, which the later changes of the plan have to see.
 	tokens   map[string]int64
 	accepted map[string]uint64
-	results  map[string]int
 	finished map[string]bool
 	steps    map[string]Progress
 	ended    map[string]bool
@@ -49,7 +51,6 @@
 		ledger:      l,
 		tokens:      map[string]int64{},
 		accepted:    map[string]uint64{},
-		results:     map[string]int{},
 		finished:    map[string]bool{},
 		steps:       map[string]Progress{},
 		ended:       map[string]bool{},
@@ -91,26 +92,21 @@
 	return Made, p.add(jobKey(a.ID), a)
 }
 
-// Finish plans the result of an item.
+// Finish plans the result of an item. The steps of its text that are recorded
+// already aren't written again.
 func (p *Plan) Finish(job string, index int, r *sardinerock.BatchResult) (Verdict, error) {
 	p.ledger.mu.Lock()
 	defer p.ledger.mu.Unlock()
-	j := p.ledger.jobs[job]
-	if j == nil || index >= len(j.Items) {
-		return Unknown, nil
-	}
-	item := itemName(job, index)
-	if j.finished[index] || p.finished[item] {
+	if p.ledger.workOf(job).finished[index] || p.finished[itemName(job, index)] {
 		return Void, nil
 	}
 	o := outcome{Item: r.Item, Succeeded: r.Succeeded, Text: r.Text}
-	if rest, ok := strings.CutPrefix(r.Text, p.progress(j, index).Text); ok && r.Succeeded {
-		o.Text, o.Rest = rest, true
+	old := p.progress(job, index)
+	if rest, ok := strings.CutPrefix(r.Text, old.Text); ok && r.Succeeded {
+		o.Text, o.After = rest, old.Step
 	}
-	place := len(j.Results) + p.results[job]
-	p.results[job]++
-	p.finished[item] = true
-	return Made, p.add(resultKey(job, place), &o)
+	p.finished[itemName(job, index)] = true
+	return Made, p.add(itemKey(kindResult, job, index, p.Change), &o)
 }
 
 // Proceed plans a record of how far an item has come, of what isn't recorded yet.
@@ -118,38 +114,40 @@
 func (p *Plan) Proceed(job string, index int, progress Progress) (Verdict, error) {
 	p.ledger.mu.Lock()
 	defer p.ledger.mu.Unlock()
-	j := p.ledger.jobs[job]
-	if j == nil || index >= len(j.Items) || j.finished[index] || j.Ended || p.finished[itemName(job, index)] {
+	if p.over(job, index) {
 		return Void, nil
 	}
-	old := p.progress(j, index)
+	old := p.progress(job, index)
 	rest, ok := strings.CutPrefix(progress.Text, old.Text)
 	if !ok || rest == "" {
 		return Void, nil
 	}
-	p.steps[itemName(job, index)] = Progress{LastEvent: progress.LastEvent, Text: progress.Text, Steps: old.Steps + 1}
-	return Made, p.add(stepKey(job, index, old.Steps), &step{LastEvent: progress.LastEvent, Text: rest})
+	p.steps[itemName(job, index)] = Progress{LastEvent: progress.LastEvent, Text: progress.Text, Step: withoutRepeat(p.Change)}
+	return Made, p.add(itemKey(kindProgress, job, index, p.Change), &step{LastEvent: progress.LastEvent, Text: rest, After: old.Step})
 }
 
-// Fail plans a record of a run that failed; known is how many the runner knew
-// of before it. Where another entry recorded one meanwhile, both count as one:
-// they were the same owner's part of the tries.
-func (p *Plan) Fail(job string, index, known int) (Verdict, error) {
+// Fail plans a record of a run that failed.
+func (p *Plan) Fail(job string, index int) (Verdict, error) {
 	p.ledger.mu.Lock()
 	defer p.ledger.mu.Unlock()
-	j := p.ledger.jobs[job]
-	if j == nil || index >= len(j.Items) || j.finished[index] || j.Ended || j.failures[index] > known {
+	if p.over(job, index) {
 		return Void, nil
 	}
-	return Made, p.add(failureKey(job, index, j.failures[index]), true)
+	return Made, p.add(itemKey(kindFailure, job, index, p.Change), true)
+}
+
+// over says whether nothing more is to be recorded of an item.
+func (p *Plan) over(job string, index int) bool {
+	j := p.ledger.jobs[job]
+	return j == nil || j.Ended || p.ledger.workOf(job).finished[index] || p.finished[itemName(job, index)]
 }
 
 // progress returns how far an item has come with what the plan itself adds.
-func (p *Plan) progress(j *Job, index int) Progress {
-	if planned, ok := p.steps[itemName(j.ID, index)]; ok {
+func (p *Plan) progress(job string, index int) Progress {
+	if planned, ok := p.steps[itemName(job, index)]; ok {
 		return planned
 	}
-	return j.progress[index]
+	return p.ledger.workOf(job).progress[index]
 }
 
 func itemName(job string, index int) string { return job + "/" + strconv.Itoa(index) }
@@ -175,36 +173,36 @@
 	p.ledger.mu.Lock()
 	defer p.ledger.mu.Unlock()
 	for id, j := range p.ledger.jobs {
-		if !j.expired(before) {
+		if !p.ledger.expired(j, before) {
 			continue
 		}
 		if len(p.Records) > most {
 			return Made, nil
 		}
-		if err := p.expire(id, j); err != nil {
+		p.Records = append(p.Records, sardinerock.StoreRecord{Key: endKey(id) + "/0"})
+		if err := p.drop(jobKey(id), &j.Accepted); err != nil {
 			return Void, err
 		}
 	}
 	return Made, nil
 }
 
-// expire removes the job's own record last: as long as it is there, a later try finds the others.
-func (p *Plan) expire(id string, j *Job) error {
-	for place := range j.Results {
-		if err := p.drop(resultKey(id, place), &j.Results[place]); err != nil {
-			return err
+// Clear plans the removal of the records of items whose jobs were removed.
+func (p *Plan) Clear(orphans []string, most int) (Verdict, error) {
+	p.ledger.mu.Lock()
+	defer p.ledger.mu.Unlock()
+	for _, id := range orphans {
+		if p.ledger.jobs[id] != nil {
+			continue
 		}
-	}
-	for index := range j.Items {
-		for number := range j.steps[index] + j.progress[index].Steps {
-			p.Records = append(p.Records, sardinerock.StoreRecord{Key: stepKey(id, index, number) + "/0"})
+		if len(p.Records) > most {
+			return Made, nil
 		}
-		for number := range j.failures[index] {
-			p.Records = append(p.Records, sardinerock.StoreRecord{Key: failureKey(id, index, number) + "/0"})
+		for _, key := range p.ledger.workOf(id).keys {
+			p.Records = append(p.Records, sardinerock.StoreRecord{Key: key})
 		}
 	}
-	p.Records = append(p.Records, sardinerock.StoreRecord{Key: endKey(id) + "/0"})
-	return p.drop(jobKey(id), &j.Accepted)
+	return Made, nil
 }
 
 // drop removes all parts of a value.
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -13,8 +13,8 @@
 // The kinds of records, each the first part of a key.
 const (
 	kindJob      = "j"
-	kindResult   = "r"
 	kindEnd      = "e"
+	kindResult   = "r"
 	kindProgress = "p"
 	kindFailure  = "f"
 )
@@ -37,23 +37,26 @@
 	LastEvent string
 	// Text is the data of all events so far, a line feed between two.
 	Text string
-	// Steps counts the records that it is made of.
-	Steps int
+	// Step names the change that recorded the last part of Text; empty if nothing is recorded.
+	Step string
 }
 
 // step is the record of what came after the steps before it.
 type step struct {
 	LastEvent string `cbor:"1,keyasint"`
 	Text      string `cbor:"2,keyasint"`
+	// After names the change that recorded the step before it.
+	After string `cbor:"3,keyasint,omitempty"`
 }
 
 // outcome is the record of a result.
 type outcome struct {
 	Item      string `cbor:"1,keyasint"`
 	Succeeded bool   `cbor:"2,keyasint"`
-	// Text is the whole text, or with Rest what comes after the item's steps.
+	// Text is what comes after the item's steps up to After.
 	Text string `cbor:"3,keyasint"`
-	Rest bool   `cbor:"4,keyasint,omitempty"`
+	// After names the change that recorded the last step before Text; empty if Text is all.
+	After string `cbor:"4,keyasint,omitempty"`
 }
 
 // keyRoom is the part of a record's bound that its key and head may take.
@@ -87,57 +90,76 @@
 	}
 }
 
-// recordKey is a key taken apart.
+// recordKey is a key taken apart. Keys of jobs are KIND/JOB/PART, those of items
+// KIND/JOB/INDEX/CHANGE/PART: the store keeps the newest record of each key, and
+// a change has a key of its own so that none takes the place of another's record,
+// which would move it in the order.
 type recordKey struct {
 	kind string
 	job  string
-	// place is the position of a result or the index of an item.
-	place int
-	// step counts the records of an item's progress.
-	step int
+	// index is that of the item.
+	index int
+	// change names the change that the record was made for; a repeat has the same.
+	change string
 	// whole is the key without the number of its part.
 	whole string
 }
 
-// keyNumbers is how many numbers follow the job in a key of each kind; the last is that of the part.
-var keyNumbers = map[string]int{kindJob: 1, kindEnd: 1, kindResult: 2, kindProgress: 3, kindFailure: 3}
+// ofItem says whether the record is about an item.
+func (k *recordKey) ofItem() bool { return k.kind != kindJob && k.kind != kindEnd }
+
+// keyParts is how many parts a key of each kind has.
+var keyParts = map[string]int{kindJob: 3, kindEnd: 3, kindResult: 5, kindProgress: 5, kindFailure: 5}
 
 func parseKey(key string) (recordKey, error) {
 	parts := strings.Split(key, "/")
-	want, ok := keyNumbers[parts[0]]
-	if !ok || len(parts) != 2+want {
+	if want, ok := keyParts[parts[0]]; !ok || len(parts) != want {
 		return recordKey{}, fmt.Errorf("ledger: key %q isn't known", key)
 	}
 	k := recordKey{kind: parts[0], job: parts[1], whole: key[:strings.LastIndexByte(key, '/')]}
-	numbers := make([]int, want)
-	for n, text := range parts[2:] {
-		number, err := strconv.Atoi(text)
-		if err != nil || number < 0 {
-			return recordKey{}, fmt.Errorf("ledger: key %q: %q isn't a number", key, text)
-		}
-		numbers[n] = number
+	if _, err := number(key, parts[len(parts)-1]); err != nil {
+		return recordKey{}, err
 	}
-	if want > 1 {
-		k.place = numbers[0]
+	if !k.ofItem() {
+		return k, nil
 	}
-	if want > 2 {
-		k.step = numbers[1]
+	var err error
+	if k.index, err = number(key, parts[2]); err != nil {
+		return recordKey{}, err
 	}
+	k.change = withoutRepeat(parts[3])
 	return k, nil
 }
 
-func jobKey(job string) string { return kindJob + "/" + job }
+// withoutRepeat returns the name that all repeats of a change share.
+func withoutRepeat(change string) string {
+	name, _, _ := strings.Cut(change, repeatMark)
+	return name
+}
 
-func endKey(job string) string { return kindEnd + "/" + job }
+func number(key, text string) (int, error) {
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 0 {
+		return 0, fmt.Errorf("ledger: key %q: %q isn't a number", key, text)
+	}
+	return n, nil
+}
 
-func resultKey(job string, place int) string { return fmt.Sprintf("%s/%s/%d", kindResult, job, place) }
+// repeatMark stands in a key between a change's name and the number of its repeat.
+const repeatMark = "."
 
-func failureKey(job string, index, number int) string {
-	return fmt.Sprintf("%s/%s/%d/%d", kindFailure, job, index, number)
+// ChangeName returns the name of a change in keys: a writer's own, how many
+// changes it made before, and how often this one was appended before.
+func ChangeName(writer string, number, repeats int) string {
+	return writer + "-" + strconv.Itoa(number) + repeatMark + strconv.Itoa(repeats)
 }
 
-func stepKey(job string, index, number int) string {
-	return fmt.Sprintf("%s/%s/%d/%d", kindProgress, job, index, number)
+func jobKey(job string) string { return kindJob + "/" + job }
+
+func endKey(job string) string { return kindEnd + "/" + job }
+
+func itemKey(kind, job string, index int, change string) string {
+	return fmt.Sprintf("%s/%s/%d/%s", kind, job, index, change)
 }
 
 // ValidID says whether a job's id can be part of a key.
--- a/memkv/memkv.go
+++ b/memkv/memkv.go
@@ -33,7 +33,7 @@
 // Store is a stand-in of the platform's store in memory.
 type Store struct {
 	// Fault, if set, says what goes wrong with the next call; call is append,
-	// put, read or newest. SetFault changes it while the store is in use.
+	// appendAt, read or newest. SetFault changes it while the store is in use.
 	Fault func(call, topic string) Fault
 	// PageSize is how many records a page of the newest ones holds; 0 is all.
 	PageSize int
@@ -106,15 +106,26 @@
 
 // AppendAt implements sardinerock.Store.
 func (s *Store) AppendAt(_ context.Context, topic string, at int64, records []sardinerock.StoreRecord) (int64, error) {
-	fault := s.begin("append", topic)
+	return s.append("appendAt", topic, records, func(end int64) bool { return end == at })
+}
+
+// Append implements sardinerock.Store.
+func (s *Store) Append(_ context.Context, topic string, records []sardinerock.StoreRecord) (int64, error) {
+	return s.append("append", topic, records, func(int64) bool { return true })
+}
+
+// append adds records if the topic ends where it may.
+func (s *Store) append(call, topic string, records []sardinerock.StoreRecord, may func(end int64) bool) (int64, error) {
+	fault := s.begin(call, topic)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(topic)
+	copied := append([]sardinerock.StoreRecord(nil), records...)
 	try := func() error {
-		if t.end() != at {
+		if !may(t.end()) {
 			return sardinerock.ErrStoreMoved
 		}
-		t.add(records)
+		t.add(copied)
 		return nil
 	}
 	switch fault {
@@ -123,12 +134,8 @@
 	case LosesCall:
 		return 0, ErrSilent
 	case IsLate:
-		copied := append([]sardinerock.StoreRecord(nil), records...)
-		s.late = append(s.late, func() {
-			if t.end() == at {
-				t.add(copied)
-			}
-		})
+		// Done at the next Settle, where its condition may hold no longer.
+		s.late = append(s.late, func() { _ = try() })
 		return 0, ErrSilent
 	}
 	err := try()
@@ -148,20 +155,6 @@
 	s.late = nil
 }
 
-// Put implements sardinerock.Store.
-func (s *Store) Put(_ context.Context, topic string, record sardinerock.StoreRecord) error {
-	switch s.begin("put", topic) {
-	case Refuses:
-		return sardinerock.ErrStoreRefused
-	case LosesCall:
-		return ErrSilent
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.topic(topic).add([]sardinerock.StoreRecord{record})
-	return nil
-}
-
 // Read implements sardinerock.Store.
 func (s *Store) Read(ctx context.Context, topic string, from int64, wait time.Duration) (sardinerock.StorePage, error) {
 	switch s.begin("read", topic) {
--- a/node/gauge.go
+++ b/node/gauge.go
@@ -17,6 +17,7 @@
 	set("configuration.ageMillis", n.configuration.Confirmed(now).Milliseconds())
 	set("servers.ageMillis", n.registrations.Confirmed(now).Milliseconds())
 	set("jobs.ageMillis", n.jobs.Confirmed(now).Milliseconds())
+	set("work.ageMillis", n.work.Confirmed(now).Milliseconds())
 	counts := n.pool.Counts(now)
 	set("servers.listed", int64(counts.Listed))
 	set("servers.doubted", int64(counts.Doubted))
--- a/node/node.go
+++ b/node/node.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,7 +35,9 @@
 	ConfigurationKey string
 	Servers          string
 	Members          string
-	Jobs             string
+	// Jobs holds what is decided about jobs, Work what becomes of their items.
+	Jobs string
+	Work string
 }
 
 // Node is one entry.
@@ -62,6 +65,7 @@
 	gossip   *gossip.Gossip
 	ledger   *ledger.Ledger
 	appender *commit.Appender
+	recorder *commit.Appender
 	runner   *runner.Runner
 	relay    *relay.Relay
 
@@ -69,6 +73,7 @@
 	registrations *watch.Follower
 	members       *watch.Follower
 	jobs          *watch.Follower
+	work          *watch.Follower
 
 	// settings are those in force; addresses to listen on stay those of the start.
 	settings atomic.Pointer[conf.Node]
@@ -81,12 +86,12 @@
 const (
 	// membersWait is longer than for other topics: entries come and go seldom, and nothing waits for the news.
 	membersWait = 5 * time.Second
-	// jobsInterval is between two reads of the jobs' topic. Nothing waits for
-	// its news but the start of items, which are due seconds later.
+	// jobsInterval is between two reads of the topic of jobs or of their items.
+	// Nothing waits for its news but the start of items, which are due seconds later.
 	jobsInterval = 200 * time.Millisecond
-	// jobsWait is short enough that, with the interval, a calm topic is known to
+	// workWait is short enough that, with the interval, a calm topic is known to
 	// be calm within the time after which an entry must not call a position empty.
-	jobsWait = 300 * time.Millisecond
+	workWait = 300 * time.Millisecond
 	// keepMargin is kept beyond the time for which results are promised, for
 	// clocks that differ between entries.
 	keepMargin = time.Minute
@@ -167,7 +172,9 @@
 	n.registrations = n.follower(n.Topics.Servers, n.servers.Apply)
 	n.registrations.Back = n.servers.Back
 	n.jobs = n.follower(n.Topics.Jobs, n.applyJobs)
-	n.jobs.Interval, n.jobs.Wait = jobsInterval, jobsWait
+	n.jobs.Interval = jobsInterval
+	n.work = n.follower(n.Topics.Work, n.ledger.ApplyWork)
+	n.work.Interval, n.work.Wait = jobsInterval, workWait
 	n.gossip = &gossip.Gossip{
 		Name: n.Settings.ID, Start: start.UnixMilli(), Conn: datagrams, Events: n.Events,
 		Tell: n.tell, Heard: n.heard,
@@ -175,25 +182,23 @@
 	n.gossip.Prepare()
 	n.members = n.follower(n.Topics.Members, (&watch.Members{Changed: n.gossip.SetPeers}).Apply)
 	n.members.Wait = membersWait
-	n.appender = &commit.Appender{
-		Store: n.Store, Topic: n.Topics.Jobs, Follower: n.jobs, Ledger: n.ledger, RecordBytes: n.Settings.RecordBytes,
-		AppendBytes: n.Settings.AppendBytes, Events: n.Events, Metrics: n.Metrics,
-	}
-	n.appender.Prepare()
+	n.appender = n.newAppender(n.Topics.Jobs, n.jobs)
+	n.recorder = n.newAppender(n.Topics.Work, n.work)
+	n.recorder.Writer = strconv.FormatUint(pool.Hash(n.Settings.ID+start.String()), 36)
 	n.runner = &runner.Runner{
-		Name: n.Settings.ID, Batch: n.Batch, Table: n.table.Current, Ledger: n.ledger, Appender: n.appender,
+		Name: n.Settings.ID, Batch: n.Batch, Table: n.table.Current, Ledger: n.ledger, Jobs: n.appender, Recorder: n.recorder, JobsSince: n.jobs.FreshSince,
 		Pool: n.pool, Conns: n.conns, Events: n.Events, Metrics: n.Metrics,
 		Keep:             n.Settings.KeepResults + keepMargin,
 		Pace:             &runner.Pace{View: gossip.Interval, Random: seed(1)},
 		WaitingElsewhere: func() int { return n.gossip.Waiting(time.Now()) },
-		Owners:           func() []string { return n.gossip.Owners(time.Now(), n.jobs.Lost()) },
+		Owners:           func() []string { return n.gossip.Owners(time.Now(), n.storeLost()) },
 		RunningElsewhere: func() map[uint64]bool { return n.gossip.RunningElsewhere(time.Now()) },
 	}
 	n.runner.Prepare()
 	n.relay = &relay.Relay{
 		Dialect: n.Dialect, BatchDialect: n.Batch, Table: n.table.Current, Pool: n.pool, Conns: n.conns,
 		Batch: &submit.Front{
-			Dialect: n.Dialect, Batch: n.Batch, Ledger: n.ledger, Follower: n.jobs, Appender: n.appender,
+			Dialect: n.Dialect, Batch: n.Batch, Ledger: n.ledger, Follower: n.jobs, Work: n.work, Appender: n.appender,
 			Settle:         n.Settings.SettleTime,
 			StoreLostByAll: func() bool { return n.gossip.StoreLostByAll(time.Now()) },
 			Events:         n.Events, Metrics: n.Metrics,
@@ -213,9 +218,21 @@
 	return f
 }
 
+func (n *Node) newAppender(topic string, f *watch.Follower) *commit.Appender {
+	a := &commit.Appender{
+		Store: n.Store, Topic: topic, Follower: f, Ledger: n.ledger, RecordBytes: n.Settings.RecordBytes,
+		AppendBytes: n.Settings.AppendBytes, Events: n.Events, Metrics: n.Metrics,
+	}
+	a.Prepare()
+	return a
+}
+
+// storeLost says whether the topics of jobs haven't been read for a while.
+func (n *Node) storeLost() bool { return n.jobs.Lost() || n.work.Lost() }
+
 // applyJobs also wakes the runner: a job that was accepted starts, and one that was ended stops, at once.
 func (n *Node) applyJobs(records []sardinerock.StoreRecord, reset bool) {
-	n.ledger.Apply(records, reset)
+	n.ledger.ApplyJobs(records, reset)
 	n.runner.Wake()
 }
 
@@ -230,7 +247,7 @@
 	m.Loads = n.pool.Own()
 	m.Items = n.runner.Running()
 	m.Waiting = n.runner.Waiting()
-	m.StoreLost = n.jobs.Lost()
+	m.StoreLost = n.storeLost()
 	m.Crashes = n.relay.Crashes()
 }
 
@@ -250,6 +267,7 @@
 	n.goRun(ctx, n.members.Run)
 	n.goRun(ctx, n.gossip.Run)
 	n.goRun(ctx, n.appender.Run)
+	n.goRun(ctx, n.recorder.Run)
 	n.goRun(ctx, n.runner.Run)
 	n.goRun(ctx, n.join)
 }
@@ -267,6 +285,7 @@
 		}
 	}
 	close(n.started)
+	n.goRun(ctx, n.work.Run)
 	n.jobs.Run(ctx)
 }
 
@@ -292,7 +311,7 @@
 func (n *Node) join(ctx context.Context) {
 	record := sardinerock.StoreRecord{Key: n.Settings.ID, Value: []byte(n.Settings.PeerAddress)}
 	for ctx.Err() == nil {
-		err := n.Store.Put(ctx, n.Topics.Members, record)
+		_, err := n.Store.Append(ctx, n.Topics.Members, []sardinerock.StoreRecord{record})
 		if err == nil {
 			return
 		}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -78,7 +78,8 @@
 }
 
 func (f *fleet) put(topic, key, value string) {
-	f.g.Expect(f.store.Put(context.Background(), topic, sardinerock.StoreRecord{Key: key, Value: []byte(value)})).To(Succeed())
+	_, err := f.store.Append(context.Background(), topic, []sardinerock.StoreRecord{{Key: key, Value: []byte(value)}})
+	f.g.Expect(err).NotTo(HaveOccurred())
 }
 
 // configure puts a configuration in force, with one more route for online work.
@@ -143,7 +144,7 @@
 	e.stop = stop
 	n := &node.Node{
 		Settings: e.settings, Store: f.store, Dialect: platform.Dialect{}, Batch: platform.Dialect{}, Events: &event.Logger{}, Metrics: metrics.NewRegistry(),
-		Topics:     node.Topics{Configuration: configTopic, ConfigurationKey: "config", Servers: serversTopic, Members: "members", Jobs: "jobs"},
+		Topics:     node.Topics{Configuration: configTopic, ConfigurationKey: "config", Servers: serversTopic, Members: "members", Jobs: "jobs", Work: "work"},
 		ParseTable: platform.ParseConfiguration, ParseServer: platform.ParseServer,
 	}
 	go func() { e.done <- n.Run(ctx) }()
--- a/node/serve.go
+++ b/node/serve.go
@@ -82,7 +82,7 @@
 	}
 	n.runner.Drain(ctx)
 	// An address that stays behind costs the others a datagram a second.
-	if err := n.Store.Put(ctx, n.Topics.Members, sardinerock.StoreRecord{Key: n.Settings.ID}); err != nil {
+	if _, err := n.Store.Append(ctx, n.Topics.Members, []sardinerock.StoreRecord{{Key: n.Settings.ID}}); err != nil {
 		n.Events.Info(event.ListChanged).Err(err).Msg("own address stays in the store")
 	}
 }
--- a/runner/note.go
+++ b/runner/note.go
@@ -21,9 +21,14 @@
 func (r *Runner) noteProgress() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	// All at once: each by itself would be an append of its own.
 	now := time.Now()
+	if now.Sub(r.notedAt) < noteAfter {
+		return
+	}
+	r.notedAt = now
 	for _, i := range r.items {
-		if i.recording || now.Sub(i.recordedAt) < noteAfter || len(i.text)-i.recorded < leastNoted {
+		if i.recording || len(i.text)-i.recorded < leastNoted {
 			continue
 		}
 		i.recording = true
@@ -39,7 +44,7 @@
 func (r *Runner) note(i *item, open *ledger.OpenItem, progress ledger.Progress) {
 	ctx, cancel := context.WithTimeout(context.Background(), noteTimeout)
 	defer cancel()
-	verdict, err := r.Appender.SubmitLazily(ctx, func(p *ledger.Plan) (ledger.Verdict, error) {
+	verdict, err := r.Recorder.SubmitLazily(ctx, func(p *ledger.Plan) (ledger.Verdict, error) {
 		return p.Proceed(open.Job, open.Index, progress)
 	})
 	if err != nil {
@@ -47,7 +52,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	i.recording, i.recordedAt = false, time.Now()
+	i.recording = false
 	if err == nil && verdict == ledger.Made {
 		i.recorded = len(progress.Text)
 	}
--- a/runner/run.go
+++ b/runner/run.go
@@ -73,14 +73,13 @@
 // servers would come to them as many times as its owners change. Until the
 // count is there the item rests.
 func (r *Runner) failed(i *item, route *sardinerock.Route) {
-	known := i.failures
 	if i.failures++; i.failures >= route.MaxAttempts {
 		r.record(&i.open, sardinerock.BatchResult{Item: i.open.Item.ID})
 		return
 	}
 	open := &i.open
-	_, err := r.Appender.Submit(context.Background(), func(p *ledger.Plan) (ledger.Verdict, error) {
-		return p.Fail(open.Job, open.Index, known)
+	_, err := r.Recorder.Submit(context.Background(), func(p *ledger.Plan) (ledger.Verdict, error) {
+		return p.Fail(open.Job, open.Index)
 	})
 	if err != nil {
 		r.Events.Info(event.ItemFailed).Str("job", open.Job).Str("item", open.Item.ID).Err(err).Msg("failure isn't recorded")
@@ -154,13 +153,22 @@
 	}
 }
 
-// record brings a result into the store's order. It goes on until the store
-// has it or the process ends: the work is done and must not be lost to an outage.
+// record brings a result into the store's order. It goes on until the item has
+// one or the process ends: the work is done and must not be lost to an outage. A
+// result may count for nothing if it builds on a step of this entry that came
+// second to another's; the next one builds on that.
 func (r *Runner) record(open *ledger.OpenItem, result sardinerock.BatchResult) {
-	verdict, err := r.Appender.SubmitLazily(context.Background(), func(p *ledger.Plan) (ledger.Verdict, error) {
-		return p.Finish(open.Job, open.Index, &result)
+	for r.recordOnce(open, &result) == nil && r.Ledger.IsOpen(open.Job, open.Index) {
+		metrics.GetOrRegisterCounter("batch.recordedAgain", r.Metrics).Inc(1)
+	}
+}
+
+func (r *Runner) recordOnce(open *ledger.OpenItem, result *sardinerock.BatchResult) error {
+	verdict, err := r.Recorder.SubmitLazily(context.Background(), func(p *ledger.Plan) (ledger.Verdict, error) {
+		return p.Finish(open.Job, open.Index, result)
 	})
 	metrics.GetOrRegisterCounter("batch.recorded", r.Metrics).Inc(1)
 	r.Events.Info(event.ItemRecorded).Str("job", open.Job).Str("item", open.Item.ID).Bool("succeeded", result.Succeeded).
 		Int("verdict", int(verdict)).Err(err).Msg("item recorded")
+	return err
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -49,13 +49,17 @@
 // Runner runs the items of batch jobs.
 type Runner struct {
 	// Name is this entry's name.
-	Name     string
-	Batch    sardinerock.BatchDialect
-	Table    func() *sardinerock.RouteTable
-	Ledger   *ledger.Ledger
-	Appender *commit.Appender
-	Pool     *pool.Pool
-	Conns    *conns.Conns
+	Name   string
+	Batch  sardinerock.BatchDialect
+	Table  func() *sardinerock.RouteTable
+	Ledger *ledger.Ledger
+	// Jobs brings what is decided about jobs into the store, Recorder what becomes of items.
+	Jobs     *commit.Appender
+	Recorder *commit.Appender
+	// JobsSince returns once all jobs are known that were accepted before a time.
+	JobsSince func(ctx context.Context, at time.Time) error
+	Pool      *pool.Pool
+	Conns     *conns.Conns
 	// Pace bounds how many items start at once.
 	Pace *Pace
 	// WaitingElsewhere returns how many items the other entries could start.
@@ -76,6 +80,8 @@
 	// waiting is how many items could be started at the last look, and be done in time.
 	waiting int
 	effort  effort
+	// notedAt is when progress was last brought into the store.
+	notedAt time.Time
 	group   sync.WaitGroup
 }
 
@@ -95,10 +101,9 @@
 	lastEvent string
 	text      []byte
 	events    int
-	// recorded and recordedAt tell what of the progress is in the store, and since when.
-	recorded   int
-	recordedAt time.Time
-	recording  bool
+	// recorded is how much of the text is in the store; recording is set while more is on its way.
+	recorded  int
+	recording bool
 	// failures counts the answers that say that the run failed.
 	failures int
 	// rests is when it may be tried again.
@@ -146,20 +151,36 @@
 	if r.Keep <= 0 || Owner(expiryKey, r.Owners()) != r.Name {
 		return
 	}
-	before := time.Now().Add(-r.Keep)
-	if !r.Ledger.HasBefore(before) {
-		return
-	}
 	r.group.Add(1)
 	go func() {
 		defer r.group.Done()
 		ctx, cancel := context.WithTimeout(ctx, noteTimeout)
 		defer cancel()
-		_, err := r.Appender.SubmitLazily(ctx, func(p *ledger.Plan) (ledger.Verdict, error) { return p.Expire(before, expiryRecords) })
+		r.clearOrphans(ctx)
+		before := time.Now().Add(-r.Keep)
+		if !r.Ledger.HasBefore(before) {
+			return
+		}
+		_, err := r.Jobs.SubmitLazily(ctx, func(p *ledger.Plan) (ledger.Verdict, error) { return p.Expire(before, expiryRecords) })
 		r.Events.Info(event.JobsExpired).Time("before", before).Err(err).Msg("old jobs removed")
 	}()
 }
 
+// clearOrphans removes the records of items whose jobs were removed. Records
+// may be read before the acceptance of their job is, which came first in the
+// store: once all jobs up to now are known, what has none was removed.
+func (r *Runner) clearOrphans(ctx context.Context) {
+	orphans := r.Ledger.Orphans()
+	if len(orphans) == 0 {
+		return
+	}
+	err := r.JobsSince(ctx, time.Now())
+	if err == nil {
+		_, err = r.Recorder.SubmitLazily(ctx, func(p *ledger.Plan) (ledger.Verdict, error) { return p.Clear(orphans, expiryRecords) })
+	}
+	r.Events.Info(event.JobsExpired).Int("orphans", len(orphans)).Err(err).Msg("records of removed jobs cleared")
+}
+
 // Leave starts no more items.
 func (r *Runner) Leave() {
 	r.mu.Lock()
@@ -399,7 +420,7 @@
 	r.mu.Lock()
 	i := r.items[c.key]
 	if i == nil {
-		i = &item{key: c.key, recordedAt: time.Now()}
+		i = &item{key: c.key}
 		r.items[c.key] = i
 	}
 	if len(c.Progress.Text) > len(i.text) {
--- a/serving.go
+++ b/serving.go
@@ -246,8 +246,9 @@
 	// offset, and returns the new end. Errors other than ErrStoreRefused and
 	// ErrStoreMoved leave open whether the records are, or will be, there.
 	AppendAt(ctx context.Context, topic string, at int64, records []StoreRecord) (int64, error)
-	// Put adds one record wherever the partition ends.
-	Put(ctx context.Context, topic string, record StoreRecord) error
+	// Append adds records, all or none, wherever the partition ends, and returns
+	// the new end. Errors are those of AppendAt but for ErrStoreMoved.
+	Append(ctx context.Context, topic string, records []StoreRecord) (int64, error)
 	// Read returns records from an offset on and waits for the first at most the given time.
 	Read(ctx context.Context, topic string, from int64, wait time.Duration) (StorePage, error)
 	// Newest returns a page of the newest record of each key, in the order of the
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -41,7 +41,7 @@
 func (s *storeServer) put(topic, key string, value any) {
 	raw, err := json.Marshal(value)
 	if err == nil {
-		err = s.Put(context.Background(), topic, sardinerock.StoreRecord{Key: key, Value: raw})
+		_, err = s.Append(context.Background(), topic, []sardinerock.StoreRecord{{Key: key, Value: raw}})
 	}
 	if err != nil {
 		panic(err)
@@ -83,7 +83,7 @@
 		offset, _ := strconv.ParseInt(at, 10, 64)
 		end, err = s.AppendAt(r.Context(), topic, offset, records)
 	} else {
-		err = s.Put(r.Context(), topic, records[0])
+		end, err = s.Append(r.Context(), topic, records)
 	}
 	if s.loses.Load() && len(body)%3 != 0 {
 		panic(http.ErrAbortHandler)
--- a/submit/submit.go
+++ b/submit/submit.go
@@ -48,10 +48,12 @@
 
 // Front answers the requests on batch jobs.
 type Front struct {
-	Dialect  sardinerock.Dialect
-	Batch    sardinerock.BatchDialect
-	Ledger   *ledger.Ledger
+	Dialect sardinerock.Dialect
+	Batch   sardinerock.BatchDialect
+	Ledger  *ledger.Ledger
+	// Follower follows what is decided about jobs, Work what becomes of their items.
 	Follower *watch.Follower
+	Work     *watch.Follower
 	Appender *commit.Appender
 	// Settle is the time within which all entries have to show what one of them showed; 0 is a second.
 	Settle time.Duration
@@ -178,7 +180,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), checkTime)
 	defer cancel()
 	at := received.Add(-time.Duration(viewShare * float64(settle)))
-	if err := f.Follower.FreshSince(ctx, at); err != nil {
+	if err := f.Work.FreshSince(ctx, at); err != nil {
 		f.answer(w, call.Job, http.StatusServiceUnavailable, "the store's end isn't known here: "+err.Error(), storeRetry)
 		return false
 	}
--- a/submit/submit_test.go
+++ b/submit/submit_test.go
@@ -18,30 +18,46 @@
 	"github.com/sardinerock/sardinerock/watch"
 )
 
-const topic = "jobs"
+const (
+	jobsTopic = "jobs"
+	workTopic = "work"
+)
 
 // newFront returns a front whose view of the jobs is only as new as the test makes it.
 func newFront(store *memkv.Store) *Front {
 	events := &event.Logger{}
 	l := &ledger.Ledger{Events: events}
 	l.Prepare()
-	f := &watch.Follower{Store: store, Topic: topic, Apply: l.Apply, Events: events}
-	f.Prepare()
-	return &Front{Dialect: platform.Dialect{}, Batch: platform.Dialect{}, Ledger: l, Follower: f, Events: events, Metrics: metrics.NewRegistry()}
+	follow := func(topic string, apply func([]sardinerock.StoreRecord, bool)) *watch.Follower {
+		f := &watch.Follower{Store: store, Topic: topic, Apply: apply, Events: events}
+		f.Prepare()
+		return f
+	}
+	return &Front{
+		Dialect: platform.Dialect{}, Batch: platform.Dialect{}, Ledger: l, Events: events, Metrics: metrics.NewRegistry(),
+		Follower: follow(jobsTopic, l.ApplyJobs), Work: follow(workTopic, l.ApplyWork),
+	}
+}
+
+// readAll reads both topics to their ends.
+func (f *Front) readAll(g *WithT) {
+	g.Expect(f.Follower.Sync(context.Background())).To(Succeed())
+	g.Expect(f.Work.Sync(context.Background())).To(Succeed())
 }
 
 // appendChanges brings changes into the store, as another entry would.
-func appendChanges(g *WithT, store *memkv.Store, change func(p *ledger.Plan)) {
+func appendChanges(g *WithT, store *memkv.Store, topic string, change func(p *ledger.Plan)) {
 	other := newFront(store)
-	g.Expect(other.Follower.Sync(context.Background())).To(Succeed())
+	other.readAll(g)
 	p := other.Ledger.NewPlan(1 << 20)
+	p.Change = ledger.ChangeName("other", 1, 0)
 	change(p)
-	_, err := store.AppendAt(context.Background(), topic, other.Follower.Next(), p.Records)
+	_, err := store.Append(context.Background(), topic, p.Records)
 	g.Expect(err).NotTo(HaveOccurred())
 }
 
 func acceptJob(g *WithT, store *memkv.Store, id string) {
-	appendChanges(g, store, func(p *ledger.Plan) {
+	appendChanges(g, store, jobsTopic, func(p *ledger.Plan) {
 		v, err := p.Accept(&ledger.Accepted{ID: id, Route: "r", Items: []sardinerock.BatchItem{{ID: "item", Tokens: 1}}}, 0)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(v).To(Equal(ledger.Made))
@@ -49,7 +65,7 @@
 }
 
 func finishJob(g *WithT, store *memkv.Store, id string) {
-	appendChanges(g, store, func(p *ledger.Plan) {
+	appendChanges(g, store, workTopic, func(p *ledger.Plan) {
 		v, err := p.Finish(id, 0, &sardinerock.BatchResult{Item: "item", Succeeded: true, Text: "text"})
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(v).To(Equal(ledger.Made))
@@ -72,7 +88,7 @@
 	acceptJob(g, store, "job")
 	f := newFront(store)
 	f.Settle = 20 * time.Millisecond
-	g.Expect(f.Follower.Sync(context.Background())).To(Succeed())
+	f.readAll(g)
 	finishJob(g, store, "job")
 	time.Sleep(2 * f.Settle)
 
@@ -82,7 +98,7 @@
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go f.Follower.Run(ctx)
+	go f.Work.Run(ctx)
 	w = readResults(f, "job")
 	g.Expect(w.Code).To(Equal(http.StatusOK))
 	g.Expect(w.Body.String()).To(ContainSubstring("succeeded"))
@@ -95,7 +111,7 @@
 	g := NewWithT(t)
 	store := &memkv.Store{ReadSize: 2}
 	f := newFront(store)
-	g.Expect(f.Follower.Sync(context.Background())).To(Succeed())
+	f.readAll(g)
 	for _, id := range []string{"a", "b", "c", "d", "job"} {
 		acceptJob(g, store, id)
 	}
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -51,7 +51,8 @@
 }
 
 func put(g *WithT, store *memkv.Store, key, value string) {
-	g.Expect(store.Put(context.Background(), "t", sardinerock.StoreRecord{Key: key, Value: []byte(value)})).To(Succeed())
+	_, err := store.Append(context.Background(), "t", []sardinerock.StoreRecord{{Key: key, Value: []byte(value)}})
+	g.Expect(err).NotTo(HaveOccurred())
 }
 
 func TestFollowsChangesAndGaps(t *testing.T) {
