relay: a request that finds no slot waits at its entry for the one that an answer leaves

From the log of seconds 38 to 52: of 3,133 streams 612 late, 608 of them among the 1,670 that were sent to a full backend server as the first in its queue; none of the 897 with a reserved slot was late. Cause: each entry knows nothing of what others have waiting at a backend server, and so each took the first place in its queue. Change: where slots are reserved nothing waits at backend servers. An entry whose answer ends gives the slot to a request that waits there (relay/line.go): those that can still begin in time first, the oldest in front, then the late ones. A backend server that says again and again that it is full is asked less often.

--- a/node/node.go
+++ b/node/node.go
@@ -190,6 +190,7 @@
 		Pool: n.pool, Conns: n.conns, Events: n.Events, Metrics: n.Metrics,
 		Keep:             n.Settings.KeepResults + keepMargin,
 		Pace:             &runner.Pace{View: gossip.Interval, Random: seed(1)},
+		Freed:            func(service, server string) { n.relay.Freed(service, server) },
 		WaitingElsewhere: func() int { return n.gossip.Waiting(time.Now()) },
 		Owners:           func() []string { return n.gossip.Owners(time.Now(), n.storeLost()) },
 		RunningElsewhere: func() map[uint64]bool { return n.gossip.RunningElsewhere(time.Now()) },
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -22,6 +22,9 @@
 	// eight slots and runs of 0.6 s one comes free there every 75 ms, and by then
 	// the other entries have told what they sent there.
 	fullTime = 50 * time.Millisecond
+	// longestFull bounds that time when it says so again and again; each question
+	// costs both sides 0.1 ms.
+	longestFull = 200 * time.Millisecond
 	// defaultSlots stands for backend servers that don't say how many requests they run at once.
 	defaultSlots = 4
 	// runWeight is the share, one in so many, that one request has in the average
@@ -54,8 +57,9 @@
 	// doubtedUntil and doubt tell how long it is passed over, and for how long after the next failure.
 	doubtedUntil time.Time
 	doubt        time.Duration
-	// fullUntil is until when it counts as full because it said so.
+	// fullUntil is until when it counts as full because it said so, full for how long.
 	fullUntil time.Time
+	full      time.Duration
 }
 
 // Pool is the view of all backend servers. Its methods may be called at the same time.
@@ -137,9 +141,18 @@
 func (p *Pool) NoteFull(id string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s := p.servers[id]; s != nil {
-		s.fullUntil = now.Add(fullTime)
+	s := p.servers[id]
+	if s == nil {
+		return
 	}
+	// Said again right after, it may be so for longer: the entry that runs there
+	// what isn't known here was lost, and engines go on with it for a while.
+	if now.Sub(s.fullUntil) < fullTime {
+		s.full = min(2*s.full, longestFull)
+	} else {
+		s.full = fullTime
+	}
+	s.fullUntil = now.Add(s.full)
 }
 
 // Choice is a backend server that was chosen, with the figures that decided it.
@@ -304,14 +317,41 @@
 	return ids
 }
 
-// Done ends a request that Online or Batch counted. A failure that speaks
-// against the backend server makes it doubted, twice as long each time.
-func (p *Pool) Done(id string, batch, failed bool, now time.Time) {
+// Take chooses a certain backend server for an online request, and counts the
+// request there, if a slot is free.
+func (p *Pool) Take(id string, now time.Time) (Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[id]
+	if s == nil || s.Draining || now.Before(s.doubtedUntil) {
+		return Choice{}, false
+	}
+	c := candidate{s: s}
+	if c.online, c.batch = s.counts(now); c.online+c.batch >= s.Slots {
+		return Choice{}, false
+	}
+	s.online++
+	return c.choice(now), true
+}
+
+// Return takes back a choice of Online or Take to which nothing was sent.
+func (p *Pool) Return(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.servers[id]; s != nil {
+		s.online--
+	}
+}
+
+// Done ends a request that Online, Take or Batch counted. A failure that speaks
+// against the backend server makes it doubted, twice as long each time. It says
+// whether a slot is free there now.
+func (p *Pool) Done(id string, batch, failed bool, now time.Time) (free bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.servers[id]
 	if s == nil {
-		return
+		return false
 	}
 	if batch {
 		s.batch--
@@ -319,10 +359,14 @@
 		s.online--
 	}
 	if !failed {
-		return
+		// What has just ended is a slot that was taken when it last said that it is full.
+		s.fullUntil = time.Time{}
+		online, others := s.counts(now)
+		return !s.Draining && online+others < s.Slots
 	}
 	s.doubt = min(max(2*s.doubt, firstDoubt), longestDoubt)
 	s.doubtedUntil = now.Add(s.doubt)
+	return false
 }
 
 // Works notes a success, which ends all doubt.
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -28,6 +28,8 @@
 	// Target is the time within which the answer has to begin, or to be whole if it is no stream.
 	Target time.Duration
 	Stream bool
+	// Reserves says that a slot is reserved before the request is sent.
+	Reserves bool
 	// Begun is set once the caller has a part of the answer.
 	Begun bool
 	// Held is how many requests this entry holds back, Most how many can be served in time.
@@ -54,6 +56,8 @@
 // too, for as long as the queue lasts. So a request waits at a backend server
 // only if it will still begin in time there; all others wait here, where a
 // fresh one can overtake them, and go once there is room or their time is short.
+// Where slots are reserved all wait here: what others have waiting at a backend
+// server can't be seen, and a slot that comes free is found here as soon.
 func (a *admission) decide() action {
 	// A stream that broke goes on at once: its caller sees each moment of it as a pause.
 	if a.Begun {
@@ -68,7 +72,7 @@
 	if !a.Stream {
 		needed = a.Run
 	}
-	if a.Waited+wait+needed <= a.Target {
+	if !a.Reserves && a.Waited+wait+needed <= a.Target {
 		return send
 	}
 	if a.Left < wait+serveMargin*a.Run {
--- /dev/null
+++ b/relay/line.go
@@ -0,0 +1,99 @@
+package relay
+
+import (
+	"sync"
+	"time"
+)
+
+// held is a request that waits at this entry for a slot.
+type held struct {
+	// since is when its caller began to wait, over all tries.
+	since time.Time
+	// target is the time from since on within which its answer has to begin.
+	target time.Duration
+	// offer takes the backend server where a slot has come free.
+	offer chan string
+}
+
+// late says whether the answer can't begin in time any more.
+func (h *held) late(now time.Time) bool { return now.Sub(h.since)+firstEventTime > h.target }
+
+// line holds the requests that wait at this entry, by service; its zero value is ready.
+//
+// The load that it answers: a burst brings more requests than all slots can
+// take, for two seconds. The entry whose answer ends is the first to know that
+// a slot is free, 100 ms before the others hear of it, and gives it to a request
+// of its own. Those that can still begin in time go first, the oldest of them
+// in front; those that can't are late in any case and take what is left. With
+// requests queueing at backend servers instead, each entry believed that the
+// others had none there, and every third was late in a burst that was a fifth
+// too large.
+type line struct {
+	mu      sync.Mutex
+	waiting map[string][]*held
+}
+
+// join adds a request.
+func (l *line) join(service string, h *held) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.waiting == nil {
+		l.waiting = map[string][]*held{}
+	}
+	l.waiting[service] = append(l.waiting[service], h)
+}
+
+// leave takes a request out, if it is still in.
+func (l *line) leave(service string, h *held) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := l.waiting[service]
+	for n := range all {
+		if all[n] == h {
+			l.waiting[service] = append(all[:n], all[n+1:]...)
+			return
+		}
+	}
+}
+
+// give offers a free slot of a backend server to the request that should have
+// it, and says whether there is one.
+func (l *line) give(service, server string, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	best := l.first(service, now)
+	if best < 0 {
+		return false
+	}
+	all := l.waiting[service]
+	h := all[best]
+	l.waiting[service] = append(all[:best], all[best+1:]...)
+	// The channel holds one offer, and a request gets no second one while it has left the line.
+	h.offer <- server
+	return true
+}
+
+// first returns the place of the oldest request that isn't late, or of the
+// oldest of all if each is; -1 if none waits.
+func (l *line) first(service string, now time.Time) int {
+	best, bestLate := -1, false
+	for n, h := range l.waiting[service] {
+		late := h.late(now)
+		if best < 0 || bestLate && !late || late == bestLate && h.since.Before(l.waiting[service][best].since) {
+			best, bestLate = n, late
+		}
+	}
+	return best
+}
+
+// yields says whether a request has to leave a free slot to others: one that is
+// late, while one waits that isn't.
+func (l *line) yields(service string, h *held, now time.Time) bool {
+	if !h.late(now) {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	best := l.first(service, now)
+	return best >= 0 && !l.waiting[service][best].late(now)
+}
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -72,6 +72,8 @@
 	first  time.Duration
 	// holds is how long a slot of the service can stay reserved; 0 if it reserves none.
 	holds time.Duration
+	// place is the request's place among those that wait at this entry.
+	place *held
 	// reservation is the slot that is reserved for the next try, if one is.
 	reservation *conns.Reservation
 }
@@ -112,13 +114,20 @@
 // admitted waits until a backend server is to get the request.
 func (p *pass) admitted() (pool.Choice, bool) {
 	for held := false; ; held = true {
+		if choice, ok := p.offered(); ok {
+			return choice, true
+		}
 		choice, ok := p.relay.Pool.Online(p.service, p.tried, time.Now())
 		if !ok {
 			p.giveUp("no backend server to send to", lostRetry)
 			return choice, false
 		}
 		a := p.admission(&choice)
-		switch a.decide() {
+		action := a.decide()
+		if action == send && held && !choice.Full() && p.relay.line.yields(p.service, p.place, time.Now()) {
+			action = hold
+		}
+		switch action {
 		case send:
 			if held {
 				metrics.GetOrRegisterTimer("relay.held", p.relay.Metrics).Update(time.Since(p.received))
@@ -127,11 +136,11 @@
 			}
 			return choice, true
 		case refuse:
-			p.relay.Pool.Done(choice.ID, false, false, time.Now())
+			p.relay.Pool.Return(choice.ID)
 			p.giveUp("all slots and waiting places are taken", fullRetry)
 			return choice, false
 		}
-		p.relay.Pool.Done(choice.ID, false, false, time.Now())
+		p.relay.Pool.Return(choice.ID)
 		if !p.wait() {
 			p.left()
 			return choice, false
@@ -139,15 +148,35 @@
 	}
 }
 
-// wait holds the request back for a moment, and says false if its caller left.
+// offered takes the slot that the request was offered while it waited, if any.
+func (p *pass) offered() (pool.Choice, bool) {
+	select {
+	case server := <-p.place.offer:
+		if p.tried[server] {
+			return pool.Choice{}, false
+		}
+		return p.relay.Pool.Take(server, time.Now())
+	default:
+		return pool.Choice{}, false
+	}
+}
+
+// wait holds the request back until a slot is offered to it, or for a moment,
+// and says false if its caller left.
 func (p *pass) wait() bool {
 	p.relay.held.Add(1)
 	defer p.relay.held.Add(-1)
+	p.relay.line.join(p.service, p.place)
+	defer p.relay.line.leave(p.service, p.place)
 	t := time.NewTimer(holdTick)
 	defer t.Stop()
 	select {
 	case <-p.ctx.Done():
 		return !errors.Is(p.ctx.Err(), context.Canceled)
+	case server := <-p.place.offer:
+		// It is taken where the request is decided on.
+		p.place.offer <- server
+		return true
 	case <-t.C:
 		return true
 	}
@@ -157,16 +186,17 @@
 	now := time.Now()
 	run, slots := p.relay.Pool.Capacity(p.service, now)
 	return admission{
-		Online: choice.Online,
-		Slots:  choice.Slots,
-		Run:    run,
-		Waited: p.before + now.Sub(p.received),
-		Left:   p.deadline.Sub(now),
-		Target: p.route.Target,
-		Stream: p.route.Kind == sardinerock.RouteStream,
-		Begun:  p.begun,
-		Held:   int(p.relay.held.Load()),
-		Most:   heldRuns * slots / max(p.relay.Entries(), 1),
+		Online:   choice.Online,
+		Slots:    choice.Slots,
+		Run:      run,
+		Waited:   p.before + now.Sub(p.received),
+		Left:     p.deadline.Sub(now),
+		Target:   p.route.Target,
+		Stream:   p.route.Kind == sardinerock.RouteStream,
+		Reserves: p.mayReserve(),
+		Begun:    p.begun,
+		Held:     int(p.relay.held.Load()),
+		Most:     heldRuns * slots / max(p.relay.Entries(), 1),
 	}
 }
 
@@ -177,7 +207,7 @@
 		Instance: choice.ID, Left: left, ResumeAfter: p.resume, HeadTimeout: p.headTimeout(choice),
 	}, p.reservation)
 	if err != nil {
-		p.relay.Pool.Done(choice.ID, false, p.ctx.Err() == nil, time.Now())
+		p.relay.done(choice, p.ctx.Err() == nil)
 		p.log(choice, err)
 		if errors.Is(err, conns.ErrNotSent) {
 			return notRun
@@ -191,7 +221,7 @@
 	defer answer.Finish()
 	sent := time.Now()
 	v, failed := p.take(answer)
-	p.relay.Pool.Done(choice.ID, false, failed, time.Now())
+	p.relay.done(choice, failed)
 	if !failed && v == done {
 		p.relay.Pool.Served(choice.ID, time.Since(sent))
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -74,8 +74,9 @@
 	Events  *event.Logger
 	Metrics metrics.Registry
 
-	// held counts the requests that wait here for a slot.
+	// held counts the requests that wait here for a slot, line orders them.
 	held atomic.Int64
+	line line
 
 	mu sync.Mutex
 	// crashes counts the breaks of backend servers by the request that they ran.
@@ -229,6 +230,17 @@
 	return several
 }
 
+// done ends a request at a backend server; a slot that is free by that goes to a request that waits.
+func (l *Relay) done(choice *pool.Choice, failed bool) {
+	now := time.Now()
+	if l.Pool.Done(choice.ID, false, failed, now) {
+		l.line.give(choice.Service, choice.ID, now)
+	}
+}
+
+// Freed offers a slot that a batch item left to a request that waits.
+func (l *Relay) Freed(service, server string) { l.line.give(service, server, time.Now()) }
+
 // suspect says whether a request broke so many backend servers that it isn't sent again.
 func (l *Relay) suspect(fingerprint uint64) bool {
 	l.mu.Lock()
@@ -276,6 +288,7 @@
 	}
 	p.holds = table.Services[p.service].HoldTime
 	p.before = l.waitedBefore(route.Name, call.Wait)
+	p.place = &held{since: received.Add(-p.before), target: route.Target, offer: make(chan string, 1)}
 	p.ctx, p.cancel = context.WithDeadline(r.Context(), p.deadline)
 	return p
 }
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -9,8 +9,8 @@
 	"github.com/sardinerock/sardinerock/pool"
 )
 
-// reserveTries bounds how many backend servers are asked for a slot before the
-// request goes to one without: each takes a round trip.
+// reserveTries bounds how many backend servers are asked for a slot at once;
+// each takes a round trip. After that the request waits for a moment.
 const reserveTries = 5
 
 // reserved picks a backend server and reserves a slot there, if the service
@@ -21,9 +21,11 @@
 // order of arrival.
 func (p *pass) reserved() (pool.Choice, bool) {
 	p.reservation = nil
-	for try := 0; ; try++ {
+	for try := 1; ; try++ {
 		choice, ok := p.admitted()
-		if !ok || !p.reserves(&choice, try) {
+		// A backend server that is full is sent to as it is: batch items give way
+		// there, or the request's time is too short to wait here.
+		if !ok || !p.mayReserve() || choice.Full() {
 			return choice, ok
 		}
 		reservation, err := p.relay.Conns.Reserve(p.ctx, &choice.BackendServer, p.call.Tokens, p.holds)
@@ -31,28 +33,33 @@
 			p.reservation = reservation
 			return choice, true
 		}
-		now := time.Now()
-		p.relay.Pool.Done(choice.ID, false, err != nil && p.ctx.Err() == nil, now)
-		if err == nil {
-			p.relay.Pool.NoteFull(choice.ID, now)
-		}
-		p.relay.count("relay.unreserved")
-		p.relay.Events.Info(event.NotReserved).Str("request", p.call.ID).Str("server", choice.ID).Int("online", choice.Online).
-			Int("batch", choice.Batch).Int("slots", choice.Slots).Err(err).Msg("no slot reserved")
-		if p.ctx.Err() != nil {
+		p.unreserved(&choice, err)
+		if p.ctx.Err() != nil || try%reserveTries == 0 && !p.wait() {
 			p.outOfTime()
 			return choice, false
 		}
 	}
 }
 
-// reserves says whether a slot is to be reserved at a backend server: not where
-// one is known to be taken, by batch items that give way or by what the request
-// is to wait behind.
-func (p *pass) reserves(choice *pool.Choice, try int) bool {
-	return p.holds > 0 && p.call.Tokens > 0 && !choice.Full() && try < reserveTries
+// unreserved notes a backend server that kept no slot.
+func (p *pass) unreserved(choice *pool.Choice, err error) {
+	now := time.Now()
+	if err == nil || p.ctx.Err() != nil {
+		p.relay.Pool.Return(choice.ID)
+	} else {
+		p.relay.Pool.Done(choice.ID, false, true, now)
+	}
+	if err == nil {
+		p.relay.Pool.NoteFull(choice.ID, now)
+	}
+	p.relay.count("relay.unreserved")
+	p.relay.Events.Info(event.NotReserved).Str("request", p.call.ID).Str("server", choice.ID).Int("online", choice.Online).
+		Int("batch", choice.Batch).Int("slots", choice.Slots).Err(err).Msg("no slot reserved")
 }
 
+// mayReserve says whether a slot can be reserved for the request.
+func (p *pass) mayReserve() bool { return p.holds > 0 && p.call.Tokens > 0 }
+
 // outOfTime ends a request whose caller left or whose time is up.
 func (p *pass) outOfTime() {
 	if errors.Is(p.ctx.Err(), context.Canceled) {
--- a/relay/reserve_test.go
+++ b/relay/reserve_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -90,3 +91,44 @@
 	s.g.Expect(err).NotTo(HaveOccurred())
 	s.expectPaths("/once/x")
 }
+
+// All slots are taken, by requests of this entry. The next request waits here
+// and gets the slot that the first answer leaves, at once, not at the end of a
+// queue at some backend server.
+func TestWaitingRequestGetsTheSlotThatComesFree(t *testing.T) {
+	s := newSite(t).withReservations()
+	release := make(chan struct{})
+	s.fallback = func(c net.Conn, r *http.Request) {
+		if r.URL.Path != "/once/x" {
+			slotKept(c, r)
+			return
+		}
+		if r.Header.Get("Request-Id") == "first" {
+			<-release
+		}
+		whole(200, r.Header.Get("Request-Id"))(c, r)
+	}
+	const slots = 3 * 2
+	answered := make(chan string, slots+1)
+	askAs := func(id string) {
+		r, _ := http.NewRequest(http.MethodPost, s.front.URL+"/once/x", strings.NewReader("body"))
+		r.Host = "h.example"
+		r.Header.Set("Request-Id", id)
+		r.Header.Set("Token-Usage", s.size)
+		answer, err := s.front.Client().Do(r)
+		if err == nil {
+			answer.Body.Close()
+			answered <- id
+		}
+	}
+	for range slots {
+		go askAs("first")
+	}
+	s.g.Eventually(func() int { return s.pool.Counts(time.Now()).OwnOnline }, 10*time.Second).Should(Equal(slots))
+	go askAs("second")
+	s.g.Consistently(answered, 100*time.Millisecond).ShouldNot(Receive())
+	close(release)
+	for range slots + 1 {
+		s.g.Eventually(answered, 10*time.Second).Should(Receive())
+	}
+}
--- a/runner/run.go
+++ b/runner/run.go
@@ -40,7 +40,7 @@
 	o, err := r.attempt(ctx, i, choice)
 	took := time.Since(i.started)
 	against := err != nil && ctx.Err() == nil && (o == interrupted)
-	r.Pool.Done(choice.ID, true, against, time.Now())
+	free := r.Pool.Done(choice.ID, true, against, time.Now())
 	metrics.GetOrRegisterCounter("batch.runs", r.Metrics).Inc(1)
 	if o == succeeded {
 		r.Pool.Works(choice.ID)
@@ -56,6 +56,7 @@
 		r.failed(i, route)
 	}
 	r.mu.Lock()
+	gaveWay := i.gaveWay
 	r.effort.ran(i.events-before, took)
 	if o == succeeded {
 		r.effort.done(eventNumber(i.lastEvent))
@@ -65,6 +66,9 @@
 		i.rests = time.Now().Add(retryPause)
 	}
 	r.mu.Unlock()
+	if free && !gaveWay {
+		r.Freed(choice.Service, choice.ID)
+	}
 	r.Wake()
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -62,6 +62,8 @@
 	Conns     *conns.Conns
 	// Pace bounds how many items start at once.
 	Pace *Pace
+	// Freed is called when an item has left a slot that is free now.
+	Freed func(service, server string)
 	// WaitingElsewhere returns how many items the other entries could start.
 	WaitingElsewhere func() int
 	// Owners returns the names of the entries among which jobs are shared out.
