--- /dev/null
+++ b/runner/start.go
@@ -0,0 +1,173 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/ledger"
+)
+
+// startSome starts the items that are due first in free slots, and those that
+// are late in any case in what the others leave.
+func (r *Runner) startSome(ctx context.Context) {
+	inTime, late := r.split(r.waitingItems(r.Table()))
+	elsewhere := r.WaitingElsewhere()
+	r.mu.Lock()
+	r.waiting = len(inTime)
+	r.mu.Unlock()
+	started := r.startAll(ctx, inTime, elsewhere, 0)
+	// The others don't tell how many late ones they have; about as many as this one.
+	r.startAll(ctx, late, len(late)*(len(r.Owners())-1), len(inTime)-started+elsewhere)
+}
+
+// startAll starts items in their order while more slots are free than are to be
+// left, and returns how many; others is how many wait at other entries.
+func (r *Runner) startAll(ctx context.Context, waiting []candidate, others, left int) int {
+	// Most routes have one service; a second one shares the pace of the first.
+	for n := range waiting {
+		now := time.Now()
+		service := waiting[n].service
+		reserve := slotReserve(waiting[n].reserved, now.Sub(waiting[n].CreatedAt), waiting[n].route.Completion)
+		if r.Pace.Allow(r.Pool.Free(service, reserve, now)-left, len(waiting), others, waiting[n].reserved, now) <= 0 {
+			return n
+		}
+		if !r.start(ctx, &waiting[n], reserve) {
+			return n
+		}
+		r.Pace.Started()
+	}
+	return len(waiting)
+}
+
+// split tells the items that can be done in time from those that can't.
+func (r *Runner) split(waiting []candidate) (inTime, late []candidate) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for n := range waiting {
+		c := &waiting[n]
+		last := c.Progress.LastEvent
+		if i := r.items[c.key]; i != nil && eventNumber(i.lastEvent) > eventNumber(last) {
+			last = i.lastEvent
+		}
+		if r.effort.inTime(last, c.CreatedAt.Add(c.route.Completion), now) {
+			inTime = append(inTime, *c)
+		} else {
+			late = append(late, *c)
+		}
+	}
+	return inTime, late
+}
+
+// candidate is an item that may be started.
+type candidate struct {
+	ledger.OpenItem
+	key     uint64
+	route   *sardinerock.Route
+	service string
+	// reserved says that the service's slots are reserved before anything is sent there.
+	reserved bool
+}
+
+// waitingItems returns this entry's items that neither run nor rest, those that
+// are due first before the others. Items that can't be done any more are given up.
+func (r *Runner) waitingItems(table *sardinerock.RouteTable) []candidate {
+	r.mu.Lock()
+	leaving := r.leaving
+	r.mu.Unlock()
+	if table == nil || leaving {
+		return nil
+	}
+	owners := r.Owners()
+	open := r.Ledger.OpenItems(func(job string) bool { return Owner(job, owners) == r.Name })
+	if len(open) == 0 {
+		return nil
+	}
+	elsewhere := r.RunningElsewhere()
+	sortByDue(open, table)
+	var waiting []candidate
+	for n := range open {
+		c := candidate{OpenItem: open[n], key: key(&open[n])}
+		if elsewhere[c.key] || !r.ready(c.key) {
+			continue
+		}
+		c.route = table.Match(c.Host, c.Item.Path)
+		switch {
+		case c.route == nil:
+			r.giveUp(&c.OpenItem, "its route was removed")
+			continue
+		case c.route.Retention > 0 && time.Since(c.CreatedAt) > c.route.Retention+clockMargin:
+			r.giveUp(&c.OpenItem, "it is too old")
+			continue
+		}
+		c.service = c.route.Service(r.Pace.Random.Float64())
+		c.reserved = table.Services[c.service].HoldTime > 0
+		waiting = append(waiting, c)
+	}
+	return waiting
+}
+
+// Waiting returns how many items this entry could start.
+func (r *Runner) Waiting() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.waiting
+}
+
+// ready says whether an item neither runs nor rests.
+func (r *Runner) ready(k uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := r.items[k]
+	return i == nil || !i.running && time.Now().After(i.rests)
+}
+
+// start runs an item if a slot is free, and says false if none is.
+func (r *Runner) start(ctx context.Context, c *candidate, reserve int) bool {
+	choice, ok := r.Pool.Batch(c.service, reserve, time.Now())
+	if !ok {
+		return false
+	}
+	run, cancel := context.WithCancel(ctx)
+	r.mu.Lock()
+	i := r.items[c.key]
+	if i == nil {
+		i = &item{key: c.key}
+		r.items[c.key] = i
+	}
+	if len(c.Progress.Text) > len(i.text) {
+		i.lastEvent, i.text, i.recorded = c.Progress.LastEvent, []byte(c.Progress.Text), len(c.Progress.Text)
+	}
+	i.failures = max(i.failures, c.Failures)
+	i.open, i.running, i.server, i.started, i.cancel, i.gaveWay = c.OpenItem, true, choice.ID, time.Now(), cancel, false
+	i.due = c.CreatedAt.Add(c.route.Completion)
+	r.mu.Unlock()
+	r.Events.Info(event.ItemStarted).Str("job", c.Job).Str("item", c.Item.ID).Str("server", choice.ID).
+		Int("online", choice.Online).Int("batch", choice.Batch).Str("resume", i.lastEvent).Msg("item started")
+	r.group.Add(1)
+	go func() {
+		defer r.group.Done()
+		defer cancel()
+		r.run(run, i, &choice, c.route)
+	}()
+	return true
+}
+
+// giveUp records that an item can't be done.
+func (r *Runner) giveUp(open *ledger.OpenItem, reason string) {
+	k := key(open)
+	r.mu.Lock()
+	if r.items[k] == nil {
+		r.items[k] = &item{key: k, open: *open}
+	}
+	r.items[k].rests = time.Now().Add(time.Second)
+	r.mu.Unlock()
+	r.Events.Warn(event.ItemFailed).Str("job", open.Job).Str("item", open.Item.ID).Str("reason", reason).Msg("item given up")
+	r.group.Add(1)
+	go func() {
+		defer r.group.Done()
+		r.record(open, sardinerock.BatchResult{Item: open.Item.ID})
+	}()
+}
--- /dev/null
+++ b/runner/yield.go
@@ -0,0 +1,54 @@
+package runner
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sardinerock/sardinerock/event"
+)
+
+// Yield gives up slots of a backend server where online work waits.
+func (r *Runner) Yield(server string) {
+	n := r.Pool.Excess(server, time.Now())
+	if n == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for range n {
+		i := r.leastUrgent(server, time.Now())
+		if i == nil {
+			return
+		}
+		i.gaveWay = true
+		i.cancel()
+		r.Events.Info(event.ItemGaveWay).Str("job", i.open.Job).Str("item", i.open.Item.ID).Str("server", server).
+			Int("events", i.events).Msg("item gives way")
+		metrics.GetOrRegisterCounter("batch.gaveWay", r.Metrics).Inc(1)
+	}
+}
+
+// leastUrgent returns an item on a backend server that is late in any case, or
+// the one that is due last.
+func (r *Runner) leastUrgent(server string, now time.Time) *item {
+	var best *item
+	bestLate := false
+	for _, i := range r.items {
+		if !i.running || i.gaveWay || i.server != server {
+			continue
+		}
+		late := !r.effort.inTime(i.lastEvent, i.due, now)
+		if best == nil || late && !bestLate || late == bestLate && i.due.After(best.due) {
+			best, bestLate = i, late
+		}
+	}
+	return best
+}
+
+// YieldAll gives way wherever the datagrams of others say that online work waits.
+func (r *Runner) YieldAll() {
+	for _, id := range r.Pool.Servers() {
+		r.Yield(id)
+	}
+}
