relay: late requests leave two slots a backend server to fresh ones

Change: a request that will be late in any case takes a slot only where two more are free, until its time runs short.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -12,6 +12,11 @@
 	// holdTick is between two looks for a free slot; answers end every few
 	// milliseconds over the whole fleet.
 	holdTick = 15 * time.Millisecond
+	// lateReserve is how many slots of a backend server are left to requests that
+	// can still be answered in time, by those that can't: fresh ones took a fifth
+	// of all slots between bursts. Late ones have seconds left, and take them too
+	// when their time runs short.
+	lateReserve = 2
 	// heldRuns is how many runs a slot can do while a request waits: five
 	// seconds of patience, less two at the end, in runs of 0.7 s.
 	heldRuns = 4
@@ -63,15 +68,18 @@
 	if a.Begun {
 		return send
 	}
+	needed := firstEventTime
+	if !a.Stream {
+		needed = a.Run
+	}
 	ahead := a.Online - a.Slots + 1
+	if a.Reserves && a.Waited+needed > a.Target && a.Left > 2*serveMargin*a.Run {
+		ahead += min(lateReserve, a.Slots/3)
+	}
 	if ahead <= 0 {
 		return send
 	}
 	wait := time.Duration(ahead) * a.Run / time.Duration(a.Slots)
-	needed := firstEventTime
-	if !a.Stream {
-		needed = a.Run
-	}
 	if !a.Reserves && a.Waited+wait+needed <= a.Target {
 		return send
 	}
--- a/relay/admit_test.go
+++ b/relay/admit_test.go
@@ -16,15 +16,22 @@
 		change func(a *admission)
 		want   action
 	}{
-		"a free slot":                           {func(a *admission) { a.Online = 7; a.Waited = time.Second }, send},
-		"fresh, short queue":                    {func(*admission) {}, send},
-		"fresh, long queue":                     {func(a *admission) { a.Online = 12 }, hold},
-		"a stream goes on":                      {func(a *admission) { a.Online = 16; a.Begun = true; a.Waited = time.Second }, send},
-		"late already":                          {func(a *admission) { a.Waited = 400 * ms }, hold},
-		"late, time runs short":                 {func(a *admission) { a.Waited = 3 * time.Second; a.Left = 1400 * ms }, send},
-		"late, time runs short, no place":       {func(a *admission) { a.Online = 16; a.Waited = 3 * time.Second; a.Left = 1400 * ms }, refuse},
-		"more held than can be served":          {func(a *admission) { a.Waited = time.Second; a.Held = 10 }, refuse},
-		"no stream has to be whole":             {func(a *admission) { a.Stream = false }, hold},
+		"a free slot":                     {func(a *admission) { a.Online = 7; a.Waited = time.Second }, send},
+		"fresh, short queue":              {func(*admission) {}, send},
+		"fresh, long queue":               {func(a *admission) { a.Online = 12 }, hold},
+		"a stream goes on":                {func(a *admission) { a.Online = 16; a.Begun = true; a.Waited = time.Second }, send},
+		"late already":                    {func(a *admission) { a.Waited = 400 * ms }, hold},
+		"late, time runs short":           {func(a *admission) { a.Waited = 3 * time.Second; a.Left = 1400 * ms }, send},
+		"late, time runs short, no place": {func(a *admission) { a.Online = 16; a.Waited = 3 * time.Second; a.Left = 1400 * ms }, refuse},
+		"more held than can be served":    {func(a *admission) { a.Waited = time.Second; a.Held = 10 }, refuse},
+		"no stream has to be whole":       {func(a *admission) { a.Stream = false }, hold},
+		"reserved, all slots taken":       {func(a *admission) { a.Reserves = true }, hold},
+		"reserved, fresh, last slot":      {func(a *admission) { a.Reserves = true; a.Online = 7 }, send},
+		"reserved, late, last slots":      {func(a *admission) { a.Reserves = true; a.Online = 6; a.Waited = time.Second }, hold},
+		"reserved, late, room":            {func(a *admission) { a.Reserves = true; a.Online = 5; a.Waited = time.Second }, send},
+		"reserved, late, time runs short": {func(a *admission) {
+			a.Reserves, a.Online, a.Waited, a.Left = true, 7, 3*time.Second, 2*time.Second
+		}, send},
 		"short calls wait for more before them": {func(a *admission) { a.Stream = false; a.Run = 30 * ms; a.Online = 16 }, send},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -122,3 +129,93 @@
 	}
 	return out
 }
+
+// All entries were lost for two seconds. Engines still run what these had sent,
+// so that few slots are free, and whoever asked meanwhile asks again at once. If
+// the late ones take each slot that comes free, the fresh ones that come a
+// moment later find none and are late as well, for as long as the late ones last.
+func TestLateRequestsLeaveSlotsToFreshOnes(t *testing.T) {
+	g := NewWithT(t)
+	alike := playReserved(func(a *admission) action {
+		a.Waited = 0
+		return a.decide()
+	})
+	kept := playReserved((*admission).decide)
+	t.Logf("on time of %d fresh: %d with all alike, %d with slots left; answered: %d and %d of %d",
+		kept.fresh, alike.onTime, kept.onTime, alike.served, kept.served, kept.asked)
+	g.Expect(kept.onTime).To(BeNumerically(">=", kept.fresh*6/10))
+	g.Expect(kept.onTime).To(BeNumerically(">", alike.onTime*3/2))
+	g.Expect(kept.served).To(Equal(kept.asked), "nobody is lost for it")
+}
+
+// playReserved plays such a return in steps of a millisecond on 18 backend
+// servers with 8 slots, five of them taken by runs that go on for up to two
+// seconds: 300 late requests at once and 60 fresh ones a second, 0.7 s a run.
+func playReserved(decide func(a *admission) action) returned {
+	const servers, slots, run, back = 18, 8, 700, 300
+	type request struct{ asked, waited int }
+	random := rand.New(rand.NewPCG(1, 1))
+	var busy [servers][]int
+	for n := range busy {
+		for range 5 {
+			busy[n] = append(busy[n], random.IntN(2000))
+		}
+	}
+	var held []request
+	var out returned
+	admit := func(now int, r request) bool {
+		least := 0
+		for n := range busy {
+			if len(busy[n]) < len(busy[least]) {
+				least = n
+			}
+		}
+		waited := r.waited + now - r.asked
+		a := admission{
+			Online: len(busy[least]), Slots: slots, Run: run * ms, Target: 300 * ms, Stream: true, Reserves: true,
+			Waited: time.Duration(waited) * ms, Left: time.Duration(5000-waited) * ms, Held: len(held), Most: 1000,
+		}
+		if decide(&a) != send || len(busy[least]) >= slots {
+			return false
+		}
+		busy[least] = append(busy[least], now+run/2+random.IntN(run))
+		out.served++
+		if r.waited == 0 && now-r.asked+20 <= 300 {
+			out.onTime++
+		}
+		return true
+	}
+	for now := range 6000 {
+		for n := range busy {
+			still := busy[n][:0]
+			for _, end := range busy[n] {
+				if end > now {
+					still = append(still, end)
+				}
+			}
+			busy[n] = still
+		}
+		if now == 0 {
+			for n := range back {
+				held = append(held, request{asked: 0, waited: 300 + 8*n%1900})
+			}
+			out.asked += back
+		}
+		if now < 3000 && now%16 == 0 {
+			held = append(held, request{asked: now})
+			out.fresh++
+			out.asked++
+		}
+		if now%15 != 0 {
+			continue
+		}
+		waiting := held
+		held = nil
+		for _, r := range waiting {
+			if !admit(now, r) {
+				held = append(held, r)
+			}
+		}
+	}
+	return out
+}
--- a/relay/line.go
+++ b/relay/line.go
@@ -23,8 +23,8 @@
 // The load that it answers: a burst brings more requests than all slots can
 // take, for two seconds. The entry whose answer ends is the first to know that
 // a slot is free, 100 ms before the others hear of it, and gives it to a request
-// of its own. Those that can still begin in time go first, the oldest of them
-// in front; those that can't are late in any case and take what is left. With
+// of its own: the oldest of those that can still begin in time. Those that can't
+// are late in any case; they look for what is left, some times a second. With
 // requests queueing at backend servers instead, each entry believed that the
 // others had none there, and every third was late in a burst that was a fifth
 // too large.
@@ -73,14 +73,12 @@
 	return true
 }
 
-// first returns the place of the oldest request that isn't late, or of the
-// oldest of all if each is; -1 if none waits.
+// first returns the place of the oldest request that isn't late; -1 if none waits.
 func (l *line) first(service string, now time.Time) int {
-	best, bestLate := -1, false
+	best := -1
 	for n, h := range l.waiting[service] {
-		late := h.late(now)
-		if best < 0 || bestLate && !late || late == bestLate && h.since.Before(l.waiting[service][best].since) {
-			best, bestLate = n, late
+		if !h.late(now) && (best < 0 || h.since.Before(l.waiting[service][best].since)) {
+			best = n
 		}
 	}
 	return best
@@ -94,6 +92,5 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	best := l.first(service, now)
-	return best >= 0 && !l.waiting[service][best].late(now)
+	return l.first(service, now) >= 0
 }
