--- a/commit/commit.go
+++ b/commit/commit.go
@@ -232,45 +232,6 @@
 	return batch, nil
 }
 
-// attemptAnywhere plans the changes and appends them once wherever the topic
-// ends. Many entries record steps and results all the time. If each of their
-// appends needed the topic's end, an entry that is slower than the others would
-// find it moved each time: results have been seen to wait for half a minute so.
-//
-// Where the answer is lost, the same changes are appended again under names that
-// tell of the repeat, so that the second record doesn't take the first one's place.
-func (a *Appender) attemptAnywhere(ctx context.Context, batch []*waiting) ([]*waiting, error) {
-	planned, records := a.plan(batch)
-	if len(records) == 0 {
-		answer(planned)
-		return leftOver(batch, planned), nil
-	}
-	end, err := a.append(ctx, func(ctx context.Context) (int64, error) { return a.Store.Append(ctx, a.Topic, records) })
-	metrics.GetOrRegisterCounter("store.appends", a.Metrics).Inc(1)
-	switch {
-	case err == nil:
-		a.answerAt(ctx, end, planned)
-		return leftOver(batch, planned), nil
-	case errors.Is(err, sardinerock.ErrStoreRefused):
-		return batch, err
-	}
-	for _, d := range planned {
-		d.unanswered = true
-		d.repeats++
-	}
-	return batch, err
-}
-
-// answerAt answers the changes once the state holds them: who asked for one acts on the state next.
-func (a *Appender) answerAt(ctx context.Context, end int64, done []planned) {
-	go func() {
-		// The waiters of a process that stops are let go by its end.
-		if a.Follower.WaitFor(ctx, end) == nil {
-			answer(done)
-		}
-	}()
-}
-
 // append appends once, and learns how long answers take.
 func (a *Appender) append(ctx context.Context, call func(ctx context.Context) (int64, error)) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, a.patience.next())
--- /dev/null
+++ b/relay/answer.go
@@ -0,0 +1,122 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/conns"
+)
+
+// take passes an answer on and says what became of it, and whether it speaks
+// against the backend server.
+func (p *pass) take(answer *conns.Answer) (v verdict, failed bool) {
+	switch {
+	case answer.NotRun:
+		// Another incarnation has the address: the one that was meant is gone.
+		return notRun, answer.StatusCode == http.StatusMisdirectedRequest
+	case answer.StatusCode < 300 && !answer.Signed:
+		p.runs++
+		return broken, true
+	case answer.StatusCode >= 500 && p.mayRepeat() && !p.begun:
+		p.runs++
+		return broken, false
+	case p.begun && answer.StatusCode >= 300:
+		p.runs++
+		return broken, false
+	}
+	p.runs++
+	if answer.StatusCode < 300 && p.route.Kind == sardinerock.RouteStream && isStream(answer) {
+		return p.stream(answer)
+	}
+	return p.whole(answer)
+}
+
+// whole passes an answer on once it is complete, so that one that breaks off
+// can be asked for again; a large one is passed on as it comes.
+func (p *pass) whole(answer *conns.Answer) (verdict, bool) {
+	body, err := io.ReadAll(io.LimitReader(answer, wholeBytes+1))
+	if err != nil {
+		return broken, p.ctx.Err() == nil
+	}
+	if len(body) <= wholeBytes {
+		p.begin(answer, len(body))
+		p.write(body)
+		p.served(answer)
+		return done, false
+	}
+	p.begin(answer, int(answer.ContentLength))
+	p.write(body)
+	if _, err := io.Copy(p.writer, answer); err != nil {
+		p.abort(err)
+	}
+	p.served(answer)
+	return done, false
+}
+
+// begin sends the head of the answer; a negative size is one that isn't known.
+func (p *pass) begin(answer *conns.Answer, size int) {
+	if p.begun {
+		return
+	}
+	p.begun = true
+	p.first = time.Since(p.received)
+	h := p.writer.Header()
+	p.relay.Dialect.CopyAnswer(h, answer.Response)
+	if size >= 0 {
+		h.Set("Content-Length", strconv.Itoa(size))
+	}
+	p.writer.WriteHeader(answer.StatusCode)
+}
+
+// write sends bytes to the caller. A caller that can't be written to has left,
+// which ends the request's context.
+func (p *pass) write(b []byte) {
+	if _, err := p.writer.Write(b); err != nil {
+		p.cancel()
+	}
+}
+
+// stream passes events on as they come, whole ones only: after a break the
+// caller's answer goes on right behind the last of them.
+func (p *pass) stream(answer *conns.Answer) (verdict, bool) {
+	flush := http.NewResponseController(p.writer)
+	reader := &conns.EventReader{Answer: answer, Silence: p.eventTimeout}
+	for {
+		one, err := reader.Next()
+		if len(one.Raw) > 0 && (err == nil || errors.Is(err, io.EOF)) {
+			if !conns.Follows(p.resume, one.ID) {
+				return broken, true
+			}
+			p.begin(answer, -1)
+			p.write(one.Raw)
+			if one.ID != "" {
+				p.resume = one.ID
+			}
+			p.events++
+			if err == nil {
+				// A caller that can't be written to has left, which ends the request's context.
+				_ = flush.Flush()
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			p.begin(answer, -1)
+			p.served(answer)
+			return done, false
+		}
+		if err != nil {
+			return broken, p.ctx.Err() == nil
+		}
+	}
+}
+
+// eventTimeout is the longest pause after which the stream is taken as broken.
+func (p *pass) eventTimeout() time.Time {
+	if p.mayResume() && p.events > 0 {
+		return time.Now().Add(eventSilence)
+	}
+	return time.Time{}
+}
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -111,77 +110,6 @@
 	return choice, true
 }
 
-// admitted waits until a backend server is to get the request.
-func (p *pass) admitted() (pool.Choice, bool) {
-	for held := false; ; held = true {
-		if choice, ok := p.offered(); ok {
-			return choice, true
-		}
-		choice, ok := p.relay.Pool.Online(p.service, p.tried, time.Now())
-		if !ok {
-			p.giveUp("no backend server to send to", lostRetry)
-			return choice, false
-		}
-		a := p.admission(&choice)
-		action := a.decide()
-		if action == send && held && !choice.Full() && p.relay.line.yields(p.service, p.place, time.Now()) {
-			action = hold
-		}
-		switch action {
-		case send:
-			if held {
-				metrics.GetOrRegisterTimer("relay.held", p.relay.Metrics).Update(time.Since(p.received))
-				p.relay.Events.Info(event.RequestHeld).Str("request", p.call.ID).Dur("waited", a.Waited).Dur("left", a.Left).
-					Int("held", a.Held).Msg("held back until now")
-			}
-			return choice, true
-		case refuse:
-			p.relay.Pool.Return(choice.ID)
-			p.giveUp("all slots and waiting places are taken", fullRetry)
-			return choice, false
-		}
-		p.relay.Pool.Return(choice.ID)
-		if !p.wait() {
-			p.left()
-			return choice, false
-		}
-	}
-}
-
-// offered takes the slot that the request was offered while it waited, if any.
-func (p *pass) offered() (pool.Choice, bool) {
-	select {
-	case server := <-p.place.offer:
-		if p.tried[server] {
-			return pool.Choice{}, false
-		}
-		return p.relay.Pool.Take(server, time.Now())
-	default:
-		return pool.Choice{}, false
-	}
-}
-
-// wait holds the request back until a slot is offered to it, or for a moment,
-// and says false if its caller left.
-func (p *pass) wait() bool {
-	p.relay.held.Add(1)
-	defer p.relay.held.Add(-1)
-	p.relay.line.join(p.service, p.place)
-	defer p.relay.line.leave(p.service, p.place)
-	t := time.NewTimer(holdTick)
-	defer t.Stop()
-	select {
-	case <-p.ctx.Done():
-		return !errors.Is(p.ctx.Err(), context.Canceled)
-	case server := <-p.place.offer:
-		// It is taken where the request is decided on.
-		p.place.offer <- server
-		return true
-	case <-t.C:
-		return true
-	}
-}
-
 func (p *pass) admission(choice *pool.Choice) admission {
 	now := time.Now()
 	run, slots := p.relay.Pool.Capacity(p.service, now)
@@ -241,116 +169,6 @@
 	return p.route.Repeatable() && p.runs+1 < p.route.MaxAttempts
 }
 
-// take passes an answer on and says what became of it, and whether it speaks
-// against the backend server.
-func (p *pass) take(answer *conns.Answer) (v verdict, failed bool) {
-	switch {
-	case answer.NotRun:
-		// Another incarnation has the address: the one that was meant is gone.
-		return notRun, answer.StatusCode == http.StatusMisdirectedRequest
-	case answer.StatusCode < 300 && !answer.Signed:
-		p.runs++
-		return broken, true
-	case answer.StatusCode >= 500 && p.mayRepeat() && !p.begun:
-		p.runs++
-		return broken, false
-	case p.begun && answer.StatusCode >= 300:
-		p.runs++
-		return broken, false
-	}
-	p.runs++
-	if answer.StatusCode < 300 && p.route.Kind == sardinerock.RouteStream && isStream(answer) {
-		return p.stream(answer)
-	}
-	return p.whole(answer)
-}
-
-// whole passes an answer on once it is complete, so that one that breaks off
-// can be asked for again; a large one is passed on as it comes.
-func (p *pass) whole(answer *conns.Answer) (verdict, bool) {
-	body, err := io.ReadAll(io.LimitReader(answer, wholeBytes+1))
-	if err != nil {
-		return broken, p.ctx.Err() == nil
-	}
-	if len(body) <= wholeBytes {
-		p.begin(answer, len(body))
-		p.write(body)
-		p.served(answer)
-		return done, false
-	}
-	p.begin(answer, int(answer.ContentLength))
-	p.write(body)
-	if _, err := io.Copy(p.writer, answer); err != nil {
-		p.abort(err)
-	}
-	p.served(answer)
-	return done, false
-}
-
-// begin sends the head of the answer; a negative size is one that isn't known.
-func (p *pass) begin(answer *conns.Answer, size int) {
-	if p.begun {
-		return
-	}
-	p.begun = true
-	p.first = time.Since(p.received)
-	h := p.writer.Header()
-	p.relay.Dialect.CopyAnswer(h, answer.Response)
-	if size >= 0 {
-		h.Set("Content-Length", strconv.Itoa(size))
-	}
-	p.writer.WriteHeader(answer.StatusCode)
-}
-
-// write sends bytes to the caller. A caller that can't be written to has left,
-// which ends the request's context.
-func (p *pass) write(b []byte) {
-	if _, err := p.writer.Write(b); err != nil {
-		p.cancel()
-	}
-}
-
-// stream passes events on as they come, whole ones only: after a break the
-// caller's answer goes on right behind the last of them.
-func (p *pass) stream(answer *conns.Answer) (verdict, bool) {
-	flush := http.NewResponseController(p.writer)
-	reader := &conns.EventReader{Answer: answer, Silence: p.eventTimeout}
-	for {
-		one, err := reader.Next()
-		if len(one.Raw) > 0 && (err == nil || errors.Is(err, io.EOF)) {
-			if !conns.Follows(p.resume, one.ID) {
-				return broken, true
-			}
-			p.begin(answer, -1)
-			p.write(one.Raw)
-			if one.ID != "" {
-				p.resume = one.ID
-			}
-			p.events++
-			if err == nil {
-				// A caller that can't be written to has left, which ends the request's context.
-				_ = flush.Flush()
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			p.begin(answer, -1)
-			p.served(answer)
-			return done, false
-		}
-		if err != nil {
-			return broken, p.ctx.Err() == nil
-		}
-	}
-}
-
-// eventTimeout is the longest pause after which the stream is taken as broken.
-func (p *pass) eventTimeout() time.Time {
-	if p.mayResume() && p.events > 0 {
-		return time.Now().Add(eventSilence)
-	}
-	return time.Time{}
-}
-
 // mayResume says whether a broken stream may go on elsewhere; p.runs counts the run that broke.
 func (p *pass) mayResume() bool {
 	return p.route.Repeatable() && p.runs < p.route.MaxAttempts
--- /dev/null
+++ b/relay/wait.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/pool"
+)
+
+// admitted waits until a backend server is to get the request.
+func (p *pass) admitted() (pool.Choice, bool) {
+	for held := false; ; held = true {
+		if choice, ok := p.offered(); ok {
+			return choice, true
+		}
+		choice, ok := p.relay.Pool.Online(p.service, p.tried, time.Now())
+		if !ok {
+			p.giveUp("no backend server to send to", lostRetry)
+			return choice, false
+		}
+		a := p.admission(&choice)
+		action := a.decide()
+		if action == send && held && !choice.Full() && p.relay.line.yields(p.service, p.place, time.Now()) {
+			action = hold
+		}
+		switch action {
+		case send:
+			if held {
+				metrics.GetOrRegisterTimer("relay.held", p.relay.Metrics).Update(time.Since(p.received))
+				p.relay.Events.Info(event.RequestHeld).Str("request", p.call.ID).Dur("waited", a.Waited).Dur("left", a.Left).
+					Int("held", a.Held).Msg("held back until now")
+			}
+			return choice, true
+		case refuse:
+			p.relay.Pool.Return(choice.ID)
+			p.giveUp("all slots and waiting places are taken", fullRetry)
+			return choice, false
+		}
+		p.relay.Pool.Return(choice.ID)
+		if !p.wait() {
+			p.left()
+			return choice, false
+		}
+	}
+}
+
+// offered takes the slot that the request was offered while it waited, if any.
+func (p *pass) offered() (pool.Choice, bool) {
+	select {
+	case server := <-p.place.offer:
+		if p.tried[server] {
+			return pool.Choice{}, false
+		}
+		return p.relay.Pool.Take(server, time.Now())
+	default:
+		return pool.Choice{}, false
+	}
+}
+
+// wait holds the request back until a slot is offered to it, or for a moment,
+// and says false if its caller left.
+func (p *pass) wait() bool {
+	p.relay.held.Add(1)
+	defer p.relay.held.Add(-1)
+	p.relay.line.join(p.service, p.place)
+	defer p.relay.line.leave(p.service, p.place)
+	t := time.NewTimer(holdTick)
+	defer t.Stop()
+	select {
+	case <-p.ctx.Done():
+		return !errors.Is(p.ctx.Err(), context.Canceled)
+	case server := <-p.place.offer:
+		// It is taken where the request is decided on.
+		p.place.offer <- server
+		return true
+	case <-t.C:
+		return true
+	}
+}
