relay, runner: a request larger than its part of the memory marks no backend server as full

By reading: a reservation is refused for want of a slot or of memory, and the answer doesn't say which. A request that is larger than any backend server's memory would have been asked for at each of them, and each would have counted as full for the others for 50 to 200 ms, again and again. An offer of a slot never waits for the one it is made to. Test: TestRequestTooLargeKeepsNobodyElseOut.

--- a/relay/line.go
+++ b/relay/line.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// held is a request that waits at this entry for a slot.
-type held struct {
+// waiter is a request that waits at this entry for a slot.
+type waiter struct {
 	// since is when its caller began to wait, over all tries.
 	since time.Time
 	// target is the time from since on within which its answer has to begin.
@@ -16,7 +16,7 @@
 }
 
 // late says whether the answer can't begin in time any more.
-func (h *held) late(now time.Time) bool { return now.Sub(h.since)+firstEventTime > h.target }
+func (h *waiter) late(now time.Time) bool { return now.Sub(h.since)+firstEventTime > h.target }
 
 // line holds the requests that wait at this entry, by service; its zero value is ready.
 //
@@ -30,21 +30,21 @@
 // too large.
 type line struct {
 	mu      sync.Mutex
-	waiting map[string][]*held
+	waiting map[string][]*waiter
 }
 
 // join adds a request.
-func (l *line) join(service string, h *held) {
+func (l *line) join(service string, h *waiter) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.waiting == nil {
-		l.waiting = map[string][]*held{}
+		l.waiting = map[string][]*waiter{}
 	}
 	l.waiting[service] = append(l.waiting[service], h)
 }
 
 // leave takes a request out, if it is still in.
-func (l *line) leave(service string, h *held) {
+func (l *line) leave(service string, h *waiter) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	all := l.waiting[service]
@@ -68,9 +68,13 @@
 	all := l.waiting[service]
 	h := all[best]
 	l.waiting[service] = append(all[:best], all[best+1:]...)
-	// The channel holds one offer, and a request gets no second one while it has left the line.
-	h.offer <- server
-	return true
+	select {
+	case h.offer <- server:
+		return true
+	default:
+		// It has an offer that it didn't see yet.
+		return false
+	}
 }
 
 // first returns the place of the oldest request that isn't late; -1 if none waits.
@@ -86,7 +90,7 @@
 
 // yields says whether a request has to leave a free slot to others: one that is
 // late, while one waits that isn't.
-func (l *line) yields(service string, h *held, now time.Time) bool {
+func (l *line) yields(service string, h *waiter, now time.Time) bool {
 	if !h.late(now) {
 		return false
 	}
--- a/relay/line_test.go
+++ b/relay/line_test.go
@@ -10,13 +10,13 @@
 const lineTarget = 300 * time.Millisecond
 
 // joined returns a request in a line that began to wait some time ago.
-func (l *line) joined(now time.Time, ago time.Duration) *held {
-	h := &held{since: now.Add(-ago), target: lineTarget, offer: make(chan string, 1)}
+func (l *line) joined(now time.Time, ago time.Duration) *waiter {
+	h := &waiter{since: now.Add(-ago), target: lineTarget, offer: make(chan string, 1)}
 	l.join("s", h)
 	return h
 }
 
-func (h *held) expectOffer(g *WithT, want string) {
+func (h *waiter) expectOffer(g *WithT, want string) {
 	select {
 	case got := <-h.offer:
 		g.Expect(got).To(Equal(want))
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -69,10 +69,10 @@
 	begun  bool
 	events int
 	first  time.Duration
-	// holds is how long a slot of the service can stay reserved; 0 if it reserves none.
-	holds time.Duration
+	// info is what the configuration says of the service.
+	info sardinerock.ServiceInfo
 	// place is the request's place among those that wait at this entry.
-	place *held
+	place *waiter
 	// reservation is the slot that is reserved for the next try, if one is.
 	reservation *conns.Reservation
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -286,9 +286,9 @@
 	if call.Wait > 0 && call.Wait < route.Timeout {
 		p.deadline = received.Add(call.Wait)
 	}
-	p.holds = table.Services[p.service].HoldTime
+	p.info = table.Services[p.service]
 	p.before = l.waitedBefore(route.Name, call.Wait)
-	p.place = &held{since: received.Add(-p.before), target: route.Target, offer: make(chan string, 1)}
+	p.place = &waiter{since: received.Add(-p.before), target: route.Target, offer: make(chan string, 1)}
 	p.ctx, p.cancel = context.WithDeadline(r.Context(), p.deadline)
 	return p
 }
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -25,10 +25,10 @@
 		choice, ok := p.admitted()
 		// A backend server that is full is sent to as it is: batch items give way
 		// there, or the request's time is too short to wait here.
-		if !ok || !p.mayReserve() || choice.Full() {
+		if !ok || !p.mayReserve() || choice.Full() || try > reserveTries && !p.ordinary() {
 			return choice, ok
 		}
-		reservation, err := p.relay.Conns.Reserve(p.ctx, &choice.BackendServer, p.call.Tokens, p.holds)
+		reservation, err := p.relay.Conns.Reserve(p.ctx, &choice.BackendServer, p.call.Tokens, p.info.HoldTime)
 		if reservation != nil {
 			p.reservation = reservation
 			return choice, true
@@ -49,7 +49,7 @@
 	} else {
 		p.relay.Pool.Done(choice.ID, false, true, now)
 	}
-	if err == nil {
+	if err == nil && p.ordinary() {
 		p.relay.Pool.NoteFull(choice.ID, now)
 	}
 	p.relay.count("relay.unreserved")
@@ -58,7 +58,13 @@
 }
 
 // mayReserve says whether a slot can be reserved for the request.
-func (p *pass) mayReserve() bool { return p.holds > 0 && p.call.Tokens > 0 }
+func (p *pass) mayReserve() bool { return p.info.HoldTime > 0 && p.call.Tokens > 0 }
+
+// ordinary says whether the request is no larger than a slot's part of the
+// memory. A larger one may be turned away where slots are free; if that counted
+// as full, one request too large for every backend server would keep all others
+// from them. It goes without a reservation in the end, and the engine decides.
+func (p *pass) ordinary() bool { return p.info.Ordinary(p.call.Tokens) }
 
 // outOfTime ends a request whose caller left or whose time is up.
 func (p *pass) outOfTime() {
--- a/relay/reserve_test.go
+++ b/relay/reserve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -132,3 +133,33 @@
 		s.g.Eventually(answered, 10*time.Second).Should(Receive())
 	}
 }
+
+// One request is larger than a slot's part of the memory, and no backend server
+// has room for it. The others find their slots all the same: that it was turned
+// away says nothing of them. It is sent without a slot at last, and the engine's
+// answer decides.
+func TestRequestTooLargeKeepsNobodyElseOut(t *testing.T) {
+	s := newSite(t).withReservations()
+	s.table.Services[service] = sardinerock.ServiceInfo{HoldTime: time.Second, SlotTokens: 1000}
+	s.fallback = func(c net.Conn, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		switch {
+		case r.URL.Path == "/once/x":
+			whole(200, "ok")(c, r)
+		case strings.Contains(string(body), "5000"):
+			noSlot(c, r)
+		default:
+			slotKept(c, r)
+		}
+	}
+	s.size = "4000,1000"
+	answer, _, err := s.ask("/once/x")
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.g.Expect(answer.StatusCode).To(Equal(200))
+	s.g.Expect(s.pool.Free(service, 0, time.Now())).To(Equal(3 * 2))
+	before := len(s.seen())
+	s.size = "200,50"
+	_, _, err = s.ask("/once/x")
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.g.Expect(s.seen()).To(HaveLen(before+2), "one slot, one request")
+}
--- a/relay/wait.go
+++ b/relay/wait.go
@@ -13,7 +13,7 @@
 
 // admitted waits until a backend server is to get the request.
 func (p *pass) admitted() (pool.Choice, bool) {
-	for held := false; ; held = true {
+	for waited := false; ; waited = true {
 		if choice, ok := p.offered(); ok {
 			return choice, true
 		}
@@ -24,12 +24,12 @@
 		}
 		a := p.admission(&choice)
 		action := a.decide()
-		if action == send && held && !choice.Full() && p.relay.line.yields(p.service, p.place, time.Now()) {
+		if action == send && waited && !choice.Full() && p.relay.line.yields(p.service, p.place, time.Now()) {
 			action = hold
 		}
 		switch action {
 		case send:
-			if held {
+			if waited {
 				metrics.GetOrRegisterTimer("relay.held", p.relay.Metrics).Update(time.Since(p.received))
 				p.relay.Events.Info(event.RequestHeld).Str("request", p.call.ID).Dur("waited", a.Waited).Dur("left", a.Left).
 					Int("held", a.Held).Msg("held back until now")
--- a/runner/run.go
+++ b/runner/run.go
@@ -95,9 +95,10 @@
 // there in front of the online requests that come after it.
 func (r *Runner) attempt(ctx context.Context, i *item, choice *pool.Choice) (outcome, error) {
 	var reservation *conns.Reservation
-	if hold := r.Table().Services[choice.Service].HoldTime; hold > 0 {
+	tokens := i.open.Item.Tokens
+	if info := r.Table().Services[choice.Service]; info.HoldTime > 0 && info.Ordinary(tokens) {
 		var err error
-		reservation, err = r.Conns.Reserve(ctx, &choice.BackendServer, i.open.Item.Tokens, hold)
+		reservation, err = r.Conns.Reserve(ctx, &choice.BackendServer, tokens, info.HoldTime)
 		switch {
 		case err != nil:
 			return interrupted, err
--- a/serving.go
+++ b/serving.go
@@ -87,8 +87,14 @@
 	// HoldTime is the longest time for which its backend servers keep a slot
 	// reserved; 0 if they reserve none.
 	HoldTime time.Duration
+	// SlotTokens is each slot's part of a backend server's memory, in tokens; 0 is not said.
+	SlotTokens int64
 }
 
+// Ordinary says whether a request of a size that finds no room says that there
+// is no free slot; a larger one may only find too little memory.
+func (i ServiceInfo) Ordinary(tokens int64) bool { return i.SlotTokens == 0 || tokens <= i.SlotTokens }
+
 // CallerLimits bounds what a caller may send and how long it may idle.
 type CallerLimits struct {
 	MaxHeaderBytes int
