--- a/relay/admit.go
+++ b/admit/admit.go
@@ -1,4 +1,4 @@
-package relay
+package admit
 
 import "time"
 
@@ -9,9 +9,9 @@
 	// serveMargin is kept of a request's time beyond the time that a run takes
 	// on average; long answers take twice that.
 	serveMargin = 2
-	// holdTick is between two looks for a free slot; answers end every few
-	// milliseconds over the whole fleet.
-	holdTick = 15 * time.Millisecond
+	// waitingShare of a backend server's slots may wait at it for a slot. What
+	// waits longer misses its time at the caller anyway, who had better hear so at once.
+	waitingShare = 1.0
 	// lateReserve is how many slots of a backend server are left to requests that
 	// can still be answered in time, by those that can't: fresh ones took a fifth
 	// of all slots between bursts. Late ones have seconds left, and take them too
@@ -22,8 +22,8 @@
 	heldRuns = 4
 )
 
-// admission is what decides whether a request is sent now.
-type admission struct {
+// Request is what decides whether an online request is sent now.
+type Request struct {
 	// Online is what the least loaded backend server runs and has waiting, Slots what it runs at once.
 	Online, Slots int
 	// Run is how long a run takes on average.
@@ -41,19 +41,20 @@
 	Held, Most int
 }
 
-// action is what is done with a request.
-type action int
+// Action is what is done with a request.
+type Action int
 
+// The actions.
 const (
-	// send passes it on now.
-	send action = iota
-	// hold keeps it until a slot is free or its time runs short.
-	hold
-	// refuse gives its final answer now.
-	refuse
+	// Send passes it on now.
+	Send Action = iota
+	// Hold keeps it until a slot is free or its time runs short.
+	Hold
+	// Refuse gives its final answer now.
+	Refuse
 )
 
-// decide orders requests when all slots are taken. The load that it answers:
+// Decide orders requests when all slots are taken. The load that it answers:
 // all entries were lost for two seconds, and whoever asked meanwhile asks again
 // at the same moment, together with the ordinary load. Backend servers take
 // requests in order of arrival; if all were sent at once, those whose time is
@@ -63,10 +64,10 @@
 // fresh one can overtake them, and go once there is room or their time is short.
 // Where slots are reserved all wait here: what others have waiting at a backend
 // server can't be seen, and a slot that comes free is found here as soon.
-func (a *admission) decide() action {
+func (a *Request) Decide() Action {
 	// A stream that broke goes on at once: its caller sees each moment of it as a pause.
 	if a.Begun {
-		return send
+		return Send
 	}
 	needed := firstEventTime
 	if !a.Stream {
@@ -77,21 +78,25 @@
 		ahead += min(lateReserve, a.Slots/3)
 	}
 	if ahead <= 0 {
-		return send
+		return Send
 	}
 	wait := time.Duration(ahead) * a.Run / time.Duration(a.Slots)
 	if !a.Reserves && a.Waited+wait+needed <= a.Target {
-		return send
+		return Send
 	}
 	if a.Left < wait+serveMargin*a.Run {
 		// Later it could not be whole in time; now it may be.
 		if float64(a.Online) < float64(a.Slots)*(1+waitingShare) {
-			return send
+			return Send
 		}
-		return refuse
+		return Refuse
 	}
 	if a.Held >= a.Most {
-		return refuse
+		return Refuse
 	}
-	return hold
+	return Hold
 }
+
+// Most returns how many requests an entry may hold back: as many as the slots
+// of a service can still serve in time, shared out among the entries.
+func Most(slots, entries int) int { return heldRuns * slots / max(entries, 1) }
--- a/relay/admit_test.go
+++ b/admit/admit_test.go
@@ -1,4 +1,4 @@
-package relay
+package admit
 
 import (
 	"math/rand/v2"
@@ -11,33 +11,33 @@
 const ms = time.Millisecond
 
 func TestDecide(t *testing.T) {
-	base := admission{Online: 8, Slots: 8, Run: 700 * ms, Left: 5 * time.Second, Target: 300 * ms, Stream: true, Most: 10}
+	base := Request{Online: 8, Slots: 8, Run: 700 * ms, Left: 5 * time.Second, Target: 300 * ms, Stream: true, Most: 10}
 	for name, one := range map[string]struct {
-		change func(a *admission)
-		want   action
+		change func(a *Request)
+		want   Action
 	}{
-		"a free slot":                     {func(a *admission) { a.Online = 7; a.Waited = time.Second }, send},
-		"fresh, short queue":              {func(*admission) {}, send},
-		"fresh, long queue":               {func(a *admission) { a.Online = 12 }, hold},
-		"a stream goes on":                {func(a *admission) { a.Online = 16; a.Begun = true; a.Waited = time.Second }, send},
-		"late already":                    {func(a *admission) { a.Waited = 400 * ms }, hold},
-		"late, time runs short":           {func(a *admission) { a.Waited = 3 * time.Second; a.Left = 1400 * ms }, send},
-		"late, time runs short, no place": {func(a *admission) { a.Online = 16; a.Waited = 3 * time.Second; a.Left = 1400 * ms }, refuse},
-		"more held than can be served":    {func(a *admission) { a.Waited = time.Second; a.Held = 10 }, refuse},
-		"no stream has to be whole":       {func(a *admission) { a.Stream = false }, hold},
-		"reserved, all slots taken":       {func(a *admission) { a.Reserves = true }, hold},
-		"reserved, fresh, last slot":      {func(a *admission) { a.Reserves = true; a.Online = 7 }, send},
-		"reserved, late, last slots":      {func(a *admission) { a.Reserves = true; a.Online = 6; a.Waited = time.Second }, hold},
-		"reserved, late, room":            {func(a *admission) { a.Reserves = true; a.Online = 5; a.Waited = time.Second }, send},
-		"reserved, late, time runs short": {func(a *admission) {
+		"a free slot":                     {func(a *Request) { a.Online = 7; a.Waited = time.Second }, Send},
+		"fresh, short queue":              {func(*Request) {}, Send},
+		"fresh, long queue":               {func(a *Request) { a.Online = 12 }, Hold},
+		"a stream goes on":                {func(a *Request) { a.Online = 16; a.Begun = true; a.Waited = time.Second }, Send},
+		"late already":                    {func(a *Request) { a.Waited = 400 * ms }, Hold},
+		"late, time runs short":           {func(a *Request) { a.Waited = 3 * time.Second; a.Left = 1400 * ms }, Send},
+		"late, time runs short, no place": {func(a *Request) { a.Online = 16; a.Waited = 3 * time.Second; a.Left = 1400 * ms }, Refuse},
+		"more held than can be served":    {func(a *Request) { a.Waited = time.Second; a.Held = 10 }, Refuse},
+		"no stream has to be whole":       {func(a *Request) { a.Stream = false }, Hold},
+		"reserved, all slots taken":       {func(a *Request) { a.Reserves = true }, Hold},
+		"reserved, fresh, last slot":      {func(a *Request) { a.Reserves = true; a.Online = 7 }, Send},
+		"reserved, late, last slots":      {func(a *Request) { a.Reserves = true; a.Online = 6; a.Waited = time.Second }, Hold},
+		"reserved, late, room":            {func(a *Request) { a.Reserves = true; a.Online = 5; a.Waited = time.Second }, Send},
+		"reserved, late, time runs short": {func(a *Request) {
 			a.Reserves, a.Online, a.Waited, a.Left = true, 7, 3*time.Second, 2*time.Second
-		}, send},
-		"short calls wait for more before them": {func(a *admission) { a.Stream = false; a.Run = 30 * ms; a.Online = 16 }, send},
+		}, Send},
+		"short calls wait for more before them": {func(a *Request) { a.Stream = false; a.Run = 30 * ms; a.Online = 16 }, Send},
 	} {
 		t.Run(name, func(t *testing.T) {
 			a := base
 			one.change(&a)
-			NewWithT(t).Expect(a.decide()).To(Equal(one.want))
+			NewWithT(t).Expect(a.Decide()).To(Equal(one.want))
 		})
 	}
 }
@@ -48,8 +48,8 @@
 // ones are late until it is gone. Held back, the late ones cost the fresh ones nothing.
 func TestFreshRequestsDontWaitBehindLateOnes(t *testing.T) {
 	g := NewWithT(t)
-	plain := playReturn(func(a *admission) action { return send })
-	ordered := playReturn((*admission).decide)
+	plain := playReturn(func(a *Request) Action { return Send })
+	ordered := playReturn((*Request).Decide)
 	t.Logf("on time of %d fresh: %d sent as they come, %d ordered; answered in all: %d and %d of %d",
 		plain.fresh, plain.onTime, ordered.onTime, plain.served, ordered.served, plain.asked)
 	g.Expect(ordered.onTime).To(BeNumerically(">=", ordered.fresh*9/10))
@@ -62,7 +62,7 @@
 
 // playReturn plays the return in steps of a millisecond on one queue before
 // all slots: 144 of them, 0.35 to 1.05 s a run, 100 requests a second and 250 at once.
-func playReturn(decide func(a *admission) action) returned {
+func playReturn(decide func(a *Request) Action) returned {
 	const slots, run, rate, back = 144, 700, 100, 250
 	random := rand.New(rand.NewPCG(1, 1))
 	type request struct{ asked, waited int }
@@ -70,12 +70,12 @@
 	busy := make([]int, 0, slots)
 	var out returned
 	admit := func(now int, r request) bool {
-		a := admission{
+		a := Request{
 			Online: (len(busy) + len(queue)) * 8 / slots, Slots: 8, Run: run * ms, Target: 300 * ms, Stream: true,
 			Waited: time.Duration(r.waited+now-r.asked) * ms, Left: time.Duration(5000-r.waited-(now-r.asked)) * ms,
 			Held: len(held), Most: 1000,
 		}
-		if decide(&a) != send {
+		if decide(&a) != Send {
 			return false
 		}
 		queue = append(queue, r)
@@ -136,11 +136,11 @@
 // moment later find none and are late as well, for as long as the late ones last.
 func TestLateRequestsLeaveSlotsToFreshOnes(t *testing.T) {
 	g := NewWithT(t)
-	alike := playReserved(func(a *admission) action {
+	alike := playReserved(func(a *Request) Action {
 		a.Waited = 0
-		return a.decide()
+		return a.Decide()
 	})
-	kept := playReserved((*admission).decide)
+	kept := playReserved((*Request).Decide)
 	t.Logf("on time of %d fresh: %d with all alike, %d with slots left; answered: %d and %d of %d",
 		kept.fresh, alike.onTime, kept.onTime, alike.served, kept.served, kept.asked)
 	g.Expect(kept.onTime).To(BeNumerically(">=", kept.fresh*6/10))
@@ -151,7 +151,7 @@
 // playReserved plays such a return in steps of a millisecond on 18 backend
 // servers with 8 slots, five of them taken by runs that go on for up to two
 // seconds: 300 late requests at once and 60 fresh ones a second, 0.7 s a run.
-func playReserved(decide func(a *admission) action) returned {
+func playReserved(decide func(a *Request) Action) returned {
 	const servers, slots, run, back = 18, 8, 700, 300
 	type request struct{ asked, waited int }
 	random := rand.New(rand.NewPCG(1, 1))
@@ -171,11 +171,11 @@
 			}
 		}
 		waited := r.waited + now - r.asked
-		a := admission{
+		a := Request{
 			Online: len(busy[least]), Slots: slots, Run: run * ms, Target: 300 * ms, Stream: true, Reserves: true,
 			Waited: time.Duration(waited) * ms, Left: time.Duration(5000-waited) * ms, Held: len(held), Most: 1000,
 		}
-		if decide(&a) != send || len(busy[least]) >= slots {
+		if decide(&a) != Send || len(busy[least]) >= slots {
 			return false
 		}
 		busy[least] = append(busy[least], now+run/2+random.IntN(run))
--- a/relay/line.go
+++ b/admit/line.go
@@ -1,24 +1,24 @@
-package relay
+package admit
 
 import (
 	"sync"
 	"time"
 )
 
-// waiter is a request that waits at this entry for a slot.
-type waiter struct {
-	// since is when its caller began to wait, over all tries.
-	since time.Time
-	// target is the time from since on within which its answer has to begin.
-	target time.Duration
-	// offer takes the backend server where a slot has come free.
-	offer chan string
+// Waiter is a request that waits at this entry for a slot.
+type Waiter struct {
+	// Since is when its caller began to wait, over all tries.
+	Since time.Time
+	// Target is the time from Since on within which its answer has to begin.
+	Target time.Duration
+	// Offer takes the backend server where a slot has come free.
+	Offer chan string
 }
 
 // late says whether the answer can't begin in time any more.
-func (h *waiter) late(now time.Time) bool { return now.Sub(h.since)+firstEventTime > h.target }
+func (h *Waiter) late(now time.Time) bool { return now.Sub(h.Since)+firstEventTime > h.Target }
 
-// line holds the requests that wait at this entry, by service; its zero value is ready.
+// Line holds the requests that wait at this entry, by service; its zero value is ready.
 //
 // The load that it answers: a burst brings more requests than all slots can
 // take, for two seconds. The entry whose answer ends is the first to know that
@@ -28,23 +28,23 @@
 // requests queueing at backend servers instead, each entry believed that the
 // others had none there, and every third was late in a burst that was a fifth
 // too large.
-type line struct {
+type Line struct {
 	mu      sync.Mutex
-	waiting map[string][]*waiter
+	waiting map[string][]*Waiter
 }
 
-// join adds a request.
-func (l *line) join(service string, h *waiter) {
+// Join adds a request.
+func (l *Line) Join(service string, h *Waiter) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.waiting == nil {
-		l.waiting = map[string][]*waiter{}
+		l.waiting = map[string][]*Waiter{}
 	}
 	l.waiting[service] = append(l.waiting[service], h)
 }
 
-// leave takes a request out, if it is still in.
-func (l *line) leave(service string, h *waiter) {
+// Leave takes a request out, if it is still in.
+func (l *Line) Leave(service string, h *Waiter) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	all := l.waiting[service]
@@ -56,9 +56,9 @@
 	}
 }
 
-// give offers a free slot of a backend server to the request that should have
+// Give offers a free slot of a backend server to the request that should have
 // it, and says whether there is one.
-func (l *line) give(service, server string, now time.Time) bool {
+func (l *Line) Give(service, server string, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	best := l.first(service, now)
@@ -69,7 +69,7 @@
 	h := all[best]
 	l.waiting[service] = append(all[:best], all[best+1:]...)
 	select {
-	case h.offer <- server:
+	case h.Offer <- server:
 		return true
 	default:
 		// It has an offer that it didn't see yet.
@@ -78,19 +78,19 @@
 }
 
 // first returns the place of the oldest request that isn't late; -1 if none waits.
-func (l *line) first(service string, now time.Time) int {
+func (l *Line) first(service string, now time.Time) int {
 	best := -1
 	for n, h := range l.waiting[service] {
-		if !h.late(now) && (best < 0 || h.since.Before(l.waiting[service][best].since)) {
+		if !h.late(now) && (best < 0 || h.Since.Before(l.waiting[service][best].Since)) {
 			best = n
 		}
 	}
 	return best
 }
 
-// yields says whether a request has to leave a free slot to others: one that is
+// Yields says whether a request has to leave a free slot to others: one that is
 // late, while one waits that isn't.
-func (l *line) yields(service string, h *waiter, now time.Time) bool {
+func (l *Line) Yields(service string, h *Waiter, now time.Time) bool {
 	if !h.late(now) {
 		return false
 	}
@@ -98,3 +98,8 @@
 	defer l.mu.Unlock()
 	return l.first(service, now) >= 0
 }
+
+// NewWaiter returns a request that may join a line.
+func NewWaiter(since time.Time, target time.Duration) *Waiter {
+	return &Waiter{Since: since, Target: target, Offer: make(chan string, 1)}
+}
--- a/relay/line_test.go
+++ b/admit/line_test.go
@@ -1,4 +1,4 @@
-package relay
+package admit
 
 import (
 	"testing"
@@ -10,15 +10,15 @@
 const lineTarget = 300 * time.Millisecond
 
 // joined returns a request in a line that began to wait some time ago.
-func (l *line) joined(now time.Time, ago time.Duration) *waiter {
-	h := &waiter{since: now.Add(-ago), target: lineTarget, offer: make(chan string, 1)}
-	l.join("s", h)
+func (l *Line) joined(now time.Time, ago time.Duration) *Waiter {
+	h := NewWaiter(now.Add(-ago), lineTarget)
+	l.Join("s", h)
 	return h
 }
 
-func (h *waiter) expectOffer(g *WithT, want string) {
+func (h *Waiter) expectOffer(g *WithT, want string) {
 	select {
-	case got := <-h.offer:
+	case got := <-h.Offer:
 		g.Expect(got).To(Equal(want))
 	default:
 		g.Expect("").To(Equal(want))
@@ -31,29 +31,29 @@
 func TestFreeSlotsGoToThoseInTime(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
-	l := &line{}
+	l := &Line{}
 	late, young, old := l.joined(now, time.Second), l.joined(now, 20*time.Millisecond), l.joined(now, 200*time.Millisecond)
-	g.Expect(l.yields("s", late, now)).To(BeTrue())
-	g.Expect(l.yields("s", young, now)).To(BeFalse())
+	g.Expect(l.Yields("s", late, now)).To(BeTrue())
+	g.Expect(l.Yields("s", young, now)).To(BeFalse())
 	for _, server := range []string{"a", "b"} {
-		g.Expect(l.give("s", server, now)).To(BeTrue())
+		g.Expect(l.Give("s", server, now)).To(BeTrue())
 	}
 	old.expectOffer(g, "a")
 	young.expectOffer(g, "b")
-	g.Expect(l.give("s", "c", now)).To(BeFalse())
-	g.Expect(l.give("other", "c", now)).To(BeFalse())
+	g.Expect(l.Give("s", "c", now)).To(BeFalse())
+	g.Expect(l.Give("other", "c", now)).To(BeFalse())
 	late.expectOffer(g, "")
-	g.Expect(l.yields("s", late, now)).To(BeFalse())
+	g.Expect(l.Yields("s", late, now)).To(BeFalse())
 }
 
 // A caller that left is offered nothing.
 func TestWhoLeftTheLineIsOfferedNothing(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
-	l := &line{}
+	l := &Line{}
 	h := l.joined(now, 0)
-	l.leave("s", h)
-	l.leave("s", h)
-	g.Expect(l.give("s", "a", now)).To(BeFalse())
+	l.Leave("s", h)
+	l.Leave("s", h)
+	g.Expect(l.Give("s", "a", now)).To(BeFalse())
 	h.expectOffer(g, "")
 }
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/admit"
 	"github.com/sardinerock/sardinerock/conns"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/pool"
@@ -72,7 +73,7 @@
 	// info is what the configuration says of the service.
 	info sardinerock.ServiceInfo
 	// place is the request's place among those that wait at this entry.
-	place *waiter
+	place *admit.Waiter
 	// reservation is the slot that is reserved for the next try, if one is.
 	reservation *conns.Reservation
 }
@@ -110,10 +111,10 @@
 	return choice, true
 }
 
-func (p *pass) admission(choice *pool.Choice) admission {
+func (p *pass) admission(choice *pool.Choice) admit.Request {
 	now := time.Now()
 	run, slots := p.relay.Pool.Capacity(p.service, now)
-	return admission{
+	return admit.Request{
 		Online:   choice.Online,
 		Slots:    choice.Slots,
 		Run:      run,
@@ -124,7 +125,7 @@
 		Reserves: p.mayReserve(),
 		Begun:    p.begun,
 		Held:     int(p.relay.held.Load()),
-		Most:     heldRuns * slots / max(p.relay.Entries(), 1),
+		Most:     admit.Most(slots, p.relay.Entries()),
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/admit"
 	"github.com/sardinerock/sardinerock/conns"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/pool"
@@ -33,9 +34,6 @@
 	fullRetry = 200 * time.Millisecond
 	// lostRetry is told when no backend server could be reached; one that is back registers within a second or two.
 	lostRetry = 400 * time.Millisecond
-	// waitingShare of a backend server's slots may wait at it for a slot. What
-	// waits longer misses its time at the caller anyway, who had better hear so at once.
-	waitingShare = 1.0
 	// maxRefusals bounds the tries of one request that were turned away without a run.
 	maxRefusals = 4
 	// remembered is how many requests with breaks are kept in mind; one that
@@ -76,7 +74,7 @@
 
 	// held counts the requests that wait here for a slot, line orders them.
 	held atomic.Int64
-	line line
+	line admit.Line
 
 	mu sync.Mutex
 	// crashes counts the breaks of backend servers by the request that they ran.
@@ -234,12 +232,12 @@
 func (l *Relay) done(choice *pool.Choice, failed bool) {
 	now := time.Now()
 	if l.Pool.Done(choice.ID, false, failed, now) {
-		l.line.give(choice.Service, choice.ID, now)
+		l.line.Give(choice.Service, choice.ID, now)
 	}
 }
 
 // Freed offers a slot that a batch item left to a request that waits.
-func (l *Relay) Freed(service, server string) { l.line.give(service, server, time.Now()) }
+func (l *Relay) Freed(service, server string) { l.line.Give(service, server, time.Now()) }
 
 // suspect says whether a request broke so many backend servers that it isn't sent again.
 func (l *Relay) suspect(fingerprint uint64) bool {
@@ -288,7 +286,7 @@
 	}
 	p.info = table.Services[p.service]
 	p.before = l.waitedBefore(route.Name, call.Wait)
-	p.place = &waiter{since: received.Add(-p.before), target: route.Target, offer: make(chan string, 1)}
+	p.place = admit.NewWaiter(received.Add(-p.before), route.Target)
 	p.ctx, p.cancel = context.WithDeadline(r.Context(), p.deadline)
 	return p
 }
--- a/relay/wait.go
+++ b/relay/wait.go
@@ -7,10 +7,15 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/sardinerock/sardinerock/admit"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/pool"
 )
 
+// holdTick is between two looks for a free slot; answers end every few
+// milliseconds over the whole fleet.
+const holdTick = 15 * time.Millisecond
+
 // admitted waits until a backend server is to get the request.
 func (p *pass) admitted() (pool.Choice, bool) {
 	for waited := false; ; waited = true {
@@ -23,19 +28,19 @@
 			return choice, false
 		}
 		a := p.admission(&choice)
-		action := a.decide()
-		if action == send && waited && !choice.Full() && p.relay.line.yields(p.service, p.place, time.Now()) {
-			action = hold
+		action := a.Decide()
+		if action == admit.Send && waited && !choice.Full() && p.relay.line.Yields(p.service, p.place, time.Now()) {
+			action = admit.Hold
 		}
 		switch action {
-		case send:
+		case admit.Send:
 			if waited {
 				metrics.GetOrRegisterTimer("relay.held", p.relay.Metrics).Update(time.Since(p.received))
 				p.relay.Events.Info(event.RequestHeld).Str("request", p.call.ID).Dur("waited", a.Waited).Dur("left", a.Left).
 					Int("held", a.Held).Msg("held back until now")
 			}
 			return choice, true
-		case refuse:
+		case admit.Refuse:
 			p.relay.Pool.Return(choice.ID)
 			p.giveUp("all slots and waiting places are taken", fullRetry)
 			return choice, false
@@ -51,7 +56,7 @@
 // offered takes the slot that the request was offered while it waited, if any.
 func (p *pass) offered() (pool.Choice, bool) {
 	select {
-	case server := <-p.place.offer:
+	case server := <-p.place.Offer:
 		if p.tried[server] {
 			return pool.Choice{}, false
 		}
@@ -66,16 +71,16 @@
 func (p *pass) wait() bool {
 	p.relay.held.Add(1)
 	defer p.relay.held.Add(-1)
-	p.relay.line.join(p.service, p.place)
-	defer p.relay.line.leave(p.service, p.place)
+	p.relay.line.Join(p.service, p.place)
+	defer p.relay.line.Leave(p.service, p.place)
 	t := time.NewTimer(holdTick)
 	defer t.Stop()
 	select {
 	case <-p.ctx.Done():
 		return !errors.Is(p.ctx.Err(), context.Canceled)
-	case server := <-p.place.offer:
+	case server := <-p.place.Offer:
 		// It is taken where the request is decided on.
-		p.place.offer <- server
+		p.place.Offer <- server
 		return true
 	case <-t.C:
 		return true
