quota, gossip, node: a team's home entry is asked where views are too old to hold its quota

Cause: before 371 entries views are 0.64 s old, and each entry lets requests of a team in by what it has heard. A team that begins to ask for nine times its quota gets 431 of 284 requests in a window (183 of 132) before anybody can hear of it.

Change: unless enough is left for one request of each entry and for what is unheard, the entry asks the team's home entry by one datagram, the one that all agree on by its name's hash among the live ones. It decides by what is left now and counts the request as told at once; messages from before that arrive later give nothing back.

--- a/event/event.go
+++ b/event/event.go
@@ -24,6 +24,7 @@
 	NotReserved     ID = 206
 	CallerUnknown   ID = 207
 	OverQuota       ID = 208
+	HomeSilent      ID = 209
 	GateAdmitted    ID = 301
 	GateRefused     ID = 302
 	GatePreempted   ID = 303
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -70,7 +70,9 @@
 	Lost func(name string)
 	// Heard takes the newer messages of one datagram, and the backend servers on
 	// which its sender asks for the slot of a batch item of this entry.
-	Heard  func(messages []*Message, press []uint32)
+	Heard func(messages []*Message, press []uint32)
+	// Answer, if set, answers the question of a peer's incarnation; it must not wait.
+	Answer func(peer string, start int64, question []byte) ([]byte, error)
 	Events *event.Logger
 
 	mu sync.Mutex
@@ -91,6 +93,9 @@
 	// pressed are the entries to be told at once, with the backend servers on which
 	// they are asked for a slot.
 	pressed map[string][]uint32
+	// asked numbers the questions of this entry, and answers are those under way.
+	asked   uint64
+	answers map[uint64]chan []byte
 	// deliver sends a datagram to a peer.
 	deliver func(raw []byte, to *peer)
 }
@@ -107,6 +112,7 @@
 func (g *Gossip) Prepare() {
 	g.peers, g.senders = map[string]*peer{}, map[uint32]*peer{}
 	g.passed, g.pressed = map[int]map[string]mark{}, map[string][]uint32{}
+	g.answers = map[uint64]chan []byte{}
 	g.grid = newGrid(g.Name, nil)
 	g.urgent = make(chan struct{}, 1)
 	g.deliver = func(raw []byte, to *peer) {
@@ -330,7 +336,7 @@
 	context.AfterFunc(ctx, func() { _ = g.Conn.Close() })
 	b := make([]byte, largestDatagram)
 	for {
-		n, _, err := g.Conn.ReadFromUDP(b)
+		n, from, err := g.Conn.ReadFromUDP(b)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -340,6 +346,10 @@
 			// A peer's closed port shows here as a refused connection; nothing is lost by it.
 			continue
 		}
+		if n > 0 && b[0] == callHead {
+			g.receiveCall(b[:n], from)
+			continue
+		}
 		g.receiveOne(b[:n], time.Now())
 	}
 }
--- /dev/null
+++ b/node/home.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sardinerock/sardinerock/clock"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/owner"
+	"github.com/sardinerock/sardinerock/quota"
+)
+
+// homeTime is how long a team's home entry may take to answer: some times the way
+// there and back within a region.
+const homeTime = 30 * time.Millisecond
+
+// homeOf returns how the home entry of a team is asked, or nil where this is it.
+func (n *Node) homeOf(team string) quota.Asker {
+	home := owner.Of(team, n.gossip.Live(time.Now()))
+	if home == n.Settings.ID || home == "" {
+		return nil
+	}
+	return func(question quota.Question) (quota.Decision, bool) {
+		d, err := n.askHome(home, question)
+		metrics.GetOrRegisterCounter("quota.asked", n.Metrics).Inc(1)
+		if err != nil {
+			metrics.GetOrRegisterCounter("quota.unanswered", n.Metrics).Inc(1)
+			n.Events.Info(event.HomeSilent).Str("team", team).Str("home", home).Err(err).Msg("a team's home entry doesn't answer")
+		}
+		return d, err == nil
+	}
+}
+
+func (n *Node) askHome(home string, question quota.Question) (d quota.Decision, err error) {
+	raw, err := cbor.Marshal(question)
+	if err != nil {
+		return d, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), homeTime)
+	defer cancel()
+	answer, err := n.gossip.Ask(ctx, home, raw)
+	if err != nil {
+		return d, err
+	}
+	return d, cbor.Unmarshal(answer, &d)
+}
+
+// answer answers the question of a peer.
+func (n *Node) answer(peer string, start int64, raw []byte) ([]byte, error) {
+	var question quota.Question
+	if err := cbor.Unmarshal(raw, &question); err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(n.quota.Decide(peer, start, question, clock.Lasting()))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -217,7 +217,7 @@
 	n.work.Interval, n.work.Wait, n.work.Whole = workInterval, workWait, true
 	n.gossip = &gossip.Gossip{
 		Name: n.Settings.ID, Start: start.UnixMilli(), Conn: datagrams, Events: n.Events,
-		Tell: n.tell, Heard: n.heard, Lost: n.pool.DropPeer,
+		Tell: n.tell, Heard: n.heard, Lost: n.pool.DropPeer, Answer: n.answer,
 	}
 	n.gossip.Prepare()
 	peers := detour.NewClient()
@@ -229,6 +229,7 @@
 	n.quota = &quota.Teams{
 		Bounds: n.quotaBounds, ViewAge: n.gossip.ViewAge, Random: seed(2),
 		Entries: func() (heard, all int) { return n.gossip.Entries(time.Now()) },
+		Home:    n.homeOf,
 	}
 	n.roster = &roster.Roster{
 		Name: n.Settings.ID, Self: watch.Member{Address: n.Settings.PeerAddress, Zone: n.Settings.Zone}, Store: n.Store, Topic: n.Topics.Members,
--- a/quota/teams.go
+++ b/quota/teams.go
@@ -64,7 +64,10 @@
 	ViewAge func() time.Duration
 	// Entries returns how many entries are heard and how many there are, this one included.
 	Entries func() (heard, all int)
-	Random  *rand.Rand
+	// Home returns how to ask a team's home entry, one that all entries agree on; nil
+	// if this is it. If Home itself is nil no entry is asked.
+	Home   func(team string) Asker
+	Random *rand.Rand
 
 	mu      sync.Mutex
 	started time.Time
@@ -106,6 +109,8 @@
 	counts
 	start int64
 	at    time.Time
+	// direct is when the peer last told them to this entry itself, as its home.
+	direct time.Time
 }
 
 // Told is what an entry tells the others of a team.
@@ -221,12 +226,19 @@
 	a.asksHere.add(now, 1)
 	a.own.asked++
 	q.note(a, now)
-	if !q.room(a, now) {
-		return false, q.comeBack(a, now)
+	switch {
+	case q.Home != nil && !q.certain(a, now):
+		ok, back = q.askHome(a, team, now)
+	case q.room(a, now):
+		ok = true
+	default:
+		back = q.comeBack(a, now)
 	}
-	a.level--
-	a.own.letIn++
-	return true, 0
+	if ok {
+		a.level--
+		a.own.letIn++
+	}
+	return ok, back
 }
 
 // room says whether one more may be let in. What the others let in meanwhile, and
@@ -235,10 +247,15 @@
 	if a.level < 1 {
 		return false
 	}
-	unheard := caution * a.asked.perSecond(now) * q.ViewAge().Seconds()
+	unheard := q.unheard(a, now)
 	return a.level >= 1+unheard || q.Random.Float64() < a.level/(1+unheard)
 }
 
+// unheard is what is kept for requests that others let in and that isn't heard of yet.
+func (q *Teams) unheard(a *account, now time.Time) float64 {
+	return caution * a.asked.perSecond(now) * q.ViewAge().Seconds()
+}
+
 // comeBack returns when the next token is there for this caller, behind those who
 // were refused before it here: told the same time, they would all come at once and
 // all but one in vain.
--- a/quota/teams_test.go
+++ b/quota/teams_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/owner"
 	"github.com/sardinerock/sardinerock/quota"
 )
 
@@ -69,10 +70,33 @@
 	e.Teams = &quota.Teams{
 		Bounds: func() quota.Bounds { return bounds }, ViewAge: func() time.Duration { return s.age }, Random: s.random,
 		Entries: func() (int, int) { return s.heard(e), len(s.entries) + s.silent },
+		Home:    func(team string) quota.Asker { return s.home(e, team) },
 	}
 	e.SetTeams([]*sardinerock.TeamInfo{s.team}, s.now)
 }
 
+// home returns how an entry asks the home entry of a team: the one that all of its
+// side agree on. Questions and answers are lost as other messages are.
+func (s *site) home(e *entry, team string) quota.Asker {
+	names, entries := []string{}, map[string]*entry{}
+	for _, other := range s.entries {
+		if other.side == e.side {
+			names, entries[other.name] = append(names, other.name), other
+		}
+	}
+	home := entries[owner.Of(team, names)]
+	if home == e {
+		return nil
+	}
+	return func(question quota.Question) (quota.Decision, bool) {
+		if s.random.Float64() < s.lost {
+			return quota.Decision{}, false
+		}
+		d := home.Decide(e.name, e.start, question, s.now)
+		return d, s.random.Float64() >= s.lost
+	}
+}
+
 func (s *site) heard(e *entry) int {
 	n := 0
 	for _, other := range s.entries {
--- a/quota/told.go
+++ b/quota/told.go
@@ -11,6 +11,9 @@
 	mostTold = 64
 	// forgetTime is how long the counts of a peer are kept that tells no more of a team.
 	forgetTime = 30 * time.Second
+	// toldBefore is for how many times the age of views messages are under way that
+	// were written before a question was asked.
+	toldBefore = 2
 )
 
 // Tell returns what the others are to be told: of the teams that asked here within a
@@ -57,11 +60,10 @@
 			continue
 		}
 		q.refill(a, now)
-		letIn, asked := a.heard(peer, t.Left == Young, heardCounts{counts{t.LetIn, t.Asked}, start, now})
-		a.level -= letIn
-		if asked > 0 {
-			a.asked.add(now, asked)
+		if a.outdated(peer, start, t, now.Add(-toldBefore*q.ViewAge())) {
+			continue
 		}
+		q.take(a, peer, t.Left == Young, heardCounts{counts: counts{t.LetIn, t.Asked}, start: start, at: now}, now)
 		if t.Left <= hundredths && now.Sub(q.started) < q.Bounds().Window {
 			// The peer may know what was let in before this entry started.
 			a.level = min(a.level, float64(t.Left)/hundredths*q.size(a))
@@ -69,6 +71,24 @@
 	}
 }
 
+// outdated says whether a peer's counts are from before what it told this entry itself
+// since a time: messages that other entries pass on arrive later. Taken as newer they
+// would give back what was just let in.
+func (a *account) outdated(peer string, start int64, t Told, since time.Time) bool {
+	last, known := a.peers[peer]
+	return known && last.start == start && last.direct.After(since) &&
+		(grown(last.letIn, t.LetIn) < 0 || grown(last.asked, t.Asked) < 0)
+}
+
+// take counts what a peer has let in and was asked for since it last told.
+func (q *Teams) take(a *account, peer string, young bool, h heardCounts, now time.Time) {
+	letIn, asked := a.heard(peer, young, h)
+	a.level -= letIn
+	if asked > 0 {
+		a.asked.add(now, asked)
+	}
+}
+
 // heard returns by how much a peer's counts have grown. All that a peer counted that
 // has just started is recent; what others counted before they were first heard of this
 // team was long ago, but for a request or two.
