owner, ledger, runner, gossip: who runs a job is written in the order of jobs

Cause: each entry took the jobs whose owner, by a hash over the entries that it happened to hear reading the store, it was itself.

Change: the record of an accepted job names its owner, and an entry runs what the order says is its own. A restarted entry goes on with its jobs, without a claim. An owner that is gone is succeeded by a claim in the order, of which the first of each epoch holds. Who claims, and when, is decided in owner.View, without network: silence and a question that isn't answered, a stop, a store that isn't read, a start that takes twice as long as one's own; an entry that hears less than half waits five times as long. An item is broken off by a former owner when its successor runs it too. runner.settleTime is gone: an entry waits for the age of views. An entry that wakes starts nothing before it has read what others claimed.

--- a/commit/failures_test.go
+++ b/commit/failures_test.go
@@ -31,7 +31,7 @@
 		// It rests until its failure is in the store.
 		return 0, false
 	}
-	for _, i := range e.Ledger.OpenItems(func(string) bool { return true }) {
+	for _, i := range e.Ledger.OpenItems("") {
 		if i.Index == 0 {
 			return max(i.Failures, f.known[f.owner]), true
 		}
--- a/event/event.go
+++ b/event/event.go
@@ -54,6 +54,8 @@
 	JobsExpired     ID = 516
 	HandedOn        ID = 517
 	BodiesRead      ID = 518
+	JobsClaimed     ID = 519
+	JobPassed       ID = 520
 	BundleAccepted  ID = 601
 	BundleRejected  ID = 602
 	BundleInForce   ID = 603
--- a/gossip/call.go
+++ b/gossip/call.go
@@ -90,10 +90,15 @@
 		}
 		return
 	}
-	if p == nil || g.Answer == nil {
+	if p == nil {
 		return
 	}
-	answer, err := g.Answer(p.name, c.Start, c.Body)
+	var answer []byte
+	var err error
+	// An empty question asks only whether this entry lives.
+	if len(c.Body) > 0 && g.Answer != nil {
+		answer, err = g.Answer(p.name, c.Start, c.Body)
+	}
 	if err == nil {
 		err = g.sendCall(from, &call{Number: c.Number, Answer: true, Body: answer})
 	}
--- a/gossip/call_test.go
+++ b/gossip/call_test.go
@@ -34,6 +34,10 @@
 	_, err = a.Ask(ctx, "c", []byte("x"))
 	g.Expect(err).To(MatchError(errNoPeer))
 
+	_, err = b.Ask(ctx, "a", nil)
+	g.Expect(err).NotTo(HaveOccurred(), "it lives")
+
+	a.Conn.Close()
 	short, end := context.WithTimeout(ctx, 50*time.Millisecond)
 	defer end()
 	_, err = b.Ask(short, "a", []byte("x"))
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -45,6 +45,8 @@
 	Leaving bool
 	// StoreLost is set while the sender can't read the store, or has not read it yet.
 	StoreLost bool
+	// Starting is set beside it until the sender has read the order of jobs.
+	Starting bool
 	// Crashes are fingerprints of requests during which backend servers
 	// crashed, with how often the sender saw it.
 	Crashes map[uint64]int
@@ -81,6 +83,8 @@
 	toldAt time.Time
 	last   Message
 	peers  map[string]*peer
+	// unlisted are names that were asked for and aren't among the members, and since when.
+	unlisted map[string]time.Time
 	// senders finds the same by the short form of their names.
 	senders map[uint32]*peer
 	grid    *grid
@@ -112,6 +116,7 @@
 func (g *Gossip) Prepare() {
 	g.peers, g.senders = map[string]*peer{}, map[uint32]*peer{}
 	g.passed, g.pressed = map[int]map[string]mark{}, map[string][]uint32{}
+	g.unlisted = map[string]time.Time{}
 	g.answers = map[uint64]chan []byte{}
 	g.grid = newGrid(g.Name, nil)
 	g.urgent = make(chan struct{}, 1)
@@ -149,6 +154,7 @@
 			delete(g.senders, pool.Hash(name))
 		}
 	}
+	clear(g.unlisted)
 	g.grid = newGrid(g.Name, zones)
 	for _, p := range g.peers {
 		p.timeout = g.grid.timeout()
@@ -390,6 +396,9 @@
 		p.up = true
 		g.Events.Info(event.PeerUp).Str("peer", m.From).Msg("peer heard")
 	}
+	if m.Starting && (!p.last.Starting || p.last.Start != m.Start) {
+		p.starting = now
+	}
 	p.heard, p.last = now, *m
 	return true
 }
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -1,10 +1,17 @@
 package gossip
 
 import (
+	"context"
 	"net"
 	"time"
+
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/owner"
 )
 
+// AskTime is how long a peer may take to answer a question: some times the way there and back.
+const AskTime = 300 * time.Millisecond
+
 // peer is another entry.
 type peer struct {
 	name    string
@@ -14,8 +21,12 @@
 	// known is when its address was first read.
 	known time.Time
 	heard time.Time
-	sent  time.Time
-	last  Message
+	// starting is when it was first heard to start, in its present incarnation.
+	starting time.Time
+	// asked is when it was last asked whether it lives, answered when it last said so.
+	asked, answered time.Time
+	sent            time.Time
+	last            Message
 	// up is set between the lines that tell that the peer was heard and that it is silent.
 	up bool
 }
@@ -53,10 +64,82 @@
 	return heard, len(g.peers) + 1
 }
 
-// Owners returns the names of the entries among which jobs are shared out: the
+// Standing returns what is known of another entry.
+func (g *Gossip) Standing(name string, now time.Time) owner.Standing {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p := g.peers[name]; p != nil {
+		return p.standing(now)
+	}
+	// It may have been removed, or its address isn't read yet.
+	since, known := g.unlisted[name]
+	if !known {
+		since, g.unlisted[name] = now, now
+	}
+	return owner.Standing{Silent: now.Sub(since), Unanswered: true}
+}
+
+func (p *peer) standing(now time.Time) owner.Standing {
+	last := p.known
+	for _, sign := range []time.Time{p.heard, p.answered} {
+		if sign.After(last) {
+			last = sign
+		}
+	}
+	return owner.Standing{
+		Silent: now.Sub(last), Unheard: p.heard.IsZero(), Leaving: p.last.Leaving, StoreLost: p.last.StoreLost,
+		Starting: p.last.Starting, Starts: now.Sub(p.starting),
+		Unanswered: p.asked.After(last) && now.Sub(p.asked) > AskTime,
+	}
+}
+
+// Members returns the names of all entries, this one included, whether they are heard or not.
+func (g *Gossip) Members() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	names := make([]string, 0, len(g.peers)+1)
+	names = append(names, g.Name)
+	for name := range g.peers {
+		names = append(names, name)
+	}
+	return names
+}
+
+// Timeout returns the silence after which a peer is taken as gone.
+func (g *Gossip) Timeout() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.grid.timeout()
+}
+
+// AskWhetherAlive asks a peer that is silent whether it lives: views come in two steps, and
+// may not come though it does. It doesn't wait for the answer.
+func (g *Gossip) AskWhetherAlive(ctx context.Context, name string, now time.Time) {
+	g.mu.Lock()
+	p := g.peers[name]
+	if p == nil || now.Sub(p.asked) < AskTime {
+		g.mu.Unlock()
+		return
+	}
+	p.asked = now
+	g.mu.Unlock()
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, AskTime)
+		defer cancel()
+		if _, err := g.Ask(ctx, name, nil); err != nil {
+			g.Events.Info(event.PeerDown).Str("peer", name).Err(err).Msg("peer doesn't answer")
+			return
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		p.answered = time.Now()
+	}()
+}
+
+// Owners returns the names of the entries among which new jobs are shared out: the
 // live ones that read the store. One that doesn't hears of no new job, and
 // those that fall to it would wait until it is back. While none reads the store
-// all keep what they have.
+// all do.
 func (g *Gossip) Owners(now time.Time, storeLost bool) []string {
 	g.mu.Lock()
 	var names []string
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -32,6 +32,7 @@
 const (
 	flagLeaving uint8 = 1 << iota
 	flagStoreLost
+	flagStarting
 )
 
 const (
@@ -109,6 +110,9 @@
 	if m.StoreLost {
 		p.Flags |= flagStoreLost
 	}
+	if m.Starting {
+		p.Flags |= flagStarting
+	}
 	return p
 }
 
@@ -137,7 +141,7 @@
 	}
 	m := &Message{
 		Sender: p.Sender, Start: p.Start, Sequence: p.Sequence, Waiting: p.Waiting, Crashes: p.Crashes,
-		Leaving: p.Flags&flagLeaving != 0, StoreLost: p.Flags&flagStoreLost != 0,
+		Leaving: p.Flags&flagLeaving != 0, StoreLost: p.Flags&flagStoreLost != 0, Starting: p.Flags&flagStarting != 0,
 	}
 	if len(p.Loads) > 0 {
 		m.Loads = make([]pool.Load, 0, len(p.Loads)/loadBytes)
--- a/ledger/fold.go
+++ b/ledger/fold.go
@@ -111,6 +111,8 @@
 		return l.finish(k, raw)
 	case kindFailure:
 		l.fail(k)
+	case kindClaim:
+		return l.claim(k, raw)
 	}
 	return nil
 }
@@ -183,3 +185,16 @@
 	}
 	w.failures[k.index][k.change] = true
 }
+
+// claim makes an entry the owner of a job. Only the first claim of the next epoch
+// holds: two entries that both took the owner for gone agree on one of them.
+func (l *Ledger) claim(k recordKey, raw []byte) error {
+	var owner string
+	if err := cbor.Unmarshal(raw, &owner); err != nil {
+		return err
+	}
+	if w := l.work[k.job]; k.index == w.epoch+1 {
+		w.owner, w.epoch = owner, k.index
+	}
+	return nil
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -31,6 +31,9 @@
 	finished map[int]bool
 	// failures holds, for each item, the changes that recorded a run that failed.
 	failures map[int]map[string]bool
+	// owner is who claimed the job last, and epoch how often it was claimed.
+	owner string
+	epoch int
 	// keys are those of all its records.
 	keys []string
 }
@@ -202,9 +205,59 @@
 	Failures int
 }
 
-// OpenItems returns the open items of the jobs that are wanted; none before
-// both topics were read, since those that are finished can't be told until then.
-func (l *Ledger) OpenItems(wanted func(job string) bool) []OpenItem {
+// Ownership says who runs the items of an open job.
+type Ownership struct {
+	Job string
+	// Owner is an entry's name; empty where none was written down.
+	Owner string
+	// Epoch is how often the job was claimed.
+	Epoch int
+}
+
+// Ownerships returns who runs the open jobs; none before both topics were read.
+func (l *Ledger) Ownerships() []Ownership {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.jobsRead || !l.workRead {
+		return nil
+	}
+	all := make([]Ownership, 0, len(l.unfinished))
+	for id, j := range l.unfinished {
+		all = append(all, Ownership{Job: id, Owner: l.owner(j), Epoch: l.workOf(id).epoch})
+	}
+	return all
+}
+
+// owner returns who runs a job's items.
+func (l *Ledger) owner(j *Job) string {
+	if w := l.workOf(j.ID); w.epoch > 0 {
+		return w.owner
+	}
+	return j.Owner
+}
+
+// Owner returns the entry that runs a job's items; empty if there is none, or no such job.
+func (l *Ledger) Owner(id string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	j := l.jobs[id]
+	if j == nil {
+		return ""
+	}
+	return l.owner(j)
+}
+
+// OwnedBy says whether an entry runs the items of a job.
+func (l *Ledger) OwnedBy(id, name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	j := l.jobs[id]
+	return j != nil && l.owner(j) == name
+}
+
+// OpenItems returns the open items of an entry's jobs; none before both topics
+// were read, since those that are finished can't be told until then.
+func (l *Ledger) OpenItems(owner string) []OpenItem {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.jobsRead || !l.workRead {
@@ -212,7 +265,7 @@
 	}
 	var open []OpenItem
 	for id, j := range l.unfinished {
-		if !wanted(id) {
+		if l.owner(j) != owner {
 			continue
 		}
 		w := l.workOf(id)
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -257,7 +257,41 @@
 		l.append(p.Records)
 	}
 	l.commit(func(p *Plan) (Verdict, error) { return p.Fail("j1", 0) })
-	l.g.Expect(l.OpenItems(func(string) bool { return true })[0].Failures).To(Equal(2))
+	l.g.Expect(l.OpenItems("")[0].Failures).To(Equal(2))
+}
+
+// Two entries take the owner of a job for gone and both claim it. The first claim in the
+// order holds for all, the other is void, and a repeat of either changes nothing.
+func TestFirstClaimHolds(t *testing.T) {
+	l := newTable(t)
+	job := testJob("j1", 1, 1)
+	job.Owner = "a"
+	l.commit(accept(job, 0))
+	l.g.Expect(l.Ownerships()).To(Equal([]Ownership{{Job: "j1", Owner: "a"}}))
+	claim := func(owner string, change, repeats int) []sardinerock.StoreRecord {
+		p := l.NewPlan(testRecordBytes)
+		p.Change = ChangeName(owner, change, repeats)
+		_, err := p.Claim("j1", owner, 0)
+		l.g.Expect(err).NotTo(HaveOccurred())
+		return p.Records
+	}
+	b, c, repeat := claim("b", 1, 0), claim("c", 1, 0), claim("c", 1, 1)
+	for _, records := range [][]sardinerock.StoreRecord{b, c, repeat} {
+		l.append(records)
+	}
+	l.g.Expect(l.OwnedBy("j1", "b")).To(BeTrue())
+	l.g.Expect(l.OpenItems("b")).To(HaveLen(1))
+	l.g.Expect(l.OpenItems("a")).To(BeEmpty())
+	l.g.Expect(l.commit(func(p *Plan) (Verdict, error) { return p.Claim("j1", "a", 0) })).To(Equal([]Verdict{Void}), "its epoch is over")
+	l.commit(func(p *Plan) (Verdict, error) { return p.Claim("j1", "a", 1) })
+	l.g.Expect(l.Owner("j1")).To(Equal("a"))
+
+	again := emptyLedger()
+	l.loadWork(again)
+	again.ApplyJobs(l.jobLog, false)
+	l.g.Expect(again.Ownerships()).To(Equal(l.Ownerships()), "the same for one that starts later")
+	l.commit(finish("j1", 0, 1))
+	l.g.Expect(l.Ownerships()).To(BeEmpty())
 }
 
 // An entry reads an item's records before the acceptance of its job, since the
--- a/ledger/plan.go
+++ b/ledger/plan.go
@@ -124,6 +124,18 @@
 	return Made, p.add(itemKey(kindResult, job, index, p.Change), o)
 }
 
+// Claim plans that an entry runs a job's items from now on, as the successor of the owner
+// of an epoch. Of several claims to succeed the same owner the first in the order holds.
+func (p *Plan) Claim(job, owner string, epoch int) (Verdict, error) {
+	p.ledger.mu.Lock()
+	defer p.ledger.mu.Unlock()
+	j := p.ledger.jobs[job]
+	if j == nil || !p.ledger.open(j) || p.ledger.workOf(job).epoch != epoch {
+		return Void, nil
+	}
+	return Made, p.add(itemKey(kindClaim, job, epoch+1, p.Change), owner)
+}
+
 // Fail plans a record of a run that failed.
 func (p *Plan) Fail(job string, index int) (Verdict, error) {
 	p.ledger.mu.Lock()
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -17,6 +17,7 @@
 	kindEnd     = "e"
 	kindResult  = "r"
 	kindFailure = "f"
+	kindClaim   = "o"
 )
 
 // Accepted is the record of a job that was accepted. It says what all entries
@@ -36,6 +37,9 @@
 	// Team is whose job it is; empty where callers bear no keys, and in records of
 	// before teams were known.
 	Team string `cbor:"8,keyasint,omitempty"`
+	// Owner is the entry that runs the job's items until another claims it; empty in
+	// records of before owners were written down.
+	Owner string `cbor:"9,keyasint,omitempty"`
 }
 
 // queue names what a job's tokens are counted against: each team has a bound of
@@ -69,11 +73,12 @@
 // recordKey is a key taken apart. Keys of jobs are KIND/JOB/PART, those of items
 // KIND/JOB/INDEX/CHANGE/PART: the store keeps the newest record of each key, and
 // a change has a key of its own so that none takes the place of another's record,
-// which would move it in the order.
+// which would move it in the order. In the key of a claim the epoch stands in the
+// place of the index.
 type recordKey struct {
 	kind string
 	job  string
-	// index is that of the item.
+	// index is that of the item, or the epoch of a claim.
 	index int
 	// change names the change that the record was made for; a repeat has the same.
 	change string
@@ -81,11 +86,11 @@
 	whole string
 }
 
-// ofItem says whether the record is about an item.
+// ofItem says whether the record is about an item, or who runs the items.
 func (k *recordKey) ofItem() bool { return k.kind != kindJob && k.kind != kindEnd }
 
 // keyParts is how many parts a key of each kind has.
-var keyParts = map[string]int{kindJob: 3, kindEnd: 3, kindResult: 5, kindFailure: 5}
+var keyParts = map[string]int{kindJob: 3, kindEnd: 3, kindResult: 5, kindFailure: 5, kindClaim: 5}
 
 func parseKey(key string) (recordKey, error) {
 	parts := strings.Split(key, "/")
--- a/node/node.go
+++ b/node/node.go
@@ -29,6 +29,7 @@
 	"github.com/sardinerock/sardinerock/items"
 	"github.com/sardinerock/sardinerock/lease"
 	"github.com/sardinerock/sardinerock/ledger"
+	"github.com/sardinerock/sardinerock/owner"
 	"github.com/sardinerock/sardinerock/pool"
 	"github.com/sardinerock/sardinerock/quota"
 	"github.com/sardinerock/sardinerock/relay"
@@ -99,7 +100,11 @@
 	leaving  atomic.Bool
 	// started is closed once callers can be served.
 	started chan struct{}
-	group   sync.WaitGroup
+	// begun is when this process started, and loadTime how long it took to read the
+	// order of jobs, in nanoseconds; 0 before.
+	begun    time.Time
+	loadTime atomic.Int64
+	group    sync.WaitGroup
 }
 
 const (
@@ -194,6 +199,7 @@
 
 func (n *Node) build(datagrams *net.UDPConn) {
 	start := time.Now()
+	n.begun = start
 	n.table = &watch.Table{Key: n.Topics.ConfigurationKey, Parse: n.ParseTable, Events: n.Events}
 	n.table.Changed = func(t *sardinerock.RouteTable) { n.quota.SetTeams(t.Teams.Teams(), clock.Lasting()) }
 	n.started = make(chan struct{})
@@ -252,7 +258,12 @@
 		Pace:             &items.Pace{View: n.gossip.ViewAge, Random: seed(1)},
 		Freed:            func(service, server string) { n.relay.Freed(service, server) },
 		WaitingElsewhere: func() int { return n.gossip.Waiting(time.Now()) },
-		Owners:           func() []string { return n.gossip.Owners(time.Now(), n.storeLost() || !n.ledger.Loaded()) },
+		Owners:           n.owners,
+		View:             n.ownerView,
+		Members:          n.gossip.Members,
+		Ask:              func(ctx context.Context, name string) { n.gossip.AskWhetherAlive(ctx, name, time.Now()) },
+		InOrder:          n.inOrder,
+		ViewAge:          n.gossip.ViewAge,
 		RunningElsewhere: func() map[uint32]bool { return n.gossip.RunningElsewhere(time.Now()) },
 	}
 	n.runner.Prepare()
@@ -276,6 +287,7 @@
 		Batch: &detour.Detour{
 			Here: &submit.Front{
 				Dialect: n.Dialect, Batch: n.Batch, Ledger: n.ledger, Follower: n.jobs, Work: n.work, Appender: n.appender, Texts: values,
+				Owner:          func(job string) string { return owner.Of(job, n.owners()) },
 				Settle:         n.Settings.SettleTime,
 				StoreLostByAll: func() bool { return n.gossip.StoreLostByAll(time.Now()) },
 				Events:         n.Events, Metrics: n.Metrics,
@@ -350,7 +362,8 @@
 	m.Loads = n.pool.Own()
 	m.Items = n.runner.Running()
 	m.Waiting = n.runner.Waiting()
-	m.StoreLost = n.storeLost() || !n.ledger.Loaded()
+	m.Starting = !n.ledger.Loaded()
+	m.StoreLost = n.storeLost() || m.Starting
 	m.Crashes = n.relay.Crashes()
 	span := toldRounds * n.gossip.ViewAge()
 	m.Quota = n.quota.Tell(clock.Lasting(), span)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -24,9 +24,6 @@
 	// tick is between two looks for free slots. Bursts end within a second; a
 	// slot that stays free for a fraction of that is little lost.
 	tick = 25 * time.Millisecond
-	// settleTime is how long after its start an entry runs no items: it hears
-	// within it who else lives and what they run.
-	settleTime = 600 * time.Millisecond
 	// retryPause is how long an item rests after a try that failed.
 	retryPause = 200 * time.Millisecond
 	// clockMargin is added to the age at which an item is given up: jobs carry
@@ -57,8 +54,19 @@
 	Freed func(service, server string)
 	// WaitingElsewhere returns how many items the other entries could start.
 	WaitingElsewhere func() int
-	// Owners returns the names of the entries among which jobs are shared out.
+	// Owners returns the names of the entries that run items.
 	Owners func() []string
+	// View returns what decides whether this entry takes over the jobs of another;
+	// false while too little is known for that, or the store isn't read.
+	View func() (owner.View, bool)
+	// Members returns the names of all entries, and Ask asks one whether it lives.
+	Members func() []string
+	Ask     func(ctx context.Context, name string)
+	// InOrder says whether what this entry has read of the order of jobs is newer than
+	// the silence after which another takes its jobs over, or can't be read.
+	InOrder func() bool
+	// ViewAge returns how old what is heard of other entries may be.
+	ViewAge func() time.Duration
 	// RunningElsewhere returns the short names of items that other live entries run.
 	RunningElsewhere func() map[uint32]bool
 	Events           *event.Logger
@@ -75,8 +83,10 @@
 	// waiting is how many items could be started at the last look, and be done in time.
 	waiting int
 	effort  items.Effort
-	// owned is used by the loop of Run alone.
-	owned owner.Memory
+	// claiming is set while claims are on their way into the store, and claimedAt is
+	// when it was last looked for jobs whose owner is gone.
+	claiming  bool
+	claimedAt time.Time
 	// notedAt is when progress was last brought into the store.
 	notedAt time.Time
 	group   sync.WaitGroup
@@ -121,11 +131,7 @@
 
 // Run starts items until ctx ends; then all that run are broken off.
 func (r *Runner) Run(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-time.After(settleTime):
-	}
+	begin := time.Now()
 	t := time.NewTicker(tick)
 	defer t.Stop()
 	for {
@@ -140,7 +146,12 @@
 		r.stopEnded()
 		r.noteProgress(ctx)
 		r.forgetJobs()
-		r.startSome(ctx)
+		r.passOn()
+		r.takeOver(ctx, time.Now())
+		// What the others run in the slots has to be heard before any is taken.
+		if time.Since(begin) >= r.ViewAge() {
+			r.startSome(ctx)
+		}
 	}
 }
 
--- a/runner/start.go
+++ b/runner/start.go
@@ -99,11 +99,10 @@
 	r.mu.Lock()
 	leaving := r.leaving
 	r.mu.Unlock()
-	if table == nil || leaving {
+	if table == nil || leaving || !r.InOrder() {
 		return nil
 	}
-	owners := r.Owners()
-	open := r.Ledger.OpenItems(r.owned.By(r.Name, owners))
+	open := r.Ledger.OpenItems(r.Name)
 	if len(open) == 0 {
 		return nil
 	}
--- a/submit/submit.go
+++ b/submit/submit.go
@@ -65,6 +65,8 @@
 	Appender *commit.Appender
 	// Texts keeps the bodies of items and the texts of results.
 	Texts *texts.Texts
+	// Owner returns which entry is to run a new job.
+	Owner func(job string) string
 	// Settle is the time within which all entries have to show what one of them showed; 0 is a second.
 	Settle time.Duration
 	// StoreLostByAll says whether no other entry reaches the store either.
@@ -95,7 +97,7 @@
 	}
 	job := &ledger.Accepted{
 		ID: call.ID, Route: route.Name, Host: call.Host, CreatedAt: received.UnixMilli(),
-		Digest: xxhash.Sum64(call.Body), Team: call.Team,
+		Digest: xxhash.Sum64(call.Body), Team: call.Team, Owner: f.Owner(call.ID),
 	}
 	for i := range items {
 		job.Tokens = append(job.Tokens, items[i].Tokens)
--- a/submit/submit_test.go
+++ b/submit/submit_test.go
@@ -35,6 +35,7 @@
 		return f
 	}
 	return &Front{
+		Owner: func(string) string { return "a" },
 		Texts: &texts.Texts{
 			Store: store, Topics: texts.Topics{Bodies: "bodies", Results: "results", Progress: "progress"}, Partitions: 3,
 			RecordBytes: 1000, AppendBytes: 50_000, Events: events, Metrics: metrics.NewRegistry(),
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -67,6 +67,8 @@
 	moved   chan struct{}
 	failing time.Time
 	lost    bool
+	// working is since when reads have succeeded.
+	working time.Time
 }
 
 // Prepare makes the follower usable; it is called once before all else.
@@ -187,6 +189,16 @@
 	return f.lost
 }
 
+// Works returns for how long reads have succeeded; 0 if they don't.
+func (f *Follower) Works(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost || f.working.IsZero() {
+		return 0
+	}
+	return now.Sub(f.working)
+}
+
 // Next returns the offset up to which everything is applied.
 func (f *Follower) Next() int64 {
 	f.mu.Lock()
@@ -387,6 +399,9 @@
 func (f *Follower) worked() {
 	f.mu.Lock()
 	lost := f.lost
+	if f.working.IsZero() || lost {
+		f.working = time.Now()
+	}
 	f.failing, f.lost = time.Time{}, false
 	f.mu.Unlock()
 	if !lost {
