watch, submit, access, roster, node: reads by need, held starts, no rewriting of members

Changes: an entry follows jobs and items closely while it has jobs (watch.Attend), else each 2.5 s; calls on jobs read what they need (watch.Current); the owner of a new job is told by a datagram. Reads of configuration and registrations wait by the bounds in the settings. A request is held for half of its caller's time while the start goes on, not while the store is lost. A member that is listed as it is writes nothing. Appends that came second read at once (commit.followTime is gone). quota.hearTime follows the silence of peers.

--- a/access/access.go
+++ b/access/access.go
@@ -1,7 +1,6 @@
 package access
 
 import (
-	"context"
 	"net/http"
 	"strconv"
 	"sync"
@@ -17,11 +16,15 @@
 )
 
 const (
-	// startupRetry is told to callers while no configuration is known; one is read within a second of the start.
-	startupRetry = 500 * time.Millisecond
-	// startupTime is how long a request waits for a process that has just
-	// started; the configuration is read within 0.1 s if the store answers.
-	startupTime = 300 * time.Millisecond
+	// startupShare of a caller's time is how long a request waits for a process that has
+	// just started and reads what it needs; the rest is for the run, or for a try elsewhere.
+	startupShare = 0.5
+	// startupTick is between two looks whether the start goes on.
+	startupTick = 50 * time.Millisecond
+	// defaultWait stands for the time of callers that don't say how long they wait.
+	defaultWait = time.Second
+	// startupRetry is told to callers for whom the start took too long.
+	startupRetry = 100 * time.Millisecond
 	// unprovenRetry is told where this entry's configuration is too old to let a
 	// caller in or to deny it; nearly all entries are in touch.
 	unprovenRetry = 100 * time.Millisecond
@@ -46,6 +49,8 @@
 	StoreLostByAll func() bool
 	// Lease returns up to which age it lets callers with keys in; 0 is without end.
 	Lease func() time.Duration
+	// StoreLost says whether what a start needs can't be read.
+	StoreLost func() bool
 	// Started is closed once the configuration and the backend servers are known.
 	Started <-chan struct{}
 	// Entries returns how many entries live, this one included.
@@ -61,13 +66,13 @@
 // ServeHTTP implements http.Handler.
 func (a *Access) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
-	a.awaitStart(r.Context())
+	a.awaitStart(r)
 	// The age is read first: read after the table it could be that of a newer one,
 	// which comes in between and no longer has the caller's key.
 	age := a.ConfigurationAge()
 	table := a.Table()
 	if table == nil {
-		a.refuse(w, r, http.StatusServiceUnavailable, "no configuration is known yet", startupRetry)
+		a.refuse(w, r, http.StatusServiceUnavailable, "no configuration is known yet", a.startupRetry(a.Dialect.ReadCall(r).Wait))
 		return
 	}
 	if call, ok := a.BatchDialect.ReadBatchCall(r); ok && table.HasBatch(r.Host) {
@@ -179,21 +184,50 @@
 	return max(unprovenRetry, time.Duration(lostByAllShare*float64(wait)))
 }
 
-// awaitStart holds a request back while the process has just started: both are
-// known a few hundredths of a second later, and the caller has one more try at most.
-func (a *Access) awaitStart(ctx context.Context) {
+// awaitStart holds a request back while the process has just started: callers have one
+// more try at most, and after a loss of all entries it would meet another that starts. It
+// is let go once the store can't be read, or the caller has no more time than a run needs.
+func (a *Access) awaitStart(r *http.Request) {
 	select {
 	case <-a.Started:
 		return
 	default:
 	}
-	t := time.NewTimer(startupTime)
-	defer t.Stop()
-	select {
-	case <-a.Started:
-	case <-ctx.Done():
-	case <-t.C:
+	begin := time.Now()
+	end := time.NewTimer(startupPatience(a.Dialect.ReadCall(r).Wait))
+	defer end.Stop()
+	tick := time.NewTicker(startupTick)
+	defer tick.Stop()
+	for !a.StoreLost() {
+		select {
+		case <-tick.C:
+			continue
+		case <-a.Started:
+		case <-r.Context().Done():
+		case <-end.C:
+		}
+		break
+	}
+	a.Events.Info(event.StartAwaited).Str("request", a.Dialect.ReadCall(r).ID).Dur("held", time.Since(begin)).
+		Bool("storeLost", a.StoreLost()).Bool("known", a.Table() != nil).Msg("held until the start was over, or was given up on")
+}
+
+// startupPatience returns how long a request of a caller that waits for a time is held.
+func startupPatience(wait time.Duration) time.Duration {
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	return time.Duration(startupShare * float64(wait))
+}
+
+// startupRetry returns when a caller should come back whose request wasn't served for want
+// of a configuration. Where the store isn't read here, another entry may know it, unless
+// none does.
+func (a *Access) startupRetry(wait time.Duration) time.Duration {
+	if !a.StoreLost() {
+		return startupRetry
 	}
+	return a.unprovenRetry(wait)
 }
 
 // refuse answers a request that nothing was sent of.
--- /dev/null
+++ b/access/start_test.go
@@ -0,0 +1,58 @@
+package access
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/event"
+)
+
+// waitDialect reads of a request only how long its caller waits.
+type waitDialect struct {
+	sardinerock.Dialect
+	wait time.Duration
+}
+
+func (d waitDialect) ReadCall(*http.Request) sardinerock.Call { return sardinerock.Call{Wait: d.wait} }
+
+// All entries were lost and start again, which takes longer the more there are. A request
+// that comes meanwhile is served once the start is over, while its caller has time for
+// that; it isn't held where the store can't be read, nor until its caller leaves.
+func TestRequestIsHeldWhileTheStartGoesOn(t *testing.T) {
+	const start = 600 * time.Millisecond
+	for name, c := range map[string]struct {
+		wait time.Duration
+		// lostAt is when the store is known to be lost; 0 is never.
+		lostAt      time.Duration
+		least, most time.Duration
+	}{
+		"a caller with time for it":  {wait: 5 * time.Second, least: start, most: start + 300*time.Millisecond},
+		"a caller with little time":  {wait: 400 * time.Millisecond, least: 200 * time.Millisecond, most: 500 * time.Millisecond},
+		"the store is lost":          {wait: 5 * time.Second, lostAt: 1, most: 300 * time.Millisecond},
+		"the store is lost later on": {wait: 5 * time.Second, lostAt: 200 * time.Millisecond, least: 200 * time.Millisecond, most: 500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			started := make(chan struct{})
+			time.AfterFunc(start, func() { close(started) })
+			var lost atomic.Bool
+			if c.lostAt > 0 {
+				time.AfterFunc(c.lostAt, func() { lost.Store(true) })
+			}
+			a := &Access{
+				Dialect: waitDialect{wait: c.wait}, Started: started, StoreLost: lost.Load, Events: &event.Logger{},
+				Table: func() *sardinerock.RouteTable { return nil },
+			}
+			begin := time.Now()
+			a.awaitStart(httptest.NewRequest(http.MethodGet, "/", http.NoBody))
+			g.Expect(time.Since(begin)).To(And(BeNumerically(">=", c.least), BeNumerically("<", c.most)))
+		})
+	}
+}
--- a/commit/commit.go
+++ b/commit/commit.go
@@ -22,9 +22,6 @@
 	// firstPause and longestPause bound the pause after a failed append; refused calls are billed too.
 	firstPause   = 20 * time.Millisecond
 	longestPause = 320 * time.Millisecond
-	// followTime is how long the news of another entry's append is waited for
-	// before it is asked for; it usually comes within a few milliseconds.
-	followTime = 40 * time.Millisecond
 	// queueLength is how many changes may wait for the appender.
 	queueLength = 1024
 )
@@ -76,16 +73,14 @@
 	count atomic.Int64
 	// ended is closed when Run returns: nobody answers the changes any more, and
 	// whoever waited for one would keep the process from ending.
-	ended      chan struct{}
-	followTime time.Duration
-	patience   await.Patience
+	ended    chan struct{}
+	patience await.Patience
 }
 
 // Prepare makes the appender usable; it is called once before all else.
 func (a *Appender) Prepare() {
 	a.queue = make(chan *waiting, queueLength)
 	a.ended = make(chan struct{})
-	a.followTime = followTime
 }
 
 // Submit brings a change into the order and returns what it came to. An error
@@ -321,12 +316,10 @@
 	return append([]*waiting(nil), batch[len(done):]...)
 }
 
-// catchUp waits until the state holds what others appended.
+// catchUp reads what others appended before this entry did.
 func (a *Appender) catchUp(ctx context.Context, end int64) error {
 	metrics.GetOrRegisterCounter("store.moved", a.Metrics).Inc(1)
-	wait, cancel := context.WithTimeout(ctx, a.followTime)
-	defer cancel()
-	if a.Follower.WaitFor(wait, end) == nil {
+	if a.Follower.Next() >= end {
 		return nil
 	}
 	return a.Follower.Sync(ctx)
--- a/commit/interleave_test.go
+++ b/commit/interleave_test.go
@@ -88,8 +88,6 @@
 		f.Prepare()
 		a := &Appender{Store: store, Topic: topic, Follower: f, Ledger: l, RecordBytes: 1000, AppendBytes: 4000, Events: events, Metrics: metrics.NewRegistry()}
 		a.Prepare()
-		// Nothing reads in the background here.
-		a.followTime = 0
 		return a
 	}
 	e := &testEntry{Appender: appender(jobsTopic, l.ApplyJobs), work: appender(workTopic, l.ApplyWork)}
--- a/conf/node.go
+++ b/conf/node.go
@@ -30,6 +30,8 @@
 	KeepResults time.Duration
 	// SettleTime is the time within which all entries have to show what one of them showed a caller.
 	SettleTime time.Duration
+	// ApplyTimeout is the time within which a configuration has to be in force everywhere.
+	ApplyTimeout time.Duration
 	// MemoryBytes is the memory at which the process is ended.
 	MemoryBytes int64
 	// StrictRevoke says that a key that was taken away has to be refused by each
--- a/event/event.go
+++ b/event/event.go
@@ -73,6 +73,7 @@
 	AnswerBroken    ID = 904
 	TryFailed       ID = 905
 	RequestHeld     ID = 906
+	StartAwaited    ID = 907
 )
 
 // Logger writes numbered events; its zero value writes nowhere.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -255,6 +255,18 @@
 	return j != nil && l.owner(j) == name
 }
 
+// Owns says whether an entry has open jobs.
+func (l *Ledger) Owns(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, j := range l.unfinished {
+		if l.owner(j) == name {
+			return true
+		}
+	}
+	return false
+}
+
 // OpenItems returns the open items of an entry's jobs; none before both topics
 // were read, since those that are finished can't be told until then.
 func (l *Ledger) OpenItems(owner string) []OpenItem {
--- a/node/home.go
+++ b/node/home.go
@@ -35,24 +35,43 @@
 }
 
 func (n *Node) askHome(home string, question quota.Question) (d quota.Decision, err error) {
-	raw, err := cbor.Marshal(question)
-	if err != nil {
-		return d, err
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), homeTime)
 	defer cancel()
-	answer, err := n.gossip.Ask(ctx, home, raw)
+	answer, err := n.ask(ctx, home, peerQuestion{Quota: &question})
 	if err != nil {
 		return d, err
 	}
 	return d, cbor.Unmarshal(answer, &d)
 }
 
+// peerQuestion is what an entry asks or tells another one; one of its fields is set.
+type peerQuestion struct {
+	_ struct{} `cbor:",toarray"`
+	// Quota asks a team's home entry.
+	Quota *quota.Question
+	// Job was accepted and is the asked entry's.
+	Job string
+}
+
+func (n *Node) ask(ctx context.Context, peer string, question peerQuestion) ([]byte, error) {
+	raw, err := cbor.Marshal(question)
+	if err != nil {
+		return nil, err
+	}
+	return n.gossip.Ask(ctx, peer, raw)
+}
+
 // answer answers the question of a peer.
 func (n *Node) answer(peer string, start int64, raw []byte) ([]byte, error) {
-	var question quota.Question
+	var question peerQuestion
 	if err := cbor.Unmarshal(raw, &question); err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(n.quota.Decide(peer, start, question, clock.Lasting()))
+	if question.Quota != nil {
+		return cbor.Marshal(n.quota.Decide(peer, start, *question.Quota, clock.Lasting()))
+	}
+	if question.Job != "" {
+		go n.readJob(question.Job)
+	}
+	return nil, nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -100,6 +100,8 @@
 	leaving  atomic.Bool
 	// started is closed once callers can be served.
 	started chan struct{}
+	// release ends the close look at the topics of jobs and items; nil while there is none.
+	release func()
 	// begun is when this process started, and loadTime how long it took to read the
 	// order of jobs, in nanoseconds; 0 before.
 	begun    time.Time
@@ -109,9 +111,16 @@
 
 const (
 	// membersWait is longer than for other topics: entries come and go seldom, and nothing waits for the news.
-	membersWait = 5 * time.Second
+	membersWait = 20 * time.Second
+	// membersInterval is the least time between two reads of the members: where all entries
+	// join at once, a read for each of them would be as many calls as the square of their number.
+	membersInterval = 500 * time.Millisecond
+	// idleInterval is between two reads of the topics of jobs and of items while this
+	// entry runs none and no caller asks for any. It is told of a job that it is to run;
+	// what it reads late is a loss of another entry.
+	idleInterval = 2500 * time.Millisecond
 	// jobsInterval is between two reads of the topic of jobs: nothing waits for its
-	// news but the start of items, which are due seconds later. An entry that takes
+	// news but the end of items whose job was ended. An entry that takes
 	// a job reads at once what came before it.
 	jobsInterval = 400 * time.Millisecond
 	// workInterval is the same for what becomes of items, whose callers wait for it.
@@ -119,9 +128,17 @@
 	// workWait is short enough that, with the interval, a calm topic is known to
 	// be calm within the time after which an entry must not call a position empty.
 	workWait = 300 * time.Millisecond
-	// awayAge is the age of the view of items from which on peers answer for this
-	// entry; reads confirm it every half second, in twice that on a slow store.
-	awayAge = time.Second
+	// awayAge is how much older than the reads' interval the view of items is from which on
+	// peers answer for this entry: reads take up to workWait, and longer on a slow store.
+	awayAge = 700 * time.Millisecond
+	// newsShare is the part of the time in which news has to be in force for which a read
+	// waits for it: one whose connection went silent is followed by another in time.
+	newsShare = 0.4
+	// provenWait bounds the same where callers' keys hang on how old the configuration is.
+	provenWait = time.Second
+	// batchShare is the part of the same time for which registrations are gathered: where
+	// many backend servers change, a call for each would come from each entry.
+	batchShare = 0.2
 	// keepMargin is kept beyond the time for which results are promised, for
 	// clocks that differ between entries.
 	keepMargin = time.Minute
@@ -214,13 +231,16 @@
 	n.configuration = n.follower(n.Topics.Configuration, n.table.Apply)
 	n.registrations = n.follower(n.Topics.Servers, n.servers.Apply)
 	n.registrations.Back = n.servers.Back
+	n.configuration.Wait = n.configurationWait()
+	n.registrations.Wait = newsWait(n.Settings.DrainTimeout)
+	n.registrations.Interval = time.Duration(batchShare * float64(n.Settings.DrainTimeout))
 	// With thousands of backend servers their list is several pages, which all
 	// entries of a fleet that starts read at once; the first page serves callers.
 	n.registrations.Partial = func(records []sardinerock.StoreRecord) { n.servers.Apply(records, false) }
 	n.jobs = n.follower(n.Topics.Jobs, n.applyJobs)
-	n.jobs.Interval, n.jobs.Whole = jobsInterval, true
+	n.jobs.Interval, n.jobs.IdleInterval, n.jobs.Whole = jobsInterval, idleInterval, true
 	n.work = n.follower(n.Topics.Work, n.ledger.ApplyWork)
-	n.work.Interval, n.work.Wait, n.work.Whole = workInterval, workWait, true
+	n.work.Interval, n.work.IdleInterval, n.work.Wait, n.work.Whole = workInterval, idleInterval, workWait, true
 	n.gossip = &gossip.Gossip{
 		Name: n.Settings.ID, Start: start.UnixMilli(), Conn: datagrams, Events: n.Events,
 		Tell: n.tell, Heard: n.heard, Lost: n.pool.DropPeer, Answer: n.answer,
@@ -233,7 +253,7 @@
 	}
 	n.lease.Prepare()
 	n.quota = &quota.Teams{
-		Bounds: n.quotaBounds, ViewAge: n.gossip.ViewAge, Random: seed(2),
+		Bounds: n.quotaBounds, ViewAge: n.gossip.ViewAge, Random: seed(2), HearTime: n.gossip.Timeout,
 		Entries: func() (heard, all int) { return n.gossip.Entries(time.Now()) },
 		Home:    n.homeOf,
 	}
@@ -243,7 +263,7 @@
 	}
 	n.roster.Prepare()
 	n.members = n.follower(n.Topics.Members, (&watch.Members{Changed: n.roster.SetMembers}).Apply)
-	n.members.Wait = membersWait
+	n.members.Wait, n.members.Interval = membersWait, membersInterval
 	n.appender = n.newAppender(n.Topics.Jobs, n.jobs)
 	n.recorder = n.newAppender(n.Topics.Work, n.work)
 	n.recorder.Writer = strconv.FormatUint(xxhash.Sum64String(n.Settings.ID+start.String()), 36)
@@ -263,6 +283,7 @@
 		Members:          n.gossip.Members,
 		Ask:              func(ctx context.Context, name string) { n.gossip.AskWhetherAlive(ctx, name, time.Now()) },
 		InOrder:          n.inOrder,
+		Attend:           n.attend,
 		ViewAge:          n.gossip.ViewAge,
 		RunningElsewhere: func() map[uint32]bool { return n.gossip.RunningElsewhere(time.Now()) },
 	}
@@ -288,6 +309,7 @@
 			Here: &submit.Front{
 				Dialect: n.Dialect, Batch: n.Batch, Ledger: n.ledger, Follower: n.jobs, Work: n.work, Appender: n.appender, Texts: values,
 				Owner:          func(job string) string { return owner.Of(job, n.owners()) },
+				Told:           n.tellOwner,
 				Settle:         n.Settings.SettleTime,
 				StoreLostByAll: func() bool { return n.gossip.StoreLostByAll(time.Now()) },
 				Events:         n.Events, Metrics: n.Metrics,
@@ -297,6 +319,7 @@
 			Client: peers, Dialect: n.Dialect, Events: n.Events, Metrics: n.Metrics,
 		},
 		Quota: n.quota, ConfigurationAge: n.lease.Age, Lease: n.lease.Length,
+		StoreLost:      func() bool { return n.configuration.Lost() || n.registrations.Lost() },
 		StoreLostByAll: func() bool { return n.gossip.StoreLostByAll(time.Now()) },
 		Started:        n.started,
 		Entries:        n.relay.Entries,
@@ -338,7 +361,7 @@
 // jobs are better answered by a peer. A cut shows first by the age of the view,
 // a second before the reads have failed for long enough to call the store lost.
 func (n *Node) storeAway(now time.Time) bool {
-	return n.storeLost() || !n.ledger.Loaded() || n.work.Confirmed(now) > awayAge
+	return n.storeLost() || !n.ledger.Loaded() || n.work.Late(now) > awayAge
 }
 
 // applyJobs also wakes the runner: a job that was accepted starts, and one that was ended stops, at once.
--- a/node/owners.go
+++ b/node/owners.go
@@ -1,11 +1,19 @@
 package node
 
 import (
+	"cmp"
+	"context"
 	"time"
 
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/gossip"
+	"github.com/sardinerock/sardinerock/ledger"
 	"github.com/sardinerock/sardinerock/owner"
 )
 
+// readJobTime bounds the read of a job that this entry was told of; the usual reads follow.
+const readJobTime = time.Second
+
 // owners returns the names of the entries among which new jobs are shared out.
 func (n *Node) owners() []string {
 	return n.gossip.Owners(time.Now(), n.storeLost() || !n.ledger.Loaded())
@@ -37,3 +45,55 @@
 	age, read := n.work.Age()
 	return read && age < n.gossip.Timeout()
 }
+
+// tellOwner tells the entry that runs a new job of it.
+func (n *Node) tellOwner(job *ledger.Accepted) {
+	if job.Owner == n.Settings.ID {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), gossip.AskTime)
+		defer cancel()
+		if _, err := n.ask(ctx, job.Owner, peerQuestion{Job: job.ID}); err != nil {
+			n.Events.Info(event.JobAccepted).Str("job", job.ID).Str("owner", job.Owner).Err(err).Msg("owner isn't told, and reads the job late")
+		}
+	}()
+}
+
+// readJob reads the order of jobs up to one that is this entry's.
+func (n *Node) readJob(job string) {
+	ctx, cancel := context.WithTimeout(context.Background(), readJobTime)
+	defer cancel()
+	err := n.jobs.Current(ctx, time.Now())
+	n.Events.Info(event.JobAccepted).Str("job", job).Bool("owned", n.ledger.OwnedBy(job, n.Settings.ID)).Err(err).Msg("told of a job")
+}
+
+// attend has the topics of jobs and items followed closely while this entry has jobs.
+// It is called by the runner alone.
+func (n *Node) attend(has bool) {
+	switch {
+	case has && n.release == nil:
+		jobs, work := n.jobs.Attend(), n.work.Attend()
+		n.release = func() {
+			jobs()
+			work()
+		}
+	case !has && n.release != nil:
+		n.release()
+		n.release = nil
+	}
+}
+
+// newsWait returns how long a read waits for news that has to be in force within a time.
+func newsWait(bound time.Duration) time.Duration {
+	return time.Duration(newsShare * float64(bound))
+}
+
+// configurationWait returns how long a read waits for a configuration.
+func (n *Node) configurationWait() time.Duration {
+	wait := newsWait(n.Settings.ApplyTimeout)
+	if n.Settings.StrictRevoke || n.Settings.QuotaWindow > 0 {
+		wait = min(cmp.Or(wait, provenWait), provenWait)
+	}
+	return wait
+}
--- a/node/team_test.go
+++ b/node/team_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -58,6 +59,16 @@
 		"tenants":[{"name":"a","api_keys":[%q]},{"name":"b","api_keys":[%q]}]}`, version, a, b))
 }
 
+// page returns what a page shows.
+func (f *fleet) page(url string) string {
+	answer, err := http.Get(url)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	defer answer.Body.Close()
+	raw, err := io.ReadAll(answer.Body)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	return string(raw)
+}
+
 // as sends a request with a key.
 func (f *fleet) as(key string, e *entry, method, path, id, body string) int {
 	r, err := http.NewRequest(method, "http://"+e.settings.CallerAddress+path, strings.NewReader(body))
@@ -76,6 +87,8 @@
 func TestEntryOutOfTouchLearnsOfKeysFromPeers(t *testing.T) {
 	f, stores := newTeamFleet(t, 3)
 	away := f.entries[0]
+	f.g.Eventually(func() string { return f.page("http://" + away.settings.MetricsAddress + "/metrics") }, patience).
+		Should(ContainSubstring("peers_live 3\n"), "it has peers to ask")
 	f.g.Eventually(func() int { return f.as("old", away, http.MethodPost, "/letters/x", "r1", "") }, patience).Should(Equal(http.StatusOK))
 	stores[0].cut.Store(true)
 	f.keys(3, "new", "other")
--- a/quota/teams.go
+++ b/quota/teams.go
@@ -24,8 +24,6 @@
 	// may pass its quota by: a team that had used up its burst when all entries were lost,
 	// and uses up this one, stays within its bounds.
 	restart = 0.4
-	// hearTime is how long after its start an entry has heard all others that live.
-	hearTime = time.Second
 	// partTime is between two looks at how many entries are heard.
 	partTime = 100 * time.Millisecond
 	// caution is how many times what others may let in unheard is kept in reserve.
@@ -62,6 +60,8 @@
 	Bounds func() Bounds
 	// ViewAge is how old what is heard of other entries may be.
 	ViewAge func() time.Duration
+	// HearTime is how long after its start an entry has heard all others that live.
+	HearTime func() time.Duration
 	// Entries returns how many entries are heard and how many there are, this one included.
 	Entries func() (heard, all int)
 	// Home returns how to ask a team's home entry, one that all entries agree on; nil
@@ -191,7 +191,7 @@
 	}
 	q.partAt, q.lastPart = now, 1
 	heard, all := q.Entries()
-	if all > 1 && now.Sub(q.started) >= hearTime {
+	if all > 1 && now.Sub(q.started) >= q.HearTime() {
 		q.lastPart = float64(heard) / float64(all)
 	}
 	return q.lastPart
--- a/quota/teams_test.go
+++ b/quota/teams_test.go
@@ -69,8 +69,9 @@
 	e.start++
 	e.Teams = &quota.Teams{
 		Bounds: func() quota.Bounds { return bounds }, ViewAge: func() time.Duration { return s.age }, Random: s.random,
-		Entries: func() (int, int) { return s.heard(e), len(s.entries) + s.silent },
-		Home:    func(team string) quota.Asker { return s.home(e, team) },
+		HearTime: func() time.Duration { return max(time.Second, 3*s.age) },
+		Entries:  func() (int, int) { return s.heard(e), len(s.entries) + s.silent },
+		Home:     func(team string) quota.Asker { return s.home(e, team) },
 	}
 	e.SetTeams([]*sardinerock.TeamInfo{s.team}, s.now)
 }
@@ -410,7 +411,7 @@
 		teams = append(teams, &sardinerock.TeamInfo{Name: fmt.Sprint("team-", n), PerSecond: 1e9, Burst: 1e9})
 	}
 	q := &quota.Teams{
-		Bounds: func() quota.Bounds { return bounds }, ViewAge: func() time.Duration { return time.Second },
+		Bounds: func() quota.Bounds { return bounds }, ViewAge: func() time.Duration { return time.Second }, HearTime: func() time.Duration { return time.Second },
 		Entries: func() (int, int) { return 371, 371 }, Random: rand.New(rand.NewPCG(1, 2)),
 	}
 	now := time.Now()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -91,7 +91,7 @@
 	s.relay = l
 	s.access = &access.Access{
 		Dialect: platform.Dialect{}, BatchDialect: platform.Dialect{}, Table: s.current, Online: l, Started: s.started(),
-		ConfigurationAge: s.configurationAge, Lease: func() time.Duration { return lease }, StoreLostByAll: func() bool { return false },
+		ConfigurationAge: s.configurationAge, Lease: func() time.Duration { return lease }, StoreLostByAll: func() bool { return false }, StoreLost: func() bool { return false },
 		Quota: s.quota(), Entries: l.Entries, Events: l.Events, Metrics: l.Metrics,
 	}
 	s.front = httptest.NewServer(s.access)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// joinPause is between two tries to write the own address.
-	joinPause = 300 * time.Millisecond
+	// joinPause is between two tries to write the own address; what is read of the
+	// members is older than that only where the store is slow.
+	joinPause = time.Second
 	// tidyTick is between two looks for members that are gone for good.
 	tidyTick = 10 * time.Second
 	// memberKeep is how long a member may be silent. An instance that is restarted
@@ -42,7 +43,8 @@
 	Events *event.Logger
 
 	leaving atomic.Bool
-	// listed says whether this entry is among the members; missing is signalled when it isn't.
+	// listed says whether this entry is among the members as it is; missing is signalled
+	// when it isn't.
 	listed  atomic.Bool
 	missing chan struct{}
 }
@@ -60,24 +62,25 @@
 // Leaving notes that this entry stops, and needn't be listed any more.
 func (o *Roster) Leaving() { o.leaving.Store(true) }
 
-// Run writes the own address, so that the other entries find this one, at the
-// start and whenever it was removed while this entry was cut off.
+// Run writes the own address, so that the other entries find this one, whenever it isn't
+// listed: at the first start, and after it was removed while this entry was cut off. One that
+// starts again is listed already; if each wrote itself down all the same, a loss of all
+// entries would end with as many records as there are entries, read by each of them.
 func (o *Roster) Run(ctx context.Context) {
 	for {
-		o.writeSelf(ctx)
-		// What is read meanwhile may be from before it was written.
-		if !await.Sleep(ctx, joinPause) {
-			return
-		}
-		o.forgetMissing()
-		if !o.listed.Load() {
-			continue
-		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-o.missing:
 		}
+		for !o.listed.Load() && !o.leaving.Load() {
+			o.writeSelf(ctx)
+			// What is read meanwhile may be from before it was written.
+			if !await.Sleep(ctx, joinPause) {
+				return
+			}
+		}
+		o.forgetMissing()
 	}
 }
 
@@ -106,7 +109,7 @@
 // SetMembers takes the entries as they wrote themselves down.
 func (o *Roster) SetMembers(members map[string]watch.Member) {
 	o.SetPeers(members)
-	_, listed := members[o.Name]
+	listed := members[o.Name] == o.Self
 	o.listed.Store(listed)
 	if listed || o.leaving.Load() {
 		return
--- a/runner/claim.go
+++ b/runner/claim.go
@@ -130,23 +130,18 @@
 // runs them too, or doesn't hear of these runs since this entry is cut off. Otherwise the
 // run goes on, and the owner waits for its end.
 func (r *Runner) passOn() {
-	var elsewhere map[uint32]bool
+	passed := r.passed()
+	if len(passed) == 0 {
+		return
+	}
 	view, ok := r.View()
 	if !ok {
 		return
 	}
+	elsewhere := r.RunningElsewhere()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.leaving {
-		return
-	}
-	for _, i := range r.items {
-		if !i.running || i.whole || i.gaveWay || r.Ledger.OwnedBy(i.open.Job, r.Name) {
-			continue
-		}
-		if elsewhere == nil {
-			elsewhere = r.RunningElsewhere()
-		}
+	for _, i := range passed {
 		successor := r.Ledger.Owner(i.open.Job)
 		cut := view.Minority() && view.Standing(successor).Silent > view.Timeout
 		if !elsewhere[shortKey(i.key)] && !cut {
@@ -158,3 +153,19 @@
 			Bool("cut", cut).Msg("item goes on at the entry that took its job over")
 	}
 }
+
+// passed returns the items that run here and are another entry's now.
+func (r *Runner) passed() []*item {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leaving {
+		return nil
+	}
+	var passed []*item
+	for _, i := range r.items {
+		if i.running && !i.whole && !i.gaveWay && !r.Ledger.OwnedBy(i.open.Job, r.Name) {
+			passed = append(passed, i)
+		}
+	}
+	return passed
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -24,6 +24,8 @@
 	// tick is between two looks for free slots. Bursts end within a second; a
 	// slot that stays free for a fraction of that is little lost.
 	tick = 25 * time.Millisecond
+	// idleTick is the same while no job is this entry's; one that comes wakes it.
+	idleTick = 100 * time.Millisecond
 	// retryPause is how long an item rests after a try that failed.
 	retryPause = 200 * time.Millisecond
 	// clockMargin is added to the age at which an item is given up: jobs carry
@@ -65,6 +67,8 @@
 	// InOrder says whether what this entry has read of the order of jobs is newer than
 	// the silence after which another takes its jobs over, or can't be read.
 	InOrder func() bool
+	// Attend is told whether this entry has jobs, and follows their order closely.
+	Attend func(has bool)
 	// ViewAge returns how old what is heard of other entries may be.
 	ViewAge func() time.Duration
 	// RunningElsewhere returns the short names of items that other live entries run.
@@ -132,7 +136,7 @@
 // Run starts items until ctx ends; then all that run are broken off.
 func (r *Runner) Run(ctx context.Context) {
 	begin := time.Now()
-	t := time.NewTicker(tick)
+	t := time.NewTimer(tick)
 	defer t.Stop()
 	for {
 		select {
@@ -142,6 +146,7 @@
 		case <-t.C:
 		case <-r.wake:
 		}
+		t.Reset(r.attend())
 		r.YieldAll()
 		r.stopEnded()
 		r.noteProgress(ctx)
@@ -155,6 +160,23 @@
 	}
 }
 
+// attend says whether this entry has jobs, and returns when to look again.
+func (r *Runner) attend() time.Duration {
+	has := r.busy()
+	r.Attend(has)
+	if has {
+		return tick
+	}
+	return idleTick
+}
+
+func (r *Runner) busy() bool {
+	r.mu.Lock()
+	items := len(r.items)
+	r.mu.Unlock()
+	return items > 0 || r.Ledger.Owns(r.Name)
+}
+
 // Leave starts no more items.
 func (r *Runner) Leave() {
 	r.mu.Lock()
--- a/runner/yield.go
+++ b/runner/yield.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -75,7 +76,20 @@
 
 // YieldAll gives way wherever the datagrams of others say that online work waits.
 func (r *Runner) YieldAll() {
-	for _, id := range r.Pool.Servers() {
+	for _, id := range r.servers() {
 		r.Yield(id)
 	}
 }
+
+// servers returns the backend servers on which items of this entry run.
+func (r *Runner) servers() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var servers []string
+	for _, i := range r.items {
+		if i.running && !slices.Contains(servers, i.server) {
+			servers = append(servers, i.server)
+		}
+	}
+	return servers
+}
--- a/submit/submit.go
+++ b/submit/submit.go
@@ -52,6 +52,11 @@
 	answerBytes = 512 << 10
 	// longestWait bounds how long a read may wait for a result.
 	longestWait = time.Second
+	// lastLook is how long before the end of that the store is asked once more.
+	lastLook = 100 * time.Millisecond
+	// viewTime bounds the read of what was decided before a job came. One that is planned
+	// on less is planned again, once the store says that others came first.
+	viewTime = 300 * time.Millisecond
 )
 
 // Front answers the requests on batch jobs.
@@ -67,6 +72,8 @@
 	Texts *texts.Texts
 	// Owner returns which entry is to run a new job.
 	Owner func(job string) string
+	// Told tells the entry that runs a new job of it; without that it reads it late.
+	Told func(job *ledger.Accepted)
 	// Settle is the time within which all entries have to show what one of them showed; 0 is a second.
 	Settle time.Duration
 	// StoreLostByAll says whether no other entry reaches the store either.
@@ -105,11 +112,22 @@
 	// The change goes on when the caller leaves: its end decides what a resend is told.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), received.Add(f.acceptTime(call.Wait, before)))
 	defer cancel()
+	f.view(ctx, received)
 	verdict, err := f.accept(ctx, job, items, route.MaxTokens)
 	late := route.Target > 0 && before+time.Since(received) > route.Target
 	f.accepted(w, job, verdict, err, received, late)
 }
 
+// view reads what was decided up to a time: an entry that has nothing to do with jobs
+// follows them seconds late.
+func (f *Front) view(ctx context.Context, at time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, viewTime)
+	defer cancel()
+	if err := f.Follower.Current(ctx, at); err != nil {
+		f.Events.Info(event.AppendFailed).Err(err).Msg("jobs aren't read before one is accepted")
+	}
+}
+
 // accept brings a job into the store: first the bodies of its items, which
 // alone mean nothing, then the small record by which all entries know it. A job
 // that is known already, or has no room, needs no bodies.
@@ -160,6 +178,7 @@
 			Int64("waitingTokens", f.Ledger.Waiting(ledger.Queue{Route: job.Route, Team: job.Team})).Dur("took", time.Since(received)).Bool("late", late).Msg("job accepted")
 		w.Header().Set("Content-Length", "0")
 		w.WriteHeader(http.StatusAccepted)
+		f.Told(job)
 	}
 }
 
@@ -185,7 +204,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), checkTime)
 	defer cancel()
-	if err := f.Follower.Sync(ctx); err != nil {
+	if err := f.Follower.Current(ctx, time.Now()); err != nil {
 		f.answer(w, job, http.StatusServiceUnavailable, "the store can't be asked: "+err.Error(), storeRetry)
 		return false
 	}
@@ -212,7 +231,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), checkTime)
 	defer cancel()
 	at := received.Add(-time.Duration(viewShare * float64(settle)))
-	if err := f.Work.FreshSince(ctx, at); err != nil {
+	if err := f.Work.Current(ctx, at); err != nil {
 		f.answer(w, call.Job, http.StatusServiceUnavailable, "the store's end isn't known here: "+err.Error(), storeRetry)
 		return false
 	}
@@ -224,7 +243,8 @@
 	if !f.known(w, r, call) || !f.fresh(w, r, call, received) {
 		return
 	}
-	timeout := time.NewTimer(min(call.Wait, longestWait))
+	wait := min(call.Wait, longestWait)
+	timeout := time.NewTimer(max(wait-lastLook, 0))
 	defer timeout.Stop()
 	for waiting := true; ; {
 		changed := f.Ledger.Changed()
@@ -241,12 +261,25 @@
 		case <-r.Context().Done():
 			return
 		case <-timeout.C:
+			f.look(r.Context(), wait)
 			waiting = false
 		case <-changed:
 		}
 	}
 }
 
+// look reads what came while a caller waited, which this entry needn't follow closely.
+func (f *Front) look(ctx context.Context, wait time.Duration) {
+	if wait < lastLook {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, viewTime)
+	defer cancel()
+	if err := f.Work.Current(ctx, time.Now().Add(-lastLook)); err != nil {
+		f.Events.Info(event.RequestRefused).Err(err).Msg("results that came last aren't read")
+	}
+}
+
 // writeResults answers with a page of results, as many as go into one answer.
 func (f *Front) writeResults(w http.ResponseWriter, r *http.Request, call sardinerock.BatchCall, page ledger.Page) {
 	some := fitting(page.Results)
--- a/submit/submit_test.go
+++ b/submit/submit_test.go
@@ -35,7 +35,7 @@
 		return f
 	}
 	return &Front{
-		Owner: func(string) string { return "a" },
+		Owner: func(string) string { return "a" }, Told: func(*ledger.Accepted) {},
 		Texts: &texts.Texts{
 			Store: store, Topics: texts.Topics{Bodies: "bodies", Results: "results", Progress: "progress"}, Partitions: 3,
 			RecordBytes: 1000, AppendBytes: 50_000, Events: events, Metrics: metrics.NewRegistry(),
@@ -86,10 +86,10 @@
 	return w
 }
 
-// A caller read a result at one entry and asks the next one, which has just
-// started: it read the topic seconds ago and is still behind. Told that there is
-// none, the caller would have seen a result vanish. So the entry says that it
-// isn't sure, and shows the result once its view is as new as the question.
+// A caller read a result at one entry and asks the next one, which read the topic
+// seconds ago and is still behind. Told that there is none, the caller would have seen a
+// result vanish. So the entry says that it isn't sure while the store turns it away, and
+// shows the result once it has read what is as new as the question.
 func TestEntryThatIsBehindCallsNoPositionEmpty(t *testing.T) {
 	g := NewWithT(t)
 	store := &memkv.Store{}
@@ -100,13 +100,12 @@
 	finishJob(g, store, "job")
 	time.Sleep(2 * f.Settle)
 
+	store.Fault = func(string, string) memkv.Fault { return memkv.Refuses }
 	w := readResults(f, "job")
 	g.Expect(w.Code).To(Equal(http.StatusServiceUnavailable))
 	g.Expect(w.Header().Get("Retry-After")).NotTo(BeEmpty())
 
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go f.Work.Run(ctx)
+	store.Fault = nil
 	w = readResults(f, "job")
 	g.Expect(w.Code).To(Equal(http.StatusOK))
 	g.Expect(w.Body.String()).To(ContainSubstring("succeeded"))
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sardinerock/sardinerock"
@@ -36,7 +37,8 @@
 	// Partial, if set, takes the pages of the first load as they come: newest records,
 	// in the order of their keys. What is in them is usable before the rest is there.
 	Partial func(records []sardinerock.StoreRecord)
-	// Back is called, if set, when reads succeed again after they failed for a second.
+	// Back is called, if set, when reads succeed again after they failed for a second, or
+	// one was without an answer for as long.
 	Back func()
 	// Wait is how long a read waits for news; 0 is a second.
 	Wait time.Duration
@@ -47,10 +49,15 @@
 	// Interval is the least time between two reads. Where many append, a reader
 	// that asks again at once makes a call for each append.
 	Interval time.Duration
-	Events   *event.Logger
+	// IdleInterval, if set, takes its place while nobody attends to the topic.
+	IdleInterval time.Duration
+	Events       *event.Logger
 
-	// loads is held during a load.
-	loads sync.Mutex
+	// loads is held during a load, and syncs while Current reads.
+	loads, syncs sync.Mutex
+	// attended counts who attends to the topic; nudged ends a rest.
+	attended atomic.Int64
+	nudged   chan struct{}
 
 	mu     sync.Mutex
 	next   int64
@@ -69,10 +76,53 @@
 	lost    bool
 	// working is since when reads have succeeded.
 	working time.Time
+	// unanswered is set once a read was without an answer for so long that the store may
+	// have been away.
+	unanswered bool
 }
 
 // Prepare makes the follower usable; it is called once before all else.
-func (f *Follower) Prepare() { f.moved = make(chan struct{}) }
+func (f *Follower) Prepare() { f.moved, f.nudged = make(chan struct{}), make(chan struct{}, 1) }
+
+// Attend has the topic read at Interval until release is called.
+func (f *Follower) Attend() (release func()) {
+	if f.attended.Add(1) == 1 {
+		select {
+		case f.nudged <- struct{}{}:
+		default:
+			// Its rest is over already.
+		}
+	}
+	return sync.OnceFunc(func() { f.attended.Add(-1) })
+}
+
+// interval returns the least time between two reads as things are.
+func (f *Follower) interval() time.Duration {
+	if f.IdleInterval > 0 && f.attended.Load() == 0 {
+		return f.IdleInterval
+	}
+	return f.Interval
+}
+
+// rest waits until the next read is due after one that was sent at a time, and says
+// false if ctx ends before.
+func (f *Follower) rest(ctx context.Context, sent time.Time) bool {
+	for {
+		rest := f.interval() - time.Since(sent)
+		if rest <= 0 {
+			return ctx.Err() == nil
+		}
+		t := time.NewTimer(rest)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return false
+		case <-t.C:
+		case <-f.nudged:
+			t.Stop()
+		}
+	}
+}
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
@@ -84,7 +134,7 @@
 	for ctx.Err() == nil {
 		sent := time.Now()
 		if err := f.step(ctx, wait); err != nil {
-			f.failed(err)
+			f.failed(err, sent)
 			if !await.Sleep(ctx, pause) {
 				return
 			}
@@ -92,7 +142,7 @@
 			continue
 		}
 		pause = firstPause
-		if rest := f.Interval - time.Since(sent); rest > 0 && !await.Sleep(ctx, rest) {
+		if !f.rest(ctx, sent) {
 			return
 		}
 	}
@@ -117,6 +167,25 @@
 	}
 }
 
+// Current returns once the view holds all that stood in the topic at a time. Those who
+// ask for it at the same time share the reads.
+func (f *Follower) Current(ctx context.Context, at time.Time) error {
+	if f.holds(at) {
+		return nil
+	}
+	f.syncs.Lock()
+	defer f.syncs.Unlock()
+	if f.holds(at) {
+		return nil
+	}
+	sent := time.Now()
+	err := f.Sync(ctx)
+	if err != nil {
+		f.failed(err, sent)
+	}
+	return err
+}
+
 // FreshSince returns once the view holds all that stood in the topic at a time,
 // without a call of its own: Run reads all the while, and on a thin link a
 // second read of the same would only make both take longer.
@@ -174,6 +243,10 @@
 	return now.Sub(f.confirmed)
 }
 
+// Late returns by how much the view is older than the time between two reads; less than
+// nothing while the next one isn't due.
+func (f *Follower) Late(now time.Time) time.Duration { return f.Confirmed(now) - f.interval() }
+
 // Age returns how old the view of the topic may be, times in which this process
 // stood still included; false before the topic was read.
 func (f *Follower) Age() (time.Duration, bool) {
@@ -381,10 +454,12 @@
 	f.moved = make(chan struct{})
 }
 
-func (f *Follower) failed(err error) {
+// failed notes that a read that was sent at a time failed.
+func (f *Follower) failed(err error, sent time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	f.unanswered = f.unanswered || now.Sub(sent) > lostAfter
 	if f.failing.IsZero() {
 		f.failing = now
 	}
@@ -398,17 +473,17 @@
 // takes them has to know that some may have come about while the store was away.
 func (f *Follower) worked() {
 	f.mu.Lock()
-	lost := f.lost
+	lost, back := f.lost, f.lost || f.unanswered
+	f.unanswered = false
 	if f.working.IsZero() || lost {
 		f.working = time.Now()
 	}
 	f.failing, f.lost = time.Time{}, false
 	f.mu.Unlock()
-	if !lost {
-		return
+	if lost {
+		f.Events.Info(event.LogBack).Str("topic", f.Topic).Int64("next", f.Next()).Msg("store is read again")
 	}
-	f.Events.Info(event.LogBack).Str("topic", f.Topic).Int64("next", f.Next()).Msg("store is read again")
-	if f.Back != nil {
+	if back && f.Back != nil {
 		f.Back()
 	}
 }
