gossip: each zone of a large fleet tells the others by a few datagrams

Change: where the bytes of a round bound it and not its datagrams (from some 110 entries on), the grid holds the own zone, two entries of a zone tell two of each other one in turn what is new, and those pass it on at once: to their row, which passes it to its columns. What hasn't changed is passed on three times within the silence that makes an entry count as gone, not each time that it is said. Peers that were never heard are told of all news at first.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -4,7 +4,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"maps"
 	"net"
+	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +26,9 @@
 	freshTime = 200 * time.Millisecond
 	// PeerTimeout is the least silence after which a peer is taken as gone.
 	PeerTimeout = time.Second
+	// restateParts is how often, within the silence after which a peer is taken as gone,
+	// it is told on that it lives though it says nothing new.
+	restateParts = 3
 	// silentInterval is between two datagrams to a peer that is silent.
 	silentInterval = time.Second
 	// largestDatagram bounds what is read; what is sent stays far below.
@@ -87,10 +93,18 @@
 	unlisted map[string]time.Time
 	// senders finds the same by the short form of their names.
 	senders map[uint32]*peer
-	grid    *grid
+	// addresses finds them by where their datagrams come from.
+	addresses map[netip.AddrPort]*peer
+	// grid holds the entries of this one's zone where zones holds the others, else all.
+	grid  *grid
+	zones *zones
+	// zone is this entry's availability zone, and foreign are the peers of the others,
+	// where zones is set.
+	zone    string
+	foreign []string
 	round   int
-	// passed is, by column, the newest message of each entry that was passed on there.
-	passed   map[int]map[string]mark
+	// passed is, by where it was passed on, the newest message of each entry.
+	passed   map[route]map[string]mark
 	sequence uint64
 	leaving  bool
 	urgent   chan struct{}
@@ -104,18 +118,34 @@
 	deliver func(raw []byte, to *peer)
 }
 
-// mark names a message of an entry.
+// same says whether a message says the same of its sender as another one.
+func (m *Message) same(other *Message) bool {
+	return m.Waiting == other.Waiting && m.Leaving == other.Leaving && m.StoreLost == other.StoreLost && m.Starting == other.Starting &&
+		slices.Equal(m.Loads, other.Loads) && slices.Equal(m.Items, other.Items) && maps.Equal(m.Crashes, other.Crashes) &&
+		slices.Equal(m.Breaks, other.Breaks) && slices.Equal(m.Quota, other.Quota)
+}
+
+// mark names a message of an entry that was passed on, and when.
 type mark struct {
 	start    int64
 	sequence uint64
+	at       time.Time
+}
+
+// route is where messages are passed on to: a column, or a zone, or the own row.
+type route struct {
+	column int
+	zone   string
 }
 
-func (m *Message) mark() mark { return mark{m.Start, m.Sequence} }
+// rowRoute is the own row.
+var rowRoute = route{column: -1}
 
 // Prepare makes the exchange usable; it is called once before all else.
 func (g *Gossip) Prepare() {
 	g.peers, g.senders = map[string]*peer{}, map[uint32]*peer{}
-	g.passed, g.pressed = map[int]map[string]mark{}, map[string][]uint32{}
+	g.passed, g.pressed = map[route]map[string]mark{}, map[string][]uint32{}
+	g.addresses = map[netip.AddrPort]*peer{}
 	g.unlisted = map[string]time.Time{}
 	g.answers = map[uint64]chan []byte{}
 	g.grid = newGrid(g.Name, nil)
@@ -141,12 +171,12 @@
 			g.Events.Warn(event.PeerDown).Str("peer", name).Err(err).Msg("peer address isn't usable")
 			continue
 		}
-		if p := g.peers[name]; p != nil {
-			p.address = address
-			continue
+		p := g.peers[name]
+		if p == nil {
+			p = &peer{name: name, known: time.Now()}
+			g.peers[name], g.senders[pool.Hash(name)] = p, p
 		}
-		p := &peer{name: name, address: address, known: time.Now()}
-		g.peers[name], g.senders[pool.Hash(name)] = p, p
+		p.address, p.zone = address, m.Zone
 	}
 	for name := range g.peers {
 		if _, ok := members[name]; !ok {
@@ -154,12 +184,34 @@
 			delete(g.senders, pool.Hash(name))
 		}
 	}
+	g.arrange(zones)
+}
+
+// plain returns an address in the shorter of the two forms that an IPv4 address has.
+func plain(a netip.AddrPort) netip.AddrPort { return netip.AddrPortFrom(a.Addr().Unmap(), a.Port()) }
+
+// arrange takes the zones of all entries by name, and says anew who tells whom.
+func (g *Gossip) arrange(members map[string]string) {
 	clear(g.unlisted)
-	g.grid = newGrid(g.Name, zones)
-	for _, p := range g.peers {
+	clear(g.passed)
+	clear(g.addresses)
+	g.zone, g.foreign = members[g.Name], nil
+	if g.zones = newZones(g.Name, members); g.zones != nil {
+		members = maps.Clone(members)
+		maps.DeleteFunc(members, func(_, zone string) bool { return zone != g.zone })
+	}
+	g.grid = newGrid(g.Name, members)
+	if g.zones != nil {
+		g.grid.shared = zoneShare
+	}
+	for name, p := range g.peers {
+		g.addresses[plain(p.address.AddrPort())] = p
 		p.timeout = g.grid.timeout()
+		if g.zones != nil && p.zone != g.zone {
+			p.timeout = g.zones.timeout()
+			g.foreign = append(g.foreign, name)
+		}
 	}
-	clear(g.passed)
 }
 
 // Leave says in all later datagrams that this entry stops, and says so to all at once.
@@ -225,7 +277,12 @@
 func (g *Gossip) ViewAge() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return time.Duration(min(g.grid.rows(), 2)) * g.grid.interval()
+	age := time.Duration(min(g.grid.rows(), 2)) * g.grid.interval()
+	if g.zones != nil {
+		// Through a grid at either end.
+		return 2*age + g.zones.interval()
+	}
+	return age
 }
 
 // noteSilent returns the peers that were heard before and aren't any more.
@@ -269,7 +326,7 @@
 	return true
 }
 
-// tellRound tells this entry's row of itself, and some columns of the row.
+// tellRound tells this entry's row of itself, some columns of the row, and other zones.
 func (g *Gossip) tellRound(now time.Time) {
 	news := g.speak(now)
 	g.mu.Lock()
@@ -278,30 +335,44 @@
 	if news {
 		g.send([]*Message{&g.last}, nil, g.grid.mates(), now)
 	}
-	for _, c := range g.grid.columns(g.round, func(name string) bool { return name == g.Name || g.peers[name].live(now) }) {
-		g.send(g.unpassed(c, now), nil, g.grid.column(c), now)
+	names := append(g.grid.mates(), g.Name)
+	for _, c := range g.grid.columns(g.round%tellers, g.knowsLive(now)) {
+		g.send(g.unpassed(route{column: c}, names, pathColumn, now), nil, g.grid.column(c), now)
 	}
+	g.tellZones(now)
+}
+
+// knowsLive returns a function that says whether an entry lives, this one included.
+func (g *Gossip) knowsLive(now time.Time) func(name string) bool {
+	return func(name string) bool { return name == g.Name || g.peers[name].live(now) }
 }
 
-// unpassed returns what is known of the own row and wasn't passed on to a column yet.
-func (g *Gossip) unpassed(c int, now time.Time) []*Message {
-	passed := g.passed[c]
+// unpassed returns what is known of the named entries, came on some path or on one from
+// further away, and wasn't passed on to a route yet; what hasn't changed since it was passed
+// on is repeated only now and then, so that those who live are known to.
+func (g *Gossip) unpassed(to route, names []string, least path, now time.Time) []*Message {
+	passed := g.passed[to]
 	if passed == nil {
 		passed = map[string]mark{}
-		g.passed[c] = passed
+		g.passed[to] = passed
 	}
+	restate := g.timeout() / restateParts
 	var messages []*Message
-	add := func(m *Message) {
-		if passed[m.From] != m.mark() {
-			passed[m.From] = m.mark()
-			messages = append(messages, m)
+	for _, name := range names {
+		m, changed := &g.last, g.last.Sequence
+		if name != g.Name {
+			p := g.peers[name]
+			if !p.live(now) || g.zones != nil && p.zone != g.zone && p.path < least {
+				continue
+			}
+			m, changed = &p.last, p.changed
 		}
-	}
-	add(&g.last)
-	for _, name := range g.grid.mates() {
-		if p := g.peers[name]; p.live(now) {
-			add(&p.last)
+		before := passed[name]
+		if before.start == m.Start && (before.sequence == m.Sequence || before.sequence >= changed && now.Sub(before.at) < restate) {
+			continue
 		}
+		passed[name] = mark{m.Start, m.Sequence, now}
+		messages = append(messages, m)
 	}
 	return messages
 }
@@ -329,7 +400,7 @@
 	}
 	for _, name := range names {
 		p := g.peers[name]
-		if p == nil || !p.live(now) && now.Sub(p.sent) < silentInterval {
+		if p == nil || !p.toldOften(now) && now.Sub(p.sent) < silentInterval {
 			continue
 		}
 		p.sent = now
@@ -356,29 +427,36 @@
 			g.receiveCall(b[:n], from)
 			continue
 		}
-		g.receiveOne(b[:n], time.Now())
+		g.receiveOne(b[:n], from.AddrPort(), time.Now())
 	}
 }
 
-func (g *Gossip) receiveOne(raw []byte, now time.Time) {
+func (g *Gossip) receiveOne(raw []byte, from netip.AddrPort, now time.Time) {
 	messages, press, err := decode(raw)
 	if err != nil {
 		g.Events.Warn(event.PeerDown).Err(err).Msg("datagram isn't readable")
 		return
 	}
-	newer := messages[:0]
+	g.mu.Lock()
+	way := g.pathFrom(g.addresses[plain(from)])
+	g.mu.Unlock()
+	newer, foreign := messages[:0], false
 	for _, m := range messages {
-		if g.take(m, now) {
+		foreign = foreign || g.isForeign(m.Sender)
+		if g.take(m, way, now) {
 			newer = append(newer, m)
 		}
 	}
+	if way != pathColumn && foreign {
+		g.passOn(way, now)
+	}
 	if len(newer)+len(press) > 0 {
 		g.Heard(newer, press)
 	}
 }
 
 // take notes a message, and says false of one that is older than the last.
-func (g *Gossip) take(m *Message, now time.Time) bool {
+func (g *Gossip) take(m *Message, way path, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.senders[m.Sender]
@@ -390,6 +468,11 @@
 	// held against the start before, all that it says would look old for seconds.
 	older := m.Start < p.last.Start || m.Start == p.last.Start && m.Sequence <= p.last.Sequence
 	if older && (p.live(now) || m.Start == p.last.Start) {
+		if m.Start == p.last.Start && m.Sequence == p.last.Sequence {
+			// The same on a longer way: it goes on from here too, or two rows would each leave
+			// it to the other.
+			p.path = max(p.path, way)
+		}
 		return false
 	}
 	if !p.up {
@@ -399,6 +482,9 @@
 	if m.Starting && (!p.last.Starting || p.last.Start != m.Start) {
 		p.starting = now
 	}
-	p.heard, p.last = now, *m
+	if m.Start != p.last.Start || !m.same(&p.last) {
+		p.changed = m.Sequence
+	}
+	p.heard, p.last, p.path = now, *m, way
 	return true
 }
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -68,13 +69,13 @@
 	g := NewWithT(t)
 	a, b := newGossip(g, "a"), newGossip(g, "b")
 	fleet(a, b)
-	g.Expect(a.take(&Message{Sender: pool.Hash("b"), Start: 1, Sequence: 5}, time.Now())).To(BeTrue())
-	g.Expect(a.take(&Message{Sender: pool.Hash("b"), Start: 1, Sequence: 4}, time.Now())).To(BeFalse(), "overtaken on the way")
-	g.Expect(a.take(&Message{Sender: pool.Hash("b"), Start: 2, Sequence: 1}, time.Now())).To(BeTrue(), "a new incarnation")
-	g.Expect(a.take(&Message{Sender: pool.Hash("b"), Start: 1, Sequence: 9}, time.Now())).To(BeFalse(), "the former one")
+	g.Expect(a.take(&Message{Sender: pool.Hash("b"), Start: 1, Sequence: 5}, pathColumn, time.Now())).To(BeTrue())
+	g.Expect(a.take(&Message{Sender: pool.Hash("b"), Start: 1, Sequence: 4}, pathColumn, time.Now())).To(BeFalse(), "overtaken on the way")
+	g.Expect(a.take(&Message{Sender: pool.Hash("b"), Start: 2, Sequence: 1}, pathColumn, time.Now())).To(BeTrue(), "a new incarnation")
+	g.Expect(a.take(&Message{Sender: pool.Hash("b"), Start: 1, Sequence: 9}, pathColumn, time.Now())).To(BeFalse(), "the former one")
 	a.peers["b"].heard = time.Now().Add(-2 * PeerTimeout)
-	g.Expect(a.take(&Message{Sender: pool.Hash("b"), Start: 1, Sequence: 1}, time.Now())).To(BeTrue(), "started again with its clock set back")
-	g.Expect(a.take(&Message{Sender: pool.Hash("x"), Start: 1, Sequence: 1}, time.Now())).To(BeFalse(), "nobody that we know")
+	g.Expect(a.take(&Message{Sender: pool.Hash("b"), Start: 1, Sequence: 1}, pathColumn, time.Now())).To(BeTrue(), "started again with its clock set back")
+	g.Expect(a.take(&Message{Sender: pool.Hash("x"), Start: 1, Sequence: 1}, pathColumn, time.Now())).To(BeFalse(), "nobody that we know")
 }
 
 // One entry is cut off from the store. Jobs that the others accept meanwhile
@@ -84,14 +85,14 @@
 	a, b, c := newGossip(g, "a"), newGossip(g, "b"), newGossip(g, "c")
 	fleet(a, b, c)
 	now := time.Now()
-	a.take(&Message{Sender: pool.Hash("b"), Start: 1, Sequence: 1, StoreLost: true}, time.Now())
-	a.take(&Message{Sender: pool.Hash("c"), Start: 1, Sequence: 1}, time.Now())
+	a.take(&Message{Sender: pool.Hash("b"), Start: 1, Sequence: 1, StoreLost: true}, pathColumn, time.Now())
+	a.take(&Message{Sender: pool.Hash("c"), Start: 1, Sequence: 1}, pathColumn, time.Now())
 	owners := a.Owners(now, false)
 	slices.Sort(owners)
 	g.Expect(owners).To(Equal([]string{"a", "c"}))
 	g.Expect(a.Owners(now, true)).To(Equal([]string{"c"}))
 	g.Expect(a.StoreLostByAll(now)).To(BeFalse())
-	a.take(&Message{Sender: pool.Hash("c"), Start: 1, Sequence: 2, StoreLost: true}, time.Now())
+	a.take(&Message{Sender: pool.Hash("c"), Start: 1, Sequence: 2, StoreLost: true}, pathColumn, time.Now())
 	g.Expect(a.Owners(now, true)).To(HaveLen(3), "all keep what they have")
 	g.Expect(a.StoreLostByAll(now)).To(BeTrue())
 }
@@ -123,14 +124,14 @@
 	fleet(a, b, c)
 	now := time.Now()
 	for _, name := range []string{"b", "c"} {
-		a.take(&Message{Sender: pool.Hash(name), Start: 1, Sequence: 1}, now)
+		a.take(&Message{Sender: pool.Hash(name), Start: 1, Sequence: 1}, pathColumn, now)
 	}
 	var told []string
 	var pressed []uint32
 	b.Heard = func(_ []*Message, press []uint32) { pressed = append(pressed, press...) }
 	a.deliver = func(raw []byte, to *peer) {
 		told = append(told, to.name)
-		b.receiveOne(raw, now)
+		b.receiveOne(raw, netip.AddrPort{}, now)
 	}
 	a.Press("b", 7)
 	a.Press("b", 9)
@@ -154,7 +155,7 @@
 	now := time.Now()
 	g.Expect(a.Silent(now, time.Minute)).To(BeEmpty())
 	later := now.Add(2 * time.Minute)
-	a.take(&Message{Sender: pool.Hash("b"), Start: 1, Sequence: 1}, later)
+	a.take(&Message{Sender: pool.Hash("b"), Start: 1, Sequence: 1}, pathColumn, later)
 	g.Expect(a.Silent(later, time.Minute)).To(Equal([]string{"c"}))
 }
 
@@ -164,7 +165,7 @@
 	a, b := newGossip(g, "a"), newGossip(g, "b")
 	fleet(a, b)
 	now := time.Now()
-	a.take(&Message{Sender: pool.Hash("b"), Start: 1, Sequence: 1}, now)
+	a.take(&Message{Sender: pool.Hash("b"), Start: 1, Sequence: 1}, pathColumn, now)
 	g.Expect(a.noteSilent(now.Add(PeerTimeout / 2))).To(BeEmpty())
 	g.Expect(a.noteSilent(now.Add(PeerTimeout))).To(Equal([]string{"b"}))
 	g.Expect(a.noteSilent(now.Add(2 * PeerTimeout))).To(BeEmpty())
--- a/gossip/grid.go
+++ b/gossip/grid.go
@@ -40,13 +40,16 @@
 type grid struct {
 	names []string
 	width int
+	// shared is how many times as long the entries' part of a round is since the bytes are
+	// shared with what other zones tell.
+	shared int
 	// self is this entry's place among names, or -1.
 	self int
 }
 
 // newGrid arranges entries by their availability zones, then their names.
 func newGrid(self string, zones map[string]string) *grid {
-	g := &grid{self: -1}
+	g := &grid{self: -1, shared: 1}
 	for name := range zones {
 		g.names = append(g.names, name)
 	}
@@ -80,16 +83,16 @@
 	return mates
 }
 
-// columns returns the columns that this entry tells of its row in a round: those
-// for which it is the first or, each other round, the second live one of its row.
-func (g *grid) columns(round int, live func(name string) bool) []int {
+// columns returns the columns that this entry tells of its row: those for which it is, by
+// place, the first (0) or the second live one of its row.
+func (g *grid) columns(place int, live func(name string) bool) []int {
 	if g.self < 0 || g.rows() < 2 {
 		return nil
 	}
 	row, own := g.row(g.self/g.width), g.self%g.width
 	var columns []int
 	for c := range g.width {
-		if before := liveBefore(row, c%len(row), own, live); before < tellers && before == round%tellers {
+		if before := liveBefore(row, c%len(row), own, live); before == place {
 			columns = append(columns, c)
 		}
 	}
@@ -120,10 +123,24 @@
 	return names
 }
 
-// interval returns the time between two rounds: each datagram has its part.
+// interval returns the time between two rounds: each datagram and each entry has its part.
 func (g *grid) interval() time.Duration {
-	datagrams := min(len(g.names), g.width) + g.rows() - 2
-	return max(time.Duration(datagrams)*timePerDatagram, time.Duration(len(g.names))*timePerEntry, shortInterval)
+	return max(g.datagramTime(), g.byteTime(), shortInterval)
+}
+
+// datagramTime returns the part of a round that its datagrams take, byteTime that of the
+// entries that are told of.
+func (g *grid) datagramTime() time.Duration {
+	return time.Duration(min(len(g.names), g.width)+g.rows()-2) * timePerDatagram
+}
+
+func (g *grid) byteTime() time.Duration {
+	return time.Duration(g.shared*len(g.names)) * timePerEntry
+}
+
+// isMate says whether an entry stands in this entry's row.
+func (g *grid) isMate(name string) bool {
+	return g.self >= 0 && slices.Contains(g.row(g.self/g.width), name)
 }
 
 // timeout returns the silence after which a peer is taken as gone.
--- a/gossip/grid_test.go
+++ b/gossip/grid_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -31,14 +32,19 @@
 	flying  []flying
 	sent    int
 	bytes   int
+	// crossed are the bytes that went from one zone to another.
+	crossed int
+	// calm is set while an entry in ten changes what it runs in a round.
+	calm bool
 	// cut says which datagrams don't arrive.
 	cut func(from, to *playEntry) bool
 }
 
 type playEntry struct {
 	*Gossip
-	next time.Time
-	dead bool
+	place netip.AddrPort
+	next  time.Time
+	dead  bool
 	// spoke is when each message was spoken, by its sequence.
 	spoke map[uint64]time.Time
 }
@@ -58,6 +64,9 @@
 		e := &playEntry{spoke: map[uint64]time.Time{}}
 		e.Gossip = &Gossip{Name: fmt.Sprintf("front-%03d", n), Start: 1, Events: &event.Logger{}, Heard: func([]*Message, []uint32) {}, Lost: func(string) {}}
 		e.Tell = func(m *Message) {
+			if p.calm && p.random.IntN(10) > 0 {
+				return
+			}
 			for range 5 {
 				m.Loads = append(m.Loads, pool.Load{Server: p.random.Uint32(), Online: 1})
 			}
@@ -68,7 +77,8 @@
 		e.next = p.now.Add(time.Duration(p.random.IntN(100)) * time.Millisecond)
 		p.entries = append(p.entries, e)
 		p.byName[e.Name] = e
-		members[e.Name] = watch.Member{Address: "127.0.0.1:1", Zone: fmt.Sprint("zone-", n%5)}
+		e.place = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(n+1))
+		members[e.Name] = watch.Member{Address: e.place.String(), Zone: fmt.Sprint("zone-", n%5)}
 	}
 	for _, e := range p.entries {
 		e.SetPeers(members)
@@ -79,6 +89,9 @@
 func (p *play) send(from, to *playEntry, raw []byte) {
 	p.sent++
 	p.bytes += len(raw)
+	if from.zone != to.zone {
+		p.crossed += len(raw)
+	}
 	if p.random.Float64() >= lossShare && !p.cut(from, to) {
 		p.flying = append(p.flying, flying{p.now.Add(flight), from, to, raw})
 	}
@@ -93,7 +106,7 @@
 		arrived := 0
 		for arrived < len(p.flying) && !p.flying[arrived].at.After(p.now) {
 			if d := p.flying[arrived]; !d.to.dead {
-				d.to.receiveOne(d.raw, p.now)
+				d.to.receiveOne(d.raw, d.from.place, p.now)
 			}
 			arrived++
 		}
@@ -169,6 +182,35 @@
 	}
 }
 
+// Bytes between zones cost. On a calm day of a large fleet each zone is told what is new
+// in another one by a few datagrams, however many entries there are.
+func TestFewBytesCrossZones(t *testing.T) {
+	for name, c := range map[string]struct {
+		entries int
+		// crossed and all bound the kilobytes a second and entry.
+		crossed, all float64
+	}{
+		"125 entries": {125, 1, 40},
+		"250 entries": {250, 1, 40},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := newPlay(c.entries)
+			p.calm = true
+			p.run(2 * time.Second)
+			p.sent, p.bytes, p.crossed = 0, 0, 0
+			const played = 2 * time.Second
+			median, p99, gone := p.run(played)
+			perEntry := func(n int) float64 { return float64(n) / float64(c.entries) / played.Seconds() }
+			t.Logf("median %v, p99 %v, %.0f datagrams a second and entry, kB %.2f between zones, %.0f in all", median, p99,
+				perEntry(p.sent), perEntry(p.crossed)/1000, perEntry(p.bytes)/1000)
+			g.Expect(gone).To(BeZero(), "live peers taken as gone")
+			g.Expect(perEntry(p.crossed) / 1000).To(BeNumerically("<=", c.crossed))
+			g.Expect(perEntry(p.bytes) / 1000).To(BeNumerically("<=", c.all))
+		})
+	}
+}
+
 // A sixth of all entries is lost at once, others hear nothing any more and still
 // say that they live, or can't reach some of the others. Those that are well must
 // go on to know of each other, or they would run each other's jobs.
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -16,6 +16,7 @@
 type peer struct {
 	name    string
 	address *net.UDPAddr
+	zone    string
 	// timeout is the silence after which it is taken as gone.
 	timeout time.Duration
 	// known is when its address was first read.
@@ -27,10 +28,17 @@
 	asked, answered time.Time
 	sent            time.Time
 	last            Message
+	// changed is the sequence with which last came to say what it says, path on which way
+	// it came.
+	changed uint64
+	path    path
 	// up is set between the lines that tell that the peer was heard and that it is silent.
 	up bool
 }
 
+// toldOften says whether the peer is told of all news: it lives, or may be about to be heard.
+func (p *peer) toldOften(now time.Time) bool { return p.live(now) || now.Sub(p.known) < p.timeout }
+
 func (p *peer) live(now time.Time) bool { return p != nil && now.Sub(p.heard) < p.timeout }
 
 // Live returns the names of the entries that were heard lately, this one included.
@@ -109,6 +117,14 @@
 func (g *Gossip) Timeout() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.timeout()
+}
+
+// timeout returns the longest silence after which a peer is taken as gone.
+func (g *Gossip) timeout() time.Duration {
+	if g.zones != nil {
+		return max(g.grid.timeout(), g.zones.timeout())
+	}
 	return g.grid.timeout()
 }
 
