node, access: members are read after what callers need; a held request waits longer

Change: members are read once callers can be served; a request is held for 0.7 of its caller's time.

--- a/access/access.go
+++ b/access/access.go
@@ -18,7 +18,7 @@
 const (
 	// startupShare of a caller's time is how long a request waits for a process that has
 	// just started and reads what it needs; the rest is for the run, or for a try elsewhere.
-	startupShare = 0.5
+	startupShare = 0.7
 	// startupTick is between two looks whether the start goes on.
 	startupTick = 50 * time.Millisecond
 	// defaultWait stands for the time of callers that don't say how long they wait.
--- a/node/node.go
+++ b/node/node.go
@@ -415,7 +415,6 @@
 	n.goRun(ctx, n.configuration.Run)
 	n.goRun(ctx, n.registrations.Run)
 	n.goRun(ctx, n.awaitStart)
-	n.goRun(ctx, n.members.Run)
 	n.goRun(ctx, n.gossip.Run)
 	n.goRun(ctx, n.appender.Run)
 	n.goRun(ctx, n.recorder.Run)
@@ -425,8 +424,9 @@
 	n.goRun(ctx, n.lease.Run)
 }
 
-// awaitStart notes when callers can be served. The jobs are read after that:
-// they are many megabytes, and online requests don't need them.
+// awaitStart notes when callers can be served. The members and the jobs are read after
+// that: online requests need neither, and after a loss of all entries each byte that one of
+// them reads is one that all others wait for.
 func (n *Node) awaitStart(ctx context.Context) {
 	t := time.NewTicker(startTick)
 	defer t.Stop()
@@ -438,6 +438,7 @@
 		}
 	}
 	close(n.started)
+	n.goRun(ctx, n.members.Run)
 	n.goRun(ctx, n.work.Run)
 	n.jobs.Run(ctx)
 }
