share, node: a few entries of a zone read configuration and registrations for all of it

Change: in fleets whose zones tell each other by few datagrams, three entries of each zone, the strongest that live, read these topics; the others ask them by long reads. That the store has just come back is told before what lapsed meanwhile. Where callers' keys hang on the age of the configuration each entry reads it by itself. At a start the members are read first. Members tell how strong their instance is.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -22,6 +22,11 @@
 // "half a second", and lets callers in whose keys were taken away meanwhile.
 func Now() Instant { return Instant{Time: time.Now(), Boot: Boot()} }
 
+// Earlier returns the instant that was a time before this one.
+func (i Instant) Earlier(d time.Duration) Instant {
+	return Instant{Time: i.Time.Add(-d), Boot: i.Boot - d}
+}
+
 // Boot returns the time since the machine's start, suspended times included.
 func Boot() time.Duration {
 	var t unix.Timespec
--- a/conf/node.go
+++ b/conf/node.go
@@ -34,6 +34,8 @@
 	ApplyTimeout time.Duration
 	// MemoryBytes is the memory at which the process is ended.
 	MemoryBytes int64
+	// Strength is the instance's part of a processor, in hundredths.
+	Strength int
 	// StrictRevoke says that a key that was taken away has to be refused by each
 	// entry after RevokeTimeout, whether it could hear of that or not.
 	StrictRevoke  bool
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -102,7 +102,11 @@
 	// where zones is set.
 	zone    string
 	foreign []string
-	round   int
+	// strength is this entry's part of a processor, and strongest are the entries of its
+	// zone in that order.
+	strength  int
+	strongest []string
+	round     int
 	// passed is, by where it was passed on, the newest message of each entry.
 	passed   map[route]map[string]mark
 	sequence uint64
@@ -164,6 +168,7 @@
 	for name, m := range members {
 		zones[name] = m.Zone
 		if name == g.Name {
+			g.strength = m.Strength
 			continue
 		}
 		address, err := net.ResolveUDPAddr("udp", m.Address)
@@ -176,7 +181,7 @@
 			p = &peer{name: name, known: time.Now()}
 			g.peers[name], g.senders[pool.Hash(name)] = p, p
 		}
-		p.address, p.zone = address, m.Zone
+		p.address, p.zone, p.strength = address, m.Zone, m.Strength
 	}
 	for name := range g.peers {
 		if _, ok := members[name]; !ok {
@@ -203,6 +208,7 @@
 	g.grid = newGrid(g.Name, members)
 	if g.zones != nil {
 		g.grid.shared = zoneShare
+		g.strongest = g.byStrength(g.grid.names)
 	}
 	for name, p := range g.peers {
 		g.addresses[plain(p.address.AddrPort())] = p
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -17,6 +17,8 @@
 	name    string
 	address *net.UDPAddr
 	zone    string
+	// strength is its part of a processor, in hundredths.
+	strength int
 	// timeout is the silence after which it is taken as gone.
 	timeout time.Duration
 	// known is when its address was first read.
@@ -37,7 +39,9 @@
 }
 
 // toldOften says whether the peer is told of all news: it lives, or may be about to be heard.
-func (p *peer) toldOften(now time.Time) bool { return p.live(now) || now.Sub(p.known) < p.timeout }
+func (p *peer) toldOften(now time.Time) bool {
+	return p != nil && (p.live(now) || now.Sub(p.known) < p.timeout)
+}
 
 func (p *peer) live(now time.Time) bool { return p != nil && now.Sub(p.heard) < p.timeout }
 
@@ -188,8 +192,8 @@
 	return names
 }
 
-// Readers returns the addresses of the live peers that read the store.
-func (g *Gossip) Readers(now time.Time) []string {
+// StoreReaders returns the addresses of the live peers that read the store.
+func (g *Gossip) StoreReaders(now time.Time) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var addresses []string
--- a/gossip/zones.go
+++ b/gossip/zones.go
@@ -6,10 +6,16 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/sardinerock/sardinerock/pool"
 )
 
-// zoneShare is the part, one in so many, of the bytes that an entry hears that come from its own zone.
-const zoneShare = 3
+const (
+	// zoneShare is the part, one in so many, of the bytes that an entry hears that come from its own zone.
+	zoneShare = 3
+	// zoneReaders is how many entries of a zone read for the others.
+	zoneReaders = 3
+)
 
 // zones says who tells the other availability zones of a large fleet what goes on in this one.
 //
@@ -169,3 +175,48 @@
 		g.send(g.unpassed(route{column: c}, g.foreign, pathRow, now), nil, g.grid.column(c), now)
 	}
 }
+
+// Readers returns the addresses of the entries of this zone that read what all of them have to
+// know, in the order in which this one asks them: the strongest that live, a few. There are
+// none for those entries, and in fleets in which each reads for itself.
+func (g *Gossip) Readers(now time.Time) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.zones == nil {
+		return nil
+	}
+	var readers []string
+	for _, name := range g.strongest {
+		if name == g.Name {
+			return nil
+		}
+		if p := g.peers[name]; p.toldOften(now) && !p.last.Leaving {
+			if readers = append(readers, p.address.String()); len(readers) == zoneReaders {
+				break
+			}
+		}
+	}
+	// Each begins with another one of them.
+	if first := int(pool.Hash(g.Name)) % max(len(readers), 1); first > 0 {
+		readers = append(readers[first:], readers[:first]...)
+	}
+	return readers
+}
+
+// byStrength sorts the entries of a zone, the strongest first.
+func (g *Gossip) byStrength(names []string) []string {
+	strength := func(name string) int {
+		if p := g.peers[name]; p != nil {
+			return p.strength
+		}
+		if name == g.Name {
+			return g.strength
+		}
+		return 0
+	}
+	sorted := slices.Clone(names)
+	slices.SortFunc(sorted, func(a, b string) int {
+		return cmp.Or(cmp.Compare(strength(b), strength(a)), cmp.Compare(pool.Hash(a), pool.Hash(b)), cmp.Compare(a, b))
+	})
+	return sorted
+}
--- a/node/node.go
+++ b/node/node.go
@@ -35,6 +35,7 @@
 	"github.com/sardinerock/sardinerock/relay"
 	"github.com/sardinerock/sardinerock/roster"
 	"github.com/sardinerock/sardinerock/runner"
+	"github.com/sardinerock/sardinerock/share"
 	"github.com/sardinerock/sardinerock/submit"
 	"github.com/sardinerock/sardinerock/texts"
 	"github.com/sardinerock/sardinerock/tidy"
@@ -102,6 +103,8 @@
 	started chan struct{}
 	// release ends the close look at the topics of jobs and items; nil while there is none.
 	release func()
+	// shared answers peers for which this entry reads topics.
+	shared *share.Server
 	// begun is when this process started, and loadTime how long it took to read the
 	// order of jobs, in nanoseconds; 0 before.
 	begun    time.Time
@@ -149,8 +152,10 @@
 	toldRounds = 2
 	// defaultWindow is over which time quotas are counted where the settings don't say.
 	defaultWindow = time.Second
-	// startTick is between two looks whether the start is complete.
+	// startTick is between two looks whether a step of the start is complete.
 	startTick = 5 * time.Millisecond
+	// membersTime is how long the members are waited for before the rest is read without them.
+	membersTime = 300 * time.Millisecond
 )
 
 // Run serves until ctx ends and what was begun is done.
@@ -193,7 +198,7 @@
 	idle := &idleConns{limit: n.idleLimit}
 	callers.ConnState = idle.state
 	n.serve(callers, front)
-	handedOn := &http.Server{Handler: n.lease.FromPeers(detour.FromPeer(n.front())), ReadHeaderTimeout: headerTimeout}
+	handedOn := &http.Server{Handler: n.shared.FromPeers(n.lease.FromPeers(detour.FromPeer(n.front()))), ReadHeaderTimeout: headerTimeout}
 	n.serve(handedOn, peers)
 	probes := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
 	n.serve(probes, ready)
@@ -228,12 +233,18 @@
 	n.conns = &conns.Conns{Dialect: n.Dialect}
 	n.ledger = &ledger.Ledger{JobsTopic: n.Topics.Jobs, WorkTopic: n.Topics.Work, Events: n.Events}
 	n.ledger.Prepare()
+	peers := detour.NewClient()
+	n.shared = &share.Server{Feeds: map[string]*share.Feed{}, Events: n.Events}
 	n.configuration = n.follower(n.Topics.Configuration, n.table.Apply)
 	n.registrations = n.follower(n.Topics.Servers, n.servers.Apply)
 	n.registrations.Back = n.servers.Back
 	n.configuration.Wait = n.configurationWait()
 	n.registrations.Wait = newsWait(n.Settings.DrainTimeout)
 	n.registrations.Interval = time.Duration(batchShare * float64(n.Settings.DrainTimeout))
+	n.share(n.registrations, peers)
+	if !n.keysMatter() {
+		n.share(n.configuration, peers)
+	}
 	// With thousands of backend servers their list is several pages, which all
 	// entries of a fleet that starts read at once; the first page serves callers.
 	n.registrations.Partial = func(records []sardinerock.StoreRecord) { n.servers.Apply(records, false) }
@@ -246,9 +257,8 @@
 		Tell: n.tell, Heard: n.heard, Lost: n.pool.DropPeer, Answer: n.answer,
 	}
 	n.gossip.Prepare()
-	peers := detour.NewClient()
 	n.lease = &lease.Lease{
-		Table: n.table, OwnAge: n.configuration.Age, Length: n.leaseLength, Peers: func() []string { return n.gossip.Readers(time.Now()) },
+		Table: n.table, OwnAge: n.configuration.Age, Length: n.leaseLength, Peers: func() []string { return n.gossip.StoreReaders(time.Now()) },
 		Client: peers, Events: n.Events, Metrics: n.Metrics,
 	}
 	n.lease.Prepare()
@@ -258,7 +268,7 @@
 		Home:    n.homeOf,
 	}
 	n.roster = &roster.Roster{
-		Name: n.Settings.ID, Self: watch.Member{Address: n.Settings.PeerAddress, Zone: n.Settings.Zone}, Store: n.Store, Topic: n.Topics.Members,
+		Name: n.Settings.ID, Self: n.self(), Store: n.Store, Topic: n.Topics.Members,
 		SetPeers: n.gossip.SetPeers, Live: n.gossip.Live, Silent: n.gossip.Silent, Away: n.storeLost, Events: n.Events,
 	}
 	n.roster.Prepare()
@@ -315,7 +325,7 @@
 				Events:         n.Events, Metrics: n.Metrics,
 			},
 			Away:   func() bool { return n.storeAway(time.Now()) },
-			Peers:  func() []string { return n.gossip.Readers(time.Now()) },
+			Peers:  func() []string { return n.gossip.StoreReaders(time.Now()) },
 			Client: peers, Dialect: n.Dialect, Events: n.Events, Metrics: n.Metrics,
 		},
 		Quota: n.quota, ConfigurationAge: n.lease.Age, Lease: n.lease.Length,
@@ -412,8 +422,7 @@
 }
 
 func (n *Node) start(ctx context.Context) {
-	n.goRun(ctx, n.configuration.Run)
-	n.goRun(ctx, n.registrations.Run)
+	n.goRun(ctx, n.members.Run)
 	n.goRun(ctx, n.awaitStart)
 	n.goRun(ctx, n.gossip.Run)
 	n.goRun(ctx, n.appender.Run)
@@ -424,23 +433,36 @@
 	n.goRun(ctx, n.lease.Run)
 }
 
-// awaitStart notes when callers can be served. The members and the jobs are read after
-// that: online requests need neither, and after a loss of all entries each byte that one of
-// them reads is one that all others wait for.
+// awaitStart notes when callers can be served. The members are read first: in a large
+// fleet one of them may have read the rest. The jobs are read last: online requests don't need
+// them, and after a loss of all entries each byte that one of them reads is one that all
+// others wait for.
 func (n *Node) awaitStart(ctx context.Context) {
+	members, cancel := context.WithTimeout(ctx, membersTime)
+	n.until(members, n.members.Loaded)
+	cancel()
+	n.goRun(ctx, n.configuration.Run)
+	n.goRun(ctx, n.registrations.Run)
+	if !n.until(ctx, func() bool { return n.table.Current() != nil && n.registrations.Usable() }) {
+		return
+	}
+	close(n.started)
+	n.goRun(ctx, n.work.Run)
+	n.jobs.Run(ctx)
+}
+
+// until waits for something, and says false if ctx ends before.
+func (n *Node) until(ctx context.Context, done func() bool) bool {
 	t := time.NewTicker(startTick)
 	defer t.Stop()
-	for n.table.Current() == nil || !n.registrations.Usable() {
+	for !done() {
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-t.C:
 		}
 	}
-	close(n.started)
-	n.goRun(ctx, n.members.Run)
-	n.goRun(ctx, n.work.Run)
-	n.jobs.Run(ctx)
+	return true
 }
 
 func (n *Node) goRun(ctx context.Context, run func(context.Context)) {
--- a/node/owners.go
+++ b/node/owners.go
@@ -92,7 +92,7 @@
 // configurationWait returns how long a read waits for a configuration.
 func (n *Node) configurationWait() time.Duration {
 	wait := newsWait(n.Settings.ApplyTimeout)
-	if n.Settings.StrictRevoke || n.Settings.QuotaWindow > 0 {
+	if n.keysMatter() {
 		wait = min(cmp.Or(wait, provenWait), provenWait)
 	}
 	return wait
--- a/serving.go
+++ b/serving.go
@@ -269,6 +269,11 @@
 	End int64
 	// More is set when a page of the newest records isn't the last.
 	More bool
+	// Age is how long before the answer it was proven that there were no more records; 0
+	// where the store itself answered.
+	Age time.Duration
+	// StoreBack is set where an entry answered that has found the store back a moment ago.
+	StoreBack bool
 }
 
 // Errors of the platform's store.
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -296,6 +296,8 @@
 	end     int64
 	after   string
 	records []sardinerock.StoreRecord
+	// storeBack is set where a page says so.
+	storeBack bool
 	// cut is set once the topic's first records are known to be gone.
 	cut bool
 }
@@ -336,8 +338,9 @@
 			return err
 		}
 		if l.after == "" {
-			l.end = page.End
+			l.end, l.sent = page.End, l.sent.Earlier(page.Age)
 		}
+		l.storeBack = l.storeBack || page.StoreBack
 		l.add(page.Records)
 		f.offer(page.Records)
 		if !page.More || len(page.Records) == 0 {
@@ -393,7 +396,7 @@
 
 func (f *Follower) loadedAll(l *loading) error {
 	sort.Slice(l.records, func(i, j int) bool { return l.records[i].Offset < l.records[j].Offset })
-	f.worked()
+	f.worked(l.storeBack)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	// An answer from before what is known already must not take anything back.
@@ -417,12 +420,12 @@
 	if err != nil {
 		return err
 	}
-	f.worked()
+	f.worked(page.StoreBack)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.take(page.Records, from)
 	if f.next >= page.End && page.End >= from {
-		f.advance(f.next, sent)
+		f.advance(f.next, sent.Earlier(page.Age))
 	}
 	return nil
 }
@@ -470,10 +473,11 @@
 }
 
 // worked comes before the records of the read that worked are applied: whoever
-// takes them has to know that some may have come about while the store was away.
-func (f *Follower) worked() {
+// takes them has to know that some may have come about while the store was away, for this
+// entry or for the one that read them.
+func (f *Follower) worked(storeBack bool) {
 	f.mu.Lock()
-	lost, back := f.lost, f.lost || f.unanswered
+	lost, back := f.lost, f.lost || f.unanswered || storeBack
 	f.unanswered = false
 	if f.working.IsZero() || lost {
 		f.working = time.Now()
--- a/watch/members.go
+++ b/watch/members.go
@@ -1,7 +1,9 @@
 package watch
 
 import (
+	"fmt"
 	"maps"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -14,15 +16,29 @@
 	Address string
 	// Zone is its availability zone.
 	Zone string
+	// Strength is its part of a processor, in hundredths; 0 where it isn't written down.
+	Strength int
 }
 
 // Value returns the value of a member's record.
-func (m Member) Value() []byte { return []byte(m.Address + " " + m.Zone) }
+func (m Member) Value() []byte { return fmt.Appendf(nil, "%s %s %d", m.Address, m.Zone, m.Strength) }
 
 // ParseMember reads the value of a member's record.
 func ParseMember(raw []byte) Member {
-	address, zone, _ := strings.Cut(string(raw), " ")
-	return Member{Address: address, Zone: zone}
+	var m Member
+	parts := strings.Fields(string(raw))
+	for n, part := range parts {
+		switch n {
+		case 0:
+			m.Address = part
+		case 1:
+			m.Zone = part
+		case 2:
+			// What isn't a number is of another form, and tells no strength.
+			m.Strength, _ = strconv.Atoi(part)
+		}
+	}
+	return m
 }
 
 // Members keeps the entries by name: each writes itself down.
