--- a/tools/days.sh
+++ b/tools/days.sh
@@ -8,6 +8,7 @@
 play() {
   day=$1
   case "$(basename "$day")" in
+    km-fleet-*) site=$sites/fleet/km-dashworks-fleet ;;
     km-size-*) site=$sites/large/km-dashworks-large ;;
     km-shift-*) site=$sites/shifted/km-dashworks-now-grown ;;
     km-*) site=$sites/sites/km-dashworks ;;
