grid, digest, asks, heirs: who tells whom, what is told, questions and claims have packages of their own

No behaviour changes, but for claims: they are looked for in a loop of their own, so that the runner's doesn't wait for them, and not while the entry stops.

--- /dev/null
+++ b/asks/doc.go
@@ -0,0 +1,2 @@
+// Package asks puts questions to single peers by datagrams, and brings back the answers.
+package asks
--- /dev/null
+++ b/digest/doc.go
@@ -0,0 +1,2 @@
+// Package digest holds what entries tell each other of themselves, and its form in datagrams.
+package digest
--- a/gossip/wire.go
+++ b/digest/wire.go
@@ -1,4 +1,4 @@
-package gossip
+package digest
 
 import (
 	"encoding/binary"
@@ -59,7 +59,9 @@
 	Press []byte
 }
 
-func encode(messages []*Message, press []uint32) ([]byte, error) {
+// Encode writes what is sent at once: messages, and the backend servers on which the receiver is
+// asked to give up the slot of a batch item each.
+func Encode(messages []*Message, press []uint32) ([]byte, error) {
 	d := datagram{Messages: make([]packed, len(messages)), Press: packHashes(press)}
 	for n, m := range messages {
 		d.Messages[n] = m.pack()
@@ -116,13 +118,14 @@
 	return p
 }
 
-func decode(raw []byte) (messages []*Message, press []uint32, err error) {
+// Decode reads the same.
+func Decode(raw []byte) (messages []*Message, press []uint32, err error) {
 	var d datagram
 	if err := cbor.Unmarshal(raw, &d); err != nil {
 		return nil, nil, err
 	}
 	if len(d.Press)%hashBytes != 0 {
-		return nil, nil, fmt.Errorf("gossip: %d bytes of backend servers; whole ones have %d", len(d.Press), hashBytes)
+		return nil, nil, fmt.Errorf("digest: %d bytes of backend servers; whole ones have %d", len(d.Press), hashBytes)
 	}
 	messages = make([]*Message, len(d.Messages))
 	for n := range d.Messages {
@@ -137,7 +140,7 @@
 
 func (p *packed) unpack() (*Message, error) {
 	if len(p.Loads)%loadBytes != 0 || len(p.Items)%hashBytes != 0 {
-		return nil, fmt.Errorf("gossip: loads of %d and items of %d bytes; whole ones have %d and %d", len(p.Loads), len(p.Items), loadBytes, hashBytes)
+		return nil, fmt.Errorf("digest: loads of %d and items of %d bytes; whole ones have %d and %d", len(p.Loads), len(p.Items), loadBytes, hashBytes)
 	}
 	m := &Message{
 		Sender: p.Sender, Start: p.Start, Sequence: p.Sequence, Waiting: p.Waiting, Crashes: p.Crashes,
@@ -151,13 +154,13 @@
 	}
 	m.Items = unpackHashes(p.Items)
 	if len(p.Breaks)%breakBytes != 0 {
-		return nil, fmt.Errorf("gossip: %d bytes of breaks; whole ones have %d", len(p.Breaks), breakBytes)
+		return nil, fmt.Errorf("digest: %d bytes of breaks; whole ones have %d", len(p.Breaks), breakBytes)
 	}
 	for b := p.Breaks; len(b) > 0; b = b[breakBytes:] {
 		m.Breaks = append(m.Breaks, pool.Break{Server: binary.BigEndian.Uint32(b), Age: time.Duration(b[4]) * ageUnit})
 	}
 	if len(p.Quota)%toldBytes != 0 {
-		return nil, fmt.Errorf("gossip: %d bytes of quotas; whole ones have %d", len(p.Quota), toldBytes)
+		return nil, fmt.Errorf("digest: %d bytes of quotas; whole ones have %d", len(p.Quota), toldBytes)
 	}
 	for b := p.Quota; len(b) > 0; b = b[toldBytes:] {
 		m.Quota = append(m.Quota, quota.Told{
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -7,25 +7,21 @@
 	"maps"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
+	"github.com/sardinerock/sardinerock/asks"
+	"github.com/sardinerock/sardinerock/digest"
 	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/grid"
 	"github.com/sardinerock/sardinerock/pool"
-	"github.com/sardinerock/sardinerock/quota"
 	"github.com/sardinerock/sardinerock/watch"
 )
 
 const (
-	// shortInterval bounds the interval of small fleets; a run begins every 40 ms
-	// at each of a dozen entries in a burst, and what was heard before it has to be usable.
-	shortInterval = 25 * time.Millisecond
 	// freshTime is the longest time for which an entry says nothing while there is
 	// nothing new: two such datagrams may be lost before it is taken as gone.
 	freshTime = 200 * time.Millisecond
-	// PeerTimeout is the least silence after which a peer is taken as gone.
-	PeerTimeout = time.Second
 	// restateParts is how often, within the silence after which a peer is taken as gone,
 	// it is told on that it lives though it says nothing new.
 	restateParts = 3
@@ -35,36 +31,6 @@
 	largestDatagram = 64 << 10
 )
 
-// Message is what one entry says of itself.
-type Message struct {
-	// Sender is Hash of the sender's name, and Start tells its incarnations apart.
-	Sender uint32
-	Start  int64
-	// Sequence orders the messages of one incarnation.
-	Sequence uint64
-	Loads    []pool.Load
-	// Items are short hashes of the batch items that the sender runs.
-	Items []uint32
-	// Waiting is how many batch items the sender could start.
-	Waiting int
-	// Leaving is set in the last messages before the sender stops.
-	Leaving bool
-	// StoreLost is set while the sender can't read the store, or has not read it yet.
-	StoreLost bool
-	// Starting is set beside it until the sender has read the order of jobs.
-	Starting bool
-	// Crashes are fingerprints of requests during which backend servers
-	// crashed, with how often the sender saw it.
-	Crashes map[uint64]int
-	// Breaks are the backend servers that broke off lately in the sender's requests.
-	Breaks []pool.Break
-	// Quota is what the sender let in of teams that asked lately.
-	Quota []quota.Told
-
-	// From is the sender's name, which isn't sent.
-	From string
-}
-
 // Gossip exchanges datagrams with the other entries.
 type Gossip struct {
 	// Name is this entry's name.
@@ -73,21 +39,23 @@
 	Start int64
 	Conn  *net.UDPConn
 	// Tell fills a datagram before it is sent.
-	Tell func(m *Message)
+	Tell func(m *digest.Message)
 	// Lost is called with the name of each peer that was heard before and is silent now.
 	Lost func(name string)
 	// Heard takes the newer messages of one datagram, and the backend servers on
 	// which its sender asks for the slot of a batch item of this entry.
-	Heard func(messages []*Message, press []uint32)
+	Heard func(messages []*digest.Message, press []uint32)
 	// Answer, if set, answers the question of a peer's incarnation; it must not wait.
 	Answer func(peer string, start int64, question []byte) ([]byte, error)
 	Events *event.Logger
 
+	asks *asks.Asks
+
 	mu sync.Mutex
 	// told is what this entry last said of itself, and toldAt when.
 	told   []byte
 	toldAt time.Time
-	last   Message
+	last   digest.Message
 	peers  map[string]*peer
 	// unlisted are names that were asked for and aren't among the members, and since when.
 	unlisted map[string]time.Time
@@ -96,8 +64,8 @@
 	// addresses finds them by where their datagrams come from.
 	addresses map[netip.AddrPort]*peer
 	// grid holds the entries of this one's zone where zones holds the others, else all.
-	grid  *grid
-	zones *zones
+	grid  *grid.Grid
+	zones *grid.Zones
 	// zone is this entry's availability zone, and foreign are the peers of the others,
 	// where zones is set.
 	zone    string
@@ -115,20 +83,10 @@
 	// pressed are the entries to be told at once, with the backend servers on which
 	// they are asked for a slot.
 	pressed map[string][]uint32
-	// asked numbers the questions of this entry, and answers are those under way.
-	asked   uint64
-	answers map[uint64]chan []byte
 	// deliver sends a datagram to a peer.
 	deliver func(raw []byte, to *peer)
 }
 
-// same says whether a message says the same of its sender as another one.
-func (m *Message) same(other *Message) bool {
-	return m.Waiting == other.Waiting && m.Leaving == other.Leaving && m.StoreLost == other.StoreLost && m.Starting == other.Starting &&
-		slices.Equal(m.Loads, other.Loads) && slices.Equal(m.Items, other.Items) && maps.Equal(m.Crashes, other.Crashes) &&
-		slices.Equal(m.Breaks, other.Breaks) && slices.Equal(m.Quota, other.Quota)
-}
-
 // mark names a message of an entry that was passed on, and when.
 type mark struct {
 	start    int64
@@ -151,8 +109,9 @@
 	g.passed, g.pressed = map[route]map[string]mark{}, map[string][]uint32{}
 	g.addresses = map[netip.AddrPort]*peer{}
 	g.unlisted = map[string]time.Time{}
-	g.answers = map[uint64]chan []byte{}
-	g.grid = newGrid(g.Name, nil)
+	g.asks = &asks.Asks{Sender: pool.Hash(g.Name), Start: g.Start, Conn: g.Conn, Peer: g.named, Answer: g.Answer, Events: g.Events}
+	g.asks.Prepare()
+	g.grid = grid.New(g.Name, nil)
 	g.urgent = make(chan struct{}, 1)
 	g.deliver = func(raw []byte, to *peer) {
 		// A datagram that can't be sent is like one that is lost: a later one holds what is new.
@@ -201,20 +160,20 @@
 	clear(g.passed)
 	clear(g.addresses)
 	g.zone, g.foreign = members[g.Name], nil
-	if g.zones = newZones(g.Name, members); g.zones != nil {
+	if g.zones = grid.NewZones(g.Name, members); g.zones != nil {
 		members = maps.Clone(members)
 		maps.DeleteFunc(members, func(_, zone string) bool { return zone != g.zone })
 	}
-	g.grid = newGrid(g.Name, members)
+	g.grid = grid.New(g.Name, members)
 	if g.zones != nil {
-		g.grid.shared = zoneShare
-		g.strongest = g.byStrength(g.grid.names)
+		g.grid.Shared = grid.ZoneShare
+		g.strongest = g.byStrength(g.grid.Names)
 	}
 	for name, p := range g.peers {
 		g.addresses[plain(p.address.AddrPort())] = p
-		p.timeout = g.grid.timeout()
+		p.timeout = g.grid.Timeout()
 		if g.zones != nil && p.zone != g.zone {
-			p.timeout = g.zones.timeout()
+			p.timeout = g.zones.Timeout()
 			g.foreign = append(g.foreign, name)
 		}
 	}
@@ -254,7 +213,7 @@
 // Run sends and receives until ctx ends.
 func (g *Gossip) Run(ctx context.Context) {
 	go g.receive(ctx)
-	t := time.NewTimer(shortInterval)
+	t := time.NewTimer(grid.ShortInterval)
 	defer t.Stop()
 	for {
 		select {
@@ -275,7 +234,7 @@
 func (g *Gossip) interval() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.grid.interval()
+	return g.grid.Interval()
 }
 
 // ViewAge returns how old what is known of the peers may be: the time of a
@@ -283,10 +242,10 @@
 func (g *Gossip) ViewAge() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	age := time.Duration(min(g.grid.rows(), 2)) * g.grid.interval()
+	age := time.Duration(min(g.grid.Rows(), 2)) * g.grid.Interval()
 	if g.zones != nil {
 		// Through a grid at either end.
-		return 2*age + g.zones.interval()
+		return 2*age + g.zones.Interval()
 	}
 	return age
 }
@@ -311,13 +270,13 @@
 // day that is every second datagram of a small fleet: they are most of the bytes
 // between availability zones.
 func (g *Gossip) speak(now time.Time) bool {
-	m := Message{Sender: pool.Hash(g.Name), Start: g.Start, From: g.Name}
+	m := digest.Message{Sender: pool.Hash(g.Name), Start: g.Start, From: g.Name}
 	g.Tell(&m)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.Leaving = g.leaving
 	// Its sequence isn't set yet, so that the same things read the same.
-	raw, err := encode([]*Message{&m}, nil)
+	raw, err := digest.Encode([]*digest.Message{&m}, nil)
 	if err != nil {
 		g.Events.Warn(event.PeerDown).Err(err).Msg("datagram can't be written")
 		return false
@@ -339,11 +298,11 @@
 	defer g.mu.Unlock()
 	g.round++
 	if news {
-		g.send([]*Message{&g.last}, nil, g.grid.mates(), now)
+		g.send([]*digest.Message{&g.last}, nil, g.grid.Mates(), now)
 	}
-	names := append(g.grid.mates(), g.Name)
-	for _, c := range g.grid.columns(g.round%tellers, g.knowsLive(now)) {
-		g.send(g.unpassed(route{column: c}, names, pathColumn, now), nil, g.grid.column(c), now)
+	names := append(g.grid.Mates(), g.Name)
+	for _, c := range g.grid.Columns(g.round%grid.Tellers, g.knowsLive(now)) {
+		g.send(g.unpassed(route{column: c}, names, pathColumn, now), nil, g.grid.Column(c), now)
 	}
 	g.tellZones(now)
 }
@@ -356,14 +315,14 @@
 // unpassed returns what is known of the named entries, came on some path or on one from
 // further away, and wasn't passed on to a route yet; what hasn't changed since it was passed
 // on is repeated only now and then, so that those who live are known to.
-func (g *Gossip) unpassed(to route, names []string, least path, now time.Time) []*Message {
+func (g *Gossip) unpassed(to route, names []string, least path, now time.Time) []*digest.Message {
 	passed := g.passed[to]
 	if passed == nil {
 		passed = map[string]mark{}
 		g.passed[to] = passed
 	}
 	restate := g.timeout() / restateParts
-	var messages []*Message
+	var messages []*digest.Message
 	for _, name := range names {
 		m, changed := &g.last, g.last.Sequence
 		if name != g.Name {
@@ -389,17 +348,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for name, servers := range g.pressed {
-		g.send([]*Message{&g.last}, servers, []string{name}, now)
+		g.send([]*digest.Message{&g.last}, servers, []string{name}, now)
 	}
 	clear(g.pressed)
 }
 
 // send sends messages to peers; to the silent ones now and then only.
-func (g *Gossip) send(messages []*Message, press []uint32, names []string, now time.Time) {
+func (g *Gossip) send(messages []*digest.Message, press []uint32, names []string, now time.Time) {
 	if len(messages) == 0 || len(names) == 0 {
 		return
 	}
-	raw, err := encode(messages, press)
+	raw, err := digest.Encode(messages, press)
 	if err != nil {
 		g.Events.Warn(event.PeerDown).Err(err).Msg("datagram can't be written")
 		return
@@ -429,8 +388,8 @@
 			// A peer's closed port shows here as a refused connection; nothing is lost by it.
 			continue
 		}
-		if n > 0 && b[0] == callHead {
-			g.receiveCall(b[:n], from)
+		if asks.Is(b[:n]) {
+			g.asks.Receive(b[:n], from)
 			continue
 		}
 		g.receiveOne(b[:n], from.AddrPort(), time.Now())
@@ -438,7 +397,7 @@
 }
 
 func (g *Gossip) receiveOne(raw []byte, from netip.AddrPort, now time.Time) {
-	messages, press, err := decode(raw)
+	messages, press, err := digest.Decode(raw)
 	if err != nil {
 		g.Events.Warn(event.PeerDown).Err(err).Msg("datagram isn't readable")
 		return
@@ -462,7 +421,7 @@
 }
 
 // take notes a message, and says false of one that is older than the last.
-func (g *Gossip) take(m *Message, way path, now time.Time) bool {
+func (g *Gossip) take(m *digest.Message, way path, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.senders[m.Sender]
@@ -488,7 +447,7 @@
 	if m.Starting && (!p.last.Starting || p.last.Start != m.Start) {
 		p.starting = now
 	}
-	if m.Start != p.last.Start || !m.same(&p.last) {
+	if m.Start != p.last.Start || !m.Same(&p.last) {
 		p.changed = m.Sequence
 	}
 	p.heard, p.last, p.path = now, *m, way
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -10,7 +10,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/sardinerock/sardinerock/digest"
 	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/grid"
 	"github.com/sardinerock/sardinerock/pool"
 	"github.com/sardinerock/sardinerock/watch"
 )
@@ -18,7 +20,7 @@
 func newGossip(g *WithT, name string) *Gossip {
 	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	g.Expect(err).NotTo(HaveOccurred())
-	one := &Gossip{Name: name, Start: 1, Conn: c, Events: &event.Logger{}, Tell: func(*Message) {}, Heard: func([]*Message, []uint32) {}, Lost: func(string) {}}
+	one := &Gossip{Name: name, Start: 1, Conn: c, Events: &event.Logger{}, Tell: func(*digest.Message) {}, Heard: func([]*digest.Message, []uint32) {}, Lost: func(string) {}}
 	one.Prepare()
 	return one
 }
@@ -43,20 +45,20 @@
 func TestEntriesHearEachOther(t *testing.T) {
 	g := NewWithT(t)
 	a, b := newGossip(g, "a"), newGossip(g, "b")
-	heard := make(chan Message, 100)
-	a.Heard = func(messages []*Message, _ []uint32) {
+	heard := make(chan digest.Message, 100)
+	a.Heard = func(messages []*digest.Message, _ []uint32) {
 		select {
 		case heard <- *messages[0]:
 		default:
 		}
 	}
-	b.Tell = func(m *Message) { m.Loads, m.Items = []pool.Load{{Server: 7, Online: 3}}, []uint32{9} }
+	b.Tell = func(m *digest.Message) { m.Loads, m.Items = []pool.Load{{Server: 7, Online: 3}}, []uint32{9} }
 	fleet(a, b)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go a.Run(ctx)
 	go b.Run(ctx)
-	var m Message
+	var m digest.Message
 	g.Eventually(heard, 10*time.Second).Should(Receive(&m))
 	g.Expect(m.Loads).To(Equal([]pool.Load{{Server: 7, Online: 3}}))
 	g.Eventually(a.sortedLive, 10*time.Second).Should(Equal([]string{"a", "b"}))
@@ -69,13 +71,13 @@
 	g := NewWithT(t)
 	a, b := newGossip(g, "a"), newGossip(g, "b")
 	fleet(a, b)
-	g.Expect(a.take(&Message{Sender: pool.Hash("b"), Start: 1, Sequence: 5}, pathColumn, time.Now())).To(BeTrue())
-	g.Expect(a.take(&Message{Sender: pool.Hash("b"), Start: 1, Sequence: 4}, pathColumn, time.Now())).To(BeFalse(), "overtaken on the way")
-	g.Expect(a.take(&Message{Sender: pool.Hash("b"), Start: 2, Sequence: 1}, pathColumn, time.Now())).To(BeTrue(), "a new incarnation")
-	g.Expect(a.take(&Message{Sender: pool.Hash("b"), Start: 1, Sequence: 9}, pathColumn, time.Now())).To(BeFalse(), "the former one")
-	a.peers["b"].heard = time.Now().Add(-2 * PeerTimeout)
-	g.Expect(a.take(&Message{Sender: pool.Hash("b"), Start: 1, Sequence: 1}, pathColumn, time.Now())).To(BeTrue(), "started again with its clock set back")
-	g.Expect(a.take(&Message{Sender: pool.Hash("x"), Start: 1, Sequence: 1}, pathColumn, time.Now())).To(BeFalse(), "nobody that we know")
+	g.Expect(a.take(&digest.Message{Sender: pool.Hash("b"), Start: 1, Sequence: 5}, pathColumn, time.Now())).To(BeTrue())
+	g.Expect(a.take(&digest.Message{Sender: pool.Hash("b"), Start: 1, Sequence: 4}, pathColumn, time.Now())).To(BeFalse(), "overtaken on the way")
+	g.Expect(a.take(&digest.Message{Sender: pool.Hash("b"), Start: 2, Sequence: 1}, pathColumn, time.Now())).To(BeTrue(), "a new incarnation")
+	g.Expect(a.take(&digest.Message{Sender: pool.Hash("b"), Start: 1, Sequence: 9}, pathColumn, time.Now())).To(BeFalse(), "the former one")
+	a.peers["b"].heard = time.Now().Add(-2 * grid.SilenceTime)
+	g.Expect(a.take(&digest.Message{Sender: pool.Hash("b"), Start: 1, Sequence: 1}, pathColumn, time.Now())).To(BeTrue(), "started again with its clock set back")
+	g.Expect(a.take(&digest.Message{Sender: pool.Hash("x"), Start: 1, Sequence: 1}, pathColumn, time.Now())).To(BeFalse(), "nobody that we know")
 }
 
 // One entry is cut off from the store. Jobs that the others accept meanwhile
@@ -85,14 +87,14 @@
 	a, b, c := newGossip(g, "a"), newGossip(g, "b"), newGossip(g, "c")
 	fleet(a, b, c)
 	now := time.Now()
-	a.take(&Message{Sender: pool.Hash("b"), Start: 1, Sequence: 1, StoreLost: true}, pathColumn, time.Now())
-	a.take(&Message{Sender: pool.Hash("c"), Start: 1, Sequence: 1}, pathColumn, time.Now())
+	a.take(&digest.Message{Sender: pool.Hash("b"), Start: 1, Sequence: 1, StoreLost: true}, pathColumn, time.Now())
+	a.take(&digest.Message{Sender: pool.Hash("c"), Start: 1, Sequence: 1}, pathColumn, time.Now())
 	owners := a.Owners(now, false)
 	slices.Sort(owners)
 	g.Expect(owners).To(Equal([]string{"a", "c"}))
 	g.Expect(a.Owners(now, true)).To(Equal([]string{"c"}))
 	g.Expect(a.StoreLostByAll(now)).To(BeFalse())
-	a.take(&Message{Sender: pool.Hash("c"), Start: 1, Sequence: 2, StoreLost: true}, pathColumn, time.Now())
+	a.take(&digest.Message{Sender: pool.Hash("c"), Start: 1, Sequence: 2, StoreLost: true}, pathColumn, time.Now())
 	g.Expect(a.Owners(now, true)).To(HaveLen(3), "all keep what they have")
 	g.Expect(a.StoreLostByAll(now)).To(BeTrue())
 }
@@ -106,14 +108,14 @@
 	defer one.Conn.Close()
 	now := time.Unix(1000, 0)
 	online := 3
-	one.Tell = func(m *Message) { m.Loads, m.Items = []pool.Load{{Server: 7, Online: online}}, []uint32{9} }
+	one.Tell = func(m *digest.Message) { m.Loads, m.Items = []pool.Load{{Server: 7, Online: online}}, []uint32{9} }
 	g.Expect(one.speak(now)).To(BeTrue())
-	g.Expect(one.speak(now.Add(shortInterval))).To(BeFalse())
+	g.Expect(one.speak(now.Add(grid.ShortInterval))).To(BeFalse())
 	online = 4
-	g.Expect(one.speak(now.Add(2 * shortInterval))).To(BeTrue())
+	g.Expect(one.speak(now.Add(2 * grid.ShortInterval))).To(BeTrue())
 	online = 3
-	g.Expect(one.speak(now.Add(3 * shortInterval))).To(BeTrue())
-	g.Expect(one.speak(now.Add(3*shortInterval + freshTime))).To(BeTrue())
+	g.Expect(one.speak(now.Add(3 * grid.ShortInterval))).To(BeTrue())
+	g.Expect(one.speak(now.Add(3*grid.ShortInterval + freshTime))).To(BeTrue())
 }
 
 // Online work needs a slot that another entry's batch item holds: that entry
@@ -124,11 +126,11 @@
 	fleet(a, b, c)
 	now := time.Now()
 	for _, name := range []string{"b", "c"} {
-		a.take(&Message{Sender: pool.Hash(name), Start: 1, Sequence: 1}, pathColumn, now)
+		a.take(&digest.Message{Sender: pool.Hash(name), Start: 1, Sequence: 1}, pathColumn, now)
 	}
 	var told []string
 	var pressed []uint32
-	b.Heard = func(_ []*Message, press []uint32) { pressed = append(pressed, press...) }
+	b.Heard = func(_ []*digest.Message, press []uint32) { pressed = append(pressed, press...) }
 	a.deliver = func(raw []byte, to *peer) {
 		told = append(told, to.name)
 		b.receiveOne(raw, netip.AddrPort{}, now)
@@ -155,7 +157,7 @@
 	now := time.Now()
 	g.Expect(a.Silent(now, time.Minute)).To(BeEmpty())
 	later := now.Add(2 * time.Minute)
-	a.take(&Message{Sender: pool.Hash("b"), Start: 1, Sequence: 1}, pathColumn, later)
+	a.take(&digest.Message{Sender: pool.Hash("b"), Start: 1, Sequence: 1}, pathColumn, later)
 	g.Expect(a.Silent(later, time.Minute)).To(Equal([]string{"c"}))
 }
 
@@ -165,8 +167,8 @@
 	a, b := newGossip(g, "a"), newGossip(g, "b")
 	fleet(a, b)
 	now := time.Now()
-	a.take(&Message{Sender: pool.Hash("b"), Start: 1, Sequence: 1}, pathColumn, now)
-	g.Expect(a.noteSilent(now.Add(PeerTimeout / 2))).To(BeEmpty())
-	g.Expect(a.noteSilent(now.Add(PeerTimeout))).To(Equal([]string{"b"}))
-	g.Expect(a.noteSilent(now.Add(2 * PeerTimeout))).To(BeEmpty())
+	a.take(&digest.Message{Sender: pool.Hash("b"), Start: 1, Sequence: 1}, pathColumn, now)
+	g.Expect(a.noteSilent(now.Add(grid.SilenceTime / 2))).To(BeEmpty())
+	g.Expect(a.noteSilent(now.Add(grid.SilenceTime))).To(Equal([]string{"b"}))
+	g.Expect(a.noteSilent(now.Add(2 * grid.SilenceTime))).To(BeEmpty())
 }
--- a/gossip/grid_test.go
+++ b/gossip/grid_test.go
@@ -10,7 +10,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/sardinerock/sardinerock/digest"
 	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/grid"
 	"github.com/sardinerock/sardinerock/pool"
 	"github.com/sardinerock/sardinerock/watch"
 )
@@ -62,8 +64,8 @@
 	members := map[string]watch.Member{}
 	for n := range entries {
 		e := &playEntry{spoke: map[uint64]time.Time{}}
-		e.Gossip = &Gossip{Name: fmt.Sprintf("front-%03d", n), Start: 1, Events: &event.Logger{}, Heard: func([]*Message, []uint32) {}, Lost: func(string) {}}
-		e.Tell = func(m *Message) {
+		e.Gossip = &Gossip{Name: fmt.Sprintf("front-%03d", n), Start: 1, Events: &event.Logger{}, Heard: func([]*digest.Message, []uint32) {}, Lost: func(string) {}}
+		e.Tell = func(m *digest.Message) {
 			if p.calm && p.random.IntN(10) > 0 {
 				return
 			}
@@ -161,7 +163,7 @@
 		"8 entries":   {8, 30 * time.Millisecond, 80 * time.Millisecond},
 		"31 entries":  {31, 80 * time.Millisecond, 250 * time.Millisecond},
 		"88 entries":  {88, 120 * time.Millisecond, 350 * time.Millisecond},
-		"371 entries": {371, 350 * time.Millisecond, PeerTimeout},
+		"371 entries": {371, 350 * time.Millisecond, grid.SilenceTime},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -238,7 +240,7 @@
 			p.run(2 * time.Second)
 			_, p99, _ := p.run(2 * time.Second)
 			t.Logf("p99 %v", p99)
-			g.Expect(p99).To(BeNumerically("<", PeerTimeout))
+			g.Expect(p99).To(BeNumerically("<", grid.SilenceTime))
 			p.expectKnown(g)
 		})
 	}
@@ -256,28 +258,6 @@
 	}
 }
 
-// A row's news goes to each column from two entries, and to none from more.
-func TestEachColumnHasTwoTellers(t *testing.T) {
-	g := NewWithT(t)
-	p := newPlay(88)
-	p.run(time.Second)
-	all := func(string) bool { return true }
-	for c := range p.entries[0].grid.width {
-		counts := map[int]int{}
-		for _, e := range p.entries {
-			for round := range tellers {
-				if slices.Contains(e.grid.columns(round, all), c) {
-					counts[e.grid.self/e.grid.width]++
-				}
-			}
-		}
-		for row, n := range counts {
-			g.Expect(n).To(Equal(tellers), "row %d, column %d", row, c)
-		}
-		g.Expect(counts).To(HaveLen(p.entries[0].grid.rows()))
-	}
-}
-
 func BenchmarkRound(b *testing.B) {
 	p := newPlay(371)
 	p.run(500 * time.Millisecond)
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
+	"github.com/sardinerock/sardinerock/digest"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/owner"
 )
 
+// errNoPeer means that a peer isn't among the members, as they are known here.
+var errNoPeer = errors.New("gossip: no such peer")
+
 // AskTime is how long a peer may take to answer a question: some times the way there and back.
 const AskTime = 300 * time.Millisecond
 
@@ -29,7 +34,7 @@
 	// asked is when it was last asked whether it lives, answered when it last said so.
 	asked, answered time.Time
 	sent            time.Time
-	last            Message
+	last            digest.Message
 	// changed is the sequence with which last came to say what it says, path on which way
 	// it came.
 	changed uint64
@@ -76,6 +81,36 @@
 	return heard, len(g.peers) + 1
 }
 
+// named returns the name of a peer by its short form.
+func (g *Gossip) named(sender uint32) (name string, known bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.senders[sender]
+	if p == nil {
+		return "", false
+	}
+	return p.name, true
+}
+
+func (g *Gossip) addressOf(name string) *net.UDPAddr {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p := g.peers[name]; p != nil {
+		return p.address
+	}
+	return nil
+}
+
+// Ask puts a question to a peer and returns the answer; ctx bounds the time for which it is
+// waited for.
+func (g *Gossip) Ask(ctx context.Context, name string, question []byte) ([]byte, error) {
+	address := g.addressOf(name)
+	if address == nil {
+		return nil, errNoPeer
+	}
+	return g.asks.Ask(ctx, address, question)
+}
+
 // Standing returns what is known of another entry.
 func (g *Gossip) Standing(name string, now time.Time) owner.Standing {
 	g.mu.Lock()
@@ -127,9 +162,9 @@
 // timeout returns the longest silence after which a peer is taken as gone.
 func (g *Gossip) timeout() time.Duration {
 	if g.zones != nil {
-		return max(g.grid.timeout(), g.zones.timeout())
+		return max(g.grid.Timeout(), g.zones.Timeout())
 	}
-	return g.grid.timeout()
+	return g.grid.Timeout()
 }
 
 // AskWhetherAlive asks a peer that is silent whether it lives: views come in two steps, and
--- a/gossip/zones.go
+++ b/gossip/zones.go
@@ -5,111 +5,12 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/sardinerock/sardinerock/grid"
 	"github.com/sardinerock/sardinerock/pool"
 )
 
-const (
-	// zoneShare is the part, one in so many, of the bytes that an entry hears that come from its own zone.
-	zoneShare = 3
-	// zoneReaders is how many entries of a zone read for the others.
-	zoneReaders = 3
-)
-
-// zones says who tells the other availability zones of a large fleet what goes on in this one.
-//
-// In one grid over all zones each message would cross to each entry of the other zones by
-// itself. Here two entries of a zone tell two of each other zone, in a datagram of all that
-// is new, and what those hear goes on in their own grid as news of their rows. Messages keep
-// their sender's name and sequence, so that they may come on any way, twice, or out of order.
-type zones struct {
-	// names are the other zones.
-	names []string
-	// tell holds, by other zone, the entries of this one in the order in which they tell
-	// it, and told those of the other one in the order in which they are told.
-	tell, told map[string][]string
-	// entries is how many there are in all zones.
-	entries int
-	// due is when the other zones are told next, round how often they were.
-	due   time.Time
-	round int
-}
-
-// newZones returns nil where one grid over all zones does as well: where the datagrams of a
-// round take longer than the bytes that are told in it.
-func newZones(self string, members map[string]string) *zones {
-	whole := newGrid(self, members)
-	own, listed := members[self]
-	if !listed || whole.byteTime() <= whole.datagramTime() {
-		return nil
-	}
-	byZone := map[string][]string{}
-	for name, zone := range members {
-		byZone[zone] = append(byZone[zone], name)
-	}
-	if len(byZone) < 2 {
-		return nil
-	}
-	z := &zones{tell: map[string][]string{}, told: map[string][]string{}, entries: len(members)}
-	for other, names := range byZone {
-		if other == own {
-			continue
-		}
-		z.names = append(z.names, other)
-		z.tell[other] = ranked(byZone[own], own, other)
-		z.told[other] = ranked(names, own, other)
-	}
-	slices.Sort(z.names)
-	return z
-}
-
-// ranked sorts names by their hashes with two zones, so that each pair of zones has entries of its own.
-func ranked(names []string, from, to string) []string {
-	rank := func(name string) uint64 { return xxhash.Sum64String(from + "\x00" + to + "\x00" + name) }
-	sorted := slices.Clone(names)
-	slices.SortFunc(sorted, func(a, b string) int { return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a, b)) })
-	return sorted
-}
-
-// interval returns the time between two messages to another zone, from the two tellers in turn.
-func (z *zones) interval() time.Duration { return time.Duration(z.entries) * timePerEntry }
-
-// timeout returns the silence after which an entry of another zone is taken as gone.
-func (z *zones) timeout() time.Duration { return max(PeerTimeout, silentRounds*z.interval()) }
-
-// teller returns which place an entry has among the live ones that tell another zone;
-// tellers or more if it doesn't.
-func (z *zones) teller(self, other string, live func(name string) bool) int {
-	place := 0
-	for _, name := range z.tell[other] {
-		if name == self {
-			return place
-		}
-		if live(name) {
-			if place++; place == tellers {
-				break
-			}
-		}
-	}
-	return tellers
-}
-
-// receiver returns the entry of another zone that a teller tells: a live one, or while too
-// few are known another one each time.
-func (z *zones) receiver(place int, other string, live func(name string) bool) string {
-	found := 0
-	for _, name := range z.told[other] {
-		if !live(name) {
-			continue
-		}
-		if found == place {
-			return name
-		}
-		found++
-	}
-	return z.told[other][(z.round+place)%len(z.told[other])]
-}
+// zoneReaders is how many entries of a zone read for the others.
+const zoneReaders = 3
 
 // path is the way on which a message came to this entry.
 type path int
@@ -129,7 +30,7 @@
 		return pathColumn
 	case p.zone != g.zone:
 		return pathZone
-	case g.grid.isMate(p.name):
+	case g.grid.IsMate(p.name):
 		return pathRow
 	}
 	return pathColumn
@@ -146,19 +47,19 @@
 // tellZones tells the other zones what is new in this one, if this entry is to do that.
 func (g *Gossip) tellZones(now time.Time) {
 	z := g.zones
-	if z == nil || now.Before(z.due) {
+	if z == nil || now.Before(z.Due) {
 		return
 	}
-	z.due = now.Add(z.interval())
-	z.round++
+	z.Due = now.Add(z.Interval())
+	z.Round++
 	live := g.knowsLive(now)
-	for _, other := range z.names {
-		place := z.teller(g.Name, other, live)
-		if place != z.round%tellers {
+	for _, other := range z.Names {
+		place := z.Teller(g.Name, other, live)
+		if place != z.Round%grid.Tellers {
 			continue
 		}
-		to := z.receiver(place, other, live)
-		g.send(g.unpassed(route{zone: other}, g.grid.names, pathZone, now), nil, []string{to}, now)
+		to := z.Receiver(place, other, live)
+		g.send(g.unpassed(route{zone: other}, g.grid.Names, pathZone, now), nil, []string{to}, now)
 	}
 }
 
@@ -169,10 +70,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if way == pathZone {
-		g.send(g.unpassed(rowRoute, g.foreign, pathZone, now), nil, g.grid.mates(), now)
+		g.send(g.unpassed(rowRoute, g.foreign, pathZone, now), nil, g.grid.Mates(), now)
 	}
-	for _, c := range g.grid.columns(0, g.knowsLive(now)) {
-		g.send(g.unpassed(route{column: c}, g.foreign, pathRow, now), nil, g.grid.column(c), now)
+	for _, c := range g.grid.Columns(0, g.knowsLive(now)) {
+		g.send(g.unpassed(route{column: c}, g.foreign, pathRow, now), nil, g.grid.Column(c), now)
 	}
 }
 
--- a/gossip/grid.go
+++ b/grid/grid.go
@@ -1,4 +1,4 @@
-package gossip
+package grid
 
 import (
 	"cmp"
@@ -8,6 +8,11 @@
 )
 
 const (
+	// ShortInterval bounds the interval of small fleets; a run begins every 40 ms
+	// at each of a dozen entries in a burst, and what was heard before it has to be usable.
+	ShortInterval = 25 * time.Millisecond
+	// SilenceTime is the least silence after which a peer is taken as gone.
+	SilenceTime = time.Second
 	// leastWidth is the number of entries up to which each tells each: a datagram
 	// to every other one costs no more than the two steps of a larger fleet.
 	leastWidth = 16
@@ -21,11 +26,11 @@
 	// silentRounds is how many rounds without news make a peer count as gone where
 	// rounds are long: two steps, and a datagram that is lost in each.
 	silentRounds = 6
-	// tellers is how many entries of a row tell a column of that row, in turn.
-	tellers = 2
+	// Tellers is how many entries of a row tell a column of that row, in turn.
+	Tellers = 2
 )
 
-// grid says who tells whom. Entries stand in rows, those of an availability zone
+// Grid says who tells whom. Entries stand in rows, those of an availability zone
 // together. Each tells its own row of itself. What a row knows of itself goes on
 // to the other rows along the columns: the entry in row 2, column 5 is told of row
 // 1 by the entries in row 1, columns 5 and 6, in turn. So news comes to all in two
@@ -37,56 +42,57 @@
 // Two entries tell each column, since one may be cut off from one side without
 // its row noticing: it still says that it lives, and tells old things. Where the
 // first ones are silent the next ones of the row step in.
-type grid struct {
-	names []string
+type Grid struct {
+	// Names are the entries in their order, row after row.
+	Names []string
 	width int
-	// shared is how many times as long the entries' part of a round is since the bytes are
+	// Shared is how many times as long the entries' part of a round is since the bytes are
 	// shared with what other zones tell.
-	shared int
+	Shared int
 	// self is this entry's place among names, or -1.
 	self int
 }
 
-// newGrid arranges entries by their availability zones, then their names.
-func newGrid(self string, zones map[string]string) *grid {
-	g := &grid{self: -1, shared: 1}
+// New arranges entries by their availability zones, then their names.
+func New(self string, zones map[string]string) *Grid {
+	g := &Grid{self: -1, Shared: 1}
 	for name := range zones {
-		g.names = append(g.names, name)
+		g.Names = append(g.Names, name)
 	}
-	slices.SortFunc(g.names, func(a, b string) int {
+	slices.SortFunc(g.Names, func(a, b string) int {
 		return cmp.Or(cmp.Compare(zones[a], zones[b]), cmp.Compare(a, b))
 	})
-	g.width = max(leastWidth, int(math.Ceil(math.Sqrt(float64(len(g.names))))))
-	g.self = slices.Index(g.names, self)
+	g.width = max(leastWidth, int(math.Ceil(math.Sqrt(float64(len(g.Names))))))
+	g.self = slices.Index(g.Names, self)
 	return g
 }
 
-// rows returns how many rows there are.
-func (g *grid) rows() int { return (len(g.names) + g.width - 1) / g.width }
+// Rows returns how many rows there are.
+func (g *Grid) Rows() int { return (len(g.Names) + g.width - 1) / g.width }
 
 // row returns the entries of a row.
-func (g *grid) row(n int) []string {
-	return g.names[n*g.width : min((n+1)*g.width, len(g.names))]
+func (g *Grid) row(n int) []string {
+	return g.Names[n*g.width : min((n+1)*g.width, len(g.Names))]
 }
 
-// mates returns the other entries of this entry's row.
-func (g *grid) mates() []string {
+// Mates returns the other entries of this entry's row.
+func (g *Grid) Mates() []string {
 	if g.self < 0 {
 		return nil
 	}
 	var mates []string
 	for _, name := range g.row(g.self / g.width) {
-		if name != g.names[g.self] {
+		if name != g.Names[g.self] {
 			mates = append(mates, name)
 		}
 	}
 	return mates
 }
 
-// columns returns the columns that this entry tells of its row: those for which it is, by
+// Columns returns the columns that this entry tells of its row: those for which it is, by
 // place, the first (0) or the second live one of its row.
-func (g *grid) columns(place int, live func(name string) bool) []int {
-	if g.self < 0 || g.rows() < 2 {
+func (g *Grid) Columns(place int, live func(name string) bool) []int {
+	if g.self < 0 || g.Rows() < 2 {
 		return nil
 	}
 	row, own := g.row(g.self/g.width), g.self%g.width
@@ -100,10 +106,10 @@
 }
 
 // liveBefore counts the live entries of a row from one place on up to another,
-// around the end; more than tellers are not told apart.
+// around the end; more than Tellers are not told apart.
 func liveBefore(row []string, from, to int, live func(name string) bool) int {
 	before := 0
-	for at := from; at != to && before < tellers; at = (at + 1) % len(row) {
+	for at := from; at != to && before < Tellers; at = (at + 1) % len(row) {
 		if live(row[at]) {
 			before++
 		}
@@ -111,11 +117,11 @@
 	return before
 }
 
-// column returns the entries of the other rows that stand in a column. A row that
+// Column returns the entries of the other rows that stand in a column. A row that
 // is shorter has none there: nobody stands at that place.
-func (g *grid) column(c int) []string {
+func (g *Grid) Column(c int) []string {
 	var names []string
-	for r := range g.rows() {
+	for r := range g.Rows() {
 		if row := g.row(r); r != g.self/g.width && c < len(row) {
 			names = append(names, row[c])
 		}
@@ -123,25 +129,25 @@
 	return names
 }
 
-// interval returns the time between two rounds: each datagram and each entry has its part.
-func (g *grid) interval() time.Duration {
-	return max(g.datagramTime(), g.byteTime(), shortInterval)
+// Interval returns the time between two rounds: each datagram and each entry has its part.
+func (g *Grid) Interval() time.Duration {
+	return max(g.datagramTime(), g.byteTime(), ShortInterval)
 }
 
 // datagramTime returns the part of a round that its datagrams take, byteTime that of the
 // entries that are told of.
-func (g *grid) datagramTime() time.Duration {
-	return time.Duration(min(len(g.names), g.width)+g.rows()-2) * timePerDatagram
+func (g *Grid) datagramTime() time.Duration {
+	return time.Duration(min(len(g.Names), g.width)+g.Rows()-2) * timePerDatagram
 }
 
-func (g *grid) byteTime() time.Duration {
-	return time.Duration(g.shared*len(g.names)) * timePerEntry
+func (g *Grid) byteTime() time.Duration {
+	return time.Duration(g.Shared*len(g.Names)) * timePerEntry
 }
 
-// isMate says whether an entry stands in this entry's row.
-func (g *grid) isMate(name string) bool {
+// IsMate says whether an entry stands in this entry's row.
+func (g *Grid) IsMate(name string) bool {
 	return g.self >= 0 && slices.Contains(g.row(g.self/g.width), name)
 }
 
-// timeout returns the silence after which a peer is taken as gone.
-func (g *grid) timeout() time.Duration { return max(PeerTimeout, silentRounds*g.interval()) }
+// Timeout returns the silence after which a peer is taken as gone.
+func (g *Grid) Timeout() time.Duration { return max(SilenceTime, silentRounds*g.Interval()) }
--- a/node/node.go
+++ b/node/node.go
@@ -24,8 +24,10 @@
 	"github.com/sardinerock/sardinerock/conf"
 	"github.com/sardinerock/sardinerock/conns"
 	"github.com/sardinerock/sardinerock/detour"
+	"github.com/sardinerock/sardinerock/digest"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/gossip"
+	"github.com/sardinerock/sardinerock/heirs"
 	"github.com/sardinerock/sardinerock/items"
 	"github.com/sardinerock/sardinerock/lease"
 	"github.com/sardinerock/sardinerock/ledger"
@@ -85,6 +87,7 @@
 	appender *commit.Appender
 	recorder *commit.Appender
 	runner   *runner.Runner
+	heirs    *heirs.Heirs
 	tidy     *tidy.Tidy
 	relay    *relay.Relay
 	access   *access.Access
@@ -290,14 +293,17 @@
 		WaitingElsewhere: func() int { return n.gossip.Waiting(time.Now()) },
 		Owners:           n.owners,
 		View:             n.ownerView,
-		Members:          n.gossip.Members,
-		Ask:              func(ctx context.Context, name string) { n.gossip.AskWhetherAlive(ctx, name, time.Now()) },
 		InOrder:          n.inOrder,
 		Attend:           n.attend,
 		ViewAge:          n.gossip.ViewAge,
 		RunningElsewhere: func() map[uint32]bool { return n.gossip.RunningElsewhere(time.Now()) },
 	}
 	n.runner.Prepare()
+	n.heirs = &heirs.Heirs{
+		Name: n.Settings.ID, Ledger: n.ledger, Recorder: n.recorder, View: n.ownerView, Members: n.gossip.Members,
+		Ask:     func(ctx context.Context, name string) { n.gossip.AskWhetherAlive(ctx, name, time.Now()) },
+		Claimed: n.runner.Wake, Events: n.Events,
+	}
 	n.tidy = &tidy.Tidy{
 		Name: n.Settings.ID, Ledger: n.ledger, Jobs: n.appender, Recorder: n.recorder, Texts: values, JobsSince: n.jobs.FreshSince,
 		Owners: n.runner.Owners, Keep: n.Settings.KeepResults + keepMargin, Events: n.Events,
@@ -391,7 +397,7 @@
 	}
 }
 
-func (n *Node) tell(m *gossip.Message) {
+func (n *Node) tell(m *digest.Message) {
 	m.Loads = n.pool.Own()
 	m.Items = n.runner.Running()
 	m.Waiting = n.runner.Waiting()
@@ -403,7 +409,7 @@
 	m.Breaks = n.pool.Breaks(time.Now(), span)
 }
 
-func (n *Node) heard(messages []*gossip.Message, press []uint32) {
+func (n *Node) heard(messages []*digest.Message, press []uint32) {
 	for _, server := range press {
 		if id, ok := n.pool.Named(server); ok {
 			n.runner.GiveWay(id)
@@ -428,6 +434,7 @@
 	n.goRun(ctx, n.appender.Run)
 	n.goRun(ctx, n.recorder.Run)
 	n.goRun(ctx, n.runner.Run)
+	n.goRun(ctx, n.heirs.Run)
 	n.goRun(ctx, n.tidy.Run)
 	n.goRun(ctx, n.roster.Run)
 	n.goRun(ctx, n.lease.Run)
--- a/node/owners.go
+++ b/node/owners.go
@@ -20,9 +20,9 @@
 }
 
 // ownerView returns what decides whether this entry takes over the jobs of another;
-// false while it doesn't read the store, or hasn't read who the others are.
+// false while it stops or doesn't read the store, or hasn't read who the others are.
 func (n *Node) ownerView() (owner.View, bool) {
-	if n.storeLost() || !n.members.Loaded() || !n.ledger.Loaded() {
+	if n.leaving.Load() || n.storeLost() || !n.members.Loaded() || !n.ledger.Loaded() {
 		return owner.View{}, false
 	}
 	now := time.Now()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -58,12 +58,9 @@
 	WaitingElsewhere func() int
 	// Owners returns the names of the entries that run items.
 	Owners func() []string
-	// View returns what decides whether this entry takes over the jobs of another;
-	// false while too little is known for that, or the store isn't read.
+	// View returns what is known of the entries that took over jobs of this one; false
+	// while too little is.
 	View func() (owner.View, bool)
-	// Members returns the names of all entries, and Ask asks one whether it lives.
-	Members func() []string
-	Ask     func(ctx context.Context, name string)
 	// InOrder says whether what this entry has read of the order of jobs is newer than
 	// the silence after which another takes its jobs over, or can't be read.
 	InOrder func() bool
@@ -87,10 +84,6 @@
 	// waiting is how many items could be started at the last look, and be done in time.
 	waiting int
 	effort  items.Effort
-	// claiming is set while claims are on their way into the store, and claimedAt is
-	// when it was last looked for jobs whose owner is gone.
-	claiming  bool
-	claimedAt time.Time
 	// notedAt is when progress was last brought into the store.
 	notedAt time.Time
 	group   sync.WaitGroup
@@ -152,7 +145,6 @@
 		r.noteProgress(ctx)
 		r.forgetJobs()
 		r.passOn()
-		r.takeOver(ctx, time.Now())
 		// What the others run in the slots has to be heard before any is taken.
 		if time.Since(begin) >= r.ViewAge() {
 			r.startSome(ctx)
