--- a/gossip/grid_test.go
+++ b/gossip/grid_test.go
@@ -213,6 +213,43 @@
 	}
 }
 
+// Three entries of each zone read for it, whoever asks; when one is lost another takes its
+// place. In small fleets each entry reads for itself.
+func TestFewReadForAZone(t *testing.T) {
+	g := NewWithT(t)
+	small := newPlay(88)
+	small.run(500 * time.Millisecond)
+	g.Expect(small.entries[0].Readers(small.now)).To(BeEmpty())
+	g.Expect(small.entries[0].ReadsForZone(small.now)).To(BeFalse())
+	p := newPlay(150)
+	count := func() map[string]int {
+		reading := map[string]int{}
+		for _, e := range p.entries {
+			switch {
+			case e.dead:
+			case e.ReadsForZone(p.now):
+				reading[e.zone]++
+				g.Expect(e.Readers(p.now)).To(BeEmpty())
+			default:
+				g.Expect(e.Readers(p.now)).To(HaveLen(zoneReaders))
+			}
+		}
+		return reading
+	}
+	p.run(time.Second)
+	before := count()
+	g.Expect(before).To(HaveLen(5))
+	for _, e := range p.entries {
+		e.dead = e.ReadsForZone(p.now) && e.zone == "zone-1"
+		for _, known := range e.peers {
+			// They have been known for long.
+			known.known = p.now.Add(-time.Hour)
+		}
+	}
+	p.run(3 * time.Second)
+	g.Expect(count()).To(Equal(before))
+}
+
 // A sixth of all entries is lost at once, others hear nothing any more and still
 // say that they live, or can't reach some of the others. Those that are well must
 // go on to know of each other, or they would run each other's jobs.
--- a/gossip/zones.go
+++ b/gossip/zones.go
@@ -86,22 +86,42 @@
 	if g.zones == nil {
 		return nil
 	}
-	var readers []string
+	readers, self := g.readers(now)
+	if self {
+		return nil
+	}
+	// Each begins with another one of them.
+	if first := int(pool.Hash(g.Name)) % max(len(readers), 1); first > 0 {
+		readers = append(readers[first:], readers[:first]...)
+	}
+	return readers
+}
+
+// ReadsForZone says whether this entry is one of those that read for their zone.
+func (g *Gossip) ReadsForZone(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.zones == nil {
+		return false
+	}
+	_, self := g.readers(now)
+	return self
+}
+
+// readers returns the addresses of those who read for the zone, and whether this entry is
+// one of them.
+func (g *Gossip) readers(now time.Time) (readers []string, self bool) {
 	for _, name := range g.strongest {
 		if name == g.Name {
-			return nil
+			return readers, true
 		}
 		if p := g.peers[name]; p.toldOften(now) && !p.last.Leaving {
 			if readers = append(readers, p.address.String()); len(readers) == zoneReaders {
-				break
+				return readers, false
 			}
 		}
 	}
-	// Each begins with another one of them.
-	if first := int(pool.Hash(g.Name)) % max(len(readers), 1); first > 0 {
-		readers = append(readers[first:], readers[:first]...)
-	}
-	return readers
+	return readers, false
 }
 
 // byStrength sorts the entries of a zone, the strongest first.
--- a/node/shared.go
+++ b/node/shared.go
@@ -41,7 +41,8 @@
 
 func (n *Node) source(client *http.Client, mostAge time.Duration) *share.Source {
 	return &share.Source{
-		Store: n.Store, Readers: func() []string { return n.gossip.Readers(time.Now()) }, MostAge: mostAge, Client: client,
+		Store: n.Store, Readers: func() []string { return n.gossip.Readers(time.Now()) },
+		Serving: func() bool { return n.gossip.ReadsForZone(time.Now()) }, MostAge: mostAge, Client: client,
 		Events: n.Events, Metrics: n.Metrics,
 	}
 }
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -72,7 +72,7 @@
 func newView(store sardinerock.Store, mostAge time.Duration, readers ...string) *view {
 	v := &view{store: &counting{Store: store}, values: map[string]string{}}
 	v.source = &Source{
-		Store: v.store, Readers: func() []string { return readers }, MostAge: mostAge, Client: http.DefaultClient,
+		Store: v.store, Readers: func() []string { return readers }, Serving: func() bool { return false }, MostAge: mostAge, Client: http.DefaultClient,
 		Events: &event.Logger{}, Metrics: metrics.NewRegistry(),
 	}
 	v.Follower = &watch.Follower{Store: v.source, Topic: topic, Wait: 200 * time.Millisecond, Events: &event.Logger{}, Apply: v.apply}
--- a/share/source.go
+++ b/share/source.go
@@ -40,6 +40,9 @@
 	// Readers returns the addresses of the entries that read for this one, the first one to be asked first;
 	// none where this one reads for itself.
 	Readers func() []string
+	// Serving says whether others read at this entry: it then waits for news half as long as it
+	// is asked to, since what it tells is up to two waits old.
+	Serving func() bool
 	// MostAge is the age from which on a reply isn't taken.
 	MostAge time.Duration
 	Client  *http.Client
@@ -61,6 +64,8 @@
 	switch {
 	case err == nil, errors.Is(err, sardinerock.ErrStoreGap):
 		return page, err
+	case errors.Is(err, errNoReader) && s.Serving():
+		return s.Store.Read(ctx, topic, from, wait/2)
 	case errors.Is(err, errNoReader):
 		return s.Store.Read(ctx, topic, from, wait)
 	}
