--- /dev/null
+++ b/heirs/heirs_test.go
@@ -0,0 +1,107 @@
+package heirs
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/commit"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/ledger"
+	"github.com/sardinerock/sardinerock/memkv"
+	"github.com/sardinerock/sardinerock/owner"
+	"github.com/sardinerock/sardinerock/watch"
+)
+
+const (
+	jobsTopic = "jobs"
+	workTopic = "work"
+)
+
+// newHeirs returns an entry that reads the order of jobs and takes all others for gone.
+func newHeirs(ctx context.Context, g *WithT, store *memkv.Store, name string) *Heirs {
+	events := &event.Logger{}
+	l := &ledger.Ledger{Events: events}
+	l.Prepare()
+	follow := func(topic string, apply func([]sardinerock.StoreRecord, bool)) *watch.Follower {
+		f := &watch.Follower{Store: store, Topic: topic, Apply: apply, Wait: 50 * time.Millisecond, Events: events}
+		f.Prepare()
+		g.Expect(f.Sync(ctx)).To(Succeed())
+		go f.Run(ctx)
+		return f
+	}
+	follow(jobsTopic, l.ApplyJobs)
+	recorder := &commit.Appender{
+		Store: store, Topic: workTopic, Writer: name, Follower: follow(workTopic, l.ApplyWork), Ledger: l, RecordBytes: 1000,
+		AppendBytes: 50_000, Events: events, Metrics: metrics.NewRegistry(),
+	}
+	recorder.Prepare()
+	go recorder.Run(ctx)
+	return &Heirs{
+		Name: name, Ledger: l, Recorder: recorder, Members: func() []string { return []string{name} }, Claimed: func() {}, Events: events,
+		Ask: func(context.Context, string) {},
+		View: func() (owner.View, bool) {
+			return owner.View{
+				Self: name, Timeout: time.Second, Heard: 3, All: 3,
+				Standing: func(string) owner.Standing { return owner.Standing{Silent: time.Minute, Unanswered: true} },
+			}, true
+		},
+	}
+}
+
+// Two entries both take the owner of a job for gone at the same time. One of them is its
+// owner afterwards, and both know which; the job of one that lives stays where it is.
+func TestOneHeirTakesOver(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	store := &memkv.Store{}
+	events := &event.Logger{}
+	first := &ledger.Ledger{Events: events}
+	first.Prepare()
+	first.ApplyJobs(nil, true)
+	first.ApplyWork(nil, true)
+	p := first.NewPlan(1000)
+	for id, owner := range map[string]string{"gone": "x", "unowned": "", "own": "b"} {
+		_, err := p.Accept(&ledger.Accepted{ID: id, Route: "r", CreatedAt: 1, Tokens: []int64{1}, Owner: owner}, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	_, err := store.Append(ctx, jobsTopic, p.Records)
+	g.Expect(err).NotTo(HaveOccurred())
+
+	b, c := newHeirs(ctx, g, store, "b"), newHeirs(ctx, g, store, "c")
+	alive := c.View
+	c.View = func() (owner.View, bool) {
+		v, ok := alive()
+		v.Standing = func(name string) owner.Standing {
+			if name == "b" {
+				return owner.Standing{}
+			}
+			return owner.Standing{Silent: time.Minute, Unanswered: true}
+		}
+		return v, ok
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		b.takeOver(ctx)
+	}()
+	c.takeOver(ctx)
+	<-done
+	for _, job := range []string{"gone", "unowned"} {
+		g.Eventually(func() string { return b.Ledger.Owner(job) }, 10*time.Second).Should(Or(Equal("b"), Equal("c")))
+		g.Eventually(func() bool { return b.Ledger.Owner(job) == c.Ledger.Owner(job) }, 10*time.Second).Should(BeTrue())
+	}
+	g.Expect(c.Ledger.Owner("own")).To(Equal("b"))
+}
+
+// While too little is known of the others nothing is claimed.
+func TestNothingIsClaimedWithoutAView(t *testing.T) {
+	g := NewWithT(t)
+	h := &Heirs{View: func() (owner.View, bool) { return owner.View{}, false }}
+	g.Expect(func() { h.takeOver(context.Background()) }).NotTo(Panic())
+}
