--- a/heirs/heirs.go
+++ b/heirs/heirs.go
@@ -133,7 +133,7 @@
 func (h *Heirs) owned(jobs []ledger.Ownership) int {
 	n := 0
 	for _, one := range jobs {
-		if h.Ledger.OwnedBy(one.Job, h.Name) {
+		if h.Ledger.Owner(one.Job) == h.Name {
 			n++
 		}
 	}
--- /dev/null
+++ b/idle/idle_test.go
@@ -0,0 +1,29 @@
+package idle
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// A connection that idles for longer than the configuration allows is closed; one with a
+// request isn't, however long that takes.
+func TestOnlyIdleConnectionsAreClosed(t *testing.T) {
+	g := NewWithT(t)
+	i := &Conns{Limit: func() time.Duration { return time.Second }}
+	idles, closedHere := net.Pipe()
+	busy, other := net.Pipe()
+	defer other.Close()
+	i.State(idles, http.StateIdle)
+	i.State(busy, http.StateIdle)
+	i.State(busy, http.StateActive)
+	i.Expire(time.Now())
+	i.Expire(time.Now().Add(2 * time.Second))
+	_, err := closedHere.Read(make([]byte, 1))
+	g.Expect(err).To(HaveOccurred(), "closed at the other end")
+	g.Expect(i.since).To(BeEmpty())
+	g.Expect(busy.SetDeadline(time.Now())).To(Succeed(), "still open")
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -247,14 +247,6 @@
 	return l.owner(j)
 }
 
-// OwnedBy says whether an entry runs the items of a job.
-func (l *Ledger) OwnedBy(id, name string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	j := l.jobs[id]
-	return j != nil && l.owner(j) == name
-}
-
 // Owns says whether an entry has open jobs.
 func (l *Ledger) Owns(name string) bool {
 	l.mu.Lock()
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -279,7 +279,7 @@
 	for _, records := range [][]sardinerock.StoreRecord{b, c, repeat} {
 		l.append(records)
 	}
-	l.g.Expect(l.OwnedBy("j1", "b")).To(BeTrue())
+	l.g.Expect(l.Owner("j1")).To(Equal("b"))
 	l.g.Expect(l.OpenItems("b")).To(HaveLen(1))
 	l.g.Expect(l.OpenItems("a")).To(BeEmpty())
 	l.g.Expect(l.commit(func(p *Plan) (Verdict, error) { return p.Claim("j1", "a", 0) })).To(Equal([]Verdict{Void}), "its epoch is over")
--- a/node/node.go
+++ b/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/gossip"
 	"github.com/sardinerock/sardinerock/heirs"
+	"github.com/sardinerock/sardinerock/idle"
 	"github.com/sardinerock/sardinerock/items"
 	"github.com/sardinerock/sardinerock/lease"
 	"github.com/sardinerock/sardinerock/ledger"
@@ -35,6 +36,7 @@
 	"github.com/sardinerock/sardinerock/pool"
 	"github.com/sardinerock/sardinerock/quota"
 	"github.com/sardinerock/sardinerock/relay"
+	"github.com/sardinerock/sardinerock/reload"
 	"github.com/sardinerock/sardinerock/roster"
 	"github.com/sardinerock/sardinerock/runner"
 	"github.com/sardinerock/sardinerock/share"
@@ -100,7 +102,7 @@
 	work          *watch.Follower
 
 	// settings are those in force; addresses to listen on stay those of the start.
-	settings atomic.Pointer[conf.Node]
+	settings *reload.Settings
 	leaving  atomic.Bool
 	// started is closed once callers can be served.
 	started chan struct{}
@@ -164,8 +166,8 @@
 
 // Run serves until ctx ends and what was begun is done.
 func (n *Node) Run(ctx context.Context) error {
-	asked := notifyReload()
-	n.settings.Store(n.Settings)
+	n.settings = &reload.Settings{Read: n.ReadSettings, Changed: n.settingsChanged, Events: n.Events}
+	n.settings.Prepare(n.Settings)
 	front, err := net.Listen("tcp", n.Settings.CallerAddress)
 	if err != nil {
 		return fmt.Errorf("callers' address: %w", err)
@@ -199,8 +201,8 @@
 	defer end()
 	n.start(work)
 	callers := &http.Server{Handler: n.front(), ReadHeaderTimeout: headerTimeout}
-	idle := &idleConns{limit: n.idleLimit}
-	callers.ConnState = idle.state
+	idling := &idle.Conns{Limit: n.idleLimit}
+	callers.ConnState = idling.State
 	n.serve(callers, front)
 	handedOn := &http.Server{Handler: n.shared.FromPeers(n.lease.FromPeers(detour.FromPeer(n.front()))), ReadHeaderTimeout: headerTimeout}
 	n.serve(handedOn, peers)
@@ -208,8 +210,8 @@
 	n.serve(probes, ready)
 	pages := &http.Server{Handler: http.HandlerFunc(n.serveMetrics), ReadHeaderTimeout: headerTimeout}
 	n.serve(pages, scrape)
-	n.goRun(work, func(ctx context.Context) { n.janitor(ctx, idle) })
-	n.goRun(work, func(ctx context.Context) { n.followSettings(ctx, asked) })
+	n.goRun(work, func(ctx context.Context) { n.janitor(ctx, idling) })
+	n.goRun(work, n.settings.Run)
 	n.goRun(work, n.roster.Tidy)
 
 	<-ctx.Done()
@@ -361,15 +363,22 @@
 	return a
 }
 
+// settingsChanged follows the store to another address.
+func (n *Node) settingsChanged(old, fresh *conf.Node) {
+	if old.StoreAddress != fresh.StoreAddress && n.MoveStore != nil {
+		n.MoveStore(fresh.StoreAddress)
+	}
+}
+
 // leaseLength returns up to which age the configuration lets callers with keys in; 0 is without end.
 func (n *Node) leaseLength() time.Duration {
-	s := n.settings.Load()
+	s := n.settings.Current()
 	return caller.Lease(s.StrictRevoke, s.RevokeTimeout)
 }
 
 // quotaBounds returns by how much teams may pass their quotas.
 func (n *Node) quotaBounds() quota.Bounds {
-	s := n.settings.Load()
+	s := n.settings.Current()
 	return quota.Bounds{Window: cmp.Or(s.QuotaWindow, defaultWindow), Overage: s.QuotaOverage, Slack: s.QuotaSlack}
 }
 
@@ -494,7 +503,7 @@
 }
 
 // janitor does what time alone brings about.
-func (n *Node) janitor(ctx context.Context, idle *idleConns) {
+func (n *Node) janitor(ctx context.Context, idling *idle.Conns) {
 	t := time.NewTicker(janitorTick)
 	defer t.Stop()
 	for {
@@ -504,7 +513,7 @@
 		case now := <-t.C:
 			n.servers.Expire(now)
 			n.conns.Retire(n.pool.Known, now)
-			idle.expire(now)
+			idling.Expire(now)
 		}
 	}
 }
--- a/node/owners.go
+++ b/node/owners.go
@@ -73,7 +73,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), readJobTime)
 	defer cancel()
 	err := n.jobs.Current(ctx, time.Now())
-	n.Events.Info(event.JobAccepted).Str("job", job).Bool("owned", n.ledger.OwnedBy(job, n.Settings.ID)).Err(err).Msg("told of a job")
+	n.Events.Info(event.JobAccepted).Str("job", job).Bool("owned", n.ledger.Owner(job) == n.Settings.ID).Err(err).Msg("told of a job")
 }
 
 // attend has the topics of jobs and items followed closely while this entry has jobs.
--- a/node/serve.go
+++ b/node/serve.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -71,7 +69,7 @@
 	n.roster.Leaving()
 	n.Events.Info(event.Stopping).Int("items", len(n.runner.Running())).Msg("asked to stop")
 	time.Sleep(rotationTime)
-	end := begin.Add(n.settings.Load().ShutdownTimeout - stopMargin)
+	end := begin.Add(n.settings.Current().ShutdownTimeout - stopMargin)
 	breakOff := time.AfterFunc(time.Until(end)-itemMargin, n.runner.BreakOff)
 	defer breakOff.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
@@ -90,38 +88,3 @@
 	}
 	return defaultIdle
 }
-
-// idleConns closes callers' connections that idle for too long. The server's
-// own bound can't change while it runs, and the configuration's can.
-type idleConns struct {
-	limit func() time.Duration
-
-	mu    sync.Mutex
-	since map[net.Conn]time.Time
-}
-
-// state implements the ConnState of a server.
-func (i *idleConns) state(c net.Conn, s http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.since == nil {
-		i.since = map[net.Conn]time.Time{}
-	}
-	if s == http.StateIdle {
-		i.since[c] = time.Now()
-		return
-	}
-	delete(i.since, c)
-}
-
-func (i *idleConns) expire(now time.Time) {
-	limit := i.limit()
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for c, since := range i.since {
-		if now.Sub(since) > limit {
-			c.Close()
-			delete(i.since, c)
-		}
-	}
-}
--- /dev/null
+++ b/reload/doc.go
@@ -0,0 +1,2 @@
+// Package reload follows the settings file of a process that runs.
+package reload
--- /dev/null
+++ b/reload/reload_test.go
@@ -0,0 +1,31 @@
+package reload
+
+import (
+	"errors"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock/conf"
+	"github.com/sardinerock/sardinerock/event"
+)
+
+// The settings file changes, and is then spoilt: what was in force before stays in force.
+func TestBrokenSettingsChangeNothing(t *testing.T) {
+	g := NewWithT(t)
+	fresh, fault := &conf.Node{ID: "a", StoreAddress: "2"}, error(nil)
+	var moved []string
+	s := &Settings{
+		Read:    func() (*conf.Node, error) { return fresh, fault },
+		Changed: func(old, fresh *conf.Node) { moved = append(moved, old.StoreAddress+" to "+fresh.StoreAddress) },
+		Events:  &event.Logger{},
+	}
+	s.Prepare(&conf.Node{ID: "a", StoreAddress: "1"})
+	s.reload("file")
+	g.Expect(s.Current().StoreAddress).To(Equal("2"))
+	s.reload("file")
+	g.Expect(moved).To(Equal([]string{"1 to 2"}), "once")
+	fresh, fault = nil, errors.New("line 3: not a number")
+	s.reload("signal")
+	g.Expect(s.Current().StoreAddress).To(Equal("2"))
+}
--- a/runner/pass.go
+++ b/runner/pass.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/items"
 )
 
 // passOn breaks off items that are another entry's now, where that is better: their owner
@@ -22,7 +23,7 @@
 	for _, i := range passed {
 		successor := r.Ledger.Owner(i.open.Job)
 		cut := view.Minority() && view.Standing(successor).Silent > view.Timeout
-		if !elsewhere[shortKey(i.key)] && !cut {
+		if !elsewhere[items.ShortKey(i.key)] && !cut {
 			continue
 		}
 		i.gaveWay = true
@@ -41,7 +42,7 @@
 	}
 	var passed []*item
 	for _, i := range r.items {
-		if i.running && !i.whole && !i.gaveWay && !r.Ledger.OwnedBy(i.open.Job, r.Name) {
+		if i.running && !i.whole && !i.gaveWay && r.Ledger.Owner(i.open.Job) != r.Name {
 			passed = append(passed, i)
 		}
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -207,7 +207,7 @@
 	var keys []uint32
 	for k, i := range r.items {
 		if i.running {
-			keys = append(keys, shortKey(k))
+			keys = append(keys, items.ShortKey(k))
 		}
 	}
 	slices.Sort(keys)
--- a/runner/start.go
+++ b/runner/start.go
@@ -111,8 +111,8 @@
 	now := time.Now()
 	var waiting []candidate
 	for n := range open {
-		c := candidate{OpenItem: open[n], key: key(&open[n])}
-		if elsewhere[shortKey(c.key)] || !r.ready(c.key) {
+		c := candidate{OpenItem: open[n], key: items.Key(open[n].Job, open[n].Index)}
+		if elsewhere[items.ShortKey(c.key)] || !r.ready(c.key) {
 			continue
 		}
 		job := r.own(ctx, &c.OpenItem, now)
