share: only pages of all records are compressed

Cause: each reply of a read for news was compressed by itself; a compressor takes 0.8 MB.

Change: replies with news are written plain; the page that those who start ask for is kept compressed.

--- a/share/serve.go
+++ b/share/serve.go
@@ -157,21 +157,40 @@
 	headerBack = "Sardinerock-Store-Back"
 )
 
-// pack writes a page; one of all newest records is kept until the topic moves.
+// pack writes a page. One of all newest records is compressed, and kept until the topic moves.
 func (s *Server) pack(topic string, whole bool, page *sardinerock.StorePage) ([]byte, error) {
+	if !whole {
+		return encode(page)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if last, ok := s.packed[topic]; whole && ok && last.end == page.End {
+	if last, ok := s.packed[topic]; ok && last.end == page.End {
 		return last.raw, nil
 	}
-	body := reply{End: page.End, Records: make([]record, len(page.Records))}
-	for n, r := range page.Records {
-		body.Records[n] = record{Offset: r.Offset, Key: r.Key, Value: r.Value}
+	plain, err := encode(page)
+	if err != nil {
+		return nil, err
 	}
-	plain, err := cbor.Marshal(body)
+	raw, err := compress(plain)
 	if err != nil {
 		return nil, err
 	}
+	if s.packed == nil {
+		s.packed = map[string]packed{}
+	}
+	s.packed[topic] = packed{page.End, raw}
+	return raw, nil
+}
+
+func encode(page *sardinerock.StorePage) ([]byte, error) {
+	body := reply{End: page.End, Records: make([]record, len(page.Records))}
+	for n, r := range page.Records {
+		body.Records[n] = record{Offset: r.Offset, Key: r.Key, Value: r.Value}
+	}
+	return cbor.Marshal(body)
+}
+
+func compress(plain []byte) ([]byte, error) {
 	var b bytes.Buffer
 	z, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
 	if err != nil {
@@ -183,11 +202,5 @@
 	if err := z.Close(); err != nil {
 		return nil, err
 	}
-	if whole {
-		if s.packed == nil {
-			s.packed = map[string]packed{}
-		}
-		s.packed[topic] = packed{page.End, b.Bytes()}
-	}
 	return b.Bytes(), nil
 }
--- a/share/source.go
+++ b/share/source.go
@@ -145,7 +145,7 @@
 	default:
 		return page, fmt.Errorf("share: answer %d", answer.StatusCode)
 	}
-	if page, err = decode(answer.Body); err != nil {
+	if page, err = decode(answer.Body, !query.Has(paramFrom)); err != nil {
 		return page, err
 	}
 	age, err := strconv.ParseInt(answer.Header.Get(headerAge), 10, 64)
@@ -156,13 +156,17 @@
 	return page, checked(query, &page)
 }
 
-func decode(from io.Reader) (sardinerock.StorePage, error) {
+// decode reads a reply; one of all newest records is compressed.
+func decode(from io.Reader, whole bool) (sardinerock.StorePage, error) {
 	var page sardinerock.StorePage
-	z, err := gzip.NewReader(from)
-	if err != nil {
-		return page, err
+	if whole {
+		z, err := gzip.NewReader(from)
+		if err != nil {
+			return page, err
+		}
+		from = z
 	}
-	raw, err := io.ReadAll(io.LimitReader(z, largestReply))
+	raw, err := io.ReadAll(io.LimitReader(from, largestReply))
 	if err != nil {
 		return page, err
 	}
