--- a/await/patience.go
+++ b/await/patience.go
@@ -74,3 +74,17 @@
 		return true
 	}
 }
+
+// Until waits for something, looking at intervals, and says false if ctx ends before.
+func Until(ctx context.Context, interval time.Duration, done func() bool) bool {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for !done() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-t.C:
+		}
+	}
+	return true
+}
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -24,7 +24,7 @@
 
 // Earlier returns the instant that was a time before this one.
 func (i Instant) Earlier(d time.Duration) Instant {
-	return Instant{Time: i.Time.Add(-d), Boot: i.Boot - d}
+	return Instant{Time: i.Add(-d), Boot: i.Boot - d}
 }
 
 // Boot returns the time since the machine's start, suspended times included.
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -92,22 +92,17 @@
 	return p.name, true
 }
 
-func (g *Gossip) addressOf(name string) *net.UDPAddr {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if p := g.peers[name]; p != nil {
-		return p.address
-	}
-	return nil
-}
-
 // Ask puts a question to a peer and returns the answer; ctx bounds the time for which it is
 // waited for.
 func (g *Gossip) Ask(ctx context.Context, name string, question []byte) ([]byte, error) {
-	address := g.addressOf(name)
-	if address == nil {
+	g.mu.Lock()
+	p := g.peers[name]
+	if p == nil {
+		g.mu.Unlock()
 		return nil, errNoPeer
 	}
+	address := p.address
+	g.mu.Unlock()
 	return g.asks.Ask(ctx, address, question)
 }
 
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -142,9 +142,3 @@
 func itemKey(kind, job string, index int, change string) string {
 	return fmt.Sprintf("%s/%s/%d/%s", kind, job, index, change)
 }
-
-// ValidID says whether a job's id can be part of a key.
-func ValidID(id string) bool {
-	const longest = 128
-	return id != "" && len(id) <= longest && !strings.Contains(id, "/")
-}
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/access"
+	"github.com/sardinerock/sardinerock/await"
 	"github.com/sardinerock/sardinerock/caller"
 	"github.com/sardinerock/sardinerock/clock"
 	"github.com/sardinerock/sardinerock/commit"
@@ -458,32 +459,18 @@
 // of them reads is one that all others wait for. The order comes last, since in large
 // fleets a member has read it.
 func (n *Node) awaitStart(ctx context.Context) {
-	if !n.until(ctx, func() bool { return n.table.Current() != nil && n.registrations.Usable() }) {
+	if !await.Until(ctx, startTick, func() bool { return n.table.Current() != nil && n.registrations.Usable() }) {
 		return
 	}
 	close(n.started)
 	n.goRun(ctx, n.members.Run)
 	members, cancel := context.WithTimeout(ctx, membersTime)
-	n.until(members, n.members.Loaded)
+	await.Until(members, startTick, n.members.Loaded)
 	cancel()
 	n.goRun(ctx, n.work.Run)
 	n.jobs.Run(ctx)
 }
 
-// until waits for something, and says false if ctx ends before.
-func (n *Node) until(ctx context.Context, done func() bool) bool {
-	t := time.NewTicker(startTick)
-	defer t.Stop()
-	for !done() {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-t.C:
-		}
-	}
-	return true
-}
-
 func (n *Node) goRun(ctx context.Context, run func(context.Context)) {
 	n.group.Add(1)
 	go func() {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -154,7 +154,10 @@
 
 // attend says whether this entry has jobs, and returns when to look again.
 func (r *Runner) attend() time.Duration {
-	has := r.busy()
+	r.mu.Lock()
+	items := len(r.items)
+	r.mu.Unlock()
+	has := items > 0 || r.Ledger.Owns(r.Name)
 	r.Attend(has)
 	if has {
 		return tick
@@ -162,13 +165,6 @@
 	return idleTick
 }
 
-func (r *Runner) busy() bool {
-	r.mu.Lock()
-	items := len(r.items)
-	r.mu.Unlock()
-	return items > 0 || r.Ledger.Owns(r.Name)
-}
-
 // Leave starts no more items.
 func (r *Runner) Leave() {
 	r.mu.Lock()
--- a/submit/submit.go
+++ b/submit/submit.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -89,7 +90,7 @@
 		f.answer(w, call.ID, http.StatusMethodNotAllowed, "a batch job is handed in by POST", 0)
 		return
 	}
-	if !ledger.ValidID(call.ID) {
+	if !validID(call.ID) {
 		f.answer(w, call.ID, http.StatusBadRequest, "the request's id is missing, too long or has a slash", 0)
 		return
 	}
@@ -367,3 +368,9 @@
 		Dur("retryAfter", retry).Msg("batch request not done")
 	sardinerock.WriteRefusal(f.Dialect, w, status, reason, retry)
 }
+
+// validID says whether a job's id can be part of a key of the store.
+func validID(id string) bool {
+	const longest = 128
+	return id != "" && len(id) <= longest && !strings.Contains(id, "/")
+}
