--- a/asks/asks_test.go
+++ b/asks/asks_test.go
@@ -11,11 +11,11 @@
 	"github.com/sardinerock/sardinerock/event"
 )
 
-func newAsks(g *WithT, sender uint32) *Asks {
+func newAsks(g *WithT, sender uint32, answer func(peer string, start int64, question []byte) ([]byte, error)) *Asks {
 	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	g.Expect(err).NotTo(HaveOccurred())
 	a := &Asks{
-		Sender: sender, Start: 1, Conn: c, Events: &event.Logger{},
+		Sender: sender, Start: 1, Conn: c, Answer: answer, Events: &event.Logger{},
 		Peer: func(sender uint32) (string, bool) { return "a", sender == 7 },
 	}
 	a.Prepare()
@@ -38,12 +38,12 @@
 // or doesn't know who asks; broken ones stop nothing.
 func TestQuestionsAreAnswered(t *testing.T) {
 	g := NewWithT(t)
-	a, b := newAsks(g, 7), newAsks(g, 8)
-	b.Answer = func(peer string, start int64, question []byte) ([]byte, error) {
+	a := newAsks(g, 7, nil)
+	b := newAsks(g, 8, func(peer string, start int64, question []byte) ([]byte, error) {
 		g.Expect(peer).To(Equal("a"))
 		g.Expect(start).To(Equal(int64(1)))
 		return append([]byte("to "), question...), nil
-	}
+	})
 	for _, broken := range [][]byte{{head}, {head, 1, 2}, {head, 0x61, 'x', 0, 0, 0, 0}} {
 		g.Expect(Is(broken)).To(BeTrue())
 		_, err := a.Conn.WriteToUDP(broken, b.address())
