--- a/commit/anywhere.go
+++ b/commit/anywhere.go
@@ -8,7 +8,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/sardinerock/sardinerock"
-	"github.com/sardinerock/sardinerock/event"
 )
 
 // attemptAnywhere plans the changes and appends them once wherever the topic
@@ -43,12 +42,10 @@
 // answerAt answers the changes once the state holds them: who asked for one acts on the
 // state next. What somebody waits for is read at once.
 func (a *Appender) answerAt(ctx context.Context, end int64, done []planned) {
+	if slices.ContainsFunc(done, func(d planned) bool { return !d.lazy }) {
+		a.Follower.Hurry()
+	}
 	go func() {
-		if slices.ContainsFunc(done, func(d planned) bool { return !d.lazy }) && a.Follower.Next() < end {
-			if err := a.Follower.Sync(ctx); err != nil {
-				a.Events.Info(event.AppendFailed).Str("topic", a.Topic).Err(err).Msg("what was appended isn't read yet")
-			}
-		}
 		// The waiters of a process that stops are let go by its end.
 		if a.Follower.WaitFor(ctx, end) == nil {
 			answer(done)
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -88,15 +88,20 @@
 // Attend has the topic read at Interval until release is called.
 func (f *Follower) Attend() (release func()) {
 	if f.attended.Add(1) == 1 {
-		select {
-		case f.nudged <- struct{}{}:
-		default:
-			// Its rest is over already.
-		}
+		f.Hurry()
 	}
 	return sync.OnceFunc(func() { f.attended.Add(-1) })
 }
 
+// Hurry has Run read at once: news is known to be there.
+func (f *Follower) Hurry() {
+	select {
+	case f.nudged <- struct{}{}:
+	default:
+		// It is about to read already.
+	}
+}
+
 // interval returns the least time between two reads as things are.
 func (f *Follower) interval() time.Duration {
 	if f.IdleInterval > 0 && f.attended.Load() == 0 {
@@ -108,21 +113,15 @@
 // rest waits until the next read is due after one that was sent at a time, and says
 // false if ctx ends before.
 func (f *Follower) rest(ctx context.Context, sent time.Time) bool {
-	for {
-		rest := f.interval() - time.Since(sent)
-		if rest <= 0 {
-			return ctx.Err() == nil
-		}
-		t := time.NewTimer(rest)
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			return false
-		case <-t.C:
-		case <-f.nudged:
-			t.Stop()
-		}
+	t := time.NewTimer(f.interval() - time.Since(sent))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+	case <-f.nudged:
 	}
+	return true
 }
 
 // Run follows until ctx ends.
