--- a/share/share_test.go
+++ b/share/share_test.go
@@ -27,17 +27,47 @@
 	follower *watch.Follower
 	feed     *Feed
 	http     *httptest.Server
+	// spoilt are what it does wrong.
+	spoilt struct{ stops, nonsense, omits, behind atomic.Bool }
+}
+
+// age, next and handler are those of the follower and the server, as far as they aren't spoilt.
+func (r *reader) age() (time.Duration, bool) {
+	if r.spoilt.stops.Load() {
+		return time.Minute, true
+	}
+	return r.follower.Age()
+}
+
+func (r *reader) next() int64 {
+	switch {
+	case r.spoilt.omits.Load():
+		return r.follower.Next() + 1
+	case r.spoilt.behind.Load():
+		return 0
+	}
+	return r.follower.Next()
+}
+
+func (r *reader) handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if r.spoilt.nonsense.Load() {
+			fmt.Fprint(w, "nonsense")
+			return
+		}
+		h.ServeHTTP(w, request)
+	})
 }
 
 func newReader(t *testing.T, store sardinerock.Store, mostAge time.Duration) *reader {
 	r := &reader{}
 	r.follower = &watch.Follower{Store: store, Topic: topic, Wait: 200 * time.Millisecond, Events: &event.Logger{}}
 	r.follower.Prepare()
-	r.feed = &Feed{Next: r.follower.Next, Age: r.follower.Age, MostAge: mostAge}
+	r.feed = &Feed{Next: r.next, Age: r.age, MostAge: mostAge}
 	r.feed.Prepare()
 	r.follower.Apply = r.feed.Apply
 	s := &Server{Feeds: map[string]*Feed{topic: r.feed}, Events: &event.Logger{}}
-	r.http = httptest.NewServer(s.FromPeers(http.NotFoundHandler()))
+	r.http = httptest.NewServer(r.handler(s.FromPeers(http.NotFoundHandler())))
 	t.Cleanup(r.http.Close)
 	return r
 }
@@ -138,18 +168,11 @@
 // nothing false.
 func TestReadersThatFailAreLeft(t *testing.T) {
 	for name, spoil := range map[string]func(r *reader){
-		"killed": func(r *reader) { r.http.Close() },
-		"has stopped reading": func(r *reader) {
-			r.feed.Age = func() (time.Duration, bool) { return time.Minute, true }
-		},
-		"tells nonsense": func(r *reader) {
-			r.http.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "nonsense") })
-		},
-		"leaves a record out": func(r *reader) {
-			next := r.follower.Next
-			r.feed.Next = func() int64 { return next() + 1 }
-		},
-		"is behind": func(r *reader) { r.feed.Next = func() int64 { return 0 } },
+		"killed":              func(r *reader) { r.http.Close() },
+		"has stopped reading": func(r *reader) { r.spoilt.stops.Store(true) },
+		"tells nonsense":      func(r *reader) { r.spoilt.nonsense.Store(true) },
+		"leaves a record out": func(r *reader) { r.spoilt.omits.Store(true) },
+		"is behind":           func(r *reader) { r.spoilt.behind.Store(true) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
