runner, ledger: record the start of a run that may fail before it is sent

What callers saw: nothing of their own; backend servers got an item that fails at each run more than nine times (three attempts), and one that they reject for good more than three times.

Cause: what a run ended with is recorded after it, the last failure and a 422 only as the result. An owner that is lost in between leaves its successor one run short, each time anew.

Fix: a run that may fail is accounted for in the work topic before it is sent, except the first one of the process that the job was assigned to. The next start is in the append of a failure. The order of the records holds the limit: nine starts of three attempts, three without a recorded failure. So no run beyond is possible, whatever is lost. Items with saved output need no record, and the first output after a loss is saved at once.

commit.TestFailuresStayBounded keeps its check, bound and seeds; its item follows the runner, and one that is withheld is given up at its retention.

--- a/commit/commit.go
+++ b/commit/commit.go
@@ -79,6 +79,7 @@
 	// Submit would keep the process from exiting.
 	stopped chan struct{}
 	timeout await.AdaptiveTimeout
+	health  health
 }
 
 // Prepare initializes the appender. It must be called once before any other method.
@@ -127,8 +128,10 @@
 		if ctx.Err() != nil {
 			return
 		}
+		a.health.attemptBegan(time.Now())
 		remaining, err := a.attempt(ctx, batch)
 		batch = remaining
+		a.health.attemptEnded(time.Now(), err == nil)
 		if err == nil {
 			backoff = minBackoff
 			continue
--- a/commit/commit_test.go
+++ b/commit/commit_test.go
@@ -94,6 +94,28 @@
 	g.Eventually(done, 10*time.Second).Should(Receive(MatchError(ErrUncertain)))
 }
 
+// Guards against an entry that has just started recording the starts of all its items while the
+// store executes appends and loses the answers: each would count as a run, although none is sent.
+func TestWorkingForFollowsAppends(t *testing.T) {
+	g := NewWithT(t)
+	store := &memkv.Store{}
+	e := startEntry(t, store)
+	g.Eventually(e.Ledger.Loaded, 10*time.Second).Should(BeTrue())
+	_, err := e.Submit(t.Context(), acceptJob("j"))
+	g.Expect(err).NotTo(HaveOccurred())
+	workingFor := func() time.Duration { return e.work.WorkingFor(time.Now()) }
+	g.Expect(workingFor()).To(BeNumerically(">", time.Hour), "nothing is known before the first append")
+	store.SetFault(func(string, string) memkv.Fault { return memkv.LoseResponse })
+	go func() {
+		_, _ = e.work.Submit(t.Context(), func(p *ledger.Plan) (ledger.Verdict, error) { return p.Fail("j", 0) })
+	}()
+	g.Eventually(workingFor, 10*time.Second).Should(BeZero())
+	g.Consistently(workingFor, 300*time.Millisecond).Should(BeZero())
+	store.SetFault(nil)
+	g.Eventually(workingFor, 10*time.Second).Should(BeNumerically(">", 0))
+	g.Expect(workingFor()).To(BeNumerically("<", time.Minute))
+}
+
 // slowStore delays each append, so that other entries append first.
 type slowStore struct {
 	*memkv.Store
--- a/commit/failures_test.go
+++ b/commit/failures_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/sardinerock/sardinerock/items"
 	"github.com/sardinerock/sardinerock/ledger"
 )
 
@@ -15,62 +16,127 @@
 // failingItem simulates an item that fails at each run, and the entry that runs it.
 type failingItem struct {
 	*interleaving
-	owner int
+	// unprocessable is set for an item that backend servers reject for good. Otherwise each run
+	// ends with a failure.
+	unprocessable bool
+	owner         int
 	// countedBy is the number of failures that each entry has counted in memory.
 	countedBy []int
-	runs      int
+	// accounted is set for each entry that may run the item, and starting is the change that records
+	// the start of a run, until that is read. The first owner's first run isn't recorded.
+	accounted []bool
+	starting  []string
+	// failed is set for each entry whose latest change records a failed run.
+	failed []bool
+	runs   int
 	// unrecorded counts the moves of the item to another entry before its failure was recorded:
 	// the new owner can't know of that run.
 	unrecorded int
+	// sinceMove is the number of steps since the item moved.
+	sinceMove int
+	// exhausted is set once no further run may start: the item is given up at its retention.
+	exhausted bool
 }
 
-// open returns the number of failures that the owner knows of, and whether the item is to be run.
-func (f *failingItem) open() (failures int, ok bool) {
+// open returns the item if it is to be run or recorded now.
+func (f *failingItem) open() (open ledger.OpenItem, ok bool) {
 	e := f.entries[f.owner]
 	if len(e.workBatch) > 0 {
 		// The item isn't run again before its failure is recorded.
-		return 0, false
+		return open, false
 	}
 	for _, i := range e.Ledger.OpenItems("") {
 		if i.Index == 0 {
-			return max(i.Failures, f.countedBy[f.owner]), true
+			i.Failures = max(i.Failures, f.countedBy[f.owner])
+			return i, true
 		}
 	}
-	return 0, false
+	return open, false
 }
 
 // run runs the item at its owner, like the runner does, and records the failure.
 func (f *failingItem) run() {
-	failures, ok := f.open()
+	open, ok := f.open()
 	if !ok {
 		return
 	}
-	// An owner that knows of the last failure retries to record the result without another run.
-	if failures < itemAttempts {
-		f.runs++
-		failures++
+	if change := f.starting[f.owner]; change != "" {
+		f.sync()
+		f.accounted[f.owner], f.starting[f.owner] = f.entries[f.owner].Ledger.Started("j0", 0, change), ""
+		if open, ok = f.open(); !ok {
+			return
+		}
+	}
+	switch limit := items.MaxRuns(open.Failures, itemAttempts); {
+	case open.Failures >= itemAttempts:
+		// An owner that knows of the last failure retries to record the result without another run.
+		f.finish()
+	case f.accounted[f.owner]:
+		f.fail(open.Failures + 1)
+	case open.Runs >= limit:
+		f.exhausted = true
+	case open.Runs < limit-1, f.sinceMove >= steadySteps:
+		f.recordStart(open.Failures, false)
+	}
+}
+
+// fail runs the item once. failures is the number of failed runs that the owner knows of then.
+func (f *failingItem) fail(failures int) {
+	f.runs++
+	f.accounted[f.owner] = false
+	if f.unprocessable {
+		failures = itemAttempts
 	}
 	f.countedBy[f.owner] = failures
 	if failures >= itemAttempts {
-		f.submit(f.entries[f.owner], "finish j0", func(p *ledger.Plan) (ledger.Verdict, error) {
-			return p.Finish("j0", 0, &ledger.Outcome{Item: givenUpItem})
-		})
+		f.finish()
 		return
 	}
-	f.submit(f.entries[f.owner], "fail j0", func(p *ledger.Plan) (ledger.Verdict, error) { return p.Fail("j0", 0) })
+	f.recordStart(failures, true)
+}
+
+// recordStart records that the owner is about to run the item, after a failed run if failed is set.
+// failures is the number of failed runs that the owner knows of.
+func (f *failingItem) recordStart(failures int, failed bool) {
+	owner, limit := f.owner, items.MaxRuns(failures, itemAttempts)
+	f.failed[owner] = failed
+	f.submit(f.entries[owner], "start j0", func(p *ledger.Plan) (ledger.Verdict, error) {
+		f.starting[owner] = p.Change
+		if failed {
+			if v, err := p.Fail("j0", 0); v != ledger.Applied || err != nil {
+				return v, err
+			}
+		}
+		return p.Start("j0", 0, 0, limit)
+	})
+}
+
+// finish records that the item is given up.
+func (f *failingItem) finish() {
+	f.failed[f.owner] = true
+	f.submit(f.entries[f.owner], "finish j0", func(p *ledger.Plan) (ledger.Verdict, error) {
+		return p.Finish("j0", 0, &ledger.Outcome{Item: givenUpItem})
+	})
 }
 
 // move gives the item to another entry. lost means that the current owner fails and loses its
 // memory.
 func (f *failingItem) move(lost bool) {
-	if len(f.entries[f.owner].workBatch) > 0 {
+	f.sinceMove = 0
+	if len(f.entries[f.owner].workBatch) > 0 && f.failed[f.owner] {
 		f.unrecorded++
 	}
 	if lost {
 		f.entries[f.owner], f.countedBy[f.owner] = newTestEntry(f.store), 0
+		f.accounted[f.owner], f.starting[f.owner] = false, ""
 	}
 	f.owner = f.r.IntN(len(f.entries))
 	// An entry that can't read the store owns no jobs.
+	f.sync()
+}
+
+// sync reads both topics at the owner.
+func (f *failingItem) sync() {
 	e := f.entries[f.owner]
 	for range maxSyncs {
 		if errors.Join(e.Follower.Sync(context.Background()), e.work.Follower.Sync(context.Background())) == nil {
@@ -79,6 +145,9 @@
 	}
 }
 
+// steadySteps is the number of steps without a move after which the last run may start.
+const steadySteps = 10
+
 // maxSyncs bounds the attempts to read a store that fails three calls in eight.
 const maxSyncs = 1000
 
@@ -89,7 +158,7 @@
 func TestFailuresStayBounded(t *testing.T) {
 	counts := map[int]int{}
 	for seed := range uint64(*interleavings / 10) {
-		f := simulateFailingItem(seed)
+		f := simulateFailingItem(seed, false)
 		counts[f.runs]++
 		if f.runs > itemAttempts+f.unrecorded {
 			t.Fatalf("seed %d: item ran %d times, but only %d of its runs weren't recorded", seed, f.runs, f.unrecorded)
@@ -102,14 +171,46 @@
 	t.Logf("simulations by number of runs: %v", counts)
 }
 
-func simulateFailingItem(seed uint64) *failingItem {
-	f := &failingItem{interleaving: newInterleaving(seed)}
+// TestFailedRunsAreBoundedWhateverIsLost guards against an item that fails at each run, or that
+// each backend server rejects for good, being sent to one more of them by each owner that follows
+// an owner lost before it recorded the run.
+func TestFailedRunsAreBoundedWhateverIsLost(t *testing.T) {
+	for name, tt := range map[string]struct {
+		unprocessable bool
+		bound         int
+	}{
+		"fails at each run": {false, 3 * itemAttempts},
+		"rejected for good": {true, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			counts, exhausted := map[int]int{}, 0
+			for seed := range uint64(*interleavings / 10) {
+				f := simulateFailingItem(seed, tt.unprocessable)
+				counts[f.runs]++
+				if f.exhausted {
+					exhausted++
+				}
+				if f.runs > tt.bound {
+					t.Errorf("seed %d: item ran %d times, %d are allowed", seed, f.runs, tt.bound)
+				}
+			}
+			t.Logf("simulations by number of runs: %v; %d items waited for their retention", counts, exhausted)
+		})
+	}
+}
+
+func simulateFailingItem(seed uint64, unprocessable bool) *failingItem {
+	f := &failingItem{interleaving: newInterleaving(seed), unprocessable: unprocessable}
 	f.faultless = true
 	f.countedBy = make([]int, len(f.entries))
+	f.accounted, f.starting = make([]bool, len(f.entries)), make([]string, len(f.entries))
+	f.failed = make([]bool, len(f.entries))
+	f.accounted[0] = true
 	f.accept(f.entries[0], "j0")
 	f.attempt(f.entries[0])
 	f.faultless = false
 	for range 120 {
+		f.sinceMove++
 		f.run()
 		switch f.r.IntN(20) {
 		case 0:
@@ -126,11 +227,17 @@
 	f.faultless = true
 	f.store.ApplyDelayed()
 	for range 40 {
+		f.sinceMove++
 		f.run()
 		for _, e := range f.entries {
 			f.attempt(e)
 		}
 	}
+	if _, ok := f.open(); ok && f.exhausted {
+		// The retention of the item has passed.
+		f.finish()
+		f.attempt(f.entries[f.owner])
+	}
 	return f
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -57,6 +57,7 @@
 	BodiesRead      ID = 518
 	JobsClaimed     ID = 519
 	JobPassed       ID = 520
+	StartRecorded   ID = 521
 	BundleAccepted  ID = 601
 	BundleRejected  ID = 602
 	BundleInForce   ID = 603
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -132,7 +132,7 @@
 	return owner.PeerState{
 		SinceContact: now.Sub(last), NeverReceived: p.receivedAt.IsZero(), Leaving: p.last.Leaving, StoreLost: p.last.StoreLost,
 		Starting: p.last.Starting, StartingFor: now.Sub(p.startingSince),
-		ProbeUnanswered: p.probedAt.After(last) && now.Sub(p.probedAt) > QueryTimeout,
+		ProcessStart: p.last.Start, ProbeUnanswered: p.probedAt.After(last) && now.Sub(p.probedAt) > QueryTimeout,
 	}
 }
 
--- a/invoke/invoke.go
+++ b/invoke/invoke.go
@@ -30,8 +30,8 @@
 	Interrupted
 	// Rejected means that the backend server had no capacity and did not run the item.
 	Rejected
-	// Unreserved means that the backend server had no free slot to reserve; the item was not
-	// sent.
+	// Unreserved means that the item was not sent: the backend server had no free slot to
+	// reserve, or BeforeSend returned an error.
 	Unreserved
 )
 
@@ -44,6 +44,9 @@
 	LastEvent string
 	// OnEvent is called for each received event, in order.
 	OnEvent func(id, data string)
+	// BeforeSend is called right before the item is sent. If it returns an error, the item is not
+	// sent.
+	BeforeSend func(ctx context.Context) error
 }
 
 // Invoker runs batch items at backend servers.
@@ -72,6 +75,12 @@
 		}
 		v.Pool.RecordReserved(choice.ID)
 	}
+	if err := i.BeforeSend(ctx); err != nil {
+		if reservation != nil {
+			reservation.Close()
+		}
+		return Unreserved, err
+	}
 	return v.exchange(ctx, i, choice, reservation)
 }
 
--- a/ledger/apply.go
+++ b/ledger/apply.go
@@ -115,6 +115,8 @@
 		l.fail(k)
 	case kindClaim:
 		return l.claim(k, raw)
+	case kindStart:
+		return l.start(k, raw)
 	}
 	return nil
 }
@@ -188,6 +190,24 @@
 	w.failures[k.index][k.change] = true
 }
 
+// start counts the start of a run once, however often its record was appended. Two owners may plan
+// starts on the same state; the order of their records decides which are within the limit.
+func (l *Ledger) start(k recordKey, raw []byte) error {
+	var s start
+	if err := cbor.Unmarshal(raw, &s); err != nil {
+		return err
+	}
+	w := l.work[k.job]
+	if s.Epoch != w.epoch || w.runs(k.index) >= s.Limit {
+		return nil
+	}
+	if w.starts[k.index] == nil {
+		w.starts[k.index] = map[string]bool{}
+	}
+	w.starts[k.index][k.change] = true
+	return nil
+}
+
 // claim makes an entry the owner of a job. Only the first claim of the next epoch is valid, so
 // two entries that both considered the owner unavailable agree on one of them.
 func (l *Ledger) claim(k recordKey, raw []byte) error {
--- a/ledger/doc.go
+++ b/ledger/doc.go
@@ -3,7 +3,7 @@
 //
 // Records about jobs (accepted within the quota, ended) are appended conditionally: only where
 // their topic still ends at the state that the plan was made from. Records about items (failures,
-// results, claims) are appended unconditionally, and their order in the topic resolves conflicts:
+// results, starts, claims) are appended unconditionally, and their order in the topic resolves conflicts:
 // the first result of an item counts, at the position that the order gives it. So every entry
 // reads the same jobs and the same results at the same positions, and never a result twice.
 package ledger
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -31,6 +31,8 @@
 	finished map[int]bool
 	// failures holds, for each item, the changes that recorded a failed run.
 	failures map[int]map[string]bool
+	// starts holds, for each item, the changes that recorded the start of a run.
+	starts map[int]map[string]bool
 	// owner is the entry that claimed the job last, and epoch the number of claims so far.
 	owner string
 	epoch int
@@ -39,7 +41,7 @@
 }
 
 func newWork() *work {
-	return &work{finished: map[int]bool{}, failures: map[int]map[string]bool{}}
+	return &work{finished: map[int]bool{}, failures: map[int]map[string]bool{}, starts: map[int]map[string]bool{}}
 }
 
 // emptyWork is returned for jobs without records about items. It must not be modified.
@@ -203,8 +205,14 @@
 	// Bodies is where the job's items are stored. SeenAt is that of the job.
 	Bodies sardinerock.ContentRef
 	SeenAt time.Time
-	// Failures is the number of recorded failed runs of the item.
-	Failures int
+	// Failures is the number of recorded failed runs of the item, and Runs the number of runs that
+	// may have failed: the unrecorded first one and those whose start is recorded.
+	Failures, Runs int
+	// FirstOwner and FirstOwnerStart are the job's owner and that owner's process when the job was
+	// accepted. Epoch is the number of claims to the job since then.
+	FirstOwner      string
+	FirstOwnerStart int64
+	Epoch           int
 }
 
 // Ownership names the entry that runs the items of an open job.
@@ -283,12 +291,23 @@
 			open = append(open, OpenItem{
 				Job: id, Route: j.Route, Host: j.Host, Team: j.Team, CreatedAt: time.UnixMilli(j.CreatedAt), Index: i,
 				Remaining: len(j.Tokens) - len(w.results), Bodies: j.Bodies, SeenAt: j.SeenAt, Failures: len(w.failures[i]),
+				Runs: w.runs(i), FirstOwner: j.Owner, FirstOwnerStart: j.OwnerStart, Epoch: w.epoch,
 			})
 		}
 	}
 	return open
 }
 
+// runs returns the number of runs of an item that may have failed. The first run isn't recorded.
+func (w *work) runs(index int) int { return 1 + len(w.starts[index]) }
+
+// Started reports whether a change recorded a valid start of a run of an item.
+func (l *Ledger) Started(id string, index int, change string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.workOf(id).starts[index][trimRetry(change)]
+}
+
 // IsOpen reports whether an item may still be run.
 func (l *Ledger) IsOpen(id string, index int) bool {
 	l.mu.Lock()
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -262,6 +262,47 @@
 	l.g.Expect(l.OpenItems("")[0].Failures).To(Equal(2))
 }
 
+// Two owners plan the start of the last run that an item may have on the same state, one of them
+// before it reads that the job was claimed, and appends are repeated after lost answers. One start
+// must be valid, and it must be the same one for an entry that loads the topic later: otherwise the
+// item would run once more for each owner that is lost.
+func TestStartsStayWithinTheirLimit(t *testing.T) {
+	const limit = 3
+	l := newTestLedger(t)
+	job := testJob("j1", 1, 1)
+	job.Owner, job.OwnerStart = "a", 7
+	l.commit(accept(job, 0))
+	start := func(writer string, change, retries, epoch int) []sardinerock.StoreRecord {
+		p := l.NewPlan(testRecordBytes)
+		p.Change = ChangeName(writer, change, retries)
+		_, err := p.Start("j1", 0, epoch, limit)
+		l.g.Expect(err).NotTo(HaveOccurred())
+		return p.Records
+	}
+	outdated := start("a", 9, 0, 0)
+	l.append(start("a", 1, 0, 0))
+	l.append(start("a", 1, 1, 0))
+	l.commit(func(p *Plan) (Verdict, error) { return p.Claim("j1", "b", 0) })
+	l.append(outdated)
+	first, second := start("b", 1, 0, 1), start("b", 2, 0, 1)
+	l.append(first)
+	l.append(second)
+	late := emptyLedger()
+	l.loadWork(late)
+	l.loadJobs(late)
+	for name, entry := range map[string]*Ledger{"follows": l.Ledger, "loads later": late} {
+		for change, valid := range map[string]bool{
+			ChangeName("a", 1, 0): true, ChangeName("a", 9, 0): false, ChangeName("b", 1, 0): true, ChangeName("b", 2, 0): false,
+		} {
+			l.g.Expect(entry.Started("j1", 0, change)).To(Equal(valid), name+" "+change)
+		}
+		open := entry.OpenItems("b")[0]
+		l.g.Expect(open.Runs).To(Equal(limit), name)
+		l.g.Expect([]any{open.FirstOwner, open.FirstOwnerStart, open.Epoch}).To(Equal([]any{"a", int64(7), 1}), name)
+	}
+	l.g.Expect(start("b", 3, 0, 1)).To(BeEmpty(), "no run is left")
+}
+
 // Two entries consider the owner of a job unavailable and both claim it. The first claim in the
 // topic is valid for all, the other one is ignored, and a retry of either changes nothing.
 func TestFirstClaimHolds(t *testing.T) {
--- a/ledger/plan.go
+++ b/ledger/plan.go
@@ -151,6 +151,19 @@
 	return Applied, p.add(itemKey(kindFailure, job, index, p.Change), true)
 }
 
+// Start plans a record that the owner of an epoch is about to run an item. The run may be made once
+// the record is applied and Ledger.Started confirms it. limit is the number of runs after which no
+// further one may start, the unrecorded first one included. If it is reached, Start returns Stale.
+func (p *Plan) Start(job string, index, epoch, limit int) (Verdict, error) {
+	p.ledger.mu.Lock()
+	defer p.ledger.mu.Unlock()
+	w := p.ledger.workOf(job)
+	if p.closed(job, index) || w.epoch != epoch || w.runs(index) >= limit {
+		return Stale, nil
+	}
+	return Applied, p.add(itemKey(kindStart, job, index, p.Change), &start{Epoch: epoch, Limit: limit})
+}
+
 // closed reports whether no more records about an item are needed.
 func (p *Plan) closed(job string, index int) bool {
 	j := p.ledger.jobs[job]
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -18,6 +18,7 @@
 	kindResult  = "r"
 	kindFailure = "f"
 	kindClaim   = "o"
+	kindStart   = "s"
 )
 
 // Accepted is the record of an accepted job. It holds what all entries need to know; the bodies
@@ -42,6 +43,9 @@
 	// Owner is the entry that runs the job's items until another one claims it. It is empty in
 	// records written by versions without recorded owners.
 	Owner string `cbor:"9,keyasint,omitempty"`
+	// OwnerStart identifies the process of the owner at the time of acceptance; see
+	// digest.Message. It is 0 if it isn't known, and in records written by versions without it.
+	OwnerStart int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // quotaKey returns the key of the quota against which the job's tokens count: each team has a
@@ -63,6 +67,13 @@
 	Text sardinerock.ContentRef `cbor:"3,keyasint"`
 }
 
+// start is the record of a run that the owner of an epoch is about to make. It is valid only if the
+// epoch is the job's current one and fewer than Limit runs are recorded, the first one included.
+type start struct {
+	Epoch int `cbor:"1,keyasint"`
+	Limit int `cbor:"2,keyasint"`
+}
+
 // records encodes a value as one record, or as several if it exceeds the size limit of a record.
 func records(key string, value any, recordBytes int) ([]sardinerock.StoreRecord, error) {
 	raw, err := cbor.Marshal(value)
@@ -88,12 +99,12 @@
 	valueKey string
 }
 
-// aboutItems reports whether the record belongs to the topic of items: results, failures and
-// claims.
+// aboutItems reports whether the record belongs to the topic of items: results, failures, starts
+// and claims.
 func (k *recordKey) aboutItems() bool { return k.kind != kindJob && k.kind != kindEnd }
 
 // keyParts is the number of parts of a key of each kind.
-var keyParts = map[string]int{kindJob: 3, kindEnd: 3, kindResult: 5, kindFailure: 5, kindClaim: 5}
+var keyParts = map[string]int{kindJob: 3, kindEnd: 3, kindResult: 5, kindFailure: 5, kindClaim: 5, kindStart: 5}
 
 func parseKey(key string) (recordKey, error) {
 	parts := strings.Split(key, "/")
--- a/node/node.go
+++ b/node/node.go
@@ -33,7 +33,6 @@
 	"github.com/sardinerock/sardinerock/items"
 	"github.com/sardinerock/sardinerock/lease"
 	"github.com/sardinerock/sardinerock/ledger"
-	"github.com/sardinerock/sardinerock/owner"
 	"github.com/sardinerock/sardinerock/pool"
 	"github.com/sardinerock/sardinerock/proxy"
 	"github.com/sardinerock/sardinerock/purge"
@@ -300,7 +299,7 @@
 	}
 	n.runner = &runner.Runner{
 		Blobs: blobClient,
-		Name:  n.Settings.ID, Batch: n.Batch, Table: n.table.Current, Ledger: n.ledger, Recorder: n.recorder,
+		Name:  n.Settings.ID, ProcessStart: n.gossip.Start, Batch: n.Batch, Table: n.table.Current, Ledger: n.ledger, Recorder: n.recorder,
 		Pool: n.pool, Conns: n.conns, Events: n.Events, Metrics: n.Metrics,
 		Pace:             &items.Pacer{ViewAge: n.gossip.ViewAge, Random: newRandom(1)},
 		SlotFreed:        func(service, server string) { n.relay.OfferSlot(service, server) },
@@ -308,6 +307,7 @@
 		Owners:           n.owners,
 		OwnerView:        n.ownerView,
 		OwnershipCurrent: n.ownershipCurrent,
+		CanRecord:        n.canRecord,
 		SetActive:        n.setActive,
 		ViewAge:          n.gossip.ViewAge,
 		RunningElsewhere: func() map[uint32]bool { return n.gossip.RunningElsewhere(time.Now()) },
@@ -338,7 +338,7 @@
 		Batch: &proxy.Proxy{
 			Local: &submit.Handler{
 				Dialect: n.Dialect, Batch: n.Batch, Ledger: n.ledger, JobFollower: n.jobs, WorkFollower: n.work, Appender: n.appender, Blobs: blobClient,
-				Owner:          func(job string) string { return owner.Of(job, n.owners()) },
+				Owner:          n.newJobOwner,
 				NotifyOwner:    n.notifyOwner,
 				SettleTime:     n.Settings.SettleTime,
 				StoreLostByAll: func() bool { return n.gossip.StoreLostByAll(time.Now()) },
--- a/node/owners.go
+++ b/node/owners.go
@@ -18,6 +18,9 @@
 	// maxUnreadTimeouts is how long the topic of items may be unread before no more items start,
 	// in timeouts of a peer. A read of a slow store takes longer than one timeout.
 	maxUnreadTimeouts = 3
+	// steadyTime is how long the store must have worked for this entry before it starts the last run
+	// that an item may have. Losses in quick succession are over by then.
+	steadyTime = 3 * time.Second
 )
 
 // owners returns the names of the entries among which new jobs are distributed.
@@ -25,6 +28,15 @@
 	return n.gossip.Owners(time.Now(), n.storeLost() || !n.ledger.Loaded())
 }
 
+// newJobOwner returns the entry that runs a new job, and which of its processes runs now.
+func (n *Node) newJobOwner(job string) (name string, processStart int64) {
+	name = owner.Of(job, n.owners())
+	if name == n.Settings.ID {
+		return name, n.gossip.Start
+	}
+	return name, n.gossip.PeerState(name, time.Now()).ProcessStart
+}
+
 // ownerView returns the state from which this entry decides whether to take over the jobs of
 // another one. It returns false while this entry is leaving, can't read the store, or hasn't read
 // the members and the ledger.
@@ -57,6 +69,17 @@
 	return read && age-unread < timeout && unread < maxUnreadTimeouts*timeout
 }
 
+// canRecord reports whether the start of a run can be recorded now: appends succeed. For the last
+// run that an item may have, the topics of jobs must have been read and written for steadyTime.
+func (n *Node) canRecord(last bool) bool {
+	now := time.Now()
+	working := n.recorder.WorkingFor(now)
+	if !last {
+		return working > 0
+	}
+	return min(working, n.jobs.HealthyFor(now), n.work.HealthyFor(now)) >= steadyTime
+}
+
 // notifyOwner notifies the owner of a new job, unless that is this entry.
 func (n *Node) notifyOwner(job *ledger.Accepted) {
 	if job.Owner == n.Settings.ID {
--- a/owner/view.go
+++ b/owner/view.go
@@ -25,6 +25,8 @@
 	// ledger yet. StartingFor is how long the peer has been starting.
 	StoreLost, Starting bool
 	StartingFor         time.Duration
+	// ProcessStart identifies the peer's process in its latest message; 0 if there was none.
+	ProcessStart int64
 	// ProbeUnanswered is set if the peer didn't answer a recent probe.
 	ProbeUnanswered bool
 }
--- a/runner/progress.go
+++ b/runner/progress.go
@@ -29,13 +29,17 @@
 	defer r.mu.Unlock()
 	// All items are saved in the same round, since each would otherwise be a separate append.
 	now := time.Now()
-	if now.Sub(r.progressSavedAt) < progressInterval {
+	due := now.Sub(r.progressSavedAt) >= progressInterval
+	if !due && !r.firstOutput {
 		return
 	}
-	r.progressSavedAt = now
-	progress := r.unsavedProgress()
+	if due {
+		r.progressSavedAt = now
+	}
+	r.firstOutput = false
+	progress := r.unsavedProgress(due)
 	for id, j := range r.jobs {
-		if j.writing || len(progress[id]) == 0 && len(j.obsolete) == 0 {
+		if j.writing || len(progress[id]) == 0 && (!due || len(j.obsolete) == 0) {
 			continue
 		}
 		j.writing = true
@@ -49,14 +53,21 @@
 	}
 }
 
-// unsavedProgress returns the progress to be saved, by job and item index.
-func (r *Runner) unsavedProgress() map[string]map[int]blobs.Progress {
+// unsavedProgress returns the progress to be saved, by job and item index: first outputs that have
+// to be saved at once, and if all is set that of all long runs.
+func (r *Runner) unsavedProgress(all bool) map[string]map[int]blobs.Progress {
 	progress := map[string]map[int]blobs.Progress{}
 	for _, i := range r.items {
 		j := r.jobs[i.open.Job]
-		if j == nil || j.writing || i.complete || len(i.text) < minProgressBytes || float64(len(i.text)) < progressGrowth*float64(i.savedBytes) {
+		if due := i.saveNow || all && i.hasGrown(); j == nil || i.complete || !due {
+			continue
+		}
+		if j.writing {
+			// The next round saves it.
+			r.firstOutput = r.firstOutput || i.saveNow
 			continue
 		}
+		i.saveNow = false
 		if progress[i.open.Job] == nil {
 			progress[i.open.Job] = map[int]blobs.Progress{}
 		}
@@ -67,6 +78,11 @@
 	return progress
 }
 
+// hasGrown reports whether an item's text has grown enough since it was last saved.
+func (i *item) hasGrown() bool {
+	return len(i.text) >= minProgressBytes && float64(len(i.text)) >= progressGrowth*float64(i.savedBytes)
+}
+
 func (r *Runner) writeProgress(ctx context.Context, job string, j *loadedJob, progress map[int]blobs.Progress, obsolete []int) {
 	ctx, cancel := context.WithTimeout(ctx, progressTimeout)
 	defer cancel()
--- a/runner/run.go
+++ b/runner/run.go
@@ -19,6 +19,7 @@
 func (r *Runner) run(processCtx, runCtx context.Context, i *item, choice *pool.Choice, route *sardinerock.Route) {
 	eventsBefore := i.events
 	attempt := &invoke.Item{Host: i.open.Host, Team: i.open.Team, Body: i.body, LastEvent: i.lastEvent, OnEvent: func(id, data string) { r.appendEvent(i, id, data) }}
+	attempt.BeforeSend = func(ctx context.Context) error { return r.ensureStartRecorded(ctx, i, route.MaxAttempts) }
 	outcome, err := r.invoker.Run(runCtx, attempt, choice)
 	took := time.Since(i.started)
 	serverFailed := err != nil && runCtx.Err() == nil && (outcome == invoke.Interrupted)
@@ -65,6 +66,9 @@
 	defer r.mu.Unlock()
 	if i.lastEvent != "" {
 		i.text = append(i.text, '\n')
+	} else if i.saveFirstOutput {
+		i.saveNow, r.firstOutput = true, true
+		r.Wake()
 	}
 	i.lastEvent, i.text = id, append(i.text, data...)
 	i.events++
@@ -72,19 +76,18 @@
 
 // recordFailure counts a failed run in the store. Otherwise each new owner of the job would
 // try all attempts again, and an item that crashes or blocks backend servers would be sent to
-// them again after each change of owner. The item waits until the count is stored.
+// them again after each change of owner. The item waits until the count is stored. The same append
+// records the start of the next run.
 func (r *Runner) recordFailure(processCtx context.Context, i *item, route *sardinerock.Route) {
-	if i.failures++; i.failures >= route.MaxAttempts {
+	r.mu.Lock()
+	i.failures++
+	i.accounted = false
+	r.mu.Unlock()
+	if i.failures >= route.MaxAttempts {
 		r.record(processCtx, i, sardinerock.BatchResult{Item: i.body.ID}, "it failed as often as its route allows")
 		return
 	}
-	open := &i.open
-	_, err := r.Recorder.Submit(context.Background(), func(p *ledger.Plan) (ledger.Verdict, error) {
-		return p.Fail(open.Job, open.Index)
-	})
-	if err != nil {
-		r.Events.Info(event.ItemFailed).Str("job", open.Job).Str("item", i.body.ID).Err(err).Msg("failed run was not recorded; the next owner of the job does not count it")
-	}
+	r.submitStart(i, route.MaxAttempts, true)
 }
 
 // record writes a result to the store: first its text, then the small record that gives it a
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -41,10 +41,13 @@
 // Runner runs the items of batch jobs.
 type Runner struct {
 	// Name is this entry's name, as used for the owner of a job.
-	Name   string
-	Batch  sardinerock.BatchDialect
-	Table  func() *sardinerock.RouteTable
-	Ledger *ledger.Ledger
+	Name string
+	// ProcessStart identifies this process among those of the same name, as in messages to other
+	// entries.
+	ProcessStart int64
+	Batch        sardinerock.BatchDialect
+	Table        func() *sardinerock.RouteTable
+	Ledger       *ledger.Ledger
 	// Recorder appends the results and failures of items to the store.
 	Recorder *commit.Appender
 	// Blobs stores the bodies of items, their progress and the texts of results.
@@ -66,6 +69,9 @@
 	// job ownership is below the time without contact after which another entry takes over
 	// its jobs, or the store cannot be read.
 	OwnershipCurrent func() bool
+	// CanRecord reports whether the start of a run can be recorded now; for the last run that an
+	// item may have, whether this entry and the store have worked without interruption for a while.
+	CanRecord func(last bool) bool
 	// SetActive is called in each round with whether this entry has jobs. While it has, the
 	// node reads the topics of jobs at short intervals.
 	SetActive func(active bool)
@@ -87,6 +93,8 @@
 	// waiting is how many items could be started in the last round and finish in time.
 	waiting   int
 	estimator items.Estimator
+	// firstOutput is set if an item's first output is to be saved at once.
+	firstOutput bool
 	// progressSavedAt is when progress was last written to the store.
 	progressSavedAt time.Time
 	group           sync.WaitGroup
@@ -118,6 +126,15 @@
 	complete bool
 	// failures counts the responses that reported a failed run.
 	failures int
+	// accounted is set if the next failed run of the item is accounted for: see needsStart.
+	accounted bool
+	// saveFirstOutput is set if the first output has to be saved at once. It shows the next owner
+	// that the item isn't one that fails at each run. saveNow is set when that output has come.
+	saveFirstOutput, saveNow bool
+	// recordingStart is set while the start of a run is being recorded.
+	recordingStart bool
+	// exhausted is set once a log line says that the item isn't run any more.
+	exhausted bool
 	// retryAt is the earliest time of the next run.
 	retryAt time.Time
 }
--- a/runner/start.go
+++ b/runner/start.go
@@ -130,6 +130,9 @@
 			r.giveUp(ctx, &c, "it is too old")
 			continue
 		}
+		if !r.mayRun(&c) {
+			continue
+		}
 		c.service = c.route.Service(r.Pace.Random.Float64())
 		c.reserved = table.Services[c.service].ReservationTTL > 0
 		waiting = append(waiting, c)
@@ -144,12 +147,12 @@
 	return r.waiting
 }
 
-// ready reports whether an item neither runs nor waits for a retry.
+// ready reports whether an item neither runs nor waits for a retry or the record of its start.
 func (r *Runner) ready(k uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	i := r.items[k]
-	return i == nil || !i.running && time.Now().After(i.retryAt)
+	return i == nil || !i.running && !i.recordingStart && time.Now().After(i.retryAt)
 }
 
 // start runs an item in a free slot; it returns false if there is none.
@@ -160,16 +163,8 @@
 	}
 	runCtx, cancel := context.WithCancel(ctx)
 	r.mu.Lock()
-	i := r.items[c.key]
-	if i == nil {
-		i = &item{key: c.key}
-		r.items[c.key] = i
-	}
-	if len(c.progress.Text) > len(i.text) {
-		i.lastEvent, i.text, i.savedBytes = c.progress.LastEvent, []byte(c.progress.Text), len(c.progress.Text)
-	}
-	i.failures = max(i.failures, c.Failures)
-	i.open, i.body, i.running, i.server, i.started, i.cancel, i.preempted = c.OpenItem, c.body, true, choice.ID, time.Now(), cancel, false
+	i := r.itemOf(c)
+	i.running, i.server, i.started, i.cancel, i.preempted = true, choice.ID, time.Now(), cancel, false
 	i.due = c.CreatedAt.Add(c.route.CompletionTarget)
 	i.timing.RunStarted(i.started)
 	i.timing.Resumed = i.timing.Resumed || i.timing.Runs == 0 && i.lastEvent != ""
@@ -185,14 +180,26 @@
 	return true
 }
 
-// giveUp records an item as failed for good.
-func (r *Runner) giveUp(ctx context.Context, c *candidate, reason string) {
-	r.mu.Lock()
+// itemOf returns the state of a candidate, which it creates if necessary.
+func (r *Runner) itemOf(c *candidate) *item {
 	i := r.items[c.key]
 	if i == nil {
-		i = &item{key: c.key, open: c.OpenItem, body: c.body}
+		first := items.MayStartUnrecorded(&c.OpenItem, r.Name, r.ProcessStart)
+		i = &item{key: c.key, accounted: first, saveFirstOutput: !first}
 		r.items[c.key] = i
 	}
+	if len(c.progress.Text) > len(i.text) {
+		i.lastEvent, i.text, i.savedBytes = c.progress.LastEvent, []byte(c.progress.Text), len(c.progress.Text)
+	}
+	i.failures = max(i.failures, c.Failures)
+	i.open, i.body = c.OpenItem, c.body
+	return i
+}
+
+// giveUp records an item as failed for good.
+func (r *Runner) giveUp(ctx context.Context, c *candidate, reason string) {
+	r.mu.Lock()
+	i := r.itemOf(c)
 	i.retryAt = time.Now().Add(time.Second)
 	r.mu.Unlock()
 	r.Events.Warn(event.ItemFailed).Str("job", c.Job).Str("item", c.body.ID).Str("reason", reason).Msg("item given up")
--- a/submit/submit.go
+++ b/submit/submit.go
@@ -77,8 +77,8 @@
 	Appender     *commit.Appender
 	// Blobs stores the bodies of items and the texts of results.
 	Blobs *blobs.Client
-	// Owner returns the entry that is to run a new job.
-	Owner func(job string) string
+	// Owner returns the entry that is to run a new job, and which of its processes runs now.
+	Owner func(job string) (name string, processStart int64)
 	// NotifyOwner notifies the entry that runs a new job. Without the notification it reads
 	// the job late.
 	NotifyOwner func(job *ledger.Accepted)
@@ -113,8 +113,9 @@
 	}
 	job := &ledger.Accepted{
 		ID: call.ID, Route: route.Name, Host: call.Host, CreatedAt: received.UnixMilli(),
-		Digest: xxhash.Sum64(call.Body), Team: call.Team, Owner: h.Owner(call.ID),
+		Digest: xxhash.Sum64(call.Body), Team: call.Team,
 	}
+	job.Owner, job.OwnerStart = h.Owner(call.ID)
 	for i := range items {
 		job.Tokens = append(job.Tokens, items[i].Tokens)
 	}
--- a/submit/submit_test.go
+++ b/submit/submit_test.go
@@ -35,7 +35,7 @@
 		return f
 	}
 	return &Handler{
-		Owner: func(string) string { return "a" }, NotifyOwner: func(*ledger.Accepted) {},
+		Owner: func(string) (string, int64) { return "a", 1 }, NotifyOwner: func(*ledger.Accepted) {},
 		Blobs: &blobs.Client{
 			Store: store, Topics: blobs.Topics{Bodies: "bodies", Results: "results", Progress: "progress"}, Partitions: 3,
 			RecordBytes: 1000, AppendBytes: 50_000, Events: events, Metrics: metrics.NewRegistry(),
