relay: a complete response clears the count of crashes of a request

What callers saw: 422, "backend servers broke during this request before", for a request that works, at one entry until its restart.

Cause: an entry counts, by the content of a request, the failures of backend servers during it, and rejects it from the third on. Nothing ever lowered the count, so three unrelated failures in the life of an entry blocked a request that many callers send with the same content. Found by reading while looking for counts kept in memory.

Evidence: relay.TestRequestThatSucceedsIsNotBlocked; before, its third call got 422 although each call before had been answered by the next backend server.

Fix: a complete response shows that the request crashes no backend server, and removes its count. A request that crashes each of them gets none.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -94,6 +94,14 @@
 	l.crashes.Add(fingerprint, n+1)
 }
 
+// recordResponse records that a backend server gave a complete response to a request, which
+// therefore isn't one that crashes all of them.
+func (l *Relay) recordResponse(fingerprint uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashes.Remove(fingerprint)
+}
+
 // Crashes returns the requests during which backend servers failed more than once
 // at this entry, with the counts. A single failure does not suggest that the request
 // caused it.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -444,6 +444,18 @@
 	s.expectRejection("/once/crash", http.StatusUnprocessableEntity, 3)
 }
 
+// Guards against a request that many callers send being rejected for good after a few unrelated
+// failures of backend servers, however long ago: a response shows that the request crashes none.
+func TestRequestThatSucceedsIsNotBlocked(t *testing.T) {
+	answer := completeResponse(http.StatusOK, "ok")
+	s := newTestbed(t, closeConn, answer, closeConn, answer, closeConn, answer, answer)
+	for range 4 {
+		resp, body, err := s.post("/safe/popular")
+		s.g.Expect(err).NotTo(HaveOccurred())
+		s.g.Expect(resp.StatusCode).To(Equal(http.StatusOK), body)
+	}
+}
+
 func TestLimitsOfTheConfiguration(t *testing.T) {
 	s := newTestbed(t)
 	r, err := http.NewRequest(http.MethodPost, s.front.URL+"/safe/x", strings.NewReader(strings.Repeat("x", 1001)))
--- a/relay/request.go
+++ b/relay/request.go
@@ -187,6 +187,7 @@
 	case result != answered && !p.started:
 		p.timings.add(&p.timings.failed, sent)
 	case result == answered && !failed:
+		p.relay.recordResponse(p.fingerprint)
 		p.relay.Pool.RecordServed(choice.ID, pool.Sample{
 			Timing: pool.Timing{Run: time.Since(sent), FirstByte: p.timings.firstByte}, Queued: choice.Full() || p.runs > 1,
 		})
