crash: contain a request that crashes backend servers across all entries

What callers saw: slots gone while backend servers restart, since one request crashed more of them than the three that are meant to be the limit.

Cause: an entry reported its count to the others only from the second failure on, and the others dropped the count of an entry that was lost. A request that comes again through another entry each time met counts of zero or one: the limit held per entry, so it grew with the fleet.

The counters of the new package, six and 501 of them, and six that are lost after each crash: 3.

Fix: single failures are reported for ten seconds, what other processes reported is remembered when they are lost, an entry that rejects a request reports it as blocked, and a response clears what is known. Messages stay bounded: single failures leave them after ten seconds.

Left: a loss of all entries at once starts the counts again (FAULTS).

--- /dev/null
+++ b/crash/crash_test.go
@@ -0,0 +1,93 @@
+package crash
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const request = 7
+
+func newCounter() *Counter {
+	c := &Counter{}
+	c.Prepare()
+	return c
+}
+
+// TestRequestThatCrashesIsContainedAcrossEntries guards against a request that crashes each backend
+// server that runs it reaching one more of them through each entry that it comes to, or through
+// entries whose peers forget what a lost one had reported.
+func TestRequestThatCrashesIsContainedAcrossEntries(t *testing.T) {
+	for name, tt := range map[string]struct {
+		entries int
+		// lose replaces each entry by a new process once it has reported a failure.
+		lose bool
+	}{
+		"few entries":           {entries: 6},
+		"many entries":          {entries: 501},
+		"entries that are lost": {entries: 6, lose: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			entries, starts := make([]*Counter, tt.entries), make([]int64, tt.entries)
+			for i := range entries {
+				entries[i] = newCounter()
+			}
+			now, runs := time.Now(), 0
+			for n := range 3 * tt.entries {
+				now = now.Add(time.Second)
+				i := n % tt.entries
+				if entries[i].Blocked(request, now) {
+					deliver(entries, i, starts[i], now)
+					continue
+				}
+				runs++
+				entries[i].RecordFailure(request, now)
+				deliver(entries, i, starts[i], now)
+				if tt.lose {
+					entries[i] = newCounter()
+					starts[i]++
+				}
+			}
+			NewWithT(t).Expect(runs).To(Equal(limit))
+		})
+	}
+}
+
+// deliver sends the reports of an entry to all others.
+func deliver(entries []*Counter, from int, start int64, now time.Time) {
+	reports := entries[from].Reports(now)
+	for i, to := range entries {
+		if i != from {
+			to.Receive(fmt.Sprint("entry", from), start, reports)
+		}
+	}
+}
+
+// Guards against a request that works being rejected after unrelated failures: a response here
+// clears what others reported before, not what they report later.
+func TestResponseClearsFailures(t *testing.T) {
+	g := NewWithT(t)
+	c := newCounter()
+	c.RecordFailure(request, time.Now())
+	c.Receive("a", 1, map[uint64]int{request: 2})
+	g.Expect(c.Blocked(request, time.Now())).To(BeTrue())
+	c.RecordResponse(request)
+	c.Receive("a", 1, map[uint64]int{request: 2})
+	g.Expect(c.Blocked(request, time.Now())).To(BeFalse(), "the same failures, reported again")
+	c.Receive("a", 1, map[uint64]int{request: 5})
+	g.Expect(c.Blocked(request, time.Now())).To(BeTrue(), "three later ones")
+}
+
+// Guards against messages that grow with each failure of a backend server.
+func TestSingleFailuresAreReportedForAWhile(t *testing.T) {
+	g := NewWithT(t)
+	c := newCounter()
+	now := time.Now()
+	c.RecordFailure(1, now)
+	c.RecordFailure(2, now)
+	c.RecordFailure(2, now)
+	g.Expect(c.Reports(now)).To(Equal(map[uint64]int{1: 1, 2: 2}))
+	g.Expect(c.Reports(now.Add(time.Minute))).To(Equal(map[uint64]int{2: 2}))
+}
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -281,17 +281,3 @@
 	}
 	return live > 0 || len(g.peers) == 0
 }
-
-// Crashes returns how many crashes of backend servers the live peers counted during requests with
-// a fingerprint.
-func (g *Gossip) Crashes(fingerprint uint64, now time.Time) int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	n := 0
-	for _, p := range g.peers {
-		if p.live(now) {
-			n += p.last.Crashes[fingerprint]
-		}
-	}
-	return n
-}
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/sardinerock/sardinerock/commit"
 	"github.com/sardinerock/sardinerock/conf"
 	"github.com/sardinerock/sardinerock/conns"
+	"github.com/sardinerock/sardinerock/crash"
 	"github.com/sardinerock/sardinerock/digest"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/gossip"
@@ -93,6 +94,7 @@
 	adopter  *adopt.Adopter
 	purger   *purge.Purger
 	relay    *relay.Relay
+	crashes  *crash.Counter
 	access   *access.Access
 	roster   *roster.Roster
 
@@ -322,17 +324,18 @@
 		Name: n.Settings.ID, Ledger: n.ledger, Jobs: n.appender, Recorder: n.recorder, Blobs: blobClient, WaitForJobs: n.jobs.AwaitCurrent,
 		Owners: n.runner.Owners, Retention: n.Settings.KeepResults + retentionMargin, Events: n.Events,
 	}
+	n.crashes = &crash.Counter{}
+	n.crashes.Prepare()
 	n.relay = &relay.Relay{
-		Dialect:     n.Dialect,
-		Pool:        n.pool,
-		Conns:       n.conns,
-		Preempt:     n.preempt,
-		Entries:     func() int { return len(n.gossip.Live(time.Now())) },
-		ViewAge:     n.gossip.ViewAge,
-		PeerCrashes: func(f uint64) int { return n.gossip.Crashes(f, time.Now()) },
-		Events:      n.Events, Metrics: n.Metrics,
+		Dialect: n.Dialect,
+		Pool:    n.pool,
+		Conns:   n.conns,
+		Preempt: n.preempt,
+		Entries: func() int { return len(n.gossip.Live(time.Now())) },
+		ViewAge: n.gossip.ViewAge,
+		Crashes: n.crashes,
+		Events:  n.Events, Metrics: n.Metrics,
 	}
-	n.relay.Prepare()
 	n.access = &access.Access{
 		Dialect: n.Dialect, BatchDialect: n.Batch, Table: n.table.Current, Online: n.relay,
 		Batch: &proxy.Proxy{
@@ -427,7 +430,7 @@
 	m.Waiting = n.runner.Waiting()
 	m.Starting = !n.ledger.Loaded()
 	m.StoreLost = n.storeLost() || m.Starting
-	m.Crashes = n.relay.Crashes()
+	m.Crashes = n.crashes.Reports(time.Now())
 	span := reportRounds * n.gossip.ViewAge()
 	m.Quota = n.quota.Reports(clock.BootClock(), span)
 	m.Aborts = n.pool.Aborts(time.Now(), span)
@@ -448,6 +451,7 @@
 		}
 		n.pool.SetPeer(m.From, m.Loads, time.Now())
 		n.pool.ReceiveAborts(m.Aborts, time.Now())
+		n.crashes.Receive(m.From, m.Start, m.Crashes)
 		n.quota.Receive(m.From, m.Start, m.Quota, clock.BootClock())
 	}
 	n.runner.PreemptAllExcess()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -23,6 +23,7 @@
 	"github.com/sardinerock/sardinerock/access"
 	"github.com/sardinerock/sardinerock/clock"
 	"github.com/sardinerock/sardinerock/conns"
+	"github.com/sardinerock/sardinerock/crash"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/platform"
 	"github.com/sardinerock/sardinerock/pool"
@@ -85,10 +86,10 @@
 	s.servers = list
 	l := &relay.Relay{
 		Dialect: platform.Dialect{}, Pool: s.pool, Conns: &conns.Conns{Dialect: platform.Dialect{}}, Preempt: func(string) {},
-		PeerCrashes: func(uint64) int { return 0 }, ViewAge: func() time.Duration { return 0 }, Entries: func() int { return 1 },
+		Crashes: &crash.Counter{}, ViewAge: func() time.Duration { return 0 }, Entries: func() int { return 1 },
 		Events: &event.Logger{}, Metrics: metrics.NewRegistry(),
 	}
-	l.Prepare()
+	l.Crashes.Prepare()
 	s.relay = l
 	s.access = &access.Access{
 		Dialect: platform.Dialect{}, BatchDialect: platform.Dialect{}, Table: s.current, Online: l, Started: s.started(),
--- a/relay/request.go
+++ b/relay/request.go
@@ -88,7 +88,7 @@
 
 func (p *proxyRequest) run() {
 	defer p.cancel()
-	if p.relay.crashesServers(p.fingerprint) {
+	if p.relay.Crashes.Blocked(p.fingerprint, time.Now()) {
 		p.reject(http.StatusUnprocessableEntity, "backend servers broke during this request before", 0)
 		return
 	}
@@ -176,7 +176,7 @@
 		}
 		p.runs++
 		if p.ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			p.relay.recordCrash(p.fingerprint)
+			p.relay.Crashes.RecordFailure(p.fingerprint, time.Now())
 		}
 		return incomplete
 	}
@@ -187,7 +187,7 @@
 	case result != answered && !p.started:
 		p.timings.add(&p.timings.failed, sent)
 	case result == answered && !failed:
-		p.relay.recordResponse(p.fingerprint)
+		p.relay.Crashes.RecordResponse(p.fingerprint)
 		p.relay.Pool.RecordServed(choice.ID, pool.Sample{
 			Timing: pool.Timing{Run: time.Since(sent), FirstByte: p.timings.firstByte}, Queued: choice.Full() || p.runs > 1,
 		})
