config: name the version in force to operators whose base is older than those kept

What callers saw: an operator whose base is older than the 64 versions kept was told that it was "replaced by version 0 from """.

Cause: publishResult took the missing successor for one. Evidence: config.TestBaseOlderThanTheKeptVersions, which got that text before. Fix: a case of its own; code and outcome are unchanged.

--- a/config/manager_test.go
+++ b/config/manager_test.go
@@ -119,6 +119,21 @@
 	expectVersion(g, managers[loser], 2)
 }
 
+// Guards against an operator whose base is older than the versions that are kept being told that it
+// was replaced by version 0 of nobody.
+func TestBaseOlderThanTheKeptVersions(t *testing.T) {
+	g := NewWithT(t)
+	const versions = 66
+	m := startManager(t, &memLog{}, "e0")
+	for v := range int64(versions) {
+		_, err := m.Publish(encode(sample(v, fmt.Sprint("version ", v+1), 1)), "ann")
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	_, err := m.Publish(encode(sample(1, "late", 1)), "bob")
+	expectRefusal(g, err, sardinerock.CodeVersionConflict, sardinerock.OutcomeNotRun)
+	g.Expect(err.Error()).To(And(ContainSubstring("set basedOn to the version in force, 66"), Not(ContainSubstring("version 0"))))
+}
+
 // The log never acknowledges an append, whether it stores the record or not. The operator must still get
 // the right result, which is read from the log. The copies appended by retries must not make a second version.
 func TestLostAcknowledgements(t *testing.T) {
--- a/config/publish.go
+++ b/config/publish.go
@@ -160,6 +160,8 @@
 			Code: sardinerock.CodeVersionConflict, Outcome: sardinerock.OutcomeUnknown,
 			Message: fmt.Sprintf("too many versions were accepted meanwhile: version %d is in force, and it is no longer known whether this bundle or another one replaced version %d", versionOf(current), basedOn),
 		}
+	case a.ID == "":
+		return nil, notRunRefusal(sardinerock.CodeVersionConflict, fmt.Sprintf("version %d was replaced so long ago that its successor is no longer known; set basedOn to the version in force, %d", basedOn, versionOf(current)), 0)
 	default:
 		return nil, notRunRefusal(sardinerock.CodeVersionConflict, fmt.Sprintf("version %d was already replaced by version %d from %q; check that version and set basedOn to the version in force, %d", basedOn, a.Version, a.Operator, versionOf(current)), 0)
 	}
