lease, node: log lines of failed reads say that they failed

What on-call engineers saw: "queried a peer for the newest configuration" and "notified of a new job; read the topic of jobs", also when the query or the read had failed; only the field error told. Cause: one text for both outcomes. Fix: a text each; event numbers, names and fields are unchanged.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -111,8 +111,12 @@
 		err = l.applyProof(p, sent)
 	}
 	metrics.GetOrRegisterCounter("configuration.asked", l.Metrics).Inc(1)
+	message := "read the newest configuration from a peer"
+	if err != nil {
+		message = "the newest configuration could not be read from a peer; one is queried again at the next check"
+	}
 	l.Events.Info(event.PeerAsked).Str("peer", peer).Int64("version", p.Version).Dur("peerAge", p.Age).
-		Dur("age", l.Age()).Int("bytes", len(p.Document)).Err(err).Msg("queried a peer for the newest configuration")
+		Dur("age", l.Age()).Int("bytes", len(p.Document)).Err(err).Msg(message)
 }
 
 func (l *Lease) fetchProof(ctx context.Context, peer string) (p proof, err error) {
--- a/node/owners.go
+++ b/node/owners.go
@@ -99,7 +99,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), readJobTimeout)
 	defer cancel()
 	err := n.jobs.EnsureCurrent(ctx, time.Now())
-	n.Events.Info(event.JobAccepted).Str("job", job).Bool("owned", n.ledger.Owner(job) == n.Settings.ID).Err(err).Msg("notified of a new job; read the topic of jobs")
+	message := "notified of a new job; read the topic of jobs"
+	if err != nil {
+		message = "notified of a new job, but the topic of jobs could not be read; its next regular read returns the job"
+	}
+	n.Events.Info(event.JobAccepted).Str("job", job).Bool("owned", n.ledger.Owner(job) == n.Settings.ID).Err(err).Msg(message)
 }
 
 // setActive has the topics of jobs and items read at their short intervals while this entry has
