--- a/runner/account.go
+++ b/runner/account.go
@@ -19,11 +19,11 @@
 // errStartNotRecorded keeps a run from being sent.
 var errStartNotRecorded = errors.New("runner: start of the run isn't recorded")
 
-// needsStart reports whether the start of a run of an item has to be recorded before it is sent. What a run ends
-// with is recorded after it, so a lost owner may have recorded nothing, and so may each of its
-// successors: an item that fails at each run would reach one more backend server with every
-// owner that is lost. Every run that may fail is therefore accounted for before it starts, except the
-// first one of the first owner. A run that ends without a failure leaves its record to the next
+// needsStart reports whether the start of a run has to be recorded before the item is sent. What a
+// run ends with is recorded after it, so a lost owner may have recorded nothing, and so may each of
+// its successors: an item that fails at each run would reach one more backend server with every
+// owner that is lost. Every run that may fail is therefore accounted for before it starts, except
+// the first one of the first owner. A run that ends without a failure leaves its record to the next
 // one. An item with output isn't one that fails at each run.
 func (i *item) needsStart() bool { return !i.accounted && len(i.text) == 0 }
 
@@ -117,6 +117,10 @@
 	r.mu.Lock()
 	i.accounted = valid
 	r.mu.Unlock()
+	message := "recorded the start of a run"
+	if !valid {
+		message = "the start of a run was not recorded, or is not valid; the run is not made"
+	}
 	r.Events.Info(event.StartRecorded).Str("job", open.Job).Str("item", item).Bool("failed", failed).Bool("valid", valid).
-		Int("runs", open.Runs).Int("limit", limit).Int("verdict", int(verdict)).Dur("took", time.Since(begin)).Err(err).Msg("recorded the start of a run")
+		Int("runs", open.Runs).Int("limit", limit).Int("verdict", int(verdict)).Dur("took", time.Since(begin)).Err(err).Msg(message)
 }
