--- a/pool/pool.go
+++ b/pool/pool.go
@@ -72,6 +72,8 @@
 	servers map[string]*server
 	// byService holds the same backend servers as one list for each service.
 	byService map[string][]*server
+	// statesStarts holds the result of StatesStarts by service.
+	statesStarts map[string]bool
 	// timings holds how long online requests take, by service.
 	timings map[string]*Timing
 	// usableCache holds the last results of usable, by service.
@@ -114,6 +116,7 @@
 	for _, s := range servers {
 		p.byService[s.Service] = append(p.byService[s.Service], s)
 	}
+	p.updateStarts()
 	p.sumPeers()
 }
 
--- a/serving.go
+++ b/serving.go
@@ -148,7 +148,10 @@
 // BackendServer is the last registration of one incarnation of a backend server.
 type BackendServer struct {
 	// ID is unique to the incarnation: a restarted backend server has another.
-	ID      string
+	ID string
+	// Name is the id under which the backend server registers and that it expects in requests.
+	// Several incarnations may have the same, one after the other.
+	Name    string
 	Service string
 	Address string
 	// Zone is the availability zone.
@@ -160,6 +163,8 @@
 	WarmUp time.Duration
 	// Sequence increases with each registration of the incarnation.
 	Sequence int64
+	// Started is when the incarnation started, in Unix milliseconds; 0 if it isn't stated.
+	Started int64
 }
 
 // Call is one caller's request. Its body is opaque.
