watch: one incarnation per backend server, chosen by its start time

What went wrong: a backend server that restarts under its id starts its sequence again. Its registrations were taken for old ones until the sequence had passed the last one of the process before, so requests went on to the old address, and a drained one was not used again. A late registration of the old process could bring that one back. A registration that couldn't be read left the last readable one in use.

Change: the start decides between incarnations of a name, the sequence only within one. Starts of removed backend servers are remembered, 4,096 at most. An unreadable registration removes its backend server, at once also after an outage of the store: it hasn't expired. Lines on registrations that aren't used are limited to one for each key and text in 10 s, 1,024 in all. New counters servers.restarted, servers.outdated and servers.unreadable; event 407 has started, replaced, known and listed.

Left out one at a time, each of these is noticed by a test: the check after a removal, the reset of the sequence, the removal of unreadable ones, the memory of starts, the limit of lines.

TestServersRegisterDrainAndDeregister is unchanged; its malformed registration has a key of its own.

--- a/node/node.go
+++ b/node/node.go
@@ -245,7 +245,7 @@
 		return rand.New(rand.NewPCG(uint64(start.UnixNano()), xxhash.Sum64String(n.Settings.ID)+salt))
 	}
 	n.pool = &pool.Pool{Name: n.Settings.ID, Zone: n.Settings.Zone, Random: newRandom(0)}
-	n.servers = &watch.Servers{Parse: n.ParseServer, Changed: n.pool.SetServers, Events: n.Events}
+	n.servers = &watch.Servers{Parse: n.ParseServer, Changed: n.pool.SetServers, Events: n.Events, Metrics: n.Metrics}
 	n.conns = &conns.Conns{Dialect: n.Dialect}
 	n.ledger = &ledger.Ledger{JobsTopic: n.Topics.Jobs, WorkTopic: n.Topics.Work, Events: n.Events}
 	n.ledger.Prepare()
--- a/watch/interleave_test.go
+++ b/watch/interleave_test.go
@@ -125,3 +125,40 @@
 	}
 	return record(id, fmt.Sprint(state, sequence))
 }
+
+// TestIncarnationInterleavings applies registrations of several incarnations of each name in random order,
+// late and repeated ones included, with removals, reloads, unreadable ones and outages between. The list
+// must hold at most one incarnation of a name, and none older than the latest that was registered.
+func TestIncarnationInterleavings(t *testing.T) {
+	for seed := range uint64(*interleavings) {
+		r := rand.New(rand.NewPCG(seed, 4))
+		l := newList()
+		latest := map[string]int{}
+		for range 40 {
+			name := []string{"a", "b"}[r.IntN(2)]
+			switch r.IntN(8) {
+			case 0:
+				l.Apply(record(name, ""), false)
+			case 1:
+				l.Apply(record(name, "x"), false)
+			case 2:
+				l.StoreRecovered()
+			case 3:
+				l.Expire(time.Now().Add(2 * reregisterTime))
+			default:
+				start, sequence := max(latest[name]+r.IntN(4)-2, 1), r.Int64N(9)
+				// From its fifth registration on, each incarnation drains.
+				text := registrationOf(name, sequence, sequence > 4)[0].Value
+				l.Apply(record(name, fmt.Sprint(string(text), "@", start)), r.IntN(4) == 0)
+				latest[name] = max(latest[name], start)
+			}
+			listed := map[string]bool{}
+			for id, b := range l.servers {
+				if listed[b.Name] || int(b.Started) < latest[b.Name] {
+					t.Fatalf("seed %d: %s is listed, the latest start is %d: %v", seed, id, latest[b.Name], l.ids())
+				}
+				listed[b.Name] = true
+			}
+		}
+	}
+}
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -195,8 +196,15 @@
 	l.Servers = &Servers{
 		Events: &event.Logger{},
 		Parse: func(id string, raw []byte) (sardinerock.BackendServer, error) {
-			sequence, err := strconv.ParseInt(string(raw[1:]), 10, 64)
-			return sardinerock.BackendServer{ID: id, Draining: raw[0] == 'd', Sequence: sequence}, err
+			// A start time may follow the sequence: r1@5.
+			first, started, stated := strings.Cut(string(raw[1:]), "@")
+			sequence, err := strconv.ParseInt(first, 10, 64)
+			b := sardinerock.BackendServer{ID: id, Name: id, Draining: raw[0] == 'd', Sequence: sequence}
+			if stated && err == nil {
+				b.ID = id + "@" + started
+				b.Started, err = strconv.ParseInt(started, 10, 64)
+			}
+			return b, err
 		},
 		Changed: func(all []sardinerock.BackendServer) {
 			l.servers = map[string]sardinerock.BackendServer{}
