--- a/invoke/invoke.go
+++ b/invoke/invoke.go
@@ -86,7 +86,7 @@
 
 func (v *Invoker) exchange(ctx context.Context, i *Item, choice *pool.Choice, reservation *conns.Reservation) (Outcome, error) {
 	resp, err := v.Conns.Send(ctx, &choice.BackendServer, v.Batch.ItemCall(i.Host, i.Team, i.Body), sardinerock.Attempt{
-		Instance: choice.ID, Remaining: v.Batch.ItemDeadline(), ResumeAfter: i.LastEvent, HeadTimeout: eventTimeout,
+		Instance: choice.Name, Remaining: v.Batch.ItemDeadline(), ResumeAfter: i.LastEvent, HeadTimeout: eventTimeout,
 	}, reservation)
 	if err != nil {
 		return Interrupted, err
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -105,6 +105,9 @@
 		f.mu.Unlock()
 		w.Header().Set("Request-Id", request)
 		w.Header().Set("Response-Signature", "sig")
+		if r.Header.Get("Expect-Instance") != id {
+			f.t.Errorf("%s expects instance %q at %s", request, r.Header.Get("Expect-Instance"), id)
+		}
 		if status := int(f.status.Load()); status != http.StatusOK {
 			w.WriteHeader(status)
 			return
@@ -122,7 +125,7 @@
 		}
 	}))
 	f.t.Cleanup(s.Close)
-	f.put(serversTopic, id, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","slots":4,"state":"ready","sequence":1}`, s.Listener.Addr()))
+	f.put(serversTopic, id, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","slots":4,"state":"ready","sequence":1,"born":1767225600001}`, s.Listener.Addr()))
 }
 
 // addresses counts the loopback addresses that tests have used.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -80,7 +80,7 @@
 	s.pool = &pool.Pool{Random: rand.New(rand.NewPCG(1, 1))}
 	var list []sardinerock.BackendServer
 	for i := range 3 {
-		list = append(list, sardinerock.BackendServer{ID: fmt.Sprint("i-", i), Service: service, Address: s.listen(t), Slots: 2})
+		list = append(list, sardinerock.BackendServer{ID: fmt.Sprint("i-", i), Name: fmt.Sprint("i-", i), Service: service, Address: s.listen(t), Slots: 2})
 	}
 	s.pool.SetServers(list)
 	s.servers = list
--- a/relay/request.go
+++ b/relay/request.go
@@ -165,7 +165,7 @@
 	remaining := p.deadline.Sub(sent)
 	p.timings.attemptSent(sent)
 	resp, err := p.relay.Conns.Send(p.ctx, &choice.BackendServer, p.call, sardinerock.Attempt{
-		Instance: choice.ID, Remaining: remaining, ResumeAfter: p.resume, HeadTimeout: p.headTimeoutFor(choice),
+		Instance: choice.Name, Remaining: remaining, ResumeAfter: p.resume, HeadTimeout: p.headTimeoutFor(choice),
 	}, p.reservation)
 	if err != nil {
 		p.relay.done(choice, p.ctx.Err() == nil)
--- a/serving.go
+++ b/serving.go
@@ -195,7 +195,7 @@
 
 // Attempt holds the parameters of one attempt to run a call.
 type Attempt struct {
-	// Instance is the ID of the only backend server that may run the attempt.
+	// Instance is the Name of the only backend server that may run the attempt.
 	Instance string
 	// Remaining is the time that remains for the answer.
 	Remaining time.Duration
