audit: explain shows the restart of a backend server that a request ran on

An attempt on the earlier process logs its ID, the line of the restart (event 407) the ID of the new one, with the earlier one as replaced. Select matched only server, so that explain left out the line that says why the connection broke. It matches replaced too. TestRestartOfABackendServerIsSelected found four lines with the code before, and finds five now.

--- a/audit/audit.go
+++ b/audit/audit.go
@@ -118,7 +118,9 @@
 		if !lost && (!processes[l.Process] || l.Time.After(last) && l.Event != event.Started) {
 			continue
 		}
-		if s := l.Fields["server"]; s == nil || servers[s] {
+		// A restart names both the new and the earlier process of a backend server.
+		replaced, _ := l.Fields["replaced"].(string)
+		if s := l.Fields["server"]; s == nil || servers[s] || servers[replaced] {
 			selected = append(selected, l)
 		}
 	}
--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -32,6 +32,15 @@
 	g.Expect(Select(lines, "r3")).To(BeEmpty())
 }
 
+// A request on the earlier process of a backend server must show that it was replaced, since that explains
+// the broken connection.
+func TestRestartOfABackendServerIsSelected(t *testing.T) {
+	g := NewWithT(t)
+	lines, err := Read(strings.NewReader(strings.ReplaceAll(logs, `"server":"i-9"`, `"server":"i-1@b","replaced":"i-1"`)))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(Select(lines, "r1")).To(HaveLen(5))
+}
+
 func TestOutcomeIfTheProcessWasKilled(t *testing.T) {
 	g := NewWithT(t)
 	lines, err := Read(strings.NewReader(strings.SplitAfter(logs, "\n")[0]))
