--- a/watch/servers.go
+++ b/watch/servers.go
@@ -23,7 +23,8 @@
 )
 
 // Servers builds the list of backend servers from their registrations. Of the incarnations of one name
-// it lists the one with the latest start.
+// it lists the one with the latest start. It is designed for backend servers that restart under their
+// id at any time, also at another address, and for processes that were frozen and register late.
 type Servers struct {
 	// Parse decodes a registration; name is the record's key.
 	Parse func(name string, raw []byte) (sardinerock.BackendServer, error)
