soak: engines restart under the same id

What was missing: no fault of the soak ended a backend server's process and started another one under its id, so that a change of addresses, a sequence that starts again and late registrations of the process before were not played.

Change: in seeds with an odd number engines state their start, and 4 of 18 kinds of faults restart one, half of them at the same address. The new process registers at once or later, and half of the times after a late registration of the ended one. At an ended process' address another program answers 421. Checked: restarted engines are used, unless another fault hit them, and no request goes to an old address later than drain_ms (3 s, now set for the entries) after the last fault. The attempts of a request are counted by process, which is stricter than by id. Callers go on for 4 s longer.

--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -28,11 +28,11 @@
 // proxy forwards connections to a service on loopback and injects network faults.
 type proxy struct {
 	listener net.Listener
-	target   string
 
-	mu    sync.Mutex
-	mode  proxyMode
-	conns map[net.Conn]bool
+	mu     sync.Mutex
+	target string
+	mode   proxyMode
+	conns  map[net.Conn]bool
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -59,6 +59,19 @@
 	return p.mode
 }
 
+// retarget forwards new connections to another address.
+func (p *proxy) retarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+}
+
+func (p *proxy) currentTarget() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.target
+}
+
 // reset resets all open connections.
 func (p *proxy) reset() {
 	p.mu.Lock()
@@ -85,7 +98,7 @@
 }
 
 func (p *proxy) serve(c net.Conn) {
-	b, err := net.Dial("tcp", p.target)
+	b, err := net.Dial("tcp", p.currentTarget())
 	if err != nil {
 		c.Close()
 		return
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -27,6 +27,15 @@
 // recoveryTimeout is the time after the faults within which all accepted work must end.
 const recoveryTimeout = 40 * time.Second
 
+const (
+	// longestFault is the time within which a fault with a duration ends.
+	longestFault = 2 * time.Second
+	// drainTimeout is the time within which entries must stop sending requests to an ended engine.
+	drainTimeout = 3 * time.Second
+	// observeTime is how long callers go on after that.
+	observeTime = time.Second
+)
+
 var program string
 
 func TestMain(m *testing.M) {
@@ -46,22 +55,27 @@
 
 // soak is one run.
 type soak struct {
-	t           *testing.T
-	random      *rand.Rand
-	store       *storeServer
-	runs        *runs
-	mu          sync.Mutex
-	entries     []*process
-	engines     []*engineServer
-	version     int
-	engineCount int
-	dir         string
-	stop        chan struct{}
-	callers     sync.WaitGroup
-	faults      []string
-	jobs        []string
-	served      int
-	keys        keys
+	t       *testing.T
+	random  *rand.Rand
+	store   *storeServer
+	runs    *runs
+	mu      sync.Mutex
+	entries []*process
+	engines []*engineServer
+	// ended are the processes of engines that were replaced by one at another address.
+	ended []*engineServer
+	// statesStarts is set if engines state their start time. Only then can entries recognize a restart.
+	statesStarts bool
+	restarts     int
+	version      int
+	engineCount  int
+	dir          string
+	stop         chan struct{}
+	callers      sync.WaitGroup
+	faults       []string
+	jobs         []string
+	served       int
+	keys         keys
 }
 
 // process is one entry.
@@ -82,8 +96,8 @@
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+pid%250, pid/250%250, 10+i)
 	p := &process{name: fmt.Sprint("front-", i), frontAddress: ip + ":8144", readyAddress: ip + ":8140"}
 	p.settingsFile = filepath.Join(s.dir, p.name+".toml")
-	text := fmt.Sprintf("node = %q\nip = %q\nzone = \"z\"\nport_range = [7660,7675]\n[listen]\nfront = %q\nready = %q\n[bounds]\ngrace_s = 6\nstatus_s = 600\nstrict_revoke = true\nrevoke_ms = %d\n[platform]\naddress = %q\nrecord_bytes = 4000\ncall_bytes = 100000\nparts = 3\n",
-		p.name, ip, p.frontAddress, p.readyAddress, revokeTimeout.Milliseconds(), s.store.proxy.address())
+	text := fmt.Sprintf("node = %q\nip = %q\nzone = \"z\"\nport_range = [7660,7675]\n[listen]\nfront = %q\nready = %q\n[bounds]\ngrace_s = 6\nstatus_s = 600\ndrain_ms = %d\nstrict_revoke = true\nrevoke_ms = %d\n[platform]\naddress = %q\nrecord_bytes = 4000\ncall_bytes = 100000\nparts = 3\n",
+		p.name, ip, p.frontAddress, p.readyAddress, drainTimeout.Milliseconds(), revokeTimeout.Milliseconds(), s.store.proxy.address())
 	s.must(os.WriteFile(p.settingsFile, []byte(text), 0o600))
 	return p
 }
@@ -136,7 +150,7 @@
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
-	s := &soak{t: t, random: rand.New(rand.NewPCG(seed, 9)), runs: newRuns(), dir: t.TempDir(), stop: make(chan struct{})}
+	s := &soak{t: t, random: rand.New(rand.NewPCG(seed, 9)), runs: newRuns(), dir: t.TempDir(), stop: make(chan struct{}), statesStarts: seed%2 == 1}
 	var err error
 	s.store, err = newStoreServer()
 	s.must(err)
@@ -179,13 +193,71 @@
 }
 
 func (s *soak) addEngine() {
-	e, err := newEngineServer(fmt.Sprint("i-", s.engineCount), s.runs)
+	e := s.newEngine(fmt.Sprint("i-", s.engineCount))
+	var err error
+	e.proxy, err = newProxy(e.address)
 	s.must(err)
 	s.engineCount++
 	e.register(s.store, "ready", 1)
 	s.engines = append(s.engines, e)
 }
 
+func (s *soak) newEngine(id string) *engineServer {
+	e, err := newEngineServer(id, s.runs)
+	s.must(err)
+	if s.statesStarts {
+		e.born = time.Now().UnixMilli()
+	}
+	return e
+}
+
+// restartEngine ends the process of an engine and starts another one under its id, at the same or another
+// address. The new one registers now or later, and half of the late registrations follow one that
+// the ended process wrote.
+func (s *soak) restartEngine(i int, sameAddress bool, later func(func())) {
+	s.restarts++
+	old := s.engines[i]
+	e := s.newEngine(old.id)
+	old.ended.Store(true)
+	if sameAddress {
+		e.proxy = old.proxy
+		e.proxy.retarget(e.address)
+	} else {
+		var err error
+		e.proxy, err = newProxy(e.address)
+		s.must(err)
+		s.ended = append(s.ended, old)
+	}
+	old.proxy.reset()
+	e.undisturbed = e.proxy.currentMode() == forward
+	s.engines[i] = e
+	if s.random.IntN(2) == 0 {
+		e.register(s.store, "ready", 1)
+	}
+	straggler := s.random.IntN(2) == 0
+	later(func() {
+		if straggler {
+			old.register(s.store, "ready", 1000)
+		}
+		e.register(s.store, "ready", 1)
+	})
+}
+
+// expectRestarts checks that restarted engines were used, and that no request went to the address of an
+// ended one after a time.
+func (s *soak) expectRestarts(settled time.Time) {
+	for _, e := range s.ended {
+		if last := time.Unix(0, e.lastMisdirected.Load()); last.After(settled) {
+			s.fail("a request went to the old address of %s, %v after all restarts had to be known", e.id, last.Sub(settled))
+		}
+	}
+	for _, e := range s.engines {
+		if e.undisturbed && e.served.Load() == 0 {
+			s.fail("%s wasn't used after its restart", e.id)
+		}
+	}
+}
+
 // fail ends the run, prints its faults and keeps the logs of the entries.
 func (s *soak) fail(format string, args ...any) {
 	s.t.Helper()
@@ -205,10 +277,17 @@
 // that they can overlap.
 func (s *soak) injectFault() {
 	p := s.entries[s.random.IntN(len(s.entries))]
-	e := s.engines[s.random.IntN(len(s.engines))]
+	n := s.random.IntN(len(s.engines))
+	e := s.engines[n]
 	duration := time.Duration(300+s.random.IntN(1500)) * time.Millisecond
 	later := func(do func()) { time.AfterFunc(duration, do) }
-	kind := s.random.IntN(14)
+	kind := s.random.IntN(18)
+	if kind >= 14 && !s.statesStarts {
+		kind = 8
+	}
+	if kind == 7 || kind == 8 || kind == 10 {
+		e.undisturbed = false
+	}
 	s.faults = append(s.faults, fmt.Sprint(kind, " ", p.name, " ", e.id, " ", duration))
 	switch kind {
 	case 0:
@@ -259,6 +338,10 @@
 		s.keys.replace()
 		s.configure()
 		s.keys.replacementStored()
+	case 14, 15:
+		s.restartEngine(n, false, later)
+	case 16, 17:
+		s.restartEngine(n, true, later)
 	}
 }
 
@@ -439,6 +522,8 @@
 //   - a request that is reported as not run never ran;
 //   - no key reaches a backend server, and no revoked key is accepted;
 //   - no request runs on more engines than its route allows;
+//   - a restarted engine is used, and no request goes to its old address afterwards (seeds with an odd
+//     number, in which engines state their start time);
 //   - each accepted job ends with one complete result for each item, or with the item given
 //     up if it always fails, and every entry lists the same results.
 func TestSoak(t *testing.T) {
@@ -471,22 +556,25 @@
 		time.Sleep(time.Duration(200+s.random.IntN(700)) * time.Millisecond)
 		s.injectFault()
 	}
-	// Waits for the end of faults with a duration.
-	time.Sleep(2 * time.Second)
+	time.Sleep(longestFault)
 	for _, p := range s.entries {
 		s.signal(p, syscall.SIGCONT)
 		s.awaitReady(p)
 	}
+	time.Sleep(drainTimeout)
+	settled := time.Now()
+	time.Sleep(observeTime)
 	close(s.stop)
 	s.callers.Wait()
 	s.expectJobs()
+	s.expectRestarts(settled)
 	if over := s.runs.overAttempts(); len(over) > 0 {
 		s.fail("more runs than allowed: %s", strings.Join(over, "; "))
 	}
 	if leaked := s.runs.leaked(); len(leaked) > 0 {
 		s.fail("backend servers received another team or a key: %s", strings.Join(leaked, "; "))
 	}
-	t.Logf("%d faults, %d streams served, %d jobs", len(s.faults), s.served, len(s.jobs))
+	t.Logf("%d faults, %d restarts of engines, %d of them at another address, %d streams served, %d jobs", len(s.faults), s.restarts, len(s.ended), s.served, len(s.jobs))
 	if s.served == 0 || len(s.jobs) == 0 {
 		s.fail("want at least one stream and one job, got %d streams and %d jobs", s.served, len(s.jobs))
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -163,7 +163,7 @@
 	mu sync.Mutex
 	// starts counts the runs of each request, by its id.
 	starts map[string]int
-	// engines are the engines that ran each request, by its id.
+	// engines are the processes of engines that ran each request, by its id.
 	engines map[string]map[string]bool
 	// leaks describes the requests that arrived with a key or with another team.
 	leaks []string
@@ -199,7 +199,7 @@
 }
 
 // overAttempts describes the requests that ran more often than allowed: a stream on more
-// engines than its route's attempts, or an always failing item more often than three
+// processes of engines than its route's attempts, or an always failing item more often than three
 // consecutive owners may try it.
 func (r *runs) overAttempts() []string {
 	r.mu.Lock()
@@ -223,13 +223,24 @@
 	return r.starts[id]
 }
 
-// engineServer is a backend server that streams events. It rejects requests beyond twice its
+// engineServer is one process of a backend server that streams events. It rejects requests beyond twice its
 // slots.
 type engineServer struct {
-	id    string
-	proxy *proxy
-	runs  *runs
-	busy  atomic.Int32
+	id string
+	// born is when the process started, in Unix milliseconds; 0 if it doesn't state it.
+	born    int64
+	address string
+	proxy   *proxy
+	runs    *runs
+	busy    atomic.Int32
+	// ended is set once the process has ended. Its address then belongs to another program, and
+	// lastMisdirected is when a request last arrived there, in Unix nanoseconds.
+	ended           atomic.Bool
+	lastMisdirected atomic.Int64
+	// served counts the requests that it accepted.
+	served atomic.Int32
+	// undisturbed is set for a restarted process until a fault hits it.
+	undisturbed bool
 }
 
 func newEngineServer(id string, seen *runs) (*engineServer, error) {
@@ -238,23 +249,33 @@
 	if err != nil {
 		return nil, err
 	}
+	e.address = l.Addr().String()
 	go func() { _ = http.Serve(l, e) }()
-	e.proxy, err = newProxy(l.Addr().String())
-	return e, err
+	return e, nil
 }
 
 func (e *engineServer) register(s *storeServer, state string, sequence int64) {
-	s.put("keyed.servers", e.id, map[string]any{
+	r := map[string]any{
 		"service": "models", "address": e.proxy.address(), "zone": "z", "slots": engineSlots, "state": state, "sequence": sequence,
-	})
+	}
+	if e.born > 0 {
+		r["born"] = e.born
+	}
+	s.put("keyed.servers", e.id, r)
 }
 
 func (e *engineServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
+	if e.ended.Load() {
+		e.lastMisdirected.Store(time.Now().UnixNano())
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if r.Header.Get("Expect-Instance") != e.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	e.served.Add(1)
 	if e.busy.Add(1) > 2*engineSlots {
 		e.busy.Add(-1)
 		w.Header().Set("Not-Executed", "1")
@@ -262,7 +283,7 @@
 		return
 	}
 	defer e.busy.Add(-1)
-	e.runs.begin(id, e.id)
+	e.runs.begin(id, fmt.Sprint(e.id, " of ", e.born))
 	e.runs.expectTeam(id, r.Header)
 	if fails(id) {
 		w.Header().Set("Request-Id", id)
