relay: the registrations of a test state a zone, which is now required

Cause: the test's registrations had an empty zone, so that no backend server was listed and TestRequestInProgressDuringRestart waited for a request that was refused. Change: they state a zone, as every backend server's registration does. Measured: go test ./relay passes in 1.7 s; before it hung until its timeout of 600 s.

--- a/relay/restart_test.go
+++ b/relay/restart_test.go
@@ -42,7 +42,7 @@
 }
 
 func (s *restarts) register(address, state string, born, sequence int64) {
-	text := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"","slots":2,"state":%q,"sequence":%d,"born":%d}`, service, address, state, sequence, born)
+	text := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","slots":2,"state":%q,"sequence":%d,"born":%d}`, service, address, state, sequence, born)
 	s.watched.Apply([]sardinerock.StoreRecord{{Key: "i-1", Value: []byte(text)}}, false)
 }
 
