pool, speed: estimates of each backend server's speed

Cause: rank, admission and the placement of items use one average per service, while a stream holds a slot for 426 ms on the fast engines and 920 ms on the slow ones.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/speed"
 )
 
 const (
@@ -57,6 +58,8 @@
 	// successful reservations of its service.
 	fullAt      time.Time
 	reserveRate *float64
+	// speed is the speed as of the last update of the service's speedView.
+	speed speed.Relative
 }
 
 // Pool is this entry's view of all backend servers. It is safe for concurrent use.
@@ -86,6 +89,10 @@
 	// are few of thousands, and reports to other entries and preemptions only concern these.
 	busy  map[string]*server
 	peers map[string]*peer
+	// speeds holds what is known of the speeds of the backend servers of services that state
+	// start times, speedViews what of that choices use, by service.
+	speeds     speed.Table
+	speedViews map[string]*speedView
 }
 
 // SetServers replaces the list of backend servers; those that stay keep their state.
@@ -117,6 +124,7 @@
 		p.byService[s.Service] = append(p.byService[s.Service], s)
 	}
 	p.updateStarts()
+	p.setSpeedServers()
 	p.sumPeers()
 }
 
--- a/pool/starts.go
+++ b/pool/starts.go
@@ -1,11 +1,5 @@
 package pool
 
-import (
-	"time"
-
-	"github.com/sardinerock/sardinerock/speed"
-)
-
 // StatesStarts reports whether all listed backend servers of a service that aren't draining state
 // when they started. What is learned about a process is used only for such services: without
 // start times a restart under the same id can't be recognized.
@@ -32,6 +26,3 @@
 		p.statesStarts[service] = listed > 0 && stated == listed
 	}
 }
-
-// Speed returns the estimate of a backend server's speed, speed.Unknown if there is none.
-func (p *Pool) Speed(id string, now time.Time) speed.Estimate { return speed.Unknown }
--- /dev/null
+++ b/speed/compare.go
@@ -0,0 +1,178 @@
+package speed
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// updateInterval is how long a comparison of a service's backend servers is reused. It visits
+	// all of them, and estimates change only over seconds.
+	updateInterval = 250 * time.Millisecond
+	// tail is the inverse share of the backend servers at each end whose speed doesn't count as a
+	// difference within the service.
+	tail = 10
+	// warmUpFactor is the assumed time per event of a backend server in its stated warm-up,
+	// relative to the usual one.
+	warmUpFactor = 2
+	// minChange is the change of an estimate that is reported by Changes, a factor of 1.25.
+	minChange = 0.32 * octave
+	// maxChanges limits the number of changes that wait for Changes.
+	maxChanges = 8
+)
+
+// minDifference is the difference in level between the fastest and the slowest tenth from which the
+// speeds of a service differ: a factor of 1.5.
+var minDifference = octave * math.Log2(1.5)
+
+// comparison is the result of comparing the backend servers of one service.
+type comparison struct {
+	records []*record
+	at      time.Time
+	// differ is set if the speeds differ. Then boundary is the difference below which a server is fast.
+	differ   bool
+	boundary float64
+}
+
+// histogram counts levels.
+type histogram struct {
+	counts [levels]uint16
+	total  int
+}
+
+func (h *histogram) add(level float64) {
+	h.counts[min(max(int(math.Round(level)), 0), levels-1)]++
+	h.total++
+}
+
+// rank returns the level of which n smaller or equal ones are counted before it.
+func (h *histogram) rank(n int) float64 {
+	for level, count := range h.counts {
+		if n -= int(count); n < 0 {
+			return float64(level)
+		}
+	}
+	return 0
+}
+
+// update compares the backend servers anew if the last comparison is old.
+func (c *comparison) update(t *Table, now time.Time) {
+	if elapsed := now.Sub(c.at); !c.at.IsZero() && elapsed >= 0 && elapsed < updateInterval {
+		return
+	}
+	c.at = now
+	var usual [bands]float64
+	for n := range usual {
+		var h histogram
+		for _, r := range c.records {
+			if b := &r.bands[n]; b.valid(now) {
+				h.add(b.level)
+			}
+		}
+		usual[n] = h.rank(h.total / 2)
+	}
+	var h histogram
+	for _, r := range c.records {
+		r.compare(&usual, now)
+		if r.known {
+			h.add(r.difference + levels/2)
+		}
+		t.noteChange(r)
+	}
+	fastest, slowest := h.rank(h.total/tail), h.rank(h.total-1-h.total/tail)
+	c.differ = h.total > 1 && slowest-fastest >= minDifference
+	c.boundary = (fastest+slowest)/2 - levels/2
+}
+
+func (b *band) valid(now time.Time) bool { return b.known && now.Sub(b.at) <= maxAge }
+
+// compare sets the estimate of a backend server relative to the usual levels.
+func (r *record) compare(usual *[bands]float64, now time.Time) {
+	if !r.warmRead {
+		r.warmRead, r.warmUntil = true, now.Add(r.WarmUp)
+	}
+	r.warming = now.Before(r.warmUntil)
+	known, difference, level := 0, 0.0, 0.0
+	for n := range r.bands {
+		if b := &r.bands[n]; b.valid(now) {
+			known++
+			difference += b.level - usual[n]
+			level += b.level
+		}
+	}
+	r.known, r.difference, r.eventTime = known > 0, 0, 0
+	if r.known {
+		r.difference, r.eventTime = difference/float64(known), timeOf(level/float64(known))
+	}
+}
+
+// Relative is a backend server's speed in a service whose backend servers differ in speed.
+type Relative struct {
+	// Factor is that of Estimate.
+	Factor float64
+	// Fast is set if the speed is nearer to that of the fastest tenth than to that of the slowest.
+	Fast bool
+}
+
+// Differ reports whether the speeds of a service's backend servers differ by a factor of 1.5 or
+// more, and when that was determined.
+func (t *Table) Differ(service string, now time.Time) (differ bool, at time.Time) {
+	c := t.services[service]
+	if c == nil {
+		return false, time.Time{}
+	}
+	c.update(t, now)
+	return c.differ, c.at
+}
+
+// Relative returns a backend server's speed as of the last call of Differ.
+func (t *Table) Relative(id string) Relative {
+	r := t.records[id]
+	if r == nil {
+		return Relative{Factor: 1}
+	}
+	return Relative{Factor: r.factor(), Fast: r.known && r.difference < t.services[r.Service].boundary}
+}
+
+// Change is a notable change of an estimate.
+type Change struct {
+	ID       string
+	Estimate Estimate
+	// Before is the factor of the estimate that was last reported; 1 if there was none.
+	Before float64
+	// Known is whether there is an estimate now.
+	Known bool
+}
+
+// noteChange adds a notable change of an estimate to those that Changes returns. If too many wait,
+// it is added by a later comparison.
+func (t *Table) noteChange(r *record) {
+	if r.known == r.loggedKnown && math.Abs(r.difference-r.logged) < minChange || len(t.changes) >= maxChanges {
+		return
+	}
+	t.changes = append(t.changes, Change{ID: r.ID, Estimate: Estimate{EventTime: r.eventTime, Factor: r.factor()}, Before: math.Exp2(r.logged / octave), Known: r.known})
+	r.logged, r.loggedKnown = r.difference, r.known
+}
+
+// Changes returns the notable changes of estimates since the last call.
+func (t *Table) Changes() []Change {
+	c := t.changes
+	t.changes = nil
+	return c
+}
+
+// Known returns the number of backend servers with an estimate, and of services whose backend
+// servers differ in speed, as of the last comparisons.
+func (t *Table) Known() (servers, differing int) {
+	for _, r := range t.records {
+		if r.known {
+			servers++
+		}
+	}
+	for _, c := range t.services {
+		if c.differ {
+			differing++
+		}
+	}
+	return servers, differing
+}
