--- a/speed/compare.go
+++ b/speed/compare.go
@@ -9,12 +9,14 @@
 	// updateInterval is how long a comparison of a service's backend servers is reused. It visits
 	// all of them, and estimates change only over seconds.
 	updateInterval = 250 * time.Millisecond
+	// staleInterval is the same where a decision waits for it. It only applies if Update isn't called.
+	staleInterval = time.Second
 	// tail is the inverse share of the backend servers at each end whose speed doesn't count as a
 	// difference within the service.
 	tail = 10
-	// warmUpFactor is the assumed time per event of a backend server in its stated warm-up,
-	// relative to the usual one.
-	warmUpFactor = 2
+	// warmUpSlowness is the assumed slowness of a backend server in its stated warm-up: half as fast
+	// as usual.
+	warmUpSlowness = 1
 	// minChange is the change of an estimate that is reported by Changes, a factor of 1.25.
 	minChange = 0.32 * octave
 	// maxChanges limits the number of changes that wait for Changes.
@@ -55,9 +57,17 @@
 	return 0
 }
 
-// update compares the backend servers anew if the last comparison is old.
-func (c *comparison) update(t *Table, now time.Time) {
-	if elapsed := now.Sub(c.at); !c.at.IsZero() && elapsed >= 0 && elapsed < updateInterval {
+// Update compares the backend servers of each service. If it is called several times a second,
+// decisions never have to.
+func (t *Table) Update(now time.Time) {
+	for _, c := range t.services {
+		c.update(t, now, updateInterval)
+	}
+}
+
+// update compares the backend servers anew if the last comparison is older than interval.
+func (c *comparison) update(t *Table, now time.Time, interval time.Duration) {
+	if elapsed := now.Sub(c.at); !c.at.IsZero() && elapsed >= 0 && elapsed < interval {
 		return
 	}
 	c.at = now
@@ -108,8 +118,8 @@
 
 // Relative is a backend server's speed in a service whose backend servers differ in speed.
 type Relative struct {
-	// Factor is that of Estimate.
-	Factor float64
+	// Slowness is the binary logarithm of Estimate.Factor.
+	Slowness float64
 	// Fast is set if the speed is nearer to that of the fastest tenth than to that of the slowest.
 	Fast bool
 }
@@ -121,7 +131,7 @@
 	if c == nil {
 		return false, time.Time{}
 	}
-	c.update(t, now)
+	c.update(t, now, staleInterval)
 	return c.differ, c.at
 }
 
@@ -129,9 +139,9 @@
 func (t *Table) Relative(id string) Relative {
 	r := t.records[id]
 	if r == nil {
-		return Relative{Factor: 1}
+		return Relative{}
 	}
-	return Relative{Factor: r.factor(), Fast: r.known && r.difference < t.services[r.Service].boundary}
+	return Relative{Slowness: r.slowness(), Fast: r.known && r.difference < t.services[r.Service].boundary}
 }
 
 // Change is a notable change of an estimate.
--- a/speed/report.go
+++ b/speed/report.go
@@ -8,9 +8,12 @@
 const (
 	// MaxReports is how many reports are sent in one message.
 	MaxReports = 2
-	// reportInterval is the least time between two changes of what is sent. It is that between
-	// two messages of an entry without changes, so that reports need no datagrams of their own.
-	reportInterval = 200 * time.Millisecond
+	// reportTime is how long reports are sent: messages that were received are forwarded to other
+	// entries within it. It is the time between two messages of an entry without changes.
+	reportTime = 200 * time.Millisecond
+	// reportInterval is the time between two rotations. Thirty entries report on each of forty
+	// backend servers more than once a second, and only a fifth of the messages carry reports.
+	reportInterval = time.Second
 	// maxReportWeight is how many responses one report counts for at most.
 	maxReportWeight = 8
 	// reportOctave is the number of steps of a reported level in an octave.
@@ -30,10 +33,13 @@
 	Evidence uint8
 }
 
-// Reports returns what this entry sends to the others now. It changes at most once in reportInterval.
+// Reports returns what this entry sends to the others now.
 func (t *Table) Reports(now time.Time) []Report {
-	if since := now.Sub(t.reportedAt); since >= 0 && since < reportInterval {
+	switch since := now.Sub(t.reportedAt); {
+	case since >= 0 && since < reportTime:
 		return t.reports
+	case since >= 0 && since < reportInterval:
+		return nil
 	}
 	t.reports, t.reportedAt = nil, now
 	for range t.rotation {
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -8,7 +8,8 @@
 	EventTime time.Duration
 	// FirstByte is the time until a response starts in a free slot; 0 if unknown.
 	FirstByte time.Duration
-	// Factor is EventTime relative to the usual one of the service: 2 is half as fast; 1 if unknown.
+	// Factor is EventTime relative to the usual one of the service: 2 is half as fast. It is 1 if
+	// unknown, or if the speeds of the service's backend servers differ by less than a factor of 1.5.
 	Factor float64
 }
 
--- a/speed/table.go
+++ b/speed/table.go
@@ -104,9 +104,9 @@
 // Table learns the speed of backend servers. It isn't safe for concurrent use.
 //
 // It is designed for a service of which a quarter of the backend servers is twice as fast, with
-// 30 entries. Each entry sees one response of each server in some seconds; a server is restarted,
-// or a caller or a server is slow for a second, at any time. The samples of all entries together
-// give an estimate within three seconds, and none of these make it wrong.
+// 30 entries. Each entry sees one response of each server in some seconds, so only the responses of
+// all entries together give an estimate within seconds. Meanwhile backend servers are restarted, and
+// callers or backend servers are slow for a second. None of these must make an estimate wrong.
 type Table struct {
 	records  map[string]*record
 	byHash   map[uint32]*record
@@ -123,6 +123,7 @@
 // SetServers replaces the list of backend servers; what is known of those that stay is kept.
 func (t *Table) SetServers(list []Server) {
 	records := make(map[string]*record, len(list))
+	before := t.services
 	t.byHash, t.services, t.rotation = map[uint32]*record{}, map[string]*comparison{}, t.rotation[:0]
 	for _, s := range list {
 		r := t.records[s.ID]
@@ -136,6 +137,9 @@
 		c := t.services[s.Service]
 		if c == nil {
 			c = &comparison{}
+			if b := before[s.Service]; b != nil {
+				c.differ, c.boundary = b.differ, b.boundary
+			}
 			t.services[s.Service] = c
 		}
 		c.records = append(c.records, r)
@@ -210,21 +214,27 @@
 	if r == nil {
 		return Unknown
 	}
-	t.services[r.Service].update(t, now)
-	e := Estimate{EventTime: r.eventTime, Factor: r.factor()}
+	c := t.services[r.Service]
+	c.update(t, now, staleInterval)
+	e := Estimate{EventTime: r.eventTime, Factor: 1}
+	if c.differ {
+		e.Factor = r.factor()
+	}
 	if !r.firstAt.IsZero() && now.Sub(r.firstAt) <= maxAge {
 		e.FirstByte = r.firstByte
 	}
 	return e
 }
 
-// factor returns the time per event relative to the usual one of the service.
-func (r *record) factor() float64 {
+// slowness returns the binary logarithm of the time per event relative to the usual one of the service.
+func (r *record) slowness() float64 {
 	switch {
 	case r.known:
-		return math.Exp2(r.difference / octave)
+		return r.difference / octave
 	case r.warming:
-		return warmUpFactor
+		return warmUpSlowness
 	}
-	return 1
+	return 0
 }
+
+func (r *record) factor() float64 { return math.Exp2(r.slowness()) }
