pool: online requests prefer fast backend servers, items the others

Cause: a stream holds a slot for 426 ms on the fast engines and 920 ms on the slow ones, but the rank counts requests only.

Change: where a service states start times and its speeds differ, the rank counts a fast backend server as less loaded, in proportion to its free slots beyond two. Items prefer the slow ones if the peak of online work needs the fast ones, else the fast ones. RunOn gives the slot time at a backend server. ChooseBatch computes the weights once.

Choices are equal to those of a pool without speeds if start times are missing or speeds differ less.

--- a/pool/bench_test.go
+++ b/pool/bench_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/sardinerock/sardinerock/speed"
 )
 
 // largePool returns a pool of the size of a large region: 400 backend servers of
@@ -63,3 +65,33 @@
 		p.BatchServers()
 	}
 }
+
+// The choices of a service with 400 backend servers at 500 entries, as before and with speeds that differ.
+func BenchmarkSpeeds(b *testing.B) {
+	for name, states := range map[string]bool{"no start times": false, "speeds differ": true} {
+		p, now := newSpeedPool(400, states, 19*time.Millisecond, 41*time.Millisecond), testStart
+		for n := range 500 {
+			var loads []Load
+			for i := range 5 {
+				loads = append(loads, Load{Server: Hash(fmt.Sprint("i-", (7*n+i)%400)), Online: 1})
+			}
+			p.SetPeer(fmt.Sprint("front-", n), loads, now)
+		}
+		sample := Sample{Timing: Timing{Run: time.Second, FirstByte: time.Millisecond}, Speed: speed.Sample{Events: 22, Span: time.Second}, At: now}
+		for op, run := range map[string]func(){
+			"online": func() { c, _ := p.ChooseOnline("s", nil, now); p.Done(c.ID, false, false, now) },
+			"batch":  func() { c, _ := p.ChooseBatch("s", 0, now); p.Done(c.ID, true, false, now) },
+			"served": func() { p.RecordServed("i-7", sample) },
+			"speed":  func() { p.Speed("i-7", now); p.RunOn("i-7", time.Second) },
+			// The comparison is made for every fourth to sixteenth message.
+			"reports": func() { now = now.Add(250 * time.Millisecond); p.SpeedReports(now) },
+		} {
+			b.Run(name+"/"+op, func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					run()
+				}
+			})
+		}
+	}
+}
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"time"
 
 	"github.com/sardinerock/sardinerock"
@@ -13,10 +14,16 @@
 	// entry knows.
 	Online int
 	Batch  int
+	// Factor is the time per event that the choice assumed, relative to the usual one of the
+	// service; 1 if the speeds don't differ.
+	Factor float64
 	// Ejected is set if the backend server failed recently and no other was available.
 	Ejected bool
 }
 
+// Load returns the share of the slots that were in use.
+func (c *Choice) Load() float64 { return float64(c.Online+c.Batch) / float64(max(c.Slots, 1)) }
+
 // Full reports whether the next request has to wait for a slot.
 func (c *Choice) Full() bool { return c.Online+c.Batch >= c.Slots }
 
@@ -40,6 +47,9 @@
 	// zone, which saves traffic between zones. With more, bursts would stay in the
 	// zone too and preempt batch items while slots are free elsewhere.
 	rankOtherZone = 1
+	// rankSpeed is the share of its free slots, beyond speedHeadroom, by which a backend server that is
+	// twice as fast as usual counts as less loaded. With more, requests collide at the fast ones.
+	rankSpeed = 0.5
 )
 
 // maxCandidates is how many backend servers a choice compares if one of them has
@@ -71,6 +81,7 @@
 	defer p.mu.Unlock()
 	var best *server
 	var least float64
+	p.updateSpeeds(service, now)
 	// The search starts at a random index, so that equally ranked backend servers are
 	// chosen equally often.
 	list := p.byService[service]
@@ -103,6 +114,7 @@
 	if s.otherZone {
 		rank += rankOtherZone
 	}
+	rank += s.speedRank(online + batch)
 	switch {
 	case online >= s.Slots:
 		rank += rankQueued * float64(online)
@@ -121,27 +133,31 @@
 
 func (s *server) choice(now time.Time) Choice {
 	online, batch := s.counts(now)
-	return Choice{BackendServer: s.BackendServer, Online: online, Batch: batch, Ejected: now.Before(s.ejectedUntil)}
+	return Choice{BackendServer: s.BackendServer, Online: online, Batch: batch, Factor: math.Exp2(s.slowness), Ejected: now.Before(s.ejectedUntil)}
 }
 
 // ChooseBatch chooses a backend server of a service for a batch item and counts the
 // item there until Done. It returns false if no backend server has more than reserve
-// slots free. The choice is random, weighted by free slots: if all entries chose the
+// slots free. The choice is random, weighted by free slots and by speed: if all entries chose the
 // emptiest one, most of their items would be preempted again.
 func (p *Pool) ChooseBatch(service string, reserve int, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.byService[service]
+	v := p.updateSpeeds(service, now)
 	total := 0
+	p.weights = p.weights[:0]
 	for _, s := range list {
-		total += s.freeSlots(reserve, now)
+		weight := v.batchWeight(s, s.freeSlots(reserve, now))
+		p.weights = append(p.weights, weight)
+		total += weight
 	}
 	if total == 0 {
 		return Choice{}, false
 	}
 	at := p.Random.IntN(total)
-	for _, s := range list {
-		if at -= s.freeSlots(reserve, now); at < 0 {
+	for n, s := range list {
+		if at -= p.weights[n]; at < 0 {
 			c := s.choice(now)
 			p.addLoad(s, 0, 1)
 			return c, true
@@ -152,7 +168,7 @@
 
 // freeSlots returns how many slots batch items may take if reserve of them stay free.
 func (s *server) freeSlots(reserve int, now time.Time) int {
-	if s.Draining || now.Before(s.ejectedUntil) {
+	if s.Draining || s.ejection > 0 && now.Before(s.ejectedUntil) {
 		return 0
 	}
 	online, batch := s.counts(now)
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -4,23 +4,31 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/sardinerock/sardinerock/speed"
 )
 
 // peer is the last report of another entry.
 type peer struct {
 	at    time.Time
 	loads map[uint32]Load
+	// speeds are the reports of speeds in its last message.
+	speeds []speed.Report
 }
 
 // SetPeer stores the loads that another entry reports.
 func (p *Pool) SetPeer(name string, loads []Load, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	before := p.peers[name]
 	p.removePeer(name)
 	if p.peers == nil {
 		p.peers = map[string]*peer{}
 	}
 	report := &peer{at: now, loads: make(map[uint32]Load, len(loads))}
+	if before != nil {
+		report.speeds = before.speeds
+	}
 	for _, l := range loads {
 		report.loads[l.Server] = l
 		if s := p.byHash[l.Server]; s != nil {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -58,8 +58,10 @@
 	// successful reservations of its service.
 	fullAt      time.Time
 	reserveRate *float64
-	// speed is the speed as of the last update of the service's speedView.
-	speed speed.Relative
+	// slowness and fast are its speed as of the last update of the service's speedView; both are
+	// zero unless the speeds of the service differ.
+	slowness float64
+	fast     bool
 }
 
 // Pool is this entry's view of all backend servers. It is safe for concurrent use.
@@ -93,6 +95,8 @@
 	// start times, speedViews what of that choices use, by service.
 	speeds     speed.Table
 	speedViews map[string]*speedView
+	// weights are those of the last ChooseBatch; the memory is reused.
+	weights []int
 }
 
 // SetServers replaces the list of backend servers; those that stay keep their state.
--- a/pool/timing.go
+++ b/pool/timing.go
@@ -1,6 +1,10 @@
 package pool
 
-import "time"
+import (
+	"time"
+
+	"github.com/sardinerock/sardinerock/speed"
+)
 
 const (
 	// timingWeight is the inverse weight of one request in the averages of its service;
@@ -29,6 +33,9 @@
 	// Queued is set if the request may have waited for a slot at the backend server, so
 	// that FirstByte does not count.
 	Queued bool
+	// Speed is what the response shows of the backend server's speed, and At is when it ended.
+	Speed speed.Sample
+	At    time.Time
 }
 
 // updateAverage moves an average towards a sample.
@@ -59,6 +66,10 @@
 	if srv == nil {
 		return
 	}
+	p.speeds.Record(id, s.Speed, s.At)
+	if v := p.speedViews[srv.Service]; v != nil {
+		v.recordServed(srv)
+	}
 	t := p.timing(srv.Service)
 	updateAverage(&t.Run, s.Run)
 	if !s.Queued {
