relay, runner, admit: record and use the speed of backend servers

Cause: the time in which a response is read includes that in which its caller doesn't read, and admission assumes the average slot time of the service for each backend server.

Change: responses of streams and runs of items are measured by speed.Meter and recorded in the pool. Admission takes the slot time at the chosen backend server; the time in the queue still follows the average. Event 201 has the factor that the choice assumed.

Result: go test ./relay ./admit passes.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -1,6 +1,9 @@
 package admit
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// runMargin is the time that must be left until the deadline when a request starts,
@@ -25,8 +28,9 @@
 	// Online is how many requests the least loaded backend server runs and has
 	// queued, Slots how many it runs at once.
 	Online, Slots int
-	// Run is the average run time, FirstByte the average time until the first event.
-	Run, FirstByte time.Duration
+	// Run is the average run time at that backend server, FirstByte the average time until the
+	// first event. AverageRun is the average run time over all backend servers, Run if 0.
+	Run, FirstByte, AverageRun time.Duration
 	// Waited is how long the caller has waited, over all its attempts; Remaining
 	// is the time until its deadline.
 	Waited, Remaining time.Duration
@@ -109,7 +113,7 @@
 	if !r.Reserves && r.Waited+wait+r.serviceTime() <= r.Target {
 		return Decision{Action: Send}
 	}
-	d := Decision{Action: Wait, QueueTime: time.Duration(r.Ahead+1) * r.Run / time.Duration(max(r.Share, 1))}
+	d := Decision{Action: Wait, QueueTime: time.Duration(r.Ahead+1) * cmp.Or(r.AverageRun, r.Run) / time.Duration(max(r.Share, 1))}
 	hasRoom := float64(r.Online) < float64(r.Slots)*(1+maxQueueShare)
 	switch {
 	case startBy >= wait && latest < wait+startMargin && hasRoom:
--- a/relay/request.go
+++ b/relay/request.go
@@ -15,6 +15,7 @@
 	"github.com/sardinerock/sardinerock/conns"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/pool"
+	"github.com/sardinerock/sardinerock/speed"
 )
 
 const (
@@ -84,6 +85,8 @@
 	// reservation is the slot reserved for the next attempt, or nil.
 	reservation *conns.Reservation
 	timings     timings
+	// meter measures the time between the events of the present attempt.
+	meter speed.Meter
 }
 
 func (p *proxyRequest) run() {
@@ -132,7 +135,7 @@
 		p.relay.Preempt(choice.ID)
 	}
 	p.relay.Events.Info(event.RouteChosen).Str("request", p.call.ID).Str("route", p.route.Name).Str("team", p.call.Team).Int64("config", p.version).
-		Str("server", choice.ID).Int("online", choice.Online).Int("batch", choice.Batch).Int("slots", choice.Slots).
+		Str("server", choice.ID).Int("online", choice.Online).Int("batch", choice.Batch).Int("slots", choice.Slots).Float64("factor", choice.Factor).
 		Bool("doubted", choice.Ejected).Bool("reserved", p.reservation != nil).Str("resume", p.resume).Int("runs", p.runs).Msg("sent")
 	return choice, true
 }
@@ -143,7 +146,8 @@
 	return admit.Request{
 		Online:       choice.Online,
 		Slots:        choice.Slots,
-		Run:          capacity.Run,
+		Run:          p.relay.Pool.RunOn(choice.ID, capacity.Run),
+		AverageRun:   capacity.Run,
 		FirstByte:    capacity.FirstByte,
 		Waited:       p.waitedBefore + now.Sub(p.received),
 		Remaining:    p.deadline.Sub(now),
@@ -164,6 +168,7 @@
 	sent := time.Now()
 	remaining := p.deadline.Sub(sent)
 	p.timings.attemptSent(sent)
+	p.meter = speed.Meter{}
 	resp, err := p.relay.Conns.Send(p.ctx, &choice.BackendServer, p.call, sardinerock.Attempt{
 		Instance: choice.ID, Remaining: remaining, ResumeAfter: p.resume, HeadTimeout: p.headTimeoutFor(choice),
 	}, p.reservation)
@@ -190,11 +195,21 @@
 		p.relay.Crashes.RecordResponse(p.fingerprint)
 		p.relay.Pool.RecordServed(choice.ID, pool.Sample{
 			Timing: pool.Timing{Run: time.Since(sent), FirstByte: p.timings.firstByte}, Queued: choice.Full() || p.runs > 1,
+			Speed: p.speedSample(choice), At: time.Now(),
 		})
 	}
 	return result
 }
 
+// speedSample returns what the response shows of the backend server's speed.
+func (p *proxyRequest) speedSample(choice *pool.Choice) speed.Sample {
+	s := p.meter.Sample(choice.Load())
+	if !choice.Full() {
+		s.FirstByte = p.timings.firstByte
+	}
+	return s
+}
+
 // headTimeoutFor returns how long the head of the response may take; 0 means until the deadline.
 func (p *proxyRequest) headTimeoutFor(choice *pool.Choice) time.Duration {
 	if !p.mayRunAgain() || choice.Full() {
--- a/relay/response.go
+++ b/relay/response.go
@@ -91,13 +91,16 @@
 	flush := http.NewResponseController(p.writer)
 	reader := &conns.EventReader{Response: resp, ReadDeadline: p.eventDeadline}
 	for {
+		since := time.Now()
 		e, err := reader.Next()
 		if len(e.Raw) > 0 && (err == nil || errors.Is(err, io.EOF)) {
 			if !conns.IsNextEvent(p.resume, e.ID) {
 				return incomplete, true
 			}
 			p.writeHead(resp, -1)
-			p.timings.eventReceived(time.Now())
+			now := time.Now()
+			p.timings.eventReceived(now)
+			p.meter.Event(since, now)
 			p.write(e.Raw)
 			if e.ID != "" {
 				p.resume = e.ID
--- a/runner/run.go
+++ b/runner/run.go
@@ -12,18 +12,24 @@
 	"github.com/sardinerock/sardinerock/items"
 	"github.com/sardinerock/sardinerock/ledger"
 	"github.com/sardinerock/sardinerock/pool"
+	"github.com/sardinerock/sardinerock/speed"
 )
 
 // run runs an item once. processCtx ends with the process, runCtx when the run is to be
 // aborted.
 func (r *Runner) run(processCtx, runCtx context.Context, i *item, choice *pool.Choice, route *sardinerock.Route) {
 	eventsBefore := i.events
-	attempt := &invoke.Item{Host: i.open.Host, Team: i.open.Team, Body: i.body, LastEvent: i.lastEvent, OnEvent: func(id, data string) { r.appendEvent(i, id, data) }}
+	var meter speed.Meter
+	attempt := &invoke.Item{Host: i.open.Host, Team: i.open.Team, Body: i.body, LastEvent: i.lastEvent, OnEvent: func(id, data string) {
+		meter.EventNow(time.Now())
+		r.appendEvent(i, id, data)
+	}}
 	attempt.BeforeSend = func(ctx context.Context) error { return r.ensureStartRecorded(ctx, i, route.MaxAttempts) }
 	outcome, err := r.invoker.Run(runCtx, attempt, choice)
 	took := time.Since(i.started)
 	serverFailed := err != nil && runCtx.Err() == nil && (outcome == invoke.Interrupted)
 	free := r.Pool.Done(choice.ID, true, serverFailed, time.Now())
+	r.Pool.RecordRun(choice.ID, meter.Sample(choice.Load()), time.Now())
 	metrics.GetOrRegisterCounter("batch.runs", r.Metrics).Inc(1)
 	if outcome == invoke.Succeeded {
 		r.Pool.RecordSuccess(choice.ID)
