digest, node: send speeds of backend servers to the other entries

Cause: the entries learn speeds within seconds only from each other's responses.

The fuzz target compares what is decoded again.

--- a/digest/digest.go
+++ b/digest/digest.go
@@ -6,6 +6,7 @@
 
 	"github.com/sardinerock/sardinerock/pool"
 	"github.com/sardinerock/sardinerock/quota"
+	"github.com/sardinerock/sardinerock/speed"
 )
 
 // Message is the state of one entry.
@@ -33,6 +34,8 @@
 	Aborts []pool.Abort
 	// Quota holds the sender's counts of recent requests of teams.
 	Quota []quota.Report
+	// Speeds are what the sender's responses show of the speeds of some backend servers.
+	Speeds []speed.Report
 
 	// From is the sender's name. It isn't sent; the receiver sets it.
 	From string
@@ -42,5 +45,5 @@
 func (m *Message) SameContent(other *Message) bool {
 	return m.Waiting == other.Waiting && m.Leaving == other.Leaving && m.StoreLost == other.StoreLost && m.Starting == other.Starting &&
 		slices.Equal(m.Loads, other.Loads) && slices.Equal(m.Items, other.Items) && maps.Equal(m.Crashes, other.Crashes) &&
-		slices.Equal(m.Aborts, other.Aborts) && slices.Equal(m.Quota, other.Quota)
+		slices.Equal(m.Aborts, other.Aborts) && slices.Equal(m.Quota, other.Quota) && slices.Equal(m.Speeds, other.Speeds)
 }
--- a/digest/wire.go
+++ b/digest/wire.go
@@ -9,6 +9,7 @@
 
 	"github.com/sardinerock/sardinerock/pool"
 	"github.com/sardinerock/sardinerock/quota"
+	"github.com/sardinerock/sardinerock/speed"
 )
 
 // packed is the encoding of a message. Most sent bytes are forwarded between
@@ -19,13 +20,16 @@
 	Sender   uint32
 	Start    int64
 	Sequence uint64
-	Loads    []byte
-	Items    []byte
-	Waiting  int
-	Flags    uint8
-	Crashes  map[uint64]int
-	Quota    []byte
-	Aborts   []byte
+	// Loads holds the loads and, after an element of zeros, the speeds. A further field of its own
+	// would make entries of the previous build reject the datagram. They take a speed for the load of
+	// a backend server that they don't know, since the hash of its id is inverted, and ignore it.
+	Loads   []byte
+	Items   []byte
+	Waiting int
+	Flags   uint8
+	Crashes map[uint64]int
+	Quota   []byte
+	Aborts  []byte
 }
 
 // Flags of a packed message.
@@ -38,6 +42,9 @@
 const (
 	// loadBytes is the size of a load: 4 bytes for the backend server's hash, 1 for each count.
 	loadBytes = 6
+	// speedBytes is the size of a speed: 4 bytes for the backend server's inverted hash, 1 for the
+	// time per event, 1 for the evidence. It equals loadBytes.
+	speedBytes = 6
 	// hashBytes is the size of the hash of an item or a backend server.
 	hashBytes = 4
 	// quotaBytes is the size of a team's counts: 4 bytes for the team's hash, 2 for each
@@ -96,6 +103,7 @@
 		p.Loads = binary.BigEndian.AppendUint32(p.Loads, l.Server)
 		p.Loads = append(p.Loads, byte(min(l.Online, maxCount)), byte(min(l.Batch, maxCount)))
 	}
+	p.Loads = appendSpeeds(p.Loads, m.Speeds)
 	p.Items = packHashes(m.Items)
 	for _, r := range m.Quota {
 		p.Quota = binary.BigEndian.AppendUint32(p.Quota, r.Team)
@@ -119,6 +127,28 @@
 	return p
 }
 
+// appendSpeeds appends speeds to packed loads. No load has two counts of 0, so an element of zeros
+// separates them.
+func appendSpeeds(raw []byte, speeds []speed.Report) []byte {
+	if len(speeds) == 0 {
+		return raw
+	}
+	raw = append(raw, make([]byte, loadBytes)...)
+	for _, r := range speeds {
+		raw = binary.BigEndian.AppendUint32(raw, ^r.Server)
+		raw = append(raw, r.Level, r.Evidence)
+	}
+	return raw
+}
+
+func unpackSpeeds(raw []byte) []speed.Report {
+	var speeds []speed.Report
+	for ; len(raw) >= speedBytes; raw = raw[speedBytes:] {
+		speeds = append(speeds, speed.Report{Server: ^binary.BigEndian.Uint32(raw), Level: raw[4], Evidence: raw[5]})
+	}
+	return speeds
+}
+
 // Decode is the reverse of Encode. It returns an error if raw isn't CBOR of the expected form, or a
 // byte string isn't a multiple of its element's size.
 func Decode(raw []byte) (messages []*Message, preempt []uint32, err error) {
@@ -152,6 +182,10 @@
 		m.Loads = make([]pool.Load, 0, len(p.Loads)/loadBytes)
 	}
 	for b := p.Loads; len(b) > 0; b = b[loadBytes:] {
+		if b[4] == 0 && b[5] == 0 {
+			m.Speeds = unpackSpeeds(b[loadBytes:])
+			break
+		}
 		m.Loads = append(m.Loads, pool.Load{Server: binary.BigEndian.Uint32(b), Online: int(b[4]), Batch: int(b[5])})
 	}
 	m.Items = unpackHashes(p.Items)
--- a/digest/wire_test.go
+++ b/digest/wire_test.go
@@ -1,6 +1,8 @@
 package digest
 
 import (
+	"encoding/binary"
+	"slices"
 	"testing"
 	"time"
 
@@ -8,12 +10,13 @@
 
 	"github.com/sardinerock/sardinerock/pool"
 	"github.com/sardinerock/sardinerock/quota"
+	"github.com/sardinerock/sardinerock/speed"
 )
 
 func TestMessagesAreDecodedAsEncoded(t *testing.T) {
 	for name, m := range map[string]*Message{
 		"empty":      {Sender: 1, Start: 2, Sequence: 3},
-		"all fields": {Sender: 1, Start: 2, Sequence: 3, Loads: []pool.Load{{Server: 9, Online: 3, Batch: 4}, {Server: 1 << 31, Batch: 1}}, Items: []uint32{7, 1 << 30}, Waiting: 5, Leaving: true, StoreLost: true, Starting: true, Crashes: map[uint64]int{8: 2}, Quota: []quota.Report{{Team: 1 << 31, Admitted: 65535, Requested: 3, Remaining: quota.RemainingHigh}, {Team: 4}}, Aborts: []pool.Abort{{Server: 5, Age: 120 * time.Millisecond}}},
+		"all fields": {Sender: 1, Start: 2, Sequence: 3, Loads: []pool.Load{{Server: 9, Online: 3, Batch: 4}, {Server: 1 << 31, Batch: 1}}, Items: []uint32{7, 1 << 30}, Waiting: 5, Leaving: true, StoreLost: true, Starting: true, Crashes: map[uint64]int{8: 2}, Quota: []quota.Report{{Team: 1 << 31, Admitted: 65535, Requested: 3, Remaining: quota.RemainingHigh}, {Team: 4}}, Aborts: []pool.Abort{{Server: 5, Age: 120 * time.Millisecond}}, Speeds: []speed.Report{{Server: 0, Level: 84, Evidence: 3}, {Server: 1 << 31, Level: 255, Evidence: 255}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -27,6 +30,21 @@
 	}
 }
 
+// Entries of the previous build decode all elements of Loads as loads. They must find the same loads,
+// and beside them only such of backend servers that they don't know.
+func TestPreviousBuildReadsMessagesWithSpeeds(t *testing.T) {
+	g := NewWithT(t)
+	loads := []pool.Load{{Server: 9, Online: 3, Batch: 4}, {Server: 10, Batch: 1}}
+	m := &Message{Loads: loads, Speeds: []speed.Report{{Server: 9, Level: 84, Evidence: 3}}}
+	p := m.pack()
+	g.Expect(p.Loads).To(HaveLen(loadBytes * (len(loads) + 2)))
+	without := (&Message{Loads: loads}).pack()
+	g.Expect(p.Loads[:len(without.Loads)]).To(Equal(without.Loads))
+	for b := p.Loads[len(without.Loads):]; len(b) > 0; b = b[loadBytes:] {
+		g.Expect(binary.BigEndian.Uint32(b)).NotTo(BeElementOf(uint32(9), uint32(10)))
+	}
+}
+
 // A truncated datagram, or one in the form of another version, must be rejected with an error and must not
 // cause a panic.
 func TestMalformedDatagramsAreRejected(t *testing.T) {
@@ -43,7 +61,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	whole, err := Encode([]*Message{{Sender: 1, Loads: []pool.Load{{Server: 9, Online: 1}}, Items: []uint32{3}, Quota: []quota.Report{{Team: 1}}, Aborts: []pool.Abort{{Server: 2}}}}, []uint32{4})
+	whole, err := Encode([]*Message{{Sender: 1, Loads: []pool.Load{{Server: 9, Online: 1}}, Items: []uint32{3}, Quota: []quota.Report{{Team: 1}}, Aborts: []pool.Abort{{Server: 2}}, Speeds: []speed.Report{{Server: 5, Level: 1, Evidence: 1}}}}, []uint32{4})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -54,8 +72,18 @@
 		if err != nil {
 			return
 		}
-		if _, err := Encode(messages, preempt); err != nil {
+		again, err := Encode(messages, preempt)
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded, _, err := Decode(again)
+		if err != nil {
 			t.Fatal(err)
 		}
+		for n, m := range decoded {
+			if !slices.Equal(m.Speeds, messages[n].Speeds) || !slices.Equal(m.Loads, messages[n].Loads) {
+				t.Fatalf("got %v, %v, want %v, %v", m.Loads, m.Speeds, messages[n].Loads, messages[n].Speeds)
+			}
+		}
 	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -434,6 +434,16 @@
 	span := reportRounds * n.gossip.ViewAge()
 	m.Quota = n.quota.Reports(clock.BootClock(), span)
 	m.Aborts = n.pool.Aborts(time.Now(), span)
+	m.Speeds = n.pool.SpeedReports(time.Now())
+	n.logSpeedChanges()
+}
+
+// logSpeedChanges logs notable changes of what is known of the speeds of backend servers.
+func (n *Node) logSpeedChanges() {
+	for _, c := range n.pool.SpeedChanges() {
+		n.Events.Info(event.SpeedChanged).Str("server", c.ID).Bool("known", c.Known).Dur("eventTime", c.Estimate.EventTime).
+			Float64("factor", c.Estimate.Factor).Float64("before", c.Before).Msg("estimate of a backend server's speed changed")
+	}
 }
 
 // handleMessages applies the messages of other entries. preempt holds the hashes of the
@@ -450,6 +460,7 @@
 			continue
 		}
 		n.pool.SetPeer(m.From, m.Loads, time.Now())
+		n.pool.ReceiveSpeeds(m.From, m.Speeds, time.Now())
 		n.pool.ReceiveAborts(m.Aborts, time.Now())
 		n.crashes.Receive(m.From, m.Start, m.Crashes)
 		n.quota.Receive(m.From, m.Start, m.Quota, clock.BootClock())
