--- a/speed/table.go
+++ b/speed/table.go
@@ -126,9 +126,9 @@
 	before := t.services
 	t.byHash, t.services, t.rotation = map[uint32]*record{}, map[string]*comparison{}, t.rotation[:0]
 	for _, s := range list {
-		r := t.records[s.ID]
+		r, fresh := t.records[s.ID], false
 		if r == nil {
-			r = &record{}
+			r, fresh = &record{}, true
 		}
 		r.warmRead = r.warmRead && r.Sequence == s.Sequence
 		r.Server = s
@@ -138,10 +138,14 @@
 		if c == nil {
 			c = &comparison{}
 			if b := before[s.Service]; b != nil {
-				c.differ, c.boundary = b.differ, b.boundary
+				c.at, c.differ, c.boundary = b.at, b.differ, b.boundary
 			}
 			t.services[s.Service] = c
 		}
+		if fresh {
+			// The next choice compares it, since it may be warming up.
+			c.at = time.Time{}
+		}
 		c.records = append(c.records, r)
 	}
 	slices.SortFunc(t.rotation, func(a, b *record) int { return cmp.Compare(a.Hash, b.Hash) })
