--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -178,10 +178,10 @@
 func TestSlowReaderDoesNotCount(t *testing.T) {
 	g := NewWithT(t)
 	var m Meter
-	now, reading := testStart, testStart
+	now := testStart
 	for n := range 40 {
 		arrival := testStart.Add(time.Duration(n) * slow)
-		reading = now
+		reading := now
 		if arrival.After(now) {
 			now = arrival
 		}
