--- a/pool/pool.go
+++ b/pool/pool.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/speed"
 )
 
 const (
@@ -57,6 +58,10 @@
 	// successful reservations of its service.
 	fullAt      time.Time
 	reserveRate *float64
+	// slowness and fast are its speed as of the last update of the service's speedView, preference
+	// what rankOnline uses of it; all are zero unless the speeds of the service differ.
+	slowness, preference float64
+	fast                 bool
 }
 
 // Pool is this entry's view of all backend servers. It is safe for concurrent use.
@@ -86,6 +91,12 @@
 	// are few of thousands, and reports to other entries and preemptions only concern these.
 	busy  map[string]*server
 	peers map[string]*peer
+	// speeds holds what is known of the speeds of the backend servers of services that state
+	// start times, speedViews what of that choices use, by service.
+	speeds     speed.Table
+	speedViews map[string]*speedView
+	// weights are those of the last ChooseBatch; the memory is reused.
+	weights []int
 }
 
 // SetServers replaces the list of backend servers; those that stay keep their state.
@@ -117,6 +128,7 @@
 		p.byService[s.Service] = append(p.byService[s.Service], s)
 	}
 	p.updateStarts()
+	p.setSpeedServers()
 	p.sumPeers()
 }
 
