rights: which slots an entry may ask for while slots are scarce

In bursts all entries know of the same few free slots, and most of their reservations are refused. The package decides from an entry's part of the demand alone to which slots it has a right in a period, and how that grows with the time that a request has waited. Each entry draws independently, so entries need neither the same view nor the same time.

--- /dev/null
+++ b/rights/rights.go
@@ -0,0 +1,134 @@
+package rights
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// initialHolders is how many entries on average may ask for a free slot at once. With fewer, slots
+	// stay idle while requests wait; with more, the refusals rise and no more requests are in time.
+	initialHolders = 2.5
+	// initialPreempters is the same for a slot of which the batch item has to be preempted. One
+	// that was preempted in vain has to read its prompt again.
+	initialPreempters = 1
+	// growthPart is the part of its target within which a request gets a right to every slot. The rest
+	// is for the reservation and for the response to start.
+	growthPart = 0.5
+	// growthExponent shapes this growth. With 2 most requests reach a slot by an early right, and the
+	// few that are about to be late reach any.
+	growthExponent = 2
+	// settleTime is the time after a slot has become visible as free within which the rights to it
+	// grow. The first holders need a poll of 15 ms and a round trip to take it.
+	settleTime = 25 * time.Millisecond
+	// ItemDelay is how long a slot must have been visible as free before a batch item takes it. By
+	// then the rights of waiting requests with a target of 300 ms have grown to all slots.
+	ItemDelay = 150 * time.Millisecond
+	// scarceFactor is the number of free slots, for each request that all entries together start within
+	// the age of their views, below which slots are scarce. With more, two entries rarely ask for the same.
+	scarceFactor = 3
+	// ampleFactor is the number from which on they are ample again.
+	ampleFactor = 4.5
+)
+
+// Scarce reports whether the slots of a service are scarce, given whether they were. free is the number
+// of free slots, starts how many requests all entries start within the age of their views.
+//
+// It is designed for streams that arrive in bursts of nearly twice the mean rate every five seconds. In
+// a burst thirty entries whose views are 100 ms old know of the same few free slots; in between there
+// are many for each request, and rights would only delay it.
+func Scarce(was bool, free int, starts float64) bool {
+	factor := float64(scarceFactor)
+	if was {
+		factor = ampleFactor
+	}
+	return float64(free) < factor*starts
+}
+
+// Request is a request that waits for a slot.
+type Request struct {
+	// Waited is how long its caller has waited, Target the time within which the response has to
+	// start; 0 means that it can't wait.
+	Waited, Target time.Duration
+}
+
+// Initial returns how many entries on average may ask for a slot for a request that has just arrived.
+// If a batch item has to be preempted there, preempt is set.
+func Initial(preempt bool) float64 {
+	if preempt {
+		return initialPreempters
+	}
+	return initialHolders
+}
+
+// Level returns how many entries on average may ask for a slot for the request. It is infinite if all may.
+// visible is the time for which the slot has been visible as free; it doesn't count if a batch item
+// has to be preempted.
+//
+// It is designed for entries that don't use their rights: one that is lost, paused or cut off, or one
+// to which fewer requests come. The requests with the least time left reach such slots first, at
+// whichever entry they wait, and no slot stays idle for longer than half of a target.
+func (r Request) Level(entries int, visible time.Duration, preempt bool) float64 {
+	growth := 1.0
+	if half := growthPart * float64(r.Target); half > 0 {
+		growth = float64(r.Waited) / half
+	}
+	if !preempt {
+		growth = min(growth, float64(visible)/float64(settleTime))
+	}
+	level := Initial(preempt)
+	if growth >= 1 || level >= float64(entries) {
+		return math.Inf(1)
+	}
+	return level + float64(entries)*math.Pow(max(growth, 0), growthExponent)
+}
+
+// Division is this entry's part in a division of the free slots. It holds for a period of
+// about the age of the views; with the next one, other slots belong to the entry.
+type Division struct {
+	seed uint64
+	// part is the entry's part of the demand of all entries.
+	part float64
+	// Entries is the number of entries, this one included.
+	Entries int
+}
+
+// NewDivision returns the division of a period at the entry with the given hash. own and all are
+// the online requests that it and all entries run; they are the measure of their demand.
+func NewDivision(entry uint32, period int64, own, all, entries int) Division {
+	// One is added for each entry, so that one that runs nothing holds rights too.
+	return Division{seed: mix(uint64(entry)<<32 ^ uint64(period)), part: float64(own+1) / float64(all+entries), Entries: entries}
+}
+
+// Holds reports whether this entry may ask for a slot of a backend server if level entries on average may.
+//
+// It is designed for bursts that need nine in ten slots or more, at thirty entries whose views are 100 ms
+// old. If each asked for any slot that it takes to be free, a slot would be asked for by ten of them.
+// Each entry decides from its own part of the demand alone: the entries need neither the same
+// view nor the same time. For that, a slot may have several holders, or none until the level has grown.
+func (d *Division) Holds(server uint32, slot int, level float64) bool {
+	if d.Entries <= 1 {
+		return true
+	}
+	return exponential[mix(d.seed^uint64(server)<<8^uint64(slot))>>(64-exponentialBits)] <= level*d.part
+}
+
+// exponentialBits is the resolution of exponential. The smallest part of 500 entries' demand is a few
+// steps, so that each entry holds its part.
+const exponentialBits = 12
+
+// exponential holds quantiles of the exponential distribution. If each entry compares one of them
+// with level times its part of the demand, the number of holders of a slot has the mean level.
+var exponential = func() (quantiles [1 << exponentialBits]float64) {
+	for n := range quantiles {
+		quantiles[n] = -math.Log((float64(n) + 0.5) / float64(len(quantiles)))
+	}
+	return quantiles
+}()
+
+// mix returns a hash in which each bit depends on all bits of x.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
