pool: rights decide which servers are asked while slots are scarce

Entries with views 0.1 s old all ask for the same last slots. ChooseReserving asks only servers where this entry has a right to a slot, while free slots are fewer than three times the requests that the fleet starts within the age of its views. A slot that a run of this entry has freed belongs to it until its next report. After a refusal a server counts as full until the reports that its view lacked have come. It acts only for services that state start times.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -15,6 +15,8 @@
 	Batch  int
 	// Ejected is set if the backend server failed recently and no other was available.
 	Ejected bool
+	// Right is by what right the slot is asked for.
+	Right Right
 }
 
 // Full reports whether the next request has to wait for a slot.
@@ -56,45 +58,73 @@
 // only its own counts, several would choose the same backend server, where the last
 // requests would wait for another request's whole response.
 func (p *Pool) ChooseOnline(service string, tried map[string]bool, now time.Time) (Choice, bool) {
-	return p.chooseOnline(service, tried, false, now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.choose(service, &Reserving{Tried: tried}, nil, now)
 }
 
 // ChooseOnlineOnce is ChooseOnline for a request that may run only once. If the
 // backend server aborts such a request, it is lost, since it is unknown whether it
 // ran. So suspect backend servers are skipped while any other has a slot.
 func (p *Pool) ChooseOnlineOnce(service string, tried map[string]bool, now time.Time) (Choice, bool) {
-	return p.chooseOnline(service, tried, true, now)
-}
-
-func (p *Pool) chooseOnline(service string, tried map[string]bool, once bool, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var best *server
-	var least float64
+	return p.choose(service, &Reserving{Tried: tried, Once: true}, nil, now)
+}
+
+// choose chooses the backend server with the lowest rank, among those to which the request has a
+// right unless c is nil.
+func (p *Pool) choose(service string, r *Reserving, c *scarcity, now time.Time) (Choice, bool) {
+	var best, blocked candidate
 	// The search starts at a random index, so that equally ranked backend servers are
 	// chosen equally often.
 	list := p.byService[service]
 	start, checked := p.randomIndex(list), 0
 	for _, part := range [2][]*server{list[start:], list[:start]} {
 		for _, s := range part {
-			if s.Draining || len(tried) > 0 && tried[s.ID] {
+			if s.Draining || len(r.Tried) > 0 && r.Tried[s.ID] {
 				continue
 			}
 			if checked >= maxCandidates && best.freeSlots(0, now) > 0 {
 				break
 			}
 			checked++
-			if rank := p.rankOnline(s, once, now); best == nil || rank < least {
-				best, least = s, rank
+			rank, right := p.rankOnline(s, r.Once, now), RightUnneeded
+			if c != nil {
+				right = s.right(c, r.Request, now)
+			}
+			if right == RightNone {
+				blocked.replace(s, rank, right)
+			} else {
+				best.replace(s, rank, right)
 			}
 		}
 	}
-	if best == nil {
+	// A slot that the request may ask for later is better than to queue at a backend server.
+	if blocked.server != nil && (best.server == nil || blocked.rank < rankQueued && best.rank >= rankQueued) {
+		best = blocked
+	}
+	if best.server == nil {
 		return Choice{}, false
 	}
-	c := best.choice(now)
-	p.addLoad(best, 1, 0)
-	return c, true
+	choice := best.choice(now)
+	choice.Right = best.right
+	p.addLoad(best.server, 1, 0)
+	return choice, true
+}
+
+// candidate is the best backend server so far in a choice.
+type candidate struct {
+	*server
+	rank  float64
+	right Right
+}
+
+// replace replaces the candidate by one with a lower rank.
+func (c *candidate) replace(s *server, rank float64, right Right) {
+	if c.server == nil || rank < c.rank {
+		*c = candidate{s, rank, right}
+	}
 }
 
 func (p *Pool) rankOnline(s *server, once bool, now time.Time) float64 {
@@ -134,14 +164,14 @@
 	list := p.byService[service]
 	total := 0
 	for _, s := range list {
-		total += s.freeSlots(reserve, now)
+		total += p.itemSlots(s, reserve, now)
 	}
 	if total == 0 {
 		return Choice{}, false
 	}
 	at := p.Random.IntN(total)
 	for _, s := range list {
-		if at -= s.freeSlots(reserve, now); at < 0 {
+		if at -= p.itemSlots(s, reserve, now); at < 0 {
 			c := s.choice(now)
 			p.addLoad(s, 0, 1)
 			return c, true
@@ -204,6 +234,9 @@
 	if c.Full() {
 		return Choice{}, false
 	}
+	if p.statesStarts[s.Service] {
+		c.Right = RightFreed
+	}
 	p.addLoad(s, 1, 0)
 	return c, true
 }
--- a/pool/full.go
+++ b/pool/full.go
@@ -7,6 +7,11 @@
 	// if nearly every reservation gets one. With eight slots and runs of 0.6 s one is
 	// freed every 75 ms, and by then the other entries have reported their requests.
 	minFullTime = 50 * time.Millisecond
+	// updatesPerReuse is how many reports of other entries pass until a view that has proved wrong is
+	// renewed: one says that a slot is free, one that it is taken again.
+	updatesPerReuse = 2
+	// maxRenewal bounds the time of these reports.
+	maxRenewal = 500 * time.Millisecond
 	// minReserveRate is the least reserveRate, so that a backend server counts as
 	// full for half a second at most. Its load changes faster than that, and with
 	// longer times streams would be late in bursts that just fit the slots.
@@ -34,6 +39,10 @@
 		return
 	}
 	s.fullAt, s.reserveRate = now, p.reserveRate(s.Service)
+	s.minFull = minFullTime
+	if c := p.scarcities[s.Service]; c != nil && p.statesStarts[s.Service] {
+		s.minFull = min(max(s.minFull, updatesPerReuse*c.viewAge), maxRenewal)
+	}
 	*s.reserveRate = max(*s.reserveRate-*s.reserveRate/reserveRateWeight, minReserveRate)
 }
 
@@ -77,5 +86,5 @@
 		return false
 	}
 	rate := *s.reserveRate
-	return now.Sub(s.fullAt) < time.Duration(float64(minFullTime)/(rate*rate))
+	return now.Sub(s.fullAt) < max(time.Duration(float64(minFullTime)/(rate*rate)), s.minFull)
 }
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -16,6 +16,7 @@
 func (p *Pool) SetPeer(name string, loads []Load, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	previous := p.peers[name]
 	p.removePeer(name)
 	if p.peers == nil {
 		p.peers = map[string]*peer{}
@@ -28,6 +29,20 @@
 		}
 	}
 	p.peers[name] = report
+	p.updateVisible(report, now)
+	p.updateVisible(previous, now)
+}
+
+// updateVisible records which slots have become visible as free, or are no longer, by a report.
+func (p *Pool) updateVisible(report *peer, now time.Time) {
+	if report == nil {
+		return
+	}
+	for hash := range report.loads {
+		if s := p.byHash[hash]; s != nil {
+			s.updateVisible(now)
+		}
+	}
 }
 
 // addPeerLoad adds another entry's load on a backend server to the sum of all peers.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -57,6 +57,12 @@
 	// successful reservations of its service.
 	fullAt      time.Time
 	reserveRate *float64
+	// minFull is for how long it counts as full at least after fullAt.
+	minFull time.Duration
+	// reported is what this entry ran there when it last reported its loads to the others.
+	reported int
+	// freeSince is since when a slot has been visible as free; zero if none is.
+	freeSince time.Time
 }
 
 // Pool is this entry's view of all backend servers. It is safe for concurrent use.
@@ -72,6 +78,8 @@
 	servers map[string]*server
 	// byService holds the same backend servers as one list for each service.
 	byService map[string][]*server
+	// scarcities holds whether slots are scarce, by service.
+	scarcities map[string]*scarcity
 	// statesStarts holds the result of StatesStarts by service.
 	statesStarts map[string]bool
 	// timings holds how long online requests take, by service.
@@ -84,8 +92,10 @@
 	byHash map[uint32]*server
 	// busy holds the backend servers, by id, on which this entry runs a request. They
 	// are few of thousands, and reports to other entries and preemptions only concern these.
-	busy  map[string]*server
-	peers map[string]*peer
+	busy map[string]*server
+	// reported holds those of the last report.
+	reported []*server
+	peers    map[string]*peer
 }
 
 // SetServers replaces the list of backend servers; those that stay keep their state.
@@ -132,6 +142,7 @@
 func (p *Pool) OwnLoads() []Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.setReported()
 	var loads []Load
 	for _, s := range p.busy {
 		loads = append(loads, Load{Server: s.hash, Online: s.online, Batch: s.batch})
@@ -157,6 +168,7 @@
 func (p *Pool) addLoad(s *server, online, batch int) {
 	s.online += online
 	s.batch += batch
+	s.resetVisible()
 	if p.busy == nil {
 		p.busy = map[string]*server{}
 	}
@@ -209,7 +221,7 @@
 	defer p.mu.Unlock()
 	free := 0
 	for _, s := range p.byService[service] {
-		free += s.freeSlots(reserve, now)
+		free += p.itemSlots(s, reserve, now)
 	}
 	return free
 }
--- /dev/null
+++ b/pool/scarce.go
@@ -0,0 +1,180 @@
+package pool
+
+import (
+	"math"
+	"time"
+
+	"github.com/sardinerock/sardinerock/rights"
+)
+
+const (
+	// scarcityInterval is the time between two checks whether slots are scarce; a burst arrives
+	// within hundreds of milliseconds. A check visits all backend servers of the service.
+	scarcityInterval = 10 * time.Millisecond
+	// minPeriod is the minimum time for which an entry keeps its rights. It covers a
+	// poll for a slot and two round trips.
+	minPeriod = 50 * time.Millisecond
+)
+
+// Right says by what right an entry asks a backend server for a slot.
+type Right string
+
+const (
+	// RightUnneeded means that slots are ample.
+	RightUnneeded Right = ""
+	// RightFreed means that a request of this entry has freed the slot.
+	RightFreed Right = "freed"
+	// RightHeld means that the entry had a right to the slot when the request arrived.
+	RightHeld Right = "held"
+	// RightGrown means that the right has grown while the request waited.
+	RightGrown Right = "grown"
+	// RightNone means that the request has no right to any slot yet and should wait.
+	RightNone Right = "none"
+)
+
+// Reserving describes a request for which a slot is reserved before it is sent.
+type Reserving struct {
+	rights.Request
+	// Tried holds the ids of the backend servers to skip.
+	Tried map[string]bool
+	// Once is set if the request may run only once.
+	Once bool
+	// ViewAge is how old the known loads of other entries may be.
+	ViewAge time.Duration
+}
+
+// scarcity is what an entry knows of a service whose slots may be scarce.
+type scarcity struct {
+	checked  time.Time
+	scarce   bool
+	viewAge  time.Duration
+	period   int64
+	division rights.Division
+}
+
+// ChooseReserving is ChooseOnline for a request for which a slot is reserved first. While the slots
+// of its service are scarce, only slots to which this entry has a right are chosen. If there are none,
+// the choice has RightNone, and the request should wait.
+func (p *Pool) ChooseReserving(service string, r *Reserving, now time.Time) (Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.choose(service, r, p.updateScarcity(service, r.ViewAge, now), now)
+}
+
+// updateScarcity returns the scarcity of a service, nil if its slots are ample, or if its backend
+// servers don't state their start times.
+func (p *Pool) updateScarcity(service string, viewAge time.Duration, now time.Time) *scarcity {
+	if !p.statesStarts[service] {
+		return nil
+	}
+	c := p.scarcities[service]
+	if c == nil {
+		if p.scarcities == nil {
+			p.scarcities = map[string]*scarcity{}
+		}
+		c = &scarcity{}
+		p.scarcities[service] = c
+	}
+	if elapsed := now.Sub(c.checked); c.checked.IsZero() || elapsed < 0 || elapsed >= scarcityInterval {
+		c.checked, c.viewAge = now, viewAge
+		p.checkScarcity(service, c, now)
+	}
+	if !c.scarce {
+		return nil
+	}
+	return c
+}
+
+func (p *Pool) checkScarcity(service string, c *scarcity, now time.Time) {
+	free, own, all := 0, 0, 0
+	for _, s := range p.byService[service] {
+		free += s.freeSlots(0, now)
+		own += s.online
+		all += s.online + s.peerLoad.Online
+	}
+	c.scarce = rights.Scarce(c.scarce, free, float64(all)*c.viewAge.Seconds()/p.timing(service).Run.Seconds())
+	if period := now.UnixNano() / int64(max(c.viewAge, minPeriod)); c.scarce && period != c.period {
+		c.period, c.division = period, rights.NewDivision(Hash(p.Name), period, own, all, len(p.peers)+1)
+	}
+}
+
+// right returns by what right a request may ask a backend server for a slot. The slots that the
+// other entries know to be free are divided. What this entry has started since its last report counts
+// against its rights, and slots that its requests have freed since then belong to it.
+func (s *server) right(c *scarcity, r rights.Request, now time.Time) Right {
+	online, batch := s.counts(now)
+	if online >= s.Slots {
+		return RightUnneeded
+	}
+	left := s.reported - s.online - s.batch
+	slots := max(s.Slots-s.peerLoad.Online-s.peerLoad.Batch-s.reported, 0)
+	preempt := online+batch >= s.Slots
+	if preempt {
+		slots += batch
+	} else if left > 0 {
+		return RightFreed
+	}
+	s.updateVisible(now)
+	if s.holds(c, slots, rights.Initial(preempt)) > -left {
+		return RightHeld
+	}
+	level := r.Level(c.division.Entries, now.Sub(s.freeSince), preempt)
+	if math.IsInf(level, 1) || s.holds(c, slots, level) > -left {
+		return RightGrown
+	}
+	return RightNone
+}
+
+// holds returns to how many of a backend server's first slots this entry has a right.
+func (s *server) holds(c *scarcity, slots int, level float64) int {
+	held := 0
+	for n := range slots {
+		if c.division.Holds(s.hash, n, level) {
+			held++
+		}
+	}
+	return held
+}
+
+// updateVisible records since when a slot has been visible as free.
+func (s *server) updateVisible(now time.Time) {
+	if s.resetVisible(); s.freeSince.IsZero() && s.online+s.batch+s.peerLoad.Online+s.peerLoad.Batch < s.Slots {
+		s.freeSince = now
+	}
+}
+
+// resetVisible records that no slot is visible as free if that is so.
+func (s *server) resetVisible() {
+	if s.online+s.batch+s.peerLoad.Online+s.peerLoad.Batch >= s.Slots {
+		s.freeSince = time.Time{}
+	}
+}
+
+// itemSlots returns how many slots of a backend server batch items may take if reserve of them stay
+// free. While slots are scarce, one must have been visible as free for rights.ItemDelay.
+//
+// It is designed for bursts beside jobs. The fewer reservations of online requests are refused, the longer
+// a slot is visible as free to items. Items that took it at once would be preempted by the next requests.
+func (p *Pool) itemSlots(s *server, reserve int, now time.Time) int {
+	free := s.freeSlots(reserve, now)
+	if c := p.scarcities[s.Service]; free == 0 || c == nil || !c.scarce || !p.statesStarts[s.Service] || now.Sub(c.checked) > time.Second {
+		return free
+	}
+	s.updateVisible(now)
+	if now.Sub(s.freeSince) < rights.ItemDelay {
+		return 0
+	}
+	return free
+}
+
+// setReported records what this entry now reports to the others.
+func (p *Pool) setReported() {
+	for _, s := range p.reported {
+		s.reported = 0
+	}
+	p.reported = p.reported[:0]
+	for _, s := range p.busy {
+		s.reported = s.online + s.batch
+		p.reported = append(p.reported, s)
+	}
+}
