relay: requests reserve slots by right; event 211, right in event 206

A request that finds a free slot to which its entry has no right waits for the next check, as if there were none. The metric relay.withoutRight counts the checks that waited, and a late request's behind=rights is a cause of its own in the report of losses.

--- a/losses/loss.go
+++ b/losses/loss.go
@@ -53,6 +53,7 @@
 	causeSlotOnline    = "waited for a slot, all taken by online work"
 	causeSlotBatch     = "waited for a slot that batch work held"
 	causeSlotHeadroom  = "waited for a slot, the free ones were kept for requests that could still be on time"
+	causeSlotRights    = "waited for a slot, this entry had no right to the free ones"
 	causeReserving     = "waited for a backend server to reserve a slot"
 	causeRetried       = "retried after a failed attempt"
 	causeSlow          = "the backend server was slow to begin"
@@ -176,6 +177,8 @@
 		return causeSlotBatch
 	case "fresh":
 		return causeSlotHeadroom
+	case "rights":
+		return causeSlotRights
 	}
 	return causeSlotOnline
 }
--- a/losses/losses_test.go
+++ b/losses/losses_test.go
@@ -45,6 +45,7 @@
 		"over quota":                {event.OverQuota, `"request":"r1","route":"chat","team":"a"`, Loss{Kind: Refused, Cause: causeQuota}},
 		"failed":                    {event.RequestRefused, `"request":"r1","route":"chat","status":502,"reason":"it broke"`, Loss{Kind: Failed, Cause: "it broke"}},
 		"answer aborted":            {event.AnswerBroken, `"request":"r1","route":"chat","error":"reset"`, Loss{Kind: Failed, Cause: "reset"}},
+		"caller left without right": {event.CallerLeft, `"request":"r1","route":"chat","took":2000,"inLine":1990,"behind":"rights"`, Loss{Kind: Left, Cause: causeSlotRights}},
 		"caller left the queue":     {event.CallerLeft, `"request":"r1","route":"chat","took":2000,"inLine":1990,"behind":"fresh"`, Loss{Kind: Left, Cause: causeSlotHeadroom}},
 		"late job":                  {event.JobAccepted, `"job":"r1","route":"chat","late":true`, Loss{Kind: JobLate, Cause: causeSlowAccept}},
 		"preempted item":            {event.ItemRecorded, `"item":"r1","job":"j","route":"chat","succeeded":true,"verdict":0,"late":500,"age":9000,"ran":4000,"runs":3,"gaveWay":2,"recording":10`, Loss{Kind: ItemLate, Cause: causePreempted, Lateness: 500 * time.Millisecond}},
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -51,6 +51,8 @@
 	queue admit.Queue
 	// onTimeRates measures the rate of requests that can still meet their target.
 	onTimeRates admit.Rates
+	// scarcity holds which services' slots are scarce.
+	scarcity scarcity
 }
 
 func (l *Relay) count(name string) {
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -100,7 +100,8 @@
 	}
 	p.relay.count("relay.unreserved")
 	p.relay.Events.Info(event.NotReserved).Str("request", p.call.ID).Str("server", choice.ID).Int("online", choice.Online).
-		Int("batch", choice.Batch).Int("slots", choice.Slots).Err(err).Msg("backend server reserved no slot")
+		Int("batch", choice.Batch).Int("slots", choice.Slots).
+		Str("right", string(choice.Right)).Err(err).Msg("backend server reserved no slot")
 }
 
 // canReserve reports whether a slot can be reserved for the request.
--- a/relay/timings.go
+++ b/relay/timings.go
@@ -19,7 +19,8 @@
 	// the longest time between two events.
 	firstByte, longestPause time.Duration
 	// blockedBy is what held the slots when the request last had to wait: online or
-	// batch work, or headroom for requests that can still be on time.
+	// batch work, headroom for requests that can still be on time, or slots to which this
+	// entry has no right.
 	blockedBy string
 	// sent is when the attempt was sent, lastEvent when its last event was received.
 	sent, lastEvent time.Time
@@ -30,6 +31,7 @@
 	blockedByOnline = "online"
 	blockedByBatch  = "batch"
 	blockedByOnTime = "fresh"
+	blockedByRights = "rights"
 )
 
 // add adds the time since start to one of the sums.
@@ -38,6 +40,8 @@
 // setBlockedBy records what holds the slots while the request waits.
 func (t *timings) setBlockedBy(choice *pool.Choice) {
 	switch {
+	case choice.Right == pool.RightNone:
+		t.blockedBy = blockedByRights
 	case choice.Online >= choice.Slots:
 		t.blockedBy = blockedByOnline
 	case choice.Full():
--- a/relay/wait.go
+++ b/relay/wait.go
@@ -10,6 +10,7 @@
 	"github.com/sardinerock/sardinerock/admit"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/pool"
+	"github.com/sardinerock/sardinerock/rights"
 )
 
 // pollInterval is the time between two checks for a free slot. Over the whole fleet a
@@ -29,6 +30,10 @@
 		}
 		a := p.admissionRequest(&choice)
 		d := a.Decide()
+		if choice.Right == pool.RightNone && d.Action == admit.Send && !p.started {
+			d.Action = admit.Wait
+			p.relay.count("relay.withoutRight")
+		}
 		switch d.Action {
 		case admit.Send:
 			if waited {
@@ -53,12 +58,29 @@
 
 // candidate chooses the backend server that the request would be sent to now.
 func (p *proxyRequest) candidate() (pool.Choice, bool) {
+	if p.canReserve() {
+		now := time.Now()
+		choice, ok := p.relay.Pool.ChooseReserving(p.service, &pool.Reserving{
+			Request: p.slotRequest(now), Tried: p.tried, Once: p.atMostOnce(), ViewAge: p.relay.ViewAge(),
+		}, now)
+		p.relay.recordScarcity(p.service, ok && choice.Right != pool.RightUnneeded, now)
+		return choice, ok
+	}
 	if p.atMostOnce() {
 		return p.relay.Pool.ChooseOnlineOnce(p.service, p.tried, time.Now())
 	}
 	return p.relay.Pool.ChooseOnline(p.service, p.tried, time.Now())
 }
 
+// slotRequest describes how long the request can wait for a right to a slot.
+func (p *proxyRequest) slotRequest(now time.Time) rights.Request {
+	r := rights.Request{Waited: p.waitedBefore + now.Sub(p.received), Target: p.route.LatencyTarget}
+	if patience := p.waitedBefore + p.startDeadline.Sub(p.received); patience < r.Target {
+		r.Target = patience
+	}
+	return r
+}
+
 // atMostOnce reports whether the request is lost if an attempt is aborted.
 func (p *proxyRequest) atMostOnce() bool { return !p.route.Repeatable() || p.route.MaxAttempts < 2 }
 
