pool, rights: simulation of thirty entries, tests, a choice stops at free slots without right

The search of a choice dereferenced nil where a service has more backend servers than a choice compares and the entry has a right to none of the first ones; it now also ends there, and the request waits. How far rights have grown is computed once for a request, not for each server.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -76,6 +76,7 @@
 // right unless c is nil.
 func (p *Pool) choose(service string, r *Reserving, c *scarcity, now time.Time) (Choice, bool) {
 	var best, blocked candidate
+	growth := r.Growth()
 	// The search starts at a random index, so that equally ranked backend servers are
 	// chosen equally often.
 	list := p.byService[service]
@@ -85,18 +86,19 @@
 			if s.Draining || len(r.Tried) > 0 && r.Tried[s.ID] {
 				continue
 			}
-			if checked >= maxCandidates && best.freeSlots(0, now) > 0 {
+			if checked >= maxCandidates && (best.hasFree(now) || blocked.hasFree(now)) {
 				break
 			}
 			checked++
-			rank, right := p.rankOnline(s, r.Once, now), RightUnneeded
+			right := RightUnneeded
 			if c != nil {
-				right = s.right(c, r.Request, now)
+				right = s.right(c, growth, now)
 			}
-			if right == RightNone {
-				blocked.replace(s, rank, right)
-			} else {
-				best.replace(s, rank, right)
+			switch {
+			case right != RightNone:
+				best.replace(s, p.rankOnline(s, r.Once, now), right)
+			case blocked.server == nil || blocked.rank >= rankQueued:
+				blocked.replace(s, p.rankOnline(s, r.Once, now), right)
 			}
 		}
 	}
@@ -120,6 +122,9 @@
 	right Right
 }
 
+// hasFree reports whether a slot is free at the candidate.
+func (c *candidate) hasFree(now time.Time) bool { return c.server != nil && c.freeSlots(0, now) > 0 }
+
 // replace replaces the candidate by one with a lower rank.
 func (c *candidate) replace(s *server, rank float64, right Right) {
 	if c.server == nil || rank < c.rank {
--- /dev/null
+++ b/pool/right_test.go
@@ -0,0 +1,227 @@
+package pool
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock/rights"
+)
+
+const testViewAge = 100 * ms
+
+// scarcePool returns the pool of one of thirty entries. The peers run online requests in all slots
+// of its backend servers but the given number on each.
+func scarcePool(servers, free int, started bool) *Pool {
+	p := &Pool{Name: "a", Zone: "z0", Random: newPool("a", 0, 0).Random}
+	p.setServers(servers, started)
+	for n := range 29 {
+		var loads []Load
+		for id := range p.servers {
+			if n < fleetSlots-free {
+				loads = append(loads, Load{Server: Hash(id), Online: 1})
+			}
+		}
+		p.SetPeer(fmt.Sprint("peer-", n), loads, testStart.Add(-time.Second))
+	}
+	return p
+}
+
+// setServers lists backend servers, in an order that doesn't depend on the iteration of a map.
+func (p *Pool) setServers(n int, started bool) {
+	list := servers(n, fleetSlots)
+	for i := range list {
+		if started {
+			list[i].Started = 1
+		}
+	}
+	p.SetServers(list)
+	slices.SortFunc(p.byService["s"], func(a, b *server) int { return strings.Compare(a.ID, b.ID) })
+}
+
+func (p *Pool) expectReserving(g *WithT, waited time.Duration, now time.Time) Choice {
+	c, ok := p.ChooseReserving("s", &Reserving{Request: rights.Request{Waited: waited, Target: fleetTarget}, ViewAge: testViewAge}, now)
+	g.Expect(ok).To(BeTrue())
+	return c
+}
+
+// Where start times aren't stated, or while slots are ample, the choices must be those without rights
+// for the same random source, request for request, also after refusals.
+func TestChoicesWithoutScarcityAreUnchanged(t *testing.T) {
+	for name, test := range map[string]struct {
+		free    int
+		started bool
+	}{"not stated": {1, false}, "ample": {6, true}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			present, rights := scarcePool(38, test.free, false), scarcePool(38, test.free, test.started)
+			for n := range 60 {
+				now := testStart.Add(time.Duration(n) * 10 * ms)
+				want, ok := present.ChooseOnline("s", nil, now)
+				g.Expect(ok).To(BeTrue())
+				got := rights.expectReserving(g, 0, now)
+				g.Expect(got.ID).To(Equal(want.ID))
+				g.Expect(got.Right).To(Equal(RightUnneeded))
+				if n%5 == 0 {
+					present.Done(want.ID, false, false, now)
+					rights.Done(got.ID, false, false, now)
+				}
+			}
+			g.Expect(rights.FreeSlots("s", 0, testStart)).To(Equal(present.FreeSlots("s", 0, testStart)))
+		})
+	}
+}
+
+// Thirty entries know of one free slot on each of three backend servers. A request must wait where its
+// entry has no right, and reach a slot at any entry once half of its target has passed. Otherwise the
+// slots of entries that are lost or paused would stay idle.
+func TestRequestWithoutRightWaitsAndThenReachesASlot(t *testing.T) {
+	g := NewWithT(t)
+	waiting := 0
+	for n := range 30 {
+		now := testStart.Add(time.Duration(n) * testViewAge)
+		p := scarcePool(3, 1, true)
+		c := p.expectReserving(g, 0, now)
+		p.CancelOnline(c.ID)
+		if c.Right == RightNone {
+			waiting++
+		} else {
+			g.Expect(c.Right).To(Equal(RightHeld))
+		}
+		c = p.expectReserving(g, fleetTarget/2, now)
+		g.Expect(c.Right).To(BeElementOf(RightHeld, RightGrown))
+		g.Expect(c.Full()).To(BeFalse())
+	}
+	g.Expect(waiting).To(And(BeNumerically(">", 15), BeNumerically("<", 30)))
+}
+
+// An entry that has received nothing from any other must not wait for rights of entries that may not exist.
+func TestEntryAloneUsesEverySlot(t *testing.T) {
+	g := NewWithT(t)
+	p := newPool("a", 0, 0)
+	p.setServers(2, true)
+	for range 2 * fleetSlots {
+		c := p.expectReserving(g, 0, testStart)
+		g.Expect(c.Full()).To(BeFalse())
+		g.Expect(c.Right).NotTo(Equal(RightNone))
+	}
+}
+
+// The other entries don't know yet that a request of this one has ended. Its slot must be free for the
+// next request here at once, and no longer only for it once the end has been reported.
+func TestFreedSlotBelongsToTheEntryUntilItsReport(t *testing.T) {
+	g := NewWithT(t)
+	p := scarcePool(1, 1, true)
+	s := p.servers["i-0"]
+	g.Expect(p.expectReserving(g, fleetTarget, testStart).ID).To(Equal("i-0"))
+	p.OwnLoads()
+	p.Done("i-0", false, false, testStart)
+	g.Expect(p.expectReserving(g, 0, testStart).Right).To(Equal(RightFreed))
+	g.Expect(s.right(p.scarcities["s"], 0, testStart)).To(Equal(RightUnneeded), "its slots are taken")
+	p.Done("i-0", false, false, testStart)
+	p.OwnLoads()
+	g.Expect(p.expectReserving(g, 0, testStart).Right).NotTo(Equal(RightFreed))
+}
+
+// A backend server that has refused must not be asked again before the reports that this entry
+// lacked have come. Otherwise each of its waiting requests would be refused in turn. The end of a
+// run of this entry there frees a slot, which must be used at once.
+func TestRefusalHoldsUntilTheViewIsRenewed(t *testing.T) {
+	g := NewWithT(t)
+	p := scarcePool(1, 1, true)
+	own := p.expectReserving(g, fleetTarget, testStart)
+	p.SetPeer("peer-0", nil, testStart)
+	refused := p.expectReserving(g, fleetTarget, testStart)
+	p.CancelOnline(refused.ID)
+	p.RecordFull(refused.ID, testStart)
+	renewed := testStart.Add(updatesPerReuse * testViewAge)
+	g.Expect(p.FreeSlots("s", 0, renewed.Add(-ms))).To(BeZero())
+	c := p.expectReserving(g, fleetTarget, renewed.Add(-ms))
+	g.Expect(c.Full()).To(BeTrue())
+	p.CancelOnline(c.ID)
+	p.Done(own.ID, false, false, renewed.Add(-ms))
+	c = p.expectReserving(g, fleetTarget, renewed.Add(-ms))
+	g.Expect(c.Full()).To(BeFalse())
+}
+
+// All slots hold online work or one batch item each. Entries that preempted on the same backend server
+// would interrupt several items for one slot, so they must choose different ones, of which each has
+// rights to a few.
+func TestPreemptionsAreSpread(t *testing.T) {
+	g := NewWithT(t)
+	chosen := map[string]int{}
+	for n := range 30 {
+		p := scarcePool(38, 1, true)
+		p.Name, p.Random = fmt.Sprint("entry-", n), newPool(fmt.Sprint(n), 0, 0).Random
+		var loads []Load
+		for id := range p.servers {
+			loads = append(loads, Load{Server: Hash(id), Online: 1, Batch: 1})
+		}
+		p.SetPeer("peer-0", loads, testStart)
+		if c := p.expectReserving(g, fleetTarget/5, testStart); c.Right != RightNone {
+			g.Expect(c.Full()).To(BeTrue())
+			chosen[c.ID]++
+		}
+	}
+	g.Expect(len(chosen)).To(BeNumerically(">=", 8))
+	for _, n := range chosen {
+		g.Expect(n).To(BeNumerically("<=", 4))
+	}
+}
+
+// A slot that has just become visible as free is taken by an online request in a moment. An item that
+// started there would be preempted again.
+func TestItemsLeaveScarceSlotsToOnlineRequests(t *testing.T) {
+	g := NewWithT(t)
+	p := scarcePool(2, 0, true)
+	p.CancelOnline(p.expectReserving(g, 0, testStart).ID)
+	p.SetPeer("peer-0", nil, testStart)
+	g.Expect(p.FreeSlots("s", 0, testStart.Add(rights.ItemDelay-ms))).To(BeZero())
+	_, ok := p.ChooseBatch("s", 0, testStart.Add(rights.ItemDelay-ms))
+	g.Expect(ok).To(BeFalse())
+	g.Expect(p.FreeSlots("s", 0, testStart.Add(rights.ItemDelay))).To(Equal(2))
+}
+
+// largeScarcePool returns a pool of 400 backend servers with one free slot each, and 500 entries.
+func largeScarcePool() *Pool {
+	p := scarcePool(400, 1, true)
+	for n := range 470 {
+		p.SetPeer(fmt.Sprint("more-", n), nil, testStart)
+	}
+	return p
+}
+
+// BenchmarkReserving measures a choice while slots are scarce, with a new division and a new check of
+// the scarcity every tenth time.
+func BenchmarkReserving(b *testing.B) {
+	for name, waited := range map[string]time.Duration{"arrived": 0, "grown": fleetTarget} {
+		b.Run(name, func(b *testing.B) {
+			p, now := largeScarcePool(), testStart
+			r := &Reserving{Request: rights.Request{Waited: waited, Target: fleetTarget}, ViewAge: testViewAge}
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				if n%10 == 0 {
+					now = now.Add(testViewAge)
+				}
+				c, _ := p.ChooseReserving("s", r, now)
+				p.CancelOnline(c.ID)
+			}
+		})
+	}
+}
+
+// BenchmarkSetPeer measures the receipt of a report of an entry with 20 requests.
+func BenchmarkSetPeer(b *testing.B) {
+	p, loads := largeScarcePool(), []Load(nil)
+	for n := range 20 {
+		loads = append(loads, Load{Server: Hash(fmt.Sprint("i-", n)), Online: 1})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		p.SetPeer("more-1", loads, testStart)
+	}
+}
--- a/pool/scarce.go
+++ b/pool/scarce.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"math"
 	"time"
 
 	"github.com/sardinerock/sardinerock/rights"
@@ -98,10 +97,11 @@
 	}
 }
 
-// right returns by what right a request may ask a backend server for a slot. The slots that the
+// right returns by what right a request whose rights have grown by growth may ask a backend server for a
+// slot. The slots that the
 // other entries know to be free are divided. What this entry has started since its last report counts
 // against its rights, and slots that its requests have freed since then belong to it.
-func (s *server) right(c *scarcity, r rights.Request, now time.Time) Right {
+func (s *server) right(c *scarcity, growth float64, now time.Time) Right {
 	online, batch := s.counts(now)
 	if online >= s.Slots {
 		return RightUnneeded
@@ -114,12 +114,16 @@
 	} else if left > 0 {
 		return RightFreed
 	}
-	s.updateVisible(now)
-	if s.holds(c, slots, rights.Initial(preempt)) > -left {
+	if growth > 0 && !preempt {
+		growth = rights.Settled(growth, s.visible(now))
+	}
+	if growth >= 1 {
+		return RightGrown
+	}
+	if s.holds(c, slots, rights.Level(0, c.division.Entries, preempt)) > -left {
 		return RightHeld
 	}
-	level := r.Level(c.division.Entries, now.Sub(s.freeSince), preempt)
-	if math.IsInf(level, 1) || s.holds(c, slots, level) > -left {
+	if growth > 0 && s.holds(c, slots, rights.Level(growth, c.division.Entries, preempt)) > -left {
 		return RightGrown
 	}
 	return RightNone
@@ -136,18 +140,26 @@
 	return held
 }
 
+// visible returns for how long a slot has been visible as free.
+func (s *server) visible(now time.Time) time.Duration {
+	s.updateVisible(now)
+	return now.Sub(s.freeSince)
+}
+
 // updateVisible records since when a slot has been visible as free.
 func (s *server) updateVisible(now time.Time) {
-	if s.resetVisible(); s.freeSince.IsZero() && s.online+s.batch+s.peerLoad.Online+s.peerLoad.Batch < s.Slots {
+	if !s.resetVisible() && s.freeSince.IsZero() {
 		s.freeSince = now
 	}
 }
 
-// resetVisible records that no slot is visible as free if that is so.
-func (s *server) resetVisible() {
-	if s.online+s.batch+s.peerLoad.Online+s.peerLoad.Batch >= s.Slots {
+// resetVisible records that no slot is visible as free, and reports whether that is so.
+func (s *server) resetVisible() bool {
+	full := s.online+s.batch+s.peerLoad.Online+s.peerLoad.Batch >= s.Slots
+	if full {
 		s.freeSince = time.Time{}
 	}
+	return full
 }
 
 // itemSlots returns how many slots of a backend server batch items may take if reserve of them stay
@@ -160,8 +172,7 @@
 	if c := p.scarcities[s.Service]; free == 0 || c == nil || !c.scarce || !p.statesStarts[s.Service] || now.Sub(c.checked) > time.Second {
 		return free
 	}
-	s.updateVisible(now)
-	if now.Sub(s.freeSince) < rights.ItemDelay {
+	if s.visible(now) < rights.ItemDelay {
 		return 0
 	}
 	return free
--- a/rights/rights.go
+++ b/rights/rights.go
@@ -15,9 +15,6 @@
 	// growthPart is the part of its target within which a request gets a right to every slot. The rest
 	// is for the reservation and for the response to start.
 	growthPart = 0.5
-	// growthExponent shapes this growth. With 2 most requests reach a slot by an early right, and the
-	// few that are about to be late reach any.
-	growthExponent = 2
 	// settleTime is the time after a slot has become visible as free within which the rights to it
 	// grow. The first holders need a poll of 15 ms and a round trip to take it.
 	settleTime = 25 * time.Millisecond
@@ -52,35 +49,41 @@
 	Waited, Target time.Duration
 }
 
-// Initial returns how many entries on average may ask for a slot for a request that has just arrived.
-// If a batch item has to be preempted there, preempt is set.
-func Initial(preempt bool) float64 {
-	if preempt {
-		return initialPreempters
+// Growth returns how far the request's rights have grown: from 0 to 1, at which it has a right to every slot.
+func (r Request) Growth() float64 {
+	half := growthPart * float64(r.Target)
+	if half <= 0 || float64(r.Waited) >= half {
+		return 1
 	}
-	return initialHolders
+	return square(max(float64(r.Waited), 0) / half)
+}
+
+// Settled bounds the growth of the rights to a slot that has been visible as free for a time. At
+// first only the initial holders ask for it. Otherwise, in a burst beyond all slots, all
+// entries would ask at once for the slot that one of them reports.
+func Settled(growth float64, visible time.Duration) float64 {
+	return min(growth, square(float64(visible)/float64(settleTime)))
 }
 
-// Level returns how many entries on average may ask for a slot for the request. It is infinite if all may.
-// visible is the time for which the slot has been visible as free; it doesn't count if a batch item
-// has to be preempted.
+// square shapes the growth: most requests reach a slot by an early right, and the few that are about to
+// be late reach any.
+func square(x float64) float64 { return x * x }
+
+// Level returns how many entries on average may ask for a slot for a request whose rights have grown by
+// growth. It is infinite if all may. If a batch item has to be preempted there, preempt is set.
 //
 // It is designed for entries that don't use their rights: one that is lost, paused or cut off, or one
 // to which fewer requests come. The requests with the least time left reach such slots first, at
 // whichever entry they wait, and no slot stays idle for longer than half of a target.
-func (r Request) Level(entries int, visible time.Duration, preempt bool) float64 {
-	growth := 1.0
-	if half := growthPart * float64(r.Target); half > 0 {
-		growth = float64(r.Waited) / half
-	}
-	if !preempt {
-		growth = min(growth, float64(visible)/float64(settleTime))
+func Level(growth float64, entries int, preempt bool) float64 {
+	level := float64(initialHolders)
+	if preempt {
+		level = initialPreempters
 	}
-	level := Initial(preempt)
 	if growth >= 1 || level >= float64(entries) {
 		return math.Inf(1)
 	}
-	return level + float64(entries)*math.Pow(max(growth, 0), growthExponent)
+	return level + float64(entries)*growth
 }
 
 // Division is this entry's part in a division of the free slots. It holds for a period of
