pool: cheaper choices while slots are scarce

A backend server that can't be better than the best so far isn't checked for a right, and since when its slots are visible as free is recorded with the check of the scarcity every 10 ms, not at each report of each entry.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -92,6 +92,9 @@
 			checked++
 			right := RightUnneeded
 			if c != nil {
+				if best.server != nil && p.rankOnline(s, r.Once, now) >= best.rank {
+					continue
+				}
 				right = s.right(c, growth, now)
 			}
 			switch {
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -16,7 +16,6 @@
 func (p *Pool) SetPeer(name string, loads []Load, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	previous := p.peers[name]
 	p.removePeer(name)
 	if p.peers == nil {
 		p.peers = map[string]*peer{}
@@ -29,26 +28,13 @@
 		}
 	}
 	p.peers[name] = report
-	p.updateVisible(report, now)
-	p.updateVisible(previous, now)
-}
-
-// updateVisible records which slots have become visible as free, or are no longer, by a report.
-func (p *Pool) updateVisible(report *peer, now time.Time) {
-	if report == nil {
-		return
-	}
-	for hash := range report.loads {
-		if s := p.byHash[hash]; s != nil {
-			s.updateVisible(now)
-		}
-	}
 }
 
 // addPeerLoad adds another entry's load on a backend server to the sum of all peers.
 func (s *server) addPeerLoad(name string, l Load) {
 	s.peerLoad.Online += l.Online
 	s.peerLoad.Batch += l.Batch
+	s.resetVisible()
 	if l.Batch > 0 {
 		if s.batchPeers == nil {
 			s.batchPeers = map[string]int{}
--- a/pool/scarce.go
+++ b/pool/scarce.go
@@ -10,6 +10,8 @@
 	// scarcityInterval is the time between two checks whether slots are scarce; a burst arrives
 	// within hundreds of milliseconds. A check visits all backend servers of the service.
 	scarcityInterval = 10 * time.Millisecond
+	// scarcityTimeout is how long after the last online request of this entry the slots still count as scarce.
+	scarcityTimeout = time.Second
 	// minPeriod is the minimum time for which an entry keeps its rights. It covers a
 	// poll for a slot and two round trips.
 	minPeriod = 50 * time.Millisecond
@@ -23,9 +25,9 @@
 	RightUnneeded Right = ""
 	// RightFreed means that a request of this entry has freed the slot.
 	RightFreed Right = "freed"
-	// RightHeld means that the entry had a right to the slot when the request arrived.
+	// RightHeld means that the entry is one of the few that may ask for the slot at once.
 	RightHeld Right = "held"
-	// RightGrown means that the right has grown while the request waited.
+	// RightGrown means that the request has the right since it has waited, or can't wait.
 	RightGrown Right = "grown"
 	// RightNone means that the request has no right to any slot yet and should wait.
 	RightNone Right = "none"
@@ -87,6 +89,7 @@
 func (p *Pool) checkScarcity(service string, c *scarcity, now time.Time) {
 	free, own, all := 0, 0, 0
 	for _, s := range p.byService[service] {
+		s.updateVisible(now)
 		free += s.freeSlots(0, now)
 		own += s.online
 		all += s.online + s.peerLoad.Online
@@ -97,10 +100,10 @@
 	}
 }
 
-// right returns by what right a request whose rights have grown by growth may ask a backend server for a
-// slot. The slots that the
-// other entries know to be free are divided. What this entry has started since its last report counts
-// against its rights, and slots that its requests have freed since then belong to it.
+// right returns by what right a request may ask a backend server for a slot. growth is how far the
+// request's rights have grown. The slots that the other entries know to be free are divided. What this entry
+// has started since its last report counts against its rights, and slots that its requests have
+// freed since then belong to it.
 func (s *server) right(c *scarcity, growth float64, now time.Time) Right {
 	online, batch := s.counts(now)
 	if online >= s.Slots {
@@ -169,7 +172,8 @@
 // a slot is visible as free to items. Items that took it at once would be preempted by the next requests.
 func (p *Pool) itemSlots(s *server, reserve int, now time.Time) int {
 	free := s.freeSlots(reserve, now)
-	if c := p.scarcities[s.Service]; free == 0 || c == nil || !c.scarce || !p.statesStarts[s.Service] || now.Sub(c.checked) > time.Second {
+	c := p.scarcities[s.Service]
+	if free == 0 || c == nil || !c.scarce || !p.statesStarts[s.Service] || now.Sub(c.checked) > scarcityTimeout {
 		return free
 	}
 	if s.visible(now) < rights.ItemDelay {
