relay, pool: tests of rights at a relay; failing servers and complete responses

A request that may run only once preferred a suspect backend server to which its entry has a right to another one to which it has none yet, and one for which all backend servers are ejected waited for a right to them. The first waits now, the second is sent as before. A response that has to be complete within the target leaves less time to wait, so rights grow earlier by the average run.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -100,13 +100,14 @@
 			switch {
 			case right != RightNone:
 				best.replace(s, p.rankOnline(s, r.Once, now), right)
-			case blocked.server == nil || blocked.rank >= rankQueued:
+			case blocked.server == nil || blocked.rank >= rankSuspect:
 				blocked.replace(s, p.rankOnline(s, r.Once, now), right)
 			}
 		}
 	}
-	// A slot that the request may ask for later is better than to queue at a backend server.
-	if blocked.server != nil && (best.server == nil || blocked.rank < rankQueued && best.rank >= rankQueued) {
+	// A slot that the request may ask for later is better than to queue at a backend server, or to try
+	// one that failed recently.
+	if blocked.server != nil && (best.server == nil || blocked.rank < rankSuspect && best.rank >= rankSuspect) {
 		best = blocked
 	}
 	if best.server == nil {
--- a/pool/right_test.go
+++ b/pool/right_test.go
@@ -99,6 +99,23 @@
 	g.Expect(waiting).To(And(BeNumerically(">", 15), BeNumerically("<", 30)))
 }
 
+// A request that may run only once must wait for a right rather than go to a backend server that has
+// recently aborted requests, where it would be lost. Where all are ejected, nothing is gained by waiting.
+func TestRightsDontLeadToFailingServers(t *testing.T) {
+	g := NewWithT(t)
+	p := scarcePool(3, 1, true)
+	p.RecordAbort("i-0", testStart)
+	p.SetPeer("peer-0", []Load{{Server: Hash("i-1"), Online: 1}, {Server: Hash("i-2"), Online: 1}}, testStart)
+	p.servers["i-0"].reported = 2 * fleetSlots // The slots of i-0 belong to this entry.
+	once := &Reserving{Request: rights.Request{Target: fleetTarget}, Once: true, ViewAge: testViewAge}
+	c, _ := p.ChooseReserving("s", once, testStart)
+	g.Expect(c.Right).To(Equal(RightNone))
+	for id := range p.servers {
+		p.Done(id, false, true, testStart)
+	}
+	g.Expect(p.expectReserving(g, 0, testStart).Ejected).To(BeTrue())
+}
+
 // An entry that has received nothing from any other must not wait for rights of entries that may not exist.
 func TestEntryAloneUsesEverySlot(t *testing.T) {
 	g := NewWithT(t)
--- a/pool/scarce.go
+++ b/pool/scarce.go
@@ -95,7 +95,7 @@
 		all += s.online + s.peerLoad.Online
 	}
 	c.scarce = rights.Scarce(c.scarce, free, float64(all)*c.viewAge.Seconds()/p.timing(service).Run.Seconds())
-	if period := now.UnixNano() / int64(max(c.viewAge, minPeriod)); c.scarce && period != c.period {
+	if period := now.UnixNano() / int64(max(c.viewAge, minPeriod)); c.scarce && (period != c.period || c.division.Entries == 0) {
 		c.period, c.division = period, rights.NewDivision(Hash(p.Name), period, own, all, len(p.peers)+1)
 	}
 }
@@ -106,7 +106,7 @@
 // freed since then belong to it.
 func (s *server) right(c *scarcity, growth float64, now time.Time) Right {
 	online, batch := s.counts(now)
-	if online >= s.Slots {
+	if online >= s.Slots || now.Before(s.ejectedUntil) {
 		return RightUnneeded
 	}
 	left := s.reported - s.online - s.batch
--- a/relay/wait.go
+++ b/relay/wait.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/admit"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/pool"
@@ -78,6 +79,10 @@
 	if patience := p.waitedBefore + p.startDeadline.Sub(p.received); patience < r.Target {
 		r.Target = patience
 	}
+	if p.route.Kind != sardinerock.RouteStream {
+		// Its response has to be complete within the target.
+		r.Target -= p.relay.Pool.Capacity(p.service, now).Run
+	}
 	return r
 }
 
--- a/rights/rights.go
+++ b/rights/rights.go
@@ -44,8 +44,8 @@
 
 // Request is a request that waits for a slot.
 type Request struct {
-	// Waited is how long its caller has waited, Target the time within which the response has to
-	// start; 0 means that it can't wait.
+	// Waited is how long its caller has waited, Target the time within which it has to reach a slot;
+	// if it isn't above 0, the request can't wait.
 	Waited, Target time.Duration
 }
 
