--- a/pool/scarce_test.go
+++ b/pool/scarce_test.go
@@ -25,7 +25,8 @@
 	// burst and lull are the online work in a burst and between two, batch the most batch items that
 	// run, all as shares of the slots.
 	burst, lull, batch float64
-	// crashed backend servers fail, one entry is lost or paused for a second, in the second burst.
+	// In the second burst, backend servers fail for a second, and the entry with the most demand is
+	// lost, or paused for a second.
 	crashed      int
 	lost, paused bool
 
@@ -103,7 +104,7 @@
 		s.report(e, time.Duration(s.random.Int64N(int64(s.viewAge))))
 	}
 	s.after(failures, func() {
-		s.entries[0].down, s.entries[fleetEntries-1].down = s.lost, s.paused
+		s.entries[fleetEntries-1].down = s.lost || s.paused
 		for n := range s.crashed {
 			s.servers[list[n].ID].crashed = true
 		}
@@ -140,7 +141,7 @@
 			}
 		}
 	}
-	s.entries[fleetEntries-1].down = false
+	s.entries[fleetEntries-1].down = s.lost
 	for _, b := range s.servers {
 		b.crashed = false
 	}
