--- a/rights/rights.go
+++ b/rights/rights.go
@@ -11,7 +11,7 @@
 	initialHolders = 2.5
 	// initialPreempters is the same for a slot of which the batch item has to be preempted. One
 	// that was preempted in vain has to read its prompt again.
-	initialPreempters = 1
+	initialPreempters = 1.5
 	// growthPart is the part of its target within which a request gets a right to every slot. The rest
 	// is for the reservation and for the response to start.
 	growthPart = 0.5
