--- a/rights/rights.go
+++ b/rights/rights.go
@@ -90,24 +90,31 @@
 // about the age of the views; with the next one, other slots belong to the entry.
 type Division struct {
 	seed uint64
-	// part is the entry's part of the demand of all entries.
+	// part is the entry's part of the slots.
 	part float64
 	// Entries is the number of entries, this one included.
 	Entries int
 }
 
 // NewDivision returns the division of a period at the entry with the given hash. own and all are
-// the online requests that it and all entries run; they are the measure of their demand.
+// the online requests that it and all entries run.
+//
+// It is designed for entries whose demand differs by a factor of four. Half of the slots are divided by
+// the requests that they run, half equally: what an entry runs is what it got, not what it needs. By that
+// alone, in a burst beyond all slots the entries with few requests would get fewer and fewer.
 func NewDivision(entry uint32, period int64, own, all, entries int) Division {
-	// One is added for each entry, so that one that runs nothing holds rights too.
-	return Division{seed: mix(uint64(entry)<<32 ^ uint64(period)), part: float64(own+1) / float64(all+entries), Entries: entries}
+	part := 1 / float64(entries)
+	if all > 0 {
+		part = (part + float64(own)/float64(all)) / 2
+	}
+	return Division{seed: mix(uint64(entry)<<32 ^ uint64(period)), part: part, Entries: entries}
 }
 
 // Holds reports whether this entry may ask for a slot of a backend server if level entries on average may.
 //
 // It is designed for bursts that need nine in ten slots or more, at thirty entries whose views are 100 ms
 // old. If each asked for any slot that it takes to be free, a slot would be asked for by ten of them.
-// Each entry decides from its own part of the demand alone: the entries need neither the same
+// Each entry decides from its own part alone: the entries need neither the same
 // view nor the same time. For that, a slot may have several holders, or none until the level has grown.
 func (d *Division) Holds(server uint32, slot int, level float64) bool {
 	if d.Entries <= 1 {
@@ -116,12 +123,12 @@
 	return exponential[mix(d.seed^uint64(server)<<8^uint64(slot))>>(64-exponentialBits)] <= level*d.part
 }
 
-// exponentialBits is the resolution of exponential. The smallest part of 500 entries' demand is a few
-// steps, so that each entry holds its part.
+// exponentialBits is the resolution of exponential. The smallest part of 500 entries is some steps, so that
+// each entry holds its part.
 const exponentialBits = 12
 
 // exponential holds quantiles of the exponential distribution. If each entry compares one of them
-// with level times its part of the demand, the number of holders of a slot has the mean level.
+// with level times its part, the number of holders of a slot has the mean level.
 var exponential = func() (quantiles [1 << exponentialBits]float64) {
 	for n := range quantiles {
 		quantiles[n] = -math.Log((float64(n) + 0.5) / float64(len(quantiles)))
