--- a/event/event.go
+++ b/event/event.go
@@ -27,6 +27,7 @@
 	OverQuota       ID = 208
 	HomeSilent      ID = 209
 	SpeedChanged    ID = 210
+	SlotsScarce     ID = 211
 	GateAdmitted    ID = 301
 	GateRefused     ID = 302
 	GatePreempted   ID = 303
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -19,6 +19,8 @@
 	Factor float64
 	// Ejected is set if the backend server failed recently and no other was available.
 	Ejected bool
+	// Right is by what right the slot is asked for.
+	Right Right
 }
 
 // Load returns the share of the slots that were in use.
@@ -66,21 +68,25 @@
 // only its own counts, several would choose the same backend server, where the last
 // requests would wait for another request's whole response.
 func (p *Pool) ChooseOnline(service string, tried map[string]bool, now time.Time) (Choice, bool) {
-	return p.chooseOnline(service, tried, false, now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.choose(service, &Reserving{Tried: tried}, nil, now)
 }
 
 // ChooseOnlineOnce is ChooseOnline for a request that may run only once. If the
 // backend server aborts such a request, it is lost, since it is unknown whether it
 // ran. So suspect backend servers are skipped while any other has a slot.
 func (p *Pool) ChooseOnlineOnce(service string, tried map[string]bool, now time.Time) (Choice, bool) {
-	return p.chooseOnline(service, tried, true, now)
-}
-
-func (p *Pool) chooseOnline(service string, tried map[string]bool, once bool, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var best *server
-	var least float64
+	return p.choose(service, &Reserving{Tried: tried, Once: true}, nil, now)
+}
+
+// choose chooses the backend server with the lowest rank, among those to which the request has a
+// right unless c is nil.
+func (p *Pool) choose(service string, r *Reserving, c *scarcity, now time.Time) (Choice, bool) {
+	var best, blocked candidate
+	growth := r.Growth()
 	p.updateSpeeds(service, now)
 	// The search starts at a random index, so that equally ranked backend servers are
 	// chosen equally often.
@@ -88,24 +94,57 @@
 	start, checked := p.randomIndex(list), 0
 	for _, part := range [2][]*server{list[start:], list[:start]} {
 		for _, s := range part {
-			if s.Draining || len(tried) > 0 && tried[s.ID] {
+			if s.Draining || len(r.Tried) > 0 && r.Tried[s.ID] {
 				continue
 			}
-			if checked >= maxCandidates && best.freeSlots(0, now) > 0 {
+			if checked >= maxCandidates && (best.hasFree(now) || blocked.hasFree(now)) {
 				break
 			}
 			checked++
-			if rank := p.rankOnline(s, once, now); best == nil || rank < least {
-				best, least = s, rank
+			right := RightUnneeded
+			if c != nil {
+				if best.server != nil && p.rankOnline(s, r.Once, now) >= best.rank {
+					continue
+				}
+				right = s.right(c, growth, now)
+			}
+			switch {
+			case right != RightNone:
+				best.replace(s, p.rankOnline(s, r.Once, now), right)
+			case blocked.server == nil || blocked.rank >= rankSuspect:
+				blocked.replace(s, p.rankOnline(s, r.Once, now), right)
 			}
 		}
 	}
-	if best == nil {
+	// A slot that the request may ask for later is better than to queue at a backend server, or to try
+	// one that failed recently.
+	if blocked.server != nil && (best.server == nil || blocked.rank < rankSuspect && best.rank >= rankSuspect) {
+		best = blocked
+	}
+	if best.server == nil {
 		return Choice{}, false
 	}
-	c := best.choice(now)
-	p.addLoad(best, 1, 0)
-	return c, true
+	choice := best.choice(now)
+	choice.Right = best.right
+	p.addLoad(best.server, 1, 0)
+	return choice, true
+}
+
+// candidate is the best backend server so far in a choice.
+type candidate struct {
+	*server
+	rank  float64
+	right Right
+}
+
+// hasFree reports whether a slot is free at the candidate.
+func (c *candidate) hasFree(now time.Time) bool { return c.server != nil && c.freeSlots(0, now) > 0 }
+
+// replace replaces the candidate by one with a lower rank.
+func (c *candidate) replace(s *server, rank float64, right Right) {
+	if c.server == nil || rank < c.rank {
+		*c = candidate{s, rank, right}
+	}
 }
 
 func (p *Pool) rankOnline(s *server, once bool, now time.Time) float64 {
@@ -148,7 +187,7 @@
 	total := 0
 	p.weights = p.weights[:0]
 	for _, s := range list {
-		weight := v.batchWeight(s, s.freeSlots(reserve, now))
+		weight := v.batchWeight(s, p.itemSlots(s, reserve, now))
 		p.weights = append(p.weights, weight)
 		total += weight
 	}
@@ -220,6 +259,9 @@
 	if c.Full() {
 		return Choice{}, false
 	}
+	if p.statesStarts[s.Service] {
+		c.Right = RightFreed
+	}
 	p.addLoad(s, 1, 0)
 	return c, true
 }
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -42,6 +42,7 @@
 func (s *server) addPeerLoad(name string, l Load) {
 	s.peerLoad.Online += l.Online
 	s.peerLoad.Batch += l.Batch
+	s.resetVisible()
 	if l.Batch > 0 {
 		if s.batchPeers == nil {
 			s.batchPeers = map[string]int{}
--- a/pool/speed.go
+++ b/pool/speed.go
@@ -156,8 +156,12 @@
 // entries, views 0.1 s old, and bursts of 1.85 times the mean load. A stream holds a slot of a fast
 // server half as long, which leaves slots to batch items. But within the age of a view three requests
 // arrive for each fast server. So the preference is in proportion to the free slots: it is strong
-// while these are many, and the last slots of a fast server are used like any others.
+// while these are many, and the last slots of a fast server are used like any others. Where an item has
+// to be preempted, a fast server is preferred by a slot: the rights spread such requests over the entries.
 func (s *server) speedRank(used int) float64 {
+	if used >= s.Slots {
+		return s.preference
+	}
 	return s.preference * float64(max(s.Slots-used-speedHeadroom, 0))
 }
 
