relay, quota, node: order free slots between teams and priorities

sardinerock.TeamInfo.Priority and Route.Priority were decoded and used by nothing, and a team's use of slots was known nowhere. Where the configuration has teams, or online routes of one service with different priorities, a request now joins the queue with its team and priority (the team's, else the route's), its runs are charged to its team, and its retry delay after a rejection is spread. What the other entries admit for a team with a quota comes from the reports that they send already (Teams.RecentlyAdmitted). A request that leaves a free slot to others is logged once (event 212) and counted; 901 and 906 name team and priority; counters by team for the first 100 teams.

--- a/access/access.go
+++ b/access/access.go
@@ -109,7 +109,7 @@
 	if !a.withinQuota(w, table, route, identity.Team, &call, clock.BootClock()) {
 		return
 	}
-	request := &sardinerock.OnlineRequest{Table: table, Route: route, Call: &call, Received: received, WaitedBefore: a.waitedBefore(route.Name, call.Timeout)}
+	request := &sardinerock.OnlineRequest{Table: table, Route: route, Call: &call, Team: identity.Team, Received: received, WaitedBefore: a.waitedBefore(route.Name, call.Timeout)}
 	if identity.Team != nil {
 		request.KeyValid = func() bool { return a.holdsKey(call.Key, identity.Team) }
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -26,6 +26,7 @@
 	CallerUnknown   ID = 207
 	OverQuota       ID = 208
 	HomeSilent      ID = 209
+	Yielded         ID = 212
 	GateAdmitted    ID = 301
 	GateRefused     ID = 302
 	GatePreempted   ID = 303
--- a/node/node.go
+++ b/node/node.go
@@ -333,6 +333,10 @@
 		Preempt: n.preempt,
 		Entries: func() int { return len(n.gossip.Live(time.Now())) },
 		ViewAge: n.gossip.ViewAge,
+		RecentlyAdmitted: func(team string) (here, elsewhere float64) {
+			return n.quota.RecentlyAdmitted(team, clock.BootClock())
+		},
+		Random:  newRandom(5),
 		Crashes: n.crashes,
 		Events:  n.Events, Metrics: n.Metrics,
 	}
--- a/quota/home.go
+++ b/quota/home.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/usage"
 )
 
 // Query asks a team's home entry whether one more request of the team may be admitted.
@@ -78,6 +79,7 @@
 	}
 	a.level--
 	received.admitted++
+	a.admittedElsewhere.Add(1, now, usage.Window)
 	a.peers[peer] = received
 	return Decision{Admitted: true}
 }
--- a/quota/report.go
+++ b/quota/report.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/sardinerock/sardinerock/usage"
 )
 
 const (
@@ -85,6 +87,7 @@
 func (q *Teams) applyCounts(a *account, peer string, justStarted bool, c peerCounts, now time.Time) {
 	admitted, requested := a.increase(peer, justStarted, c)
 	a.level -= admitted
+	a.admittedElsewhere.Add(admitted, now, usage.Window)
 	if requested > 0 {
 		a.requestRate.add(now, requested)
 	}
--- a/quota/teams.go
+++ b/quota/teams.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/usage"
 )
 
 const (
@@ -106,7 +107,10 @@
 	changedAt time.Time
 	// requestRate is the team's request rate at all entries, localRate that at this one.
 	requestRate, localRate secondRate
-	peers                  map[string]peerCounts
+	// admittedHere and admittedElsewhere are the requests that this entry and all others
+	// have admitted recently, as sums that decay over usage.Window.
+	admittedHere, admittedElsewhere usage.Sum
+	peers                           map[string]peerCounts
 	// nextRetry is when the caller rejected last at this entry should retry.
 	nextRetry time.Time
 }
@@ -252,6 +256,7 @@
 	if ok {
 		a.level--
 		a.own.admitted++
+		a.admittedHere.Add(1, now, usage.Window)
 	}
 	return ok, retryAfter
 }
@@ -307,6 +312,7 @@
 	}
 	a.level++
 	a.own.admitted--
+	a.admittedHere.Add(-1, now, usage.Window)
 	q.markChanged(a, now)
 }
 
@@ -328,6 +334,19 @@
 	return q.accounts[team.Name].level
 }
 
+// RecentlyAdmitted returns how many requests of a team this entry and all others have
+// admitted recently, as sums that decay over usage.Window. Both are 0 for a team without a
+// quota. What a lost entry admitted decays like the rest.
+func (q *Teams) RecentlyAdmitted(team string, now time.Time) (here, elsewhere float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	a := q.accounts[team]
+	if a == nil {
+		return 0, 0
+	}
+	return a.admittedHere.Value(now, usage.Window), a.admittedElsewhere.Value(now, usage.Window)
+}
+
 // RequestRate returns a team's requests per second at all entries, for log lines.
 func (q *Teams) RequestRate(team *sardinerock.TeamInfo, now time.Time) float64 {
 	q.mu.Lock()
--- a/quota/teams_test.go
+++ b/quota/teams_test.go
@@ -430,3 +430,41 @@
 		q.Admit(teams[700], now)
 	}
 }
+
+// Requests that all entries admit for a team must count at each of them for its use of slots;
+// refunded ones must not. Without reports from a lost entry its part must age out.
+func TestRecentlyAdmittedCountsAllEntries(t *testing.T) {
+	g := NewWithT(t)
+	cl := newCluster(3, 0, sardinerock.TeamInfo{Name: "a", PerSecond: 100, Burst: 100})
+	exchange := func() {
+		for _, from := range cl.entries {
+			reports := from.Reports(cl.now, time.Minute)
+			for _, to := range cl.entries {
+				if to != from {
+					to.Receive(from.name, 1, reports, cl.now)
+				}
+			}
+		}
+	}
+	for n, e := range cl.entries {
+		for range 10 * (n + 1) {
+			e.Admit(cl.team, cl.now)
+		}
+	}
+	cl.entries[2].Refund(cl.team, cl.now)
+	exchange()
+	for range 5 {
+		cl.entries[1].Admit(cl.team, cl.now)
+	}
+	exchange()
+	here, elsewhere := cl.entries[0].RecentlyAdmitted("a", cl.now)
+	g.Expect(here).To(BeNumerically("~", 10, 0.01))
+	// Of the first report of each peer, one request counts as recent.
+	g.Expect(elsewhere).To(BeNumerically("~", 1+1+5, 0.01))
+	here, _ = cl.entries[2].RecentlyAdmitted("a", cl.now)
+	g.Expect(here).To(BeNumerically("~", 29, 0.01))
+	_, elsewhere = cl.entries[0].RecentlyAdmitted("a", cl.now.Add(time.Minute))
+	g.Expect(elsewhere).To(BeNumerically("<", 0.01))
+	here, elsewhere = cl.entries[0].RecentlyAdmitted("without quota", cl.now)
+	g.Expect(here + elsewhere).To(BeZero())
+}
--- /dev/null
+++ b/relay/order_test.go
@@ -0,0 +1,169 @@
+package relay_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/pool"
+)
+
+// withTeams gives the testbed teams whose keys are their names.
+func (s *testbed) withTeams(teams ...*sardinerock.TeamInfo) *testbed {
+	keys := map[sardinerock.KeyDigest]*sardinerock.TeamInfo{}
+	for _, m := range teams {
+		keys[sardinerock.DigestKey(m.Name)] = m
+	}
+	s.table.Teams = sardinerock.NewTeamTable(teams, keys)
+	s.access.Quota = s.quota()
+	for i := range s.table.Routes {
+		s.table.Routes[i].LatencyTarget, s.table.Routes[i].Timeout = 10*time.Second, 20*time.Second
+	}
+	return s
+}
+
+// postAs sends a request and ignores the response.
+func (s *testbed) postAs(path, id, key string) {
+	r, _ := http.NewRequest(http.MethodPost, s.front.URL+path, strings.NewReader("body"))
+	r.Host = "h.example"
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Token-Usage", s.tokens)
+	r.Header.Set("X-Api-Key", key)
+	if resp, err := s.front.Client().Do(r); err == nil {
+		resp.Body.Close()
+	}
+}
+
+// All slots are taken, and requests wait. When one slot comes free, an urgent request must get
+// it before one that came earlier, and a team that holds all slots must come after teams
+// that use less. Otherwise one team's excess delays all others.
+func TestFreedSlotGoesToTheFirstInOrder(t *testing.T) {
+	for name, c := range map[string]struct {
+		team                 sardinerock.TeamInfo
+		urgentPath, otherKey string
+	}{
+		"priority of the team":      {sardinerock.TeamInfo{Name: "urgent", HasPriority: true}, "/once/x", "calm"},
+		"priority of the route":     {sardinerock.TeamInfo{Name: "urgent"}, "/safe/x", "calm"},
+		"team that holds all slots": {sardinerock.TeamInfo{Name: "urgent"}, "/once/x", "large"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestbed(t).withReservations().withTeams(&c.team, &sardinerock.TeamInfo{Name: "calm"}, &sardinerock.TeamInfo{Name: "large"})
+			for i := range s.table.Routes {
+				if s.table.Routes[i].Prefix != "/safe/" {
+					s.table.Routes[i].Priority = 2
+				}
+			}
+			release, held, started := make(chan struct{}), make(chan struct{}, 10), make(chan string, 10)
+			var arrived atomic.Int64
+			s.access.Table = func() *sardinerock.RouteTable {
+				arrived.Add(1)
+				return s.current()
+			}
+			// post sends requests and waits until they have arrived.
+			post := func(n int64, path, id, key string) {
+				before := arrived.Load()
+				for range n {
+					go s.postAs(path, id, key)
+				}
+				s.g.Eventually(arrived.Load, 10*time.Second).Should(BeNumerically(">=", before+n))
+			}
+			s.fallback = func(c net.Conn, r *http.Request) {
+				switch id := r.Header.Get("Request-Id"); {
+				case strings.HasSuffix(r.URL.Path, "/x") && id == "first":
+					held <- struct{}{}
+					<-release
+				case strings.HasSuffix(r.URL.Path, "/x"):
+					started <- id
+				default:
+					slotReserved(c, r)
+					return
+				}
+				completeResponse(200, "")(c, r)
+			}
+			const slots = 3 * 2
+			post(slots, "/once/x", "first", "large")
+			for range slots {
+				s.g.Eventually(held, 10*time.Second).Should(Receive())
+			}
+			post(2, "/once/x", "other", c.otherKey)
+			post(2, c.urgentPath, "urgent", "urgent")
+			if c.otherKey == "large" {
+				post(1, "/once/x", "urgent", "calm")
+			}
+			// From their arrival the requests take less than this to be queued.
+			time.Sleep(50 * time.Millisecond)
+			s.g.Expect(started).To(BeEmpty())
+			release <- struct{}{}
+			for range 2 {
+				var id string
+				s.g.Eventually(started, 10*time.Second).Should(Receive(&id))
+				s.g.Expect(id).To(Equal("urgent"))
+			}
+			close(release)
+		})
+	}
+}
+
+// Many callers are rejected at once while all slots are taken. Where callers have teams,
+// their retry delays must differ; elsewhere they must stay as computed.
+func TestRejectedCallersOfTeamsRetryAtDifferentTimes(t *testing.T) {
+	for name, delays := range map[string]int{"teams": 3, "no teams": 1} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestbed(t).withReservations()
+			if name == "teams" {
+				s.withTeams(&sardinerock.TeamInfo{Name: "team"})
+				s.key = "team"
+			}
+			s.relay.Random = rand.New(rand.NewPCG(1, 1))
+			s.table.Routes[1].EventTimeout, s.table.Routes[1].Timeout, s.wait = 100*time.Millisecond, time.Minute, "5000"
+			s.table.Routes[1].LatencyTarget = 10 * time.Millisecond
+			for i := range 3 {
+				s.pool.SetPeer(fmt.Sprint("peer", i), []pool.Load{{Server: pool.Hash(fmt.Sprint("i-", i)), Online: 4}}, time.Now().Add(time.Hour))
+			}
+			seen := map[string]bool{}
+			for range 6 {
+				resp, _, err := s.post("/stream/x")
+				s.g.Expect(err).NotTo(HaveOccurred())
+				s.g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+				seen[resp.Header.Get("Retry-After-Ms")+resp.Header.Get("Retry-After")] = true
+			}
+			s.g.Expect(len(seen)).To(BeNumerically(">=", delays))
+			if delays == 1 {
+				s.g.Expect(seen).To(HaveLen(1))
+			}
+		})
+	}
+}
+
+// Thousands of teams send requests. Only a bounded number may have metrics of their own, or
+// the memory and the page of metrics would grow with the teams.
+func TestMetricsByTeamAreBounded(t *testing.T) {
+	const teams = 120
+	s := newTestbed(t)
+	var list []*sardinerock.TeamInfo
+	for n := range teams {
+		list = append(list, &sardinerock.TeamInfo{Name: fmt.Sprint("team-", n)})
+	}
+	s.withTeams(list...)
+	s.fallback = completeResponse(200, "")
+	for n := range teams {
+		s.postAs("/once/x", "r", fmt.Sprint("team-", n))
+	}
+	named := 0
+	s.relay.Metrics.Each(func(name string, _ any) {
+		if strings.HasPrefix(name, "team.") {
+			named++
+		}
+	})
+	s.g.Expect(named).To(Equal(101))
+	s.g.Expect(metrics.GetOrRegisterCounter("team.others.served", s.relay.Metrics).Count()).To(BeNumerically("==", teams-100))
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -44,6 +44,11 @@
 	ViewAge func() time.Duration
 	// Entries returns the number of live entries, including this one.
 	Entries func() int
+	// RecentlyAdmitted returns how many requests of a team this entry and all others have
+	// admitted, as sums that decay over usage.Window; nil if that is unknown.
+	RecentlyAdmitted func(team string) (here, elsewhere float64)
+	// Random spreads the retry delays of rejected callers; nil to leave them as computed.
+	Random  *rand.Rand
 	Events  *event.Logger
 	Metrics metrics.Registry
 
@@ -51,6 +56,7 @@
 	queue admit.Queue
 	// onTimeRates measures the rate of requests that can still meet their target.
 	onTimeRates admit.Rates
+	order       order
 }
 
 func (l *Relay) count(name string) {
@@ -116,6 +122,8 @@
 	p.serviceInfo = q.Table.Services[p.service]
 	capacity := l.Pool.Capacity(p.service, p.received)
 	p.waiter = admit.NewWaiter(p.received.Add(-p.waitedBefore), route.LatencyTarget, capacity.FirstByte)
+	p.expectedRun = capacity.Run
+	p.joinOrder(q)
 	if p.waitedBefore+capacity.FirstByte < route.LatencyTarget {
 		l.onTimeRates.Add(p.service, p.received)
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -81,6 +81,11 @@
 	serviceInfo sardinerock.ServiceInfo
 	// waiter represents the request in the queue of this entry.
 	waiter *admit.Waiter
+	// ordered is set if the request has a team or a priority, yielded once it has left a
+	// free slot to others.
+	ordered, yielded bool
+	// expectedRun is how long the request is expected to hold a slot.
+	expectedRun time.Duration
 	// reservation is the slot reserved for the next attempt, or nil.
 	reservation *conns.Reservation
 	timings     timings
@@ -140,6 +145,12 @@
 func (p *proxyRequest) admissionRequest(choice *pool.Choice) admit.Request {
 	now := time.Now()
 	capacity := p.relay.Pool.Capacity(p.service, now)
+	rate, aboveShare := p.relay.onTimeRates.PerSecond(p.service, now), false
+	if p.ordered {
+		if above, others := p.relay.queue.AboveShare(p.service, p.waiter, now); above {
+			rate, aboveShare = others, true
+		}
+	}
 	return admit.Request{
 		Online:       choice.Online,
 		Slots:        choice.Slots,
@@ -153,7 +164,8 @@
 		Reserves:     p.canReserve(),
 		Started:      p.started,
 		MustYield:    !choice.Full() && p.relay.queue.MustYield(p.service, p.waiter, now),
-		Headroom:     admit.Headroom(p.relay.onTimeRates.PerSecond(p.service, now)*float64(p.relay.Entries()), p.relay.ViewAge(), capacity.Servers),
+		AboveShare:   aboveShare,
+		Headroom:     admit.Headroom(rate*float64(p.relay.Entries()), p.relay.ViewAge(), capacity.Servers),
 		Ahead:        p.relay.queue.Ahead(p.service, p.waiter, now),
 		Share:        admit.Share(capacity.OwnOnline, capacity.Slots, p.relay.Entries()),
 	}
@@ -164,11 +176,12 @@
 	sent := time.Now()
 	remaining := p.deadline.Sub(sent)
 	p.timings.attemptSent(sent)
+	p.startRun(sent)
 	resp, err := p.relay.Conns.Send(p.ctx, &choice.BackendServer, p.call, sardinerock.Attempt{
 		Instance: choice.ID, Remaining: remaining, ResumeAfter: p.resume, HeadTimeout: p.headTimeoutFor(choice),
 	}, p.reservation)
 	if err != nil {
-		p.relay.done(choice, p.ctx.Err() == nil)
+		p.endRun(choice, sent, p.ctx.Err() == nil)
 		p.timings.add(&p.timings.failed, sent)
 		p.logFailure(choice, err)
 		if errors.Is(err, conns.ErrNotSent) {
@@ -182,7 +195,7 @@
 	}
 	defer resp.Finish()
 	result, failed := p.handleResponse(resp)
-	p.relay.done(choice, failed)
+	p.endRun(choice, sent, failed)
 	switch {
 	case result != answered && !p.started:
 		p.timings.add(&p.timings.failed, sent)
@@ -242,6 +255,7 @@
 func (p *proxyRequest) callerDisconnected() {
 	p.relay.count("relay.left")
 	p.relay.count("route." + p.route.Name + ".left")
+	p.countTeam(".left")
 	p.timings.addFields(p.relay.Events.Info(event.CallerLeft)).Str("request", p.call.ID).Str("route", p.route.Name).
 		Dur("before", p.waitedBefore).Dur("took", time.Since(p.received)).Int("events", p.events).Int("runs", p.runs).Msg("caller disconnected before its response was complete")
 }
@@ -266,7 +280,8 @@
 func (p *proxyRequest) reject(status int, reason string, retryAfter time.Duration) {
 	p.relay.count("relay.failed." + strconv.Itoa(status))
 	p.relay.count("route." + p.route.Name + ".failed")
-	p.timings.addFields(p.relay.Events.Warn(event.RequestRefused)).Str("request", p.call.ID).Str("route", p.route.Name).Int64("config", p.version).
+	p.countTeam(".failed")
+	p.timings.addFields(p.relay.Events.Warn(event.RequestRefused)).Str("request", p.call.ID).Str("route", p.route.Name).Str("team", p.call.Team).Int("priority", p.waiter.Priority).Int64("config", p.version).
 		Int("status", status).Str("reason", reason).Int("runs", p.runs).Int("refusals", p.rejections).
 		Dur("before", p.waitedBefore).Dur("took", time.Since(p.received)).Dur("retryAfter", retryAfter).Msg("request rejected")
 	sardinerock.WriteRefusal(p.relay.Dialect, p.writer, status, reason, retryAfter)
@@ -277,6 +292,7 @@
 func (p *proxyRequest) abort(err error) {
 	p.relay.count("relay.aborted")
 	p.relay.count("route." + p.route.Name + ".failed")
+	p.countTeam(".failed")
 	p.timings.addFields(p.relay.Events.Warn(event.AnswerBroken)).Str("request", p.call.ID).Str("route", p.route.Name).Err(err).
 		Int("events", p.events).Int("runs", p.runs).Dur("took", time.Since(p.received)).Msg("response incomplete; aborting the caller's connection")
 	panic(http.ErrAbortHandler)
@@ -285,11 +301,13 @@
 func (p *proxyRequest) served(resp *conns.Response) {
 	p.relay.count("relay.served." + strconv.Itoa(resp.StatusCode/100) + "xx")
 	p.relay.count("route." + p.route.Name + ".served")
+	p.countTeam(".served")
 	metrics.GetOrRegisterTimer("relay.first", p.relay.Metrics).Update(p.firstByte)
 	metrics.GetOrRegisterTimer("relay.whole", p.relay.Metrics).UpdateSince(p.received)
 	e := p.relay.Events.Info(event.RequestServed)
 	if p.late() {
 		p.relay.count("route." + p.route.Name + ".late")
+		p.countTeam(".late")
 		e = p.timings.addFields(e).Bool("late", true).Dur("before", p.waitedBefore).Dur("target", p.route.LatencyTarget).Dur("pause", p.route.GapTarget)
 	}
 	e.Str("request", p.call.ID).Str("route", p.route.Name).Int("status", resp.StatusCode).
--- a/relay/wait.go
+++ b/relay/wait.go
@@ -34,16 +34,17 @@
 			if waited {
 				metrics.GetOrRegisterTimer("relay.held", p.relay.Metrics).Update(time.Since(p.received))
 				p.relay.Events.Info(event.RequestHeld).Str("request", p.call.ID).Dur("waited", a.Waited).Dur("left", a.Remaining).
-					Int("ahead", a.Ahead).Msg("request admitted after waiting for a slot")
+					Int("ahead", a.Ahead).Str("team", p.call.Team).Int("priority", p.waiter.Priority).Msg("request admitted after waiting for a slot")
 			}
 			return choice, true
 		case admit.Reject:
 			p.relay.Pool.CancelOnline(choice.ID)
-			p.giveUp("no slot comes free in time", d.RetryAfter)
+			p.giveUp("no slot comes free in time", p.spread(d.RetryAfter))
 			return choice, false
 		}
 		p.relay.Pool.CancelOnline(choice.ID)
 		p.timings.setBlockedBy(&choice)
+		p.yield(&choice, &a)
 		if !p.waitInQueue() {
 			p.callerDisconnected()
 			return choice, false
@@ -67,6 +68,7 @@
 	select {
 	case server := <-p.waiter.Offer:
 		if p.tried[server] || p.atMostOnce() && p.relay.Pool.Suspect(server, time.Now()) {
+			p.passOn(server)
 			return pool.Choice{}, false
 		}
 		return p.relay.Pool.ChooseServer(server, time.Now())
--- a/serving.go
+++ b/serving.go
@@ -245,6 +245,8 @@
 	Table *RouteTable
 	Route *Route
 	Call  *Call
+	// Team is the caller's team; nil if it has none.
+	Team *TeamInfo
 	// Received is when the request arrived, and WaitedBefore how long the caller had waited before that.
 	Received     time.Time
 	WaitedBefore time.Duration
