--- a/admit/queue_test.go
+++ b/admit/queue_test.go
@@ -206,3 +206,24 @@
 	g.Expect(above).To(BeFalse())
 	g.Expect(q.OfferSlot("s", "b", later)).To(BeTrue())
 }
+
+// A team is removed from the configuration or renamed, and its record expires, while a request
+// of it waits. The request must stay in the queue, and its run must end without harm.
+func TestRequestsOfAnUnknownTeamStayQueued(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	q := teamQueue(now)
+	w := NewWaiter(now, time.Hour, 40*ms)
+	w.Team = "small"
+	q.Add("s", w)
+	now = now.Add(10 * time.Minute)
+	for range 10 {
+		q.Arrive("s", &Waiter{Team: "new", LatestStart: now}, 0, 0, now)
+	}
+	g.Expect(q.CountOnTime("s", now)).To(Equal(1))
+	g.Expect(q.OfferSlot("s", "a", now)).To(BeTrue())
+	w.expectOffer(g, "a")
+	q.Start("s", w, time.Second, now)
+	q.End("s", w, time.Second, now)
+	g.Expect(q.MustYield("s", w, now)).To(BeFalse())
+}
--- a/admit/rate.go
+++ b/admit/rate.go
@@ -75,3 +75,15 @@
 // the visible use of its slot by another entry: one reports that the slot is free,
 // one that it is taken again.
 const updatesPerReuse = 2
+
+// ShareHeadroom returns how many slots of each backend server requests of a team above its
+// fair share leave free: the on-time requests of all other teams that arrive within one load
+// update. By then their entries have received that the slots are free.
+//
+// It is designed for a team that sends half of all requests in a burst beyond all slots: at
+// entries where only its requests wait, it would take slots that other teams' requests
+// at other entries need. Twice as much, as for late requests, serves the others no better and
+// makes a tenth of the large teams' requests late where the use of teams differs much every day.
+func ShareHeadroom(othersPerSecond float64, viewAge time.Duration, servers int) int {
+	return Headroom(othersPerSecond/updatesPerReuse, viewAge, servers)
+}
--- a/relay/request.go
+++ b/relay/request.go
@@ -145,10 +145,13 @@
 func (p *proxyRequest) admissionRequest(choice *pool.Choice) admit.Request {
 	now := time.Now()
 	capacity := p.relay.Pool.Capacity(p.service, now)
-	rate, aboveShare := p.relay.onTimeRates.PerSecond(p.service, now), false
+	entries := float64(p.relay.Entries())
+	headroom := admit.Headroom(p.relay.onTimeRates.PerSecond(p.service, now)*entries, p.relay.ViewAge(), capacity.Servers)
+	aboveShare := false
 	if p.ordered {
-		if above, others := p.relay.queue.AboveShare(p.service, p.waiter, now); above {
-			rate, aboveShare = others, true
+		var others float64
+		if aboveShare, others = p.relay.queue.AboveShare(p.service, p.waiter, now); aboveShare {
+			headroom = admit.ShareHeadroom(others*entries, p.relay.ViewAge(), capacity.Servers)
 		}
 	}
 	return admit.Request{
@@ -165,7 +168,7 @@
 		Started:      p.started,
 		MustYield:    !choice.Full() && p.relay.queue.MustYield(p.service, p.waiter, now),
 		AboveShare:   aboveShare,
-		Headroom:     admit.Headroom(rate*float64(p.relay.Entries()), p.relay.ViewAge(), capacity.Servers),
+		Headroom:     headroom,
 		Ahead:        p.relay.queue.Ahead(p.service, p.waiter, now),
 		Share:        admit.Share(capacity.OwnOnline, capacity.Slots, p.relay.Entries()),
 	}
