--- a/event/event.go
+++ b/event/event.go
@@ -28,6 +28,7 @@
 	HomeSilent      ID = 209
 	SpeedChanged    ID = 210
 	SlotsScarce     ID = 211
+	Yielded         ID = 212
 	GateAdmitted    ID = 301
 	GateRefused     ID = 302
 	GatePreempted   ID = 303
