--- a/pool/bench_test.go
+++ b/pool/bench_test.go
@@ -63,3 +63,61 @@
 		p.BatchServers()
 	}
 }
+
+// fullPool returns a pool of 400 full backend servers and the loads of 500 other entries, which run
+// three batch items on each backend server.
+func fullPool(started int64) *Pool {
+	p, now := newPool("a", 400, 8), time.Now()
+	list := servers(400, 8)
+	for n := range list {
+		list[n].Started = started
+	}
+	p.SetServers(list)
+	for n := range 500 {
+		var loads []Load
+		for m := range 16 {
+			l := Load{Server: Hash(list[(n+25*m)%400].ID), Online: m % 2}
+			if m < 3 {
+				l.Batch = 1
+			}
+			loads = append(loads, l)
+		}
+		p.SetPeer(fmt.Sprint("e", n), loads, now)
+	}
+	return p
+}
+
+func BenchmarkOnlineAmongFull(b *testing.B) {
+	for name, started := range map[string]int64{"no starts": 0, "starts": 1} {
+		b.Run(name, func(b *testing.B) {
+			p, now := fullPool(started), time.Now()
+			b.ReportAllocs()
+			for b.Loop() {
+				c, _ := p.ChooseOnline("s", nil, now)
+				p.PreemptHolder(c.ID, now)
+				p.Done(c.ID, false, false, now)
+			}
+		})
+	}
+}
+
+func BenchmarkRunsUpdate(b *testing.B) {
+	p, now := fullPool(1), time.Now()
+	r := p.runs["s"]
+	b.ReportAllocs()
+	for b.Loop() {
+		r.update(p, "s", now)
+	}
+}
+
+func BenchmarkSetPeer(b *testing.B) {
+	p, now := fullPool(1), time.Now()
+	loads := make([]Load, 0, 16)
+	for n := range 16 {
+		loads = append(loads, Load{Server: Hash(fmt.Sprint("i-", n)), Online: 1, Batch: n % 2})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		p.SetPeer("e1", loads, now)
+	}
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -43,6 +43,10 @@
 	otherZone bool
 	online    int
 	batch     int
+	// preempt is the run that this entry would preempt there, runs those of its service; both are nil
+	// if it isn't known.
+	preempt *run
+	runs    *runs
 	// batchStarted is when the last of this entry's batch items started.
 	batchStarted time.Time
 	// peerLoad is the sum of what the other entries run there. It is updated with each
--- a/pool/runs.go
+++ b/pool/runs.go
@@ -11,13 +11,18 @@
 	// runsCacheTime is how long the list of runs to preempt is reused. Making it iterates over the
 	// runs of all entries.
 	runsCacheTime = 50 * time.Millisecond
-	// askedTime is how long a run that this entry has asked to be preempted isn't chosen again: until
-	// the report of its holder shows the end of the run.
-	askedTime = 300 * time.Millisecond
-	// candidatesPerEntry is the number of runs, for each entry, among which a run to preempt is
-	// chosen. At the beginning of a burst each entry preempts about one run within the age of a view.
-	// With fewer, several entries often choose the same run; with more, older runs are preempted.
-	candidatesPerEntry = 1.5
+	// minAskedTime is the minimum time for which a run that this entry has asked to be preempted isn't
+	// chosen again: until the report of its holder shows the end of the run, which takes askedAges
+	// times the average age of the reports.
+	minAskedTime = 300 * time.Millisecond
+	askedAges    = 4
+	// youngAge is the average age of the reports up to which an entry chooses among as many runs as
+	// there are entries: at the beginning of a burst each entry preempts about one within a round of
+	// messages, 0.1 s. Among fewer runs several entries often choose the same one; with more, older
+	// runs are preempted. With older reports there are more in proportion.
+	youngAge = 50 * time.Millisecond
+	// maxReportAge bounds what the report of an entry that is lost or paused adds to the average.
+	maxReportAge = time.Second
 )
 
 // Preferences between full backend servers, by the run that would be preempted there. They are added
@@ -42,6 +47,8 @@
 type run struct {
 	runKey
 	started time.Time
+	// rank is how this entry prefers it, a lower one first.
+	rank float64
 }
 
 // runs chooses the runs that online requests preempt, for one service.
@@ -55,19 +62,12 @@
 // those that are assigned to it first.
 type runs struct {
 	at time.Time
-	// list holds the youngest runs, best how this entry prefers them by backend server.
+	// list holds the youngest runs.
 	list []run
-	best map[*server]preference
 	// asked holds when this entry has asked for a preemption.
 	asked map[runKey]time.Time
 }
 
-// preference is the run that this entry would preempt at a backend server.
-type preference struct {
-	holder string
-	rank   float64
-}
-
 // startedRuns returns, by backend server, when the last run of a report started: now if the count has
 // risen since the last report.
 func startedRuns(last *peer, loads []Load, now time.Time) map[uint32]time.Time {
@@ -90,16 +90,33 @@
 	return started
 }
 
+// updateRuns sets the runs of each backend server for a new list of backend servers.
+func (p *Pool) updateRuns() {
+	if p.runs == nil {
+		p.runs = map[string]*runs{}
+	}
+	for service, list := range p.byService {
+		if !p.statesStarts[service] {
+			delete(p.runs, service)
+		} else if p.runs[service] == nil {
+			p.runs[service] = &runs{asked: map[runKey]time.Time{}}
+		}
+		for _, s := range list {
+			s.runs = p.runs[service]
+		}
+	}
+}
+
 // preemptRank returns the preference of a full backend server, 0 for a service that doesn't state starts.
 func (p *Pool) preemptRank(s *server, now time.Time) float64 {
-	if !p.statesStarts[s.Service] {
+	if s.runs == nil {
 		return 0
 	}
-	r := p.runsOf(s.Service, now)
-	if best, ok := r.best[s]; ok {
-		return best.rank
+	s.runs.refresh(p, s.Service, now)
+	if s.preempt == nil {
+		return preferOther
 	}
-	return preferOther
+	return s.preempt.rank
 }
 
 // PreemptHolder returns the entry whose run at a backend server is to be preempted for an online
@@ -108,80 +125,94 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.servers[id]
-	if s == nil || !p.statesStarts[s.Service] {
+	if s == nil || s.runs == nil {
 		return "", false
 	}
-	r := p.runsOf(s.Service, now)
-	best, ok := r.best[s]
-	if !ok {
+	r := s.runs
+	r.refresh(p, s.Service, now)
+	if s.preempt == nil {
 		return "", false
 	}
-	r.asked[runKey{best.holder, s}] = now
-	r.prefer(p)
-	return best.holder, true
+	holder := s.preempt.holder
+	r.asked[s.preempt.runKey] = now
+	s.preempt = nil
+	for n := range r.list {
+		if r.list[n].server == s {
+			r.consider(&r.list[n])
+		}
+	}
+	return holder, true
 }
 
-// runsOf returns the runs of a service, which it updates if they are too old.
-func (p *Pool) runsOf(service string, now time.Time) *runs {
-	if p.runs == nil {
-		p.runs = map[string]*runs{}
-	}
-	r := p.runs[service]
-	if r == nil {
-		r = &runs{best: map[*server]preference{}, asked: map[runKey]time.Time{}}
-		p.runs[service] = r
-	}
+// refresh updates the runs of a service if they are too old.
+func (r *runs) refresh(p *Pool, service string, now time.Time) {
 	if elapsed := now.Sub(r.at); elapsed < 0 || elapsed >= runsCacheTime {
 		r.at = now
 		r.update(p, service, now)
 	}
-	return r
 }
 
 // update lists the youngest runs of a service.
 func (r *runs) update(p *Pool, service string, now time.Time) {
+	for n := range r.list {
+		r.list[n].server.preempt = nil
+	}
 	r.list = r.list[:0]
 	for name, report := range p.peers {
 		for hash, started := range report.started {
 			if s := p.byHash[hash]; s != nil && s.Service == service {
-				r.list = append(r.list, run{runKey{name, s}, started})
+				r.list = append(r.list, run{runKey: runKey{name, s}, started: started})
 			}
 		}
 	}
 	for _, s := range p.busy {
 		if s.batch > 0 && s.Service == service {
-			r.list = append(r.list, run{runKey{p.Name, s}, s.batchStarted})
+			r.list = append(r.list, run{runKey: runKey{p.Name, s}, started: s.batchStarted})
 		}
 	}
 	slices.SortFunc(r.list, func(a, b run) int { return b.started.Compare(a.started) })
-	n := int(candidatesPerEntry * float64(len(p.peers)+1))
+	age := p.reportAge(now)
+	n := int(float64(len(p.peers)+1) * max(float64(age)/float64(youngAge), 1))
 	r.list = r.list[:min(n, len(r.list))]
-	maps.DeleteFunc(r.asked, func(_ runKey, at time.Time) bool { return now.Sub(at) >= askedTime })
-	r.prefer(p)
-}
-
-// prefer sets the preferences.
-func (r *runs) prefer(p *Pool) {
-	clear(r.best)
-	entries := uint32(len(p.peers) + 1)
-	own := p.position()
-	for n, run := range r.list {
-		if _, ok := r.asked[run.runKey]; ok {
-			continue
-		}
-		rank := float64(preferYoung)
+	maps.DeleteFunc(r.asked, func(_ runKey, at time.Time) bool { return now.Sub(at) >= max(askedAges*age, minAskedTime) })
+	entries, own := uint32(len(p.peers)+1), p.position()
+	for n := range r.list {
+		run := &r.list[n]
+		run.rank = preferYoung
 		if (run.server.hash^Hash(run.holder)*hashFactor)%entries == own {
-			rank = preferAssigned + float64(n)/float64(len(r.list))
-		}
-		if best, ok := r.best[run.server]; !ok || rank < best.rank {
-			r.best[run.server] = preference{run.holder, rank}
+			run.rank = preferAssigned + float64(n)/float64(len(r.list))
 		}
+		r.consider(run)
+	}
+}
+
+// consider makes a run the one that this entry would preempt at its backend server, if it prefers it.
+func (r *runs) consider(run *run) {
+	if _, ok := r.asked[run.runKey]; ok {
+		return
+	}
+	if best := run.server.preempt; best == nil || run.rank < best.rank {
+		run.server.preempt = run
 	}
 }
 
 // hashFactor mixes the hash of an entry with that of a backend server.
 const hashFactor = 2654435761
 
+// reportAge returns the average age of the reports of the other entries that run requests; idle ones
+// report seldom.
+func (p *Pool) reportAge(now time.Time) time.Duration {
+	var sum time.Duration
+	reports := 0
+	for _, report := range p.peers {
+		if len(report.loads) > 0 {
+			sum += min(now.Sub(report.at), maxReportAge)
+			reports++
+		}
+	}
+	return sum / time.Duration(max(reports, 1))
+}
+
 // position returns the position of this entry's name among those of all entries.
 func (p *Pool) position() uint32 {
 	n := uint32(0)
--- a/pool/starts.go
+++ b/pool/starts.go
@@ -31,6 +31,7 @@
 		}
 		p.statesStarts[service] = listed > 0 && stated == listed
 	}
+	p.updateRuns()
 }
 
 // Speed returns the estimate of a backend server's speed, speed.Unknown if there is none.
--- a/runner/lull.go
+++ b/runner/lull.go
@@ -22,8 +22,8 @@
 	loggedAt      time.Time
 }
 
-// observeOnline learns how the number of online requests of each service varies. It acts for services
-// that state the starts of their backend servers.
+// observeOnline learns how the number of online requests varies, of each service that runs items and
+// states the starts of its backend servers.
 func (r *Runner) observeOnline(now time.Time) {
 	table := r.Table()
 	if table == nil {
@@ -32,28 +32,37 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for service := range r.headroom {
-		if _, ok := table.Services[service]; !ok {
+		if !r.Pool.StatesStarts(service) {
 			delete(r.headroom, service)
 		}
 	}
-	kept := 0
-	for service := range table.Services {
-		if !r.Pool.StatesStarts(service) {
-			delete(r.headroom, service)
+	for n := range table.Routes {
+		if table.Routes[n].Kind != sardinerock.RouteBatch {
 			continue
 		}
-		h := r.headroom[service]
-		if h == nil {
-			h = &headroom{}
-			r.headroom[service] = h
+		for _, share := range table.Routes[n].Shares {
+			if r.Pool.StatesStarts(share.Service) {
+				r.observeService(share.Service, now)
+			}
 		}
-		online, slots := r.Pool.Online(service, now)
-		h.Observe(online, now)
-		h.slots = h.Slots(slots)
-		kept += h.slots
-		r.logHeadroom(service, h, slots, now)
 	}
-	metrics.GetOrRegisterGauge("batch.headroom", r.Metrics).Update(int64(kept))
+	all := 0
+	for _, h := range r.headroom {
+		all += h.slots
+	}
+	metrics.GetOrRegisterGauge("batch.headroom", r.Metrics).Update(int64(all))
+}
+
+func (r *Runner) observeService(service string, now time.Time) {
+	h := r.headroom[service]
+	if h == nil {
+		h = &headroom{}
+		r.headroom[service] = h
+	}
+	online, slots := r.Pool.Online(service, now)
+	h.Observe(online, now)
+	h.slots = h.Slots(slots)
+	r.logHeadroom(service, h, slots, now)
 }
 
 // logHeadroom writes a log line if the number of slots that items leave free has doubled or halved.
