items, gossip, runner: an entry's share of the free slots counts forty items at most

Cause: each entry starts items in proportion to its waiting ones. An entry with a job of 200 items gets most of the free slots while the others have a job of ten each, although these are due as soon.

Change: where the backend servers state their starts, at most forty waiting items of an entry count for its share, here and in the sum over the others. What entries report is unchanged.

--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -253,12 +253,18 @@
 
 // Waiting returns the number of batch items that the live peers could start.
 func (g *Gossip) Waiting(now time.Time) int {
+	return g.SumWaiting(now, func(waiting int) int { return waiting })
+}
+
+// SumWaiting returns the sum over the live peers of a weight of the number of batch items that each
+// could start.
+func (g *Gossip) SumWaiting(now time.Time, weight func(waiting int) int) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	n := 0
 	for _, p := range g.peers {
 		if p.live(now) {
-			n += p.last.Waiting
+			n += weight(p.last.Waiting)
 		}
 	}
 	return n
--- a/items/burst_test.go
+++ b/items/burst_test.go
@@ -34,6 +34,7 @@
 	owner        *burstEntry
 	created, due time.Time
 	events, done int
+	small        bool
 	run          *burstRun
 	stopped      time.Time
 	stalled      time.Duration
@@ -78,6 +79,8 @@
 	// load multiplies the rate of items. fast makes a quarter of the backend servers twice as fast.
 	load                   float64
 	fast, starts, constant bool
+	// large makes one job in thirty one of 200 items.
+	large bool
 	// restart is when all entries are lost and start again, viewAge how old their views are at most.
 	restart, viewAge time.Duration
 
@@ -91,7 +94,8 @@
 	queue           []burstRequest
 	jobsDue         float64
 
-	lost, useful                   time.Duration
+	// smallTime is how long the items of small jobs took in all.
+	lost, useful, smallTime        time.Duration
 	inTime, total                  int
 	preempted, refused, late, sent int
 }
@@ -118,6 +122,9 @@
 	}
 	e.estimator.RecordItem(i.events, i.stalled)
 	e.items = slices.DeleteFunc(e.items, func(o *burstItem) bool { return o == i })
+	if b.counts(i) && i.small {
+		b.smallTime += b.now.Sub(i.created)
+	}
 	if b.counts(i) && !b.now.After(i.due) {
 		b.inTime++
 	}
@@ -212,13 +219,22 @@
 		}
 	}
 	e.waiting = len(atRisk) + len(inTime)
-	started := b.start(e, atRisk, e.waiting, elsewhere, 0)
+	own := b.part(e)
+	started := b.start(e, atRisk, own, elsewhere, 0)
 	if started == len(atRisk) {
-		started += b.start(e, inTime, e.waiting, elsewhere, keepFree)
+		started += b.start(e, inTime, own, elsewhere, keepFree)
 	}
 	b.start(e, late, len(late), len(late)*(burstEntries-1), e.waiting-started+elsewhere)
 }
 
+// part returns how many waiting items count for an entry's share of the free slots.
+func (b *bursts) part(e *burstEntry) int {
+	if b.starts {
+		return SharePart(e.waiting)
+	}
+	return e.waiting
+}
+
 func (b *bursts) start(e *burstEntry, waiting []*burstItem, own, elsewhere, keepFree int) int {
 	free := e.pool.FreeSlots("s", 0, b.now)
 	for n, i := range waiting {
@@ -295,8 +311,12 @@
 	}
 	for b.jobsDue += b.load * jobsPerSecond * burstStep.Seconds() * 2 * b.random.Float64(); b.jobsDue >= 1; b.jobsDue-- {
 		e := b.entries[b.random.IntN(burstEntries)]
-		for range 10 {
-			i := &burstItem{owner: e, created: b.now, due: b.now.Add(burstDue), events: int(itemEvents * (0.6 + 0.8*b.random.Float64()))}
+		size := 10
+		if b.large && b.random.IntN(30) == 0 {
+			size = 200
+		}
+		for range size {
+			i := &burstItem{small: size == 10, owner: e, created: b.now, due: b.now.Add(burstDue), events: int(itemEvents * (0.6 + 0.8*b.random.Float64()))}
 			e.items = append(e.items, i)
 			if b.counts(i) {
 				b.total++
@@ -340,10 +360,10 @@
 		b.exchange(int(at / burstStep))
 		waiting := 0
 		for _, e := range b.entries {
-			waiting += e.waiting
+			waiting += b.part(e)
 		}
 		for _, n := range b.choices.Perm(burstEntries) {
-			b.round(b.entries[n], waiting-b.entries[n].waiting)
+			b.round(b.entries[n], waiting-b.part(b.entries[n]))
 		}
 		for _, v := range b.order {
 			for _, r := range slices.Clone(v.runs) {
@@ -395,6 +415,7 @@
 		"overload":                                {bursts{load: 1.5}, 0.1, 0.006},
 		"overload, a quarter fast":                {bursts{load: 1.5, fast: true}, 0.15, 0.002},
 		"all entries lost and back, peak unknown": {bursts{load: 1, restart: 14 * time.Second}, 0.15, 0},
+		"a large job in thirty":                   {bursts{load: 0.9, large: true}, 0.1, 0.005},
 		"constant online load":                    {bursts{load: 1, constant: true}, 0, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -408,12 +429,15 @@
 				changed.play(seed)
 			}
 			for rule, b := range map[string]*bursts{"present": &present, "new": &changed} {
-				t.Logf("%s, %s rule: %.3f of slot time lost, %.4f of %d items in time, %d preemptions, %d requests: %d refusals, %d late",
-					name, rule, b.lostShare(), b.inTimeShare(), b.total, b.preempted, b.sent, b.refused, b.late)
+				t.Logf("%s, %s rule: %.3f of slot time lost, %.4f of %d items in time, %d preemptions, %d requests: %d refusals, %d late, small jobs %s",
+					name, rule, b.lostShare(), b.inTimeShare(), b.total, b.preempted, b.sent, b.refused, b.late, b.smallTime)
 			}
 			g.Expect(changed.sent).To(Equal(present.sent), "the same load")
 			g.Expect(changed.lostShare()).To(BeNumerically("<=", (1-test.saved)*present.lostShare()))
 			g.Expect(changed.inTimeShare()).To(BeNumerically(">=", present.inTimeShare()-test.late))
+			if test.load.large {
+				g.Expect(changed.smallTime).To(BeNumerically("<", present.smallTime))
+			}
 			g.Expect(changed.late).To(BeNumerically("<=", present.late+present.sent/1000))
 		})
 	}
--- a/items/share.go
+++ b/items/share.go
@@ -14,8 +14,15 @@
 	// sixth of the time that a job usually has, which bursts take from its items anyway.
 	shareInterval = 100 * time.Millisecond
 	maxShareDelay = 3 * time.Second
+	// maxSharePart is the greatest number of waiting items that counts for an entry's share of the free
+	// slots: those of some four usual jobs. A job of 200 items would otherwise get most of the slots
+	// of a fleet whose other entries have a job of 10 each.
+	maxSharePart = 40
 )
 
+// SharePart returns how many of an entry's waiting items count for its share of the free slots.
+func SharePart(waiting int) int { return min(waiting, maxSharePart) }
+
 // SortByShare sorts items by due time as SortByDue does, but so that jobs with nearly the same due
 // time share the slots, and so do teams if there are any. The order within a job or a team stays.
 //
--- a/node/node.go
+++ b/node/node.go
@@ -306,6 +306,7 @@
 		Pace:             &items.Pacer{ViewAge: n.gossip.ViewAge, Random: newRandom(1)},
 		SlotFreed:        func(service, server string) { n.relay.OfferSlot(service, server) },
 		WaitingElsewhere: func() int { return n.gossip.Waiting(time.Now()) },
+		SumWaiting:       func(weight func(waiting int) int) int { return n.gossip.SumWaiting(time.Now(), weight) },
 		Owners:           n.owners,
 		OwnerView:        n.ownerView,
 		OwnershipCurrent: n.ownershipCurrent,
--- a/runner/lull.go
+++ b/runner/lull.go
@@ -126,3 +126,13 @@
 	}
 	return true
 }
+
+// shareParts reports whether the backend servers of all services of these items state their starts.
+func (r *Runner) shareParts(waiting []candidate) bool {
+	for n := range waiting {
+		if !r.Pool.StatesStarts(waiting[n].service) {
+			return false
+		}
+	}
+	return true
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -60,6 +60,8 @@
 	SlotFreed func(service, server string)
 	// WaitingElsewhere returns how many items the other entries could start.
 	WaitingElsewhere func() int
+	// SumWaiting returns the sum over the other entries of a weight of how many items each could start.
+	SumWaiting func(weight func(waiting int) int) int
 	// Owners returns the names of the entries that run items.
 	Owners func() []string
 	// OwnerView returns what this entry knows about the others, among them those that took over
--- a/runner/start.go
+++ b/runner/start.go
@@ -21,9 +21,13 @@
 	r.waiting = len(inTime)
 	r.mu.Unlock()
 	atRisk, others := r.splitByRisk(inTime)
-	started := r.startInOrder(ctx, atRisk, len(inTime), elsewhere, 0)
+	own, ofOthers := len(inTime), elsewhere
+	if r.shareParts(inTime) {
+		own, ofOthers = items.SharePart(own), r.SumWaiting(items.SharePart)
+	}
+	started := r.startInOrder(ctx, atRisk, own, ofOthers, 0)
 	if started == len(atRisk) {
-		started += r.startInOrder(ctx, others, len(inTime), elsewhere, 0)
+		started += r.startInOrder(ctx, others, own, ofOthers, 0)
 	}
 	// Other entries do not report how many late items they have; assume as many as this one
 	// has.
@@ -31,8 +35,8 @@
 }
 
 // startInOrder starts items in their order while more than keepFree slots and those that they leave
-// for online requests are free, and returns how many it started. own is how many items wait here,
-// elsewhere how many at other entries.
+// for online requests are free, and returns how many it started. own and elsewhere are how many items
+// wait here and at other entries, as they count for this entry's share.
 func (r *Runner) startInOrder(ctx context.Context, waiting []candidate, own, elsewhere, keepFree int) int {
 	// Most routes have one service; items of a second one share the pace of the first.
 	var free freeSlots
