items, pool: cheaper order by share and ranks; benchmarks on unsorted items

Cause: SortByShare looked up the due time and two map entries for each item, and sorted the items themselves; ranks of services without start times called a function for nothing.

Change: the due time is computed once for each job, keys are sorted in place of items, and nothing is sorted if the order by due time is the result. An empty event id is no error to be built.

--- a/items/estimator.go
+++ b/items/estimator.go
@@ -93,6 +93,9 @@
 // EventNumber returns the number of events up to the one with an id. Ids of a stream count from
 // 1. The result is 0 if id isn't a number.
 func EventNumber(id string) int {
+	if id == "" {
+		return 0
+	}
 	n, err := strconv.Atoi(id)
 	if err != nil {
 		return 0
--- a/items/share.go
+++ b/items/share.go
@@ -1,7 +1,8 @@
 package items
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/sardinerock/sardinerock"
@@ -30,34 +31,36 @@
 // of due times the small job would wait until nearly all items of the large one have started.
 func SortByShare(items []ledger.OpenItem, table *sardinerock.RouteTable) {
 	SortByDue(items, table)
-	type group struct{ team, job string }
-	ahead := make(map[group]int)
-	delay := func(g group) time.Duration {
-		ahead[g]++
-		return min(time.Duration(ahead[g]-1)*shareInterval, maxShareDelay)
-	}
-	keys := make([]time.Time, len(items))
+	keys := make([]shareKey, len(items))
+	sorted := true
+	var at time.Time
+	byJob, byTeam := 0, map[string]int{}
 	for n := range items {
-		i := &items[n]
-		shift := delay(group{job: i.Job})
+		// The items of a job are next to each other.
+		if n == 0 || items[n].Job != items[n-1].Job {
+			at, byJob = due(&items[n], table), 0
+		}
+		ahead := byJob
+		byJob++
 		if table.Teams.Len() > 0 {
-			shift = max(shift, delay(group{team: i.Team}))
+			ahead = max(ahead, byTeam[items[n].Team])
+			byTeam[items[n].Team]++
 		}
-		keys[n] = due(i, table).Add(shift)
+		keys[n] = shareKey{at.Add(min(time.Duration(ahead)*shareInterval, maxShareDelay)), n}
+		sorted = sorted && (n == 0 || !keys[n].at.Before(keys[n-1].at))
+	}
+	if sorted {
+		return
+	}
+	slices.SortFunc(keys, func(a, b shareKey) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.index, b.index)) })
+	before := slices.Clone(items)
+	for n, k := range keys {
+		items[n] = before[k.index]
 	}
-	sort.Stable(&byKey{items, keys})
-}
-
-// byKey sorts items by keys.
-type byKey struct {
-	items []ledger.OpenItem
-	keys  []time.Time
 }
 
-func (b *byKey) Len() int           { return len(b.items) }
-func (b *byKey) Less(x, y int) bool { return b.keys[x].Before(b.keys[y]) }
-
-func (b *byKey) Swap(x, y int) {
-	b.items[x], b.items[y] = b.items[y], b.items[x]
-	b.keys[x], b.keys[y] = b.keys[y], b.keys[x]
+// shareKey is by what an item is sorted: when it counts as due, and its position by due time.
+type shareKey struct {
+	at    time.Time
+	index int
 }
--- a/items/share_test.go
+++ b/items/share_test.go
@@ -91,8 +91,10 @@
 	table := shareTable("a", "b")
 	for name, sort := range map[string]func([]ledger.OpenItem, *sardinerock.RouteTable){"by due": SortByDue, "by share": SortByShare} {
 		b.Run(name, func(b *testing.B) {
-			open := append(manyJobs("a"), openJob("b", "k", time.Second, 200)...)
+			open := append(openJob("b", "k", time.Second, 200), manyJobs("a")...)
+			unsorted := slices.Clone(open)
 			for b.Loop() {
+				copy(open, unsorted)
 				sort(open, table)
 			}
 		})
@@ -100,7 +102,7 @@
 }
 
 func BenchmarkPreempted(b *testing.B) {
-	e, runs := trainedEstimator(), make([]Run, 8)
+	e, runs := trainedEstimator(), slices.Repeat([]Run{{LastEvent: "50", Factor: 1}}, 8)
 	b.ReportAllocs()
 	for b.Loop() {
 		e.Preempted(runs, testStart)
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -107,7 +107,10 @@
 	case online >= s.Slots:
 		rank += rankQueued * float64(online)
 	case online+batch >= s.Slots:
-		rank += (rankPreempt + p.preemptRank(s, now)) * float64(s.Slots)
+		rank += rankPreempt * float64(s.Slots)
+		if s.runs != nil {
+			rank += p.preemptRank(s, now) * float64(s.Slots)
+		}
 	}
 	rank /= float64(s.Slots)
 	if once && s.aborts.suspect(now) {
--- a/pool/runs.go
+++ b/pool/runs.go
@@ -107,11 +107,8 @@
 	}
 }
 
-// preemptRank returns the preference of a full backend server, 0 for a service that doesn't state starts.
+// preemptRank returns the preference of a full backend server whose service states starts.
 func (p *Pool) preemptRank(s *server, now time.Time) float64 {
-	if s.runs == nil {
-		return 0
-	}
 	s.runs.refresh(p, s.Service, now)
 	if s.preempt == nil {
 		return preferOther
