--- a/items/estimator.go
+++ b/items/estimator.go
@@ -59,9 +59,23 @@
 	if e.runEvents == 0 || e.itemEvents == 0 {
 		return 0
 	}
-	remaining := max(e.itemEvents-float64(EventNumber(lastEvent)), 1)
-	run := time.Duration(remaining * float64(e.runTime) / e.runEvents)
-	return run + time.Duration(remaining/e.itemEvents*float64(e.itemStall))
+	return e.remainingRun(lastEvent) + time.Duration(e.remainingEvents(lastEvent)/e.itemEvents*float64(e.itemStall))
+}
+
+// remainingEvents estimates how many events an item has still to produce after lastEvent.
+func (e *Estimator) remainingEvents(lastEvent string) float64 {
+	return max(e.itemEvents-float64(EventNumber(lastEvent)), 1)
+}
+
+// RemainingEvents estimates how many events an item has still to produce after lastEvent.
+func (e *Estimator) RemainingEvents(lastEvent string) int { return int(e.remainingEvents(lastEvent)) }
+
+// remainingRun estimates how long an item still holds slots after lastEvent; 0 without data.
+func (e *Estimator) remainingRun(lastEvent string) time.Duration {
+	if e.runEvents == 0 || e.itemEvents == 0 {
+		return 0
+	}
+	return time.Duration(e.remainingEvents(lastEvent) * float64(e.runTime) / e.runEvents)
 }
 
 // MeetsDeadline reports whether an item can be completed by the time it is due.
@@ -79,6 +93,9 @@
 // EventNumber returns the number of events up to the one with an id. Ids of a stream count from
 // 1. The result is 0 if id isn't a number.
 func EventNumber(id string) int {
+	if id == "" {
+		return 0
+	}
 	n, err := strconv.Atoi(id)
 	if err != nil {
 		return 0
--- a/node/node.go
+++ b/node/node.go
@@ -306,6 +306,7 @@
 		Pace:             &items.Pacer{ViewAge: n.gossip.ViewAge, Random: newRandom(1)},
 		SlotFreed:        func(service, server string) { n.relay.OfferSlot(service, server) },
 		WaitingElsewhere: func() int { return n.gossip.Waiting(time.Now()) },
+		SumWaiting:       func(weight func(waiting int) int) int { return n.gossip.SumWaiting(time.Now(), weight) },
 		Owners:           n.owners,
 		OwnerView:        n.ownerView,
 		OwnershipCurrent: n.ownershipCurrent,
@@ -419,6 +420,10 @@
 // preempt preempts one batch item on a backend server for online work. If this entry runs none
 // there, it requests the preemption from another entry that does.
 func (n *Node) preempt(server string) {
+	if holder, ok := n.pool.PreemptHolder(server, time.Now()); ok && holder != n.Settings.ID {
+		n.gossip.RequestPreemption(holder, pool.Hash(server))
+		return
+	}
 	if n.runner.PreemptOne(server) {
 		return
 	}
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -159,6 +159,9 @@
 		rank += rankQueued * float64(online)
 	case online+batch >= s.Slots:
 		rank += rankPreempt * float64(s.Slots)
+		if s.runs != nil {
+			rank += p.preemptRank(s, now) * float64(s.Slots)
+		}
 	}
 	rank /= float64(s.Slots)
 	if once && s.aborts.suspect(now) {
@@ -199,6 +202,7 @@
 		if at -= p.weights[n]; at < 0 {
 			c := s.choice(now)
 			p.addLoad(s, 0, 1)
+			s.batchStarted = now
 			return c, true
 		}
 	}
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -14,6 +14,8 @@
 	loads map[uint32]Load
 	// speeds are the reports of speeds in its last message.
 	speeds []speed.Report
+	// started is when the last of the batch items started that run at a backend server, by its Hash.
+	started map[uint32]time.Time
 }
 
 // SetPeer stores the loads that another entry reports.
@@ -21,11 +23,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before := p.peers[name]
+	started := startedRuns(before, loads, now)
 	p.removePeer(name)
 	if p.peers == nil {
 		p.peers = map[string]*peer{}
 	}
-	report := &peer{at: now, loads: make(map[uint32]Load, len(loads))}
+	report := &peer{at: now, started: started, loads: make(map[uint32]Load, len(loads))}
 	if before != nil {
 		report.speeds = before.speeds
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -44,6 +44,12 @@
 	otherZone bool
 	online    int
 	batch     int
+	// preempt is the run that this entry would preempt there, runs those of its service; both are nil
+	// if it isn't known.
+	preempt *run
+	runs    *runs
+	// batchStarted is when the last of this entry's batch items started.
+	batchStarted time.Time
 	// peerLoad is the sum of what the other entries run there. It is updated with each
 	// datagram, so that the cost of a choice doesn't depend on the number of entries.
 	peerLoad Load
@@ -107,6 +113,10 @@
 	speedViews map[string]*speedView
 	// weights are those of the last ChooseBatch; the memory is reused.
 	weights []int
+	// onlineSums holds the last sums of Online, by service.
+	onlineSums map[string]onlineSum
+	// runs holds the runs of batch items that online requests preempt, by service.
+	runs map[string]*runs
 }
 
 // SetServers replaces the list of backend servers; those that stay keep their state.
--- a/pool/starts.go
+++ b/pool/starts.go
@@ -25,4 +25,5 @@
 		}
 		p.statesStarts[service] = listed > 0 && stated == listed
 	}
+	p.updateRuns()
 }
--- a/runner/run.go
+++ b/runner/run.go
@@ -31,6 +31,7 @@
 	free := r.Pool.Done(choice.ID, true, serverFailed, time.Now())
 	r.Pool.RecordRun(choice.ID, meter.Sample(choice.Load()), time.Now())
 	metrics.GetOrRegisterCounter("batch.runs", r.Metrics).Inc(1)
+	metrics.GetOrRegisterCounter("batch.heldMillis", r.Metrics).Inc(took.Milliseconds())
 	if outcome == invoke.Succeeded {
 		r.Pool.RecordSuccess(choice.ID)
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -60,6 +60,8 @@
 	SlotFreed func(service, server string)
 	// WaitingElsewhere returns how many items the other entries could start.
 	WaitingElsewhere func() int
+	// SumWaiting returns the sum over the other entries of a weight of how many items each could start.
+	SumWaiting func(weight func(waiting int) int) int
 	// Owners returns the names of the entries that run items.
 	Owners func() []string
 	// OwnerView returns what this entry knows about the others, among them those that took over
@@ -93,6 +95,10 @@
 	// waiting is how many items could be started in the last round and finish in time.
 	waiting   int
 	estimator items.Estimator
+	// excess decides when items are preempted since others report more requests than slots.
+	excess items.Excess
+	// headroom is how many slots items leave free, by service.
+	headroom map[string]*headroom
 	// firstOutput is set if an item's first output is to be saved at once.
 	firstOutput bool
 	// progressSavedAt is when progress was last written to the store.
@@ -109,6 +115,8 @@
 	// running is set while the item holds a slot.
 	running bool
 	server  string
+	// service is that of the server.
+	service string
 	started time.Time
 	due     time.Time
 	cancel  context.CancelFunc
@@ -143,6 +151,7 @@
 func (r *Runner) Prepare() {
 	r.items = map[uint64]*item{}
 	r.jobs = map[string]*loadedJob{}
+	r.headroom = map[string]*headroom{}
 	r.invoker = &invoke.Invoker{Batch: r.Batch, Table: r.Table, Pool: r.Pool, Conns: r.Conns}
 	r.wake = make(chan struct{}, 1)
 }
@@ -162,6 +171,7 @@
 		}
 		t.Reset(r.updateActive())
 		r.PreemptAllExcess()
+		r.observeOnline(time.Now())
 		r.cancelEnded()
 		r.saveProgress(ctx)
 		r.evictJobs()
