relay: a large response that breaks off frees its slot

Cause: a response over 256 KB that breaks off ends the caller's connection by a panic, which skipped the end of the run: the request stayed in the entry's load until its restart, and in its reports. Change: the run ends in a deferred call. Measured: TestBrokenLargeResponseFreesItsSlot failed before (1 request left), passes now.

--- a/relay/request.go
+++ b/relay/request.go
@@ -202,8 +202,7 @@
 		return incomplete
 	}
 	defer resp.Finish()
-	result, failed := p.handleResponse(resp)
-	p.endRun(choice, sent, failed)
+	result, failed := p.handleAttempt(resp, choice, sent)
 	switch {
 	case result != answered && !p.started:
 		p.timings.add(&p.timings.failed, sent)
@@ -217,6 +216,14 @@
 	return result
 }
 
+// handleAttempt forwards the response of an attempt, and ends its run also if the caller's connection is
+// aborted, which is a panic. Then it isn't known whether the caller or the backend server broke off, and the
+// backend server isn't ejected.
+func (p *proxyRequest) handleAttempt(resp *conns.Response, choice *pool.Choice, sent time.Time) (result attemptResult, failed bool) {
+	defer func() { p.endRun(choice, sent, failed) }()
+	return p.handleResponse(resp)
+}
+
 // speedSample returns what the response shows of the backend server's speed.
 func (p *proxyRequest) speedSample(choice *pool.Choice) speed.Sample {
 	s := p.meter.Sample(choice.Load())
