speed, pool: a backend server that warms up counts as slow in any service

Cause: the stated warm-up acted only where the observed speeds of the service differ by a factor of 1.5. Elsewhere a restarted backend server, which is empty, was taken as the best one while it warmed up.

Change: Table.Differ also reports whether some backend servers warm up without an estimate. Then these count as half as fast, and all others as equally fast. If all warm up, none is slower than the others and nothing changes. Known speeds still count only if they differ.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -15,7 +15,7 @@
 	Online int
 	Batch  int
 	// Factor is the time per event that the choice assumed, relative to the usual one of the
-	// service; 1 if the speeds don't differ.
+	// service; 1 if the speeds don't differ and it isn't warming up.
 	Factor float64
 	// Ejected is set if the backend server failed recently and no other was available.
 	Ejected bool
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -65,7 +65,8 @@
 	fullAt      time.Time
 	reserveRate *float64
 	// slowness and fast are its speed as of the last update of the service's speedView, preference
-	// what rankOnline uses of it; all are zero unless the speeds of the service differ.
+	// what rankOnline uses of it; all are zero unless the speeds of the service differ or some backend
+	// server warms up.
 	slowness, preference float64
 	fast                 bool
 	// minFull is for how long it counts as full at least after fullAt.
--- a/pool/speed.go
+++ b/pool/speed.go
@@ -98,20 +98,22 @@
 type speedView struct {
 	// at is the time of the comparison of speeds that it is from.
 	at time.Time
-	// differ is set if the speeds differ.
-	differ bool
+	// differ is set if the speeds differ, acts if they do or a backend server that warms up counts as slow.
+	differ, acts bool
 	// itemsFast is set if items prefer the fast backend servers, not the others.
 	itemsFast bool
 	// peak is a decaying maximum of the online requests on all backend servers.
 	peak float64
-	// served is the average slowness of the backend servers that served requests, as a binary logarithm.
+	// served is the average slowness of the backend servers that served requests, as a binary logarithm;
+	// 0 unless the speeds differ.
 	served float64
 }
 
 // updateSpeeds brings the view of a service's speeds, and what its backend servers keep of it, up to
 // date. Unless there was a comparison of speeds, it only looks the view up.
 func (p *Pool) updateSpeeds(service string, now time.Time) *speedView {
-	differ, at := p.speeds.Differ(service, now)
+	differ, warming, at := p.speeds.Differ(service, now)
+	acts := differ || warming
 	v := p.speedViews[service]
 	switch {
 	case v == nil:
@@ -123,16 +125,19 @@
 	case v.at.Equal(at):
 		return v
 	}
-	if !differ && !v.differ {
+	if !acts && !v.acts {
 		v.at = at
 		return v
 	}
 	v.peak *= math.Exp(-at.Sub(v.at).Seconds() / peakTime.Seconds())
-	v.at, v.differ = at, differ
+	v.at, v.differ, v.acts = at, differ, acts
+	if !differ {
+		v.served = 0
+	}
 	total, fastSlots := 0, 0
 	for _, s := range p.byService[service] {
 		s.slowness, s.preference, s.fast = 0, 0, false
-		if !differ {
+		if !acts {
 			continue
 		}
 		r := p.speeds.Relative(s.ID)
@@ -171,7 +176,7 @@
 // that run there would be preempted at the beginning of each burst, so more of them start on the slow
 // ones. If online work needs few of the fast ones, items are done sooner there.
 func (v *speedView) batchWeight(s *server, free int) int {
-	if v.differ && s.fast == v.itemsFast {
+	if v.acts && s.fast == v.itemsFast {
 		return batchPreference * free
 	}
 	return free
@@ -185,7 +190,7 @@
 }
 
 // RunOn returns how long a request holds a slot of a backend server, given the average of its service.
-// It differs from the average if the speeds of the service's backend servers differ.
+// It differs from the average if the speeds of the service's backend servers differ, or if that one warms up.
 func (p *Pool) RunOn(id string, average time.Duration) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -194,7 +199,7 @@
 		return average
 	}
 	v := p.speedViews[s.Service]
-	if v == nil || !v.differ {
+	if v == nil || !v.acts {
 		return average
 	}
 	return time.Duration(float64(average) * math.Exp2(s.slowness-v.served))
--- a/pool/speed_test.go
+++ b/pool/speed_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/speed"
 )
 
@@ -102,3 +104,68 @@
 	g.Expect(p.RunOn("i-0", run)).To(BeNumerically("~", 450*time.Millisecond, 50*time.Millisecond))
 	g.Expect(p.RunOn("no such", run)).To(Equal(run))
 }
+
+// A backend server that warms up is empty, so it would be taken as the best one, also where all others are
+// equally fast. It must count as slow, and no difference may be made between the others.
+func TestWarmUpCountsWhereSpeedsAreEqual(t *testing.T) {
+	for name, test := range map[string]struct {
+		states bool
+		warm   int
+		slow   bool
+	}{
+		"one warms up":    {true, 3, true},
+		"no start times":  {false, 3, false},
+		"all are warming": {true, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := newPool("a", 4, 8)
+			list := servers(4, 8)
+			for i := range list {
+				list[i].Zone = p.Zone
+				if test.states {
+					list[i].Started = 1
+				}
+				if i >= test.warm {
+					list[i].WarmUp = 4 * time.Second
+				}
+			}
+			p.SetServers(list)
+			now := testStart
+			for step := range 20 {
+				for i := range test.warm {
+					p.RecordRun(fmt.Sprint("i-", i), speed.Sample{Events: 22, Span: 21 * time.Duration(38+2*i) * time.Millisecond}, now.Add(time.Duration(step-20)*250*time.Millisecond))
+				}
+			}
+			p.SpeedReports(now)
+			var chosen [4]int
+			for range 9 {
+				c, _ := p.ChooseOnline("s", nil, now)
+				chosen[slices.IndexFunc(list, func(b sardinerock.BackendServer) bool { return b.ID == c.ID })]++
+			}
+			if test.slow {
+				g.Expect(chosen).To(Equal([4]int{3, 3, 3, 0}))
+			} else {
+				g.Expect(chosen[3]).To(BeNumerically(">=", 2))
+			}
+			factor := 1.0
+			if test.slow {
+				factor = 2
+			}
+			g.Expect(p.Speed("i-3", now).Factor).To(Equal(factor))
+			g.Expect(p.RunOn("i-3", time.Second)).To(Equal(time.Duration(factor) * time.Second))
+			for i := range 3 {
+				g.Expect(p.Speed(list[i].ID, now).Factor).To(Equal(1.0))
+				g.Expect(p.RunOn(list[i].ID, time.Second)).To(Equal(time.Second))
+			}
+			now = now.Add(5 * time.Second)
+			p.SpeedReports(now)
+			g.Expect(p.Speed("i-3", now).Factor).To(Equal(1.0), "warm")
+			g.Expect(p.RunOn("i-3", time.Second)).To(Equal(time.Second))
+			c, _ := p.ChooseOnline("s", nil, now)
+			g.Expect(c.Factor).To(Equal(1.0))
+			_, differing := p.KnownSpeeds()
+			g.Expect(differing).To(BeZero())
+		})
+	}
+}
--- a/speed/compare.go
+++ b/speed/compare.go
@@ -34,6 +34,9 @@
 	// differ is set if the speeds differ. Then boundary is the difference below which a server is fast.
 	differ   bool
 	boundary float64
+	// warming is set if the speeds don't differ, but some backend server counts as slow since it warms
+	// up. It isn't set if all do, since then none is slower than the others.
+	warming bool
 }
 
 // histogram counts levels.
@@ -82,8 +85,12 @@
 		usual[n] = h.rank(h.total / 2)
 	}
 	var h histogram
+	warming := 0
 	for _, r := range c.records {
 		r.compare(&usual, now)
+		if r.assumedSlow() {
+			warming++
+		}
 		if r.known {
 			h.add(r.difference + levels/2)
 		}
@@ -92,6 +99,7 @@
 	fastest, slowest := h.rank(h.total/tail), h.rank(h.total-1-h.total/tail)
 	c.differ = h.total > 1 && slowest-fastest >= minDifference
 	c.boundary = (fastest+slowest)/2 - levels/2
+	c.warming = !c.differ && warming > 0 && warming < len(c.records)
 }
 
 func (b *band) valid(now time.Time) bool { return b.known && now.Sub(b.at) <= maxAge }
@@ -116,23 +124,28 @@
 	}
 }
 
-// Relative is a backend server's speed in a service whose backend servers differ in speed.
+// assumedSlow reports whether the stated warm-up counts, since there is no estimate.
+func (r *record) assumedSlow() bool { return r.warming && !r.known }
+
+// Relative is a backend server's speed in a service whose backend servers differ in speed, or of which
+// some warm up.
 type Relative struct {
 	// Slowness is the binary logarithm of Estimate.Factor.
 	Slowness float64
-	// Fast is set if the speed is nearer to that of the fastest tenth than to that of the slowest.
+	// Fast is set if the speed is nearer to that of the fastest tenth than to that of the slowest. If
+	// only a warm-up counts, it is set for all other backend servers.
 	Fast bool
 }
 
 // Differ reports whether the speeds of a service's backend servers differ by a factor of 1.5 or
-// more, and when that was determined.
-func (t *Table) Differ(service string, now time.Time) (differ bool, at time.Time) {
+// more, whether otherwise some count as slow since they warm up, and when that was determined.
+func (t *Table) Differ(service string, now time.Time) (differ, warming bool, at time.Time) {
 	c := t.services[service]
 	if c == nil {
-		return false, time.Time{}
+		return false, false, time.Time{}
 	}
 	c.update(t, now, staleInterval)
-	return c.differ, c.at
+	return c.differ, c.warming, c.at
 }
 
 // Relative returns a backend server's speed as of the last call of Differ.
@@ -141,7 +154,14 @@
 	if r == nil {
 		return Relative{}
 	}
-	return Relative{Slowness: r.slowness(), Fast: r.known && r.difference < t.services[r.Service].boundary}
+	c := t.services[r.Service]
+	switch {
+	case !c.warming:
+		return Relative{Slowness: r.slowness(), Fast: r.known && r.difference < c.boundary}
+	case r.assumedSlow():
+		return Relative{Slowness: warmUpSlowness}
+	}
+	return Relative{Fast: true}
 }
 
 // Change is a notable change of an estimate.
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -10,6 +10,7 @@
 	FirstByte time.Duration
 	// Factor is EventTime relative to the usual one of the service: 2 is half as fast. It is 1 if
 	// unknown, or if the speeds of the service's backend servers differ by less than a factor of 1.5.
+	// While a backend server without an estimate warms up, it is 2, if not all of the service do.
 	Factor float64
 }
 
--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -116,7 +116,7 @@
 				}
 				at = b.record(fmt.Sprint("i-", n), event, testStart, 20)
 			}
-			differ, _ := b.Differ("s", at)
+			differ, _, _ := b.Differ("s", at)
 			g.Expect(differ).To(Equal(test.differ))
 			g.Expect(b.Relative("i-0").Fast).To(BeTrue())
 			g.Expect(b.Relative("i-19").Fast).To(BeFalse())
--- a/speed/table.go
+++ b/speed/table.go
@@ -138,7 +138,7 @@
 		if c == nil {
 			c = &comparison{}
 			if b := before[s.Service]; b != nil {
-				c.at, c.differ, c.boundary = b.at, b.differ, b.boundary
+				c.at, c.differ, c.boundary, c.warming = b.at, b.differ, b.boundary, b.warming
 			}
 			t.services[s.Service] = c
 		}
@@ -221,7 +221,7 @@
 	c := t.services[r.Service]
 	c.update(t, now, staleInterval)
 	e := Estimate{EventTime: r.eventTime, Factor: 1}
-	if c.differ {
+	if c.differ || c.warming && r.assumedSlow() {
 		e.Factor = r.factor()
 	}
 	if !r.firstAt.IsZero() && now.Sub(r.firstAt) <= maxAge {
