pool: the peak of online requests is learned anew once speeds count again

Cause: while a backend server without a start time was listed, the table of speeds had no comparison, and the decay was computed from the zero time. The peak became infinite or not a number and stayed so: items preferred the slow backend servers from then on. Where speeds ceased to differ, an old peak was kept without decay.

Change: the peak is 0 while speeds don't count.

Result: pool.TestPeakIsLearnedAnewAfterStartsWereMissing failed before (items avoided the fast servers without any online request) and passes.

--- a/pool/speed.go
+++ b/pool/speed.go
@@ -129,7 +129,12 @@
 		v.at = at
 		return v
 	}
-	v.peak *= math.Exp(-at.Sub(v.at).Seconds() / peakTime.Seconds())
+	if acts && v.acts {
+		v.peak *= math.Exp(-at.Sub(v.at).Seconds() / peakTime.Seconds())
+	} else {
+		// It isn't observed while speeds don't count.
+		v.peak = 0
+	}
 	v.at, v.differ, v.acts = at, differ, acts
 	if !differ {
 		v.served = 0
--- a/pool/speed_test.go
+++ b/pool/speed_test.go
@@ -169,3 +169,31 @@
 		})
 	}
 }
+
+// While a registration without a start time is listed, speeds aren't known. Afterwards the peak of online
+// requests must be learned anew: an invalid one would keep items from the fast backend servers for good.
+func TestPeakIsLearnedAnewAfterStartsWereMissing(t *testing.T) {
+	g := NewWithT(t)
+	list := servers(8, 8)
+	p := newSpeedPool(8, true, 20*time.Millisecond, 40*time.Millisecond)
+	g.Expect(p.speedViews["s"].itemsFast).To(BeTrue())
+	p.SetServers(list)
+	p.SpeedReports(testStart.Add(time.Second))
+	for i := range list {
+		list[i].Started = 1
+	}
+	p.SetServers(list)
+	now := testStart.Add(2 * time.Second)
+	for step := range 20 {
+		for i := range list {
+			event := 40 * time.Millisecond
+			if i < 2 {
+				event = 20 * time.Millisecond
+			}
+			p.RecordRun(list[i].ID, speed.Sample{Events: 22, Span: 21 * event}, now.Add(time.Duration(step)*250*time.Millisecond))
+		}
+	}
+	p.SpeedReports(now.Add(5 * time.Second))
+	g.Expect(p.speedViews["s"].differ).To(BeTrue())
+	g.Expect(p.speedViews["s"].itemsFast).To(BeTrue())
+}
