pool: runs to preempt end with the statement of start times

Cause: the chosen run stayed at its backend server while another one of the service stated no start time, and the new list of runs couldn't replace it. The next request that needed a slot there was sent to an entry that may have been lost since. The list of a service that had ended was kept, with its backend servers.

Change: a backend server that gets another list has no run to preempt, and lists of services that don't state starts are removed.

Result: pool.TestRunsAreForgottenWhileStartsAreMissing (asked the lost entry) and pool.TestRunsEndWithTheService failed before and pass.

--- a/pool/runs.go
+++ b/pool/runs.go
@@ -95,14 +95,17 @@
 	if p.runs == nil {
 		p.runs = map[string]*runs{}
 	}
+	maps.DeleteFunc(p.runs, func(service string, _ *runs) bool { return !p.statesStarts[service] })
 	for service, list := range p.byService {
-		if !p.statesStarts[service] {
-			delete(p.runs, service)
-		} else if p.runs[service] == nil {
-			p.runs[service] = &runs{asked: map[runKey]time.Time{}}
+		r := p.runs[service]
+		if r == nil && p.statesStarts[service] {
+			r = &runs{asked: map[runKey]time.Time{}}
+			p.runs[service] = r
 		}
 		for _, s := range list {
-			s.runs = p.runs[service]
+			if s.runs != r {
+				s.runs, s.preempt = r, nil
+			}
 		}
 	}
 }
--- a/pool/runs_test.go
+++ b/pool/runs_test.go
@@ -141,3 +141,31 @@
 	online, _ = p.Online("s", testStart.Add(onlineCacheTime))
 	g.Expect(online).To(Equal(1))
 }
+
+// While a backend server without a start time is listed, runs aren't observed. Afterwards a run from before
+// must not be asked for: its entry may be lost, and the request would wait for a slot in vain.
+func TestRunsAreForgottenWhileStartsAreMissing(t *testing.T) {
+	g := NewWithT(t)
+	p := startingPool("a", 1, 1)
+	p.report("b", testStart, 0)
+	p.expectOnline(g, nil)
+	g.Expect(p.servers["i-0"].preempt.holder).To(Equal("b"))
+	p.CancelOnline("i-0")
+	p.SetServers(servers(1, 1))
+	p.DropPeer("b")
+	p.report("c", testStart.Add(time.Second), 0)
+	list := servers(1, 1)
+	list[0].Started = 1
+	p.SetServers(list)
+	holder, ok := p.PreemptHolder("i-0", testStart.Add(2*time.Second))
+	g.Expect(ok).To(BeTrue())
+	g.Expect(holder).To(Equal("c"))
+}
+
+// The runs of a service without backend servers must not keep its ended servers in memory.
+func TestRunsEndWithTheService(t *testing.T) {
+	g := NewWithT(t)
+	p := startingPool("a", 1, 1)
+	p.SetServers(nil)
+	g.Expect(p.runs).To(BeEmpty())
+}
