speed: responses older than 30 s aren't reported to other entries

Cause: the rotation reports on two backend servers a second, so with 400 of them the evidence waits up to 200 s. Receivers counted it as new, beyond the age at which an entry's own estimate is unknown.

Change: pending evidence is dropped after maxAge.

Result: speed.TestOldResponsesAreNotReported failed before (reported after 31 s) and passes.

--- a/speed/report.go
+++ b/speed/report.go
@@ -46,6 +46,7 @@
 		t.next = (t.next + 1) % len(t.rotation)
 		r := t.rotation[t.next]
 		for n := range r.bands {
+			r.bands[n].dropOldPending(now)
 			if p := &r.bands[n].pending; p.count > 0 && len(t.reports) < MaxReports {
 				t.reports = append(t.reports, newReport(r.Hash, p, n > 0))
 				*p = cell{}
--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -217,3 +217,19 @@
 		t.Record("i-7", s, now)
 	}
 }
+
+// With hundreds of backend servers a rotation of the reports takes minutes. Responses that are too old for
+// an estimate must not reach other entries as new evidence.
+func TestOldResponsesAreNotReported(t *testing.T) {
+	g := NewWithT(t)
+	b := newTable(2)
+	b.record("i-0", slow, testStart, 3)
+	g.Expect(b.Reports(testStart.Add(maxAge + time.Second))).To(BeEmpty())
+	at := testStart.Add(2 * maxAge)
+	b.record("i-1", slow, testStart, 3)
+	b.record("i-1", fast, at, 1)
+	reports := b.Reports(at)
+	g.Expect(reports).To(HaveLen(1))
+	g.Expect(timeOf(float64(reports[0].Level) * octave / reportOctave)).To(BeNumerically("~", fast, fast/20))
+	g.Expect(reports[0].Evidence).To(Equal(uint8(1)))
+}
--- a/speed/table.go
+++ b/speed/table.go
@@ -76,7 +76,7 @@
 	level float64
 	known bool
 	at    time.Time
-	// pending is this entry's own evidence since its last report.
+	// pending is this entry's own evidence since its last report, or of the last maxAge.
 	pending cell
 }
 
@@ -174,6 +174,10 @@
 	}
 	level := levelOf(s.Span / time.Duration(s.Events-1))
 	b.add(level, 1, now)
+	b.dropOldPending(now)
+	if b.pending.count == 0 {
+		b.pending.start = now
+	}
 	b.pending.sum += level
 	b.pending.count++
 }
@@ -194,6 +198,14 @@
 	b.estimate(now)
 }
 
+// dropOldPending drops evidence that waited too long for its report: a receiver counts it as new. The
+// rotation over hundreds of backend servers takes minutes.
+func (b *band) dropOldPending(now time.Time) {
+	if now.Sub(b.pending.start) > maxAge {
+		b.pending = cell{}
+	}
+}
+
 // estimate sets the level to the median of the cells, if there is enough evidence.
 func (b *band) estimate(now time.Time) {
 	var averages [cells]float64
