runner: the headroom of a service ends with its batch route

Cause: what was learned of online requests was kept for services to which no batch route leads any more. The gauge batch.headroom counted their slots for good.

Change: a service that isn't observed is forgotten; that covers those that no longer state starts.

Result: runner.TestHeadroomEndsWithTheRoute failed before (gauge 4) and passes.

--- a/runner/lull.go
+++ b/runner/lull.go
@@ -20,6 +20,8 @@
 	// slots is how many slots items leave free now, logged the number in the last log line.
 	slots, logged int
 	loggedAt      time.Time
+	// observedAt is the time of the last observation.
+	observedAt time.Time
 }
 
 // observeOnline learns how the number of online requests varies, of each service that runs items and
@@ -31,11 +33,6 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for service := range r.headroom {
-		if !r.Pool.StatesStarts(service) {
-			delete(r.headroom, service)
-		}
-	}
 	for n := range table.Routes {
 		if table.Routes[n].Kind != sardinerock.RouteBatch {
 			continue
@@ -47,7 +44,11 @@
 		}
 	}
 	all := 0
-	for _, h := range r.headroom {
+	for service, h := range r.headroom {
+		if !h.observedAt.Equal(now) {
+			delete(r.headroom, service)
+			continue
+		}
 		all += h.slots
 	}
 	metrics.GetOrRegisterGauge("batch.headroom", r.Metrics).Update(int64(all))
@@ -59,6 +60,7 @@
 		h = &headroom{}
 		r.headroom[service] = h
 	}
+	h.observedAt = now
 	online, slots := r.Pool.Online(service, now)
 	h.Observe(online, now)
 	h.slots = h.Slots(slots)
--- a/runner/lull_test.go
+++ b/runner/lull_test.go
@@ -125,3 +125,20 @@
 		})
 	}
 }
+
+// A service to which no batch route leads any more isn't observed. Its free slots must not stay in the gauge, and
+// must not limit items when a route leads to it again.
+func TestHeadroomEndsWithTheRoute(t *testing.T) {
+	g := NewWithT(t)
+	r, _ := newRunner(1)
+	for n := range 100 {
+		r.Pool.SetPeer("b", []pool.Load{{Server: pool.Hash("i-0"), Online: 1 + n%50/25*7}}, testStart)
+		r.observeOnline(testStart.Add(time.Duration(n) * 100 * time.Millisecond))
+	}
+	gauge := metrics.GetOrRegisterGauge("batch.headroom", r.Metrics)
+	g.Expect(gauge.Value()).To(BeNumerically(">", 0))
+	r.Table = func() *sardinerock.RouteTable { return &sardinerock.RouteTable{} }
+	r.observeOnline(testStart.Add(11 * time.Second))
+	g.Expect(gauge.Value()).To(BeZero())
+	g.Expect(r.headroom).To(BeEmpty())
+}
