--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -116,7 +116,7 @@
 				}
 				at = b.record(fmt.Sprint("i-", n), event, testStart, 20)
 			}
-			differ, _ := b.Differ("s", at)
+			differ, _, _ := b.Differ("s", at)
 			g.Expect(differ).To(Equal(test.differ))
 			g.Expect(b.Relative("i-0").Fast).To(BeTrue())
 			g.Expect(b.Relative("i-19").Fast).To(BeFalse())
@@ -217,3 +217,19 @@
 		t.Record("i-7", s, now)
 	}
 }
+
+// With hundreds of backend servers a rotation of the reports takes minutes. Responses that are too old for
+// an estimate must not reach other entries as new evidence.
+func TestOldResponsesAreNotReported(t *testing.T) {
+	g := NewWithT(t)
+	b := newTable(2)
+	b.record("i-0", slow, testStart, 3)
+	g.Expect(b.Reports(testStart.Add(maxAge + time.Second))).To(BeEmpty())
+	at := testStart.Add(2 * maxAge)
+	b.record("i-1", slow, testStart, 3)
+	b.record("i-1", fast, at, 1)
+	reports := b.Reports(at)
+	g.Expect(reports).To(HaveLen(1))
+	g.Expect(timeOf(float64(reports[0].Level) * octave / reportOctave)).To(BeNumerically("~", fast, fast/20))
+	g.Expect(reports[0].Evidence).To(Equal(uint8(1)))
+}
