admit: cheaper simulations; removal at the front of a long queue moves nothing

Half of it moved the pointers of long queues, of which requests nearly always leave at the front, and searched for polled requests. A queue of 64 or more now advances its start instead, the simulator marks sent requests, and independent cases and the two seeds run concurrently.

--- a/admit/fleet_test.go
+++ b/admit/fleet_test.go
@@ -162,6 +162,7 @@
 		"eight entries":  {fleetSim{entries: 8, servers: 18, slots: 8, viewAge: 25 * ms, perSecond: 200, burst: 2400 * ms, run: 800 * ms}, 0.98},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			g := NewWithT(t)
 			without, with := test.sim, test.sim
 			with.headroom = true
--- a/admit/overload_test.go
+++ b/admit/overload_test.go
@@ -116,6 +116,7 @@
 		"overload of a half, many backend servers": {slots: 1200, run: 700, factor: 1.5, burst: 4000, startTimeout: 2000},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			g := NewWithT(t)
 			counts := o.simulate()
 			t.Logf("%+v", counts)
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -109,9 +109,27 @@
 	for b.queued[i] != w {
 		i++
 	}
+	if i == 0 {
+		b.removeFirst(1)
+		return
+	}
 	b.queued = slices.Delete(b.queued, i, i+1)
 }
 
+// minAdvance is the number of requests from which the first ones are removed without moving
+// the others. In shorter lists moving them is cheap, and the space is reused.
+const minAdvance = 64
+
+// removeFirst removes the first n requests.
+func (b *band) removeFirst(n int) {
+	if len(b.queued)-n < minAdvance {
+		b.queued = slices.Delete(b.queued, 0, n)
+		return
+	}
+	clear(b.queued[:n])
+	b.queued = b.queued[n:]
+}
+
 // firstOnTime returns the index of the first request that is not late.
 func (b *band) firstOnTime(now time.Time) int {
 	return sort.Search(len(b.queued), func(n int) bool { return !b.queued[n].late(now) })
@@ -147,7 +165,7 @@
 		for _, w := range b.queued[:n] {
 			to.add(w)
 		}
-		b.queued = slices.Delete(b.queued, 0, n)
+		b.removeFirst(n)
 	}
 }
 
--- a/admit/teams_test.go
+++ b/admit/teams_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -57,7 +58,9 @@
 
 type simRequest struct {
 	arrived, class, started int
-	waiter                  *Waiter
+	// sent is set once the request holds a slot.
+	sent   bool
+	waiter *Waiter
 }
 
 type simRun struct {
@@ -172,12 +175,12 @@
 func (s *teamSim) poll(e, now int) {
 	s.polled = append(s.polled[:0], s.queued[e]...)
 	for _, r := range s.polled {
-		i := slices.Index(s.queued[e], r)
-		if i < 0 {
+		if r.sent {
 			continue
 		}
+		// Those before it have been sent, rejected, or queued again behind it.
 		s.queues[e].Remove("s", r.waiter)
-		s.queued[e] = slices.Delete(s.queued[e], i, i+1)
+		s.queued[e] = s.queued[e][1:]
 		s.attempt(e, r, now)
 	}
 }
@@ -228,7 +231,7 @@
 	s.taken[server]++
 	s.seen[e][server]++
 	s.own[e]++
-	r.started = now
+	r.started, r.sent = now, true
 	if s.ordered {
 		s.queues[e].Start("s", r.waiter, s.run, simTime(now))
 	}
@@ -244,10 +247,18 @@
 // playTeams returns the sums of two simulations with different seeds, by class.
 func playTeams(s teamSim) []classCounts {
 	sums := make([]classCounts, len(s.classes))
-	for seed := range 2 {
-		sim := s
-		sim.seed, sim.entries, sim.servers, sim.slots, sim.viewAge, sim.run = uint64(seed+1), 30, 38, 8, 100*ms, 700*ms
-		for c, n := range sim.simulate() {
+	var counts [2][]classCounts
+	var wg sync.WaitGroup
+	for seed := range counts {
+		wg.Go(func() {
+			sim := s
+			sim.seed, sim.entries, sim.servers, sim.slots, sim.viewAge, sim.run = uint64(seed+1), 30, 38, 8, 100*ms, 700*ms
+			counts[seed] = sim.simulate()
+		})
+	}
+	wg.Wait()
+	for _, played := range counts {
+		for c, n := range played {
 			sums[c].add(n)
 		}
 	}
@@ -287,6 +298,7 @@
 		"long burst":                  {24, 5 * time.Second, 0.95, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			g := NewWithT(t)
 			play := func(ordered, silent bool, large float64) []classCounts {
 				s := teamSim{burst: c.burst, ordered: ordered, silent: silent, classes: []class{{"large", 0, large, 1}}}
@@ -323,6 +335,7 @@
 // in a burst beyond all slots. The urgent ones must be served at least as often, and nearly all
 // of them on time.
 func TestUrgentRouteIsServedAtLeastAsOften(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	s := teamSim{burst: 2200 * ms, classes: []class{{"", 2, 500, 1}, {"", 0, 500, 1}}}
 	counts := playTeams(s)
@@ -341,6 +354,7 @@
 // slots, from the same teams. Both must be served equally often: a queue in order of size would
 // let the long ones starve.
 func TestLongRequestsDoNotStarve(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	s := teamSim{burst: 2200 * ms, ordered: true}
 	for n := range 10 {
