admit, relay: no headroom for less urgent teams; late requests aren't handed the headroom

A team above its share with priority 0 left the headroom free for requests of priority 2, which themselves yield to it: those slots stayed idle. The headroom now counts only other teams' requests of the same or a more urgent priority. A late request handed a slot of the headroom to an earlier late one, which took it without regard to the headroom; late requests now get slots by polling only. A request without a right to the slot that it leaves no longer hands it over, since the other one would ask outside of its rights (this last change has no test of its own).

TestHeadroomIsNotLeftToLessUrgentTeams and TestLateRequestsAreHandedNoHeadroom fail before.

--- a/admit/queue.go
+++ b/admit/queue.go
@@ -63,10 +63,22 @@
 	// bands are ordered; all requests of one come before those of the next.
 	bands []*band
 	use   usage.Table
+	// arrivals are the rates of on-time requests by priority.
+	arrivals []*arrivals
 	// now is the latest time that the line was updated to.
 	now time.Time
 }
 
+// arrivals are the on-time requests of one priority by team.
+type arrivals struct {
+	priority int
+	teams    usage.Table
+}
+
+// minOthers is the rate of other teams' on-time requests from which a team leaves headroom. Their
+// last request has decayed to less after the time in which their team counts for the fair share.
+const minOthers = 0.1
+
 // bandKey says which requests are in a band.
 type bandKey struct {
 	late     bool
@@ -220,25 +232,28 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	l := q.line(service, now)
-	b := l.first()
-	return b != nil && !b.late && l.offer(b, server)
+	return l.offer(server)
 }
 
 // HandOver offers the slot that a request leaves to those before it to the first of
-// these, late or not. Without it the slot would be idle until that request polls. It
-// returns false as OfferSlot does.
+// these. Without it the slot would be idle until that request polls. It returns false as
+// OfferSlot does: a late request polls for slots beyond the headroom.
 func (q *Queue) HandOver(service, server string, w *Waiter, now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	l := q.line(service, now)
-	return l.preceded(w, now) && l.offer(l.first(), server)
+	return l.preceded(w, now) && l.offer(server)
 }
 
-// offer offers a slot to the first request of a band and removes that request. Requests
+// offer offers a slot to the first request and removes that request. Late requests and those
 // of a team above its share poll for slots beyond the headroom instead.
-func (l *line) offer(b *band, server string) bool {
+func (l *line) offer(server string) bool {
+	b := l.first()
+	if b == nil || b.late {
+		return false
+	}
 	w := b.queued[0]
-	if b.rank > 0 && l.use.Rank(w.Team, l.now) > 0 {
+	if b.rank > 0 && l.othersOf(w) > 0 {
 		return false
 	}
 	b.remove(w)
@@ -302,8 +317,10 @@
 func (q *Queue) Arrive(service string, w *Waiter, here, elsewhere float64, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	use := &q.line(service, now).use
+	l := q.line(service, now)
+	use := &l.use
 	use.Request(w.Team, !w.late(now), now)
+	l.arrivalsOf(w.Priority).Request(w.Team, !w.late(now), now)
 	use.SetElsewhere(w.Team, here, elsewhere, now)
 }
 
@@ -325,15 +342,46 @@
 }
 
 // AboveShare reports whether the request's team uses more than its fair share while other
-// teams have requests, and the rate of the on-time requests of these. Such a request
-// leaves Request.Headroom free. It returns false for a late request, which leaves the headroom
-// for all requests on time.
+// teams have requests that are at least as urgent, and the rate of these that are on time. Such
+// a request leaves Request.Headroom free. It returns false for a late request, which leaves the
+// headroom for all requests on time.
 func (q *Queue) AboveShare(service string, w *Waiter, now time.Time) (above bool, others float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	use := &q.line(service, now).use
-	if w.late(now) || use.Rank(w.Team, now) == 0 {
+	l := q.line(service, now)
+	if w.late(now) {
 		return false, 0
 	}
-	return true, use.OthersPerSecond(w.Team, now)
+	others = l.othersOf(w)
+	return others > 0, others
+}
+
+// othersOf returns for how many on-time requests of other teams a second the request leaves
+// headroom. Less urgent ones don't count: they leave free slots to this request, so that
+// nobody would use the headroom.
+func (l *line) othersOf(w *Waiter) (perSecond float64) {
+	if l.use.Rank(w.Team, l.now) == 0 {
+		return 0
+	}
+	for _, a := range l.arrivals {
+		if a.priority <= w.Priority {
+			perSecond += a.teams.OthersPerSecond(w.Team, l.now)
+		}
+	}
+	if perSecond < minOthers {
+		return 0
+	}
+	return perSecond
+}
+
+// arrivalsOf returns the requests of a priority.
+func (l *line) arrivalsOf(priority int) *usage.Table {
+	for _, a := range l.arrivals {
+		if a.priority == priority {
+			return &a.teams
+		}
+	}
+	a := &arrivals{priority: priority}
+	l.arrivals = append(l.arrivals, a)
+	return &a.teams
 }
--- a/admit/queue_test.go
+++ b/admit/queue_test.go
@@ -227,3 +227,38 @@
 	q.End("s", w, time.Second, now)
 	g.Expect(q.MustYield("s", w, now)).To(BeFalse())
 }
+
+// A team above its share has the most urgent priority, the others a lower one. It must not
+// leave the headroom to these: they yield to it, and the slots would be idle.
+func TestHeadroomIsNotLeftToLessUrgentTeams(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	for priority, want := range map[int]bool{0: false, 2: true} {
+		q := &Queue{}
+		large, other := NewWaiter(now, queueTarget, 40*time.Millisecond), NewWaiter(now, queueTarget, 40*time.Millisecond)
+		large.Team, large.Priority, other.Team, other.Priority = "large", priority, "other", 2
+		q.Arrive("s", other, 0, 0, now)
+		for range 100 {
+			q.Arrive("s", large, 0, 0, now)
+			q.Start("s", large, time.Second, now)
+		}
+		above, others := q.AboveShare("s", large, now)
+		g.Expect(above).To(Equal(want))
+		g.Expect(others > 0).To(Equal(want))
+		q.Add("s", large)
+		g.Expect(q.OfferSlot("s", "a", now)).To(Equal(!want))
+	}
+}
+
+// A late request leaves the headroom free. If another late one comes before it, that one must
+// not be handed a slot of the headroom either.
+func TestLateRequestsAreHandedNoHeadroom(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	q := &Queue{}
+	first, second := NewWaiter(now.Add(-time.Second), queueTarget, 40*time.Millisecond), NewWaiter(now.Add(-time.Second), queueTarget, 40*time.Millisecond)
+	second.Priority = 2
+	q.Add("s", first)
+	g.Expect(q.HandOver("s", "a", second, now)).To(BeFalse())
+	first.expectOffer(g, "")
+}
--- a/relay/order.go
+++ b/relay/order.go
@@ -117,9 +117,10 @@
 }
 
 // yield leaves a free slot to the requests that come first. It is offered to the first of
-// them, which otherwise would find it at its next poll.
+// them, which otherwise would find it at its next poll. A slot that this request has no right to isn't
+// its to leave: without a right of its own the other one would mostly be refused there.
 func (p *proxyRequest) yield(choice *pool.Choice, a *admit.Request) {
-	if !p.ordered || choice.Full() || !a.MustYield && !a.AboveShare {
+	if !p.ordered || choice.Full() || choice.Right == pool.RightNone || !a.MustYield && !a.AboveShare {
 		return
 	}
 	why := yieldsToShare
