--- a/admit/queue.go
+++ b/admit/queue.go
@@ -232,26 +232,23 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	l := q.line(service, now)
-	return l.offer(server)
+	b := l.first()
+	return b != nil && !b.late && l.offer(b, server)
 }
 
 // HandOver offers the slot that a request leaves to those before it to the first of
-// these. Without it the slot would be idle until that request polls. It returns false as
-// OfferSlot does: a late request polls for slots beyond the headroom.
+// these, late or not. Without it the slot would be idle until that request polls. It
+// returns false as OfferSlot does.
 func (q *Queue) HandOver(service, server string, w *Waiter, now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	l := q.line(service, now)
-	return l.preceded(w, now) && l.offer(server)
+	return l.preceded(w, now) && l.offer(l.first(), server)
 }
 
-// offer offers a slot to the first request and removes that request. Late requests and those
+// offer offers a slot to the first request of a band and removes that request. Requests
 // of a team above its share poll for slots beyond the headroom instead.
-func (l *line) offer(server string) bool {
-	b := l.first()
-	if b == nil || b.late {
-		return false
-	}
+func (l *line) offer(b *band, server string) bool {
 	w := b.queued[0]
 	if b.rank > 0 && l.othersOf(w) > 0 {
 		return false
