--- a/admit/queue.go
+++ b/admit/queue.go
@@ -63,10 +63,22 @@
 	// bands are ordered; all requests of one come before those of the next.
 	bands []*band
 	use   usage.Table
+	// arrivals are the rates of on-time requests by priority.
+	arrivals []*arrivals
 	// now is the latest time that the line was updated to.
 	now time.Time
 }
 
+// arrivals are the on-time requests of one priority by team.
+type arrivals struct {
+	priority int
+	teams    usage.Table
+}
+
+// minOthers is the rate of other teams' on-time requests from which a team leaves headroom. Their
+// last request has decayed to less after the time in which their team counts for the fair share.
+const minOthers = 0.1
+
 // bandKey says which requests are in a band.
 type bandKey struct {
 	late     bool
@@ -109,9 +121,27 @@
 	for b.queued[i] != w {
 		i++
 	}
+	if i == 0 {
+		b.removeFirst(1)
+		return
+	}
 	b.queued = slices.Delete(b.queued, i, i+1)
 }
 
+// minAdvance is the number of requests from which the first ones are removed without moving
+// the others. In shorter lists moving them is cheap, and the space is reused.
+const minAdvance = 64
+
+// removeFirst removes the first n requests.
+func (b *band) removeFirst(n int) {
+	if len(b.queued)-n < minAdvance {
+		b.queued = slices.Delete(b.queued, 0, n)
+		return
+	}
+	clear(b.queued[:n])
+	b.queued = b.queued[n:]
+}
+
 // firstOnTime returns the index of the first request that is not late.
 func (b *band) firstOnTime(now time.Time) int {
 	return sort.Search(len(b.queued), func(n int) bool { return !b.queued[n].late(now) })
@@ -147,7 +177,7 @@
 		for _, w := range b.queued[:n] {
 			to.add(w)
 		}
-		b.queued = slices.Delete(b.queued, 0, n)
+		b.removeFirst(n)
 	}
 }
 
@@ -220,7 +250,7 @@
 // of a team above its share poll for slots beyond the headroom instead.
 func (l *line) offer(b *band, server string) bool {
 	w := b.queued[0]
-	if b.rank > 0 && l.use.Rank(w.Team, l.now) > 0 {
+	if b.rank > 0 && l.othersOf(w) > 0 {
 		return false
 	}
 	b.remove(w)
@@ -284,8 +314,10 @@
 func (q *Queue) Arrive(service string, w *Waiter, here, elsewhere float64, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	use := &q.line(service, now).use
+	l := q.line(service, now)
+	use := &l.use
 	use.Request(w.Team, !w.late(now), now)
+	l.arrivalsOf(w.Priority).Request(w.Team, !w.late(now), now)
 	use.SetElsewhere(w.Team, here, elsewhere, now)
 }
 
@@ -307,15 +339,46 @@
 }
 
 // AboveShare reports whether the request's team uses more than its fair share while other
-// teams have requests, and the rate of the on-time requests of these. Such a request
-// leaves Request.Headroom free. It returns false for a late request, which leaves the headroom
-// for all requests on time.
+// teams have requests that are at least as urgent, and the rate of these that are on time. Such
+// a request leaves Request.Headroom free. It returns false for a late request, which leaves the
+// headroom for all requests on time.
 func (q *Queue) AboveShare(service string, w *Waiter, now time.Time) (above bool, others float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	use := &q.line(service, now).use
-	if w.late(now) || use.Rank(w.Team, now) == 0 {
+	l := q.line(service, now)
+	if w.late(now) {
 		return false, 0
 	}
-	return true, use.OthersPerSecond(w.Team, now)
+	others = l.othersOf(w)
+	return others > 0, others
+}
+
+// othersOf returns for how many on-time requests of other teams a second the request leaves
+// headroom. Less urgent ones don't count: they leave free slots to this request, so that
+// nobody would use the headroom.
+func (l *line) othersOf(w *Waiter) (perSecond float64) {
+	if l.use.Rank(w.Team, l.now) == 0 {
+		return 0
+	}
+	for _, a := range l.arrivals {
+		if a.priority <= w.Priority {
+			perSecond += a.teams.OthersPerSecond(w.Team, l.now)
+		}
+	}
+	if perSecond < minOthers {
+		return 0
+	}
+	return perSecond
+}
+
+// arrivalsOf returns the requests of a priority.
+func (l *line) arrivalsOf(priority int) *usage.Table {
+	for _, a := range l.arrivals {
+		if a.priority == priority {
+			return &a.teams
+		}
+	}
+	a := &arrivals{priority: priority}
+	l.arrivals = append(l.arrivals, a)
+	return &a.teams
 }
