relay: a test of metrics waits for the last outcomes

Cause: TestMetricsByTeamAreBounded failed in 5 of 32 runs beside seven others: an outcome is counted after its response was written, and the test read the counter at once. Change: the test waits for the count; the expected numbers are the same.

--- a/relay/order_test.go
+++ b/relay/order_test.go
@@ -158,6 +158,9 @@
 	for n := range teams {
 		s.postAs("/once/x", "r", fmt.Sprint("team-", n))
 	}
+	// An outcome is counted after its response was written.
+	others := metrics.GetOrRegisterCounter("team.others.served", s.relay.Metrics)
+	s.g.Eventually(others.Count).Should(BeNumerically("==", teams-100))
 	named := map[string]bool{}
 	s.relay.Metrics.Each(func(name string, _ any) {
 		if rest, ok := strings.CutPrefix(name, "team."); ok {
@@ -166,5 +169,4 @@
 		}
 	})
 	s.g.Expect(named).To(HaveLen(101))
-	s.g.Expect(metrics.GetOrRegisterCounter("team.others.served", s.relay.Metrics).Count()).To(BeNumerically("==", teams-100))
 }
