pool: a request preempts the run that is assigned to its entry

Two draws spread preemptions: each of the youngest runs is assigned to one entry, and an entry needed a right by server to preempt there. The second one mostly excluded the assigned run, so that a request interrupted an older one.

Where runs are known, the entry of the assigned run has the right, the other young runs follow as rights grow, and all runs at the end.

--- a/pool/scarce.go
+++ b/pool/scarce.go
@@ -123,6 +123,9 @@
 	if growth >= 1 {
 		return RightGrown
 	}
+	if preempt && s.runs != nil {
+		return s.preemptRight(c, growth, slots, left)
+	}
 	if s.holds(c, slots, rights.Level(0, c.division.Entries, preempt)) > -left {
 		return RightHeld
 	}
@@ -132,6 +135,22 @@
 	return RightNone
 }
 
+// preemptRight returns by what right a request may preempt a batch item at a backend server whose runs are
+// known. Each of the youngest runs is assigned to one entry, which alone may preempt it at once. A draw
+// besides would leave assigned runs unused and lead to older ones. As the rights grow, the other young
+// runs follow; right allows all runs at the end.
+func (s *server) preemptRight(c *scarcity, growth float64, slots, left int) Right {
+	switch {
+	case s.preempt == nil:
+		return RightNone
+	case s.preempt.rank < preferYoung:
+		return RightHeld
+	case growth > 0 && s.holds(c, slots, growth*float64(c.division.Entries)) > -left:
+		return RightGrown
+	}
+	return RightNone
+}
+
 // holds returns to how many of a backend server's first slots this entry has a right.
 func (s *server) holds(c *scarcity, slots int, level float64) int {
 	held := 0
