runner: items at risk take scarce slots at once

While slots are scarce, an item starts only in a slot that has been visible as free for 150 ms. Under constant high load no slot is free for that long, so that an item could wait beyond its due time.

Items at risk of missing their due time no longer wait, and come before the others also where no slots are kept free but slots are scarce.

The simulation of items between bursts now also plays requests that reserve by right.

--- a/items/burst_test.go
+++ b/items/burst_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/pool"
+	"github.com/sardinerock/sardinerock/rights"
 )
 
 // The simulation plays bursts of online requests with batch items between them: entries that own a part
@@ -28,6 +29,7 @@
 	requestsPerSecond         = 177
 	jobsPerSecond             = 2.17
 	queueTime                 = 250 * time.Millisecond
+	requestTarget             = 300 * time.Millisecond
 )
 
 type burstItem struct {
@@ -79,6 +81,8 @@
 	// load multiplies the rate of items. fast makes a quarter of the backend servers twice as fast.
 	load                   float64
 	fast, starts, constant bool
+	// rights is set if requests reserve slots by right.
+	rights bool
 	// large makes one job in thirty one of 200 items.
 	large bool
 	// restart is when all entries are lost and start again, viewAge how old their views are at most.
@@ -159,10 +163,25 @@
 	}
 }
 
+func (b *bursts) choose(e *burstEntry, since time.Time) pool.Choice {
+	if !b.rights {
+		c, _ := e.pool.ChooseOnline("s", nil, b.now)
+		return c
+	}
+	c, _ := e.pool.ChooseReserving("s", &pool.Reserving{
+		Request: rights.Request{Waited: b.now.Sub(since), Target: requestTarget}, ViewAge: b.viewAge,
+	}, b.now)
+	return c
+}
+
 // serve sends a request, and returns false if no slot was found.
-func (b *bursts) serve(e *burstEntry) bool {
+func (b *bursts) serve(e *burstEntry, since time.Time) bool {
 	for range 5 {
-		c, _ := e.pool.ChooseOnline("s", nil, b.now)
+		c := b.choose(e, since)
+		if c.Right == pool.RightNone {
+			e.pool.CancelOnline(c.ID)
+			return false
+		}
 		v := b.servers[c.ID]
 		if c.Full() && c.Batch > 0 {
 			holder, ok := e.pool.PreemptHolder(c.ID, b.now)
@@ -212,7 +231,7 @@
 		case i.run != nil:
 		case !e.estimator.MeetsDeadline(last, i.due, b.now):
 			late = append(late, i)
-		case keepFree > 0 && e.estimator.AtRisk(last, i.due, b.now):
+		case (keepFree > 0 || e.pool.Scarce("s", b.now)) && e.estimator.AtRisk(last, i.due, b.now):
 			atRisk = append(atRisk, i)
 		default:
 			inTime = append(inTime, i)
@@ -220,11 +239,11 @@
 	}
 	e.waiting = len(atRisk) + len(inTime)
 	own := b.part(e)
-	started := b.start(e, atRisk, own, elsewhere, 0)
+	started := b.start(e, atRisk, own, elsewhere, 0, true)
 	if started == len(atRisk) {
-		started += b.start(e, inTime, own, elsewhere, keepFree)
+		started += b.start(e, inTime, own, elsewhere, keepFree, false)
 	}
-	b.start(e, late, len(late), len(late)*(burstEntries-1), e.waiting-started+elsewhere)
+	b.start(e, late, len(late), len(late)*(burstEntries-1), e.waiting-started+elsewhere, false)
 }
 
 // part returns how many waiting items count for an entry's share of the free slots.
@@ -235,13 +254,17 @@
 	return e.waiting
 }
 
-func (b *bursts) start(e *burstEntry, waiting []*burstItem, own, elsewhere, keepFree int) int {
-	free := e.pool.FreeSlots("s", 0, b.now)
+func (b *bursts) start(e *burstEntry, waiting []*burstItem, own, elsewhere, keepFree int, atRisk bool) int {
+	freeSlots, choose := e.pool.FreeSlots, e.pool.ChooseBatch
+	if atRisk {
+		freeSlots, choose = e.pool.FreeSlotsAtRisk, e.pool.ChooseBatchAtRisk
+	}
+	free := freeSlots("s", 0, b.now)
 	for n, i := range waiting {
 		if e.pace.Allow(free-keepFree, own, elsewhere, true, b.now) <= 0 {
 			return n
 		}
-		c, ok := e.pool.ChooseBatch("s", 0, b.now)
+		c, ok := choose("s", 0, b.now)
 		if !ok {
 			return n
 		}
@@ -302,7 +325,7 @@
 	}
 	for _, q := range queue {
 		switch {
-		case b.serve(q.entry):
+		case b.serve(q.entry, q.since):
 		case b.now.Sub(q.since) > queueTime:
 			b.late++
 		default:
@@ -422,13 +445,14 @@
 			t.Parallel()
 			g := NewWithT(t)
 			test.load.viewAge = cmp.Or(test.load.viewAge, 100*time.Millisecond)
-			present, changed := test.load, test.load
-			changed.starts = true
+			present, changed, reserving := test.load, test.load, test.load
+			changed.starts, reserving.starts, reserving.rights = true, true, true
 			for seed := range uint64(2) {
 				present.play(seed)
 				changed.play(seed)
+				reserving.play(seed)
 			}
-			for rule, b := range map[string]*bursts{"present": &present, "new": &changed} {
+			for rule, b := range map[string]*bursts{"present": &present, "new": &changed, "new, by right": &reserving} {
 				t.Logf("%s, %s rule: %.3f of slot time lost, %.4f of %d items in time, %d preemptions, %d requests: %d refusals, %d late, small jobs %s",
 					name, rule, b.lostShare(), b.inTimeShare(), b.total, b.preempted, b.sent, b.refused, b.late, b.smallTime)
 			}
@@ -438,6 +462,10 @@
 			if test.load.large {
 				g.Expect(changed.smallTime).To(BeNumerically("<", present.smallTime))
 			}
+			g.Expect(reserving.lostShare()).To(BeNumerically("<=", present.lostShare()+0.03))
+			g.Expect(reserving.inTimeShare()).To(BeNumerically(">=", present.inTimeShare()-max(test.late, 0.004)))
+			g.Expect(reserving.refused).To(BeNumerically("<=", changed.refused/2))
+			g.Expect(reserving.late).To(BeNumerically("<=", present.late+present.sent/1000))
 			g.Expect(changed.late).To(BeNumerically("<=", present.late+present.sent/1000))
 		})
 	}
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -183,6 +183,15 @@
 // slots free. The choice is random, weighted by free slots and by speed: if all entries chose the
 // emptiest one, most of their items would be preempted again.
 func (p *Pool) ChooseBatch(service string, reserve int, now time.Time) (Choice, bool) {
+	return p.chooseBatch(service, reserve, false, now)
+}
+
+// ChooseBatchAtRisk is ChooseBatch for an item that is at risk of missing its due time.
+func (p *Pool) ChooseBatchAtRisk(service string, reserve int, now time.Time) (Choice, bool) {
+	return p.chooseBatch(service, reserve, true, now)
+}
+
+func (p *Pool) chooseBatch(service string, reserve int, atRisk bool, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.byService[service]
@@ -190,7 +199,7 @@
 	total := 0
 	p.weights = p.weights[:0]
 	for _, s := range list {
-		weight := v.batchWeight(s, p.itemSlots(s, reserve, now))
+		weight := v.batchWeight(s, p.itemSlots(s, reserve, atRisk, now))
 		p.weights = append(p.weights, weight)
 		total += weight
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -239,11 +239,20 @@
 // FreeSlots returns how many slots of a service batch items may take now, over all
 // backend servers, if reserve slots stay free on each.
 func (p *Pool) FreeSlots(service string, reserve int, now time.Time) int {
+	return p.countFreeSlots(service, reserve, false, now)
+}
+
+// FreeSlotsAtRisk is FreeSlots for items that are at risk of missing their due time.
+func (p *Pool) FreeSlotsAtRisk(service string, reserve int, now time.Time) int {
+	return p.countFreeSlots(service, reserve, true, now)
+}
+
+func (p *Pool) countFreeSlots(service string, reserve int, atRisk bool, now time.Time) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	free := 0
 	for _, s := range p.byService[service] {
-		free += p.itemSlots(s, reserve, now)
+		free += p.itemSlots(s, reserve, atRisk, now)
 	}
 	return free
 }
--- a/pool/right_test.go
+++ b/pool/right_test.go
@@ -252,6 +252,26 @@
 	g.Expect(p.FreeSlots("s", 0, testStart.Add(scarcityTimeout+ms))).To(Equal(4))
 }
 
+// Under constant high load no slot is visible as free for as long as items wait. One that is about to miss
+// its due time must take a slot at once, or it is late however long it has waited.
+func TestItemsAtRiskTakeScarceSlots(t *testing.T) {
+	g := NewWithT(t)
+	p := scarcePool(2, 0, true)
+	for n := range 100 {
+		now := testStart.Add(time.Duration(n) * 50 * ms)
+		// The slot that one request frees is taken by the next within 100 ms.
+		p.CancelOnline(p.expectReserving(g, 0, now).ID)
+		p.SetPeer("peer-0", p.fullLoads(n/2%2, 0), now)
+		g.Expect(p.Scarce("s", now)).To(BeTrue())
+		g.Expect(p.FreeSlots("s", 0, now)).To(BeZero())
+		g.Expect(p.FreeSlotsAtRisk("s", 0, now)).To(Equal(2 - n/2%2*2))
+		if c, ok := p.ChooseBatchAtRisk("s", 0, now); ok {
+			p.Done(c.ID, true, false, now)
+		}
+	}
+	g.Expect(p.Scarce("s", testStart.Add(10*time.Second))).To(BeFalse(), "no online requests")
+}
+
 // largeScarcePool returns a pool of 400 backend servers with one free slot each, and 500 entries.
 func largeScarcePool() *Pool {
 	p := scarcePool(400, 1, true)
--- a/pool/scarce.go
+++ b/pool/scarce.go
@@ -189,10 +189,10 @@
 //
 // It is designed for bursts beside jobs. The fewer reservations of online requests are refused, the longer
 // a slot is visible as free to items. Items that took it at once would be preempted by the next requests.
-func (p *Pool) itemSlots(s *server, reserve int, now time.Time) int {
+// Items at risk of missing their due time don't wait: under constant high load no slot stays free that long.
+func (p *Pool) itemSlots(s *server, reserve int, atRisk bool, now time.Time) int {
 	free := s.freeSlots(reserve, now)
-	c := p.scarcities[s.Service]
-	if free == 0 || c == nil || !c.scarce || !p.statesStarts[s.Service] || now.Sub(c.checked) > scarcityTimeout {
+	if free == 0 || atRisk || !p.scarceNow(s.Service, now) {
 		return free
 	}
 	if s.visible(now) < rights.ItemDelay {
@@ -201,6 +201,18 @@
 	return free
 }
 
+// Scarce reports whether the slots of a service are scarce, so that batch items wait before they take one.
+func (p *Pool) Scarce(service string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scarceNow(service, now)
+}
+
+func (p *Pool) scarceNow(service string, now time.Time) bool {
+	c := p.scarcities[service]
+	return c != nil && c.scarce && p.statesStarts[service] && now.Sub(c.checked) <= scarcityTimeout
+}
+
 // setReported records what this entry now reports to the others.
 func (p *Pool) setReported() {
 	for _, s := range p.reported {
--- a/runner/lull.go
+++ b/runner/lull.go
@@ -86,8 +86,8 @@
 		if h := r.headroom[c.service]; h != nil {
 			c.headroom = h.slots
 		}
-		if c.headroom > 0 && r.estimator.AtRisk(r.lastEvent(c), c.CreatedAt.Add(c.route.CompletionTarget), now) {
-			c.headroom = 0
+		if (c.headroom > 0 || r.Pool.Scarce(c.service, now)) && r.estimator.AtRisk(r.lastEvent(c), c.CreatedAt.Add(c.route.CompletionTarget), now) {
+			c.headroom, c.atRisk = 0, true
 			atRisk = append(atRisk, *c)
 		} else {
 			others = append(others, *c)
--- a/runner/start.go
+++ b/runner/start.go
@@ -43,7 +43,7 @@
 	for n := range waiting {
 		now := time.Now()
 		reserve := items.SlotReserve(waiting[n].reserved, now.Sub(waiting[n].CreatedAt), waiting[n].route.CompletionTarget)
-		free.count(r.Pool, waiting[n].service, reserve, now)
+		free.count(r.Pool, waiting[n].service, reserve, waiting[n].atRisk, now)
 		if r.Pace.Allow(free.slots-keepFree-waiting[n].headroom, own, elsewhere, waiting[n].reserved, now) <= 0 {
 			return n
 		}
@@ -61,13 +61,18 @@
 type freeSlots struct {
 	slots, reserve int
 	service        string
+	atRisk         bool
 }
 
-func (f *freeSlots) count(p *pool.Pool, service string, reserve int, now time.Time) {
-	if f.service == service && f.reserve == reserve {
+func (f *freeSlots) count(p *pool.Pool, service string, reserve int, atRisk bool, now time.Time) {
+	if f.service == service && f.reserve == reserve && f.atRisk == atRisk {
 		return
 	}
-	*f = freeSlots{slots: p.FreeSlots(service, reserve, now), reserve: reserve, service: service}
+	free := p.FreeSlots
+	if atRisk {
+		free = p.FreeSlotsAtRisk
+	}
+	*f = freeSlots{slots: free(service, reserve, now), reserve: reserve, service: service, atRisk: atRisk}
 }
 
 // splitByDeadline separates the items that can finish in time from those that cannot.
@@ -108,6 +113,8 @@
 	reserved bool
 	// headroom is how many slots it leaves free for online requests.
 	headroom int
+	// atRisk is set if it is likely to miss its due time if it waits for more free slots.
+	atRisk bool
 }
 
 // waitingItems returns this entry's items that neither run nor wait for a retry, earliest due
@@ -173,7 +180,11 @@
 
 // start runs an item in a free slot; it returns false if there is none.
 func (r *Runner) start(ctx context.Context, c *candidate, reserve int) bool {
-	choice, ok := r.Pool.ChooseBatch(c.service, reserve, time.Now())
+	choose := r.Pool.ChooseBatch
+	if c.atRisk {
+		choose = r.Pool.ChooseBatchAtRisk
+	}
+	choice, ok := choose(c.service, reserve, time.Now())
 	if !ok {
 		return false
 	}
