pool, rights: wait shortly for a free slot rather than preempt an item

A request that had no right to any of the visible free slots preempted an item at once, while these slots waited for their holders.

A request now waits for up to 34 ms, at a target of 300 ms, if a slot is free to which it has no right yet; not at the beginning of a burst, when the online requests grow by more than 4 % of the slots within the age of a view. There the slots are needed anyway, and the requests that wait for the few free ones would be refused.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/rights"
 )
 
 // Choice is the chosen backend server with the values that decided the choice.
@@ -111,7 +112,7 @@
 			switch {
 			case right != RightNone:
 				best.replace(s, p.rankOnline(s, r.Once, now), right)
-			case blocked.server == nil || blocked.rank >= rankSuspect:
+			case blocked.server == nil || blocked.rank >= rankPreempt:
 				blocked.replace(s, p.rankOnline(s, r.Once, now), right)
 			}
 		}
@@ -121,6 +122,10 @@
 	if blocked.server != nil && (best.server == nil || blocked.rank < rankSuspect && best.rank >= rankSuspect) {
 		best = blocked
 	}
+	// A free slot that the request may ask for later can be better than to preempt an item now.
+	if blocked.server != nil && blocked.rank < rankPreempt && best.rank >= rankPreempt && rights.WaitsForFree(growth, c.rising) {
+		best = blocked
+	}
 	if best.server == nil {
 		return Choice{}, false
 	}
--- a/pool/right_test.go
+++ b/pool/right_test.go
@@ -226,6 +226,45 @@
 	g.Expect(assigned).To(BeNumerically(">=", 5))
 }
 
+// While the load doesn't grow, the free slots suffice for the requests that arrive as others end. A request
+// without a right to one must wait for a moment; if it preempted, all items would be interrupted one by one. At
+// the beginning of a burst it must preempt at once, or it is late.
+func TestRequestWaitsForAFreeSlotBeforeItPreempts(t *testing.T) {
+	g := NewWithT(t)
+	waiting, preempting := 0, 0
+	for n := range 20 {
+		// Which runs are assigned to this entry depends on the holder.
+		now, holder := testStart.Add(time.Duration(n)*time.Second), fmt.Sprint("peer-", fleetSlots+n)
+		p := scarcePool(38, 1, true)
+		loads := p.fullLoads(0, 1)
+		loads[n].Batch = 0
+		p.SetPeer(holder, loads, now)
+		c := p.expectReserving(g, 0, now)
+		p.CancelOnline(c.ID)
+		g.Expect(c.Full()).To(BeFalse())
+		if c.Right != RightNone {
+			continue
+		}
+		waiting++
+		// Online requests take the slots of half of the items.
+		for i := range loads {
+			if i != n && i%2 == 0 {
+				loads[i].Online, loads[i].Batch = 1, 0
+			}
+		}
+		now = now.Add(testViewAge)
+		p.SetPeer(holder, loads, now)
+		c = p.expectReserving(g, 0, now)
+		p.CancelOnline(c.ID)
+		if c.Full() {
+			g.Expect(c.Right).To(Equal(RightHeld))
+			preempting++
+		}
+	}
+	g.Expect(waiting).To(BeNumerically(">=", 10))
+	g.Expect(preempting).To(BeNumerically(">=", waiting/4), "entries to which a run is assigned")
+}
+
 // fullLoads returns equal loads on all backend servers.
 func (p *Pool) fullLoads(online, batch int) []Load {
 	var loads []Load
--- a/pool/scarce.go
+++ b/pool/scarce.go
@@ -12,6 +12,9 @@
 	scarcityInterval = 10 * time.Millisecond
 	// scarcityTimeout is how long after the last online request of this entry the slots still count as scarce.
 	scarcityTimeout = time.Second
+	// maxCountAges is the maximum time between two counts of online requests, as a number of view ages, after
+	// which a difference still shows the beginning of a burst.
+	maxCountAges = 3
 	// minPeriod is the minimum time for which an entry keeps its rights. It covers a
 	// poll for a slot and two round trips.
 	minPeriod = 50 * time.Millisecond
@@ -51,6 +54,11 @@
 	viewAge  time.Duration
 	period   int64
 	division rights.Division
+	// rising is set if a burst begins. online is the number of online requests of all entries at
+	// countedAt, from which it is determined.
+	rising    bool
+	online    int
+	countedAt time.Time
 }
 
 // ChooseReserving is ChooseOnline for a request for which a slot is reserved first. While the slots
@@ -87,19 +95,29 @@
 }
 
 func (p *Pool) checkScarcity(service string, c *scarcity, now time.Time) {
-	free, own, all := 0, 0, 0
+	free, own, all, slots := 0, 0, 0, 0
 	for _, s := range p.byService[service] {
 		s.updateVisible(now)
 		free += s.freeSlots(0, now)
 		own += s.online
 		all += s.online + s.peerLoad.Online
+		slots += s.Slots
 	}
+	c.observeOnline(all, slots, now)
 	c.scarce = rights.Scarce(c.scarce, free, float64(all)*c.viewAge.Seconds()/p.timing(service).Run.Seconds())
 	if period := now.UnixNano() / int64(max(c.viewAge, minPeriod)); c.scarce && (period != c.period || c.division.Entries == 0) {
 		c.period, c.division = period, rights.NewDivision(Hash(p.Name), period, own, all, len(p.peers)+1)
 	}
 }
 
+// observeOnline determines once per view age whether a burst begins. It isn't known after a pause.
+func (c *scarcity) observeOnline(online, slots int, now time.Time) {
+	if elapsed := now.Sub(c.countedAt); elapsed < 0 || elapsed >= c.viewAge {
+		c.rising = elapsed >= 0 && elapsed < maxCountAges*c.viewAge && rights.Rising(c.online, online, slots)
+		c.online, c.countedAt = online, now
+	}
+}
+
 // right returns by what right a request may ask a backend server for a slot. growth is how far the
 // request's rights have grown. The slots that the other entries know to be free are divided. What this entry
 // has started since its last report counts against its rights, and slots that its requests have
--- a/rights/rights.go
+++ b/rights/rights.go
@@ -12,6 +12,13 @@
 	// initialPreempters is the same for a slot of which the batch item has to be preempted. One
 	// that was preempted in vain has to read its prompt again.
 	initialPreempters = 1.5
+	// patientGrowth is the growth up to which a request doesn't preempt an item while slots are free to which it
+	// has no right yet. With a target of 300 ms it is reached after 34 ms, two polls; after three or
+	// more, in the simulation, slots are idle for a half longer while requests wait.
+	patientGrowth = 0.05
+	// risingShare is the share of all slots by which the online requests grow within the age of a view
+	// at the beginning of a burst; one that nearly fills the slots within half a second takes 7 %.
+	risingShare = 0.04
 	// growthPart is the part of its target within which a request gets a right to every slot. The rest
 	// is for the reservation and for the response to start.
 	growthPart = 0.5
@@ -58,6 +65,18 @@
 	return square(max(float64(r.Waited), 0) / half)
 }
 
+// WaitsForFree reports whether a request whose rights have grown by growth waits for a free slot rather than
+// to preempt a batch item. rising is the result of Rising.
+//
+// It is designed for the time after the beginning of a burst, when each request that ends frees a slot
+// for the next. Preemptions for requests that wait for a moment would interrupt all items one by one. At the
+// beginning the slots are needed anyway, and requests that wait for the few free ones would be refused.
+func WaitsForFree(growth float64, rising bool) bool { return !rising && growth < patientGrowth }
+
+// Rising reports whether a burst begins. before and now are the online requests of all entries
+// at two times that are the age of a view apart.
+func Rising(before, now, slots int) bool { return float64(now-before) > risingShare*float64(slots) }
+
 // Settled bounds the growth of the rights to a slot that has been visible as free for a time. At
 // first only the initial holders ask for it. Otherwise, in a burst beyond all slots, all
 // entries would ask at once for the slot that one of them reports.
