pool: few entries preempt as many runs as they need

An entry alone, or one of a few, starts ten requests within the age of a view, but one run on average is assigned to it, and of its other runs only the youngest are listed. Entries that start more than three requests within the age of a view now draw rights by server besides; an entry alone may preempt everywhere.

A choice now ranks a backend server before it decides the right there, once rather than twice: the rank updates the run that would be preempted, which could be out of date for the first server visited.

A service that stops to state starts no longer keeps the run to preempt of each backend server.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -102,18 +102,19 @@
 				break
 			}
 			checked++
-			right := RightUnneeded
+			rank, right := p.rankOnline(s, r.Once, now), RightUnneeded
+			if best.server != nil && rank >= best.rank {
+				continue
+			}
+			// The rank comes first since it updates the run that would be preempted.
 			if c != nil {
-				if best.server != nil && p.rankOnline(s, r.Once, now) >= best.rank {
-					continue
-				}
 				right = s.right(c, growth, now)
 			}
 			switch {
 			case right != RightNone:
-				best.replace(s, p.rankOnline(s, r.Once, now), right)
+				best.replace(s, rank, right)
 			case blocked.server == nil || blocked.rank >= rankPreempt:
-				blocked.replace(s, p.rankOnline(s, r.Once, now), right)
+				blocked.replace(s, rank, right)
 			}
 		}
 	}
--- a/pool/right_test.go
+++ b/pool/right_test.go
@@ -198,6 +198,9 @@
 func TestRequestPreemptsTheAssignedRun(t *testing.T) {
 	g := NewWithT(t)
 	p := scarcePool(38, 1, true)
+	for range 30 {
+		p.RecordServed("i-0", Sample{Timing: Timing{Run: fleetRun, FirstByte: fleetFirst}})
+	}
 	assigned := 0
 	for n := range 20 {
 		now := testStart.Add(time.Duration(n) * time.Second)
@@ -265,6 +268,42 @@
 	g.Expect(preempting).To(BeNumerically(">=", waiting/4), "entries to which a run is assigned")
 }
 
+// In a small fleet each entry starts ten requests within the age of a view, but only one run is assigned to it
+// on average. They must not wait for their rights to grow, or most would be late at the beginning of a burst.
+func TestFewEntriesPreemptManyRuns(t *testing.T) {
+	for _, peers := range []int{0, 1, 2} {
+		g := NewWithT(t)
+		p := &Pool{Name: "a", Zone: "z0", Random: newPool("a", 0, 0).Random}
+		p.setServers(38, true)
+		for n := range peers {
+			p.SetPeer(fmt.Sprint("peer-", n), p.fullLoads((fleetSlots-1)/peers, 0), testStart)
+		}
+		for _, s := range p.byService["s"] {
+			p.addLoad(s, 0, fleetSlots-s.online-s.peerLoad.Online)
+		}
+		p.OwnLoads()
+		preempting := 0
+		for range 10 {
+			if c := p.expectReserving(g, 0, testStart); c.Right != RightNone {
+				p.PreemptHolder(c.ID, testStart)
+				preempting++
+			}
+		}
+		g.Expect(preempting).To(BeNumerically(">=", 8), "with %d others", peers)
+	}
+}
+
+// A service that no longer states starts, and does again later, must not keep the runs of before.
+func TestRunsEndWithTheStatedStarts(t *testing.T) {
+	g := NewWithT(t)
+	p := startingPool("a", 2, 1)
+	p.report("b", testStart, 0, 1)
+	p.expectReserving(g, 0, testStart)
+	g.Expect(p.servers["i-0"].preempt).NotTo(BeNil())
+	p.SetServers(servers(2, 1))
+	g.Expect(p.servers["i-0"].preempt).To(BeNil())
+}
+
 // fullLoads returns equal loads on all backend servers.
 func (p *Pool) fullLoads(online, batch int) []Load {
 	var loads []Load
--- a/pool/runs.go
+++ b/pool/runs.go
@@ -102,7 +102,9 @@
 			p.runs[service] = &runs{asked: map[runKey]time.Time{}}
 		}
 		for _, s := range list {
-			s.runs = p.runs[service]
+			if s.runs != p.runs[service] {
+				s.runs, s.preempt = p.runs[service], nil
+			}
 		}
 	}
 }
--- a/pool/scarce.go
+++ b/pool/scarce.go
@@ -15,6 +15,10 @@
 	// maxCountAges is the maximum time between two counts of online requests, as a number of view ages, after
 	// which a difference still shows the beginning of a burst.
 	maxCountAges = 3
+	// maxAssigned is the number of requests that an entry starts within the age of a view, of 0.1 s, above which
+	// it doesn't only preempt the runs assigned to it, which are one on average. A few entries
+	// with as many requests as thirty would otherwise be late at the beginning of each burst.
+	maxAssigned = 3
 	// minPeriod is the minimum time for which an entry keeps its rights. It covers a
 	// poll for a slot and two round trips.
 	minPeriod = 50 * time.Millisecond
@@ -59,6 +63,8 @@
 	rising    bool
 	online    int
 	countedAt time.Time
+	// frequent is set if an entry starts more requests within the age of a view than runs are assigned to it.
+	frequent bool
 }
 
 // ChooseReserving is ChooseOnline for a request for which a slot is reserved first. While the slots
@@ -104,9 +110,11 @@
 		slots += s.Slots
 	}
 	c.observeOnline(all, slots, now)
-	c.scarce = rights.Scarce(c.scarce, free, float64(all)*c.viewAge.Seconds()/p.timing(service).Run.Seconds())
+	starts, entries := float64(all)*c.viewAge.Seconds()/p.timing(service).Run.Seconds(), len(p.peers)+1
+	c.scarce = rights.Scarce(c.scarce, free, starts)
+	c.frequent = starts > maxAssigned*float64(entries)*max(float64(c.viewAge)/float64(2*youngAge), 1)
 	if period := now.UnixNano() / int64(max(c.viewAge, minPeriod)); c.scarce && (period != c.period || c.division.Entries == 0) {
-		c.period, c.division = period, rights.NewDivision(Hash(p.Name), period, own, all, len(p.peers)+1)
+		c.period, c.division = period, rights.NewDivision(Hash(p.Name), period, own, all, entries)
 	}
 }
 
@@ -156,13 +164,18 @@
 // preemptRight returns by what right a request may preempt a batch item at a backend server whose runs are
 // known. Each of the youngest runs is assigned to one entry, which alone may preempt it at once. A draw
 // besides would leave assigned runs unused and lead to older ones. As the rights grow, the other young
-// runs follow; right allows all runs at the end.
+// runs follow; right allows all runs at the end. Entries with frequent requests draw besides.
 func (s *server) preemptRight(c *scarcity, growth float64, slots, left int) Right {
 	switch {
+	case s.preempt != nil && s.preempt.rank < preferYoung:
+		return RightHeld
+	case c.frequent || c.division.Entries <= 1:
+		if s.holds(c, slots, rights.Level(growth, c.division.Entries, true)) > -left {
+			return RightHeld
+		}
+		return RightNone
 	case s.preempt == nil:
 		return RightNone
-	case s.preempt.rank < preferYoung:
-		return RightHeld
 	case growth > 0 && s.holds(c, slots, growth*float64(c.division.Entries)) > -left:
 		return RightGrown
 	}
