--- a/pool/choose.go
+++ b/pool/choose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/rights"
 )
 
 // Choice is the chosen backend server with the values that decided the choice.
@@ -101,18 +102,19 @@
 				break
 			}
 			checked++
-			right := RightUnneeded
+			rank, right := p.rankOnline(s, r.Once, now), RightUnneeded
+			if best.server != nil && rank >= best.rank {
+				continue
+			}
+			// The rank comes first since it updates the run that would be preempted.
 			if c != nil {
-				if best.server != nil && p.rankOnline(s, r.Once, now) >= best.rank {
-					continue
-				}
 				right = s.right(c, growth, now)
 			}
 			switch {
 			case right != RightNone:
-				best.replace(s, p.rankOnline(s, r.Once, now), right)
-			case blocked.server == nil || blocked.rank >= rankSuspect:
-				blocked.replace(s, p.rankOnline(s, r.Once, now), right)
+				best.replace(s, rank, right)
+			case blocked.server == nil || blocked.rank >= rankPreempt:
+				blocked.replace(s, rank, right)
 			}
 		}
 	}
@@ -121,6 +123,10 @@
 	if blocked.server != nil && (best.server == nil || blocked.rank < rankSuspect && best.rank >= rankSuspect) {
 		best = blocked
 	}
+	// A free slot that the request may ask for later can be better than to preempt an item now.
+	if blocked.server != nil && blocked.rank < rankPreempt && best.rank >= rankPreempt && rights.WaitsForFree(growth, c.rising) {
+		best = blocked
+	}
 	if best.server == nil {
 		return Choice{}, false
 	}
@@ -183,6 +189,15 @@
 // slots free. The choice is random, weighted by free slots and by speed: if all entries chose the
 // emptiest one, most of their items would be preempted again.
 func (p *Pool) ChooseBatch(service string, reserve int, now time.Time) (Choice, bool) {
+	return p.chooseBatch(service, reserve, false, now)
+}
+
+// ChooseBatchAtRisk is ChooseBatch for an item that is at risk of missing its due time.
+func (p *Pool) ChooseBatchAtRisk(service string, reserve int, now time.Time) (Choice, bool) {
+	return p.chooseBatch(service, reserve, true, now)
+}
+
+func (p *Pool) chooseBatch(service string, reserve int, atRisk bool, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.byService[service]
@@ -190,7 +205,7 @@
 	total := 0
 	p.weights = p.weights[:0]
 	for _, s := range list {
-		weight := v.batchWeight(s, p.itemSlots(s, reserve, now))
+		weight := v.batchWeight(s, p.itemSlots(s, reserve, atRisk, now))
 		p.weights = append(p.weights, weight)
 		total += weight
 	}
--- a/pool/scarce.go
+++ b/pool/scarce.go
@@ -12,6 +12,13 @@
 	scarcityInterval = 10 * time.Millisecond
 	// scarcityTimeout is how long after the last online request of this entry the slots still count as scarce.
 	scarcityTimeout = time.Second
+	// maxCountAges is the maximum time between two counts of online requests, as a number of view ages, after
+	// which a difference still shows the beginning of a burst.
+	maxCountAges = 3
+	// maxAssigned is the number of requests that an entry starts within the age of a view, of 0.1 s, above which
+	// it doesn't only preempt the runs assigned to it, which are one on average. A few entries
+	// with as many requests as thirty would otherwise be late at the beginning of each burst.
+	maxAssigned = 3
 	// minPeriod is the minimum time for which an entry keeps its rights. It covers a
 	// poll for a slot and two round trips.
 	minPeriod = 50 * time.Millisecond
@@ -51,6 +58,13 @@
 	viewAge  time.Duration
 	period   int64
 	division rights.Division
+	// rising is set if a burst begins. online is the number of online requests of all entries at
+	// countedAt, from which it is determined.
+	rising    bool
+	online    int
+	countedAt time.Time
+	// frequent is set if an entry starts more requests within the age of a view than runs are assigned to it.
+	frequent bool
 }
 
 // ChooseReserving is ChooseOnline for a request for which a slot is reserved first. While the slots
@@ -87,16 +101,28 @@
 }
 
 func (p *Pool) checkScarcity(service string, c *scarcity, now time.Time) {
-	free, own, all := 0, 0, 0
+	free, own, all, slots := 0, 0, 0, 0
 	for _, s := range p.byService[service] {
 		s.updateVisible(now)
 		free += s.freeSlots(0, now)
 		own += s.online
 		all += s.online + s.peerLoad.Online
+		slots += s.Slots
 	}
-	c.scarce = rights.Scarce(c.scarce, free, float64(all)*c.viewAge.Seconds()/p.timing(service).Run.Seconds())
+	c.observeOnline(all, slots, now)
+	starts, entries := float64(all)*c.viewAge.Seconds()/p.timing(service).Run.Seconds(), len(p.peers)+1
+	c.scarce = rights.Scarce(c.scarce, free, starts)
+	c.frequent = starts > maxAssigned*float64(entries)*max(float64(c.viewAge)/float64(2*youngAge), 1)
 	if period := now.UnixNano() / int64(max(c.viewAge, minPeriod)); c.scarce && (period != c.period || c.division.Entries == 0) {
-		c.period, c.division = period, rights.NewDivision(Hash(p.Name), period, own, all, len(p.peers)+1)
+		c.period, c.division = period, rights.NewDivision(Hash(p.Name), period, own, all, entries)
+	}
+}
+
+// observeOnline determines once per view age whether a burst begins. It isn't known after a pause.
+func (c *scarcity) observeOnline(online, slots int, now time.Time) {
+	if elapsed := now.Sub(c.countedAt); elapsed < 0 || elapsed >= c.viewAge {
+		c.rising = elapsed >= 0 && elapsed < maxCountAges*c.viewAge && rights.Rising(c.online, online, slots)
+		c.online, c.countedAt = online, now
 	}
 }
 
@@ -123,6 +149,9 @@
 	if growth >= 1 {
 		return RightGrown
 	}
+	if preempt && s.runs != nil {
+		return s.preemptRight(c, growth, slots, left)
+	}
 	if s.holds(c, slots, rights.Level(0, c.division.Entries, preempt)) > -left {
 		return RightHeld
 	}
@@ -132,6 +161,27 @@
 	return RightNone
 }
 
+// preemptRight returns by what right a request may preempt a batch item at a backend server whose runs are
+// known. Each of the youngest runs is assigned to one entry, which alone may preempt it at once. A draw
+// besides would leave assigned runs unused and lead to older ones. As the rights grow, the other young
+// runs follow; right allows all runs at the end. Entries with frequent requests draw besides.
+func (s *server) preemptRight(c *scarcity, growth float64, slots, left int) Right {
+	switch {
+	case s.preempt != nil && s.preempt.rank < preferYoung:
+		return RightHeld
+	case c.frequent || c.division.Entries <= 1:
+		if s.holds(c, slots, rights.Level(growth, c.division.Entries, true)) > -left {
+			return RightHeld
+		}
+		return RightNone
+	case s.preempt == nil:
+		return RightNone
+	case growth > 0 && s.holds(c, slots, growth*float64(c.division.Entries)) > -left:
+		return RightGrown
+	}
+	return RightNone
+}
+
 // holds returns to how many of a backend server's first slots this entry has a right.
 func (s *server) holds(c *scarcity, slots int, level float64) int {
 	held := 0
@@ -170,10 +220,10 @@
 //
 // It is designed for bursts beside jobs. The fewer reservations of online requests are refused, the longer
 // a slot is visible as free to items. Items that took it at once would be preempted by the next requests.
-func (p *Pool) itemSlots(s *server, reserve int, now time.Time) int {
+// Items at risk of missing their due time don't wait: under constant high load no slot stays free that long.
+func (p *Pool) itemSlots(s *server, reserve int, atRisk bool, now time.Time) int {
 	free := s.freeSlots(reserve, now)
-	c := p.scarcities[s.Service]
-	if free == 0 || c == nil || !c.scarce || !p.statesStarts[s.Service] || now.Sub(c.checked) > scarcityTimeout {
+	if free == 0 || atRisk || !p.scarceNow(s.Service, now) {
 		return free
 	}
 	if s.visible(now) < rights.ItemDelay {
@@ -182,6 +232,18 @@
 	return free
 }
 
+// Scarce reports whether the slots of a service are scarce, so that batch items wait before they take one.
+func (p *Pool) Scarce(service string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scarceNow(service, now)
+}
+
+func (p *Pool) scarceNow(service string, now time.Time) bool {
+	c := p.scarcities[service]
+	return c != nil && c.scarce && p.statesStarts[service] && now.Sub(c.checked) <= scarcityTimeout
+}
+
 // setReported records what this entry now reports to the others.
 func (p *Pool) setReported() {
 	for _, s := range p.reported {
