--- a/items/headroom.go
+++ b/items/headroom.go
@@ -6,9 +6,11 @@
 	// rangeDecay is the time in which a learned peak or trough approaches the present number of
 	// online requests to 1/e. Bursts recur every few seconds, and a lull of 3 s changes it by a seventh.
 	rangeDecay = 20 * time.Second
-	// headroomShare is the share of all slots that items leave free at most. A burst that nearly
-	// doubles the online requests takes a twelfth of all slots within the age of a view.
-	headroomShare = 1.0 / 16
+	// headroomShare is the share of all slots that items leave free at most. While slots are scarce, items
+	// start only in slots that online requests have left for a while (rights.ItemDelay), so that the
+	// headroom only has to cover the first requests of a burst. More would keep items from free slots and make
+	// them late.
+	headroomShare = 1.0 / 64
 )
 
 // Headroom decides how many slots of a service items leave free for online requests. The zero value
