--- a/items/headroom.go
+++ b/items/headroom.go
@@ -6,11 +6,13 @@
 	// rangeDecay is the time in which a learned peak or trough approaches the present number of
 	// online requests to 1/e. Bursts recur every few seconds, and a lull of 3 s changes it by a seventh.
 	rangeDecay = 20 * time.Second
-	// headroomShare is the share of all slots that items leave free at most. While slots are scarce, items
-	// start only in slots that online requests have left for a while (rights.ItemDelay), so that the
-	// headroom only has to cover the first requests of a burst. More would keep items from free slots and make
-	// them late.
-	headroomShare = 1.0 / 64
+	// headroomShare is the share of all slots that items leave free at most. A burst that nearly
+	// doubles the online requests takes a twelfth of all slots within the age of a view.
+	headroomShare = 1.0 / 16
+	// reservedHeadroomShare is the same where slots are reserved by right. There items start only in slots
+	// that online requests have left for a while (rights.ItemDelay), so that the headroom only has to
+	// cover the first requests of a burst; more would make items late.
+	reservedHeadroomShare = 1.0 / 64
 )
 
 // Headroom decides how many slots of a service items leave free for online requests. The zero value
@@ -47,7 +49,12 @@
 func (h *Headroom) Trough() int { return int(h.trough) }
 
 // Slots returns how many of a number of slots items leave free: what online requests may take until
-// this entry learns of it, but not more than the difference between the peak and the trough.
-func (h *Headroom) Slots(slots int) int {
-	return int(min(h.peak-h.trough, headroomShare*float64(slots)))
+// this entry learns of it, but not more than the difference between the peak and the trough. reserved
+// is set if slots are reserved by right.
+func (h *Headroom) Slots(slots int, reserved bool) int {
+	share := headroomShare
+	if reserved {
+		share = reservedHeadroomShare
+	}
+	return int(min(h.peak-h.trough, share*float64(slots)))
 }
--- a/runner/lull.go
+++ b/runner/lull.go
@@ -39,7 +39,7 @@
 		}
 		for _, share := range table.Routes[n].Shares {
 			if r.Pool.StatesStarts(share.Service) {
-				r.observeService(share.Service, now)
+				r.observeService(share.Service, table.Services[share.Service].ReservationTTL > 0, now)
 			}
 		}
 	}
@@ -54,7 +54,8 @@
 	metrics.GetOrRegisterGauge("batch.headroom", r.Metrics).Update(int64(all))
 }
 
-func (r *Runner) observeService(service string, now time.Time) {
+// observeService learns the load of one service. reserved is set if its slots are reserved by right.
+func (r *Runner) observeService(service string, reserved bool, now time.Time) {
 	h := r.headroom[service]
 	if h == nil {
 		h = &headroom{}
@@ -63,7 +64,7 @@
 	h.observedAt = now
 	online, slots := r.Pool.Online(service, now)
 	h.Observe(online, now)
-	h.slots = h.Slots(slots)
+	h.slots = h.Slots(slots, reserved)
 	r.logHeadroom(service, h, slots, now)
 }
 
