--- a/rights/rights.go
+++ b/rights/rights.go
@@ -13,9 +13,9 @@
 	// that was preempted in vain has to read its prompt again.
 	initialPreempters = 1.5
 	// patientGrowth is the growth up to which a request doesn't preempt an item while slots are free to which it
-	// has no right yet. With a target of 300 ms it is reached after 34 ms, two polls; after three or
-	// more, in the simulation, slots are idle for a half longer while requests wait.
-	patientGrowth = 0.05
+	// has no right yet. With a target of 300 ms it is reached after 14 ms, one poll; after two or more, in
+	// the simulation, slots are idle for a fifth to a third longer while requests wait.
+	patientGrowth = 0.009
 	// risingShare is the share of all slots by which the online requests grow within the age of a view
 	// at the beginning of a burst; one that nearly fills the slots within half a second takes 7 %.
 	risingShare = 0.04
