--- a/pool/scarce.go
+++ b/pool/scarce.go
@@ -15,9 +15,9 @@
 	// maxCountAges is the maximum time between two counts of online requests, as a number of view ages, after
 	// which a difference still shows the beginning of a burst.
 	maxCountAges = 3
-	// maxAssigned is the number of requests that an entry starts within the age of a view, of 0.1 s, above which
-	// it doesn't only preempt the runs assigned to it, which are one on average. A few entries
-	// with as many requests as thirty would otherwise be late at the beginning of each burst.
+	// maxAssigned is the number of requests per entry and view age above which an entry may also preempt runs
+	// that aren't assigned to it; on average one is. Otherwise the requests of a few busy entries would be late
+	// at the beginning of each burst.
 	maxAssigned = 3
 	// minPeriod is the minimum time for which an entry keeps its rights. It covers a
 	// poll for a slot and two round trips.
