conns, relay: log and count runs whose backend server ended the connection

Logs couldn't tell the first two hypotheses of the incident apart from the third: no line said which requests have the same content, nor whether a run ended by a timeout, by this entry, or by the backend server. Event 408 says so, with a hash of the content that is the same for each resend, and whether the head of the response had arrived. No decision changes.

conns: ErrBrokenOff accompanies ErrIncomplete where the peer closed or reset the connection; conns.TestBrokenOffResponsesAreRecognized.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -40,6 +40,10 @@
 	// ErrIncomplete means that the request was sent and no complete response was received: it may
 	// have run.
 	ErrIncomplete = errors.New("conns: no complete response received")
+	// ErrBrokenOff means that the backend server closed or reset the connection before its response
+	// was complete. It accompanies ErrIncomplete, which alone is a timeout, a connection closed here,
+	// or bytes that are no response.
+	ErrBrokenOff = errors.New("connection ended by the backend server")
 )
 
 // Conns manages the connections to all backend servers.
@@ -60,6 +64,23 @@
 	// expires is when the connection is closed if it is still idle.
 	expires time.Time
 	reused  bool
+	// ended is set once the backend server has closed or reset the connection.
+	ended bool
+}
+
+// Read reads from the connection.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.ended = c.ended || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
+	return n, err
+}
+
+// incomplete wraps the error of a response that isn't complete.
+func (c *conn) incomplete(err error) error {
+	if c.ended {
+		return fmt.Errorf("%w: %w: %w", ErrIncomplete, ErrBrokenOff, err)
+	}
+	return fmt.Errorf("%w: %w", ErrIncomplete, err)
 }
 
 // Response is the response to one request. Finish must be called when it is no longer needed.
@@ -73,6 +94,8 @@
 	stopCancel func() bool
 	// complete is set once the body was read to its end.
 	complete bool
+	// err is the error that ended the body early, or nil.
+	err error
 }
 
 // CloseExpired closes the connections that were idle for too long, and those to backend servers
@@ -161,7 +184,9 @@
 		raw.Close()
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), raw: rawConn}, nil
+	cn := &conn{Conn: raw, raw: rawConn}
+	cn.reader = bufio.NewReaderSize(cn, readBufferBytes)
+	return cn, nil
 }
 
 // Send sends one attempt of a call and returns the response once its head was received. The
@@ -216,7 +241,7 @@
 	for range maxStrayResponses + 1 {
 		httpResp, err := c.readHead(cn, call.Method) //nolint:bodyclose // the body ends with the connection, which Finish closes or keeps
 		if err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrIncomplete, err)
+			return nil, cn.incomplete(err)
 		}
 		resp := &Response{Response: httpResp, ResponseInfo: c.Dialect.ReadResponse(httpResp), conns: c, serverID: id, conn: cn}
 		if !sent {
@@ -271,12 +296,19 @@
 // off returns another error. Without framing, the body ends when the connection is closed.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.Body.Read(b)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		r.complete = true
+	case err != nil:
+		r.err = r.conn.incomplete(err)
+		return n, r.err
 	}
 	return n, err
 }
 
+// Err returns the error that ended the body before its end, or nil.
+func (r *Response) Err() error { return r.err }
+
 // SetReadDeadline sets the time by which all further reads must complete; the zero time means no limit.
 func (r *Response) SetReadDeadline(t time.Time) error { return r.conn.SetReadDeadline(t) }
 
--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -176,6 +176,54 @@
 	}
 }
 
+// Guards against a backend server that ended being taken for one that is silent, and the other way round.
+func TestBrokenOffResponsesAreRecognized(t *testing.T) {
+	reset := func(c net.Conn, _ *http.Request) bool {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+	silent := func(net.Conn, *http.Request) bool {
+		time.Sleep(300 * time.Millisecond)
+		return false
+	}
+	closeAfter := func(text string) script {
+		return func(c net.Conn, r *http.Request) bool {
+			write(text)(c, r)
+			return false
+		}
+	}
+	const chunks = "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, tt := range map[string]struct {
+		script script
+		want   bool
+	}{
+		"no response":         {closeAfter(""), true},
+		"within the head":     {closeAfter("HTTP/1.1 200 OK\r\nRequest"), true},
+		"reset":               {reset, true},
+		"after the head":      {closeAfter(chunks), true},
+		"between two chunks":  {closeAfter(chunks + "4\r\nbody\r\n"), true},
+		"within a body":       {closeAfter(strings.Replace(okResponse, "Content-Length: 4", "Content-Length: 9", 1)), true},
+		"bytes of no answer":  {closeAfter("garbage garbage\r\n\r\n"), false},
+		"silence":             {silent, false},
+		"silence in the body": {func(c net.Conn, r *http.Request) bool { return write(chunks)(c, r) && silent(c, r) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			b := startBackend(t, tt.script)
+			c := &conns.Conns{Dialect: platform.Dialect{}}
+			a, err := c.Send(context.Background(), &b.BackendServer, call("r1"), sardinerock.Attempt{Instance: b.ID, Remaining: time.Second, HeadTimeout: 100 * time.Millisecond}, nil)
+			if err == nil {
+				defer a.Finish()
+				g.Expect(a.SetReadDeadline(time.Now().Add(100 * time.Millisecond))).To(Succeed())
+				_, err = io.ReadAll(a)
+				g.Expect(a.Err()).To(Equal(err))
+			}
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(errors.Is(err, conns.ErrBrokenOff)).To(Equal(tt.want), err.Error())
+		})
+	}
+}
+
 // A response with neither Content-Length nor chunks is complete when the connection is closed.
 func TestResponseWithoutFramingEndsWithTheConnection(t *testing.T) {
 	g := NewWithT(t)
--- a/event/event.go
+++ b/event/event.go
@@ -40,6 +40,7 @@
 	FrameDropped    ID = 405
 	StreamResumed   ID = 406
 	BackendState    ID = 407
+	BackendBrokeOff ID = 408
 	JobAccepted     ID = 501
 	JobCancelled    ID = 502
 	JobFinished     ID = 503
--- a/relay/request.go
+++ b/relay/request.go
@@ -192,6 +192,9 @@
 		p.endRun(choice, sent, p.ctx.Err() == nil)
 		p.timings.add(&p.timings.failed, sent)
 		p.logFailure(choice, err)
+		if errors.Is(err, conns.ErrBrokenOff) && p.ctx.Err() == nil {
+			p.brokenOff(choice, sent, err, false)
+		}
 		if errors.Is(err, conns.ErrNotSent) {
 			return notRun
 		}
@@ -220,10 +223,23 @@
 // aborted, which is a panic. Then it isn't known whether the caller or the backend server broke off, and the
 // backend server isn't ejected.
 func (p *proxyRequest) handleAttempt(resp *conns.Response, choice *pool.Choice, sent time.Time) (result attemptResult, failed bool) {
-	defer func() { p.endRun(choice, sent, failed) }()
+	defer func() {
+		if err := resp.Err(); errors.Is(err, conns.ErrBrokenOff) && p.ctx.Err() == nil {
+			p.brokenOff(choice, sent, err, true)
+		}
+		p.endRun(choice, sent, failed)
+	}()
 	return p.handleResponse(resp)
 }
 
+// brokenOff logs that a backend server ended the connection during a run. head is set if the head of
+// the response had arrived.
+func (p *proxyRequest) brokenOff(choice *pool.Choice, sent time.Time, err error, head bool) {
+	p.relay.count("relay.brokenOff")
+	p.relay.Events.Warn(event.BackendBrokeOff).Str("request", p.call.ID).Str("server", choice.ID).Str("content", strconv.FormatUint(p.fingerprint, 16)).
+		Bool("head", head).Int("events", p.events).Int("runs", p.runs).Dur("took", time.Since(sent)).Err(err).Msg("backend server ended the connection during a request")
+}
+
 // speedSample returns what the response shows of the backend server's speed.
 func (p *proxyRequest) speedSample(choice *pool.Choice) speed.Sample {
 	s := p.meter.Sample(choice.Load())
