--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -91,3 +91,51 @@
 	g.Expect(c.Reports(now)).To(Equal(map[uint64]int{1: 1, 2: 2}))
 	g.Expect(c.Reports(now.Add(time.Minute))).To(Equal(map[uint64]int{2: 2}))
 }
+
+// reports, receive, respond and blocked adapt the simulation to the counter.
+type reports = map[uint64]int
+
+func (c *Counter) receive(name string, start int64, r reports, _ time.Time) {
+	c.Receive(name, start, r)
+}
+
+func (c *Counter) respond(request uint64, _ time.Time) { c.RecordResponse(request) }
+
+func (c *Counter) blocked(request uint64, now time.Time) bool { return c.Blocked(request, now) }
+
+// Guards against failures that lie hours apart, at entries of which none has served the request since,
+// adding up to a rejection.
+func TestOldFailuresDontAddUp(t *testing.T) {
+	g := NewWithT(t)
+	c, now := newCounter(), time.Now()
+	for n := range 2 * limit {
+		if n < limit {
+			c.receive(fmt.Sprint("entry", n), 1, reports{request: 1}, now)
+		} else {
+			c.RecordFailure(request, now)
+		}
+		g.Expect(c.blocked(request, now)).To(BeFalse())
+		now = now.Add(time.Hour)
+	}
+}
+
+// Guards against a rejection that entries keep alive for each other, for days, although the request isn't
+// sent any more.
+func TestRejectionEnds(t *testing.T) {
+	g := NewWithT(t)
+	entries, now := []*Counter{newCounter(), newCounter(), newCounter()}, time.Now()
+	for range limit {
+		entries[0].RecordFailure(request, now)
+	}
+	for range 120 {
+		for n := range entries {
+			deliver(entries, n, 1, now)
+			entries[n].blocked(request, now)
+		}
+		now = now.Add(30 * time.Second)
+	}
+	for _, c := range entries {
+		g.Expect(c.blocked(request, now)).To(BeFalse(), "an hour after the last failure")
+	}
+	g.Expect(entries[0].Reports(now)).To(BeEmpty())
+}
