crash: rejections end, and losses of backend servers reject no requests that work

What callers see: a request that many callers send is answered 422 for good once backend servers failed three times during it, however long ago, at whatever entries, and though all of them were lost at the same moment.

Cause: the entries added up numbers. A number has no age, each entry kept the others' alive by reporting a rejection as its own failures, and the only evidence against, a response, was known to the entry alone that got it.

What the counter does now, all of it told to the other entries with its age, so that repeating it doesn't renew it: - Failures one after the other count, each of a run that was sent when the earlier ones were known (a Lamport clock), so that runs which are lost together count once. Failures at the same moment count after two seconds, from the fifth on, and reject for five seconds only. - A response at any entry clears them, also those up to 20 s after it. A request that ends all backend servers has none. - A rejection lasts a minute after the third failure. Then one entry, chosen by rendezvous hashing, may send the request; another failure doubles the time, after three such trials it is half an hour. Nothing older than that counts.

Weighed: no trials at all, rejected for ten minutes. A first block of 10 s: two of the three allowed retries used within a minute.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -8,29 +8,73 @@
 )
 
 const (
-	// limit is how many backend servers may fail during one request before all entries reject it.
+	// limit is how many backend servers may fail one after the other during one request before all entries
+	// reject it.
 	limit = 3
-	// ownRequests and peerRequests are the numbers of requests for which failures seen here and
-	// reported by others are kept. A request that crashes backend servers is resent within seconds.
-	ownRequests  = 256
-	peerRequests = 4096
+	// concurrentLimit is the same for all failures that are older than confirmTime. Many backend servers may
+	// be lost at the same moment, so that failures of runs that were in progress at the same time are
+	// weaker evidence. Until confirmTime another entry may report a response.
+	concurrentLimit = 5
+	confirmTime     = 2 * time.Second
+	// blockTime is how long a request is rejected after limit failures. Then it may be sent again, and
+	// each further failure doubles the time. After maxTrials of them it is rejected for retention.
+	blockTime = time.Minute
+	maxTrials = 3
+	// concurrentBlockTime is how long a request is rejected only because of failures at the same time.
+	concurrentBlockTime = 5 * time.Second
+	// retention is how long failures count: longer than the first rejections, and short enough that
+	// unrelated failures don't add up.
+	retention = 30 * time.Minute
+	// trialTime is how long no second trial is sent, and retryAfter how long callers are to wait for one.
+	trialTime  = 10 * time.Second
+	retryAfter = 5 * time.Second
+	// graceTime is the time after a response in which failures don't count. If many backend servers are
+	// lost at once, or one after the other, requests that many callers send fail at several of them, but got
+	// a response shortly before. A request that ends all backend servers never gets one.
+	graceTime = 20 * time.Second
+	// ageError is the greatest error of reported ages, by the time that a message takes.
+	ageError = 2 * time.Second
+	// maxRequests, maxServed and maxReported are the numbers of requests for which failures are kept,
+	// for which the time of the latest response here is kept, and that are reported at a time.
+	maxRequests = 4096
+	maxServed   = 1024
+	maxReported = 256
 	// reportTime is how long a single failure is reported to the other entries. They remember it, so
 	// that it has to last only until each of them has received a message.
 	reportTime = 10 * time.Second
+	// servedReportTime is the same for a response.
+	servedReportTime = 3 * time.Second
+	// exactAgeLimit is the age up to which the age of a failure is reported exactly, so that failures and
+	// responses can be compared. Later it is rounded up to a multiple of ageStep, since each change
+	// of a message is sent to all entries.
+	exactAgeLimit = 5 * time.Second
+	ageStep       = 10 * time.Second
 )
 
 // Counter counts failures at this entry and at others. Requests are identified by a hash of their
 // content. Its methods are safe for concurrent use.
 type Counter struct {
-	mu    sync.Mutex
-	own   *lru.Cache[uint64, failures]
-	peers *lru.Cache[uint64, map[source]reported]
+	// MaySendTrial reports whether this entry is the one that sends a request again once it is no
+	// longer rejected; nil if there is one entry only.
+	MaySendTrial func(request uint64) bool
+
+	mu       sync.Mutex
+	requests *lru.Cache[uint64, *record]
+	// served holds the times of the latest responses here.
+	served *lru.Cache[uint64, time.Time]
+	// reported holds the requests of which this entry may have something to report.
+	reported *lru.Cache[uint64, struct{}]
 }
 
-// failures counts the failures of backend servers during a request. latest is the time of the last.
-type failures struct {
-	count  int
-	latest time.Time
+// Report is what an entry reports about a request.
+type Report struct {
+	// Failures is the number of failures at the entry.
+	Failures int
+	// Sequence is the number of failures one after the other, at any entries, that the entry knows of.
+	// If it is 0, a backend server gave a complete response.
+	Sequence int
+	// Age is the time since the latest failure, or since the response.
+	Age time.Duration
 }
 
 // source is a process of another entry. Its failures still count once it is lost.
@@ -39,92 +83,296 @@
 	start int64
 }
 
-// reported is the number of failures that a source has reported, and how many of them no longer count
-// since the request got a response here later.
-type reported struct{ count, cleared int }
+// failures is a number of failures and the time of the latest. Cleared of them no longer count since the
+// request got a response.
+type failures struct {
+	count, cleared int
+	latest         time.Time
+}
+
+// record holds what is known of a request during which backend servers failed.
+type record struct {
+	own   failures
+	peers map[source]failures
+	// sequence counts the failures one after the other, each of a run that was sent when those before
+	// it were known where it was sent. It is the greatest number that any entry has counted.
+	sequence failures
+	// served is the time of the latest known response.
+	served time.Time
+	// rejected is set once this entry has rejected the request.
+	rejected bool
+	// reportUntil is until when this entry reports a request that it hasn't rejected,
+	// servedReportUntil until when it reports a response.
+	reportUntil, servedReportUntil time.Time
+	// trialUntil is until when no other trial is sent.
+	trialUntil time.Time
+}
 
 // Prepare initializes the counter. It must be called once before any other method.
 func (c *Counter) Prepare() {
 	// The only possible error is a size that isn't positive.
-	c.own, _ = lru.New[uint64, failures](ownRequests)
-	c.peers, _ = lru.New[uint64, map[source]reported](peerRequests)
+	c.requests, _ = lru.New[uint64, *record](maxRequests)
+	c.served, _ = lru.New[uint64, time.Time](maxServed)
+	c.reported, _ = lru.New[uint64, struct{}](maxReported)
 }
 
-// RecordFailure records that a backend server failed during a request at this entry.
-func (c *Counter) RecordFailure(request uint64, now time.Time) {
+// RecordFailure records that a backend server failed during a request at this entry. known is what Send
+// returned before.
+func (c *Counter) RecordFailure(request uint64, known int, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	f, _ := c.own.Get(request)
-	c.own.Add(request, failures{count: f.count + 1, latest: now})
+	r := c.record(request)
+	if now.Sub(r.served) <= graceTime {
+		return
+	}
+	r.own = failures{count: r.counted(r.own, now) + 1, latest: now}
+	r.sequence = failures{count: max(known+1, r.counted(r.sequence, now)), latest: now}
+	c.reported.Add(request, struct{}{})
 }
 
 // RecordResponse records that a backend server gave a complete response to a request, which
-// therefore isn't one that crashes all of them.
-func (c *Counter) RecordResponse(request uint64) {
+// therefore isn't one that ends all of them.
+func (c *Counter) RecordResponse(request uint64, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.own.Remove(request)
-	sources, _ := c.peers.Peek(request)
-	for s, r := range sources {
-		sources[s] = reported{count: r.count, cleared: r.count}
+	c.served.Add(request, now)
+	if r, ok := c.requests.Peek(request); ok {
+		r.clear(now)
+		r.servedReportUntil = now.Add(servedReportTime)
+		c.reported.Add(request, struct{}{})
 	}
 }
 
-// Reports returns the failures to report to the other entries, by request: recent ones, and those of
-// requests during which several backend servers failed.
-func (c *Counter) Reports(now time.Time) map[uint64]int {
+// Reports returns what is to be reported to the other entries, by request.
+func (c *Counter) Reports(now time.Time) map[uint64]Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var reports map[uint64]int
-	for _, request := range c.own.Keys() {
-		f, _ := c.own.Peek(request)
-		if f.count == 1 && now.Sub(f.latest) > reportTime {
+	if c.reported.Len() == 0 {
+		return nil
+	}
+	var reports map[uint64]Report
+	for _, request := range c.reported.Keys() {
+		var report Report
+		r, ok := c.requests.Peek(request)
+		if ok {
+			report, ok = r.report(now)
+		}
+		if !ok {
+			c.reported.Remove(request)
 			continue
 		}
 		if reports == nil {
-			reports = map[uint64]int{}
+			reports = map[uint64]Report{}
 		}
-		reports[request] = f.count
+		reports[request] = report
 	}
 	return reports
 }
 
 // Receive records what a process of another entry has reported. start identifies the process.
-func (c *Counter) Receive(name string, start int64, reports map[uint64]int) {
+func (c *Counter) Receive(name string, start int64, reports map[uint64]Report, now time.Time) {
 	if len(reports) == 0 {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for request, count := range reports {
-		sources, ok := c.peers.Get(request)
-		if !ok {
-			sources = map[source]reported{}
-			c.peers.Add(request, sources)
+	for request, report := range reports {
+		if report.Sequence > 0 {
+			c.receiveFailures(request, source{name, start}, report, now)
+		} else if r, ok := c.requests.Peek(request); ok {
+			r.clear(now.Add(-report.Age))
 		}
-		r := sources[source{name, start}]
-		if count < r.count {
-			// The count started again, after a response there.
-			r.cleared = 0
+	}
+}
+
+func (c *Counter) receiveFailures(request uint64, from source, report Report, now time.Time) {
+	r, latest := c.record(request), now.Add(-report.Age)
+	if report.Failures > 0 {
+		c.receiveOwn(request, r, from, report.Failures, latest, now)
+	}
+	if n := r.counted(r.sequence, now); report.Sequence > n || report.Sequence == n && latest.Sub(r.sequence.latest) > ageError {
+		r.sequence = failures{count: report.Sequence, latest: latest}
+	}
+}
+
+// receiveOwn records the number of failures at another entry.
+func (c *Counter) receiveOwn(request uint64, r *record, from source, count int, latest, now time.Time) {
+	known, ok := r.peers[from]
+	f := failures{count: count, cleared: known.cleared, latest: known.latest}
+	if !ok || count > known.count || latest.Sub(known.latest) > ageError {
+		f.latest = latest
+		if r.servedHere(c, request, latest) {
+			r.servedReportUntil = now.Add(servedReportTime)
+			c.reported.Add(request, struct{}{})
+		} else if count, _ := r.count(now); count >= limit {
+			// The entry may have started after the others learned of the request.
+			r.reportUntil = now.Add(reportTime)
+			c.reported.Add(request, struct{}{})
 		}
-		sources[source{name, start}] = reported{count: count, cleared: r.cleared}
 	}
+	if count < known.count {
+		// The count started again, after a response there.
+		f.cleared = 0
+	}
+	if r.peers == nil {
+		r.peers = map[source]failures{}
+	}
+	r.peers[from] = f
+}
+
+// servedHere reports whether a response here shows that a failure doesn't count.
+func (r *record) servedHere(c *Counter, request uint64, failed time.Time) bool {
+	served, ok := c.served.Peek(request)
+	return ok && failed.Sub(served) <= graceTime
+}
+
+// Blocked returns how long a request must not be sent because of its failures; 0 if it may be sent. If it
+// must not, this entry reports that to the others, also to those that start later.
+func (c *Counter) Blocked(request uint64, now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, blocked := c.check(request, now)
+	return blocked
 }
 
-// Blocked reports whether so many backend servers failed during a request that it must not be sent
-// again. This entry then reports that itself, to those that start later too.
-func (c *Counter) Blocked(request uint64, now time.Time) bool {
+// Send is called right before a request is sent. It returns how many failures one after the other are known,
+// and what Blocked returns. If the request is sent as a trial, no other one is for trialTime.
+func (c *Counter) Send(request uint64, now time.Time) (known int, blocked time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	f, _ := c.own.Peek(request)
-	count := f.count
-	sources, _ := c.peers.Peek(request)
-	for _, r := range sources {
-		count += r.count - r.cleared
+	r, blocked := c.check(request, now)
+	if r == nil {
+		return 0, 0
+	}
+	known, _ = r.count(now)
+	if blocked == 0 && r.counted(r.sequence, now) >= limit {
+		r.trialUntil = now.Add(trialTime)
+	}
+	return known, blocked
+}
+
+// check returns the record of a request, or nil, and how long the request is blocked.
+func (c *Counter) check(request uint64, now time.Time) (*record, time.Duration) {
+	r, ok := c.requests.Get(request)
+	if !ok {
+		return nil, 0
+	}
+	blocked := c.blockedFor(request, r, now)
+	if blocked <= 0 {
+		return r, 0
+	}
+	r.rejected = true
+	c.reported.Add(request, struct{}{})
+	return r, blocked
+}
+
+func (c *Counter) blockedFor(request uint64, r *record, now time.Time) time.Duration {
+	known, latest := r.count(now)
+	if known < limit {
+		return 0
+	}
+	age, sequence := now.Sub(latest), r.counted(r.sequence, now)
+	if sequence < limit {
+		return concurrentBlockTime - age
+	}
+	block := blockFor(sequence)
+	if age < block {
+		return block - age
+	}
+	// A request that comes so rarely that it doesn't reach the entry that sends trials within the same time
+	// again doesn't come to two others at the same moment.
+	elsewhere := age < 2*block && c.MaySendTrial != nil && !c.MaySendTrial(request)
+	if elsewhere || now.Before(r.trialUntil) {
+		return retryAfter
 	}
-	if count < limit {
-		return false
+	return 0
+}
+
+// blockFor returns how long a request is rejected after the latest of failures one after the other.
+func blockFor(sequence int) time.Duration {
+	if sequence >= limit+maxTrials {
+		return retention
+	}
+	return blockTime << (sequence - limit)
+}
+
+// record returns the record of a request, which it creates if there is none.
+func (c *Counter) record(request uint64) *record {
+	if r, ok := c.requests.Get(request); ok {
+		return r
+	}
+	r := &record{}
+	r.served, _ = c.served.Peek(request)
+	c.requests.Add(request, r)
+	return r
+}
+
+// counted returns how many failures still count.
+func (r *record) counted(f failures, now time.Time) int {
+	if now.Sub(f.latest) > retention || f.latest.Sub(r.served) <= graceTime {
+		return 0
+	}
+	return f.count - f.cleared
+}
+
+// count returns the number of failures one after the other, and the time of the latest. Of all confirmed
+// failures, those beyond what may happen at the same moment count as well.
+func (r *record) count(now time.Time) (known int, latest time.Time) {
+	add := func(f failures) (n int) {
+		if n = r.counted(f, now); n > 0 && f.latest.After(latest) {
+			latest = f.latest
+		}
+		return n
+	}
+	confirmed := 0
+	confirm := func(f failures) {
+		if n := add(f); now.Sub(f.latest) > confirmTime {
+			confirmed += n
+		}
+	}
+	confirm(r.own)
+	for s, f := range r.peers {
+		confirm(f)
+		if now.Sub(f.latest) > retention {
+			delete(r.peers, s)
+		}
+	}
+	return max(add(r.sequence), confirmed-(concurrentLimit-limit)), latest
+}
+
+// clear applies a response at the given time: earlier failures no longer count.
+func (r *record) clear(served time.Time) {
+	if !served.After(r.served) {
+		return
+	}
+	r.served = served
+	for s, f := range r.peers {
+		if f.latest.Sub(served) <= graceTime {
+			f.cleared = f.count
+			r.peers[s] = f
+		}
+	}
+	r.rejected = false
+}
+
+// report returns what is to be reported of a request, if anything.
+func (r *record) report(now time.Time) (Report, bool) {
+	own := r.counted(r.own, now)
+	known, latest := r.count(now)
+	switch {
+	case known >= limit && (own > 0 || r.rejected || now.Before(r.reportUntil)):
+		return Report{Failures: own, Sequence: max(r.counted(r.sequence, now), 1), Age: reportedAge(now.Sub(latest))}, true
+	case own > 0 && (known > 1 || now.Sub(r.own.latest) <= reportTime):
+		return Report{Failures: own, Sequence: max(r.counted(r.sequence, now), 1), Age: reportedAge(now.Sub(r.own.latest))}, true
+	case now.Before(r.servedReportUntil):
+		return Report{Age: now.Sub(r.served)}, true
+	}
+	return Report{}, false
+}
+
+func reportedAge(age time.Duration) time.Duration {
+	if age <= exactAgeLimit {
+		return age
 	}
-	c.own.Add(request, failures{count: max(f.count, limit), latest: now})
-	return true
+	return (age + ageStep - 1).Truncate(ageStep)
 }
--- a/digest/digest.go
+++ b/digest/digest.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"github.com/sardinerock/sardinerock/crash"
 	"github.com/sardinerock/sardinerock/pool"
 	"github.com/sardinerock/sardinerock/quota"
 	"github.com/sardinerock/sardinerock/speed"
@@ -27,9 +28,8 @@
 	StoreLost bool
 	// Starting is set, together with StoreLost, until the sender has loaded the jobs.
 	Starting bool
-	// Crashes counts, by fingerprint of the request, the crashes of backend servers
-	// during requests of the sender.
-	Crashes map[uint64]int
+	// Crashes are the failures of backend servers during requests, by the hash of the request's content.
+	Crashes map[uint64]crash.Report
 	// Aborts are the backend servers that recently aborted requests of the sender.
 	Aborts []pool.Abort
 	// Quota holds the sender's counts of recent requests of teams.
--- a/digest/wire.go
+++ b/digest/wire.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/sardinerock/sardinerock/crash"
 	"github.com/sardinerock/sardinerock/pool"
 	"github.com/sardinerock/sardinerock/quota"
 	"github.com/sardinerock/sardinerock/speed"
@@ -27,6 +28,9 @@
 	Items   []byte
 	Waiting int
 	Flags   uint8
+	// Crashes holds, for each request, its failures at the sender and, under the inverted hash, the rest
+	// of the report as a negative number. Entries of the previous build take that for a request which
+	// nobody sends.
 	Crashes map[uint64]int
 	Quota   []byte
 	Aborts  []byte
@@ -52,6 +56,11 @@
 	quotaBytes = 9
 	// abortBytes is the size of an abort: 4 bytes for the backend server's hash, 1 for the age.
 	abortBytes = 5
+	// sequenceRange is the range of the number of failures one after the other. Together with the
+	// age it is packed into one number.
+	sequenceRange = 16
+	// maxFailures caps the number of failures of a request at one entry.
+	maxFailures = 1000
 	// ageUnit is the unit of the age of an abort; a byte holds up to 2.55 s.
 	ageUnit = 10 * time.Millisecond
 	// maxCount is the greatest value of a byte; greater counts and ages are capped.
@@ -97,7 +106,7 @@
 }
 
 func (m *Message) pack() packed {
-	p := packed{Sender: m.Sender, Start: m.Start, Sequence: m.Sequence, Waiting: m.Waiting, Crashes: m.Crashes}
+	p := packed{Sender: m.Sender, Start: m.Start, Sequence: m.Sequence, Waiting: m.Waiting, Crashes: packCrashes(m.Crashes)}
 	p.Loads = make([]byte, 0, loadBytes*len(m.Loads))
 	for _, l := range m.Loads {
 		p.Loads = binary.BigEndian.AppendUint32(p.Loads, l.Server)
@@ -127,6 +136,38 @@
 	return p
 }
 
+func packCrashes(reports map[uint64]crash.Report) map[uint64]int {
+	if len(reports) == 0 {
+		return nil
+	}
+	numbers := make(map[uint64]int, 2*len(reports))
+	for request, r := range reports {
+		numbers[request] = r.Failures
+		numbers[^request] = -1 - (int(r.Age/ageUnit)*sequenceRange + min(r.Sequence, sequenceRange-1))
+	}
+	return numbers
+}
+
+func unpackCrashes(numbers map[uint64]int) map[uint64]crash.Report {
+	var reports map[uint64]crash.Report
+	for request, n := range numbers {
+		if n < 0 {
+			continue
+		}
+		// Entries of the previous build report only the number of failures, each after the one before.
+		r := crash.Report{Failures: min(n, maxFailures), Sequence: min(n, sequenceRange-1)}
+		if rest := numbers[^request]; rest < 0 {
+			r.Sequence = (-1 - rest) % sequenceRange
+			r.Age = time.Duration((-1-rest)/sequenceRange) * ageUnit
+		}
+		if reports == nil {
+			reports = map[uint64]crash.Report{}
+		}
+		reports[request] = r
+	}
+	return reports
+}
+
 // appendSpeeds appends speeds to packed loads. No load has two counts of 0, so an element of zeros
 // separates them.
 func appendSpeeds(raw []byte, speeds []speed.Report) []byte {
@@ -175,7 +216,7 @@
 		return nil, fmt.Errorf("digest: loads or items truncated: got %d and %d bytes, want multiples of %d and %d", len(p.Loads), len(p.Items), loadBytes, hashBytes)
 	}
 	m := &Message{
-		Sender: p.Sender, Start: p.Start, Sequence: p.Sequence, Waiting: p.Waiting, Crashes: p.Crashes,
+		Sender: p.Sender, Start: p.Start, Sequence: p.Sequence, Waiting: p.Waiting, Crashes: unpackCrashes(p.Crashes),
 		Leaving: p.Flags&flagLeaving != 0, StoreLost: p.Flags&flagStoreLost != 0, Starting: p.Flags&flagStarting != 0,
 	}
 	if len(p.Loads) > 0 {
--- a/node/node.go
+++ b/node/node.go
@@ -325,7 +325,7 @@
 		Name: n.Settings.ID, Ledger: n.ledger, Jobs: n.appender, Recorder: n.recorder, Blobs: blobClient, WaitForJobs: n.jobs.AwaitCurrent,
 		Owners: n.runner.Owners, Retention: n.Settings.KeepResults + retentionMargin, Events: n.Events,
 	}
-	n.crashes = &crash.Counter{}
+	n.crashes = &crash.Counter{MaySendTrial: n.maySendTrial}
 	n.crashes.Prepare()
 	n.relay = &relay.Relay{
 		Dialect: n.Dialect,
@@ -471,7 +471,7 @@
 		n.pool.SetPeer(m.From, m.Loads, time.Now())
 		n.pool.ReceiveSpeeds(m.From, m.Speeds, time.Now())
 		n.pool.ReceiveAborts(m.Aborts, time.Now())
-		n.crashes.Receive(m.From, m.Start, m.Crashes)
+		n.crashes.Receive(m.From, m.Start, m.Crashes, time.Now())
 		n.quota.Receive(m.From, m.Start, m.Quota, clock.BootClock())
 	}
 	n.runner.PreemptAllExcess()
--- a/node/owners.go
+++ b/node/owners.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/sardinerock/sardinerock/event"
@@ -135,3 +136,9 @@
 	}
 	return wait
 }
+
+// maySendTrial reports whether this entry, of all live ones, sends a request again that was rejected since
+// backend servers failed during it.
+func (n *Node) maySendTrial(request uint64) bool {
+	return owner.Of(strconv.FormatUint(request, 16), n.gossip.Live(time.Now())) == n.Settings.ID
+}
--- a/relay/request.go
+++ b/relay/request.go
@@ -67,6 +67,9 @@
 	startDeadline time.Time
 	// fingerprint is the same for each resend of the request.
 	fingerprint uint64
+	// knownFailures is the number of failures during the request, at all entries, that were known when
+	// the present attempt was sent.
+	knownFailures int
 
 	// tried holds the backend servers that must not be tried again.
 	tried map[string]bool
@@ -96,8 +99,8 @@
 
 func (p *proxyRequest) run() {
 	defer p.cancel()
-	if p.relay.Crashes.Blocked(p.fingerprint, time.Now()) {
-		p.reject(http.StatusUnprocessableEntity, "backend servers broke during this request before", 0)
+	if blocked := p.relay.Crashes.Blocked(p.fingerprint, time.Now()); blocked > 0 {
+		p.reject(http.StatusUnprocessableEntity, "backend servers broke during this request before", blocked)
 		return
 	}
 	for {
@@ -185,6 +188,7 @@
 	p.timings.attemptSent(sent)
 	p.meter = speed.Meter{}
 	p.startRun(sent)
+	p.knownFailures, _ = p.relay.Crashes.Send(p.fingerprint, sent)
 	resp, err := p.relay.Conns.Send(p.ctx, &choice.BackendServer, p.call, sardinerock.Attempt{
 		Instance: choice.Name, Remaining: remaining, ResumeAfter: p.resume, HeadTimeout: p.headTimeoutFor(choice),
 	}, p.reservation)
@@ -200,7 +204,7 @@
 		}
 		p.runs++
 		if p.ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			p.relay.Crashes.RecordFailure(p.fingerprint, time.Now())
+			p.relay.Crashes.RecordFailure(p.fingerprint, p.knownFailures, time.Now())
 		}
 		return incomplete
 	}
@@ -210,7 +214,7 @@
 	case result != answered && !p.started:
 		p.timings.add(&p.timings.failed, sent)
 	case result == answered && !failed:
-		p.relay.Crashes.RecordResponse(p.fingerprint)
+		p.relay.Crashes.RecordResponse(p.fingerprint, time.Now())
 		p.relay.Pool.RecordServed(choice.ID, pool.Sample{
 			Timing: pool.Timing{Run: time.Since(sent), FirstByte: p.timings.firstByte}, Queued: choice.Full() || p.runs > 1,
 			Speed: p.speedSample(choice), At: time.Now(),
