relay: ask before each send whether a request ends backend servers

What callers see: a request that ends each backend server is sent on although that is known: by the further attempts of the same call (8 backend servers in one call with eight attempts), and by requests that wait for a slot meanwhile.

Cause: the check was made once, when a request arrived. Now it is made before each choice of a backend server and right before each send, and the reserved slot is given back.

Now one copy waits while three failures become known and must reach no backend server; without the check it is sent and answered 502.

--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/relay"
 )
 
 // TestBrokenOffResponsesAreContained guards against a request that ends each backend server once the head of
@@ -68,34 +69,26 @@
 	}
 }
 
-// Guards against a request that is known to end backend servers being sent to them since it was
+// Guards against a request that is known to end backend servers being sent to one since it was
 // received before that was known, and waited for a slot meanwhile.
 func TestWaitingRequestIsRejectedOnceItIsKnownToCrash(t *testing.T) {
 	s := newTestbed(t)
-	s.fallback = closeConn
-	var held []string
 	for range 6 {
-		choice, ok := s.pool.ChooseOnline(service, nil, time.Now())
+		_, ok := s.pool.ChooseOnline(service, nil, time.Now())
 		s.g.Expect(ok).To(BeTrue())
-		held = append(held, choice.ID)
 	}
-	const callers = 6
-	done := make(chan int, callers)
-	for range callers {
-		go func() {
-			resp, _, err := s.post("/once/crash")
-			if err != nil {
-				done <- 0
-				return
-			}
-			done <- resp.StatusCode
-		}()
-	}
-	time.Sleep(100 * time.Millisecond)
-	s.pool.Done(held[0], false, false, time.Now())
-	s.relay.OfferSlot(service, held[0])
-	for range callers {
-		<-done
+	status := make(chan int)
+	go func() {
+		defer close(status)
+		if resp, _, err := s.post("/once/crash"); err == nil {
+			status <- resp.StatusCode
+		}
+	}()
+	time.Sleep(30 * time.Millisecond)
+	content := relay.Fingerprint(&sardinerock.Call{Method: http.MethodPost, Host: "h.example", Target: "/once/crash", Body: []byte("body")})
+	for known := range 3 {
+		s.relay.Crashes.RecordFailure(content, known, time.Now())
 	}
-	s.g.Expect(len(s.seen())).To(BeNumerically("<=", 3))
+	s.g.Expect(<-status).To(Equal(http.StatusUnprocessableEntity))
+	s.g.Expect(s.seen()).To(BeEmpty())
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -99,13 +99,13 @@
 
 func (p *proxyRequest) run() {
 	defer p.cancel()
-	if blocked := p.relay.Crashes.Blocked(p.fingerprint, time.Now()); blocked > 0 {
-		p.reject(http.StatusUnprocessableEntity, "backend servers broke during this request before", blocked)
-		return
-	}
 	for {
+		if blocked := p.relay.Crashes.Blocked(p.fingerprint, time.Now()); blocked > 0 {
+			p.rejectCrashing(blocked)
+			return
+		}
 		choice, ok := p.chooseServer()
-		if !ok || !p.checkKey(&choice) {
+		if !ok || !p.checkKey(&choice) || !p.checkCrashes(&choice) {
 			return
 		}
 		result := p.attempt(&choice)
@@ -121,10 +121,7 @@
 	if p.keyValid == nil || p.started || p.keyValid() {
 		return true
 	}
-	p.relay.Pool.CancelOnline(choice.ID)
-	if p.reservation != nil {
-		p.reservation.Close()
-	}
+	p.release(choice)
 	if p.runs > 0 {
 		p.giveUp("the caller's key was taken away", 0)
 	} else {
@@ -133,6 +130,38 @@
 	return false
 }
 
+// checkCrashes ends the request if it became known, while it waited for a slot, that backend servers fail
+// during it.
+func (p *proxyRequest) checkCrashes(choice *pool.Choice) bool {
+	known, blocked := p.relay.Crashes.Send(p.fingerprint, time.Now())
+	p.knownFailures = known
+	if blocked <= 0 {
+		return true
+	}
+	p.release(choice)
+	p.rejectCrashing(blocked)
+	return false
+}
+
+// rejectCrashing sends the final response to a request that ends the backend servers that run it.
+func (p *proxyRequest) rejectCrashing(blocked time.Duration) {
+	const reason = "backend servers broke during this request before"
+	p.relay.Events.Warn(event.Quarantined).Str("request", p.call.ID).Str("content", p.content()).Int("runs", p.runs).Dur("blocked", blocked).Msg("request is assumed to end backend servers")
+	if p.runs > 0 {
+		p.giveUp(reason, 0)
+		return
+	}
+	p.reject(http.StatusUnprocessableEntity, reason, blocked)
+}
+
+// release gives a chosen slot back.
+func (p *proxyRequest) release(choice *pool.Choice) {
+	p.relay.Pool.CancelOnline(choice.ID)
+	if p.reservation != nil {
+		p.reservation.Close()
+	}
+}
+
 // chooseServer chooses the next backend server, or sends the final response if there is none.
 func (p *proxyRequest) chooseServer() (pool.Choice, bool) {
 	choice, ok := p.chooseReserved()
@@ -188,7 +217,6 @@
 	p.timings.attemptSent(sent)
 	p.meter = speed.Meter{}
 	p.startRun(sent)
-	p.knownFailures, _ = p.relay.Crashes.Send(p.fingerprint, sent)
 	resp, err := p.relay.Conns.Send(p.ctx, &choice.BackendServer, p.call, sardinerock.Attempt{
 		Instance: choice.Name, Remaining: remaining, ResumeAfter: p.resume, HeadTimeout: p.headTimeoutFor(choice),
 	}, p.reservation)
@@ -223,6 +251,9 @@
 	return result
 }
 
+// content identifies the request's content in log lines.
+func (p *proxyRequest) content() string { return strconv.FormatUint(p.fingerprint, 16) }
+
 // handleAttempt forwards the response of an attempt, and ends its run also if the caller's connection is
 // aborted, which is a panic. Then it isn't known whether the caller or the backend server broke off, and the
 // backend server isn't ejected.
@@ -240,7 +271,7 @@
 // the response had arrived.
 func (p *proxyRequest) brokenOff(choice *pool.Choice, sent time.Time, err error, head bool) {
 	p.relay.count("relay.brokenOff")
-	p.relay.Events.Warn(event.BackendBrokeOff).Str("request", p.call.ID).Str("server", choice.ID).Str("content", strconv.FormatUint(p.fingerprint, 16)).
+	p.relay.Events.Warn(event.BackendBrokeOff).Str("request", p.call.ID).Str("server", choice.ID).Str("content", p.content()).
 		Bool("head", head).Int("events", p.events).Int("runs", p.runs).Dur("took", time.Since(sent)).Err(err).Msg("backend server ended the connection during a request")
 }
 
