relay: count failures of backend servers after the head of a response

Cause: a failure was recorded only where no head of a response arrived.

Evidence: relay.TestBrokenOffResponsesAreContained, nine calls: 9 backend servers for a stream after the head or two events and for a body that isn't repeated, 27 with three attempts, 72 with eight; now 3 each.

Why this works: any run whose connection the backend server ends counts, whatever was sent before. Silence, a complete response without a signature, a status of failure and a caller who disconnects don't, as before: the backend server goes on.

--- a/relay/request.go
+++ b/relay/request.go
@@ -224,15 +224,12 @@
 		p.endRun(choice, sent, p.ctx.Err() == nil)
 		p.timings.add(&p.timings.failed, sent)
 		p.logFailure(choice, err)
-		if errors.Is(err, conns.ErrBrokenOff) && p.ctx.Err() == nil {
-			p.brokenOff(choice, sent, err, false)
-		}
 		if errors.Is(err, conns.ErrNotSent) {
 			return notRun
 		}
 		p.runs++
 		if p.ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			p.relay.Crashes.RecordFailure(p.fingerprint, p.knownFailures, time.Now())
+			p.brokenOff(choice, sent, err, false)
 		}
 		return incomplete
 	}
@@ -267,12 +264,14 @@
 	return p.handleResponse(resp)
 }
 
-// brokenOff logs that a backend server ended the connection during a run. head is set if the head of
-// the response had arrived.
+// brokenOff records that a backend server ended the connection during a run, or sent bytes that are no
+// response. Silence, a complete response without a signature and a status of failure don't count: the
+// backend server goes on. head is set if the head of the response had arrived.
 func (p *proxyRequest) brokenOff(choice *pool.Choice, sent time.Time, err error, head bool) {
+	p.relay.Crashes.RecordFailure(p.fingerprint, p.knownFailures, time.Now())
 	p.relay.count("relay.brokenOff")
 	p.relay.Events.Warn(event.BackendBrokeOff).Str("request", p.call.ID).Str("server", choice.ID).Str("content", p.content()).
-		Bool("head", head).Int("events", p.events).Int("runs", p.runs).Dur("took", time.Since(sent)).Err(err).Msg("backend server ended the connection during a request")
+		Bool("head", head).Int("events", p.events).Int("runs", p.runs).Int("known", p.knownFailures).Dur("took", time.Since(sent)).Err(err).Msg("backend server ended the connection during a request")
 }
 
 // speedSample returns what the response shows of the backend server's speed.
