--- a/crash/outage_test.go
+++ b/crash/outage_test.go
@@ -175,8 +175,9 @@
 
 // inContact reports whether an entry has had contact with the others for contactTime.
 func (s *simulation) inContact(entry int) bool {
-	return !(entry%3 == 0 && s.cutUntil > 0 && s.cutFrom <= s.now && s.now < s.cutUntil+contactTime) &&
-		!(s.restart > 0 && s.restart <= s.now && s.now < s.restart+contactTime)
+	wasCut := entry%3 == 0 && s.cutUntil > 0 && s.cutFrom <= s.now && s.now < s.cutUntil+contactTime
+	started := s.restart > 0 && s.restart <= s.now && s.now < s.restart+contactTime
+	return !wasCut && !started
 }
 
 // exchange sends the reports of all entries and delivers those that arrive.
