items, runner: an item that ends each backend server waits before its next run

What callers would see: one batch item that ends each backend server that runs it goes to the next one every 200 ms until its retention, and all streams there break with it. Found by looking for the incident's cause elsewhere: a run that the backend server breaks off is an interruption, which counts nowhere; only statuses of failure are counted.

Fix: after three such runs in a row the item waits 10 s, and twice as long after each further one, so that it reaches at most six in a minute. A run that got 30 events advances the item and doesn't count. An item is delayed and not given up, since only a status of failure shows that it can't be done; its retention ends it.

Evidence: node.TestItemThatEndsBackendServersReachesFew, 7 runs after two seconds before, at most 6 in 15 s now (two backend servers, ended after one event and after three). items.TestItemsThatEndBackendServersWait: at most 6 runs a minute, and no delay of items whose backend servers are lost after most of a run or every other time.

Left: the count is the owner's; a new owner begins at three again.

--- a/event/event.go
+++ b/event/event.go
@@ -63,6 +63,7 @@
 	JobPassed       ID = 520
 	StartRecorded   ID = 521
 	HeadroomChanged ID = 522
+	ItemDelayed     ID = 523
 	BundleAccepted  ID = 601
 	BundleRejected  ID = 602
 	BundleInForce   ID = 603
--- a/invoke/invoke.go
+++ b/invoke/invoke.go
@@ -33,6 +33,9 @@
 	// Unreserved means that the item was not sent: the backend server had no free slot to
 	// reserve, or BeforeSend returned an error.
 	Unreserved
+	// BrokenOff means that the item has to be resumed later, since the backend server ended the
+	// connection while it ran the item.
+	BrokenOff
 )
 
 // Item is a batch item to run, from its last received event on.
@@ -89,7 +92,7 @@
 		Instance: choice.Name, Remaining: v.Batch.ItemDeadline(), ResumeAfter: i.LastEvent, HeadTimeout: eventTimeout,
 	}, reservation)
 	if err != nil {
-		return Interrupted, err
+		return interruption(err), err
 	}
 	defer resp.Finish()
 	switch {
@@ -112,7 +115,7 @@
 	for {
 		e, err := reader.Next()
 		if err != nil && !errors.Is(err, io.EOF) {
-			return Interrupted, err
+			return interruption(err), err
 		}
 		if data, ok := e.Data(); ok {
 			if !conns.IsNextEvent(i.LastEvent, e.ID) {
@@ -126,3 +129,11 @@
 		}
 	}
 }
+
+// interruption returns the outcome of a run that ended with an error.
+func interruption(err error) Outcome {
+	if errors.Is(err, conns.ErrBrokenOff) {
+		return BrokenOff
+	}
+	return Interrupted
+}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -50,6 +50,8 @@
 	runs    map[string]int
 	resumed map[string][]string
 	status  atomic.Int32
+	// endsAfter is after how many events of a response a backend server ends the connection; 0 for never.
+	endsAfter int
 }
 
 type entry struct {
@@ -115,6 +117,9 @@
 		w.Header().Set("Content-Type", "text/event-stream")
 		first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 		for i := first + 1; i <= f.events; i++ {
+			if f.endsAfter > 0 && i > first+f.endsAfter {
+				panic(http.ErrAbortHandler)
+			}
 			fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i, request, i)
 			_ = http.NewResponseController(w).Flush()
 			select {
--- a/runner/run.go
+++ b/runner/run.go
@@ -27,7 +27,7 @@
 	attempt.BeforeSend = func(ctx context.Context) error { return r.ensureStartRecorded(ctx, i, route.MaxAttempts) }
 	outcome, err := r.invoker.Run(runCtx, attempt, choice)
 	took := time.Since(i.started)
-	serverFailed := err != nil && runCtx.Err() == nil && (outcome == invoke.Interrupted)
+	serverFailed := err != nil && runCtx.Err() == nil && (outcome == invoke.Interrupted || outcome == invoke.BrokenOff)
 	free := r.Pool.Done(choice.ID, true, serverFailed, time.Now())
 	r.Pool.RecordRun(choice.ID, meter.Sample(choice.Load()), time.Now())
 	metrics.GetOrRegisterCounter("batch.runs", r.Metrics).Inc(1)
@@ -57,8 +57,11 @@
 		r.estimator.RecordItem(items.EventNumber(i.lastEvent), i.timing.Stalled)
 	}
 	i.running = false
+	if outcome != invoke.Rejected && outcome != invoke.Unreserved {
+		i.breaks.Record(serverFailed && outcome == invoke.BrokenOff, outcome < invoke.Interrupted, i.events-eventsBefore)
+	}
 	if !i.preempted && outcome != invoke.Unreserved {
-		i.retryAt = time.Now().Add(retryDelay)
+		i.retryAt = time.Now().Add(max(retryDelay, r.breakDelay(i)))
 	}
 	r.mu.Unlock()
 	if free && !preempted {
@@ -67,6 +70,17 @@
 	r.Wake()
 }
 
+// breakDelay returns how long an item waits because backend servers ended during its runs.
+func (r *Runner) breakDelay(i *item) time.Duration {
+	d := i.breaks.Delay()
+	if d > 0 {
+		metrics.GetOrRegisterCounter("batch.delayed", r.Metrics).Inc(1)
+		r.Events.Warn(event.ItemDelayed).Str("job", i.open.Job).Str("item", i.body.ID).Str("server", i.server).
+			Dur("delay", d).Msg("item is assumed to end backend servers; it waits before its next run")
+	}
+	return d
+}
+
 // appendEvent adds the data of a received event to an item's text.
 func (r *Runner) appendEvent(i *item, id, data string) {
 	r.mu.Lock()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -134,6 +134,8 @@
 	complete bool
 	// failures counts the responses that reported a failed run.
 	failures int
+	// breaks counts the runs during which the backend server ended.
+	breaks items.Breaks
 	// accounted is set if the next failed run of the item is accounted for: see needsStart.
 	accounted bool
 	// saveFirstOutput is set if the first output has to be saved at once. It shows the next owner
