crash, digest: many failures at one moment prove no more than three; equal messages have equal encodings

Found by reading the counter again. With 20 failures at one moment, known to all, one more was counted as the nineteenth in a row and rejected the request for half an hour; crash.TestConcurrentFailuresCountOnce. The time of the latest failure was read before it was computed where only the sequence is known (order of evaluation).

A report of failures is two entries of a map, which CBOR writes in the order of the iteration: an unchanged message looked changed and was sent in each round for as long as anything is reported; digest.TestEqualMessagesHaveEqualEncodings.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -324,7 +324,7 @@
 }
 
 // count returns the number of failures one after the other, and the time of the latest. Of all confirmed
-// failures, those beyond what may happen at the same moment count as well.
+// failures, those beyond what may happen at the same moment count as well, up to limit.
 func (r *record) count(now time.Time) (known int, latest time.Time) {
 	add := func(f failures) (n int) {
 		if n = r.counted(f, now); n > 0 && f.latest.After(latest) {
@@ -345,7 +345,8 @@
 			delete(r.peers, s)
 		}
 	}
-	return max(add(r.sequence), confirmed-(concurrentLimit-limit)), latest
+	known = max(add(r.sequence), min(confirmed-(concurrentLimit-limit), limit))
+	return known, latest
 }
 
 // clear applies a response at the given time: earlier failures no longer count.
--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -148,3 +148,22 @@
 	}
 	g.Expect(entries[0].Reports(now)).To(BeEmpty())
 }
+
+// Guards against a request that many callers send being rejected for half an hour: many failures at the same
+// moment and one more are no proof.
+func TestConcurrentFailuresCountOnce(t *testing.T) {
+	g := NewWithT(t)
+	c, now := newCounter(), time.Now()
+	for n := range 20 {
+		c.receive(fmt.Sprint("entry", n), 1, reports{request: {Failures: 1, Sequence: 1}}, now)
+	}
+	g.Expect(c.blocked(request, now)).To(BeFalse())
+	now = now.Add(2 * confirmTime)
+	g.Expect(c.Blocked(request, now)).To(BeNumerically("<=", concurrentBlockTime))
+	now = now.Add(concurrentBlockTime)
+	g.Expect(c.blocked(request, now)).To(BeFalse())
+	c.fail(request, now)
+	g.Expect(c.Blocked(request, now)).To(BeNumerically("<=", blockTime))
+	c.RecordResponse(request, now.Add(time.Second))
+	g.Expect(c.blocked(request, now.Add(2*time.Second))).To(BeFalse())
+}
--- a/digest/wire.go
+++ b/digest/wire.go
@@ -76,6 +76,16 @@
 	Preempt []byte
 }
 
+// encoding sorts the keys of maps, so that equal messages have equal encodings: an unchanged message isn't
+// sent again at once.
+var encoding = func() cbor.EncMode {
+	mode, err := cbor.EncOptions{Sort: cbor.SortBytewiseLexical}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
 // Encode returns the datagram with messages and the hashes of the backend servers on which the receiver
 // is to preempt a batch item each.
 func Encode(messages []*Message, preempt []uint32) ([]byte, error) {
@@ -83,7 +93,7 @@
 	for n, m := range messages {
 		d.Messages[n] = m.pack()
 	}
-	return cbor.Marshal(d)
+	return encoding.Marshal(d)
 }
 
 func packHashes(hashes []uint32) []byte {
--- a/digest/wire_test.go
+++ b/digest/wire_test.go
@@ -65,6 +65,22 @@
 	g.Expect(got.Crashes).To(Equal(map[uint64]crash.Report{8: {Failures: 2, Sequence: 2}}))
 }
 
+// Guards against unchanged messages that are sent in each round since their encoding differs.
+func TestEqualMessagesHaveEqualEncodings(t *testing.T) {
+	g := NewWithT(t)
+	m := &Message{Crashes: map[uint64]crash.Report{}}
+	for n := range uint64(20) {
+		m.Crashes[n] = crash.Report{Failures: 1, Sequence: 1}
+	}
+	first, err := Encode([]*Message{m}, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	for range 20 {
+		again, err := Encode([]*Message{m}, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(again).To(Equal(first))
+	}
+}
+
 // A truncated datagram, or one in the form of another version, must be rejected with an error and must not
 // cause a panic.
 func TestMalformedDatagramsAreRejected(t *testing.T) {
