proof: each test process listens on a loopback address of its own

What was seen: go test ./proof failed once in a worktree beside four others, "bind: address already in use" at an engine's port.

Cause, by reading, not reproduced: a port is chosen by listening on it for a moment; the started process listens on it later. Test processes begin 37 ports apart for neighbouring ids and take hundreds each, so that those which run at the same time choose from the same ports, and one can take another's in between.

The address now differs by process.

--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -141,6 +141,10 @@
 	next int
 }
 
+// host is the loopback address of this test process. On a shared one, the processes of another test could
+// listen on a port between its choice and its use.
+var host = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()%250, os.Getpid()/250%250)
+
 // freeAddress returns a loopback address on which no process listens.
 func freeAddress(t testing.TB) string {
 	t.Helper()
@@ -154,7 +158,7 @@
 		if ports.next >= lastPort {
 			ports.next = firstPort
 		}
-		address := fmt.Sprintf("127.0.0.1:%d", ports.next)
+		address := fmt.Sprintf("%s:%d", host, ports.next)
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
