--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -16,6 +16,16 @@
 	return c
 }
 
+func (c *Counter) blocked(request uint64, now time.Time) bool {
+	return c.Blocked(request, now) > 0
+}
+
+// fail records a failure of a run that was sent knowing all earlier failures.
+func (c *Counter) fail(request uint64, now time.Time) {
+	known, _ := c.Send(request, now)
+	c.RecordFailure(request, known, now)
+}
+
 // TestRequestThatCrashesIsContainedAcrossEntries guards against a request that crashes each backend
 // server that runs it reaching one more of them through each entry that it comes to, or through
 // entries whose peers forget what a lost one had reported.
@@ -93,25 +103,6 @@
 	g.Expect(c.Reports(now.Add(time.Minute))).To(Equal(map[uint64]Report{2: {Failures: 2, Sequence: 2, Age: time.Minute}}))
 }
 
-// reports, receive, respond and blocked adapt the simulation to the counter.
-type reports = map[uint64]Report
-
-func (c *Counter) receive(name string, start int64, r reports, now time.Time) {
-	c.Receive(name, start, r, now)
-}
-
-func (c *Counter) respond(request uint64, now time.Time) { c.RecordResponse(request, now) }
-
-func (c *Counter) blocked(request uint64, now time.Time) bool {
-	return c.Blocked(request, now) > 0
-}
-
-// fail records a failure of a run that was sent knowing all earlier failures.
-func (c *Counter) fail(request uint64, now time.Time) {
-	known, _ := c.Send(request, now)
-	c.RecordFailure(request, known, now)
-}
-
 // Guards against failures that lie hours apart, at entries of which none has served the request since,
 // adding up to a rejection.
 func TestOldFailuresDontAddUp(t *testing.T) {
@@ -119,7 +110,7 @@
 	c, now := newCounter(), time.Now()
 	for n := range 2 * limit {
 		if n < limit {
-			c.receive(fmt.Sprint("entry", n), 1, reports{request: {Failures: 1, Sequence: 1}}, now)
+			c.Receive(fmt.Sprint("entry", n), 1, map[uint64]Report{request: {Failures: 1, Sequence: 1}}, now)
 		} else {
 			c.fail(request, now)
 		}
@@ -155,7 +146,7 @@
 	g := NewWithT(t)
 	c, now := newCounter(), time.Now()
 	for n := range 20 {
-		c.receive(fmt.Sprint("entry", n), 1, reports{request: {Failures: 1, Sequence: 1}}, now)
+		c.Receive(fmt.Sprint("entry", n), 1, map[uint64]Report{request: {Failures: 1, Sequence: 1}}, now)
 	}
 	g.Expect(c.blocked(request, now)).To(BeFalse())
 	now = now.Add(2 * confirmTime)
--- a/crash/outage_test.go
+++ b/crash/outage_test.go
@@ -54,6 +54,9 @@
 	ends                     time.Duration
 }
 
+// reports is what an entry reports of all requests.
+type reports = map[uint64]Report
+
 // report is a message between two entries on its way.
 type report struct {
 	from    int
@@ -197,7 +200,7 @@
 		s.reports = s.reports[1:]
 		for n, c := range s.counters {
 			if n != r.from && s.cut(n) == s.cut(r.from) {
-				c.receive(s.names[r.from], r.start, r.reports, s.time())
+				c.Receive(s.names[r.from], r.start, r.reports, s.time())
 			}
 		}
 	}
@@ -215,7 +218,7 @@
 			crashed = append(crashed, r.server)
 		default:
 			s.load[r.server]--
-			s.counters[r.entry].respond(uint64(r.request), s.time())
+			s.counters[r.entry].RecordResponse(uint64(r.request), s.time())
 		}
 	}
 	s.runs = running
