--- a/conns/conns.go
+++ b/conns/conns.go
@@ -289,6 +289,17 @@
 	return b.Bytes()
 }
 
+// Framing says how the end of the body is marked.
+func (r *Response) Framing() Framing {
+	switch {
+	case len(r.TransferEncoding) > 0:
+		return FramingChunked
+	case r.ContentLength >= 0 || r.Body == http.NoBody:
+		return FramingLength
+	}
+	return FramingNone
+}
+
 // Server returns the id of the backend server that sent the response.
 func (r *Response) Server() string { return r.serverID }
 
--- a/conns/events.go
+++ b/conns/events.go
@@ -51,6 +51,14 @@
 	}
 }
 
+// Partial returns the number of bytes that follow the last complete event at the end of the body.
+func (e *EventReader) Partial() int {
+	if e.err == nil {
+		return 0
+	}
+	return len(e.buffer)
+}
+
 // eventLength returns the length of the first event, including the empty line that ends it. It
 // returns 0 if the event is incomplete.
 func eventLength(b []byte) int {
--- a/event/event.go
+++ b/event/event.go
@@ -41,6 +41,7 @@
 	StreamResumed   ID = 406
 	BackendState    ID = 407
 	BackendBrokeOff ID = 408
+	EndUnproven     ID = 409
 	JobAccepted     ID = 501
 	JobCancelled    ID = 502
 	JobFinished     ID = 503
--- a/invoke/invoke.go
+++ b/invoke/invoke.go
@@ -9,6 +9,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/conns"
+	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/pool"
 )
 
@@ -58,6 +59,8 @@
 	Table func() *sardinerock.RouteTable
 	Pool  *pool.Pool
 	Conns *conns.Conns
+	// Events may be nil.
+	Events *event.Logger
 }
 
 // Run reserves a slot, if the service supports reservations and the item needs no more than one
@@ -111,6 +114,7 @@
 // read passes the events of a response to the item. Events received before an error are kept:
 // the next run resumes after them.
 func (v *Invoker) read(resp *conns.Response, i *Item) (Outcome, error) {
+	began, events := time.Now(), 0
 	reader := &conns.EventReader{Response: resp, ReadDeadline: func() time.Time { return time.Now().Add(eventTimeout) }}
 	for {
 		e, err := reader.Next()
@@ -123,8 +127,13 @@
 			}
 			i.OnEvent(e.ID, data)
 			i.LastEvent = e.ID
+			events++
 		}
 		if err != nil {
+			if resp.Framing() == conns.FramingNone || reader.Partial() > 0 {
+				v.Events.Warn(event.EndUnproven).Str("request", i.Body.ID).Str("server", resp.Server()).Str("framing", string(resp.Framing())).
+					Int("events", events).Int("partial", reader.Partial()).Dur("took", time.Since(began)).Msg("the end of a response doesn't prove that it is complete")
+			}
 			return Succeeded, nil
 		}
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -386,7 +386,7 @@
 		e = p.timings.addFields(e).Bool("late", true).Dur("before", p.waitedBefore).Dur("target", p.route.LatencyTarget).Dur("pause", p.route.GapTarget)
 	}
 	e.Str("request", p.call.ID).Str("route", p.route.Name).Int("status", resp.StatusCode).
-		Dur("first", p.firstByte).Dur("took", time.Since(p.received)).Int("events", p.events).Int("runs", p.runs).Msg("answered")
+		Dur("first", p.firstByte).Str("framing", string(resp.Framing())).Dur("took", time.Since(p.received)).Int("events", p.events).Int("runs", p.runs).Msg("answered")
 }
 
 func (p *proxyRequest) logFailure(choice *pool.Choice, err error) {
--- a/relay/response.go
+++ b/relay/response.go
@@ -9,6 +9,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/conns"
+	"github.com/sardinerock/sardinerock/event"
 )
 
 // handleResponse forwards a response to the caller. It returns the result of the
@@ -46,6 +47,7 @@
 		return incomplete, p.ctx.Err() == nil
 	}
 	if len(body) <= maxBufferedResponse {
+		p.logUnproven(resp, 0)
 		p.writeHead(resp, len(body))
 		p.write(body)
 		p.served(resp)
@@ -56,10 +58,22 @@
 	if _, err := io.Copy(p.writer, resp); err != nil {
 		p.abort(err)
 	}
+	p.logUnproven(resp, 0)
 	p.served(resp)
 	return answered, false
 }
 
+// logUnproven logs the end of a response if its framing doesn't prove that it is complete. partial is the
+// number of bytes after the last complete event.
+func (p *proxyRequest) logUnproven(resp *conns.Response, partial int) {
+	if resp.Framing() != conns.FramingNone && partial == 0 {
+		return
+	}
+	p.relay.count("relay.endUnproven")
+	p.relay.Events.Warn(event.EndUnproven).Str("request", p.call.ID).Str("server", resp.Server()).Str("framing", string(resp.Framing())).
+		Int("events", p.events).Int("partial", partial).Dur("took", time.Since(p.timings.sent)).Msg("the end of a response doesn't prove that it is complete")
+}
+
 // writeHead sends the head of the response; a negative size means that the size is unknown.
 func (p *proxyRequest) writeHead(resp *conns.Response, size int) {
 	if p.started {
@@ -112,6 +126,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			p.logUnproven(resp, reader.Partial())
 			p.writeHead(resp, -1)
 			p.served(resp)
 			return answered, false
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -154,7 +154,7 @@
 	r.items = map[uint64]*item{}
 	r.jobs = map[string]*loadedJob{}
 	r.headroom = map[string]*headroom{}
-	r.invoker = &invoke.Invoker{Batch: r.Batch, Table: r.Table, Pool: r.Pool, Conns: r.Conns}
+	r.invoker = &invoke.Invoker{Batch: r.Batch, Table: r.Table, Pool: r.Pool, Conns: r.Conns, Events: r.Events}
 	r.wake = make(chan struct{}, 1)
 }
 
