--- /dev/null
+++ b/relay/end_test.go
@@ -0,0 +1,287 @@
+package relay_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock"
+)
+
+// framing sends the head and the body of a response that ends with its connection.
+type framing func(c net.Conn, r *http.Request, contentType, body string)
+
+const signedHead = "HTTP/1.%d 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: sig\r\nContent-Type: %s\r\n"
+
+// framings are the ways in which a backend server may frame a body that it ends in order.
+var framings = map[string]framing{
+	"without framing": func(c net.Conn, r *http.Request, contentType, body string) {
+		fmt.Fprintf(c, signedHead+"\r\n%s", 1, r.Header.Get("Request-Id"), contentType, body)
+	},
+	"HTTP/1.0": func(c net.Conn, r *http.Request, contentType, body string) {
+		fmt.Fprintf(c, signedHead+"\r\n%s", 0, r.Header.Get("Request-Id"), contentType, body)
+	},
+	"in chunks": func(c net.Conn, r *http.Request, contentType, body string) {
+		fmt.Fprintf(c, signedHead+"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", 1, r.Header.Get("Request-Id"), contentType, len(body), body)
+	},
+	"with a length": func(c net.Conn, r *http.Request, contentType, body string) {
+		fmt.Fprintf(c, signedHead+"Content-Length: %d\r\n\r\n%s", 1, r.Header.Get("Request-Id"), contentType, len(body), body)
+	},
+}
+
+const eventStream = "text/event-stream"
+
+// stream sends a body of events.
+func (f framing) stream(body string) script {
+	return func(c net.Conn, r *http.Request) { f(c, r, eventStream, body) }
+}
+
+// refuse makes a backend server that ends a connection refuse all further ones first, as one that crashes.
+func (s *testbed) refuse(play script) script {
+	return func(c net.Conn, r *http.Request) {
+		play(c, r)
+		s.closeListener(c.LocalAddr().String())
+	}
+}
+
+// cutsInsideEvents are ends of a body that are inside an event.
+var cutsInsideEvents = map[string]string{
+	"in the field name":         "i",
+	"in the id":                 "id: ",
+	"after the id":              "id: 3\n",
+	"in the data":               "id: 3\ndata: pie",
+	"after the data":            "id: 3\ndata: piece 3",
+	"after the data's line end": "id: 3\ndata: piece 3\n",
+	"between CR and LF":         "id: 3\r\ndata: piece 3\r\n\r",
+}
+
+// TestStreamThatEndsInsideAnEventIsIncomplete guards against a stream that a backend server broke off inside an
+// event reaching its caller as complete, however the server framed it.
+func TestStreamThatEndsInsideAnEventIsIncomplete(t *testing.T) {
+	for name, f := range framings {
+		for cut, rest := range cutsInsideEvents {
+			for _, first := range []int{0, 2} {
+				rest := strings.ReplaceAll(rest, "3", fmt.Sprint(first+1))
+				t.Run(fmt.Sprint(name, " ", cut, " after ", first), func(t *testing.T) {
+					s := newTestbed(t, f.stream(allEvents(first)+rest))
+					resp, body, err := s.post("/stream/x")
+					if err == nil {
+						s.g.Expect(resp.StatusCode).To(Equal(http.StatusBadGateway), body)
+						return
+					}
+					s.g.Expect(allEvents(first)).To(HavePrefix(body))
+					s.g.Expect(s.seen()).To(HaveLen(1))
+				})
+				t.Run(fmt.Sprint(name, " ", cut, " after ", first, ", resumable"), func(t *testing.T) {
+					s := newTestbed(t, f.stream(allEvents(first)+rest), events(first+1, 5, true))
+					_, body, err := s.post("/resumable/x")
+					s.g.Expect(err).NotTo(HaveOccurred())
+					s.g.Expect(body).To(Equal(allEvents(5)))
+				})
+			}
+		}
+	}
+}
+
+// TestUnframedStreamIsAskedForMoreEvents guards against a resumable stream that a backend server closed between
+// two events, without framing, reaching its caller as complete.
+func TestUnframedStreamIsAskedForMoreEvents(t *testing.T) {
+	unframed := framings["without framing"]
+	rest := func(f framing, first, last int) script {
+		return f.stream(strings.TrimPrefix(allEvents(last), allEvents(first-1)))
+	}
+	for name, tt := range map[string]struct {
+		scripts func(s *testbed) []script
+		// sameServer is set if all attempts go to the first backend server.
+		sameServer bool
+	}{
+		"complete, confirmed without framing": {sameServer: true, scripts: func(*testbed) []script {
+			return []script{unframed.stream(allEvents(5)), unframed.stream("")}
+		}},
+		"complete, confirmed in chunks": {sameServer: true, scripts: func(*testbed) []script {
+			return []script{unframed.stream(allEvents(5)), events(6, 5, true)}
+		}},
+		"cut by a backend server that works": {sameServer: true, scripts: func(*testbed) []script {
+			return []script{unframed.stream(allEvents(2)), rest(unframed, 3, 5), unframed.stream("")}
+		}},
+		"cut by one that ended": {scripts: func(s *testbed) []script {
+			return []script{s.refuse(unframed.stream(allEvents(2))), events(3, 5, true)}
+		}},
+		"cut before the first event": {scripts: func(*testbed) []script {
+			return []script{unframed.stream(""), events(1, 5, true)}
+		}},
+		"cut after chunks of another": {scripts: func(*testbed) []script {
+			return []script{events(1, 1, false), rest(unframed, 2, 3), rest(unframed, 4, 5), unframed.stream("")}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestbed(t)
+			s.scripts = tt.scripts(s)
+			count := len(s.scripts)
+			_, body, err := s.post("/resumable/x")
+			s.g.Expect(err).NotTo(HaveOccurred())
+			s.g.Expect(body).To(Equal(allEvents(5)))
+			s.g.Expect(s.seen()).To(HaveLen(count))
+			if tt.sameServer {
+				for _, r := range s.seen() {
+					s.g.Expect(r.Header.Get("Expect-Instance")).To(Equal(s.seen()[0].Header.Get("Expect-Instance")))
+				}
+			}
+		})
+	}
+}
+
+// TestUnprovenEndIsNotStatedAsComplete guards against a response that has neither a length nor chunks, so that
+// nothing shows whether it is complete, reaching its caller with a length or a last chunk.
+func TestUnprovenEndIsNotStatedAsComplete(t *testing.T) {
+	for name, tt := range map[string]struct{ path, contentType, body string }{
+		"stream":                {"/stream/x", eventStream, allEvents(3)},
+		"resumable stream":      {"/resumable/x", eventStream, allEvents(3)},
+		"body":                  {"/once/x", "application/json", `{"status":"recei`},
+		"idempotent body":       {"/safe/x", "application/json", `{"status":"recei`},
+		"empty body":            {"/once/x", "application/json", ""},
+		"large body":            {"/once/x", "text/plain", strings.Repeat("x", 300<<10)},
+		"large idempotent body": {"/safe/x", "text/plain", strings.Repeat("x", 300<<10)},
+	} {
+		for _, version := range []string{"without framing", "HTTP/1.0"} {
+			t.Run(name+" "+version, func(t *testing.T) {
+				s := newTestbed(t)
+				s.fallback = func(c net.Conn, r *http.Request) {
+					if r.Header.Get("Last-Event-Id") != "" {
+						framings[version](c, r, tt.contentType, "")
+						return
+					}
+					framings[version](c, r, tt.contentType, tt.body)
+				}
+				resp, body, err := s.post(tt.path)
+				s.g.Expect(err).NotTo(HaveOccurred())
+				s.g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+				s.g.Expect(body).To(Equal(tt.body))
+				s.g.Expect(resp.ContentLength).To(BeEquivalentTo(-1))
+				s.g.Expect(resp.TransferEncoding).To(BeEmpty())
+			})
+		}
+	}
+}
+
+// TestUnframedResponseOfABackendThatEndedIsIncomplete guards against an unframed response of a backend server
+// that crashed, which closes the connection like a complete response, reaching its caller as complete.
+func TestUnframedResponseOfABackendThatEndedIsIncomplete(t *testing.T) {
+	for name, tt := range map[string]struct {
+		path, contentType, body string
+		status                  int
+	}{
+		"stream":          {path: "/stream/x", contentType: eventStream, body: allEvents(3)},
+		"large body":      {path: "/once/x", contentType: "text/plain", body: strings.Repeat("x", 300<<10)},
+		"body":            {path: "/once/x", contentType: "text/plain", body: "short", status: http.StatusBadGateway},
+		"idempotent body": {path: "/safe/x", contentType: "text/plain", body: "short", status: http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestbed(t)
+			s.scripts = []script{
+				s.refuse(func(c net.Conn, r *http.Request) { framings["without framing"](c, r, tt.contentType, tt.body) }),
+				completeResponse(http.StatusOK, "the whole body"),
+			}
+			resp, body, err := s.post(tt.path)
+			if tt.status == 0 {
+				s.g.Expect(err).To(HaveOccurred())
+				return
+			}
+			s.g.Expect(err).NotTo(HaveOccurred())
+			s.g.Expect(resp.StatusCode).To(Equal(tt.status))
+			if tt.status == http.StatusOK {
+				s.g.Expect(body).To(Equal("the whole body"))
+			}
+		})
+	}
+}
+
+// TestAbortIsAResetForUnframedCallers guards against a caller whose response has neither a length nor chunks
+// taking the abort of an incomplete response for its end.
+func TestAbortIsAResetForUnframedCallers(t *testing.T) {
+	for name, tt := range map[string]struct {
+		version string
+		play    script
+	}{
+		"HTTP/1.0, stream in chunks":    {"HTTP/1.0", events(1, 2, false)},
+		"HTTP/1.0, stream inside event": {"HTTP/1.0", framings["in chunks"].stream(allEvents(2) + "id: 3")},
+		"HTTP/1.0, unframed stream":     {"HTTP/1.0", framings["without framing"].stream(allEvents(2) + "id: 3")},
+		"HTTP/1.1, unframed stream":     {"HTTP/1.1", framings["without framing"].stream(allEvents(2) + "id: 3")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestbed(t, func(c net.Conn, r *http.Request) {
+				tt.play(c, r)
+				// The caller has received the events before the connection is reset.
+				time.Sleep(50 * time.Millisecond)
+			})
+			c, err := net.Dial("tcp", s.front.Listener.Addr().String())
+			s.g.Expect(err).NotTo(HaveOccurred())
+			defer c.Close()
+			fmt.Fprintf(c, "POST /stream/x %s\r\nHost: h.example\r\nRequest-Id: r1\r\nDeadline-Ms: 900\r\nContent-Length: 0\r\n\r\n", tt.version)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			s.g.Expect(err).NotTo(HaveOccurred())
+			defer resp.Body.Close()
+			s.g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+			body, err := io.ReadAll(resp.Body)
+			s.g.Expect(allEvents(2)).To(HavePrefix(string(body)))
+			s.g.Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue(), "%v", err)
+		})
+	}
+}
+
+// TestUnframedResponsesAreContained guards against a request that ends each backend server, without a reset and
+// in a response without framing, being sent to one after the other.
+func TestUnframedResponsesAreContained(t *testing.T) {
+	unframed := framings["without framing"]
+	for name, tt := range map[string]struct {
+		path   string
+		events int
+		rest   string
+	}{
+		"inside an event":                    {"/stream/crash", 2, "id: 3\nda"},
+		"inside an event, resumable":         {"/resumable/crash", 2, "id: 3\nda"},
+		"inside the first event":             {"/stream/crash", 0, "id"},
+		"inside the first event, resumable":  {"/resumable/crash", 0, "id"},
+		"between two events":                 {"/stream/crash", 2, ""},
+		"between two events, resumable":      {"/resumable/crash", 2, ""},
+		"before the first event":             {"/stream/crash", 0, ""},
+		"before the first event, resumable":  {"/resumable/crash", 0, ""},
+		"in a body that isn't a stream":      {"/once/crash", -1, "short"},
+		"in a body of an idempotent request": {"/safe/crash", -1, "short"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestbed(t)
+			for n := range 24 {
+				id := fmt.Sprint("further-", n)
+				s.servers = append(s.servers, sardinerock.BackendServer{ID: id, Name: id, Service: service, Address: s.listen(t), Slots: 2})
+			}
+			s.pool.SetServers(s.servers)
+			s.fallback = s.refuse(func(c net.Conn, r *http.Request) {
+				if tt.events < 0 {
+					unframed(c, r, "text/plain", tt.rest)
+					return
+				}
+				last := 0
+				_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &last)
+				unframed.stream(strings.TrimPrefix(allEvents(last+tt.events), allEvents(last))+tt.rest)(c, r)
+			})
+			for range 8 {
+				// A response that breaks off is an error for the caller, too.
+				_, _, _ = s.post(tt.path)
+			}
+			resp, _, err := s.post(tt.path)
+			s.g.Expect(len(s.seen())).To(Equal(3), "backend servers reached")
+			s.g.Expect(err).NotTo(HaveOccurred())
+			s.g.Expect(resp.StatusCode).To(Equal(http.StatusUnprocessableEntity))
+		})
+	}
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -60,6 +60,8 @@
 	// fallback is run when no scripts are left.
 	fallback script
 	requests []*http.Request
+	// listeners holds the listeners of the backend servers by their addresses.
+	listeners map[string]net.Listener
 }
 
 const service = "models"
@@ -157,6 +159,12 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	s.g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { l.Close() })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listeners == nil {
+		s.listeners = map[string]net.Listener{}
+	}
+	s.listeners[l.Addr().String()] = l
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -169,6 +177,13 @@
 	return l.Addr().String()
 }
 
+// closeListener makes the backend server at an address refuse new connections.
+func (s *testbed) closeListener(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listeners[address].Close()
+}
+
 func (s *testbed) serve(c net.Conn) {
 	defer c.Close()
 	r, err := http.ReadRequest(bufio.NewReader(c))
