conns: a stream that ends inside an event is broken off, however it is framed

What callers saw: a resumable stream ended early with a proper end of the response, status 200 and the signature of the backend server, the last event cut; nothing was resumed. Batch items whose stream was cut that way counted as done, their text short for good.

Cause: EventReader returned what followed the last complete event together with io.EOF, and both of its readers, relay and invoke, took that for the last event and the end of the stream. It was also recorded as a response, which clears what is counted against a request that ends its backend servers.

Why this works: the decision is made in the one place that knows where events end. The rest of a stream is an error that wraps ErrIncomplete and ErrBrokenOff, so that each reader resumes, aborts, counts and ejects as for any other broken response. Comments and empty lines after the last event are no part of an event. Lines may end with LF, CRLF or CR, in any mixture; a stream of CR alone was read as one long event, and would be broken off now.

TestEventReaderReturnsCompleteEvents held the observed end for the right one: a rest of an event came with io.EOF. It is replaced by a table that asks for the error in that case, and for all bytes of complete events in all others.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -44,6 +44,9 @@
 	// was complete. It accompanies ErrIncomplete, which alone is a timeout, a connection closed here,
 	// or bytes that are no response.
 	ErrBrokenOff = errors.New("connection ended by the backend server")
+	// ErrInsideEvent means that a stream ended inside an event. It accompanies ErrIncomplete and
+	// ErrBrokenOff.
+	ErrInsideEvent = errors.New("stream ended inside an event")
 )
 
 // Conns manages the connections to all backend servers.
@@ -317,6 +320,13 @@
 	return n, err
 }
 
+// endInsideEvent records that the body ended inside an event, and returns the error that says so.
+func (r *Response) endInsideEvent() error {
+	r.complete = false
+	r.err = fmt.Errorf("%w: %w: %w", ErrIncomplete, ErrBrokenOff, ErrInsideEvent)
+	return r.err
+}
+
 // Err returns the error that ended the body before its end, or nil.
 func (r *Response) Err() error { return r.err }
 
--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -284,37 +285,85 @@
 	g.Eventually(closed, 5*time.Second).Should(BeClosed())
 }
 
-// Events that arrive byte by byte, with either kind of line end, must be returned complete, and no
-// byte of the stream may be lost.
+// Events that arrive byte by byte, with each kind of line end, must be returned complete, and no byte of the
+// stream may be lost. A stream that ends inside an event is incomplete, whatever its framing says.
 func TestEventReaderReturnsCompleteEvents(t *testing.T) {
-	g := NewWithT(t)
-	stream := "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nweight-versions: 3\nid: 3\ndata: c\ndata: d\n\nrest"
-	b := startBackend(t, func(c net.Conn, r *http.Request) bool {
-		write("HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\n\r\n")(c, r)
-		for _, char := range []byte(stream) {
-			_, _ = c.Write([]byte{char})
-		}
-		return false
-	})
-	a, err := (&conns.Conns{Dialect: platform.Dialect{}}).Send(context.Background(), &b.BackendServer, call("r1"), sardinerock.Attempt{Remaining: time.Second}, nil)
-	g.Expect(err).NotTo(HaveOccurred())
-	defer a.Finish()
-	reader := &conns.EventReader{Response: a, ReadDeadline: func() time.Time { return time.Time{} }}
-	var ids, data []string
-	var all strings.Builder
-	for {
-		e, err := reader.Next()
-		all.Write(e.Raw)
-		if errors.Is(err, io.EOF) {
-			break
+	const three = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nweight-versions: 3\nid: 3\ndata: c\ndata: d\n\n"
+	for name, tt := range map[string]struct {
+		stream string
+		// rest is what follows the last complete event.
+		rest string
+		// ids and data are those of all events that have data.
+		ids, data []string
+		inside    bool
+	}{
+		"complete":                    {stream: three, ids: []string{"1", "2", "3"}, data: []string{"a", "b", "c\nd"}},
+		"inside an event":             {stream: three, rest: "rest", ids: []string{"1", "2", "3"}, data: []string{"a", "b", "c\nd"}, inside: true},
+		"no event":                    {},
+		"empty lines at the end":      {stream: "id: 1\ndata: a\n\n\n\r\n", ids: []string{"1"}, data: []string{"a"}},
+		"empty lines at the start":    {stream: "\n\r\nid: 1\ndata: a\n\n", ids: []string{"1"}, data: []string{"a"}},
+		"comment at the end":          {stream: "id: 1\ndata: a\n\n: idle\n", ids: []string{"1"}, data: []string{"a"}},
+		"part of a comment":           {stream: "id: 1\ndata: a\n\n: id", ids: []string{"1"}, data: []string{"a"}},
+		"comment in an event":         {stream: "id: 1\n: idle\ndata: a\n\n", ids: []string{"1"}, data: []string{"a"}},
+		"comment before a part":       {stream: "id: 1\ndata: a\n\n", rest: ": idle\nid: 2\n", ids: []string{"1"}, data: []string{"a"}, inside: true},
+		"CR":                          {stream: "id: 1\rdata: a\r\rid: 2\rdata: b\r\r", ids: []string{"1", "2"}, data: []string{"a", "b"}},
+		"CR, inside an event":         {stream: "id: 1\rdata: a\r\r", rest: "id: 2\rdata: b\r", ids: []string{"1"}, data: []string{"a"}, inside: true},
+		"mixture":                     {stream: "id: 1\r\ndata: a\n\r\nid: 2\ndata: b\r\n\n", ids: []string{"1", "2"}, data: []string{"a", "b"}},
+		"between CR and LF":           {stream: "id: 1\r\ndata: a\r\n\r\n", rest: "id: 2\r\ndata: b\r\n\r", ids: []string{"1"}, data: []string{"a"}, inside: true},
+		"within the line's end":       {stream: "id: 1\r\ndata: a\r\n\r\n", rest: "id: 2\r\ndata: b\r", ids: []string{"1"}, data: []string{"a"}, inside: true},
+		"no id":                       {stream: "id: 1\ndata: a\n\ndata: b\n\n", ids: []string{"1", ""}, data: []string{"a", "b"}},
+		"last empty line missing":     {stream: "id: 1\ndata: a\n\n", rest: "id: 2\ndata: b\n", ids: []string{"1"}, data: []string{"a"}, inside: true},
+		"longer than a buffer":        {stream: "id: 1\ndata: " + strings.Repeat("x", 20<<10) + "\n\n", ids: []string{"1"}, data: []string{strings.Repeat("x", 20<<10)}},
+		"longer than a buffer, a cut": {rest: "id: 1\ndata: " + strings.Repeat("x", 20<<10), inside: true},
+	} {
+		for _, framed := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", framed: ", framed), func(t *testing.T) {
+				g := NewWithT(t)
+				b := startBackend(t, func(c net.Conn, r *http.Request) bool {
+					head, chunk := "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\n\r\n", "%s"
+					if framed {
+						head, chunk = "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\n%s\r\n"
+					}
+					write(head)(c, r)
+					for _, char := range []byte(tt.stream + tt.rest) {
+						_, _ = fmt.Fprintf(c, chunk, []byte{char})
+					}
+					if framed {
+						write("0\r\n\r\n")(c, r)
+					}
+					return false
+				})
+				resp, err := (&conns.Conns{Dialect: platform.Dialect{}}).Send(context.Background(), &b.BackendServer, call("r1"), sardinerock.Attempt{Remaining: time.Second}, nil)
+				g.Expect(err).NotTo(HaveOccurred())
+				defer resp.Finish()
+				reader := &conns.EventReader{Response: resp, ReadDeadline: func() time.Time { return time.Time{} }}
+				var ids, data []string
+				var all strings.Builder
+				for err == nil {
+					var e conns.Event
+					e, err = reader.Next()
+					all.Write(e.Raw)
+					if text, ok := e.Data(); ok {
+						ids, data = append(ids, e.ID), append(data, text)
+					}
+				}
+				g.Expect(all.String()).To(Equal(tt.stream))
+				g.Expect(ids).To(Equal(tt.ids))
+				g.Expect(data).To(Equal(tt.data))
+				g.Expect(reader.Partial()).To(Equal(len(tt.rest)))
+				switch {
+				case tt.inside:
+					g.Expect(err).To(MatchError(conns.ErrInsideEvent))
+					g.Expect(err).To(MatchError(conns.ErrIncomplete))
+					g.Expect(err).To(MatchError(conns.ErrBrokenOff))
+					g.Expect(resp.Err()).To(Equal(err))
+				default:
+					g.Expect(err).To(Equal(io.EOF))
+					g.Expect(resp.Err()).NotTo(HaveOccurred())
+				}
+			})
 		}
-		g.Expect(err).NotTo(HaveOccurred())
-		text, _ := e.Data()
-		ids, data = append(ids, e.ID), append(data, text)
 	}
-	g.Expect(all.String()).To(Equal(stream))
-	g.Expect(ids).To(Equal([]string{"1", "2", "3"}))
-	g.Expect(data).To(Equal([]string{"a", "b", "c\nd"}))
 }
 
 func FuzzEventReader(f *testing.F) {
--- a/conns/events.go
+++ b/conns/events.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
+	"io"
+	"iter"
 	"strconv"
 	"strings"
 	"time"
@@ -27,8 +30,9 @@
 	err      error
 }
 
-// Next returns the next complete event. At the end of the body it returns the remaining bytes
-// with io.EOF.
+// Next returns the next complete event. At the end of the body it returns io.EOF, together with comments and
+// empty lines that follow the last event. A body that ends inside an event was broken off, whatever its framing says: the error then wraps
+// ErrInsideEvent.
 func (e *EventReader) Next() (Event, error) {
 	e.buffer = e.buffer[:copy(e.buffer, e.buffer[e.consumed:])]
 	e.consumed = 0
@@ -38,8 +42,7 @@
 			return parseEvent(e.buffer[:end]), nil
 		}
 		if e.err != nil {
-			e.consumed = len(e.buffer)
-			return parseEvent(e.buffer), e.err
+			return e.last()
 		}
 		if err := e.Response.SetReadDeadline(e.ReadDeadline()); err != nil {
 			return Event{}, err
@@ -51,30 +54,94 @@
 	}
 }
 
+// last returns what follows the last complete event at the end of the body.
+func (e *EventReader) last() (Event, error) {
+	ended := errors.Is(e.err, io.EOF)
+	if ended && bytes.HasSuffix(e.buffer, []byte("\r\r")) {
+		e.consumed = len(e.buffer)
+		return parseEvent(e.buffer), nil
+	}
+	if ended && isInsideEvent(e.buffer) {
+		e.err = e.Response.endInsideEvent()
+		ended = false
+	}
+	if !ended {
+		return Event{}, e.err
+	}
+	e.consumed = len(e.buffer)
+	return Event{Raw: e.buffer}, e.err
+}
+
 // Partial returns the number of bytes that follow the last complete event at the end of the body.
 func (e *EventReader) Partial() int {
 	if e.err == nil {
 		return 0
 	}
-	return len(e.buffer)
+	return len(e.buffer) - e.consumed
 }
 
-// eventLength returns the length of the first event, including the empty line that ends it. It
-// returns 0 if the event is incomplete.
+// lineEnd returns the length of the first line of b without its end, and where the next line starts. Lines end with
+// LF, CRLF or CR. It returns false if the line has no end yet; a CR at the end of b isn't one, since an LF
+// may follow.
+func lineEnd(b []byte) (length, next int, ok bool) {
+	i := bytes.IndexAny(b, "\r\n")
+	switch {
+	case i < 0 || b[i] == '\r' && i+1 == len(b):
+		return 0, 0, false
+	case b[i] == '\r' && b[i+1] == '\n':
+		return i, i + 2, true
+	}
+	return i, i + 1, true
+}
+
+// eventLength returns the length of the first event, including the empty line that ends it and any empty lines
+// before it. It returns 0 if the event is incomplete.
 func eventLength(b []byte) int {
-	end := 0
-	if i := bytes.Index(b, []byte("\n\n")); i >= 0 {
-		end = i + 2
+	start, hasContent := 0, false
+	for {
+		length, next, ok := lineEnd(b[start:])
+		if !ok {
+			return 0
+		}
+		start += next
+		if length == 0 && hasContent {
+			return start
+		}
+		hasContent = hasContent || length > 0
 	}
-	if i := bytes.Index(b, []byte("\r\n\r\n")); i >= 0 && (end == 0 || i+4 < end) {
-		end = i + 4
+}
+
+// isInsideEvent reports whether b, which holds no complete event, holds a part of one: anything but comments
+// and empty lines.
+func isInsideEvent(b []byte) bool {
+	for line := range lines(b) {
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
+// lines returns the lines of b without their ends. The last one needs no end.
+func lines(b []byte) iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		for len(b) > 0 {
+			length, next, ok := lineEnd(b)
+			if !ok {
+				yield(bytes.TrimSuffix(b, []byte("\r")))
+				return
+			}
+			if !yield(b[:length]) {
+				return
+			}
+			b = b[next:]
+		}
 	}
-	return end
 }
 
 func parseEvent(raw []byte) Event {
 	e := Event{Raw: raw}
-	for line := range bytes.Lines(raw) {
+	for line := range lines(raw) {
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.ID = string(bytes.TrimSpace(value))
 		}
@@ -84,14 +151,13 @@
 
 // Data returns the data lines of the event, joined by newlines, and whether it has any.
 func (e *Event) Data() (string, bool) {
-	var lines []string
-	for line := range bytes.Lines(e.Raw) {
+	var data []string
+	for line := range lines(e.Raw) {
 		if value, ok := bytes.CutPrefix(line, []byte("data:")); ok {
-			value = bytes.TrimRight(value, "\r\n")
-			lines = append(lines, string(bytes.TrimPrefix(value, []byte(" "))))
+			data = append(data, string(bytes.TrimPrefix(value, []byte(" "))))
 		}
 	}
-	return strings.Join(lines, "\n"), len(lines) > 0
+	return strings.Join(data, "\n"), len(data) > 0
 }
 
 // IsNextEvent reports whether the event id may follow last, the last one that the caller received.
--- a/relay/response.go
+++ b/relay/response.go
@@ -132,6 +132,9 @@
 			return answered, false
 		}
 		if err != nil {
+			if errors.Is(err, conns.ErrInsideEvent) {
+				p.logUnproven(resp, reader.Partial())
+			}
 			return incomplete, p.ctx.Err() == nil
 		}
 	}
