relay, httpd: an end that proves nothing is forwarded as one, and an abort is a reset without framing

What callers saw: a body with neither a length nor chunks, cut anywhere, reached its caller with the Content-Length of what had come, a stream with a last chunk: the entry stated as proven what it had no proof of. A caller that speaks HTTP/1.0 saw the abort of an incomplete stream, or of a file of results, as its end: without framing a closed connection is the end of a complete response.

Cause: writeHead chose the framing of the caller's response without regard to that of the backend server's, and abort closed the connection whatever the caller's framing.

Why this works: a response without framing reaches its caller without framing, so its end proves to the caller what it proved here; where the entry knows that the response is incomplete, the caller's connection is reset, which ends no response. Responses with a length or chunks are as before. The cost is a new connection for the caller's next request.

--- a/httpd/files.go
+++ b/httpd/files.go
@@ -112,7 +112,7 @@
 	defer content.Close()
 	x.W.Header().Set("Content-Type", "application/jsonl")
 	if _, err := io.Copy(&calls.DeadlineWriter{Exchange: x}, content); err != nil {
-		panic(http.ErrAbortHandler)
+		sardinerock.AbortResponse(x.W, x.R)
 	}
 	return nil
 }
@@ -132,7 +132,7 @@
 	if err != nil && written {
 		// Status 200 and some lines are already sent. A normal end of the response would make
 		// the file look complete, so the connection is aborted and the client sees an error.
-		panic(http.ErrAbortHandler)
+		sardinerock.AbortResponse(x.W, x.R)
 	}
 	return err
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -106,6 +106,7 @@
 	p := &proxyRequest{
 		relay:        l,
 		writer:       w,
+		request:      r,
 		route:        route,
 		call:         q.Call,
 		version:      q.Table.Version,
--- a/relay/request.go
+++ b/relay/request.go
@@ -51,6 +51,7 @@
 type proxyRequest struct {
 	relay    *Relay
 	writer   http.ResponseWriter
+	request  *http.Request
 	ctx      context.Context
 	cancel   context.CancelFunc
 	route    *sardinerock.Route
@@ -370,7 +371,7 @@
 	p.countTeam(".failed")
 	p.timings.addFields(p.relay.Events.Warn(event.AnswerBroken)).Str("request", p.call.ID).Str("route", p.route.Name).Err(err).
 		Int("events", p.events).Int("runs", p.runs).Dur("took", time.Since(p.received)).Msg("response incomplete; aborting the caller's connection")
-	panic(http.ErrAbortHandler)
+	sardinerock.AbortResponse(p.writer, p.request)
 }
 
 func (p *proxyRequest) served(resp *conns.Response) {
--- a/relay/response.go
+++ b/relay/response.go
@@ -48,7 +48,11 @@
 	}
 	if len(body) <= maxBufferedResponse {
 		p.logUnproven(resp, 0)
-		p.writeHead(resp, len(body))
+		size := len(body)
+		if resp.Framing() == conns.FramingNone {
+			size = -1
+		}
+		p.writeHead(resp, size)
 		p.write(body)
 		p.served(resp)
 		return answered, false
@@ -74,7 +78,8 @@
 		Int("events", p.events).Int("partial", partial).Dur("took", time.Since(p.timings.sent)).Msg("the end of a response doesn't prove that it is complete")
 }
 
-// writeHead sends the head of the response; a negative size means that the size is unknown.
+// writeHead sends the head of the response; a negative size means that the size is unknown. A response without
+// framing is forwarded without framing, so that its end proves no more to the caller than it did here.
 func (p *proxyRequest) writeHead(resp *conns.Response, size int) {
 	if p.started {
 		return
@@ -85,8 +90,11 @@
 	p.timings.headReceived(now)
 	h := p.writer.Header()
 	p.relay.Dialect.CopyResponse(h, resp.Response)
-	if size >= 0 {
+	switch {
+	case size >= 0:
 		h.Set("Content-Length", strconv.Itoa(size))
+	case resp.Framing() == conns.FramingNone:
+		sardinerock.OmitFraming(h)
 	}
 	p.writer.WriteHeader(resp.StatusCode)
 }
