relay: the end of a connection isn't taken for the end of a response

What callers saw: a stream without framing that its backend server closed between two events, or a body without framing that it closed anywhere, counted as complete. A request that ended its backend servers that way reached nine in nine calls, where three are allowed, and cleared with each what other failures had shown.

Cause: conns.Response.Read returned io.EOF for two different things, an end that the framing proves and a connection that was closed. A process that ends closes its connections as it does after a complete response.

Why this works: the unproven end is an error of its own, conns.ErrUnproven, so that no reader can take it for io.EOF. The relay finds out what it means: a resumable stream is asked for more events at the same backend server, which has its prompt in memory. One that has ended refuses the connection, one that has cut the stream continues it, one that has completed it sends nothing. Where a request can't be sent again, a connection shows whether the backend server still accepts any. What remains unknown is forwarded without framing; if the caller's response has chunks from another backend server, it is aborted.

TestResponseWithoutFramingEndsWithTheConnection held the observed end for the right one; it is replaced by TestResponseWithoutFramingEndsUnproven, which asks for the same body, for the error, and for a new connection afterwards.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -44,6 +44,9 @@
 	// was complete. It accompanies ErrIncomplete, which alone is a timeout, a connection closed here,
 	// or bytes that are no response.
 	ErrBrokenOff = errors.New("connection ended by the backend server")
+	// ErrUnproven means that the response ended when the backend server closed the connection, and has
+	// neither a length nor chunks: it is either complete, or the backend server ended.
+	ErrUnproven = errors.New("conns: response without framing ended with its connection")
 	// ErrInsideEvent means that a stream ended inside an event. It accompanies ErrIncomplete and
 	// ErrBrokenOff.
 	ErrInsideEvent = errors.New("stream ended inside an event")
@@ -306,18 +309,22 @@
 // Server returns the id of the backend server that sent the response.
 func (r *Response) Server() string { return r.serverID }
 
-// Read reads the body. It returns io.EOF only at the end that the framing gives; a body that is cut
-// off returns another error. Without framing, the body ends when the connection is closed.
+// Read reads the body. It returns io.EOF only at an end that the framing proves. If the connection is closed
+// after a body without framing, it returns ErrUnproven: a backend server that ends closes its connections,
+// too. Any other error means that the body is incomplete.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.Body.Read(b)
 	switch {
-	case errors.Is(err, io.EOF):
-		r.complete = true
-	case err != nil:
+	case err == nil:
+		return n, nil
+	case !errors.Is(err, io.EOF):
 		r.err = r.conn.incomplete(err)
 		return n, r.err
+	case r.Framing() == FramingNone:
+		return n, ErrUnproven
 	}
-	return n, err
+	r.complete = true
+	return n, io.EOF
 }
 
 // endInsideEvent records that the body ended inside an event, and returns the error that says so.
@@ -337,7 +344,7 @@
 // Otherwise it closes the connection and returns nil.
 func (r *Response) release() *conn {
 	running := r.stopCancel()
-	if !running || !r.complete || r.Close || r.ContentLength < 0 && len(r.TransferEncoding) == 0 || r.conn.reader.Buffered() > 0 {
+	if !running || !r.complete || r.Close || r.conn.reader.Buffered() > 0 {
 		r.conn.Close()
 		return nil
 	}
@@ -358,12 +365,25 @@
 	if r.IdleTimeout > 0 {
 		idleTimeout = time.Duration(float64(r.IdleTimeout) * idleFraction)
 	}
-	cn.expires = time.Now().Add(idleTimeout)
-	c := r.conns
+	r.conns.keepIdle(r.serverID, cn, idleTimeout)
+}
+
+func (c *Conns) keepIdle(id string, cn *conn, timeout time.Duration) {
+	cn.expires = time.Now().Add(timeout)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle == nil {
 		c.idle = map[string][]*conn{}
 	}
-	c.idle[r.serverID] = append(c.idle[r.serverID], cn)
+	c.idle[id] = append(c.idle[id], cn)
+}
+
+// Probe connects to a backend server and keeps the connection for the next request. The error wraps
+// syscall.ECONNREFUSED if the backend server refuses it, as it does once its process has ended.
+func (c *Conns) Probe(ctx context.Context, b *sardinerock.BackendServer) error {
+	cn, err := c.dial(ctx, b.Address, 0)
+	if err == nil {
+		c.keepIdle(b.ID, cn, defaultIdleTimeout)
+	}
+	return err
 }
--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -24,6 +25,7 @@
 // connection with the n-th script.
 type backend struct {
 	sardinerock.BackendServer
+	listener    net.Listener
 	connections atomic.Int32
 	requests    chan *http.Request
 }
@@ -37,7 +39,7 @@
 	t.Cleanup(func() { l.Close() })
 	b := &backend{
 		BackendServer: sardinerock.BackendServer{ID: "i-1", Address: l.Addr().String(), Slots: 4},
-		requests:      make(chan *http.Request, len(scripts)),
+		requests:      make(chan *http.Request, len(scripts)), listener: l,
 	}
 	var next atomic.Int32
 	go func() {
@@ -225,16 +227,46 @@
 	}
 }
 
-// A response with neither Content-Length nor chunks is complete when the connection is closed.
-func TestResponseWithoutFramingEndsWithTheConnection(t *testing.T) {
+// Guards against a response without framing whose connection was closed being taken for a complete one: its end
+// proves nothing, and the connection isn't used again.
+func TestResponseWithoutFramingEndsUnproven(t *testing.T) {
+	for name, head := range map[string]string{
+		"HTTP/1.1":                         "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\n\r\n",
+		"HTTP/1.1, connection to be kept":  "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nConnection: keep-alive\r\n\r\n",
+		"HTTP/1.0":                         "HTTP/1.0 200 OK\r\nRequest-Id: $ID\r\n\r\n",
+		"HTTP/1.0, connection to be kept ": "HTTP/1.0 200 OK\r\nRequest-Id: $ID\r\nConnection: keep-alive\r\n\r\n",
+	} {
+		for _, text := range []string{"body", ""} {
+			t.Run(name+" "+text, func(t *testing.T) {
+				g := NewWithT(t)
+				b := startBackend(t, func(c net.Conn, r *http.Request) bool {
+					write(head+text)(c, r)
+					return false
+				}, write(okResponse))
+				c := &conns.Conns{Dialect: platform.Dialect{}}
+				body, err := exchange(c, b, "r1")
+				g.Expect(err).To(MatchError(conns.ErrUnproven))
+				g.Expect(errors.Is(err, io.EOF)).To(BeFalse())
+				g.Expect(body).To(Equal(text))
+				_, err = exchange(c, b, "r2")
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(b.connections.Load()).To(BeEquivalentTo(2))
+			})
+		}
+	}
+}
+
+// Guards against a backend server that accepts connections being taken for one that ended, and the other way round.
+func TestEndedBackendServerRefusesConnections(t *testing.T) {
 	g := NewWithT(t)
-	b := startBackend(t, func(c net.Conn, r *http.Request) bool {
-		write("HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\n\r\nbody")(c, r)
-		return false
-	})
-	body, err := exchange(&conns.Conns{Dialect: platform.Dialect{}}, b, "r1")
+	b := startBackend(t, write(okResponse))
+	c := &conns.Conns{Dialect: platform.Dialect{}}
+	g.Expect(c.Probe(t.Context(), &b.BackendServer)).To(Succeed())
+	_, err := exchange(c, b, "r1")
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(body).To(Equal("body"))
+	g.Expect(b.connections.Load()).To(BeEquivalentTo(1), "the connection is kept for the next request")
+	b.listener.Close()
+	g.Expect(c.Probe(t.Context(), &b.BackendServer)).To(MatchError(syscall.ECONNREFUSED))
 }
 
 // Nothing listens at the address. The request was certainly not sent, so that even one that
@@ -357,9 +389,12 @@
 					g.Expect(err).To(MatchError(conns.ErrIncomplete))
 					g.Expect(err).To(MatchError(conns.ErrBrokenOff))
 					g.Expect(resp.Err()).To(Equal(err))
-				default:
+				case framed:
 					g.Expect(err).To(Equal(io.EOF))
 					g.Expect(resp.Err()).NotTo(HaveOccurred())
+				default:
+					g.Expect(err).To(Equal(conns.ErrUnproven))
+					g.Expect(resp.Err()).NotTo(HaveOccurred())
 				}
 			})
 		}
--- a/conns/events.go
+++ b/conns/events.go
@@ -30,8 +30,9 @@
 	err      error
 }
 
-// Next returns the next complete event. At the end of the body it returns io.EOF, together with comments and
-// empty lines that follow the last event. A body that ends inside an event was broken off, whatever its framing says: the error then wraps
+// Next returns the next complete event. At the end of the body it returns io.EOF, or ErrUnproven if the
+// framing doesn't prove that the body is complete, together with comments and empty lines that follow the last
+// event. A body that ends inside an event was broken off, whatever its framing says: the error then wraps
 // ErrInsideEvent.
 func (e *EventReader) Next() (Event, error) {
 	e.buffer = e.buffer[:copy(e.buffer, e.buffer[e.consumed:])]
@@ -56,7 +57,7 @@
 
 // last returns what follows the last complete event at the end of the body.
 func (e *EventReader) last() (Event, error) {
-	ended := errors.Is(e.err, io.EOF)
+	ended := errors.Is(e.err, io.EOF) || errors.Is(e.err, ErrUnproven)
 	if ended && bytes.HasSuffix(e.buffer, []byte("\r\r")) {
 		e.consumed = len(e.buffer)
 		return parseEvent(e.buffer), nil
--- a/conns/framing.go
+++ b/conns/framing.go
@@ -12,3 +12,30 @@
 	// FramingNone means that the body ends when the connection is closed.
 	FramingNone Framing = "none"
 )
+
+// End is how a response ended. Its values appear in logs and metrics.
+type End string
+
+// The ends of responses. Those from EndServerGone on mean that the response is incomplete.
+const (
+	// EndProven means that the framing proves that the response is complete.
+	EndProven End = "proven"
+	// EndConfirmed means that a stream without framing ended with its connection, and the backend server,
+	// asked for more events, sent none.
+	EndConfirmed End = "confirmed"
+	// EndUnproven means that a response without framing ended with its connection, and its backend server
+	// accepts connections.
+	EndUnproven End = "unproven"
+	// EndUnchecked means the same, but it isn't known whether the backend server still works.
+	EndUnchecked End = "unchecked"
+	// EndAsked means the same of a stream that the backend server was asked to continue.
+	EndAsked End = "asked"
+	// EndServerGone means the same, and the backend server has ended.
+	EndServerGone End = "serverGone"
+	// EndNoEvent means that a stream without framing ended before its first event.
+	EndNoEvent End = "noEvent"
+	// EndInsideEvent means that a stream ended inside an event.
+	EndInsideEvent End = "insideEvent"
+	// EndBroken means that the response is incomplete for another reason.
+	EndBroken End = "broken"
+)
--- a/conns/reserve.go
+++ b/conns/reserve.go
@@ -72,7 +72,8 @@
 		return nil, fmt.Errorf("%w: %w", ErrIncomplete, err)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp, maxReservationBytes))
-	if err != nil {
+	// A JSON body that is cut off can't be parsed, so it needs no framing.
+	if err != nil && !errors.Is(err, ErrUnproven) {
 		resp.Finish()
 		return nil, fmt.Errorf("%w: %w", ErrIncomplete, err)
 	}
--- a/invoke/invoke.go
+++ b/invoke/invoke.go
@@ -118,7 +118,7 @@
 	reader := &conns.EventReader{Response: resp, ReadDeadline: func() time.Time { return time.Now().Add(eventTimeout) }}
 	for {
 		e, err := reader.Next()
-		if err != nil && !errors.Is(err, io.EOF) {
+		if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, conns.ErrUnproven) {
 			return interruption(err), err
 		}
 		if data, ok := e.Data(); ok {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -174,6 +174,14 @@
 	return p.servers[id] != nil
 }
 
+// Leaving reports whether a backend server is to end: it drains, or is no longer on the list.
+func (p *Pool) Leaving(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[id]
+	return s == nil || s.Draining
+}
+
 // OwnLoads returns what this entry runs, ordered by Server.
 func (p *Pool) OwnLoads() []Load {
 	p.mu.Lock()
--- a/relay/end_test.go
+++ b/relay/end_test.go
@@ -53,6 +53,10 @@
 	}
 }
 
+func misdirected(c net.Conn, _ *http.Request) {
+	fmt.Fprint(c, "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
+}
+
 // cutsInsideEvents are ends of a body that are inside an event.
 var cutsInsideEvents = map[string]string{
 	"in the field name":         "i",
@@ -205,6 +209,88 @@
 	}
 }
 
+// TestUnconfirmedEndIsNotStatedAsComplete guards against a stream without framing being broken, repeated or stated
+// as complete because its backend server gives no answer on whether it is.
+func TestUnconfirmedEndIsNotStatedAsComplete(t *testing.T) {
+	unframed := framings["without framing"]
+	for name, tt := range map[string]struct {
+		ask script
+		// runs is the number of requests if the backend server's answer shows nothing.
+		runs int
+		// resumed is set if the answer shows that the backend server has ended.
+		resumed bool
+	}{
+		"no slot":                 {ask: notExecuted, runs: 2},
+		"server error":            {ask: completeResponse(http.StatusInternalServerError, ""), runs: 2},
+		"request not understood":  {ask: completeResponse(http.StatusBadRequest, ""), runs: 2},
+		"no answer":               {ask: noResponse, runs: 2},
+		"another instance":        {ask: misdirected, resumed: true},
+		"connection closed":       {ask: closeConn, resumed: true},
+		"ended inside an event":   {ask: unframed.stream("id: 4\nda"), resumed: true},
+		"events sent once before": {ask: unframed.stream(allEvents(3)), resumed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestbed(t, unframed.stream(allEvents(3)), tt.ask, events(4, 5, true))
+			s.table.Routes[0].Timeout = 3 * time.Second
+			s.wait = "3000"
+			resp, body, err := s.post("/resumable/x")
+			s.g.Expect(err).NotTo(HaveOccurred())
+			s.g.Expect(resp.ContentLength).To(BeEquivalentTo(-1))
+			s.g.Expect(resp.TransferEncoding).To(BeEmpty())
+			if tt.resumed {
+				s.g.Expect(body).To(Equal(allEvents(5)))
+				return
+			}
+			s.g.Expect(body).To(Equal(allEvents(3)))
+			s.g.Expect(s.seen()).To(HaveLen(tt.runs))
+		})
+	}
+	t.Run("after chunks of another backend server", func(t *testing.T) {
+		s := newTestbed(t, events(1, 1, false), unframed.stream(eventText(2)), notExecuted)
+		s.table.Routes[0].MaxAttempts = 2
+		_, body, err := s.post("/resumable/x")
+		s.g.Expect(err).To(HaveOccurred())
+		s.g.Expect(allEvents(2)).To(HavePrefix(body))
+	})
+	t.Run("confirmed by one that ended", func(t *testing.T) {
+		s := newTestbed(t)
+		s.scripts = []script{unframed.stream(allEvents(3)), s.refuse(unframed.stream("")), events(4, 5, true)}
+		_, body, err := s.post("/resumable/x")
+		s.g.Expect(err).NotTo(HaveOccurred())
+		s.g.Expect(body).To(Equal(allEvents(5)))
+	})
+	t.Run("event without an id at the end", func(t *testing.T) {
+		const last = "data: end\n\n"
+		s := newTestbed(t, unframed.stream(allEvents(3)+last), events(4, 5, true))
+		_, body, err := s.post("/resumable/x")
+		s.g.Expect(err).NotTo(HaveOccurred())
+		s.g.Expect(body).To(Equal(allEvents(3) + last))
+		s.g.Expect(s.seen()).To(HaveLen(1))
+	})
+}
+
+// TestCompleteResponseOfALeavingBackendIsForwarded guards against a complete response without framing being
+// replaced by a failure because its backend server was to leave, and has left.
+func TestCompleteResponseOfALeavingBackendIsForwarded(t *testing.T) {
+	for name, tt := range map[string]struct{ path, contentType, body string }{
+		"stream":           {"/stream/x", eventStream, allEvents(3)},
+		"resumable stream": {"/resumable/x", eventStream, allEvents(3)},
+		"body":             {"/once/x", "text/plain", "whole"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestbed(t)
+			s.scripts = []script{s.refuse(func(c net.Conn, r *http.Request) {
+				framings["without framing"](c, r, tt.contentType, tt.body)
+				s.pool.SetServers(nil)
+			})}
+			resp, body, err := s.post(tt.path)
+			s.g.Expect(err).NotTo(HaveOccurred())
+			s.g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+			s.g.Expect(body).To(Equal(tt.body))
+		})
+	}
+}
+
 // TestAbortIsAResetForUnframedCallers guards against a caller whose response has neither a length nor chunks
 // taking the abort of an incomplete response for its end.
 func TestAbortIsAResetForUnframedCallers(t *testing.T) {
--- a/relay/request.go
+++ b/relay/request.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -76,8 +77,10 @@
 	tried map[string]bool
 	// runs counts the attempts that may have run, rejections those that did not.
 	runs, rejections int
-	// resume is the id of the last event that was sent to the caller.
-	resume string
+	// resume is the id of the last event that was sent to the caller, or the one after which it asked to
+	// resume. unidentified is set if an event without an id was sent after that one.
+	resume       string
+	unidentified bool
 	// started is set once the head of the response was sent to the caller.
 	started   bool
 	events    int
@@ -96,6 +99,10 @@
 	timings     timings
 	// meter measures the time between the events of the present attempt.
 	meter speed.Meter
+	// end is how the response of the present attempt ended, and endError shows that the backend server broke
+	// it off if that isn't an error of the response itself.
+	end      conns.End
+	endError error
 }
 
 func (p *proxyRequest) run() {
@@ -216,7 +223,7 @@
 	sent := time.Now()
 	remaining := p.deadline.Sub(sent)
 	p.timings.attemptSent(sent)
-	p.meter = speed.Meter{}
+	p.meter, p.end, p.endError = speed.Meter{}, "", nil
 	p.startRun(sent)
 	resp, err := p.relay.Conns.Send(p.ctx, &choice.BackendServer, p.call, sardinerock.Attempt{
 		Instance: choice.Name, Remaining: remaining, ResumeAfter: p.resume, HeadTimeout: p.headTimeoutFor(choice),
@@ -239,7 +246,7 @@
 	switch {
 	case result != answered && !p.started:
 		p.timings.add(&p.timings.failed, sent)
-	case result == answered && !failed:
+	case result == answered && !failed && p.end != conns.EndUnchecked:
 		p.relay.Crashes.RecordResponse(p.fingerprint, time.Now())
 		p.relay.Pool.RecordServed(choice.ID, pool.Sample{
 			Timing: pool.Timing{Run: time.Since(sent), FirstByte: p.timings.firstByte}, Queued: choice.Full() || p.runs > 1,
@@ -256,13 +263,18 @@
 // aborted, which is a panic. Then it isn't known whether the caller or the backend server broke off, and the
 // backend server isn't ejected.
 func (p *proxyRequest) handleAttempt(resp *conns.Response, choice *pool.Choice, sent time.Time) (result attemptResult, failed bool) {
+	result = incomplete
 	defer func() {
-		if err := resp.Err(); errors.Is(err, conns.ErrBrokenOff) && p.ctx.Err() == nil {
+		err := cmp.Or(resp.Err(), p.endError)
+		if errors.Is(err, conns.ErrBrokenOff) && p.ctx.Err() == nil {
 			p.brokenOff(choice, sent, err, true)
 		}
+		if result != notRun {
+			p.countEnd(result, err)
+		}
 		p.endRun(choice, sent, failed)
 	}()
-	return p.handleResponse(resp)
+	return p.handleResponse(resp, choice)
 }
 
 // brokenOff records that a backend server ended the connection during a run, or sent bytes that are no
@@ -387,7 +399,7 @@
 		e = p.timings.addFields(e).Bool("late", true).Dur("before", p.waitedBefore).Dur("target", p.route.LatencyTarget).Dur("pause", p.route.GapTarget)
 	}
 	e.Str("request", p.call.ID).Str("route", p.route.Name).Int("status", resp.StatusCode).
-		Dur("first", p.firstByte).Str("framing", string(resp.Framing())).Dur("took", time.Since(p.received)).Int("events", p.events).Int("runs", p.runs).Msg("answered")
+		Dur("first", p.firstByte).Str("framing", string(resp.Framing())).Str("end", string(p.end)).Dur("took", time.Since(p.received)).Int("events", p.events).Int("runs", p.runs).Msg("answered")
 }
 
 func (p *proxyRequest) logFailure(choice *pool.Choice, err error) {
--- a/relay/response.go
+++ b/relay/response.go
@@ -9,12 +9,12 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/conns"
-	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/pool"
 )
 
 // handleResponse forwards a response to the caller. It returns the result of the
 // attempt, and whether the backend server is at fault.
-func (p *proxyRequest) handleResponse(resp *conns.Response) (result attemptResult, failed bool) {
+func (p *proxyRequest) handleResponse(resp *conns.Response, choice *pool.Choice) (result attemptResult, failed bool) {
 	if resp.StatusCode >= http.StatusInternalServerError && !resp.NotRun {
 		p.relay.Pool.RecordAbort(resp.Server(), time.Now())
 	}
@@ -33,49 +33,46 @@
 		return incomplete, false
 	}
 	p.runs++
-	if resp.StatusCode < 300 && p.route.Kind == sardinerock.RouteStream && isStream(resp) {
-		return p.forwardStream(resp)
+	if resp.StatusCode < 300 && p.route.Kind == sardinerock.RouteStream && (isStream(resp) || p.started) {
+		return p.forwardStream(resp, choice)
 	}
-	return p.forwardComplete(resp)
+	return p.forwardComplete(resp, choice)
 }
 
 // forwardComplete forwards a response once it is complete, so that the request can be
 // repeated if the response is cut off. A large response is streamed.
-func (p *proxyRequest) forwardComplete(resp *conns.Response) (attemptResult, bool) {
+func (p *proxyRequest) forwardComplete(resp *conns.Response, choice *pool.Choice) (attemptResult, bool) {
 	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedResponse+1))
-	if err != nil {
-		return incomplete, p.ctx.Err() == nil
+	switch {
+	case err == nil && len(body) <= maxBufferedResponse:
+		p.writeHead(resp, len(body))
+		p.write(body)
+		return p.finish(resp, conns.EndProven)
+	case err == nil:
+		p.writeHead(resp, int(resp.ContentLength))
+		p.write(body)
+		body = nil
+		if _, err = io.Copy(p.writer, resp); err == nil {
+			return p.finish(resp, conns.EndProven)
+		}
 	}
-	if len(body) <= maxBufferedResponse {
-		p.logUnproven(resp, 0)
-		size := len(body)
-		if resp.Framing() == conns.FramingNone {
-			size = -1
+	if !errors.Is(err, conns.ErrUnproven) {
+		if p.started {
+			p.abort(err)
 		}
-		p.writeHead(resp, size)
-		p.write(body)
-		p.served(resp)
-		return answered, false
+		return incomplete, p.ctx.Err() == nil
 	}
-	p.writeHead(resp, int(resp.ContentLength))
-	p.write(body)
-	if _, err := io.Copy(p.writer, resp); err != nil {
-		p.abort(err)
+	end := p.checkServer(choice)
+	p.logUnproven(resp, end)
+	if end == conns.EndServerGone && p.started {
+		p.abort(p.endError)
 	}
-	p.logUnproven(resp, 0)
-	p.served(resp)
-	return answered, false
-}
-
-// logUnproven logs the end of a response if its framing doesn't prove that it is complete. partial is the
-// number of bytes after the last complete event.
-func (p *proxyRequest) logUnproven(resp *conns.Response, partial int) {
-	if resp.Framing() != conns.FramingNone && partial == 0 {
-		return
+	if end == conns.EndServerGone {
+		return incomplete, true
 	}
-	p.relay.count("relay.endUnproven")
-	p.relay.Events.Warn(event.EndUnproven).Str("request", p.call.ID).Str("server", resp.Server()).Str("framing", string(resp.Framing())).
-		Int("events", p.events).Int("partial", partial).Dur("took", time.Since(p.timings.sent)).Msg("the end of a response doesn't prove that it is complete")
+	p.writeHead(resp, -1)
+	p.write(body)
+	return p.finish(resp, end)
 }
 
 // writeHead sends the head of the response; a negative size means that the size is unknown. A response without
@@ -107,44 +104,70 @@
 	}
 }
 
-// forwardStream forwards complete events as they arrive, so that after a failure
-// another backend server's events can follow the last one.
-func (p *proxyRequest) forwardStream(resp *conns.Response) (attemptResult, bool) {
+// forwardStream forwards complete events as they arrive, so that after a failure another backend server's events
+// can follow the last one. If the end of the stream proves nothing, the backend server is asked for more events
+// where the route allows it.
+func (p *proxyRequest) forwardStream(resp *conns.Response, choice *pool.Choice) (attemptResult, bool) {
+	asked := false
+	for {
+		before := p.events
+		err := p.forwardEvents(resp)
+		end := conns.EndProven
+		switch {
+		case errors.Is(err, io.EOF):
+		case !errors.Is(err, conns.ErrUnproven):
+			if errors.Is(err, conns.ErrInsideEvent) {
+				p.logUnproven(resp, conns.EndInsideEvent)
+			}
+			p.endError = err
+			return incomplete, p.ctx.Err() == nil
+		case asked && p.events == before:
+			if end = p.checkServer(choice); end == conns.EndUnproven {
+				end = conns.EndConfirmed
+			}
+		default:
+			var more *conns.Response
+			more, end = p.askForMore(choice)
+			p.logUnproven(resp, end)
+			if more != nil {
+				defer more.Finish()
+				resp, asked = more, true
+				continue
+			}
+		}
+		return p.finish(resp, end)
+	}
+}
+
+// forwardEvents forwards the events of one response and returns the error that ended it.
+func (p *proxyRequest) forwardEvents(resp *conns.Response) error {
 	flush := http.NewResponseController(p.writer)
 	reader := &conns.EventReader{Response: resp, ReadDeadline: p.eventDeadline}
 	for {
 		since := time.Now()
 		e, err := reader.Next()
-		if len(e.Raw) > 0 && (err == nil || errors.Is(err, io.EOF)) {
-			if !conns.IsNextEvent(p.resume, e.ID) {
-				return incomplete, true
-			}
-			p.writeHead(resp, -1)
-			now := time.Now()
-			p.timings.eventReceived(now)
-			p.meter.Event(since, now)
-			p.write(e.Raw)
-			if e.ID != "" {
-				p.resume = e.ID
-			}
-			p.events++
-			if err == nil {
-				// An error means that the caller has disconnected, which cancels the request's context.
-				_ = flush.Flush()
-			}
+		if err == nil && !conns.IsNextEvent(p.resume, e.ID) {
+			return errUnexpectedEvent
 		}
-		if errors.Is(err, io.EOF) {
-			p.logUnproven(resp, reader.Partial())
+		now := time.Now()
+		if len(e.Raw) > 0 {
 			p.writeHead(resp, -1)
-			p.served(resp)
-			return answered, false
+			p.write(e.Raw)
 		}
 		if err != nil {
-			if errors.Is(err, conns.ErrInsideEvent) {
-				p.logUnproven(resp, reader.Partial())
-			}
-			return incomplete, p.ctx.Err() == nil
+			return err
+		}
+		p.timings.eventReceived(now)
+		p.meter.Event(since, now)
+		if _, ok := e.Data(); ok || e.ID != "" {
+			p.unidentified = e.ID == ""
+		}
+		if e.ID != "" {
+			p.resume = e.ID
 		}
+		p.events++
+		// An error means that the caller has disconnected, which cancels the request's context.
+		_ = flush.Flush()
 	}
 }
 
