invoke: an item whose stream ends unframed is complete only once that is confirmed

What callers saw: the text of an item whose backend server closed an unframed stream between two events was listed as its whole output, and stays so: a result keeps its position and content.

Cause: the reader of items took the end of the connection for the end of the stream, as the relay did.

Why this works: the same backend server is asked for the events after the last one. No event, from one that accepts connections afterwards, confirms the text; more events continue it; one that refuses the connection or breaks off has ended, which counts for the item's waits as any other end of a backend server. If it has no slot or gives no answer, the item is interrupted, not failed, and the end of its next run after the same event confirms it (TestUnconfirmedItemIsResumed).

--- a/invoke/end_test.go
+++ b/invoke/end_test.go
@@ -30,6 +30,9 @@
 	scripts []script
 	// resumed holds the event ids after which the requests ask to resume.
 	resumed []string
+
+	// received holds the data of the events that items received.
+	received []string
 }
 
 // script answers a request and reports whether the backend server refuses all further connections.
@@ -121,24 +124,33 @@
 	return strings.Join(lines, "\n")
 }
 
-// run runs an item until a run completes it, at most runs times, and returns the outcome of the last run and
-// the text.
-func (s *server) run(t *testing.T, runs int) (outcome invoke.Outcome, received string) {
-	v := &invoke.Invoker{
+func (s *server) invoker() *invoke.Invoker {
+	return &invoke.Invoker{
 		Batch: platform.Dialect{}, Table: func() *sardinerock.RouteTable { return &sardinerock.RouteTable{} }, Pool: &pool.Pool{},
 		Conns: &conns.Conns{Dialect: platform.Dialect{}},
 	}
-	var lines []string
-	item := &invoke.Item{Host: "h", Body: &sardinerock.BatchItem{ID: "item", Path: "/x"}}
-	item.OnEvent = func(_, data string) { lines = append(lines, data) }
-	item.BeforeSend = func(context.Context) error { return nil }
+}
+
+// item returns an item whose data is added to s.received.
+func (s *server) item() *invoke.Item {
+	return &invoke.Item{
+		Host: "h", Body: &sardinerock.BatchItem{ID: "item", Path: "/x"},
+		OnEvent:    func(_, data string) { s.received = append(s.received, data) },
+		BeforeSend: func(context.Context) error { return nil },
+	}
+}
+
+// run runs an item until a run completes it, at most runs times, and returns the outcome of the last run and
+// the text.
+func (s *server) run(t *testing.T, runs int) (outcome invoke.Outcome, received string) {
+	v, item := s.invoker(), s.item()
 	for range runs {
 		outcome, _ = v.Run(t.Context(), item, &s.choice)
 		if outcome == invoke.Succeeded {
 			break
 		}
 	}
-	return outcome, strings.Join(lines, "\n")
+	return outcome, strings.Join(s.received, "\n")
 }
 
 // TestItemThatEndsInsideAnEventIsResumed guards against a result that ends inside an event, where a backend server
@@ -209,3 +221,70 @@
 		})
 	}
 }
+
+func notExecuted(c net.Conn, _ *http.Request) bool {
+	fmt.Fprint(c, "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	return false
+}
+
+func status(code int) script {
+	return func(c net.Conn, r *http.Request) bool {
+		fmt.Fprintf(c, "HTTP/1.1 %d X\r\nRequest-Id: %s\r\nResponse-Signature: sig\r\nContent-Length: 0\r\n\r\n", code, r.Header.Get("Request-Id"))
+		return false
+	}
+}
+
+func closeConn(net.Conn, *http.Request) bool { return false }
+
+// TestUnconfirmedItemIsResumed guards against an item whose stream ended without framing counting as complete, or as
+// failed, because its backend server gave no answer on whether it is complete.
+func TestUnconfirmedItemIsResumed(t *testing.T) {
+	unframed := framings["without framing"]
+	for name, tt := range map[string]struct {
+		scripts []script
+		// outcomes are those of the runs, and text is what was received in all.
+		outcomes []invoke.Outcome
+		text     string
+	}{
+		"no slot, complete": {
+			scripts:  []script{unframed(events(1, 3)), notExecuted, unframed("")},
+			outcomes: []invoke.Outcome{invoke.Interrupted, invoke.Succeeded}, text: text(3),
+		},
+		"no slot, cut": {
+			scripts:  []script{unframed(events(1, 3)), notExecuted, unframed(events(4, 5)), unframed("")},
+			outcomes: []invoke.Outcome{invoke.Interrupted, invoke.Succeeded}, text: text(5),
+		},
+		"server error, complete": {
+			scripts:  []script{unframed(events(1, 3)), status(http.StatusInternalServerError), framings["in chunks"]("")},
+			outcomes: []invoke.Outcome{invoke.Interrupted, invoke.Succeeded}, text: text(3),
+		},
+		"rejected for good, complete": {
+			scripts:  []script{unframed(events(1, 3)), status(http.StatusUnprocessableEntity), framings["in chunks"]("")},
+			outcomes: []invoke.Outcome{invoke.Interrupted, invoke.Succeeded}, text: text(3),
+		},
+		"connection closed, and without events after it": {
+			scripts:  []script{unframed(events(1, 3)), closeConn, unframed(""), unframed(events(4, 5)), unframed("")},
+			outcomes: []invoke.Outcome{invoke.BrokenOff, invoke.Succeeded}, text: text(5),
+		},
+		"confirmed by a backend server that ended": {
+			scripts:  []script{unframed(events(1, 3)), crash(unframed(""))},
+			outcomes: []invoke.Outcome{invoke.BrokenOff}, text: text(3),
+		},
+		"asked inside an event": {
+			scripts:  []script{unframed(events(1, 3)), unframed("id: 4\nda"), framings["in chunks"](events(4, 5))},
+			outcomes: []invoke.Outcome{invoke.BrokenOff, invoke.Succeeded}, text: text(5),
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := start(t, tt.scripts...)
+			item := s.item()
+			var outcomes []invoke.Outcome
+			for range tt.outcomes {
+				outcome, _ := s.invoker().Run(t.Context(), item, &s.choice)
+				outcomes = append(outcomes, outcome)
+			}
+			s.g.Expect(outcomes).To(Equal(tt.outcomes))
+			s.g.Expect(strings.Join(s.received, "\n")).To(Equal(tt.text))
+		})
+	}
+}
--- a/invoke/invoke.go
+++ b/invoke/invoke.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/sardinerock/sardinerock"
@@ -39,6 +41,11 @@
 	BrokenOff
 )
 
+var (
+	errNoEvent     = fmt.Errorf("%w: stream without framing ended before the first event", conns.ErrBrokenOff)
+	errUnconfirmed = errors.New("the backend server did not confirm that the stream without framing is complete")
+)
+
 // Item is a batch item to run, from its last received event on.
 type Item struct {
 	// Host and Team are those of the item's job.
@@ -46,6 +53,11 @@
 	Body       *sardinerock.BatchItem
 	// LastEvent is the id of the last received event; empty if there is none.
 	LastEvent string
+	// UnprovenAfter is the last event of a stream without framing that ended with its connection, or empty.
+	// Run sets it; the item is complete if a further run ends there, too.
+	UnprovenAfter string
+	// End is how the response of the last run ended. Run sets it; it is empty if there was none.
+	End conns.End
 	// OnEvent is called for each received event, in order.
 	OnEvent func(id, data string)
 	// BeforeSend is called right before the item is sent. If it returns an error, the item is not
@@ -90,7 +102,52 @@
 	return v.exchange(ctx, i, choice, reservation)
 }
 
+// exchange runs an item. A backend server that ends closes its connections as at the end of a stream without
+// framing, so the same one is asked for more events then: one that has ended refuses the connection, one that
+// has cut the stream continues it, and one that has completed it sends no event.
 func (v *Invoker) exchange(ctx context.Context, i *Item, choice *pool.Choice, reservation *conns.Reservation) (Outcome, error) {
+	i.End = ""
+	before := i.LastEvent
+	outcome, err := v.send(ctx, i, choice, reservation)
+	for errors.Is(err, conns.ErrUnproven) {
+		switch {
+		case i.LastEvent == "":
+			i.End = conns.EndNoEvent
+			return BrokenOff, errNoEvent
+		case i.LastEvent == before && i.UnprovenAfter == before:
+			return v.confirm(ctx, i, choice)
+		}
+		before, i.UnprovenAfter = i.LastEvent, i.LastEvent
+		outcome, err = v.send(ctx, i, choice, nil)
+		if i.LastEvent == before && outcome != Succeeded && !errors.Is(err, conns.ErrUnproven) {
+			return i.unconfirmed(err)
+		}
+	}
+	return outcome, err
+}
+
+// confirm completes an item for which a backend server, asked for more events, sent none. The response without
+// events of one that has ended since confirms nothing.
+func (v *Invoker) confirm(ctx context.Context, i *Item, choice *pool.Choice) (Outcome, error) {
+	if err := v.Conns.Probe(ctx, &choice.BackendServer); errors.Is(err, syscall.ECONNREFUSED) {
+		return i.unconfirmed(err)
+	}
+	i.End = conns.EndConfirmed
+	return Succeeded, nil
+}
+
+// unconfirmed interrupts an item whose backend server, asked for more events, has ended or gave no answer.
+func (i *Item) unconfirmed(err error) (Outcome, error) {
+	if errors.Is(err, conns.ErrBrokenOff) || errors.Is(err, syscall.ECONNREFUSED) {
+		i.End, i.UnprovenAfter = conns.EndServerGone, ""
+		return BrokenOff, err
+	}
+	i.End = conns.EndUnchecked
+	return Interrupted, errors.Join(errUnconfirmed, err)
+}
+
+// send sends an item once and receives the events of the response.
+func (v *Invoker) send(ctx context.Context, i *Item, choice *pool.Choice, reservation *conns.Reservation) (Outcome, error) {
 	resp, err := v.Conns.Send(ctx, &choice.BackendServer, v.Batch.ItemCall(i.Host, i.Team, i.Body), sardinerock.Attempt{
 		Instance: choice.Name, Remaining: v.Batch.ItemDeadline(), ResumeAfter: i.LastEvent, HeadTimeout: eventTimeout,
 	}, reservation)
@@ -118,7 +175,17 @@
 	reader := &conns.EventReader{Response: resp, ReadDeadline: func() time.Time { return time.Now().Add(eventTimeout) }}
 	for {
 		e, err := reader.Next()
-		if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, conns.ErrUnproven) {
+		switch {
+		case errors.Is(err, io.EOF):
+			i.End = conns.EndProven
+			return Succeeded, nil
+		case err != nil:
+			i.End = endOf(err)
+			if i.End != conns.EndBroken {
+				v.Events.Warn(event.EndUnproven).Str("request", i.Body.ID).Str("server", resp.Server()).Str("framing", string(resp.Framing())).
+					Str("end", string(i.End)).Int("events", events).Str("last", i.LastEvent).Dur("took", time.Since(began)).
+					Msg("the end of a response doesn't prove that it is complete")
+			}
 			return interruption(err), err
 		}
 		if data, ok := e.Data(); ok {
@@ -129,16 +196,20 @@
 			i.LastEvent = e.ID
 			events++
 		}
-		if err != nil {
-			if resp.Framing() == conns.FramingNone || reader.Partial() > 0 {
-				v.Events.Warn(event.EndUnproven).Str("request", i.Body.ID).Str("server", resp.Server()).Str("framing", string(resp.Framing())).
-					Int("events", events).Int("partial", reader.Partial()).Dur("took", time.Since(began)).Msg("the end of a response doesn't prove that it is complete")
-			}
-			return Succeeded, nil
-		}
 	}
 }
 
+// endOf returns how a response ended that returned an error other than io.EOF.
+func endOf(err error) conns.End {
+	switch {
+	case errors.Is(err, conns.ErrUnproven):
+		return conns.EndUnproven
+	case errors.Is(err, conns.ErrInsideEvent):
+		return conns.EndInsideEvent
+	}
+	return conns.EndBroken
+}
+
 // interruption returns the outcome of a run that ended with an error.
 func interruption(err error) Outcome {
 	if errors.Is(err, conns.ErrBrokenOff) {
--- a/runner/run.go
+++ b/runner/run.go
@@ -20,23 +20,27 @@
 func (r *Runner) run(processCtx, runCtx context.Context, i *item, choice *pool.Choice, route *sardinerock.Route) {
 	eventsBefore := i.events
 	var meter speed.Meter
-	attempt := &invoke.Item{Host: i.open.Host, Team: i.open.Team, Body: i.body, LastEvent: i.lastEvent, OnEvent: func(id, data string) {
+	attempt := &invoke.Item{Host: i.open.Host, Team: i.open.Team, Body: i.body, LastEvent: i.lastEvent, UnprovenAfter: i.unprovenAfter, OnEvent: func(id, data string) {
 		meter.EventNow(time.Now())
 		r.appendEvent(i, id, data)
 	}}
 	attempt.BeforeSend = func(ctx context.Context) error { return r.ensureStartRecorded(ctx, i, route.MaxAttempts) }
 	outcome, err := r.invoker.Run(runCtx, attempt, choice)
+	i.unprovenAfter = attempt.UnprovenAfter
 	took := time.Since(i.started)
 	serverFailed := err != nil && runCtx.Err() == nil && (outcome == invoke.Interrupted || outcome == invoke.BrokenOff)
 	free := r.Pool.Done(choice.ID, true, serverFailed, time.Now())
 	r.Pool.RecordRun(choice.ID, meter.Sample(choice.Load()), time.Now())
 	metrics.GetOrRegisterCounter("batch.runs", r.Metrics).Inc(1)
+	if attempt.End != "" {
+		metrics.GetOrRegisterCounter("batch.ends."+string(attempt.End), r.Metrics).Inc(1)
+	}
 	metrics.GetOrRegisterCounter("batch.heldMillis", r.Metrics).Inc(took.Milliseconds())
 	if outcome == invoke.Succeeded {
 		r.Pool.RecordSuccess(choice.ID)
 	}
 	r.Events.Info(event.ItemStopped).Str("job", i.open.Job).Str("item", i.body.ID).Str("server", choice.ID).
-		Int("outcome", int(outcome)).Int("events", i.events).Dur("took", took).Err(err).Msg("item left its slot")
+		Int("outcome", int(outcome)).Str("end", string(attempt.End)).Int("events", i.events).Dur("took", took).Err(err).Msg("item left its slot")
 	r.mu.Lock()
 	if outcome != invoke.Unreserved && outcome != invoke.Rejected {
 		i.timing.RunStopped(took, i.preempted)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -126,8 +126,10 @@
 	timing    invoke.Timing
 	// lastEvent is the id of the last event whose data is in text.
 	lastEvent string
-	text      []byte
-	events    int
+	// unprovenAfter is invoke.Item.UnprovenAfter of the last run.
+	unprovenAfter string
+	text          []byte
+	events        int
 	// savedBytes is the length of the text that was last saved to the store.
 	savedBytes int
 	// complete is set once the item's result is final; its progress is no longer saved.
