remote: a plain service's reply without framing isn't stated as complete

What callers saw: a reply of a plain service with neither a length nor chunks, cut off anywhere, reached them with a Content-Length.

Cause: the same as in the relay: the end of the connection was taken for the end of the reply; the reply then crossed sides and entries as a whole body.

Why this works: the reply carries whether its end is proven (a new field of wire.ServiceReply; an older process ignores it), and reaches the caller without framing if it isn't.

Looked at for the same cause, with an end mark of their own: engine streams (remote, client: [DONE], JSON of each event), replies of the log service, instance list, weight store, engines' reports and reservations (JSON), pages of peers (CBOR, gzip), leases (CBOR), records of the store (a length each; a page cut between two continues at the next offset).

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -189,7 +189,7 @@
 		CompletionTokens: int(end.CompletionTokens),
 	}}
 	if end.Reply != nil {
-		result.Reply = &sardinerock.ServiceReply{Status: int(end.Reply.Status), Header: end.Reply.Header, Body: end.Reply.Body}
+		result.Reply = &sardinerock.ServiceReply{Status: int(end.Reply.Status), Header: end.Reply.Header, Body: end.Reply.Body, Unframed: end.Reply.Unframed}
 	}
 	return result, nil
 }
--- a/platform.go
+++ b/platform.go
@@ -178,6 +178,9 @@
 	Status int
 	Header map[string]string
 	Body   []byte
+	// Unframed is set if the reply has neither a length nor chunks, so that its end doesn't prove that
+	// it is complete.
+	Unframed bool
 }
 
 // PlainService is a client of a backend server of a plain service.
--- a/remote/service.go
+++ b/remote/service.go
@@ -34,6 +34,7 @@
 		return nil, merry.Errorf("plain service: answer is longer than %d bytes", maxReplyBody)
 	}
 	reply := &sardinerock.ServiceReply{Status: response.StatusCode, Body: body, Header: map[string]string{}}
+	reply.Unframed = response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
 	for name := range response.Header {
 		reply.Header[name] = response.Header.Get(name)
 	}
--- a/side/attempt.go
+++ b/side/attempt.go
@@ -157,7 +157,7 @@
 	}
 	return &wire.End{
 		Outcome: uint32(sardinerock.OutcomeRan),
-		Reply:   &wire.ServiceReply{Status: uint32(reply.Status), Header: reply.Header, Body: reply.Body},
+		Reply:   &wire.ServiceReply{Status: uint32(reply.Status), Header: reply.Header, Body: reply.Body, Unframed: reply.Unframed},
 	}
 }
 
--- a/svcapi/svcapi.go
+++ b/svcapi/svcapi.go
@@ -88,6 +88,9 @@
 			h.Set(name, value)
 		}
 	}
+	if reply.Unframed {
+		sardinerock.OmitFraming(h)
+	}
 	x.ExtendWriteDeadline()
 	x.W.WriteHeader(reply.Status)
 	x.W.Write(reply.Body)
