relay, httpd: a response without framing is reset if the entry dies

What callers would see: since responses without framing are forwarded without framing, the death of an entry closes them like a complete response; callers that speak HTTP/1.0 saw that before.

Cause: the kernel closes the connections of a process that dies in order, which without framing is the end of the response.

Evidence: TestDeathOfTheProcessIsAReset kills a process in the middle of such a response; without the guard its caller gets a complete response.

Why this works: from the head of the response on, a close of the connection is a reset (SO_LINGER with 0), whoever closes it; once all bytes are handed to the kernel, it is orderly again. An abort uses the same way and needs no hijacking of the connection.

Ends that are caused here, by a caller that left, the deadline or a preemption, are no longer counted as broken.

--- a/abort_test.go
+++ b/abort_test.go
@@ -8,6 +8,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -17,6 +20,16 @@
 	"github.com/sardinerock/sardinerock"
 )
 
+// get sends a request over a connection of its own.
+func get(g *WithT, address, version string) *http.Response {
+	c, err := net.Dial("tcp", address)
+	g.Expect(err).NotTo(HaveOccurred())
+	fmt.Fprintf(c, "GET / %s\r\nHost: h\r\n\r\n", version)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	return resp
+}
+
 // Guards against an aborted response that looks complete to its caller, whichever framing the caller got.
 func TestAbortedResponsesDontLookComplete(t *testing.T) {
 	for name, tt := range map[string]struct {
@@ -32,7 +45,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				tt.prepare(w.Header())
 				_, _ = io.WriteString(w, "part")
 				_ = http.NewResponseController(w).Flush()
@@ -40,13 +53,10 @@
 				time.Sleep(50 * time.Millisecond)
 				sardinerock.AbortResponse(w, r)
 			}))
+			s.Config.ConnContext = sardinerock.ConnContext
+			s.Start()
 			defer s.Close()
-			c, err := net.Dial("tcp", s.Listener.Addr().String())
-			g.Expect(err).NotTo(HaveOccurred())
-			defer c.Close()
-			fmt.Fprintf(c, "GET / %s\r\nHost: h\r\n\r\n", tt.version)
-			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-			g.Expect(err).NotTo(HaveOccurred())
+			resp := get(g, s.Listener.Addr().String(), tt.version)
 			defer resp.Body.Close()
 			body, err := io.ReadAll(resp.Body)
 			g.Expect(string(body)).To(Equal("part"))
@@ -55,3 +65,61 @@
 		})
 	}
 }
+
+// serveEnv is set for the process of TestDeathOfTheProcessIsAReset that serves.
+const serveEnv = "SARDINEROCK_TEST_SERVE"
+
+// Guards against a response without framing that looks complete to its caller because the process that sends it
+// dies, which closes its connections.
+func TestDeathOfTheProcessIsAReset(t *testing.T) {
+	g := NewWithT(t)
+	if os.Getenv(serveEnv) != "" {
+		serveUnframed(g)
+		return
+	}
+	for name, dies := range map[string]bool{"in the middle": true, "never": false} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			cmd := exec.Command(os.Args[0], "-test.run=^TestDeathOfTheProcessIsAReset$")
+			cmd.Env = append(os.Environ(), serveEnv+"=1")
+			out, err := cmd.StdoutPipe()
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(cmd.Start()).To(Succeed())
+			defer func() { _ = cmd.Process.Kill(); _ = cmd.Wait() }()
+			address, err := bufio.NewReader(out).ReadString('\n')
+			g.Expect(err).NotTo(HaveOccurred())
+			resp := get(g, strings.TrimSpace(address), "HTTP/1.1")
+			defer resp.Body.Close()
+			part := make([]byte, len("part"))
+			_, err = io.ReadFull(resp.Body, part)
+			g.Expect(err).NotTo(HaveOccurred())
+			if dies {
+				g.Expect(cmd.Process.Kill()).To(Succeed())
+			}
+			rest, err := io.ReadAll(resp.Body)
+			if dies {
+				g.Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue(), "%v", err)
+				return
+			}
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(string(rest)).To(Equal("rest"))
+		})
+	}
+}
+
+// serveUnframed serves a response without framing that takes a second, and prints its address.
+func serveUnframed(g *WithT) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	fmt.Println(l.Addr())
+	s := &http.Server{ConnContext: sardinerock.ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		sardinerock.OmitFraming(w.Header())
+		_, _ = io.WriteString(w, "part")
+		sardinerock.GuardUnframed(w, r)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(time.Second)
+		_, _ = io.WriteString(w, "rest")
+		sardinerock.EndGuarded(w, r)
+	})}
+	_ = s.Serve(l)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -85,7 +85,7 @@
 	jobsCtx, stopJobs := context.WithCancel(work)
 	defer stopJobs()
 
-	server := &http.Server{Handler: e.handler, ReadHeaderTimeout: 10 * time.Second}
+	server := &http.Server{Handler: e.handler, ReadHeaderTimeout: 10 * time.Second, ConnContext: sardinerock.ConnContext}
 	failed := make(chan error, 3)
 	go func() { failed <- server.Serve(e.CallerListener) }()
 	go func() { failed <- e.mesh.Run(work) }()
--- a/httpd/files.go
+++ b/httpd/files.go
@@ -111,9 +111,11 @@
 	}
 	defer content.Close()
 	x.W.Header().Set("Content-Type", "application/jsonl")
+	sardinerock.GuardUnframed(x.W, x.R)
 	if _, err := io.Copy(&calls.DeadlineWriter{Exchange: x}, content); err != nil {
 		sardinerock.AbortResponse(x.W, x.R)
 	}
+	sardinerock.EndGuarded(x.W, x.R)
 	return nil
 }
 
@@ -126,7 +128,10 @@
 		if failed != errorsOnly {
 			return nil
 		}
-		written = true
+		if !written {
+			sardinerock.GuardUnframed(x.W, x.R)
+			written = true
+		}
 		return lines.Encode(forms.NewResultLine(job, r))
 	})
 	if err != nil && written {
@@ -134,5 +139,8 @@
 		// the file look complete, so the connection is aborted and the client sees an error.
 		sardinerock.AbortResponse(x.W, x.R)
 	}
+	if written {
+		sardinerock.EndGuarded(x.W, x.R)
+	}
 	return err
 }
--- a/invoke/invoke.go
+++ b/invoke/invoke.go
@@ -56,7 +56,8 @@
 	// UnprovenAfter is the last event of a stream without framing that ended with its connection, or empty.
 	// Run sets it; the item is complete if a further run ends there, too.
 	UnprovenAfter string
-	// End is how the response of the last run ended. Run sets it; it is empty if there was none.
+	// End is how the response of the last run ended. Run sets it; it is empty if there was no response, or the
+	// run was cancelled.
 	End conns.End
 	// OnEvent is called for each received event, in order.
 	OnEvent func(id, data string)
@@ -107,6 +108,11 @@
 // has cut the stream continues it, and one that has completed it sends no event.
 func (v *Invoker) exchange(ctx context.Context, i *Item, choice *pool.Choice, reservation *conns.Reservation) (Outcome, error) {
 	i.End = ""
+	defer func() {
+		if ctx.Err() != nil {
+			i.End = ""
+		}
+	}()
 	before := i.LastEvent
 	outcome, err := v.send(ctx, i, choice, reservation)
 	for errors.Is(err, conns.ErrUnproven) {
--- a/node/node.go
+++ b/node/node.go
@@ -210,7 +210,7 @@
 	workCtx, cancelWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelWork()
 	n.start(workCtx)
-	callerServer := &http.Server{Handler: n.callerHandler(), ReadHeaderTimeout: headerTimeout}
+	callerServer := &http.Server{Handler: n.callerHandler(), ReadHeaderTimeout: headerTimeout, ConnContext: sardinerock.ConnContext}
 	idleConns := &idle.Conns{Limit: n.idleLimit}
 	callerServer.ConnState = idleConns.State
 	n.serve(callerServer, callerListener)
--- a/relay/end.go
+++ b/relay/end.go
@@ -38,6 +38,7 @@
 		return incomplete, false
 	}
 	p.writeHead(resp, -1)
+	sardinerock.EndGuarded(p.writer, p.request)
 	p.served(resp)
 	return answered, false
 }
@@ -90,10 +91,12 @@
 	return conns.EndUnchecked
 }
 
-// countEnd counts how the response of an attempt ended.
+// countEnd counts how the response of an attempt ended, unless it was ended here.
 func (p *proxyRequest) countEnd(result attemptResult, err error) {
 	e := p.end
 	switch {
+	case p.ctx.Err() != nil:
+		return
 	case errors.Is(err, conns.ErrInsideEvent):
 		e = conns.EndInsideEvent
 	case result != answered && e != conns.EndServerGone && e != conns.EndNoEvent:
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -98,7 +98,9 @@
 		ConfigurationAge: s.configurationAge, Lease: func() time.Duration { return lease }, StoreLostByAll: func() bool { return false }, StoreLost: func() bool { return false },
 		Quota: s.quota(), Entries: l.Entries, Events: l.Events, Metrics: l.Metrics,
 	}
-	s.front = httptest.NewServer(s.access)
+	s.front = httptest.NewUnstartedServer(s.access)
+	s.front.Config.ConnContext = sardinerock.ConnContext
+	s.front.Start()
 	t.Cleanup(s.front.Close)
 	return s
 }
--- a/relay/response.go
+++ b/relay/response.go
@@ -94,6 +94,7 @@
 		sardinerock.OmitFraming(h)
 	}
 	p.writer.WriteHeader(resp.StatusCode)
+	sardinerock.GuardUnframed(p.writer, p.request)
 }
 
 // write sends bytes to the caller. An error means that the caller has disconnected,
