--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -78,6 +78,8 @@
 	defer p.mu.Unlock()
 	for c := range p.conns {
 		_ = c.(*net.TCPConn).SetLinger(0)
+	}
+	for c := range p.conns {
 		c.Close()
 	}
 }
@@ -114,8 +116,9 @@
 	p.mu.Unlock()
 }
 
-// copy forwards data until either side closes. Once it has discarded data, it also discards
-// the rest, because a stream with a gap would be corrupt, and delays the close by a second.
+// copy forwards data until either side closes, and a reset as a reset. Once it has discarded data, it also
+// discards the rest, because a stream with a gap would be corrupt, delays the close by a second and resets the
+// other side: TCP delivers no orderly close after lost data.
 func (p *proxy) copy(to, from net.Conn, answers bool) {
 	defer to.Close()
 	defer from.Close()
@@ -137,6 +140,9 @@
 			if discard && errors.Is(err, io.EOF) {
 				time.Sleep(time.Second)
 			}
+			if discard || !errors.Is(err, io.EOF) {
+				_ = to.(*net.TCPConn).SetLinger(0)
+			}
 			return
 		}
 	}
