--- a/relay/end.go
+++ b/relay/end.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -33,6 +34,9 @@
 	switch {
 	case e == conns.EndServerGone || e == conns.EndNoEvent:
 		return incomplete, true
+	case !known && errors.Is(p.ctx.Err(), context.Canceled):
+		// The caller has disconnected.
+		return incomplete, false
 	case !known && p.started && !sardinerock.IsUnframed(p.writer, p.request):
 		p.endError = errEndUnproven
 		return incomplete, false
--- a/relay/end_test.go
+++ b/relay/end_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/sardinerock/sardinerock"
 )
@@ -269,6 +270,28 @@
 	})
 }
 
+// TestCallerThatLeavesBeforeTheEndIsKnown guards against a caller that disconnects while the backend server is asked
+// for more events counting as served, and holding its slot.
+func TestCallerThatLeavesBeforeTheEndIsKnown(t *testing.T) {
+	s := newTestbed(t, framings["without framing"].stream(allEvents(3)), noResponse)
+	s.table.Routes[0].Timeout = 3 * time.Second
+	s.wait = "3000"
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.front.URL+"/resumable/x", strings.NewReader("body"))
+	s.g.Expect(err).NotTo(HaveOccurred())
+	r.Host = "h.example"
+	r.Header.Set("Request-Id", "r1")
+	resp, err := s.front.Client().Do(r)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	_, err = io.ReadFull(resp.Body, make([]byte, len(allEvents(3))))
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.g.Eventually(s.seen).Should(HaveLen(2))
+	resp.Body.Close()
+	s.g.Eventually(func() int { return s.pool.Counts(time.Now()).OwnOnline }, "300ms").Should(BeZero())
+	count := func(name string) int64 { return metrics.GetOrRegisterCounter(name, s.relay.Metrics).Count() }
+	s.g.Eventually(func() int64 { return count("relay.left") }).Should(BeEquivalentTo(1))
+	s.g.Expect(count("relay.served.2xx")).To(BeZero())
+}
+
 // TestCompleteResponseOfALeavingBackendIsForwarded guards against a complete response without framing being
 // replaced by a failure because its backend server was to leave, and has left.
 func TestCompleteResponseOfALeavingBackendIsForwarded(t *testing.T) {
