--- a/conns/events.go
+++ b/conns/events.go
@@ -32,7 +32,7 @@
 
 // Next returns the next complete event. At the end of the body it returns io.EOF, or ErrUnproven if the
 // framing doesn't prove that the body is complete, together with comments and empty lines that follow the last
-// event. A body that ends inside an event was broken off, whatever its framing says: the error then wraps
+// event. A body that ends inside an event is incomplete, whatever its framing says: the error then wraps
 // ErrInsideEvent.
 func (e *EventReader) Next() (Event, error) {
 	e.buffer = e.buffer[:copy(e.buffer, e.buffer[e.consumed:])]
--- a/relay/end_test.go
+++ b/relay/end_test.go
@@ -384,7 +384,7 @@
 				unframed.stream(strings.TrimPrefix(allEvents(last+tt.events), allEvents(last))+tt.rest)(c, r)
 			})
 			for range 8 {
-				// A response that breaks off is an error for the caller, too.
+				// An incomplete response is an error for the caller, too.
 				_, _, _ = s.post(tt.path)
 			}
 			resp, _, err := s.post(tt.path)
