invoke: a backend server without a slot for the question isn't ejected

Found by reading: an item whose backend server rejected the request for what follows its last event, or answered it with a status, was interrupted with an error, which the runner counts as a failure of the backend server and ejects it for.

invoke.TestUnconfirmedItemIsResumed checks it; four of its seven cases failed before.

--- a/invoke/end_test.go
+++ b/invoke/end_test.go
@@ -280,7 +280,9 @@
 			item := s.item()
 			var outcomes []invoke.Outcome
 			for range tt.outcomes {
-				outcome, _ := s.invoker().Run(t.Context(), item, &s.choice)
+				outcome, err := s.invoker().Run(t.Context(), item, &s.choice)
+				// An error would eject the backend server.
+				s.g.Expect(err != nil).To(Equal(outcome == invoke.BrokenOff), "%v", err)
 				outcomes = append(outcomes, outcome)
 			}
 			s.g.Expect(outcomes).To(Equal(tt.outcomes))
--- a/invoke/invoke.go
+++ b/invoke/invoke.go
@@ -41,10 +41,7 @@
 	BrokenOff
 )
 
-var (
-	errNoEvent     = fmt.Errorf("%w: stream without framing ended before the first event", conns.ErrBrokenOff)
-	errUnconfirmed = errors.New("the backend server did not confirm that the stream without framing is complete")
-)
+var errNoEvent = fmt.Errorf("%w: stream without framing ended before the first event", conns.ErrBrokenOff)
 
 // Item is a batch item to run, from its last received event on.
 type Item struct {
@@ -142,14 +139,15 @@
 	return Succeeded, nil
 }
 
-// unconfirmed interrupts an item whose backend server, asked for more events, has ended or gave no answer.
+// unconfirmed interrupts an item whose backend server, asked for more events, has ended or gave no answer. A
+// rejection or a status of failure is no error: the backend server works.
 func (i *Item) unconfirmed(err error) (Outcome, error) {
 	if errors.Is(err, conns.ErrBrokenOff) || errors.Is(err, syscall.ECONNREFUSED) {
 		i.End, i.UnprovenAfter = conns.EndServerGone, ""
 		return BrokenOff, err
 	}
 	i.End = conns.EndUnchecked
-	return Interrupted, errors.Join(errUnconfirmed, err)
+	return Interrupted, err
 }
 
 // send sends an item once and receives the events of the response.
