platform, relay, watch: log the software version of backend servers, and which request a caller resumes

No line of the log said which version a backend server runs, nor which request began a stream that a caller resumes, so resumptions within an answer and by callers couldn't be told apart by what they join. Registrations are decoded with their version (407), attempts (201) and items (510) name that of their backend server, and 201 the request that the caller names. No decision depends on it yet.

--- a/relay/request.go
+++ b/relay/request.go
@@ -180,8 +180,8 @@
 		p.relay.Preempt(choice.ID)
 	}
 	p.relay.Events.Info(event.RouteChosen).Str("request", p.call.ID).Str("route", p.route.Name).Str("team", p.call.Team).Int64("config", p.version).
-		Str("server", choice.ID).Int("online", choice.Online).Int("batch", choice.Batch).Int("slots", choice.Slots).Float64("factor", choice.Factor).
-		Bool("doubted", choice.Ejected).Bool("reserved", p.reservation != nil).Str("resume", p.resume).Int("runs", p.runs).Msg("sent")
+		Str("server", choice.ID).Str("version", choice.Version).Int("online", choice.Online).Int("batch", choice.Batch).Int("slots", choice.Slots).Float64("factor", choice.Factor).
+		Bool("doubted", choice.Ejected).Bool("reserved", p.reservation != nil).Str("resume", p.resume).Str("resumes", p.call.Resumes).Int("runs", p.runs).Msg("sent")
 	return choice, true
 }
 
--- a/runner/start.go
+++ b/runner/start.go
@@ -196,7 +196,7 @@
 	i.timing.RunStarted(i.started)
 	i.timing.Resumed = i.timing.Resumed || i.timing.Runs == 0 && i.lastEvent != ""
 	r.mu.Unlock()
-	r.Events.Info(event.ItemStarted).Str("job", c.Job).Str("item", c.body.ID).Str("server", choice.ID).
+	r.Events.Info(event.ItemStarted).Str("job", c.Job).Str("item", c.body.ID).Str("server", choice.ID).Str("version", choice.Version).
 		Int("online", choice.Online).Int("batch", choice.Batch).Str("resume", i.lastEvent).Msg("item started")
 	r.group.Add(1)
 	go func() {
--- a/serving.go
+++ b/serving.go
@@ -165,6 +165,8 @@
 	Sequence int64
 	// Started is when the incarnation started, in Unix milliseconds; 0 if it isn't stated.
 	Started int64
+	// Version is the version of its software, without an order; empty if it isn't stated.
+	Version string
 }
 
 // Call is one caller's request. Its body is opaque.
@@ -184,6 +186,8 @@
 	Tokens int64
 	// ResumeAfter is the ID of the last event that the caller has received; empty for a new stream.
 	ResumeAfter string
+	// Resumes is the ID of the caller's request that brought the stream's first event; empty for a new stream.
+	Resumes string
 	// Key is the caller's key, which is never forwarded to backend servers.
 	Key string
 	// Team is the name of the caller's team, which is sent to backend servers; empty
--- a/watch/servers.go
+++ b/watch/servers.go
@@ -110,7 +110,7 @@
 
 func (s *Servers) logListed(b sardinerock.BackendServer, offset int64) *log.Entry {
 	return s.Events.Info(event.BackendState).Str("server", b.ID).Str("service", b.Service).Str("address", b.Address).
-		Bool("draining", b.Draining).Int64("started", b.Started).Int64("offset", offset)
+		Str("version", b.Version).Bool("draining", b.Draining).Int64("started", b.Started).Int64("offset", offset)
 }
 
 // remove removes a backend server from the list and remembers its start.
