--- a/node/node_test.go
+++ b/node/node_test.go
@@ -66,19 +66,30 @@
 )
 
 func newFleet(t *testing.T, entries int) *fleet {
-	f := &fleet{t: t, g: NewWithT(t), store: &memkv.Store{PageSize: 50}, events: 5, interval: time.Millisecond, runs: map[string]int{}, resumed: map[string][]string{}}
-	f.status.Store(http.StatusOK)
+	f := prepareFleet(t)
 	f.configure(1, "/letters/")
 	for i := range 2 {
 		f.startBackend(fmt.Sprint("i-", i))
 	}
-	for i := range entries {
+	f.startEntries(entries)
+	return f
+}
+
+// prepareFleet returns a fleet without a configuration, backend servers and entries.
+func prepareFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, g: NewWithT(t), store: &memkv.Store{PageSize: 50}, events: 5, interval: time.Millisecond, runs: map[string]int{}, resumed: map[string][]string{}}
+	f.status.Store(http.StatusOK)
+	return f
+}
+
+// startEntries starts entries and waits until they are ready.
+func (f *fleet) startEntries(count int) {
+	for i := range count {
 		f.entries = append(f.entries, f.start(fmt.Sprint("front-", i)))
 	}
 	for _, e := range f.entries {
 		f.g.Eventually(func() int { return f.get("http://" + e.settings.ReadyAddress) }, timeout).Should(Equal(http.StatusOK))
 	}
-	return f
 }
 
 func (f *fleet) put(topic, key, value string) {
