--- a/blobs/blobs_test.go
+++ b/blobs/blobs_test.go
@@ -139,7 +139,7 @@
 	store := &memkv.Store{PageSize: 1}
 	a, b := newClient(store), newClient(store)
 	save := func(c *Client, last, text string) {
-		g.Expect(c.WriteProgress(context.Background(), "job", map[int]Progress{4: {LastEvent: last, Text: text}}, nil)).To(Succeed())
+		g.Expect(c.WriteProgress(context.Background(), "job", map[int]Progress{4: {Position: sardinerock.Position{LastEvent: last, Origin: sardinerock.Origin{Service: "s", Version: "v1"}}, Text: text}}, nil)).To(Succeed())
 	}
 	save(a, "2", "e1\ne2")
 	save(b, "1", "e1")
@@ -148,7 +148,7 @@
 	for range 2 {
 		progress, err := newClient(store).ReadProgress(context.Background(), "job")
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(progress).To(Equal(map[int]Progress{4: {LastEvent: "3", Text: "e1\ne2\ne3"}}))
+		g.Expect(progress).To(Equal(map[int]Progress{4: {Position: sardinerock.Position{LastEvent: "3", Origin: sardinerock.Origin{Service: "s", Version: "v1"}}, Text: "e1\ne2\ne3"}}))
 		dropAll(store, a)
 	}
 	g.Expect(b.WriteProgress(context.Background(), "job", nil, []int{4})).To(Succeed())
@@ -163,14 +163,14 @@
 	g := NewWithT(t)
 	store := &memkv.Store{}
 	c := newClient(store)
-	progress := map[int]Progress{1: {LastEvent: "9", Text: strings.Repeat("x", 2*testRecordBytes)}, 2: {LastEvent: "1", Text: "e1"}}
+	progress := map[int]Progress{1: {Position: sardinerock.Position{LastEvent: "9", Origin: sardinerock.Origin{Service: "s", Version: "v1"}}, Text: strings.Repeat("x", 2*testRecordBytes)}, 2: {Position: sardinerock.Position{LastEvent: "1", Origin: sardinerock.Origin{Service: "s", Version: "v1"}}, Text: "e1"}}
 	g.Expect(c.WriteProgress(context.Background(), "job", progress, nil)).To(Succeed())
 	_, err := store.Append(context.Background(), sardinerock.PartitionName("progress", c.partition("job")),
 		[]sardinerock.StoreRecord{{Key: "job/3/0", Value: []byte("\x00not progress")}, {Key: "job/x/0", Value: []byte{0}}})
 	g.Expect(err).NotTo(HaveOccurred())
 	read, err := c.ReadProgress(context.Background(), "job")
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(read).To(Equal(map[int]Progress{2: {LastEvent: "1", Text: "e1"}}))
+	g.Expect(read).To(Equal(map[int]Progress{2: {Position: sardinerock.Position{LastEvent: "1", Origin: sardinerock.Origin{Service: "s", Version: "v1"}}, Text: "e1"}}))
 }
 
 // A location is wrong, or its value was removed. The reader must get an error and no other
@@ -202,7 +202,7 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		text, err := c.WriteResult(context.Background(), job, 1, strings.Repeat("x", 3*testRecordBytes))
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(c.WriteProgress(context.Background(), job, map[int]Progress{0: {LastEvent: "1", Text: "e1"}}, nil)).To(Succeed())
+		g.Expect(c.WriteProgress(context.Background(), job, map[int]Progress{0: {Position: sardinerock.Position{LastEvent: "1", Origin: sardinerock.Origin{Service: "s", Version: "v1"}}, Text: "e1"}}, nil)).To(Succeed())
 		if job == "job" {
 			g.Expect(c.RemoveJob(context.Background(), job, &bodies, []Result{{Index: 1, Content: text}})).To(Succeed())
 		}
--- a/blobs/jobs.go
+++ b/blobs/jobs.go
@@ -85,10 +85,18 @@
 
 // Progress is the output of an unfinished item.
 type Progress struct {
-	// LastEvent is the id of the last event whose data is in Text.
-	LastEvent string `cbor:"1,keyasint"`
+	// Position is after the last event whose data is in Text.
+	Position sardinerock.Position
 	// Text is the data of all events so far, separated by line feeds.
-	Text string `cbor:"2,keyasint"`
+	Text string
+}
+
+// progressRecord is the encoding of Progress. Records of earlier builds have no Service.
+type progressRecord struct {
+	LastEvent string `cbor:"1,keyasint"`
+	Text      string `cbor:"2,keyasint"`
+	Service   string `cbor:"3,keyasint,omitempty"`
+	Version   string `cbor:"4,keyasint,omitempty"`
 }
 
 // WriteProgress replaces the saved progress of some items of a job and removes that of
@@ -98,7 +106,7 @@
 func (c *Client) WriteProgress(ctx context.Context, job string, progress map[int]Progress, obsolete []int) error {
 	var records []sardinerock.StoreRecord
 	for index, p := range progress {
-		raw, err := canonical.Marshal(&p)
+		raw, err := canonical.Marshal(&progressRecord{LastEvent: p.Position.LastEvent, Text: p.Text, Service: p.Position.Origin.Service, Version: p.Position.Origin.Version})
 		if err != nil {
 			return fmt.Errorf("blobs: encode progress of item %s: %w", itemName(job, index), err)
 		}
@@ -124,13 +132,14 @@
 			return
 		}
 		raw, _ := chunk.Part(r)
-		var p Progress
-		if err := cbor.Unmarshal(raw, &p); err != nil {
-			// The item starts over; an unreadable record must not prevent it from running.
+		var p progressRecord
+		if err := cbor.Unmarshal(raw, &p); err != nil || p.Service == "" {
+			// The item starts over; an unreadable record must not prevent it from running, and a text of an unknown
+			// origin can't go on.
 			c.Events.Warn(event.RecordSkipped).Str("topic", partition).Str("key", r.Key).Int64("offset", r.Offset).Err(err).Msg("unreadable progress record skipped; the item starts over")
 			return
 		}
-		progress[index] = p
+		progress[index] = Progress{Text: p.Text, Position: sardinerock.Position{LastEvent: p.LastEvent, Origin: sardinerock.Origin{Service: p.Service, Version: p.Version}}}
 	})
 	return progress, err
 }
--- a/clis/node.go
+++ b/clis/node.go
@@ -20,6 +20,7 @@
 	membersTopic  = "members2"
 	jobsTopic     = "jobs2"
 	workTopic     = "work2"
+	versionsTopic = "versions"
 	bodiesTopic   = "bodies2"
 	resultsTopic  = "results2"
 	progressTopic = "progress2"
@@ -74,6 +75,7 @@
 			Members:          platform.Topic(membersTopic),
 			Jobs:             platform.Topic(jobsTopic),
 			Work:             platform.Topic(workTopic),
+			Versions:         platform.Topic(versionsTopic),
 			Blobs: blobs.Topics{
 				Bodies:   platform.Topic(bodiesTopic),
 				Results:  platform.Topic(resultsTopic),
--- a/commit/interleave_test.go
+++ b/commit/interleave_test.go
@@ -138,7 +138,7 @@
 		index := run.r.IntN(2)
 		if n := 1 + run.r.IntN(len(fullText)); n < len(fullText) {
 			// A failed write isn't retried; a later step may write the progress.
-			_ = e.texts.WriteProgress(singleAttempt(), job, map[int]blobs.Progress{index: {LastEvent: fmt.Sprint(n), Text: fullText[:n]}}, nil)
+			_ = e.texts.WriteProgress(singleAttempt(), job, map[int]blobs.Progress{index: {Position: sardinerock.Position{LastEvent: fmt.Sprint(n), Origin: sardinerock.Origin{Service: "s"}}, Text: fullText[:n]}}, nil)
 			break
 		}
 		run.finish(e, job, index)
@@ -328,7 +328,7 @@
 		return fmt.Sprintf("%s: can't read progress: %v", job, err)
 	}
 	for index, p := range progress {
-		if n, _ := strconv.Atoi(p.LastEvent); p.Text != fullText[:n] {
+		if n, _ := strconv.Atoi(p.Position.LastEvent); p.Text != fullText[:n] {
 			return fmt.Sprintf("%s: item %d has wrong progress %v", job, index, p)
 		}
 	}
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -47,6 +47,9 @@
 	// ErrUnproven means that the response ended when the backend server closed the connection, and has
 	// neither a length nor chunks: it is either complete, or the backend server ended.
 	ErrUnproven = errors.New("conns: response without framing ended with its connection")
+	// ErrOtherOrigin means that the stream can't go on at the backend server, which has another service or
+	// software version than the one that began it. It accompanies ErrNotSent.
+	ErrOtherOrigin = errors.New("backend server has another software version than the stream")
 	// ErrInsideEvent means that a stream ended inside an event. It accompanies ErrIncomplete and
 	// ErrBrokenOff.
 	ErrInsideEvent = errors.New("stream ended inside an event")
@@ -203,6 +206,12 @@
 // made, since that one has just responded. An idle connection may have been closed without
 // notice; if a request gets a reset, its outcome is unknown.
 func (c *Conns) Send(ctx context.Context, b *sardinerock.BackendServer, call *sardinerock.Call, a sardinerock.Attempt, reserved *Reservation) (*Response, error) {
+	if !a.Position.Allows(b) {
+		if reserved != nil {
+			reserved.Close()
+		}
+		return nil, fmt.Errorf("%w: %w: %s %s, want %s %s", ErrNotSent, ErrOtherOrigin, b.Service, b.Version, a.Position.Origin.Service, a.Position.Origin.Version)
+	}
 	if reserved == nil {
 		return c.send(ctx, b, call, c.Dialect.AttemptHeader(call, a), a.HeadTimeout, nil)
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -29,6 +29,8 @@
 	SpeedChanged    ID = 210
 	SlotsScarce     ID = 211
 	Yielded         ID = 212
+	OriginFound     ID = 213
+	VersionsChanged ID = 214
 	GateAdmitted    ID = 301
 	GateRefused     ID = 302
 	GatePreempted   ID = 303
@@ -65,6 +67,7 @@
 	StartRecorded   ID = 521
 	HeadroomChanged ID = 522
 	ItemDelayed     ID = 523
+	ItemStartedOver ID = 524
 	BundleAccepted  ID = 601
 	BundleRejected  ID = 602
 	BundleInForce   ID = 603
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -107,6 +107,16 @@
 	return g.queries.Query(ctx, address, body)
 }
 
+// Notify sends a message to a peer, which doesn't answer it. A message that can't be sent counts as lost.
+func (g *Gossip) Notify(name string, body []byte) {
+	g.mu.Lock()
+	p := g.peers[name]
+	g.mu.Unlock()
+	if p != nil {
+		_ = g.queries.Notify(p.address, body)
+	}
+}
+
 // PeerState returns the state of another entry, from which a takeover of its jobs is decided.
 func (g *Gossip) PeerState(name string, now time.Time) owner.PeerState {
 	g.mu.Lock()
--- a/invoke/end_test.go
+++ b/invoke/end_test.go
@@ -135,7 +135,7 @@
 func (s *server) item() *invoke.Item {
 	return &invoke.Item{
 		Host: "h", Body: &sardinerock.BatchItem{ID: "item", Path: "/x"},
-		OnEvent:    func(_, data string) { s.received = append(s.received, data) },
+		OnEvent:    func(_ sardinerock.Position, data string) { s.received = append(s.received, data) },
 		BeforeSend: func(context.Context) error { return nil },
 	}
 }
--- a/invoke/invoke.go
+++ b/invoke/invoke.go
@@ -48,16 +48,16 @@
 	// Host and Team are those of the item's job.
 	Host, Team string
 	Body       *sardinerock.BatchItem
-	// LastEvent is the id of the last received event; empty if there is none.
-	LastEvent string
+	// Position is after the last received event. Run sets it.
+	Position sardinerock.Position
 	// UnprovenAfter is the last event of a stream without framing that ended with its connection, or empty.
 	// Run sets it; the item is complete if a further run ends there, too.
 	UnprovenAfter string
 	// End is how the response of the last run ended. Run sets it; it is empty if there was no response, or the
 	// run was cancelled.
 	End conns.End
-	// OnEvent is called for each received event, in order.
-	OnEvent func(id, data string)
+	// OnEvent is called for each received event, in order, with the position after it.
+	OnEvent func(after sardinerock.Position, data string)
 	// BeforeSend is called right before the item is sent. If it returns an error, the item is not
 	// sent.
 	BeforeSend func(ctx context.Context) error
@@ -110,19 +110,19 @@
 			i.End = ""
 		}
 	}()
-	before := i.LastEvent
+	before := i.Position.LastEvent
 	outcome, err := v.send(ctx, i, choice, reservation)
 	for errors.Is(err, conns.ErrUnproven) {
 		switch {
-		case i.LastEvent == "":
+		case i.Position.LastEvent == "":
 			i.End = conns.EndNoEvent
 			return BrokenOff, errNoEvent
-		case i.LastEvent == before && i.UnprovenAfter == before:
+		case i.Position.LastEvent == before && i.UnprovenAfter == before:
 			return v.confirm(ctx, i, choice)
 		}
-		before, i.UnprovenAfter = i.LastEvent, i.LastEvent
+		before, i.UnprovenAfter = i.Position.LastEvent, i.Position.LastEvent
 		outcome, err = v.send(ctx, i, choice, nil)
-		if i.LastEvent == before && outcome != Succeeded && !errors.Is(err, conns.ErrUnproven) {
+		if i.Position.LastEvent == before && outcome != Succeeded && !errors.Is(err, conns.ErrUnproven) {
 			return i.unconfirmed(err)
 		}
 	}
@@ -153,7 +153,7 @@
 // send sends an item once and receives the events of the response.
 func (v *Invoker) send(ctx context.Context, i *Item, choice *pool.Choice, reservation *conns.Reservation) (Outcome, error) {
 	resp, err := v.Conns.Send(ctx, &choice.BackendServer, v.Batch.ItemCall(i.Host, i.Team, i.Body), sardinerock.Attempt{
-		Instance: choice.Name, Remaining: v.Batch.ItemDeadline(), ResumeAfter: i.LastEvent, HeadTimeout: eventTimeout,
+		Instance: choice.Name, Remaining: v.Batch.ItemDeadline(), Position: i.Position, HeadTimeout: eventTimeout,
 	}, reservation)
 	if err != nil {
 		return interruption(err), err
@@ -169,12 +169,12 @@
 	case !resp.Signed:
 		return Interrupted, errors.New("response has no signature")
 	}
-	return v.read(resp, i)
+	return v.read(resp, i, choice.Origin())
 }
 
 // read passes the events of a response to the item. Events received before an error are kept:
 // the next run resumes after them.
-func (v *Invoker) read(resp *conns.Response, i *Item) (Outcome, error) {
+func (v *Invoker) read(resp *conns.Response, i *Item, o sardinerock.Origin) (Outcome, error) {
 	began, events := time.Now(), 0
 	reader := &conns.EventReader{Response: resp, ReadDeadline: func() time.Time { return time.Now().Add(eventTimeout) }}
 	for {
@@ -187,17 +187,17 @@
 			i.End = endOf(err)
 			if i.End != conns.EndBroken {
 				v.Events.Warn(event.EndUnproven).Str("request", i.Body.ID).Str("server", resp.Server()).Str("framing", string(resp.Framing())).
-					Str("end", string(i.End)).Int("events", events).Str("last", i.LastEvent).Dur("took", time.Since(began)).
+					Str("end", string(i.End)).Int("events", events).Str("last", i.Position.LastEvent).Dur("took", time.Since(began)).
 					Msg("the end of a response doesn't prove that it is complete")
 			}
 			return interruption(err), err
 		}
 		if data, ok := e.Data(); ok {
-			if !conns.IsNextEvent(i.LastEvent, e.ID) {
+			if !conns.IsNextEvent(i.Position.LastEvent, e.ID) {
 				return Interrupted, errors.New("stream does not resume after the requested event")
 			}
-			i.OnEvent(e.ID, data)
-			i.LastEvent = e.ID
+			i.Position = sardinerock.Position{LastEvent: e.ID, Origin: o}
+			i.OnEvent(i.Position, data)
 			events++
 		}
 	}
--- a/items/burst_test.go
+++ b/items/burst_test.go
@@ -165,10 +165,10 @@
 
 func (b *bursts) choose(e *burstEntry, since time.Time) pool.Choice {
 	if !b.rights {
-		c, _ := e.pool.ChooseOnline("s", nil, b.now)
+		c, _ := e.pool.ChooseOnline("s", &pool.Request{}, b.now)
 		return c
 	}
-	c, _ := e.pool.ChooseReserving("s", &pool.Reserving{
+	c, _ := e.pool.ChooseReserving("s", &pool.Request{
 		Request: rights.Request{Waited: b.now.Sub(since), Target: requestTarget}, ViewAge: b.viewAge,
 	}, b.now)
 	return c
@@ -260,16 +260,16 @@
 }
 
 func (b *bursts) start(e *burstEntry, waiting []*burstItem, own, elsewhere, keepFree int, atRisk bool) int {
-	freeSlots, choose := e.pool.FreeSlots, e.pool.ChooseBatch
+	freeSlots := e.pool.FreeSlots
 	if atRisk {
-		freeSlots, choose = e.pool.FreeSlotsAtRisk, e.pool.ChooseBatchAtRisk
+		freeSlots = e.pool.FreeSlotsAtRisk
 	}
 	free := freeSlots("s", 0, b.now)
 	for n, i := range waiting {
 		if e.pace.Allow(free-keepFree, own, elsewhere, true, b.now) <= 0 {
 			return n
 		}
-		c, ok := choose("s", 0, b.now)
+		c, ok := e.pool.ChooseBatch("s", pool.BatchRequest{AtRisk: atRisk}, b.now)
 		if !ok {
 			return n
 		}
--- a/node/home.go
+++ b/node/home.go
@@ -9,6 +9,7 @@
 
 	"github.com/sardinerock/sardinerock/clock"
 	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/origin"
 	"github.com/sardinerock/sardinerock/owner"
 	"github.com/sardinerock/sardinerock/quota"
 )
@@ -64,6 +65,9 @@
 
 // answerPeer returns the answer to a query of a peer; a notification gets an empty one.
 func (n *Node) answerPeer(peer string, start int64, raw []byte) ([]byte, error) {
+	if origin.IsMessage(raw) {
+		return n.origins.Answer(raw)
+	}
 	var query peerQuery
 	if err := cbor.Unmarshal(raw, &query); err != nil {
 		return nil, err
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,7 @@
 	"github.com/sardinerock/sardinerock/items"
 	"github.com/sardinerock/sardinerock/lease"
 	"github.com/sardinerock/sardinerock/ledger"
+	"github.com/sardinerock/sardinerock/origin"
 	"github.com/sardinerock/sardinerock/pool"
 	"github.com/sardinerock/sardinerock/proxy"
 	"github.com/sardinerock/sardinerock/purge"
@@ -58,6 +59,8 @@
 	// results of their items.
 	Jobs string
 	Work string
+	// Versions is the topic of the services that have had several software versions.
+	Versions string
 	// Blobs are the topics of the jobs' large values.
 	Blobs blobs.Topics
 }
@@ -96,6 +99,7 @@
 	relay    *relay.Relay
 	crashes  *crash.Counter
 	access   *access.Access
+	origins  *origin.Locator
 	roster   *roster.Roster
 
 	configuration *watch.Follower
@@ -239,13 +243,16 @@
 	start := time.Now()
 	n.startTime = start
 	n.table = &watch.Table{Key: n.Topics.ConfigurationKey, Parse: n.ParseTable, Events: n.Events}
-	n.table.Changed = func(t *sardinerock.RouteTable) { n.quota.SetTeams(t.Teams.Teams(), clock.BootClock()) }
+	n.table.Changed = func(t *sardinerock.RouteTable) {
+		n.quota.SetTeams(t.Teams.Teams(), clock.BootClock())
+		n.origins.SetTable(t)
+	}
 	n.started = make(chan struct{})
 	newRandom := func(salt uint64) *rand.Rand {
 		return rand.New(rand.NewPCG(uint64(start.UnixNano()), xxhash.Sum64String(n.Settings.ID)+salt))
 	}
 	n.pool = &pool.Pool{Name: n.Settings.ID, Zone: n.Settings.Zone, Random: newRandom(0)}
-	n.servers = &watch.Servers{Parse: n.ParseServer, Changed: n.pool.SetServers, Events: n.Events, Metrics: n.Metrics}
+	n.servers = &watch.Servers{Parse: n.ParseServer, Changed: n.setServers, Events: n.Events, Metrics: n.Metrics}
 	n.conns = &conns.Conns{Dialect: n.Dialect}
 	n.ledger = &ledger.Ledger{JobsTopic: n.Topics.Jobs, WorkTopic: n.Topics.Work, Events: n.Events}
 	n.ledger.Prepare()
@@ -275,6 +282,7 @@
 		Fill: n.fillMessage, OnMessages: n.handleMessages, OnPeerDown: n.pool.DropPeer, Answer: n.answerPeer,
 	}
 	n.gossip.Prepare()
+	n.origins = n.newLocator()
 	n.lease = &lease.Lease{
 		Table: n.table, OwnAge: n.configuration.Age, Length: n.leaseLength, Peers: func() []string { return n.gossip.StoreReaders(time.Now()) },
 		Client: peerClient, Events: n.Events, Metrics: n.Metrics,
@@ -339,6 +347,7 @@
 		},
 		Random:  newRandom(5),
 		Crashes: n.crashes,
+		Origins: n.origins,
 		Events:  n.Events, Metrics: n.Metrics,
 	}
 	n.access = &access.Access{
@@ -489,6 +498,7 @@
 	n.goRun(ctx, n.purger.Run)
 	n.goRun(ctx, n.roster.Run)
 	n.goRun(ctx, n.lease.Run)
+	n.goRun(ctx, func(ctx context.Context) { n.origins.Mixed.Run(ctx, n.origins) })
 }
 
 // awaitStart closes started once callers can be served, and then starts to read the members and
--- /dev/null
+++ b/node/origins.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/await"
+	"github.com/sardinerock/sardinerock/origin"
+	"github.com/sardinerock/sardinerock/owner"
+)
+
+const (
+	// originPeers is how many entries are notified of a stream. All but a few of a fleet may be lost at once, and
+	// those that remain know as many of its streams as they have a share of these.
+	originPeers = 7
+	// currentAge is the age up to which the list of backend servers shows that there is only one version. A read
+	// of a list without changes takes up to a second and a half.
+	currentAge = 2500 * time.Millisecond
+	// membersWaitOrigin is how long the query for a stream waits for the members at an entry that starts.
+	membersWaitOrigin = 300 * time.Millisecond
+)
+
+func (n *Node) newLocator() *origin.Locator {
+	return &origin.Locator{
+		Peers:  n.originPeers,
+		Notify: n.gossip.Notify,
+		Query: func(ctx context.Context, peer string, raw []byte) ([]byte, error) {
+			return n.gossip.Query(ctx, peer, raw)
+		},
+		AwaitPeers: func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, membersWaitOrigin)
+			defer cancel()
+			await.Until(ctx, startPollInterval, n.members.Loaded)
+		},
+		Current: func() bool {
+			age, read := n.registrations.Age()
+			return read && age < currentAge
+		},
+		StoreLostByAll: func() bool { return n.gossip.StoreLostByAll(time.Now()) },
+		Mixed: &origin.Mixed{
+			Store: n.Store, Topic: n.Topics.Versions, Events: n.Events,
+			Writes: func(service string) bool {
+				return owner.Of(service, n.gossip.Live(time.Now())) == n.Settings.ID
+			},
+		},
+		Events: n.Events, Metrics: n.Metrics,
+	}
+}
+
+// originPeers returns the entries that are notified of a stream and queried for it. An entry that has just started
+// hasn't heard of any yet, and queries those on the list of members.
+func (n *Node) originPeers(stream uint64) []string {
+	live := n.gossip.Live(time.Now())
+	if len(live) < 2 {
+		live = n.gossip.Members()
+	}
+	others := live[:0]
+	for _, name := range live {
+		if name != n.Settings.ID {
+			others = append(others, name)
+		}
+	}
+	return owner.Ranked(strconv.FormatUint(stream, 16), others, originPeers)
+}
+
+// setServers sets the list of backend servers.
+func (n *Node) setServers(list []sardinerock.BackendServer) {
+	n.pool.SetServers(list)
+	n.origins.SetServers(list)
+}
--- a/node/version_test.go
+++ b/node/version_test.go
@@ -37,6 +37,9 @@
 		f.startVersion(fmt.Sprint("i-", i), "s", version)
 	}
 	f.startEntries(entries)
+	for _, e := range f.entries {
+		f.g.Eventually(func() string { return f.page("http://" + e.settings.MetricsAddress) }, timeout).Should(ContainSubstring(fmt.Sprintf("sardinerock_peers_live %d\n", entries)))
+	}
 	return f
 }
 
@@ -148,6 +151,9 @@
 		for n := range 6 {
 			begun.Go(func() { f.read(f.entries[0], fmt.Sprint("early-", n), "", 0, 25) })
 		}
+		for n := range 6 {
+			f.g.Eventually(func() int { return f.runsOf(fmt.Sprint("early-", n)) }, timeout).Should(Equal(1))
+		}
 		for i := range 4 {
 			f.startVersion(fmt.Sprint("new-", i), "s", "v2")
 		}
--- /dev/null
+++ b/origin/locator.go
@@ -0,0 +1,251 @@
+package origin
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/event"
+)
+
+const (
+	// askTimeout is how long the answers of peers are awaited: many round trips, and far less than the pause
+	// after which a caller counts its stream as late.
+	askTimeout = 80 * time.Millisecond
+	// lateTime is how long after the end of a stream's time a caller may still resume it, and lastTime how long
+	// entries and backend servers that have lost touch may go on with a version that isn't listed any more.
+	lateTime = 2 * time.Second
+	lastTime = 10 * time.Second
+	// maxLifetime bounds for how long a stream that another entry names is kept.
+	maxLifetime = 10 * time.Minute
+	// maxBegun is the number of streams in one notification, which keeps it within one packet.
+	maxBegun = 32
+)
+
+// Source is how the origin of a stream was found out.
+type Source string
+
+// The sources.
+const (
+	// SourceOwn means that the stream began here, or this entry was notified of it.
+	SourceOwn Source = "own"
+	// SourcePeer means that another entry knows the stream.
+	SourcePeer Source = "peer"
+	// SourceOnly means that the service has had only one version.
+	SourceOnly Source = "only"
+	// SourceNone means that the origin isn't known.
+	SourceNone Source = "none"
+)
+
+// Locator finds out the origins of streams. Its exported fields are set before use; it is safe for concurrent use.
+type Locator struct {
+	// Peers returns the names of the entries that are notified of a stream and queried for it.
+	Peers func(stream uint64) []string
+	// Notify sends a message to a peer, and doesn't wait for an answer. Query returns the answer.
+	Notify func(peer string, raw []byte)
+	Query  func(ctx context.Context, peer string, raw []byte) ([]byte, error)
+	// AwaitPeers returns once the entries of the fleet are known, or after a short time.
+	AwaitPeers func(ctx context.Context)
+	// Current reports whether the list of backend servers is current, StoreLostByAll whether no entry can read it.
+	Current        func() bool
+	StoreLostByAll func() bool
+	// Mixed keeps in the store when services last had several versions.
+	Mixed   *Mixed
+	Events  *event.Logger
+	Metrics metrics.Registry
+
+	table   table
+	history history
+	// lifetime is how long streams may last.
+	lifetime lifetime
+}
+
+// SetTable sets the routes in force.
+func (l *Locator) SetTable(t *sardinerock.RouteTable) {
+	l.lifetime.set(t)
+	l.history.setTable(t, time.Now())
+}
+
+// SetServers sets the list of backend servers. If a service has got a further version, other entries are notified of
+// the streams that began here before.
+func (l *Locator) SetServers(list []sardinerock.BackendServer) {
+	now := time.Now()
+	for _, service := range l.history.setServers(list, now) {
+		own := l.table.ownOf(service, now)
+		l.Events.Info(event.VersionsChanged).Str("service", service).Int("streams", len(own)).Msg("a further software version serves; streams go on only at theirs")
+		l.notify(own, now)
+	}
+}
+
+// window returns the time within which another version may have begun a stream that is resumed now.
+func (l *Locator) window() time.Duration { return l.lifetime.get() + lastTime }
+
+// Began records that the first event of a stream is on its way to the caller, which may resume the stream until a
+// time.
+func (l *Locator) Began(stream uint64, o sardinerock.Origin, until time.Time) {
+	if stream == 0 {
+		return
+	}
+	now := time.Now()
+	k := known{origin: o, until: until.Add(lateTime), own: true}
+	if !l.table.put(stream, k, now) {
+		l.count("origins.full")
+		return
+	}
+	if _, v := l.history.view(o.Service, l.window(), now); v == viewSeveral {
+		l.notify(map[uint64]known{stream: k}, now)
+	}
+}
+
+// notify notifies peers of streams.
+func (l *Locator) notify(streams map[uint64]known, now time.Time) {
+	byPeer := map[string][]begun{}
+	for stream, k := range streams {
+		for _, peer := range l.Peers(stream) {
+			byPeer[peer] = append(byPeer[peer], newBegun(stream, k, now))
+		}
+	}
+	for peer, list := range byPeer {
+		for len(list) > 0 {
+			part := list[:min(maxBegun, len(list))]
+			list = list[len(part):]
+			raw, err := cbor.Marshal(message{Begun: part})
+			if err != nil {
+				l.Events.Warn(event.PeerDown).Err(err).Msg("notification of streams can't be encoded; not sent")
+				return
+			}
+			l.Notify(peer, raw)
+			l.count("origins.notified")
+		}
+	}
+}
+
+// Answer handles a message of a peer and returns the answer to a query. It doesn't block.
+func (l *Locator) Answer(raw []byte) ([]byte, error) {
+	m, err := decode(raw)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	for i := range m.Begun {
+		l.table.put(m.Begun[i].Stream, m.Begun[i].known(now), now)
+	}
+	if !m.Query {
+		return nil, nil
+	}
+	var r reply
+	if k, ok := l.table.get(m.Stream, now); ok {
+		b := newBegun(m.Stream, k, now)
+		r.Begun = &b
+	}
+	version, v := l.history.view(m.Service, l.window(), now)
+	r.Several = v == viewSeveral
+	if v == viewOnly && l.Current() {
+		r.Only, r.HasOnly = version, true
+	}
+	return cbor.Marshal(r)
+}
+
+// Locate returns the origin of a stream that a caller resumes on a route; it is unknown with SourceNone. stream is 0
+// if the caller doesn't name the request that began it.
+func (l *Locator) Locate(ctx context.Context, stream uint64, r *sardinerock.Route) (sardinerock.Origin, Source) {
+	now := time.Now()
+	if k, ok := l.table.get(stream, now); ok && stream != 0 {
+		return k.origin, SourceOwn
+	}
+	l.AwaitPeers(ctx)
+	service := l.history.service(r, l.window(), now)
+	answers := l.ask(ctx, stream, service)
+	if answers.begun != nil && stream != 0 {
+		k := answers.begun.known(now)
+		l.table.put(stream, k, now)
+		return k.origin, SourcePeer
+	}
+	if service == "" || !l.isOnly(ctx, service, &answers, now) {
+		return sardinerock.Origin{}, SourceNone
+	}
+	version, _ := l.history.view(service, l.window(), now)
+	return sardinerock.Origin{Service: service, Version: version}, SourceOnly
+}
+
+// isOnly reports whether a service has had no other version than the one listed here for as long as a stream can
+// last. The list here may be older than those of the entries that begin streams, and an entry that has started
+// since has seen nothing: then a peer or the store has to state it.
+func (l *Locator) isOnly(ctx context.Context, service string, a *answers, now time.Time) bool {
+	version, v := l.history.view(service, l.window(), now)
+	if v != viewOnly && v != viewNew || a.several {
+		return false
+	}
+	for _, only := range a.only {
+		if only != version {
+			return false
+		}
+	}
+	switch {
+	case len(a.only) > 0:
+		return true
+	case v == viewOnly:
+		return l.Current() || l.StoreLostByAll()
+	}
+	return l.Current() && !l.Mixed.Recently(ctx, service, l.window())
+}
+
+// answers are those of the peers to a query.
+type answers struct {
+	begun   *begun
+	only    []string
+	several bool
+}
+
+// ask queries the peers that may know a stream. It returns at the first that does, or once all have answered or
+// askTimeout has passed.
+func (l *Locator) ask(ctx context.Context, stream uint64, service string) (a answers) {
+	raw, err := cbor.Marshal(message{Stream: stream, Service: service, Query: true})
+	if err != nil {
+		l.Events.Warn(event.PeerDown).Err(err).Msg("query for a stream can't be encoded; not sent")
+		return a
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	peers := l.Peers(stream)
+	replies := make(chan *reply, len(peers))
+	for _, peer := range peers {
+		go func() { replies <- l.query(ctx, peer, raw) }()
+	}
+	for range peers {
+		r := <-replies
+		if r == nil {
+			continue
+		}
+		if a.begun = r.Begun; a.begun != nil {
+			return a
+		}
+		a.several = a.several || r.Several
+		if r.HasOnly {
+			a.only = append(a.only, r.Only)
+		}
+	}
+	return a
+}
+
+// query returns the answer of a peer, or nil if there is none.
+func (l *Locator) query(ctx context.Context, peer string, raw []byte) *reply {
+	l.count("origins.asked")
+	answer, err := l.Query(ctx, peer, raw)
+	var r reply
+	if err == nil && len(answer) > 0 {
+		err = cbor.Unmarshal(answer, &r)
+	}
+	if err != nil || len(answer) == 0 {
+		l.count("origins.unanswered")
+		return nil
+	}
+	return &r
+}
+
+func (l *Locator) count(name string) {
+	metrics.GetOrRegisterCounter(name, l.Metrics).Inc(1)
+}
--- a/pool/aborts_test.go
+++ b/pool/aborts_test.go
@@ -18,15 +18,15 @@
 	p.ReceiveAborts([]Abort{{Server: Hash("i-0"), Age: 100 * time.Millisecond}}, testStart)
 	p.SetPeer("b", []Load{{Server: Hash("i-1"), Batch: 2}}, testStart)
 
-	c, ok := p.ChooseOnlineOnce("s", nil, testStart)
+	c, ok := p.ChooseOnline("s", &Request{Once: true}, testStart)
 	g.Expect(ok).To(BeTrue())
 	g.Expect(c.ID).To(Equal("i-1"))
 	p.CancelOnline(c.ID)
-	c, _ = p.ChooseOnline("s", nil, testStart)
+	c, _ = p.ChooseOnline("s", &Request{}, testStart)
 	g.Expect(c.ID).To(Equal("i-0"))
 	p.CancelOnline(c.ID)
 
-	c, _ = p.ChooseOnlineOnce("s", nil, testStart.Add(minSuspicion))
+	c, _ = p.ChooseOnline("s", &Request{Once: true}, testStart.Add(minSuspicion))
 	g.Expect(c.ID).To(Equal("i-0"), "after the suspicion of a single abort has ended")
 }
 
@@ -37,7 +37,7 @@
 	p := newPool("a", 2, 2)
 	p.RecordAbort("i-0", testStart)
 	p.SetPeer("b", []Load{{Server: Hash("i-1"), Online: 2}}, testStart)
-	c, ok := p.ChooseOnlineOnce("s", nil, testStart)
+	c, ok := p.ChooseOnline("s", &Request{Once: true}, testStart)
 	g.Expect(ok).To(BeTrue())
 	g.Expect(c.ID).To(Equal("i-0"))
 }
@@ -110,7 +110,7 @@
 			continue
 		}
 		p := pools[random.IntN(entries)]
-		c, ok := p.ChooseOnlineOnce("s", nil, now)
+		c, ok := p.ChooseOnline("s", &Request{Once: true}, now)
 		if !ok {
 			continue
 		}
--- a/pool/bench_test.go
+++ b/pool/bench_test.go
@@ -27,7 +27,7 @@
 	p, now := newPool("a", 400, 8), time.Now()
 	b.ReportAllocs()
 	for b.Loop() {
-		c, _ := p.ChooseBatch("s", 0, now)
+		c, _ := p.ChooseBatch("s", BatchRequest{Reserve: 0}, now)
 		p.Done(c.ID, true, false, now)
 	}
 }
@@ -46,7 +46,7 @@
 			p, now := newPool("a", servers, 8), time.Now()
 			b.ReportAllocs()
 			for b.Loop() {
-				c, _ := p.ChooseOnline("s", nil, now)
+				c, _ := p.ChooseOnline("s", &Request{}, now)
 				p.Capacity("s", now)
 				p.Done(c.ID, false, false, now)
 			}
@@ -57,7 +57,7 @@
 func BenchmarkOwn(b *testing.B) {
 	p, now := newPool("a", 3000, 8), time.Now()
 	for range 6 {
-		p.ChooseOnline("s", nil, now)
+		p.ChooseOnline("s", &Request{}, now)
 	}
 	b.ReportAllocs()
 	for b.Loop() {
@@ -79,8 +79,8 @@
 		}
 		sample := Sample{Timing: Timing{Run: time.Second, FirstByte: time.Millisecond}, Speed: speed.Sample{Events: 22, Span: time.Second}, At: now}
 		for op, run := range map[string]func(){
-			"online": func() { c, _ := p.ChooseOnline("s", nil, now); p.Done(c.ID, false, false, now) },
-			"batch":  func() { c, _ := p.ChooseBatch("s", 0, now); p.Done(c.ID, true, false, now) },
+			"online": func() { c, _ := p.ChooseOnline("s", &Request{}, now); p.Done(c.ID, false, false, now) },
+			"batch":  func() { c, _ := p.ChooseBatch("s", BatchRequest{Reserve: 0}, now); p.Done(c.ID, true, false, now) },
 			"served": func() { p.RecordServed("i-7", sample) },
 			"speed":  func() { p.Speed("i-7", now); p.RunOn("i-7", time.Second) },
 			// The comparison is made for every fourth to sixteenth message.
@@ -125,7 +125,7 @@
 			p, now := fullPool(started), time.Now()
 			b.ReportAllocs()
 			for b.Loop() {
-				c, _ := p.ChooseOnline("s", nil, now)
+				c, _ := p.ChooseOnline("s", &Request{}, now)
 				p.PreemptHolder(c.ID, now)
 				p.Done(c.ID, false, false, now)
 			}
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -61,31 +61,24 @@
 const maxCandidates = 96
 
 // ChooseOnline chooses the backend server of a service for an online request and
-// counts the request there until Done or CancelOnline. Backend servers in tried are
-// skipped. It returns false if there is none.
+// counts the request there until Done or CancelOnline. It returns false if there is none.
 //
 // It is designed for bursts of nearly twice the mean load that fill three quarters
 // of all slots within a second, while batch items hold the rest. If each entry used
 // only its own counts, several would choose the same backend server, where the last
 // requests would wait for another request's whole response.
-func (p *Pool) ChooseOnline(service string, tried map[string]bool, now time.Time) (Choice, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.choose(service, &Reserving{Tried: tried}, nil, now)
-}
-
-// ChooseOnlineOnce is ChooseOnline for a request that may run only once. If the
-// backend server aborts such a request, it is lost, since it is unknown whether it
-// ran. So suspect backend servers are skipped while any other has a slot.
-func (p *Pool) ChooseOnlineOnce(service string, tried map[string]bool, now time.Time) (Choice, bool) {
+//
+// If the backend server aborts a request that may run only once, it is lost, since it is unknown whether it
+// ran. So suspect backend servers are skipped for such requests while any other has a slot.
+func (p *Pool) ChooseOnline(service string, r *Request, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.choose(service, &Reserving{Tried: tried, Once: true}, nil, now)
+	return p.choose(service, r, nil, now)
 }
 
 // choose chooses the backend server with the lowest rank, among those to which the request has a
 // right unless c is nil.
-func (p *Pool) choose(service string, r *Reserving, c *scarcity, now time.Time) (Choice, bool) {
+func (p *Pool) choose(service string, r *Request, c *scarcity, now time.Time) (Choice, bool) {
 	var best, blocked candidate
 	growth := r.Growth()
 	p.updateSpeeds(service, now)
@@ -95,7 +88,7 @@
 	start, checked := p.randomIndex(list), 0
 	for _, part := range [2][]*server{list[start:], list[:start]} {
 		for _, s := range part {
-			if s.Draining || len(r.Tried) > 0 && r.Tried[s.ID] {
+			if r.skips(s) {
 				continue
 			}
 			if checked >= maxCandidates && (best.hasFree(now) || blocked.hasFree(now)) {
@@ -184,20 +177,21 @@
 	return Choice{BackendServer: s.BackendServer, Online: online, Batch: batch, Factor: math.Exp2(s.slowness), Ejected: now.Before(s.ejectedUntil)}
 }
 
+// BatchRequest describes a batch item for which a backend server is chosen.
+type BatchRequest struct {
+	// Reserve is the number of slots that have to stay free.
+	Reserve int
+	// AtRisk is set if the item is at risk of missing its due time.
+	AtRisk bool
+	// Origin is that of the item's text so far; unknown if it has none.
+	Origin sardinerock.Origin
+}
+
 // ChooseBatch chooses a backend server of a service for a batch item and counts the
-// item there until Done. It returns false if no backend server has more than reserve
+// item there until Done. It returns false if no backend server has more than the reserved
 // slots free. The choice is random, weighted by free slots and by speed: if all entries chose the
 // emptiest one, most of their items would be preempted again.
-func (p *Pool) ChooseBatch(service string, reserve int, now time.Time) (Choice, bool) {
-	return p.chooseBatch(service, reserve, false, now)
-}
-
-// ChooseBatchAtRisk is ChooseBatch for an item that is at risk of missing its due time.
-func (p *Pool) ChooseBatchAtRisk(service string, reserve int, now time.Time) (Choice, bool) {
-	return p.chooseBatch(service, reserve, true, now)
-}
-
-func (p *Pool) chooseBatch(service string, reserve int, atRisk bool, now time.Time) (Choice, bool) {
+func (p *Pool) ChooseBatch(service string, r BatchRequest, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.byService[service]
@@ -205,7 +199,10 @@
 	total := 0
 	p.weights = p.weights[:0]
 	for _, s := range list {
-		weight := v.batchWeight(s, p.itemSlots(s, reserve, atRisk, now))
+		weight := 0
+		if !r.Origin.Known() || r.Origin == s.Origin() {
+			weight = v.batchWeight(s, p.itemSlots(s, r.Reserve, r.AtRisk, now))
+		}
 		p.weights = append(p.weights, weight)
 		total += weight
 	}
@@ -285,6 +282,18 @@
 	return c, true
 }
 
+// Serves reports whether a backend server that isn't draining has an origin.
+func (p *Pool) Serves(o sardinerock.Origin) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.byService[o.Service] {
+		if !s.Draining && s.Origin() == o {
+			return true
+		}
+	}
+	return false
+}
+
 // CancelOnline undoes a choice for an online request that was not sent.
 func (p *Pool) CancelOnline(id string) {
 	p.mu.Lock()
--- a/pool/contention_test.go
+++ b/pool/contention_test.go
@@ -131,7 +131,7 @@
 
 func (s *contentionSim) reserve(e *simEntry, attempts int) bool {
 	for range attempts {
-		c, ok := e.ChooseOnline("s", nil, s.now)
+		c, ok := e.ChooseOnline("s", &Request{}, s.now)
 		if !ok {
 			return false
 		}
--- a/pool/full_test.go
+++ b/pool/full_test.go
@@ -25,7 +25,7 @@
 	}
 	g.Expect(p.FreeSlots("s", 0, testStart)).To(BeZero())
 	g.Expect(p.FreeSlots("s", 0, testStart.Add(maxFullTime))).To(Equal(2))
-	c, ok := p.ChooseOnline("s", nil, testStart.Add(maxFullTime))
+	c, ok := p.ChooseOnline("s", &Request{}, testStart.Add(maxFullTime))
 	g.Expect(ok).To(BeTrue())
 	g.Expect(c.ID).To(Equal(first.ID))
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -93,6 +93,8 @@
 	byService map[string][]*server
 	// scarcities holds whether slots are scarce, by service.
 	scarcities map[string]*scarcity
+	// mixed holds the services of which several software versions serve.
+	mixed map[string]bool
 	// statesStarts holds the result of StatesStarts by service.
 	statesStarts map[string]bool
 	// timings holds how long online requests take, by service.
@@ -150,6 +152,7 @@
 		p.byService[s.Service] = append(p.byService[s.Service], s)
 	}
 	p.orderServers()
+	p.updateVersions()
 	p.updateStarts()
 	p.setSpeedServers()
 	p.sumPeers()
@@ -166,6 +169,31 @@
 	}
 }
 
+// updateVersions determines of which services several software versions serve.
+func (p *Pool) updateVersions() {
+	p.mixed = map[string]bool{}
+	for service, list := range p.byService {
+		first := ""
+		found := false
+		for _, s := range list {
+			switch {
+			case s.Draining:
+			case !found:
+				first, found = s.Version, true
+			case s.Version != first:
+				p.mixed[service] = true
+			}
+		}
+	}
+}
+
+// Mixed reports whether backend servers of several software versions serve a service.
+func (p *Pool) Mixed(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mixed[service]
+}
+
 // Known reports whether a backend server is on the list or still runs a request of this
 // entry.
 func (p *Pool) Known(id string) bool {
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -28,7 +28,7 @@
 }
 
 func (p *Pool) expectOnline(g *WithT, tried map[string]bool) Choice {
-	c, ok := p.ChooseOnline("s", tried, testStart)
+	c, ok := p.ChooseOnline("s", &Request{Tried: tried}, testStart)
 	g.Expect(ok).To(BeTrue())
 	return c
 }
@@ -60,7 +60,7 @@
 	list[0].Draining = true
 	p.SetServers(list)
 	g.Expect(p.expectOnline(g, nil).ID).To(Equal("i-1"))
-	_, ok := p.ChooseOnline("s", map[string]bool{"i-1": true}, testStart)
+	_, ok := p.ChooseOnline("s", &Request{Tried: map[string]bool{"i-1": true}}, testStart)
 	g.Expect(ok).To(BeFalse())
 }
 
@@ -88,7 +88,7 @@
 	c := p.expectOnline(g, nil)
 	p.SetServers(nil)
 	g.Expect(p.OwnLoads()).To(HaveLen(1))
-	_, ok := p.ChooseOnline("s", nil, testStart)
+	_, ok := p.ChooseOnline("s", &Request{}, testStart)
 	g.Expect(ok).To(BeFalse())
 	p.Done(c.ID, false, false, testStart)
 	g.Expect(p.OwnLoads()).To(BeEmpty())
@@ -111,10 +111,10 @@
 	g := NewWithT(t)
 	p := newPool("a", 2, 3)
 	for range 4 {
-		_, ok := p.ChooseBatch("s", 1, testStart)
+		_, ok := p.ChooseBatch("s", BatchRequest{Reserve: 1}, testStart)
 		g.Expect(ok).To(BeTrue())
 	}
-	_, ok := p.ChooseBatch("s", 1, testStart)
+	_, ok := p.ChooseBatch("s", BatchRequest{Reserve: 1}, testStart)
 	g.Expect(ok).To(BeFalse())
 	for _, l := range p.OwnLoads() {
 		g.Expect(l.Batch).To(Equal(2))
@@ -132,7 +132,7 @@
 	for name := range load {
 		p := newPool(name, 1, slots)
 		for range load[name] {
-			_, ok := p.ChooseBatch("s", 0, testStart)
+			_, ok := p.ChooseBatch("s", BatchRequest{Reserve: 0}, testStart)
 			g.Expect(ok).To(BeTrue())
 		}
 		for peer, batch := range load {
@@ -194,7 +194,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				if c, ok := p.ChooseOnline("s", nil, testStart); ok {
+				if c, ok := p.ChooseOnline("s", &Request{}, testStart); ok {
 					p.Done(c.ID, false, false, testStart)
 				}
 			}
--- a/pool/right_test.go
+++ b/pool/right_test.go
@@ -44,7 +44,7 @@
 }
 
 func (p *Pool) expectReserving(g *WithT, waited time.Duration, now time.Time) Choice {
-	c, ok := p.ChooseReserving("s", &Reserving{Request: rights.Request{Waited: waited, Target: fleetTarget}, ViewAge: testViewAge}, now)
+	c, ok := p.ChooseReserving("s", &Request{Request: rights.Request{Waited: waited, Target: fleetTarget}, ViewAge: testViewAge}, now)
 	g.Expect(ok).To(BeTrue())
 	return c
 }
@@ -61,7 +61,7 @@
 			present, rights := scarcePool(38, test.free, false), scarcePool(38, test.free, test.started)
 			for n := range 60 {
 				now := testStart.Add(time.Duration(n) * 10 * ms)
-				want, ok := present.ChooseOnline("s", nil, now)
+				want, ok := present.ChooseOnline("s", &Request{}, now)
 				g.Expect(ok).To(BeTrue())
 				got := rights.expectReserving(g, 0, now)
 				g.Expect(got.ID).To(Equal(want.ID))
@@ -107,7 +107,7 @@
 	p.RecordAbort("i-0", testStart)
 	p.SetPeer("peer-0", []Load{{Server: Hash("i-1"), Online: 1}, {Server: Hash("i-2"), Online: 1}}, testStart)
 	p.servers["i-0"].reported = 2 * fleetSlots // The slots of i-0 belong to this entry.
-	once := &Reserving{Request: rights.Request{Target: fleetTarget}, Once: true, ViewAge: testViewAge}
+	once := &Request{Request: rights.Request{Target: fleetTarget}, Once: true, ViewAge: testViewAge}
 	c, _ := p.ChooseReserving("s", once, testStart)
 	g.Expect(c.Right).To(Equal(RightNone))
 	for id := range p.servers {
@@ -322,7 +322,7 @@
 	p.SetPeer("peer-0", nil, testStart)
 	g.Expect(p.FreeSlots("s", 0, testStart)).To(BeZero())
 	g.Expect(p.FreeSlots("s", 0, testStart.Add(rights.ItemDelay-ms))).To(BeZero())
-	_, ok := p.ChooseBatch("s", 0, testStart.Add(rights.ItemDelay-ms))
+	_, ok := p.ChooseBatch("s", BatchRequest{Reserve: 0}, testStart.Add(rights.ItemDelay-ms))
 	g.Expect(ok).To(BeFalse())
 	g.Expect(p.FreeSlots("s", 0, testStart.Add(rights.ItemDelay))).To(Equal(2))
 	// Without online requests there is nobody to leave the slots to.
@@ -343,7 +343,7 @@
 		g.Expect(p.Scarce("s", now)).To(BeTrue())
 		g.Expect(p.FreeSlots("s", 0, now)).To(BeZero())
 		g.Expect(p.FreeSlotsAtRisk("s", 0, now)).To(Equal(2 - n/2%2*2))
-		if c, ok := p.ChooseBatchAtRisk("s", 0, now); ok {
+		if c, ok := p.ChooseBatch("s", BatchRequest{Reserve: 0, AtRisk: true}, now); ok {
 			p.Done(c.ID, true, false, now)
 		}
 	}
@@ -365,7 +365,7 @@
 	for name, waited := range map[string]time.Duration{"arrived": 0, "grown": fleetTarget} {
 		b.Run(name, func(b *testing.B) {
 			p, now := largeScarcePool(), testStart
-			r := &Reserving{Request: rights.Request{Waited: waited, Target: fleetTarget}, ViewAge: testViewAge}
+			r := &Request{Request: rights.Request{Waited: waited, Target: fleetTarget}, ViewAge: testViewAge}
 			b.ReportAllocs()
 			for n := 0; b.Loop(); n++ {
 				if n%10 == 0 {
--- a/pool/runs_test.go
+++ b/pool/runs_test.go
@@ -57,7 +57,7 @@
 			p.report(fmt.Sprint("e", o), testStart.Add(4*time.Second), young...)
 		}
 		now := testStart.Add(5 * time.Second)
-		c, ok := p.ChooseOnline("s", nil, now)
+		c, ok := p.ChooseOnline("s", &Request{}, now)
 		g.Expect(ok).To(BeTrue())
 		g.Expect(c.Full()).To(BeTrue())
 		holder, ok := p.PreemptHolder(c.ID, now)
--- a/pool/scarce.go
+++ b/pool/scarce.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/rights"
 )
 
@@ -40,17 +41,25 @@
 	RightNone Right = "none"
 )
 
-// Reserving describes a request for which a slot is reserved before it is sent.
-type Reserving struct {
+// Request describes an online request for which a backend server is chosen.
+type Request struct {
+	// Request is how long it can wait for a right to a slot, if one is reserved before it is sent.
 	rights.Request
 	// Tried holds the ids of the backend servers to skip.
 	Tried map[string]bool
 	// Once is set if the request may run only once.
 	Once bool
+	// Origin is that of the stream that goes on; unknown for a new one.
+	Origin sardinerock.Origin
 	// ViewAge is how old the known loads of other entries may be.
 	ViewAge time.Duration
 }
 
+// skips reports whether a request may not be sent to a backend server.
+func (r *Request) skips(s *server) bool {
+	return s.Draining || len(r.Tried) > 0 && r.Tried[s.ID] || r.Origin.Known() && r.Origin != s.Origin()
+}
+
 // scarcity is what an entry knows of a service whose slots may be scarce.
 type scarcity struct {
 	checked  time.Time
@@ -70,7 +79,7 @@
 // ChooseReserving is ChooseOnline for a request for which a slot is reserved first. While the slots
 // of its service are scarce, only slots to which this entry has a right are chosen. If there are none,
 // the choice has RightNone, and the request should wait.
-func (p *Pool) ChooseReserving(service string, r *Reserving, now time.Time) (Choice, bool) {
+func (p *Pool) ChooseReserving(service string, r *Request, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.choose(service, r, p.updateScarcity(service, r.ViewAge, now), now)
--- a/pool/scarce_test.go
+++ b/pool/scarce_test.go
@@ -211,7 +211,7 @@
 			return
 		}
 	}
-	c, ok := e.ChooseReserving("s", &Reserving{Request: rights.Request{Waited: waited, Target: fleetTarget}, ViewAge: s.viewAge}, s.now)
+	c, ok := e.ChooseReserving("s", &Request{Request: rights.Request{Waited: waited, Target: fleetTarget}, ViewAge: s.viewAge}, s.now)
 	capacity := e.Capacity("s", s.now)
 	a := admit.Request{
 		Online: c.Online, Slots: c.Slots, Run: capacity.Run, FirstByte: fleetFirst, Waited: waited, Remaining: 5*time.Second - waited,
@@ -334,7 +334,7 @@
 // startItems starts this entry's share of the items that fit, as items.Pacer does.
 func (s *fleetSim) startItems(e *simulatedEntry) {
 	for allowed := float64(e.FreeSlots("s", 0, s.now)) / fleetEntries; s.random.Float64() < allowed; allowed-- {
-		c, ok := e.ChooseBatch("s", 0, s.now)
+		c, ok := e.ChooseBatch("s", BatchRequest{Reserve: 0}, s.now)
 		if !ok {
 			return
 		}
--- a/pool/speed_sim_test.go
+++ b/pool/speed_sim_test.go
@@ -197,7 +197,7 @@
 }
 
 func (s *speedSim) reserve(e *speedEntry, q *speedRequest) bool {
-	c, ok := e.ChooseOnline("s", nil, s.now)
+	c, ok := e.ChooseOnline("s", &Request{}, s.now)
 	if !ok {
 		return false
 	}
@@ -254,7 +254,7 @@
 		if free < 1 && s.random.Float64() > free {
 			return
 		}
-		c, ok := e.ChooseBatch("s", 0, s.now)
+		c, ok := e.ChooseBatch("s", BatchRequest{Reserve: 0}, s.now)
 		if !ok {
 			return
 		}
--- a/pool/speed_test.go
+++ b/pool/speed_test.go
@@ -63,9 +63,9 @@
 				for i, p := range []*Pool{plain, p} {
 					var c Choice
 					if n%3 == 0 {
-						c, _ = p.ChooseBatch("s", 0, now)
+						c, _ = p.ChooseBatch("s", BatchRequest{Reserve: 0}, now)
 					} else {
-						c, _ = p.ChooseOnline("s", nil, now)
+						c, _ = p.ChooseOnline("s", &Request{}, now)
 					}
 					if chosen[i] = c.ID; n >= 100 {
 						p.Done(c.ID, n%3 == 0, n%50 == 0, now)
@@ -140,7 +140,7 @@
 			p.SpeedReports(now)
 			var chosen [4]int
 			for range 9 {
-				c, _ := p.ChooseOnline("s", nil, now)
+				c, _ := p.ChooseOnline("s", &Request{}, now)
 				chosen[slices.IndexFunc(list, func(b sardinerock.BackendServer) bool { return b.ID == c.ID })]++
 			}
 			if test.slow {
@@ -162,7 +162,7 @@
 			p.SpeedReports(now)
 			g.Expect(p.Speed("i-3", now).Factor).To(Equal(1.0), "warm")
 			g.Expect(p.RunOn("i-3", time.Second)).To(Equal(time.Second))
-			c, _ := p.ChooseOnline("s", nil, now)
+			c, _ := p.ChooseOnline("s", &Request{}, now)
 			g.Expect(c.Factor).To(Equal(1.0))
 			_, differing := p.KnownSpeeds()
 			g.Expect(differing).To(BeZero())
--- a/purge/purge_test.go
+++ b/purge/purge_test.go
@@ -62,7 +62,7 @@
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(verdict).To(Equal(ledger.Applied))
-	g.Expect(p.Blobs.WriteProgress(ctx, id, map[int]blobs.Progress{0: {LastEvent: "1", Text: "e1"}}, nil)).To(Succeed())
+	g.Expect(p.Blobs.WriteProgress(ctx, id, map[int]blobs.Progress{0: {Position: sardinerock.Position{LastEvent: "1", Origin: sardinerock.Origin{Service: "s"}}, Text: "e1"}}, nil)).To(Succeed())
 	if !finished {
 		return
 	}
--- a/query/query.go
+++ b/query/query.go
@@ -17,7 +17,8 @@
 	// Sender is the hash of the sender's name, and Start identifies the sender's incarnation.
 	Sender uint32
 	Start  int64
-	// ID identifies a query of the sender; an answer has the ID of its query.
+	// ID identifies a query of the sender; an answer has the ID of its query. It is 0 for a notification, which
+	// gets no answer.
 	ID     uint64
 	Answer bool
 	Body   []byte
@@ -68,6 +69,11 @@
 	}
 }
 
+// Notify sends a message to the peer at an address, which doesn't answer it.
+func (e *Endpoint) Notify(to *net.UDPAddr, body []byte) error {
+	return e.send(to, &message{Body: body})
+}
+
 func (e *Endpoint) register() (uint64, chan []byte) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -134,5 +140,8 @@
 			return err
 		}
 	}
+	if m.ID == 0 {
+		return nil
+	}
 	return e.send(from, &message{ID: m.ID, Answer: true, Body: body})
 }
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/pool"
 	"github.com/sardinerock/sardinerock/relay"
 )
 
@@ -74,7 +75,7 @@
 func TestWaitingRequestIsRejectedOnceItIsKnownToCrash(t *testing.T) {
 	s := newTestbed(t)
 	for range 6 {
-		_, ok := s.pool.ChooseOnline(service, nil, time.Now())
+		_, ok := s.pool.ChooseOnline(service, &pool.Request{}, time.Now())
 		s.g.Expect(ok).To(BeTrue())
 	}
 	status := make(chan int)
--- a/relay/end.go
+++ b/relay/end.go
@@ -53,14 +53,14 @@
 // that has completed it sends no event. It returns the response, or nil if there is none.
 func (p *proxyRequest) askForMore(choice *pool.Choice) (*conns.Response, conns.End) {
 	switch {
-	case p.events == 0 && p.resume == "":
+	case p.events == 0 && p.position.LastEvent == "":
 		p.endError = errNoEvent
 		return nil, conns.EndNoEvent
 	case !p.route.Repeatable() || p.unidentified || p.relay.Crashes.Blocked(p.fingerprint, time.Now()) > 0:
 		return nil, p.checkServer(choice)
 	}
 	resp, err := p.relay.Conns.Send(p.ctx, &choice.BackendServer, p.call, sardinerock.Attempt{
-		Instance: choice.Name, Remaining: time.Until(p.deadline), ResumeAfter: p.resume, HeadTimeout: askTimeout,
+		Instance: choice.Name, Remaining: time.Until(p.deadline), Position: p.position, HeadTimeout: askTimeout,
 	}, nil)
 	switch {
 	case errors.Is(err, conns.ErrBrokenOff):
@@ -112,6 +112,6 @@
 // logUnproven logs the end of a response whose framing doesn't prove that it is complete.
 func (p *proxyRequest) logUnproven(resp *conns.Response, e conns.End) {
 	p.relay.Events.Warn(event.EndUnproven).Str("request", p.call.ID).Str("server", resp.Server()).Str("framing", string(resp.Framing())).
-		Str("end", string(e)).Int("events", p.events).Str("last", p.resume).Dur("took", time.Since(p.timings.sent)).
+		Str("end", string(e)).Int("events", p.events).Str("last", p.position.LastEvent).Dur("took", time.Since(p.timings.sent)).
 		Msg("the end of a response doesn't prove that it is complete")
 }
--- /dev/null
+++ b/relay/origin.go
@@ -0,0 +1,109 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/origin"
+	"github.com/sardinerock/sardinerock/pool"
+)
+
+// The reasons why a stream that its caller resumes is rejected.
+const (
+	reasonUnknownOrigin = "it isn't known which software version began the stream"
+	reasonServiceLeft   = "the service that began the stream no longer serves the route"
+	reasonVersionLeft   = "the software version that began the stream no longer serves"
+)
+
+// roomInterval is the time between two attempts to send a stream that goes on to backend servers that had no room
+// for it. At each of them a slot is freed about as often.
+const roomInterval = 50 * time.Millisecond
+
+// goesOn reports whether the caller has a part of the response, or of a stream that only some of the backend servers
+// can continue. It goes before new requests there, and waits for room as long as its caller does.
+func (p *proxyRequest) goesOn() bool {
+	return p.started || p.position.Origin.Known() && p.relay.Pool.Mixed(p.service)
+}
+
+// locate finds out which software began the stream that the caller resumes.
+func (p *proxyRequest) locate(ctx context.Context) {
+	if p.route.Kind != sardinerock.RouteStream {
+		return
+	}
+	if p.call.ResumeAfter == "" {
+		p.stream = origin.Stream(p.call.Team, p.call.Host, p.call.ID)
+		return
+	}
+	p.stream = origin.Stream(p.call.Team, p.call.Host, p.call.Resumes)
+	began := time.Now()
+	o, source := p.relay.Origins.Locate(ctx, p.stream, p.route)
+	switch {
+	case !o.Known():
+		p.unlocated = reasonUnknownOrigin
+	case !p.route.Serves(o.Service):
+		p.unlocated = reasonServiceLeft
+	case !p.relay.Pool.Serves(o):
+		p.unlocated = reasonVersionLeft
+	}
+	p.position = sardinerock.Position{LastEvent: p.call.ResumeAfter, Origin: o}
+	p.relay.count("relay.origins." + string(source))
+	p.relay.Events.Info(event.OriginFound).Str("request", p.call.ID).Str("resumes", p.call.Resumes).Str("last", p.call.ResumeAfter).
+		Str("source", string(source)).Str("service", o.Service).Str("version", o.Version).Str("rejected", p.unlocated).
+		Dur("took", time.Since(began)).Msg("caller resumes a stream")
+}
+
+// recordOrigin records which backend server sends the first event to the caller.
+func (p *proxyRequest) recordOrigin(choice *pool.Choice) {
+	if p.position.Origin.Known() {
+		return
+	}
+	p.position.Origin = choice.Origin()
+	p.relay.Origins.Began(p.stream, p.position.Origin, p.received.Add(max(p.call.Timeout, p.route.Timeout)))
+}
+
+// giveUpUnsent ends a request for which there is no backend server to send it to. The same version is not promised
+// to serve again, so the caller of a stream that needs it gets no retry delay.
+func (p *proxyRequest) giveUpUnsent() {
+	if o := p.position.Origin; o.Known() && !p.relay.Pool.Serves(o) {
+		p.rejectResumption(reasonVersionLeft)
+		return
+	}
+	p.giveUp("no backend server to send to", unreachableRetryAfter)
+}
+
+// rejectResumption ends a stream that can't go on.
+func (p *proxyRequest) rejectResumption(reason string) {
+	p.relay.count("relay.notResumed")
+	if p.runs == 0 && !p.started {
+		p.reject(http.StatusServiceUnavailable, reason, 0)
+		return
+	}
+	p.giveUp(reason, 0)
+}
+
+// awaitRoom waits before a stream that goes on is sent again to backend servers that had no room for it. It returns
+// false if there are none, or the caller doesn't wait any longer.
+func (p *proxyRequest) awaitRoom() bool {
+	end := p.startDeadline
+	if p.started {
+		end = p.deadline
+	}
+	if len(p.full) == 0 || time.Until(end) < roomInterval+minRemaining {
+		return false
+	}
+	for id := range p.full {
+		delete(p.tried, id)
+	}
+	clear(p.full)
+	t := time.NewTimer(roomInterval)
+	defer t.Stop()
+	select {
+	case <-p.ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/sardinerock/sardinerock/conns"
 	"github.com/sardinerock/sardinerock/crash"
 	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/origin"
 	"github.com/sardinerock/sardinerock/pool"
 )
 
@@ -40,6 +41,8 @@
 	Preempt func(server string)
 	// Crashes counts the failures of backend servers during requests.
 	Crashes *crash.Counter
+	// Origins finds out which software began a stream.
+	Origins *origin.Locator
 	// ViewAge returns how old the known loads of other entries may be.
 	ViewAge func() time.Duration
 	// Entries returns the number of live entries, including this one.
@@ -110,15 +113,18 @@
 		route:        route,
 		call:         q.Call,
 		version:      q.Table.Version,
-		service:      route.Service(rand.Float64()),
 		received:     q.Received,
 		waitedBefore: q.WaitedBefore,
 		keyValid:     q.KeyValid,
 		fingerprint:  fingerprint(q.Call),
 		tried:        map[string]bool{},
-		resume:       q.Call.ResumeAfter,
+		full:         map[string]bool{},
 		deadline:     q.Received.Add(route.Timeout),
 	}
+	p.locate(r.Context())
+	if p.service = p.position.Origin.Service; p.service == "" {
+		p.service = route.Service(rand.Float64())
+	}
 	if q.Call.Timeout > 0 && q.Call.Timeout < route.Timeout {
 		p.deadline = q.Received.Add(q.Call.Timeout)
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -25,6 +25,8 @@
 	"github.com/sardinerock/sardinerock/conns"
 	"github.com/sardinerock/sardinerock/crash"
 	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/memkv"
+	"github.com/sardinerock/sardinerock/origin"
 	"github.com/sardinerock/sardinerock/platform"
 	"github.com/sardinerock/sardinerock/pool"
 	"github.com/sardinerock/sardinerock/quota"
@@ -92,6 +94,9 @@
 		Events: &event.Logger{}, Metrics: metrics.NewRegistry(),
 	}
 	l.Crashes.Prepare()
+	l.Origins = newLocator()
+	l.Origins.SetTable(s.table)
+	l.Origins.SetServers(list)
 	s.relay = l
 	s.access = &access.Access{
 		Dialect: platform.Dialect{}, BatchDialect: platform.Dialect{}, Table: s.current, Online: l, Started: s.started(),
@@ -105,6 +110,14 @@
 	return s
 }
 
+// newLocator returns the locator of an entry without peers.
+func newLocator() *origin.Locator {
+	return &origin.Locator{
+		Peers: func(uint64) []string { return nil }, AwaitPeers: func(context.Context) {}, Current: func() bool { return true },
+		StoreLostByAll: func() bool { return false }, Mixed: &origin.Mixed{Store: &memkv.Store{PageSize: 1}, Topic: "versions"}, Metrics: metrics.NewRegistry(),
+	}
+}
+
 // lease is the age up to which a configuration admits callers with keys.
 const lease = 4500 * time.Millisecond
 
@@ -496,7 +509,7 @@
 func TestFullIsRejectedAtOnce(t *testing.T) {
 	s := newTestbed(t)
 	for range 12 {
-		_, ok := s.pool.ChooseOnline(service, nil, time.Now())
+		_, ok := s.pool.ChooseOnline(service, &pool.Request{}, time.Now())
 		s.g.Expect(ok).To(BeTrue())
 	}
 	start := time.Now()
--- a/relay/request.go
+++ b/relay/request.go
@@ -77,10 +77,19 @@
 	tried map[string]bool
 	// runs counts the attempts that may have run, rejections those that did not.
 	runs, rejections int
-	// resume is the id of the last event that was sent to the caller, or the one after which it asked to
+	// position is after the last event that was sent to the caller, or the one after which it asked to
 	// resume. unidentified is set if an event without an id was sent after that one.
-	resume       string
+	position     sardinerock.Position
 	unidentified bool
+	// stream identifies the stream when its caller resumes it at any entry; 0 if the caller doesn't name the
+	// request that began it.
+	stream uint64
+	// unlocated is why a stream can't go on anywhere, or empty.
+	unlocated string
+	// turnedAway is set if the backend server had no room for the present attempt, full holds the backend servers
+	// that had none for a stream that goes on.
+	turnedAway bool
+	full       map[string]bool
 	// started is set once the head of the response was sent to the caller.
 	started   bool
 	events    int
@@ -107,6 +116,10 @@
 
 func (p *proxyRequest) run() {
 	defer p.cancel()
+	if p.unlocated != "" {
+		p.rejectResumption(p.unlocated)
+		return
+	}
 	for {
 		if blocked := p.relay.Crashes.Blocked(p.fingerprint, time.Now()); blocked > 0 {
 			p.rejectCrashing(blocked)
@@ -181,7 +194,7 @@
 	}
 	p.relay.Events.Info(event.RouteChosen).Str("request", p.call.ID).Str("route", p.route.Name).Str("team", p.call.Team).Int64("config", p.version).
 		Str("server", choice.ID).Str("version", choice.Version).Int("online", choice.Online).Int("batch", choice.Batch).Int("slots", choice.Slots).Float64("factor", choice.Factor).
-		Bool("doubted", choice.Ejected).Bool("reserved", p.reservation != nil).Str("resume", p.resume).Str("resumes", p.call.Resumes).Int("runs", p.runs).Msg("sent")
+		Bool("doubted", choice.Ejected).Bool("reserved", p.reservation != nil).Str("resume", p.position.LastEvent).Str("resumes", p.call.Resumes).Int("runs", p.runs).Msg("sent")
 	return choice, true
 }
 
@@ -209,7 +222,7 @@
 		Target:       p.route.LatencyTarget,
 		Stream:       p.route.Kind == sardinerock.RouteStream,
 		Reserves:     p.canReserve(),
-		Started:      p.started,
+		Started:      p.goesOn(),
 		MustYield:    !choice.Full() && p.relay.queue.MustYield(p.service, p.waiter, now),
 		AboveShare:   aboveShare,
 		Headroom:     headroom,
@@ -223,10 +236,10 @@
 	sent := time.Now()
 	remaining := p.deadline.Sub(sent)
 	p.timings.attemptSent(sent)
-	p.meter, p.end, p.endError = speed.Meter{}, "", nil
+	p.meter, p.end, p.endError, p.turnedAway = speed.Meter{}, "", nil, false
 	p.startRun(sent)
 	resp, err := p.relay.Conns.Send(p.ctx, &choice.BackendServer, p.call, sardinerock.Attempt{
-		Instance: choice.Name, Remaining: remaining, ResumeAfter: p.resume, HeadTimeout: p.headTimeoutFor(choice),
+		Instance: choice.Name, Remaining: remaining, Position: p.position, HeadTimeout: p.headTimeoutFor(choice),
 	}, p.reservation)
 	if err != nil {
 		p.endRun(choice, sent, p.ctx.Err() == nil)
@@ -318,13 +331,16 @@
 // shouldRetry decides whether to retry after an attempt without a final response.
 func (p *proxyRequest) shouldRetry(result attemptResult, choice *pool.Choice) bool {
 	p.tried[choice.ID] = true
+	if p.turnedAway && p.goesOn() {
+		p.full[choice.ID] = true
+	}
 	switch {
 	case p.ctx.Err() != nil || time.Until(p.deadline) < minRemaining:
 		p.timedOut()
 		return false
 	case result == notRun:
 		p.rejections++
-		if p.rejections < maxRejections {
+		if p.rejections < maxRejections || p.turnedAway && p.goesOn() {
 			return true
 		}
 		p.giveUp("backend servers turned it away", busyRetryAfter)
@@ -332,7 +348,7 @@
 	case p.mayResume():
 		p.relay.count("relay.retried")
 		p.relay.Events.Info(event.Retried).Str("request", p.call.ID).Str("server", choice.ID).Int("runs", p.runs).
-			Str("resume", p.resume).Int("events", p.events).Msg("no complete response; retrying on another backend server")
+			Str("resume", p.position.LastEvent).Int("events", p.events).Msg("no complete response; retrying on another backend server")
 		return true
 	}
 	p.giveUp("the backend server broke off", 0)
--- a/relay/response.go
+++ b/relay/response.go
@@ -21,6 +21,7 @@
 	switch {
 	case resp.NotRun:
 		// Status 421 means that another instance has the address; the intended one no longer exists.
+		p.turnedAway = resp.StatusCode != http.StatusMisdirectedRequest
 		return notRun, resp.StatusCode == http.StatusMisdirectedRequest
 	case resp.StatusCode < 300 && !resp.Signed:
 		p.runs++
@@ -112,7 +113,7 @@
 	asked := false
 	for {
 		before := p.events
-		err := p.forwardEvents(resp)
+		err := p.forwardEvents(resp, choice)
 		end := conns.EndProven
 		switch {
 		case errors.Is(err, io.EOF):
@@ -141,17 +142,18 @@
 }
 
 // forwardEvents forwards the events of one response and returns the error that ended it.
-func (p *proxyRequest) forwardEvents(resp *conns.Response) error {
+func (p *proxyRequest) forwardEvents(resp *conns.Response, choice *pool.Choice) error {
 	flush := http.NewResponseController(p.writer)
 	reader := &conns.EventReader{Response: resp, ReadDeadline: p.eventDeadline}
 	for {
 		since := time.Now()
 		e, err := reader.Next()
-		if err == nil && !conns.IsNextEvent(p.resume, e.ID) {
+		if err == nil && !conns.IsNextEvent(p.position.LastEvent, e.ID) {
 			return errUnexpectedEvent
 		}
 		now := time.Now()
 		if len(e.Raw) > 0 {
+			p.recordOrigin(choice)
 			p.writeHead(resp, -1)
 			p.write(e.Raw)
 		}
@@ -164,7 +166,7 @@
 			p.unidentified = e.ID == ""
 		}
 		if e.ID != "" {
-			p.resume = e.ID
+			p.position.LastEvent = e.ID
 		}
 		p.events++
 		// An error means that the caller has disconnected, which cancels the request's context.
--- a/relay/version_test.go
+++ b/relay/version_test.go
@@ -35,7 +35,10 @@
 }
 
 // setServers makes a list of backend servers known.
-func (s *testbed) setServers(list []sardinerock.BackendServer) { s.pool.SetServers(list) }
+func (s *testbed) setServers(list []sardinerock.BackendServer) {
+	s.pool.SetServers(list)
+	s.relay.Origins.SetServers(list)
+}
 
 // writeStream streams events that name a version, and ends the response only if the fifth is sent.
 func writeStream(c net.Conn, r *http.Request, first, last int, version string) {
--- a/relay/wait.go
+++ b/relay/wait.go
@@ -26,12 +26,15 @@
 		}
 		choice, ok := p.candidate()
 		if !ok {
-			p.giveUp("no backend server to send to", unreachableRetryAfter)
+			if p.awaitRoom() {
+				continue
+			}
+			p.giveUpUnsent()
 			return choice, false
 		}
 		a := p.admissionRequest(&choice)
 		d := a.Decide()
-		if choice.Right == pool.RightNone && d.Action == admit.Send && !p.started {
+		if choice.Right == pool.RightNone && d.Action == admit.Send && !p.goesOn() {
 			d.Action = admit.Wait
 			p.relay.count("relay.withoutRight")
 		}
@@ -60,18 +63,15 @@
 
 // candidate chooses the backend server that the request would be sent to now.
 func (p *proxyRequest) candidate() (pool.Choice, bool) {
-	if p.canReserve() {
-		now := time.Now()
-		choice, ok := p.relay.Pool.ChooseReserving(p.service, &pool.Reserving{
-			Request: p.slotRequest(now), Tried: p.tried, Once: p.atMostOnce(), ViewAge: p.relay.ViewAge(),
-		}, now)
-		p.relay.recordScarcity(p.service, ok && choice.Right != pool.RightUnneeded, now)
-		return choice, ok
+	now := time.Now()
+	r := &pool.Request{Tried: p.tried, Once: p.atMostOnce(), Origin: p.position.Origin}
+	if !p.canReserve() {
+		return p.relay.Pool.ChooseOnline(p.service, r, now)
 	}
-	if p.atMostOnce() {
-		return p.relay.Pool.ChooseOnlineOnce(p.service, p.tried, time.Now())
-	}
-	return p.relay.Pool.ChooseOnline(p.service, p.tried, time.Now())
+	r.Request, r.ViewAge = p.slotRequest(now), p.relay.ViewAge()
+	choice, ok := p.relay.Pool.ChooseReserving(p.service, r, now)
+	p.relay.recordScarcity(p.service, ok && choice.Right != pool.RightUnneeded, now)
+	return choice, ok
 }
 
 // slotRequest describes how long the request can wait for a right to a slot.
@@ -98,7 +98,13 @@
 			p.passOn(server)
 			return pool.Choice{}, false
 		}
-		return p.relay.Pool.ChooseServer(server, time.Now())
+		choice, ok := p.relay.Pool.ChooseServer(server, time.Now())
+		if ok && !p.position.Allows(&choice.BackendServer) {
+			p.relay.Pool.CancelOnline(server)
+			p.passOn(server)
+			return pool.Choice{}, false
+		}
+		return choice, ok
 	default:
 		return pool.Choice{}, false
 	}
--- a/runner/account.go
+++ b/runner/account.go
@@ -25,7 +25,7 @@
 // owner that is lost. Every run that may fail is therefore accounted for before it starts, except
 // the first one of the first owner. A run that ends without a failure leaves its record to the next
 // one. An item with output isn't one that fails at each run.
-func (i *item) needsStart() bool { return !i.accounted && len(i.text) == 0 }
+func (i *item) needsStart() bool { return !i.accounted && !i.hadOutput }
 
 // needsStart does the same for an item that this entry may not have started yet.
 func (r *Runner) needsStart(c *candidate) bool {
--- a/runner/lull_test.go
+++ b/runner/lull_test.go
@@ -52,7 +52,7 @@
 func (r *Runner) addRunning(key uint64, last string, age, left time.Duration) {
 	now := time.Now()
 	r.items[key] = &item{
-		key: key, running: true, server: "i-0", service: "s", lastEvent: last, started: now.Add(-age), due: now.Add(left),
+		key: key, running: true, server: "i-0", service: "s", position: sardinerock.Position{LastEvent: last}, started: now.Add(-age), due: now.Add(left),
 		cancel: func() {}, body: &sardinerock.BatchItem{ID: fmt.Sprint("item", key)},
 	}
 }
--- /dev/null
+++ b/runner/origin.go
@@ -0,0 +1,84 @@
+package runner
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/blobs"
+	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/items"
+)
+
+// maxRoomWait is how long an item with a text waits for a free slot at the version that wrote it, before it starts
+// over. A text takes a few seconds.
+const maxRoomWait = 3 * time.Second
+
+// The values of the field why of event.ItemStartedOver.
+const (
+	originLeft   = "left"
+	originNoRoom = "noRoom"
+)
+
+// chooseService chooses the service of an item's next run. One with a text goes on at its origin, and starts over if
+// that no longer serves, or has no room: nothing of the text has been listed yet.
+func (r *Runner) chooseService(c *candidate, j *loadedJob, now time.Time) {
+	position, noRoomSince := r.positionOf(c)
+	o, why := position.Origin, ""
+	switch {
+	case position == sardinerock.Position{}:
+	case !c.route.Serves(o.Service) || !r.Pool.Serves(o):
+		why = originLeft
+	case !noRoomSince.IsZero() && now.Sub(noRoomSince) >= maxRoomWait:
+		why = originNoRoom
+	default:
+		c.service, c.origin = o.Service, o
+		return
+	}
+	if why != "" {
+		r.startOver(c, j, position, why)
+	}
+	c.service = c.route.Service(r.Pace.Random.Float64())
+}
+
+// positionOf returns where an item goes on, and since when it has found no room there.
+func (r *Runner) positionOf(c *candidate) (position sardinerock.Position, noRoomSince time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := r.items[c.key]
+	if i == nil || len(c.progress.Text) > len(i.text) {
+		position = c.progress.Position
+	} else {
+		position = i.position
+	}
+	if i != nil {
+		noRoomSince = i.noRoomSince
+	}
+	return position, noRoomSince
+}
+
+// recordNoRoom records that no backend server of the version that wrote an item's text has a free slot.
+func (r *Runner) recordNoRoom(c *candidate) {
+	if !c.origin.Known() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if i := r.itemOf(c); i.noRoomSince.IsZero() {
+		i.noRoomSince = time.Now()
+	}
+}
+
+// startOver discards an item's text. Its saved progress is replaced once the new text is saved.
+func (r *Runner) startOver(c *candidate, j *loadedJob, position sardinerock.Position, why string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := r.itemOf(c)
+	metrics.GetOrRegisterCounter("batch.startedOver", r.Metrics).Inc(1)
+	r.Events.Info(event.ItemStartedOver).Str("job", c.Job).Str("item", c.body.ID).Str("service", position.Origin.Service).Str("version", position.Origin.Version).
+		Int("events", items.EventNumber(position.LastEvent)).Str("why", why).Msg("item starts over; the version that wrote its text has left, or has no room")
+	i.position, i.text, i.savedBytes, i.unprovenAfter, i.noRoomSince = sardinerock.Position{}, nil, 0, "", time.Time{}
+	delete(j.progress, c.Index)
+	c.progress = blobs.Progress{}
+}
--- a/runner/preempt.go
+++ b/runner/preempt.go
@@ -46,7 +46,7 @@
 	i.cancel()
 	held := now.Sub(i.started)
 	r.Events.Info(event.ItemGaveWay).Str("job", i.open.Job).Str("item", i.body.ID).Str("server", server).
-		Int("events", i.events).Dur("held", held).Int("remaining", r.estimator.RemainingEvents(i.lastEvent)).Msg("item preempted; it resumes later")
+		Int("events", i.events).Dur("held", held).Int("remaining", r.estimator.RemainingEvents(i.position.LastEvent)).Msg("item preempted; it resumes later")
 	metrics.GetOrRegisterCounter("batch.gaveWay", r.Metrics).Inc(1)
 	metrics.GetOrRegisterCounter("batch.gaveWayMillis", r.Metrics).Inc(held.Milliseconds())
 	return true
@@ -80,7 +80,7 @@
 	factor := r.Pool.Speed(server, now).Factor
 	runs := make([]items.Run, len(running))
 	for n, i := range running {
-		runs[n] = items.Run{LastEvent: i.lastEvent, Due: i.due, Started: i.started, Factor: factor}
+		runs[n] = items.Run{LastEvent: i.position.LastEvent, Due: i.due, Started: i.started, Factor: factor}
 	}
 	return running[r.estimator.Preempted(runs, now)]
 }
@@ -91,7 +91,7 @@
 	var best *item
 	bestLate := false
 	for _, i := range running {
-		late := !r.estimator.MeetsDeadline(i.lastEvent, i.due, now)
+		late := !r.estimator.MeetsDeadline(i.position.LastEvent, i.due, now)
 		if best == nil || late && !bestLate || late == bestLate && i.due.After(best.due) {
 			best, bestLate = i, late
 		}
--- a/runner/progress.go
+++ b/runner/progress.go
@@ -71,7 +71,7 @@
 		if progress[i.open.Job] == nil {
 			progress[i.open.Job] = map[int]blobs.Progress{}
 		}
-		progress[i.open.Job][i.open.Index] = blobs.Progress{LastEvent: i.lastEvent, Text: string(i.text)}
+		progress[i.open.Job][i.open.Index] = blobs.Progress{Position: i.position, Text: string(i.text)}
 		i.savedBytes = len(i.text)
 		j.hasProgress[i.open.Index] = true
 	}
--- a/runner/run.go
+++ b/runner/run.go
@@ -20,9 +20,9 @@
 func (r *Runner) run(processCtx, runCtx context.Context, i *item, choice *pool.Choice, route *sardinerock.Route) {
 	eventsBefore := i.events
 	var meter speed.Meter
-	attempt := &invoke.Item{Host: i.open.Host, Team: i.open.Team, Body: i.body, LastEvent: i.lastEvent, UnprovenAfter: i.unprovenAfter, OnEvent: func(id, data string) {
+	attempt := &invoke.Item{Host: i.open.Host, Team: i.open.Team, Body: i.body, Position: i.position, UnprovenAfter: i.unprovenAfter, OnEvent: func(after sardinerock.Position, data string) {
 		meter.EventNow(time.Now())
-		r.appendEvent(i, id, data)
+		r.appendEvent(i, after, data)
 	}}
 	attempt.BeforeSend = func(ctx context.Context) error { return r.ensureStartRecorded(ctx, i, route.MaxAttempts) }
 	outcome, err := r.invoker.Run(runCtx, attempt, choice)
@@ -58,7 +58,7 @@
 	preempted := i.preempted
 	r.estimator.RecordRun(i.events-eventsBefore, took)
 	if outcome == invoke.Succeeded {
-		r.estimator.RecordItem(items.EventNumber(i.lastEvent), i.timing.Stalled)
+		r.estimator.RecordItem(items.EventNumber(i.position.LastEvent), i.timing.Stalled)
 	}
 	i.running = false
 	if outcome != invoke.Rejected && outcome != invoke.Unreserved {
@@ -86,16 +86,16 @@
 }
 
 // appendEvent adds the data of a received event to an item's text.
-func (r *Runner) appendEvent(i *item, id, data string) {
+func (r *Runner) appendEvent(i *item, after sardinerock.Position, data string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if i.lastEvent != "" {
+	if i.position.LastEvent != "" {
 		i.text = append(i.text, '\n')
 	} else if i.saveFirstOutput {
 		i.saveNow, r.firstOutput = true, true
 		r.Wake()
 	}
-	i.lastEvent, i.text = id, append(i.text, data...)
+	i.position, i.text, i.hadOutput = after, append(i.text, data...), true
 	i.events++
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -124,8 +124,8 @@
 	// entry has taken over the job.
 	preempted bool
 	timing    invoke.Timing
-	// lastEvent is the id of the last event whose data is in text.
-	lastEvent string
+	// position is after the last event whose data is in text.
+	position sardinerock.Position
 	// unprovenAfter is invoke.Item.UnprovenAfter of the last run.
 	unprovenAfter string
 	text          []byte
@@ -138,6 +138,10 @@
 	failures int
 	// breaks counts the runs during which the backend server ended.
 	breaks items.Breaks
+	// hadOutput is set if the item has had a text, also if it has started over since.
+	hadOutput bool
+	// noRoomSince is since when no backend server of the text's version has had a free slot; zero if one had.
+	noRoomSince time.Time
 	// accounted is set if the next failed run of the item is accounted for: see needsStart.
 	accounted bool
 	// saveFirstOutput is set if the first output has to be saved at once. It shows the next owner
--- a/runner/start.go
+++ b/runner/start.go
@@ -47,7 +47,12 @@
 		if r.Pace.Allow(free.slots-keepFree-waiting[n].headroom, own, elsewhere, waiting[n].reserved, now) <= 0 {
 			return n
 		}
-		if !r.start(ctx, &waiting[n], reserve) {
+		switch {
+		case r.start(ctx, &waiting[n], reserve):
+		case waiting[n].origin.Known():
+			// The others may find a slot at a backend server of another version.
+			continue
+		default:
 			return n
 		}
 		r.Pace.RecordStart()
@@ -93,9 +98,9 @@
 
 // lastEvent returns the id of the last event known of an item.
 func (r *Runner) lastEvent(c *candidate) string {
-	lastEvent := c.progress.LastEvent
-	if i := r.items[c.key]; i != nil && items.EventNumber(i.lastEvent) > items.EventNumber(lastEvent) {
-		lastEvent = i.lastEvent
+	lastEvent := c.progress.Position.LastEvent
+	if i := r.items[c.key]; i != nil && items.EventNumber(i.position.LastEvent) > items.EventNumber(lastEvent) {
+		lastEvent = i.position.LastEvent
 	}
 	return lastEvent
 }
@@ -109,6 +114,8 @@
 	key      uint64
 	route    *sardinerock.Route
 	service  string
+	// origin is that of the item's text so far; unknown if it has none.
+	origin sardinerock.Origin
 	// reserved is set if a slot of the service is reserved before a request is sent.
 	reserved bool
 	// headroom is how many slots it leaves free for online requests.
@@ -156,7 +163,7 @@
 		if !r.mayRun(&c) {
 			continue
 		}
-		c.service = c.route.Service(r.Pace.Random.Float64())
+		r.chooseService(&c, job, now)
 		c.reserved = table.Services[c.service].ReservationTTL > 0
 		waiting = append(waiting, c)
 	}
@@ -180,24 +187,22 @@
 
 // start runs an item in a free slot; it returns false if there is none.
 func (r *Runner) start(ctx context.Context, c *candidate, reserve int) bool {
-	choose := r.Pool.ChooseBatch
-	if c.atRisk {
-		choose = r.Pool.ChooseBatchAtRisk
-	}
-	choice, ok := choose(c.service, reserve, time.Now())
+	choice, ok := r.Pool.ChooseBatch(c.service, pool.BatchRequest{Reserve: reserve, AtRisk: c.atRisk, Origin: c.origin}, time.Now())
 	if !ok {
+		r.recordNoRoom(c)
 		return false
 	}
 	runCtx, cancel := context.WithCancel(ctx)
 	r.mu.Lock()
 	i := r.itemOf(c)
 	i.running, i.server, i.service, i.started, i.cancel, i.preempted = true, choice.ID, c.service, time.Now(), cancel, false
+	i.noRoomSince = time.Time{}
 	i.due = c.CreatedAt.Add(c.route.CompletionTarget)
 	i.timing.RunStarted(i.started)
-	i.timing.Resumed = i.timing.Resumed || i.timing.Runs == 0 && i.lastEvent != ""
+	i.timing.Resumed = i.timing.Resumed || i.timing.Runs == 0 && i.position.LastEvent != ""
 	r.mu.Unlock()
 	r.Events.Info(event.ItemStarted).Str("job", c.Job).Str("item", c.body.ID).Str("server", choice.ID).Str("version", choice.Version).
-		Int("online", choice.Online).Int("batch", choice.Batch).Str("resume", i.lastEvent).Msg("item started")
+		Int("online", choice.Online).Int("batch", choice.Batch).Str("resume", i.position.LastEvent).Msg("item started")
 	r.group.Add(1)
 	go func() {
 		defer r.group.Done()
@@ -216,7 +221,7 @@
 		r.items[c.key] = i
 	}
 	if len(c.progress.Text) > len(i.text) {
-		i.lastEvent, i.text, i.savedBytes = c.progress.LastEvent, []byte(c.progress.Text), len(c.progress.Text)
+		i.position, i.text, i.savedBytes, i.hadOutput = c.progress.Position, []byte(c.progress.Text), len(c.progress.Text), true
 	}
 	i.failures = max(i.failures, c.Failures)
 	i.open, i.body = c.OpenItem, c.body
--- a/serving.go
+++ b/serving.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -68,6 +69,11 @@
 	return r.Kind == RouteIdempotent || r.Kind == RouteStream && r.Resumable
 }
 
+// Serves reports whether a service gets requests of the route.
+func (r *Route) Serves(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s ServiceShare) bool { return s.Service == service })
+}
+
 // Service selects the service for a request by the weights of the shares; draw
 // is a random number in [0, 1).
 func (r *Route) Service(draw float64) string {
@@ -169,6 +175,9 @@
 	Version string
 }
 
+// Origin returns the origin of the streams that the backend server begins.
+func (b *BackendServer) Origin() Origin { return Origin{Service: b.Service, Version: b.Version} }
+
 // Call is one caller's request. Its body is opaque.
 type Call struct {
 	// ID is the caller's ID of this request.
@@ -203,8 +212,8 @@
 	Instance string
 	// Remaining is the time that remains for the answer.
 	Remaining time.Duration
-	// ResumeAfter is the ID of the last event that must not be sent again.
-	ResumeAfter string
+	// Position is where the stream goes on; zero for a new one, and for responses that are no streams.
+	Position Position
 	// HeadTimeout is the timeout of the response headers; 0 sets no separate timeout.
 	HeadTimeout time.Duration
 	// Reservation is the name of the slot reserved for the attempt; empty if there is none.
