--- a/node/origins.go
+++ b/node/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -50,19 +51,16 @@
 }
 
 // originPeers returns the entries that are notified of a stream and queried for it. An entry that has just started
-// hasn't heard of any yet, and queries those on the list of members.
+// hasn't heard of all yet, and adds others from the list of members.
 func (n *Node) originPeers(stream uint64) []string {
-	live := n.gossip.Live(time.Now())
-	if len(live) < 2 {
-		live = n.gossip.Members()
+	key := strconv.FormatUint(stream, 16)
+	isSelf := func(name string) bool { return name == n.Settings.ID }
+	peers := owner.Ranked(key, slices.DeleteFunc(n.gossip.Live(time.Now()), isSelf), originPeers)
+	if len(peers) == originPeers {
+		return peers
 	}
-	others := live[:0]
-	for _, name := range live {
-		if name != n.Settings.ID {
-			others = append(others, name)
-		}
-	}
-	return owner.Ranked(strconv.FormatUint(stream, 16), others, originPeers)
+	others := slices.DeleteFunc(n.gossip.Members(), func(name string) bool { return isSelf(name) || slices.Contains(peers, name) })
+	return append(peers, owner.Ranked(key, others, originPeers-len(peers))...)
 }
 
 // setServers sets the list of backend servers.
--- /dev/null
+++ b/origin/locator_test.go
@@ -0,0 +1,312 @@
+package origin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/memkv"
+)
+
+const testLifetime = 5 * time.Second
+
+// fleet is a few entries whose messages arrive at once.
+type fleet struct {
+	g       *WithT
+	store   *memkv.Store
+	mu      sync.Mutex
+	entries map[string]*entry
+}
+
+type entry struct {
+	*Locator
+	fleet *fleet
+	name  string
+	// cut is set while no message from or to the entry arrives, stale while its list of backend servers is old.
+	cut, stale bool
+}
+
+var route = sardinerock.Route{Host: "h", Prefix: "/x/", Kind: sardinerock.RouteStream, Timeout: testLifetime, Shares: []sardinerock.ServiceShare{{Service: "s", Weight: 1}}}
+
+func newFleet(t *testing.T, names ...string) *fleet {
+	f := &fleet{g: NewWithT(t), store: &memkv.Store{PageSize: 1}, entries: map[string]*entry{}}
+	for _, name := range names {
+		f.start(name)
+	}
+	return f
+}
+
+// start starts an entry, or starts it again.
+func (f *fleet) start(name string) *entry {
+	e := &entry{fleet: f, name: name}
+	e.Locator = &Locator{
+		Peers: e.peers, Notify: e.send, AwaitPeers: func(context.Context) {}, Current: func() bool { return !e.stale }, StoreLostByAll: func() bool { return false },
+		Query: func(_ context.Context, peer string, raw []byte) ([]byte, error) { return e.exchange(peer, raw) },
+		Mixed: &Mixed{Store: f.store, Topic: "versions", Writes: func(string) bool { return true }}, Metrics: metrics.NewRegistry(),
+	}
+	e.SetTable(&sardinerock.RouteTable{Routes: []sardinerock.Route{route}})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries[name] = e
+	return e
+}
+
+func (e *entry) peers(uint64) []string {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	var names []string
+	for name := range e.fleet.entries {
+		if name != e.name {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (e *entry) send(peer string, raw []byte) { _, _ = e.exchange(peer, raw) }
+
+func (e *entry) exchange(peer string, raw []byte) ([]byte, error) {
+	e.fleet.mu.Lock()
+	to := e.fleet.entries[peer]
+	e.fleet.mu.Unlock()
+	if to == nil || to.cut || e.cut {
+		return nil, errors.New("no answer")
+	}
+	return to.Answer(raw)
+}
+
+// list makes a list of backend servers of service s known at some entries, or at all.
+func (f *fleet) list(versions string, names ...string) {
+	var list []sardinerock.BackendServer
+	for i, version := range strings.Fields(versions) {
+		list = append(list, sardinerock.BackendServer{ID: fmt.Sprint(i), Service: "s", Version: version})
+	}
+	for name, e := range f.entries {
+		if len(names) == 0 || strings.Contains(strings.Join(names, " "), name) {
+			e.SetServers(list)
+		}
+	}
+}
+
+func (e *entry) begin(request, version string) {
+	e.Began(Stream("", "h", request), sardinerock.Origin{Service: "s", Version: version}, time.Now().Add(testLifetime))
+}
+
+func (e *entry) locate(request string) string {
+	o, source := e.Locate(context.Background(), Stream("", "h", request), &route)
+	return strings.TrimSpace(fmt.Sprint(source, " ", o.Version))
+}
+
+// TestOriginIsFoundOrUnknown guards against a stream being continued at a guessed version, and against one that can
+// go on being rejected, over changes of versions and losses of entries.
+func TestOriginIsFoundOrUnknown(t *testing.T) {
+	settled := testLifetime + lastTime
+	for name, tt := range map[string]struct {
+		play func(f *fleet) string
+		want string
+	}{
+		"at the entry that began it": {func(f *fleet) string {
+			f.list("v1 v2")
+			f.entries["a"].begin("r", "v2")
+			return f.entries["a"].locate("r")
+		}, "own v2"},
+		"at an entry that was notified": {func(f *fleet) string {
+			f.list("v1 v2")
+			f.entries["a"].begin("r", "v2")
+			delete(f.entries, "a")
+			return f.entries["b"].locate("r")
+		}, "own v2"},
+		"at an entry that starts later": {func(f *fleet) string {
+			f.list("v1 v2")
+			f.entries["a"].begin("r", "v2")
+			delete(f.entries, "a")
+			e := f.start("d")
+			f.list("v1 v2", "d")
+			return e.locate("r")
+		}, "peer v2"},
+		"at an entry that was cut off meanwhile": {func(f *fleet) string {
+			f.list("v1 v2")
+			f.entries["b"].cut = true
+			f.entries["a"].begin("r", "v2")
+			f.entries["b"].cut = false
+			return f.entries["b"].locate("r")
+		}, "peer v2"},
+		"at an entry that is cut off": {func(f *fleet) string {
+			f.list("v1 v2")
+			f.entries["b"].cut = true
+			f.entries["a"].begin("r", "v2")
+			return f.entries["b"].locate("r")
+		}, "none"},
+		"begun before the second version": {func(f *fleet) string {
+			f.list("v1")
+			time.Sleep(settled)
+			f.entries["a"].begin("r", "v1")
+			f.list("v1 v2")
+			delete(f.entries, "a")
+			return f.entries["b"].locate("r")
+		}, "own v1"},
+		"one version, not known": {func(f *fleet) string {
+			f.list("v1")
+			time.Sleep(settled)
+			return f.entries["b"].locate("r")
+		}, "only v1"},
+		"one version, none named": {func(f *fleet) string {
+			f.list("v1")
+			time.Sleep(settled)
+			return f.entries["b"].locate("")
+		}, "only v1"},
+		"two versions, none named": {func(f *fleet) string {
+			f.list("v1 v2")
+			f.entries["b"].begin("r", "v1")
+			return f.entries["b"].locate("")
+		}, "none"},
+		"the other version has just left": {func(f *fleet) string {
+			f.list("v1")
+			time.Sleep(settled)
+			f.list("v1 v2")
+			f.list("v2")
+			time.Sleep(settled - time.Second)
+			return f.entries["b"].locate("r")
+		}, "none"},
+		"the other version has left long ago": {func(f *fleet) string {
+			f.list("v1 v2")
+			f.list("v2")
+			time.Sleep(settled)
+			return f.entries["b"].locate("r")
+		}, "only v2"},
+		"one version, old list, peers see a second": {func(f *fleet) string {
+			f.list("v1")
+			time.Sleep(settled)
+			f.list("v1 v2", "a", "c")
+			f.entries["b"].stale = true
+			return f.entries["b"].locate("r")
+		}, "none"},
+		"one version, old list, peers confirm it": {func(f *fleet) string {
+			f.list("v1")
+			time.Sleep(settled)
+			f.entries["b"].stale = true
+			return f.entries["b"].locate("r")
+		}, "only v1"},
+		"one version, old list, cut off": {func(f *fleet) string {
+			f.list("v1")
+			time.Sleep(settled)
+			f.entries["b"].stale, f.entries["b"].cut = true, true
+			return f.entries["b"].locate("r")
+		}, "none"},
+		"a new fleet of one version": {func(f *fleet) string {
+			f.list("v1")
+			return f.entries["b"].locate("r")
+		}, "only v1"},
+		"all entries start again, the other version has left": {func(f *fleet) string {
+			f.list("v1 v2")
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			f.entries["a"].Mixed.Run(ctx, f.entries["a"].Locator)
+			for _, name := range []string{"a", "b", "c"} {
+				f.start(name)
+			}
+			f.list("v2")
+			return f.entries["b"].locate("r")
+		}, "none"},
+		"all entries start again long after": {func(f *fleet) string {
+			f.list("v1 v2")
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			f.entries["a"].Mixed.Run(ctx, f.entries["a"].Locator)
+			time.Sleep(settled + mixedInterval + clockSkew)
+			for _, name := range []string{"a", "b", "c"} {
+				f.start(name)
+			}
+			f.list("v2")
+			return f.entries["b"].locate("r")
+		}, "only v2"},
+		"a new entry, the store fails": {func(f *fleet) string {
+			f.list("v1")
+			f.store.SetFault(func(string, string) memkv.Fault { return memkv.Reject })
+			return f.entries["b"].locate("r")
+		}, "none"},
+		"the route has moved to the service": {func(f *fleet) string {
+			f.list("v1")
+			time.Sleep(settled)
+			moved := route
+			moved.Shares = []sardinerock.ServiceShare{{Service: "before", Weight: 1}}
+			f.entries["b"].SetTable(&sardinerock.RouteTable{Routes: []sardinerock.Route{moved}})
+			f.entries["b"].SetTable(&sardinerock.RouteTable{Routes: []sardinerock.Route{route}})
+			return f.entries["b"].locate("r")
+		}, "none"},
+		"expired": {func(f *fleet) string {
+			f.list("v1 v2")
+			f.entries["a"].begin("r", "v2")
+			time.Sleep(testLifetime + lateTime)
+			return f.entries["a"].locate("r")
+		}, "none"},
+		"the first origin of a stream stays": {func(f *fleet) string {
+			f.list("v1 v2")
+			f.entries["a"].begin("r", "v2")
+			f.entries["b"].begin("r", "v1")
+			return f.entries["b"].locate("r") + ", " + f.entries["a"].locate("r")
+		}, "own v2, own v2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, "a", "b", "c")
+				f.g.Expect(tt.play(f)).To(Equal(tt.want))
+			})
+		})
+	}
+}
+
+// TestOneVersionCostsNothing guards against messages between entries, or calls to the store, for streams of services
+// with one version.
+func TestOneVersionCostsNothing(t *testing.T) {
+	f := newFleet(t, "a", "b", "c")
+	f.list("v1 v1 v1")
+	for n := range 100 {
+		f.entries["a"].begin(fmt.Sprint(n), "v1")
+	}
+	f.g.Expect(f.entries["a"].Metrics.Get("origins.notified")).To(BeNil())
+	ctx, cancel := context.WithTimeout(context.Background(), 3*checkInterval)
+	defer cancel()
+	f.entries["a"].Mixed.Run(ctx, f.entries["a"].Locator)
+	page, err := f.store.Newest(context.Background(), "versions", "")
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.g.Expect(page.Records).To(BeEmpty())
+}
+
+// TestFullTableKeepsStreams guards against a flood of streams replacing those that others resume, and against a
+// table that grows without bound.
+func TestFullTableKeepsStreams(t *testing.T) {
+	g := NewWithT(t)
+	var s table
+	now := time.Now()
+	for n := range uint64(maxStreams + 100) {
+		g.Expect(s.put(n+1, known{origin: sardinerock.Origin{Service: "s"}, until: now.Add(time.Second)}, now)).To(Equal(n < maxStreams))
+	}
+	_, ok := s.get(1, now)
+	g.Expect(ok).To(BeTrue())
+	later := now.Add(2 * time.Second)
+	g.Expect(s.put(7, known{until: later.Add(time.Second)}, later)).To(BeTrue())
+	g.Expect(s.streams).To(HaveLen(1))
+}
+
+// TestUnknownMessages guards against messages of other builds being taken for notifications or queries.
+func TestUnknownMessages(t *testing.T) {
+	f := newFleet(t, "a")
+	for name, raw := range map[string]string{"array": "\x82\xf6\x60", "empty map": "\xa0", "cut off": "\xa1\x01"} {
+		t.Run(name, func(t *testing.T) {
+			_, err := f.entries["a"].Answer([]byte(raw))
+			NewWithT(t).Expect(err).To(HaveOccurred())
+		})
+	}
+	f.g.Expect(IsMessage([]byte("\x82\xf6\x60"))).To(BeFalse())
+	f.g.Expect(IsMessage(nil)).To(BeFalse())
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -27,12 +27,23 @@
 // Ranked returns the first live entries for a key, at most count, in the order in which Of would return them if those
 // before were not live.
 func Ranked(key string, live []string, count int) []string {
+	type candidate struct {
+		name  string
+		score uint64
+	}
 	id := xxhash.Sum64String(key)
-	ranked := slices.Clone(live)
-	slices.SortFunc(ranked, func(a, b string) int {
-		return cmp.Or(cmp.Compare(mix(id^xxhash.Sum64String(b)), mix(id^xxhash.Sum64String(a))), strings.Compare(a, b))
+	candidates := make([]candidate, len(live))
+	for i, name := range live {
+		candidates[i] = candidate{name, mix(id ^ xxhash.Sum64String(name))}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), strings.Compare(a.name, b.name))
 	})
-	return ranked[:min(count, len(ranked))]
+	ranked := make([]string, min(count, len(candidates)))
+	for i := range ranked {
+		ranked[i] = candidates[i].name
+	}
+	return ranked
 }
 
 // mix is the finalizer of SplitMix64. It spreads the combination of two hashes over all bits.
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -27,3 +27,18 @@
 	}
 	g.Expect(Of("job", nil)).To(BeEmpty())
 }
+
+// TestRankedContinuesOf guards against entries that disagree on the first live one for a key, or on those after it
+// once others are lost.
+func TestRankedContinuesOf(t *testing.T) {
+	g := NewWithT(t)
+	live := []string{"a", "b", "c", "d", "e", "f"}
+	for n := range 100 {
+		key := fmt.Sprint("key", n)
+		ranked := Ranked(key, live, 6)
+		g.Expect(ranked).To(ConsistOf(live))
+		g.Expect(ranked[0]).To(Equal(Of(key, live)))
+		g.Expect(Ranked(key, ranked[1:], 3)).To(Equal(ranked[1:4]))
+	}
+	g.Expect(Ranked("key", nil, 3)).To(BeEmpty())
+}
