soak: engines of several software versions, releases, callers that resume streams at other entries; docs

Each engine names its version in each event; no answer, no stream over its caller's attempts and no text may hold events of two. A third of the faults is followed by a release: two engines of a new version start, a random number of the others drains, four stay ready. Two callers disconnect in the middle of most streams and resume them at other entries.

--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -411,3 +411,29 @@
 		}
 	})
 }
+
+// TestPositionOfAnotherOriginIsNotSent guards against a stream being continued by a backend server of another service
+// or software version, whichever path the attempt comes from.
+func TestPositionOfAnotherOriginIsNotSent(t *testing.T) {
+	b := sardinerock.BackendServer{ID: "i-1", Service: "s", Version: "v1", Address: "127.0.0.1:1"}
+	for name, tt := range map[string]struct {
+		position sardinerock.Position
+		allowed  bool
+	}{
+		"new stream":           {allowed: true},
+		"same origin":          {sardinerock.Position{LastEvent: "3", Origin: b.Origin()}, true},
+		"events without an id": {sardinerock.Position{Origin: b.Origin()}, true},
+		"unknown origin":       {sardinerock.Position{LastEvent: "3"}, false},
+		"other version":        {sardinerock.Position{LastEvent: "3", Origin: sardinerock.Origin{Service: "s", Version: "v2"}}, false},
+		"no version":           {sardinerock.Position{LastEvent: "3", Origin: sardinerock.Origin{Service: "s"}}, false},
+		"other service":        {sardinerock.Position{Origin: sardinerock.Origin{Service: "u", Version: "v1"}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c := &conns.Conns{Dialect: platform.Dialect{}}
+			_, err := c.Send(t.Context(), &b, &sardinerock.Call{ID: "r", Method: http.MethodPost, Target: "/"}, sardinerock.Attempt{Position: tt.position}, nil)
+			g.Expect(err).To(MatchError(conns.ErrNotSent))
+			g.Expect(errors.Is(err, conns.ErrOtherOrigin)).To(Equal(!tt.allowed))
+		})
+	}
+}
--- a/node/version_test.go
+++ b/node/version_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,9 @@
 	"github.com/sardinerock/sardinerock"
 )
 
+// serverSlots is the number of requests that a backend server runs at once.
+const serverSlots = 4
+
 // versions is a fleet whose backend servers name their service and their software version in each event.
 type versions struct {
 	*fleet
@@ -43,9 +47,25 @@
 	return f
 }
 
+// startVersion registers a backend server that runs as many requests as it has slots, queues half as many, and
+// rejects all others.
 func (f *versions) startVersion(id, service, version string) {
+	slots := make(chan struct{}, serverSlots)
+	var accepted atomic.Int32
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		request := r.Header.Get("Request-Id")
+		defer accepted.Add(-1)
+		if accepted.Add(1) > serverSlots*3/2 {
+			w.Header().Set("Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		select {
+		case slots <- struct{}{}:
+			defer func() { <-slots }()
+		case <-r.Context().Done():
+			return
+		}
 		f.mu.Lock()
 		f.started[request]++
 		cut := f.started[request] == 1 && f.cutAfter > 0
@@ -68,7 +88,7 @@
 		}
 	}))
 	f.t.Cleanup(s.Close)
-	f.put(serversTopic, id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":%q,"slots":4,"state":"ready","sequence":1}`, service, s.Listener.Addr(), version))
+	f.put(serversTopic, id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":%q,"slots":%d,"state":"ready","sequence":1}`, service, s.Listener.Addr(), version, serverSlots))
 }
 
 // deregister removes a backend server from the list and waits until all entries send it nothing.
@@ -210,6 +230,46 @@
 	f.g.Expect(whole).To(BeNumerically(">=", streams/2), "streams that went on")
 }
 
+// TestResumedStreamsFindRoomUnderLoad guards against streams that only two of ten backend servers can continue
+// losing against new ones, which any may begin, while there are more requests than slots.
+func TestResumedStreamsFindRoomUnderLoad(t *testing.T) {
+	t.Parallel()
+	f := newVersions(t, 2, "v1", "v2", "v2", "v2", "v2", "v1", "v2", "v2", "v2", "v2")
+	f.interval = 50 * time.Millisecond
+	var sent, begun, resumed, wentOn, mixed atomic.Int32
+	stop := time.Now().Add(6 * time.Second)
+	var callers sync.WaitGroup
+	for n := range 60 {
+		callers.Go(func() {
+			for i := 0; time.Now().Before(stop); i++ {
+				id := fmt.Sprintf("load-%d-%d", n, i)
+				p := f.read(f.entries[n%2], id, "", 0, 1+n%f.events)
+				sent.Add(1)
+				if len(p.events) == 0 {
+					continue
+				}
+				begun.Add(1)
+				if !p.writers["s-v1"] || len(p.events) == f.events {
+					continue
+				}
+				rest := f.read(f.entries[(n+1)%2], id+"-2", id, len(p.events), f.events)
+				resumed.Add(1)
+				if len(rest.events) > 0 {
+					wentOn.Add(1)
+				}
+				if len(rest.writers) > 0 && !rest.writers["s-v1"] {
+					mixed.Add(1)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	t.Logf("%d of %d streams began, %d of %d resumed ones went on", begun.Load(), sent.Load(), wentOn.Load(), resumed.Load())
+	f.g.Expect(mixed.Load()).To(BeZero())
+	f.g.Expect(resumed.Load()).To(BeNumerically(">=", 12))
+	f.g.Expect(2 * wentOn.Load() * sent.Load()).To(BeNumerically(">=", begun.Load()*resumed.Load()))
+}
+
 // TestResumptionThatCannotGoOnIsRejected guards against a stream being continued although it isn't known which
 // software version began it, or none of that version serves, and against its caller waiting for that.
 func TestResumptionThatCannotGoOnIsRejected(t *testing.T) {
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -35,7 +36,7 @@
 	id := r.Header.Get("Request-Id")
 	if events >= 0 && r.URL.Query().Has("unframed") {
 		after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-		streamUnframed(w, r, closedInsideEvent, after+1, events)
+		e.streamUnframed(w, r, closedInsideEvent, after+1, events)
 		time.Sleep(eventPause)
 		e.proxy.reset()
 		panic(http.ErrAbortHandler)
@@ -47,7 +48,7 @@
 		w.WriteHeader(http.StatusOK)
 		after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 		for i := after + 1; i <= after+events; i++ {
-			fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i, id, i)
+			_, _ = io.WriteString(w, e.eventText(id, i))
 		}
 		_ = http.NewResponseController(w).Flush()
 		time.Sleep(eventPause)
--- a/soak/framing_test.go
+++ b/soak/framing_test.go
@@ -52,14 +52,19 @@
 	return framed, events
 }
 
-// eventText returns an event of a request.
+// eventText returns an event of a request as the engine writes it.
+func (e *engineServer) eventText(id string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d %s\n\n", number, id, number, e.version)
+}
+
+// eventText returns an event of a request without its writer.
 func eventText(id string, number int) string {
 	return fmt.Sprintf("id: %d\ndata: %s %d\n\n", number, id, number)
 }
 
 // streamUnframed sends the events from first on over a connection of its own, without framing, until the stream ends
 // or the caller disconnects.
-func streamUnframed(w http.ResponseWriter, r *http.Request, f framing, first, count int) {
+func (e *engineServer) streamUnframed(w http.ResponseWriter, r *http.Request, f framing, first, count int) {
 	id := r.Header.Get("Request-Id")
 	_, _ = io.Copy(io.Discard, r.Body)
 	c, _, err := http.NewResponseController(w).Hijack()
@@ -73,13 +78,13 @@
 	}
 	fmt.Fprintf(c, "HTTP/1.%d 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: sig\r\nContent-Type: text/event-stream\r\n\r\n", version, id)
 	for i := first; i < first+count; i++ {
-		if _, err := io.WriteString(c, eventText(id, i)); err != nil {
+		if _, err := io.WriteString(c, e.eventText(id, i)); err != nil {
 			return
 		}
 		time.Sleep(eventPause)
 	}
 	if f.insideEvent() {
-		_, _ = io.WriteString(c, partOfEvent(id, first+count))
+		_, _ = io.WriteString(c, e.partOfEvent(id, first+count))
 	}
 	if f == resetBetweenEvents || f == resetInsideEvent {
 		time.Sleep(eventPause)
@@ -88,8 +93,8 @@
 }
 
 // partOfEvent returns an event without its end, cut at a place that the number decides.
-func partOfEvent(id string, number int) string {
-	text := eventText(id, number)
+func (e *engineServer) partOfEvent(id string, number int) string {
+	text := e.eventText(id, number)
 	return text[:1+number%(len(text)-1)]
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,7 +34,7 @@
 	// drainTimeout is the time within which entries must stop sending requests to an ended engine.
 	drainTimeout = 3 * time.Second
 	// observeTime is how long callers go on after that.
-	observeTime = time.Second
+	observeTime = 2 * time.Second
 )
 
 var program string
@@ -70,11 +70,14 @@
 	restarts     int
 	version      int
 	engineCount  int
-	dir          string
-	stop         chan struct{}
-	callers      sync.WaitGroup
-	faults       []string
-	jobs         []string
+	// engineVersion is the latest version of the engines' software.
+	engineVersion int
+	resumptions   resumptions
+	dir           string
+	stop          chan struct{}
+	callers       sync.WaitGroup
+	faults        []string
+	jobs          []string
 	// sent, served and rejected count the streams that were sent, served, and rejected as ending engines.
 	sent, served, rejected int
 	// unframed counts the answers without framing by route, and doubtful those of them that engines ended like a
@@ -210,6 +213,7 @@
 func (s *soak) newEngine(id string) *engineServer {
 	e, err := newEngineServer(id, s.runs)
 	s.must(err)
+	e.version = fmt.Sprint("v", s.engineVersion)
 	if s.statesStarts {
 		e.born = time.Now().UnixMilli()
 	}
@@ -223,6 +227,7 @@
 	s.restarts++
 	old := s.engines[i]
 	e := s.newEngine(old.id)
+	e.version = old.version
 	old.ended.Store(true)
 	if sameAddress {
 		e.proxy = old.proxy
@@ -328,6 +333,7 @@
 		s.store.proxy.reset()
 		s.store.CompactAll()
 	case 10:
+		e.draining = true
 		e.register(s.store, "draining", int64(s.random.IntN(1000)+2))
 		s.addEngine()
 	case 11:
@@ -403,6 +409,9 @@
 		header, sent := s.header(), time.Now()
 		status, body, unframed := sendStream(client, http.MethodPost, s.entry(n+i).frontAddress, "/"+route+"/x", id, "body", header)
 		s.expectAllowed(id, header["X-Api-Key"], sent, status)
+		if status == http.StatusOK {
+			body = s.plainText(id, body)
+		}
 		doubtful := unframed && status == http.StatusOK && body != expectedStream(id) && s.runs.wasCut(id) && isCutBetweenEvents(id, body)
 		switch {
 		case doubtful:
@@ -516,6 +525,7 @@
 func (s *soak) expectResults(job string, first listing) {
 	seen := map[string]bool{}
 	for _, r := range first.Results {
+		r.Text = s.plainText(r.ID, r.Text)
 		state, text := "succeeded", expectedText(r.ID)
 		if fails(r.ID) {
 			state, text = "dead_letter", ""
@@ -550,6 +560,8 @@
 //     number, in which engines state their start time);
 //   - a request that ends each engine reaches few, and others with the same content as those that were
 //     in progress there are served;
+//   - no answer, no stream over its caller's attempts and no text holds events of two software versions of the engines,
+//     and streams that can go on do, at least half as often as new ones begin;
 //   - each accepted job ends with one complete result for each item, or with the item given
 //     up if it always fails, and every entry lists the same results.
 func TestSoak(t *testing.T) {
@@ -578,6 +590,11 @@
 		go s.requestStreams(n, "once")
 		go s.submitJobs(n)
 	}
+	for n := range 2 {
+		s.callers.Add(1)
+		go s.resumeStreams(n, seed)
+	}
+	versions := rand.New(rand.NewPCG(seed, 10))
 	s.callers.Add(2)
 	events := crashMoments[seed%uint64(len(crashMoments))]
 	query := ""
@@ -589,6 +606,9 @@
 	for end := time.Now().Add(*faultTime); time.Now().Before(end); {
 		time.Sleep(time.Duration(200+s.random.IntN(700)) * time.Millisecond)
 		s.injectFault()
+		if *releases && versions.IntN(3) == 0 {
+			s.release(versions)
+		}
 	}
 	time.Sleep(longestFault)
 	for _, p := range s.entries {
@@ -597,20 +617,22 @@
 	}
 	time.Sleep(drainTimeout)
 	settled := time.Now()
+	s.resumptions.startCounting(s.servedTwice())
 	time.Sleep(observeTime)
 	close(s.stop)
 	s.callers.Wait()
 	s.expectJobs()
 	s.expectRestarts(settled)
 	s.expectFewCrashes()
+	s.expectResumptions()
 	if over := s.runs.overAttempts(); len(over) > 0 {
 		s.fail("more runs than allowed: %s", strings.Join(over, "; "))
 	}
 	if leaked := s.runs.leaked(); len(leaked) > 0 {
 		s.fail("backend servers received another team or a key: %s", strings.Join(leaked, "; "))
 	}
-	t.Logf("%d faults, %d restarts of engines, %d of them at another address, %d of %d streams served, without framing %v, of which cut by engines that closed %v, %d rejected, %d and %d runs of requests that end engines, %d jobs", len(s.faults),
-		s.restarts, len(s.ended), s.served, s.sent, s.unframed, s.doubtful, s.rejected, s.runs.countPrefix("crash-resumable"), s.runs.countPrefix("crash-once"), len(s.jobs))
+	t.Logf("%d faults, %d restarts of engines, %d of them at another address, %d of %d streams served, without framing %v, of which cut by engines that closed %v, %d rejected, %d and %d runs of requests that end engines, %d versions, %d streams resumed, %d not continued, calm %d of %d, new ones %d of %d, %d jobs", len(s.faults),
+		s.restarts, len(s.ended), s.served, s.sent, s.unframed, s.doubtful, s.rejected, s.runs.countPrefix("crash-resumable"), s.runs.countPrefix("crash-once"), s.engineVersion+1, s.resumptions.all, s.resumptions.rejected, s.resumptions.wentOn, s.resumptions.resumed, s.resumptions.begun, s.resumptions.sent, len(s.jobs))
 	if s.served == 0 || len(s.jobs) == 0 {
 		s.fail("want at least one stream and one job, got %d streams and %d jobs", s.served, len(s.jobs))
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -247,11 +247,15 @@
 type engineServer struct {
 	id string
 	// born is when the process started, in Unix milliseconds; 0 if it doesn't state it.
-	born    int64
-	address string
-	proxy   *proxy
-	runs    *runs
-	busy    atomic.Int32
+	born int64
+	// version is that of its software, which it names in each event. draining is set once a release or a fault has
+	// it drain.
+	version  string
+	draining bool
+	address  string
+	proxy    *proxy
+	runs     *runs
+	busy     atomic.Int32
 	// ended is set once the process has ended. Its address then belongs to another program, and
 	// lastMisdirected is when a request last arrived there, in Unix nanoseconds.
 	ended           atomic.Bool
@@ -275,7 +279,7 @@
 
 func (e *engineServer) register(s *storeServer, state string, sequence int64) {
 	r := map[string]any{
-		"service": "models", "address": e.proxy.address(), "zone": "z", "slots": engineSlots, "state": state, "sequence": sequence,
+		"service": "models", "address": e.proxy.address(), "zone": "z", "slots": engineSlots, "state": state, "sequence": sequence, "version": e.version,
 	}
 	if e.born > 0 {
 		r["born"] = e.born
@@ -326,11 +330,11 @@
 		e.runs.recordCut(id)
 	}
 	if f != framed && f != framedInsideEvent {
-		streamUnframed(w, r, f, after+1, count)
+		e.streamUnframed(w, r, f, after+1, count)
 		return
 	}
 	for i := after + 1; i <= after+count; i++ {
-		if _, err := io.WriteString(w, eventText(id, i)); err != nil {
+		if _, err := io.WriteString(w, e.eventText(id, i)); err != nil {
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
@@ -341,7 +345,7 @@
 		}
 	}
 	if f == framedInsideEvent {
-		_, _ = io.WriteString(w, partOfEvent(id, after+count+1))
+		_, _ = io.WriteString(w, e.partOfEvent(id, after+count+1))
 	}
 }
 
