origin: a version that has left counts for as long as a stream can last

The check for services to record asks for those that have several versions now, with a window of 0.5 s, and the view of a service forgot versions seen longer ago than the window of whoever asked. So 0.5 s after a version had left, a stream that no entry knew went on at the remaining one, whichever began it. Found by reading. The new case of TestOriginIsFoundOrUnknown failed before (only v2, want none). Versions are now forgotten after the longest lifetime of a stream, by the list alone.

--- a/origin/history.go
+++ b/origin/history.go
@@ -75,8 +75,10 @@
 				break
 			}
 		}
-		for version := range present[service] {
-			delete(s.seen, version)
+		for version, at := range s.seen {
+			if present[service][version] || now.Sub(at) >= maxLifetime {
+				delete(s.seen, version)
+			}
 		}
 		s.present = present[service]
 	}
@@ -97,12 +99,10 @@
 		count++
 	}
 	for p, at := range s.seen {
-		if now.Sub(at) >= window {
-			delete(s.seen, p)
-			continue
+		if now.Sub(at) < window {
+			version = p
+			count++
 		}
-		version = p
-		count++
 	}
 	switch {
 	case count == 0:
--- a/origin/locator_test.go
+++ b/origin/locator_test.go
@@ -177,6 +177,19 @@
 			time.Sleep(settled - time.Second)
 			return f.entries["b"].locate("r")
 		}, "none"},
+		"the other version has just left, as recorded": {func(f *fleet) string {
+			f.list("v1")
+			time.Sleep(settled)
+			f.list("v1 v2")
+			f.list("v2")
+			ctx, cancel := context.WithTimeout(context.Background(), settled-time.Second)
+			defer cancel()
+			for _, e := range f.entries {
+				go e.Mixed.Run(ctx, e.Locator)
+			}
+			<-ctx.Done()
+			return f.entries["b"].locate("r")
+		}, "none"},
 		"the other version has left long ago": {func(f *fleet) string {
 			f.list("v1 v2")
 			f.list("v2")
