--- a/soak/version_test.go
+++ b/soak/version_test.go
@@ -179,7 +179,7 @@
 func (s *soak) readPart(client *http.Client, p *process, id, resumes string, has, limit int) (part string, complete bool) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.frontAddress+"/resumable/x", strings.NewReader("body"))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.frontAddress+"/resumable/y", strings.NewReader("body"))
 	if err != nil {
 		return "", false
 	}
