runner: an item waits for its version while no other has room

After 3 s without a free slot at the version of its text, an item started over whether or not another version had a free slot: under load texts would have been discarded for nothing. Found by reading.

--- a/runner/origin.go
+++ b/runner/origin.go
@@ -11,8 +11,8 @@
 	"github.com/sardinerock/sardinerock/items"
 )
 
-// maxRoomWait is how long an item with a text waits for a free slot at the version that wrote it, before it starts
-// over. A text takes a few seconds.
+// maxRoomWait is how long an item with a text waits for a free slot at the version that wrote it while others have
+// one, before it starts over. A text takes a few seconds.
 const maxRoomWait = 3 * time.Second
 
 // The values of the field why of event.ItemStartedOver.
@@ -23,14 +23,14 @@
 
 // chooseService chooses the service of an item's next run. One with a text goes on at its origin, and starts over if
 // that no longer serves, or has no room: nothing of the text has been listed yet.
-func (r *Runner) chooseService(c *candidate, j *loadedJob, now time.Time) {
-	position, noRoomSince := r.positionOf(c)
+func (r *Runner) chooseService(c *candidate, j *loadedJob) {
+	position, noRoom := r.positionOf(c)
 	o, why := position.Origin, ""
 	switch {
 	case position == sardinerock.Position{}:
 	case !c.route.Serves(o.Service) || !r.Pool.Serves(o):
 		why = originLeft
-	case !noRoomSince.IsZero() && now.Sub(noRoomSince) >= maxRoomWait:
+	case noRoom:
 		why = originNoRoom
 	default:
 		c.service, c.origin = o.Service, o
@@ -42,8 +42,8 @@
 	c.service = c.route.Service(r.Pace.Random.Float64())
 }
 
-// positionOf returns where an item goes on, and since when it has found no room there.
-func (r *Runner) positionOf(c *candidate) (position sardinerock.Position, noRoomSince time.Time) {
+// positionOf returns where an item goes on, and whether it has waited there for long enough.
+func (r *Runner) positionOf(c *candidate) (position sardinerock.Position, noRoom bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	i := r.items[c.key]
@@ -52,21 +52,25 @@
 	} else {
 		position = i.position
 	}
-	if i != nil {
-		noRoomSince = i.noRoomSince
-	}
-	return position, noRoomSince
+	return position, i != nil && i.noRoom
 }
 
-// recordNoRoom records that no backend server of the version that wrote an item's text has a free slot.
-func (r *Runner) recordNoRoom(c *candidate) {
+// recordNoRoom records that no backend server of the version that wrote an item's text has a free slot. Only while
+// others have one, the item would be done sooner if it started over.
+func (r *Runner) recordNoRoom(c *candidate, reserve int, now time.Time) {
 	if !c.origin.Known() {
 		return
 	}
+	elsewhere := r.Pool.FreeSlots(c.service, reserve, now) > 0
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if i := r.itemOf(c); i.noRoomSince.IsZero() {
-		i.noRoomSince = time.Now()
+	switch i := r.itemOf(c); {
+	case !elsewhere:
+		i.noRoomSince = time.Time{}
+	case i.noRoomSince.IsZero():
+		i.noRoomSince = now
+	default:
+		i.noRoom = now.Sub(i.noRoomSince) >= maxRoomWait
 	}
 }
 
@@ -78,7 +82,8 @@
 	metrics.GetOrRegisterCounter("batch.startedOver", r.Metrics).Inc(1)
 	r.Events.Info(event.ItemStartedOver).Str("job", c.Job).Str("item", c.body.ID).Str("service", position.Origin.Service).Str("version", position.Origin.Version).
 		Int("events", items.EventNumber(position.LastEvent)).Str("why", why).Msg("item starts over; the version that wrote its text has left, or has no room")
-	i.position, i.text, i.savedBytes, i.unprovenAfter, i.noRoomSince = sardinerock.Position{}, nil, 0, "", time.Time{}
+	i.position, i.text, i.savedBytes, i.unprovenAfter = sardinerock.Position{}, nil, 0, ""
+	i.noRoomSince, i.noRoom = time.Time{}, false
 	delete(j.progress, c.Index)
 	c.progress = blobs.Progress{}
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -140,8 +140,10 @@
 	breaks items.Breaks
 	// hadOutput is set if the item has had a text, also if it has started over since.
 	hadOutput bool
-	// noRoomSince is since when no backend server of the text's version has had a free slot; zero if one had.
+	// noRoomSince is since when no backend server of the text's version has had a free slot while others had; zero
+	// if one had. noRoom is set once the item needn't wait for one any longer.
 	noRoomSince time.Time
+	noRoom      bool
 	// accounted is set if the next failed run of the item is accounted for: see needsStart.
 	accounted bool
 	// saveFirstOutput is set if the first output has to be saved at once. It shows the next owner
--- a/runner/start.go
+++ b/runner/start.go
@@ -163,7 +163,7 @@
 		if !r.mayRun(&c) {
 			continue
 		}
-		r.chooseService(&c, job, now)
+		r.chooseService(&c, job)
 		c.reserved = table.Services[c.service].ReservationTTL > 0
 		waiting = append(waiting, c)
 	}
@@ -187,16 +187,17 @@
 
 // start runs an item in a free slot; it returns false if there is none.
 func (r *Runner) start(ctx context.Context, c *candidate, reserve int) bool {
-	choice, ok := r.Pool.ChooseBatch(c.service, pool.BatchRequest{Reserve: reserve, AtRisk: c.atRisk, Origin: c.origin}, time.Now())
+	now := time.Now()
+	choice, ok := r.Pool.ChooseBatch(c.service, pool.BatchRequest{Reserve: reserve, AtRisk: c.atRisk, Origin: c.origin}, now)
 	if !ok {
-		r.recordNoRoom(c)
+		r.recordNoRoom(c, reserve, now)
 		return false
 	}
 	runCtx, cancel := context.WithCancel(ctx)
 	r.mu.Lock()
 	i := r.itemOf(c)
 	i.running, i.server, i.service, i.started, i.cancel, i.preempted = true, choice.ID, c.service, time.Now(), cancel, false
-	i.noRoomSince = time.Time{}
+	i.noRoomSince, i.noRoom = time.Time{}, false
 	i.due = c.CreatedAt.Add(c.route.CompletionTarget)
 	i.timing.RunStarted(i.started)
 	i.timing.Resumed = i.timing.Resumed || i.timing.Runs == 0 && i.position.LastEvent != ""
