--- a/node/origins.go
+++ b/node/origins.go
@@ -19,8 +19,8 @@
 	// currentAge is the age up to which the list of backend servers shows that there is only one version. A read
 	// of a list without changes takes up to a second and a half.
 	currentAge = 2500 * time.Millisecond
-	// membersWaitOrigin is how long the query for a stream waits for the members at an entry that starts.
-	membersWaitOrigin = 300 * time.Millisecond
+	// originMembersTimeout is how long the query for a stream waits for the members at an entry that starts.
+	originMembersTimeout = 300 * time.Millisecond
 )
 
 func (n *Node) newLocator() *origin.Locator {
@@ -31,7 +31,7 @@
 			return n.gossip.Query(ctx, peer, raw)
 		},
 		AwaitPeers: func(ctx context.Context) {
-			ctx, cancel := context.WithTimeout(ctx, membersWaitOrigin)
+			ctx, cancel := context.WithTimeout(ctx, originMembersTimeout)
 			defer cancel()
 			await.Until(ctx, startPollInterval, n.members.Loaded)
 		},
--- a/origin/locator.go
+++ b/origin/locator.go
@@ -15,10 +15,11 @@
 	// askTimeout is how long the answers of peers are awaited: many round trips, and far less than the pause
 	// after which a caller counts its stream as late.
 	askTimeout = 80 * time.Millisecond
-	// lateTime is how long after the end of a stream's time a caller may still resume it, and lastTime how long
-	// entries and backend servers that have lost touch may go on with a version that isn't listed any more.
-	lateTime = 2 * time.Second
-	lastTime = 10 * time.Second
+	// resumeMargin is how long after a stream's deadline its caller may still resume it.
+	resumeMargin = 2 * time.Second
+	// outOfTouchTime is how long entries that lost touch with the store, and backend servers that were removed from
+	// it, may go on with a version that isn't listed any more.
+	outOfTouchTime = 10 * time.Second
 	// maxLifetime bounds for how long a stream that another entry names is kept.
 	maxLifetime = 10 * time.Minute
 	// maxBegun is the number of streams in one notification, which keeps it within one packet.
@@ -81,7 +82,7 @@
 }
 
 // window returns the time within which another version may have begun a stream that is resumed now.
-func (l *Locator) window() time.Duration { return l.lifetime.get() + lastTime }
+func (l *Locator) window() time.Duration { return l.lifetime.get() + outOfTouchTime }
 
 // Began records that the first event of a stream is on its way to the caller, which may resume the stream until a
 // time.
@@ -90,7 +91,7 @@
 		return
 	}
 	now := time.Now()
-	k := known{origin: o, until: until.Add(lateTime), own: true}
+	k := known{origin: o, until: until.Add(resumeMargin), own: true}
 	if !l.table.put(stream, k, now) {
 		l.count("origins.full")
 		return
--- a/origin/locator_test.go
+++ b/origin/locator_test.go
@@ -109,7 +109,7 @@
 // TestOriginIsFoundOrUnknown guards against a stream being continued at a guessed version, and against one that can
 // go on being rejected, over changes of versions and losses of entries.
 func TestOriginIsFoundOrUnknown(t *testing.T) {
-	settled := testLifetime + lastTime
+	settled := testLifetime + outOfTouchTime
 	for name, tt := range map[string]struct {
 		play func(f *fleet) string
 		want string
@@ -259,7 +259,7 @@
 		"expired": {func(f *fleet) string {
 			f.list("v1 v2")
 			f.entries["a"].begin("r", "v2")
-			time.Sleep(testLifetime + lateTime)
+			time.Sleep(testLifetime + resumeMargin)
 			return f.entries["a"].locate("r")
 		}, "none"},
 		"the first origin of a stream stays": {func(f *fleet) string {
--- a/relay/origin.go
+++ b/relay/origin.go
@@ -42,16 +42,16 @@
 	o, source := p.relay.Origins.Locate(ctx, p.stream, p.route)
 	switch {
 	case !o.Known():
-		p.unlocated = reasonUnknownOrigin
+		p.cannotResume = reasonUnknownOrigin
 	case !p.route.Serves(o.Service):
-		p.unlocated = reasonServiceLeft
+		p.cannotResume = reasonServiceLeft
 	case !p.relay.Pool.Serves(o):
-		p.unlocated = reasonVersionLeft
+		p.cannotResume = reasonVersionLeft
 	}
 	p.position = sardinerock.Position{LastEvent: p.call.ResumeAfter, Origin: o}
 	p.relay.count("relay.origins." + string(source))
 	p.relay.Events.Info(event.OriginFound).Str("request", p.call.ID).Str("resumes", p.call.Resumes).Str("last", p.call.ResumeAfter).
-		Str("source", string(source)).Str("service", o.Service).Str("version", o.Version).Str("rejected", p.unlocated).
+		Str("source", string(source)).Str("service", o.Service).Str("version", o.Version).Str("rejected", p.cannotResume).
 		Dur("took", time.Since(began)).Msg("caller resumes a stream")
 }
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -84,8 +84,8 @@
 	// stream identifies the stream when its caller resumes it at any entry; 0 if the caller doesn't name the
 	// request that began it.
 	stream uint64
-	// unlocated is why a stream can't go on anywhere, or empty.
-	unlocated string
+	// cannotResume is why a stream can't go on anywhere, or empty.
+	cannotResume string
 	// turnedAway is set if the backend server had no room for the present attempt, full holds the backend servers
 	// that had none for a stream that goes on.
 	turnedAway bool
@@ -116,8 +116,8 @@
 
 func (p *proxyRequest) run() {
 	defer p.cancel()
-	if p.unlocated != "" {
-		p.rejectResumption(p.unlocated)
+	if p.cannotResume != "" {
+		p.rejectResumption(p.cannotResume)
 		return
 	}
 	for {
