--- a/node/version_test.go
+++ b/node/version_test.go
@@ -325,9 +325,13 @@
 // TestItemGoesOnAtItsVersion guards against the text of an item being joined from the events of two software
 // versions: after a broken run, after the loss of its owner, and once its version has left.
 func TestItemGoesOnAtItsVersion(t *testing.T) {
-	for name, disturb := range map[string]func(f *versions){
-		"broken run": func(f *versions) { f.cutAfter = 100 },
-		"lost owner": func(f *versions) {
+	for name, tt := range map[string]struct {
+		cutAfter int
+		// disturb is called once the job is accepted.
+		disturb func(f *versions)
+	}{
+		"broken run": {100, func(*versions) {}},
+		"lost owner": {0, func(f *versions) {
 			f.g.Eventually(func() int { return f.runsOf("item0") }, timeout).Should(BeNumerically(">", 0))
 			time.Sleep(2 * time.Second)
 			owners := f.entries
@@ -336,27 +340,21 @@
 			for _, e := range owners {
 				e.stop()
 			}
-		},
-		"version leaves": func(f *versions) {
-			f.cutAfter = 100
+		}},
+		"version leaves": {100, func(f *versions) {
 			f.g.Eventually(func() int { return f.runsOf("item0") }, timeout).Should(BeNumerically(">", 0))
 			_, err := f.store.Append(context.Background(), serversTopic, []sardinerock.StoreRecord{{Key: "i-0"}, {Key: "i-2"}})
 			f.g.Expect(err).NotTo(HaveOccurred())
-		},
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			const items = 8
 			f := newVersions(t, 3, "v1", "v2", "v1", "v2")
-			f.events, f.interval = 700, 12*time.Millisecond
-			if name == "broken run" {
-				disturb(f)
-			}
+			f.events, f.interval, f.cutAfter = 700, 12*time.Millisecond, tt.cutAfter
 			status, body := f.call(f.entries[0], http.MethodPost, "/batch/j", "job1", jobBody(items, 1))
 			f.g.Expect(status).To(Equal(http.StatusAccepted), body)
-			if name != "broken run" {
-				disturb(f)
-			}
+			tt.disturb(f)
 			f.g.Eventually(func() int { return len(f.results(f.entries[0], "job1", 0).Results) }, timeout).Should(Equal(items))
 			mixed := 0
 			for _, r := range f.results(f.entries[0], "job1", 0).Results {
