--- a/admit/queue.go
+++ b/admit/queue.go
@@ -355,7 +355,7 @@
 
 // othersOf returns for how many on-time requests of other teams a second the request leaves
 // headroom. Less urgent ones don't count: they leave free slots to this request, so that
-// nobody would use the headroom.
+// no request would use the headroom.
 func (l *line) othersOf(w *Waiter) (perSecond float64) {
 	if l.use.Rank(w.Team, l.now) == 0 {
 		return 0
--- a/config/manager_test.go
+++ b/config/manager_test.go
@@ -119,8 +119,8 @@
 	expectVersion(g, managers[loser], 2)
 }
 
-// Guards against an operator whose base is older than the versions that are kept being told that it
-// was replaced by version 0 of nobody.
+// Guards against an operator whose base is older than the versions that are kept getting the error that it
+// was replaced by version 0 of no operator.
 func TestBaseOlderThanTheKeptVersions(t *testing.T) {
 	g := NewWithT(t)
 	const versions = 66
--- a/digest/wire.go
+++ b/digest/wire.go
@@ -30,7 +30,7 @@
 	Flags   uint8
 	// Crashes holds, for each request, its failures at the sender and, under the inverted hash, the rest
 	// of the report as a negative number. Entries of the previous build take that for a request which
-	// nobody sends.
+	// no caller sends.
 	Crashes map[uint64]int
 	Quota   []byte
 	Aborts  []byte
--- a/items/excess.go
+++ b/items/excess.go
@@ -25,7 +25,7 @@
 // It is designed for bursts in which every slot changes from an item to an online request. The entry
 // of the request and that of the item report it at different times, up to a round of messages apart.
 // If an entry acted on the first report alone, a fourth of all preemptions would be of an item whose
-// slot nobody needs. Where slots are reserved first, no request is sent before the slot is free.
+// slot that no request needs. Where slots are reserved first, no request is sent before the slot is free.
 type Excess struct {
 	reports map[string]excessReport
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -279,7 +279,7 @@
 	f.g.Expect(f.get("http://" + f.entries[0].settings.MetricsAddress + "/metrics")).To(Equal(http.StatusOK))
 }
 
-// Each kind of invalid request has its own status, so that callers can tell which ones to retry.
+// Each kind of invalid request has its own status, so that callers know which ones to retry.
 func TestStatusOfInvalidBatchRequests(t *testing.T) {
 	f := newFleet(t, 1)
 	e := f.entries[0]
--- a/node/origins.go
+++ b/node/origins.go
@@ -51,7 +51,7 @@
 }
 
 // originPeers returns the entries that are notified of a stream and queried for it. An entry that has just started
-// hasn't heard of all yet, and adds others from the list of members.
+// hasn't received messages from all yet, and adds others from the list of members.
 func (n *Node) originPeers(stream uint64) []string {
 	key := strconv.FormatUint(stream, 16)
 	isSelf := func(name string) bool { return name == n.Settings.ID }
--- a/pool/right_test.go
+++ b/pool/right_test.go
@@ -325,7 +325,7 @@
 	_, ok := p.ChooseBatch("s", BatchRequest{Reserve: 0}, testStart.Add(rights.ItemDelay-ms))
 	g.Expect(ok).To(BeFalse())
 	g.Expect(p.FreeSlots("s", 0, testStart.Add(rights.ItemDelay))).To(Equal(2))
-	// Without online requests there is nobody to leave the slots to.
+	// Without online requests there is no request to leave the slots to.
 	p.SetPeer("peer-1", nil, testStart)
 	g.Expect(p.FreeSlots("s", 0, testStart.Add(scarcityTimeout+ms))).To(Equal(4))
 }
--- a/relay/abort_test.go
+++ b/relay/abort_test.go
@@ -11,7 +11,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// A large response that breaks off ends the caller's connection by a panic. If the request kept its slot
+// A large response that ends early ends the caller's connection by a panic. If the request kept its slot
 // then, the backend server would look fuller with each of them, at all entries, until this one restarts.
 func TestBrokenLargeResponseFreesItsSlot(t *testing.T) {
 	const size = 400 << 10
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -50,7 +50,7 @@
 			s.table.Routes = append(s.table.Routes, route("/often/", sardinerock.RouteStream, 8, true))
 			s.fallback = tt.ends
 			for range 8 {
-				// A response that breaks off is an error for the caller, too.
+				// A response that ends early is an error for the caller, too.
 				_, _, _ = s.post(tt.path)
 			}
 			resp, _, err := s.post(tt.path)
@@ -61,7 +61,7 @@
 	}
 }
 
-// nextEvents streams the next events after the one that the caller has received, and then breaks off.
+// nextEvents streams the next events after the one that the caller has received, and then ends the connection.
 func nextEvents(count int) script {
 	return func(c net.Conn, r *http.Request) {
 		last := 0
--- a/relay/restart_test.go
+++ b/relay/restart_test.go
@@ -35,7 +35,7 @@
 			fmt.Fprint(c, "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
 			return
 		}
-		// The testbed closes each connection after one request. A client that isn't told may reuse it meanwhile.
+		// The testbed closes each connection after one request. A client that isn't notified may reuse it meanwhile.
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: sig\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("Request-Id"))
 	}
 	return s
--- a/relay/scarce_test.go
+++ b/relay/scarce_test.go
@@ -71,7 +71,7 @@
 	s.g.Expect(out.String()).To(MatchRegexp(`"event":211,.*"service":"models","scarce":true`))
 }
 
-// A refusal's line must say by what right the slot was asked for. Otherwise it can't be told whether rights
+// A refusal's line must say by what right the slot was asked for. Otherwise it can't be determined whether rights
 // overlap or grow too early.
 func TestRefusalSaysTheRight(t *testing.T) {
 	s := newTestbed(t, noSlot, slotReserved, completeResponse(200, "ok")).withReservations()
