--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -220,54 +219,6 @@
 	return e
 }
 
-// restartEngine ends the process of an engine and starts another one under its id, at the same or another
-// address. The new one registers now or later, and half of the late registrations follow one that
-// the ended process wrote.
-func (s *soak) restartEngine(i int, sameAddress bool, later func(func())) {
-	s.restarts++
-	old := s.engines[i]
-	e := s.newEngine(old.id)
-	e.version = old.version
-	old.ended.Store(true)
-	if sameAddress {
-		e.proxy = old.proxy
-		e.proxy.retarget(e.address)
-	} else {
-		var err error
-		e.proxy, err = newProxy(e.address)
-		s.must(err)
-		s.ended = append(s.ended, old)
-	}
-	old.proxy.reset()
-	e.undisturbed = e.proxy.currentMode() == forward
-	s.engines[i] = e
-	if s.random.IntN(2) == 0 {
-		e.register(s.store, "ready", 1)
-	}
-	straggler := s.random.IntN(2) == 0
-	later(func() {
-		if straggler {
-			old.register(s.store, "ready", 1000)
-		}
-		e.register(s.store, "ready", 1)
-	})
-}
-
-// expectRestarts checks that restarted engines were used, and that no request went to the address of an
-// ended one after a time.
-func (s *soak) expectRestarts(settled time.Time) {
-	for _, e := range s.ended {
-		if last := time.Unix(0, e.lastMisdirected.Load()); last.After(settled) {
-			s.fail("a request went to the old address of %s, %v after all restarts had to be known", e.id, last.Sub(settled))
-		}
-	}
-	for _, e := range s.engines {
-		if e.undisturbed && e.served.Load() == 0 {
-			s.fail("%s wasn't used after its restart", e.id)
-		}
-	}
-}
-
 // fail ends the run, prints its faults and keeps the logs of the entries.
 func (s *soak) fail(format string, args ...any) {
 	s.t.Helper()
@@ -449,105 +400,6 @@
 	}
 }
 
-// submitJobs is a caller that submits one job after another, each up to four times at
-// different entries until it is accepted.
-func (s *soak) submitJobs(n int) {
-	defer s.callers.Done()
-	client := &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	for i := 0; s.running(); i++ {
-		job := fmt.Sprintf("job-%d-%d", n, i)
-		var items []string
-		names := []string{"-0", "-1", "-2"}
-		if i%2 == 1 {
-			names[2] = failing
-		}
-		for _, name := range names {
-			items = append(items, fmt.Sprintf(`{"id":"%s%s","path":"/batch/x","headers":{"Model":"batch"},"body":"YQ==","tokens":1}`, job, name))
-		}
-		body := `{"items":[` + strings.Join(items, ",") + `]}`
-		accepted, onlyRejected := false, true
-		for try := range 4 {
-			status, _ := send(client, http.MethodPost, s.entry(n+i+try).frontAddress, "/batch/j", job, body, s.header())
-			if accepted = status == http.StatusAccepted; accepted {
-				break
-			}
-			onlyRejected = onlyRejected && status == http.StatusServiceUnavailable
-			time.Sleep(200 * time.Millisecond)
-		}
-		s.mu.Lock()
-		if accepted {
-			s.jobs = append(s.jobs, job)
-		}
-		s.mu.Unlock()
-		if !accepted && onlyRejected && s.runs.count(job+"-0") > 0 {
-			s.t.Errorf("%s was rejected at every try, but ran", job)
-		}
-		time.Sleep(300 * time.Millisecond)
-	}
-}
-
-type listing struct {
-	Total   int
-	Results []struct{ ID, State, Text string }
-}
-
-func (s *soak) list(p *process, job string) (listing, int) {
-	var l listing
-	status, body := send(http.DefaultClient, http.MethodGet, p.frontAddress, "/v1/lots/"+job, "read", "", s.header())
-	if status == http.StatusOK {
-		s.must(json.Unmarshal([]byte(body), &l))
-	}
-	return l, status
-}
-
-// expectJobs waits until all accepted jobs are done and checks that every entry lists the
-// same results.
-func (s *soak) expectJobs() {
-	end := time.Now().Add(recoveryTimeout)
-	for _, job := range s.jobs {
-		for {
-			l, status := s.list(s.entries[0], job)
-			if status == http.StatusNotFound {
-				s.fail("%s was accepted, but isn't found", job)
-			}
-			if status == http.StatusOK && len(l.Results) == l.Total {
-				s.expectResults(job, l)
-				break
-			}
-			if time.Now().After(end) {
-				s.fail("%s isn't done in time: %v of %d results", job, len(l.Results), l.Total)
-			}
-			time.Sleep(100 * time.Millisecond)
-		}
-	}
-}
-
-func (s *soak) expectResults(job string, first listing) {
-	seen := map[string]bool{}
-	for _, r := range first.Results {
-		r.Text = s.plainText(r.ID, r.Text)
-		state, text := "succeeded", expectedText(r.ID)
-		if fails(r.ID) {
-			state, text = "dead_letter", ""
-		}
-		if seen[r.ID] || r.State != state || r.Text != text {
-			s.fail("%s: item %s: listed twice: %v, state %s, text %q", job, r.ID, seen[r.ID], r.State, r.Text)
-		}
-		seen[r.ID] = true
-	}
-	for _, p := range s.entries[1:] {
-		for end := time.Now().Add(recoveryTimeout); ; time.Sleep(50 * time.Millisecond) {
-			l, _ := s.list(p, job)
-			if fmt.Sprint(l) == fmt.Sprint(first) {
-				break
-			}
-			if time.Now().After(end) {
-				s.fail("%s: %s lists %v, another entry %v", job, p.name, l, first)
-			}
-		}
-	}
-}
-
 // TestSoak injects consecutive and overlapping faults, chosen by the seed, while callers
 // check these guarantees:
 //   - an answer that ends regularly is complete, however engines frame and cut it; only one without framing,
