platform, relay: the shared parts of a prompt are read, and logged where a backend server breaks off

Cause: lines 408 and 404 name the hash of a request's content, so nobody can see from the logs what requests have in common that end backend servers but aren't alike.

--- a/relay/request.go
+++ b/relay/request.go
@@ -167,7 +167,7 @@
 // rejectCrashing sends the final response to a request that ends the backend servers that run it.
 func (p *proxyRequest) rejectCrashing(blocked time.Duration) {
 	const reason = "backend servers broke during this request before"
-	p.relay.Events.Warn(event.Quarantined).Str("request", p.call.ID).Str("content", p.content()).Int("runs", p.runs).Dur("blocked", blocked).Msg("request is assumed to end backend servers")
+	p.relay.Events.Warn(event.Quarantined).Str("request", p.call.ID).Str("content", p.content()).Strs("parts", p.call.SharedParts).Int("runs", p.runs).Dur("blocked", blocked).Msg("request is assumed to end backend servers")
 	if p.runs > 0 {
 		p.giveUp(reason, 0)
 		return
@@ -296,7 +296,7 @@
 func (p *proxyRequest) brokenOff(choice *pool.Choice, sent time.Time, err error, head bool) {
 	p.relay.Crashes.RecordFailure(p.fingerprint, p.knownFailures, time.Now())
 	p.relay.count("relay.brokenOff")
-	p.relay.Events.Warn(event.BackendBrokeOff).Str("request", p.call.ID).Str("server", choice.ID).Str("content", p.content()).
+	p.relay.Events.Warn(event.BackendBrokeOff).Str("request", p.call.ID).Str("server", choice.ID).Str("content", p.content()).Strs("parts", p.call.SharedParts).
 		Bool("head", head).Int("events", p.events).Int("runs", p.runs).Int("known", p.knownFailures).Dur("took", time.Since(sent)).Err(err).Msg("backend server ended the connection during a request")
 }
 
--- a/serving.go
+++ b/serving.go
@@ -193,6 +193,9 @@
 	Timeout time.Duration
 	// Tokens is the maximum memory that a run of the request needs, in tokens of prompt and answer; 0 if unknown.
 	Tokens int64
+	// SharedParts are the IDs of the parts of its prompt, in order, that other requests may have as well; empty if
+	// that is unknown.
+	SharedParts []string
 	// ResumeAfter is the ID of the last event that the caller has received; empty for a new stream.
 	ResumeAfter string
 	// Resumes is the ID of the caller's request that brought the stream's first event; empty for a new stream.
