blame: a part of a prompt that ends backend servers is found by what requests share, and contained

Cause: the counter's key is a hash of a request's whole content. Each of these requests had a content of its own, so each cost three backend servers and its rejection helped no other. A failure was recorded under a key that is larger than its cause.

Change: package blame, without network. An entry reports the runs that broke off before they had written for 200 ms, with their shared parts and the backend server; every entry judges all of them. The cause with the most failed runs one after the other is blamed and explains all that failed at the same ends; a run that writes clears its parts; parts that only came together are told apart by the requests that have some of them. Requests with a blamed part are rejected (503, after a failed trial 422), suspect ones go one at a time, and live entries take turns with trials. It is asked right before each send, also for retries, resumed streams and items, which wait and aren't failed by it.

Why it works: a guilty part is in a failed run at each end, whatever its companions are; a sound one isn't, or is seen to write. Mixed builds: the reports follow the items in a message, where the previous build takes them for items that it doesn't know.

The relay's test closes the connections of sound responses in the open (Connection: close): its stand-in closed them without a word, and requests that run once then failed with 502 in 2 of 6 runs.

--- a/digest/digest.go
+++ b/digest/digest.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"github.com/sardinerock/sardinerock/blame"
 	"github.com/sardinerock/sardinerock/crash"
 	"github.com/sardinerock/sardinerock/pool"
 	"github.com/sardinerock/sardinerock/quota"
@@ -30,6 +31,8 @@
 	Starting bool
 	// Crashes are the failures of backend servers during requests, by the hash of the request's content.
 	Crashes map[uint64]crash.Report
+	// Blame is what the sender knows of prompts that end backend servers.
+	Blame []blame.Report
 	// Aborts are the backend servers that recently aborted requests of the sender.
 	Aborts []pool.Abort
 	// Quota holds the sender's counts of recent requests of teams.
@@ -45,5 +48,5 @@
 func (m *Message) SameContent(other *Message) bool {
 	return m.Waiting == other.Waiting && m.Leaving == other.Leaving && m.StoreLost == other.StoreLost && m.Starting == other.Starting &&
 		slices.Equal(m.Loads, other.Loads) && slices.Equal(m.Items, other.Items) && maps.Equal(m.Crashes, other.Crashes) &&
-		slices.Equal(m.Aborts, other.Aborts) && slices.Equal(m.Quota, other.Quota) && slices.Equal(m.Speeds, other.Speeds)
+		slices.EqualFunc(m.Blame, other.Blame, blame.Report.Equal) && slices.Equal(m.Aborts, other.Aborts) && slices.Equal(m.Quota, other.Quota) && slices.Equal(m.Speeds, other.Speeds)
 }
--- a/digest/wire.go
+++ b/digest/wire.go
@@ -24,7 +24,9 @@
 	// Loads holds the loads and, after an element of zeros, the speeds. A further field of its own
 	// would make entries of the previous build reject the datagram. They take a speed for the load of
 	// a backend server that they don't know, since the hash of its id is inverted, and ignore it.
-	Loads   []byte
+	Loads []byte
+	// Items holds the hashes of items and, after two of 0, the reports on prompts that end backend servers. Entries of
+	// the previous build take these for items that they don't know.
 	Items   []byte
 	Waiting int
 	Flags   uint8
@@ -123,7 +125,7 @@
 		p.Loads = append(p.Loads, byte(min(l.Online, maxCount)), byte(min(l.Batch, maxCount)))
 	}
 	p.Loads = appendSpeeds(p.Loads, m.Speeds)
-	p.Items = packHashes(m.Items)
+	p.Items = appendReports(packHashes(m.Items), m.Blame)
 	for _, r := range m.Quota {
 		p.Quota = binary.BigEndian.AppendUint32(p.Quota, r.Team)
 		p.Quota = binary.BigEndian.AppendUint16(p.Quota, r.Admitted)
@@ -239,7 +241,11 @@
 		}
 		m.Loads = append(m.Loads, pool.Load{Server: binary.BigEndian.Uint32(b), Online: int(b[4]), Batch: int(b[5])})
 	}
-	m.Items = unpackHashes(p.Items)
+	items, reports, err := splitReports(p.Items)
+	if err != nil {
+		return nil, err
+	}
+	m.Items, m.Blame = unpackHashes(items), reports
 	if len(p.Aborts)%abortBytes != 0 {
 		return nil, fmt.Errorf("digest: aborts truncated: got %d bytes, want a multiple of %d", len(p.Aborts), abortBytes)
 	}
--- a/digest/wire_test.go
+++ b/digest/wire_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/sardinerock/sardinerock/blame"
 	"github.com/sardinerock/sardinerock/crash"
 	"github.com/sardinerock/sardinerock/pool"
 	"github.com/sardinerock/sardinerock/quota"
@@ -16,8 +17,12 @@
 
 func TestMessagesAreDecodedAsEncoded(t *testing.T) {
 	for name, m := range map[string]*Message{
-		"empty":      {Sender: 1, Start: 2, Sequence: 3},
-		"all fields": {Sender: 1, Start: 2, Sequence: 3, Loads: []pool.Load{{Server: 9, Online: 3, Batch: 4}, {Server: 1 << 31, Batch: 1}}, Items: []uint32{7, 1 << 30}, Waiting: 5, Leaving: true, StoreLost: true, Starting: true, Crashes: map[uint64]crash.Report{8: {Failures: 2, Sequence: 3, Age: 70 * time.Second}, 9: {Age: 120 * time.Millisecond}, 1 << 63: {Failures: 1, Sequence: 1}}, Quota: []quota.Report{{Team: 1 << 31, Admitted: 65535, Requested: 3, Remaining: quota.RemainingHigh}, {Team: 4}}, Aborts: []pool.Abort{{Server: 5, Age: 120 * time.Millisecond}}, Speeds: []speed.Report{{Server: 0, Level: 84, Evidence: 3}, {Server: 1 << 31, Level: 255, Evidence: 255}}},
+		"empty": {Sender: 1, Start: 2, Sequence: 3},
+		"all fields": {Sender: 1, Start: 2, Sequence: 3, Loads: []pool.Load{{Server: 9, Online: 3, Batch: 4}, {Server: 1 << 31, Batch: 1}}, Items: []uint32{7, 1 << 30}, Waiting: 5, Leaving: true, StoreLost: true, Starting: true, Crashes: map[uint64]crash.Report{8: {Failures: 2, Sequence: 3, Age: 70 * time.Second}, 9: {Age: 120 * time.Millisecond}, 1 << 63: {Failures: 1, Sequence: 1}}, Quota: []quota.Report{{Team: 1 << 31, Admitted: 65535, Requested: 3, Remaining: quota.RemainingHigh}, {Team: 4}}, Aborts: []pool.Abort{{Server: 5, Age: 120 * time.Millisecond}}, Blame: []blame.Report{
+			{Kind: blame.KindFailure, Causes: []blame.Cause{1, 1 << 63}, Age: 120 * time.Millisecond, ID: 1 << 31, Server: 4, Took: 80 * time.Millisecond},
+			{Kind: blame.KindVerdict, Causes: []blame.Cause{7}, Age: 20 * time.Minute, Runs: 3, Servers: 5, Trials: 2},
+			{Kind: blame.KindBegin, Causes: []blame.Cause{8}, Age: time.Second},
+		}, Speeds: []speed.Report{{Server: 0, Level: 84, Evidence: 3}, {Server: 1 << 31, Level: 255, Evidence: 255}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -46,6 +51,22 @@
 	}
 }
 
+// Guards against entries of the previous build, which decode all elements of Items as items, missing some of them, and
+// against reports of a newer build that end early.
+func TestPreviousBuildReadsMessagesWithReports(t *testing.T) {
+	g := NewWithT(t)
+	m := &Message{Items: []uint32{7, 9}, Blame: []blame.Report{{Kind: blame.KindBegin, Causes: []blame.Cause{8}, Age: time.Second}}}
+	p := m.pack()
+	g.Expect(len(p.Items) % hashBytes).To(BeZero())
+	g.Expect(unpackHashes(p.Items)[:2]).To(Equal(m.Items))
+	for n := len(m.Items)*hashBytes + separatorBytes + hashBytes; n < len(p.Items); n += hashBytes {
+		truncated := p
+		truncated.Items = p.Items[:n]
+		_, err := truncated.unpack()
+		g.Expect(err).To(HaveOccurred(), "%d bytes", n)
+	}
+}
+
 // Guards against entries of the previous build, which add up numbers of failures, rejecting a request
 // for one failure, and against reports of theirs that are lost.
 func TestPreviousBuildReadsCrashes(t *testing.T) {
--- a/event/event.go
+++ b/event/event.go
@@ -44,6 +44,8 @@
 	BackendState    ID = 407
 	BackendBrokeOff ID = 408
 	EndUnproven     ID = 409
+	PartRejected    ID = 410
+	PartBlamed      ID = 411
 	JobAccepted     ID = 501
 	JobCancelled    ID = 502
 	JobFinished     ID = 503
@@ -68,6 +70,7 @@
 	HeadroomChanged ID = 522
 	ItemDelayed     ID = 523
 	ItemStartedOver ID = 524
+	ItemHeld        ID = 525
 	BundleAccepted  ID = 601
 	BundleRejected  ID = 602
 	BundleInForce   ID = 603
--- a/node/gauge.go
+++ b/node/gauge.go
@@ -29,6 +29,7 @@
 	servers, differing := n.pool.KnownSpeeds()
 	set("speeds.known", int64(servers))
 	set("speeds.differing", int64(differing))
+	set("blame.verdicts", int64(n.blame.Blamed()))
 	jobs, items := n.ledger.OpenCounts()
 	set("batch.openJobs", int64(jobs))
 	set("batch.openItems", int64(items))
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/access"
 	"github.com/sardinerock/sardinerock/adopt"
+	"github.com/sardinerock/sardinerock/blame"
 	"github.com/sardinerock/sardinerock/blobs"
 	"github.com/sardinerock/sardinerock/caller"
 	"github.com/sardinerock/sardinerock/clock"
@@ -96,6 +97,7 @@
 	purger   *purge.Purger
 	relay    *relay.Relay
 	crashes  *crash.Counter
+	blame    *blame.Tracker
 	access   *access.Access
 	origins  *origin.Locator
 	roster   *roster.Roster
@@ -333,6 +335,9 @@
 	}
 	n.crashes = &crash.Counter{MaySendTrial: n.maySendTrial}
 	n.crashes.Prepare()
+	n.blame = &blame.Tracker{Rank: n.trialRank, ViewAge: n.gossip.ViewAge, Changed: n.logBlame}
+	n.blame.Prepare()
+	n.runner.Blame = n.blame
 	n.relay = &relay.Relay{
 		Dialect: n.Dialect,
 		Pool:    n.pool,
@@ -345,6 +350,7 @@
 		},
 		Random:  newRandom(5),
 		Crashes: n.crashes,
+		Blame:   n.blame,
 		Origins: n.origins,
 		Events:  n.Events, Metrics: n.Metrics,
 	}
@@ -447,6 +453,7 @@
 	m.Starting = !n.ledger.Loaded()
 	m.StoreLost = n.storeLost() || m.Starting
 	m.Crashes = n.crashes.Reports(time.Now())
+	m.Blame = n.blame.Reports(time.Now())
 	span := reportRounds * n.gossip.ViewAge()
 	m.Quota = n.quota.Reports(clock.BootClock(), span)
 	m.Aborts = n.pool.Aborts(time.Now(), span)
@@ -479,6 +486,7 @@
 		n.pool.ReceiveSpeeds(m.From, m.Speeds, time.Now())
 		n.pool.ReceiveAborts(m.Aborts, time.Now())
 		n.crashes.Receive(m.From, m.Start, m.Crashes, time.Now())
+		n.blame.Receive(m.From, m.Start, m.Blame, time.Now())
 		n.quota.Receive(m.From, m.Start, m.Quota, clock.BootClock())
 	}
 	n.runner.PreemptAllExcess()
--- a/relay/part_test.go
+++ b/relay/part_test.go
@@ -35,11 +35,13 @@
 			return
 		}
 		sound.Add(1)
+		// The connection isn't kept: a request that was sent on one which ends at that moment isn't repeated.
 		if strings.HasPrefix(r.URL.Path, "/safe/") || strings.HasPrefix(r.URL.Path, "/once/") {
-			completeResponse(http.StatusOK, "whole")(c, r)
+			fmt.Fprintf(c, signedHead+"Connection: close\r\nContent-Length: 5\r\n\r\nwhole", 1, r.Header.Get("Request-Id"), "text/plain")
 			return
 		}
-		events(1, 3, true)(c, r)
+		body := allEvents(3)
+		fmt.Fprintf(c, signedHead+"Connection: close\r\nContent-Length: %d\r\n\r\n%s", 1, r.Header.Get("Request-Id"), eventStream, len(body), body)
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/admit"
+	"github.com/sardinerock/sardinerock/blame"
 	"github.com/sardinerock/sardinerock/conns"
 	"github.com/sardinerock/sardinerock/crash"
 	"github.com/sardinerock/sardinerock/event"
@@ -41,6 +42,8 @@
 	Preempt func(server string)
 	// Crashes counts the failures of backend servers during requests.
 	Crashes *crash.Counter
+	// Blame knows which parts of prompts end backend servers.
+	Blame *blame.Tracker
 	// Origins finds out which software began a stream.
 	Origins *origin.Locator
 	// ViewAge returns how old the known loads of other entries may be.
@@ -121,6 +124,7 @@
 		full:         map[string]bool{},
 		deadline:     q.Received.Add(route.Timeout),
 	}
+	p.part.causes = blame.Causes(q.Call.SharedParts, p.fingerprint)
 	p.locate(r.Context())
 	if p.service = p.position.Origin.Service; p.service == "" {
 		p.service = route.Service(rand.Float64())
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/access"
+	"github.com/sardinerock/sardinerock/blame"
 	"github.com/sardinerock/sardinerock/clock"
 	"github.com/sardinerock/sardinerock/conns"
 	"github.com/sardinerock/sardinerock/crash"
@@ -90,10 +91,11 @@
 	s.servers = list
 	l := &relay.Relay{
 		Dialect: platform.Dialect{}, Pool: s.pool, Conns: &conns.Conns{Dialect: platform.Dialect{}}, Preempt: func(string) {},
-		Crashes: &crash.Counter{}, ViewAge: func() time.Duration { return 0 }, Entries: func() int { return 1 },
+		Crashes: &crash.Counter{}, Blame: &blame.Tracker{}, ViewAge: func() time.Duration { return 0 }, Entries: func() int { return 1 },
 		Events: &event.Logger{}, Metrics: metrics.NewRegistry(),
 	}
 	l.Crashes.Prepare()
+	l.Blame.Prepare()
 	l.Origins = newLocator()
 	l.Origins.SetTable(s.table)
 	l.Origins.SetServers(list)
--- a/relay/request.go
+++ b/relay/request.go
@@ -69,6 +69,7 @@
 	startDeadline time.Time
 	// fingerprint is the same for each resend of the request.
 	fingerprint uint64
+	part        partCheck
 	// knownFailures is the number of failures during the request, at all entries, that were known when
 	// the present attempt was sent.
 	knownFailures int
@@ -125,8 +126,18 @@
 			p.rejectCrashing(blocked)
 			return
 		}
+		if !p.awaitParts() {
+			return
+		}
 		choice, ok := p.chooseServer()
-		if !ok || !p.checkKey(&choice) || !p.checkCrashes(&choice) {
+		if !ok || !p.checkKey(&choice) {
+			return
+		}
+		if !p.beginRun(&choice) {
+			continue
+		}
+		if !p.checkCrashes(&choice) {
+			p.relay.Blame.Done(p.part.run)
 			return
 		}
 		result := p.attempt(&choice)
@@ -241,6 +252,7 @@
 	resp, err := p.relay.Conns.Send(p.ctx, &choice.BackendServer, p.call, sardinerock.Attempt{
 		Instance: choice.Name, Remaining: remaining, Position: p.position, HeadTimeout: p.headTimeoutFor(choice),
 	}, p.reservation)
+	defer p.relay.Blame.Done(p.part.run)
 	if err != nil {
 		p.endRun(choice, sent, p.ctx.Err() == nil)
 		p.timings.add(&p.timings.failed, sent)
@@ -261,6 +273,9 @@
 		p.timings.add(&p.timings.failed, sent)
 	case result == answered && !failed && p.end != conns.EndUnchecked:
 		p.relay.Crashes.RecordResponse(p.fingerprint, time.Now())
+		if resp.StatusCode < http.StatusMultipleChoices {
+			p.completed()
+		}
 		p.relay.Pool.RecordServed(choice.ID, pool.Sample{
 			Timing: pool.Timing{Run: time.Since(sent), FirstByte: p.timings.firstByte}, Queued: choice.Full() || p.runs > 1,
 			Speed: p.speedSample(choice), At: time.Now(),
@@ -295,6 +310,7 @@
 // backend server goes on. head is set if the head of the response had arrived.
 func (p *proxyRequest) brokenOff(choice *pool.Choice, sent time.Time, err error, head bool) {
 	p.relay.Crashes.RecordFailure(p.fingerprint, p.knownFailures, time.Now())
+	p.relay.Blame.Failed(p.part.run, pool.Hash(choice.ID), time.Now())
 	p.relay.count("relay.brokenOff")
 	p.relay.Events.Warn(event.BackendBrokeOff).Str("request", p.call.ID).Str("server", choice.ID).Str("content", p.content()).Strs("parts", p.call.SharedParts).
 		Bool("head", head).Int("events", p.events).Int("runs", p.runs).Int("known", p.knownFailures).Dur("took", time.Since(sent)).Err(err).Msg("backend server ended the connection during a request")
--- a/relay/response.go
+++ b/relay/response.go
@@ -169,6 +169,7 @@
 			p.position.LastEvent = e.ID
 		}
 		p.events++
+		p.eventForwarded(now)
 		// An error means that the caller has disconnected, which cancels the request's context.
 		_ = flush.Flush()
 	}
--- a/runner/run.go
+++ b/runner/run.go
@@ -20,15 +20,24 @@
 func (r *Runner) run(processCtx, runCtx context.Context, i *item, choice *pool.Choice, route *sardinerock.Route) {
 	eventsBefore := i.events
 	var meter speed.Meter
+	part := &partRun{tracker: r.Blame}
 	attempt := &invoke.Item{Host: i.open.Host, Team: i.open.Team, Body: i.body, Position: i.position, UnprovenAfter: i.unprovenAfter, OnEvent: func(after sardinerock.Position, data string) {
-		meter.EventNow(time.Now())
+		now := time.Now()
+		meter.EventNow(now)
+		part.event(now)
 		r.appendEvent(i, after, data)
 	}}
-	attempt.BeforeSend = func(ctx context.Context) error { return r.ensureStartRecorded(ctx, i, route.MaxAttempts) }
+	attempt.BeforeSend = func(ctx context.Context) error {
+		if err := r.ensureStartRecorded(ctx, i, route.MaxAttempts); err != nil {
+			return err
+		}
+		return part.send(r.causes(i.open.Host, i.open.Team, i.body))
+	}
 	outcome, err := r.invoker.Run(runCtx, attempt, choice)
 	i.unprovenAfter = attempt.UnprovenAfter
 	took := time.Since(i.started)
 	serverFailed := err != nil && runCtx.Err() == nil && (outcome == invoke.Interrupted || outcome == invoke.BrokenOff)
+	part.end(outcome, serverFailed && outcome == invoke.BrokenOff, choice.ID)
 	free := r.Pool.Done(choice.ID, true, serverFailed, time.Now())
 	r.Pool.RecordRun(choice.ID, meter.Sample(choice.Load()), time.Now())
 	metrics.GetOrRegisterCounter("batch.runs", r.Metrics).Inc(1)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/blame"
 	"github.com/sardinerock/sardinerock/blobs"
 	"github.com/sardinerock/sardinerock/commit"
 	"github.com/sardinerock/sardinerock/conns"
@@ -54,6 +55,8 @@
 	Blobs *blobs.Client
 	Pool  *pool.Pool
 	Conns *conns.Conns
+	// Blame knows which parts of prompts end backend servers.
+	Blame *blame.Tracker
 	// Pace limits how many items start at once.
 	Pace *items.Pacer
 	// SlotFreed is called when an item has released a slot that is now free.
@@ -151,6 +154,8 @@
 	saveFirstOutput, saveNow bool
 	// recordingStart is set while the start of a run is being recorded.
 	recordingStart bool
+	// held is set once a log line says that the item waits because of its prompt.
+	held bool
 	// exhausted is set once a log line says that the item isn't run any more.
 	exhausted bool
 	// retryAt is the earliest time of the next run.
--- a/runner/start.go
+++ b/runner/start.go
@@ -160,7 +160,7 @@
 			r.giveUp(ctx, &c, "it is too old")
 			continue
 		}
-		if !r.mayRun(&c) {
+		if !r.mayRun(&c) || r.held(&c) {
 			continue
 		}
 		r.chooseService(&c, job)
@@ -197,7 +197,7 @@
 	r.mu.Lock()
 	i := r.itemOf(c)
 	i.running, i.server, i.service, i.started, i.cancel, i.preempted = true, choice.ID, c.service, time.Now(), cancel, false
-	i.noRoomSince, i.noRoom = time.Time{}, false
+	i.noRoomSince, i.noRoom, i.held = time.Time{}, false, false
 	i.due = c.CreatedAt.Add(c.route.CompletionTarget)
 	i.timing.RunStarted(i.started)
 	i.timing.Resumed = i.timing.Resumed || i.timing.Runs == 0 && i.position.LastEvent != ""
