shed, node: new connections are closed unread while a process can't serve what it has read

Cause: nothing limited what an entry reads to what it can serve; a request that was read is lost to the others.

Change: package shed. While many new connections come, the lag of the process's own timers is measured; while they are late, new connections are closed unread, so that callers try another entry at once. What was completed during an overload of 0.3 s or more shows how many the process can serve; four fifths of that are read from then on, and slowly more, until the limit isn't reached any more. Kept connections and requests in progress go on. Below 20 new connections a second nothing is measured.

--- a/event/event.go
+++ b/event/event.go
@@ -89,6 +89,7 @@
 	TryFailed       ID = 905
 	RequestHeld     ID = 906
 	StartAwaited    ID = 907
+	ConnectionsShed ID = 908
 )
 
 // Logger writes numbered events as JSON lines. The zero value and a nil Logger discard them.
--- a/node/node.go
+++ b/node/node.go
@@ -43,6 +43,7 @@
 	"github.com/sardinerock/sardinerock/roster"
 	"github.com/sardinerock/sardinerock/runner"
 	"github.com/sardinerock/sardinerock/share"
+	"github.com/sardinerock/sardinerock/shed"
 	"github.com/sardinerock/sardinerock/submit"
 	"github.com/sardinerock/sardinerock/watch"
 )
@@ -216,8 +217,12 @@
 	n.start(workCtx)
 	callerServer := &http.Server{Handler: n.callerHandler(), ReadHeaderTimeout: headerTimeout, ConnContext: sardinerock.ConnContext}
 	idleConns := &idle.Conns{Limit: n.idleLimit}
-	callerServer.ConnState = idleConns.State
-	n.serve(callerServer, callerListener)
+	shedListener := &shed.Listener{Listener: callerListener, Limiter: &shed.Limiter{}, Events: n.Events, Metrics: n.Metrics}
+	callerServer.ConnState = func(c net.Conn, s http.ConnState) {
+		idleConns.State(c, s)
+		shedListener.State(c, s)
+	}
+	n.serve(callerServer, shedListener)
 	peerServer := &http.Server{Handler: n.shareServer.Handler(n.lease.Handler(proxy.FromPeer(n.callerHandler()))), ReadHeaderTimeout: headerTimeout}
 	n.serve(peerServer, peerListener)
 	readyServer := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
