soak: requests that share a part which ends engines, and times with all callers at one entry

Requests, no two alike, on both routes and in a job; sound ones that share their other parts beside them. Once the faults are over and entries know of each other, at most three more may reach engines, sound ones with the same first parts are served at least half the time, and the other items of the job are done. The entries' processes move to a file of their own, letter for letter.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -72,11 +73,14 @@
 	// engineVersion is the latest version of the engines' software.
 	engineVersion int
 	resumptions   resumptions
-	dir           string
-	stop          chan struct{}
-	callers       sync.WaitGroup
-	faults        []string
-	jobs          []string
+	parts         promptParts
+	// onlyEntry is one more than the number of the entry to which all callers connect; 0 if there is none.
+	onlyEntry atomic.Int32
+	dir       string
+	stop      chan struct{}
+	callers   sync.WaitGroup
+	faults    []string
+	jobs      []string
 	// sent, served and rejected count the streams that were sent, served, and rejected as ending engines.
 	sent, served, rejected int
 	// unframed counts the answers without framing by route, and doubtful those of them that engines ended like a
@@ -85,63 +89,12 @@
 	keys               keys
 }
 
-// process is one entry.
-type process struct {
-	name, frontAddress, readyAddress string
-	settingsFile                     string
-	log                              *os.File
-
-	// mu guards cmd, because a delayed signal may be sent while the entry is restarted.
-	mu  sync.Mutex
-	cmd *exec.Cmd
-}
-
-// newEntry writes the settings file of an entry. Each entry has its own loopback address: on
-// a shared address, an outgoing connection could take a free port before the entry listens.
-func (s *soak) newEntry(i int) *process {
-	pid := os.Getpid()
-	ip := fmt.Sprintf("127.%d.%d.%d", 1+pid%250, pid/250%250, 10+i)
-	p := &process{name: fmt.Sprint("front-", i), frontAddress: ip + ":8144", readyAddress: ip + ":8140"}
-	p.settingsFile = filepath.Join(s.dir, p.name+".toml")
-	text := fmt.Sprintf("node = %q\nip = %q\nzone = \"z\"\nport_range = [7660,7675]\n[listen]\nfront = %q\nready = %q\n[bounds]\ngrace_s = 6\nstatus_s = 600\ndrain_ms = %d\nstrict_revoke = true\nrevoke_ms = %d\n[platform]\naddress = %q\nrecord_bytes = 4000\ncall_bytes = 100000\nparts = 3\n",
-		p.name, ip, p.frontAddress, p.readyAddress, drainTimeout.Milliseconds(), revokeTimeout.Milliseconds(), s.store.proxy.address())
-	s.must(os.WriteFile(p.settingsFile, []byte(text), 0o600))
-	return p
-}
-
 func (s *soak) must(err error) {
 	if err != nil {
 		s.t.Fatal(err)
 	}
 }
 
-func (s *soak) start(p *process) {
-	var err error
-	p.log, err = os.OpenFile(filepath.Join(s.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	s.must(err)
-	cmd := exec.Command(program, "node", "--settings", p.settingsFile)
-	cmd.Stdout, cmd.Stderr = p.log, p.log
-	s.must(cmd.Start())
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.cmd = cmd
-}
-
-func (p *process) command() *exec.Cmd {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.cmd
-}
-
-func (s *soak) signal(p *process, sig syscall.Signal) { _ = p.command().Process.Signal(sig) }
-
-// restart waits for an entry's process to end and starts a new one.
-func (s *soak) restart(p *process) {
-	_ = p.command().Wait()
-	p.log.Close()
-	s.start(p)
-}
-
 func (s *soak) configure() {
 	s.version += 1 + s.random.IntN(3)
 	route := func(name, kind string, resumable bool) map[string]any {
@@ -210,7 +163,7 @@
 }
 
 func (s *soak) newEngine(id string) *engineServer {
-	e, err := newEngineServer(id, s.runs)
+	e, err := newEngineServer(id, s.runs, &s.parts)
 	s.must(err)
 	e.version = fmt.Sprint("v", s.engineVersion)
 	if s.statesStarts {
@@ -316,8 +269,6 @@
 	}
 }
 
-func (s *soak) entry(n int) *process { return s.entries[n%len(s.entries)] }
-
 // send sends one request and returns the status and body of the answer; the status is 0 if
 // the answer is incomplete or missing.
 func send(client *http.Client, method, front, path, id, body string, header map[string]string) (int, string) {
@@ -412,6 +363,8 @@
 //     number, in which engines state their start time);
 //   - a request that ends each engine reaches few, and others with the same content as those that were
 //     in progress there are served;
+//   - requests of which one part of the prompt ends each engine reach few, while others that share their other parts
+//     are served;
 //   - no answer, no stream over its caller's attempts and no text holds events of two software versions of the engines,
 //     and streams that can go on do, at least half as often as new ones begin;
 //   - each accepted job ends with one complete result for each item, or with the item given
@@ -455,12 +408,15 @@
 	}
 	go s.crashEngines("resumable", events, query)
 	go s.crashEngines("once", events, query)
+	s.sendPrompts()
+	crowds := rand.New(rand.NewPCG(seed, 11))
 	for end := time.Now().Add(*faultTime); time.Now().Before(end); {
 		time.Sleep(time.Duration(200+s.random.IntN(700)) * time.Millisecond)
 		s.injectFault()
 		if *releases && versions.IntN(3) == 0 {
 			s.release(versions)
 		}
+		s.crowd(crowds)
 	}
 	time.Sleep(longestFault)
 	for _, p := range s.entries {
@@ -470,12 +426,14 @@
 	time.Sleep(drainTimeout)
 	settled := time.Now()
 	s.resumptions.startCounting(s.servedTwice())
+	s.parts.settle()
 	time.Sleep(observeTime)
 	close(s.stop)
 	s.callers.Wait()
 	s.expectJobs()
 	s.expectRestarts(settled)
 	s.expectFewCrashes()
+	s.expectPartContained()
 	s.expectResumptions()
 	if over := s.runs.overAttempts(); len(over) > 0 {
 		s.fail("more runs than allowed: %s", strings.Join(over, "; "))
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -255,6 +255,7 @@
 	address  string
 	proxy    *proxy
 	runs     *runs
+	parts    *promptParts
 	busy     atomic.Int32
 	// ended is set once the process has ended. Its address then belongs to another program, and
 	// lastMisdirected is when a request last arrived there, in Unix nanoseconds.
@@ -266,8 +267,8 @@
 	undisturbed bool
 }
 
-func newEngineServer(id string, seen *runs) (*engineServer, error) {
-	e := &engineServer{id: id, runs: seen}
+func newEngineServer(id string, seen *runs, parts *promptParts) (*engineServer, error) {
+	e := &engineServer{id: id, runs: seen, parts: parts}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -311,6 +312,9 @@
 	if events, ok := crashes(r); ok {
 		e.crash(w, r, events)
 	}
+	if e.parts.guilty(r) {
+		e.crash(w, r, 0)
+	}
 	if fails(id) {
 		w.Header().Set("Request-Id", id)
 		w.Header().Set("Response-Signature", "sig")
