blame: failures are judged at most every 50 ms while there are many

Cause: each failure, and each message with failures, judged all that are kept.

Change: ends are numbered and kept as bits, what was lost together is worked out once for a failure, and more than 32 failures are judged at the next check 50 ms after the last time; few are judged at once, since a request that ends its backend server within a millisecond is sent again as fast.

Tried: the interval for few failures, too: 9 to 42 sends in relay's test, where 3 are allowed.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -28,6 +28,9 @@
 	trialSlice = time.Second
 	// retryAfter is the retry delay for requests that wait for the outcome of another one.
 	retryAfter = 200 * time.Millisecond
+	// evaluateInterval is the least time between two evaluations of more than fewFailures failures.
+	evaluateInterval = 50 * time.Millisecond
+	fewFailures      = 32
 	// maxFailures, maxVerdicts, maxBegun and maxSeen are the numbers of failures, of verdicts, of causes with the time
 	// of their latest begin, and of known failures of other entries, that are kept.
 	maxFailures = 256
@@ -59,7 +62,9 @@
 	unbegun map[Cause]int
 	// evaluateAt is when failures have to be judged again; zero if only further ones can change the result.
 	evaluateAt time.Time
-	number     uint32
+	// evaluatedAt is when that was last done.
+	evaluatedAt time.Time
+	number      uint32
 	// quiet is set while no cause is blamed or suspect.
 	quiet atomic.Bool
 	// notices holds until when begins are reported.
@@ -157,9 +162,7 @@
 
 // check returns the decision on a request, and the verdict of which it would be a trial.
 func (t *Tracker) check(causes []Cause, now time.Time) (d Decision, trial *verdict) {
-	if !t.evaluateAt.IsZero() && !now.Before(t.evaluateAt) {
-		t.evaluate(now)
-	}
+	t.evaluateIfDue(now)
 	if len(t.verdicts) == 0 && len(t.suspects) == 0 {
 		return Decision{}, nil
 	}
@@ -209,7 +212,7 @@
 		cleared = t.recordBegin(c, begin{at: at, own: true}, "", now) || cleared
 	}
 	if cleared {
-		t.evaluate(now)
+		t.changedAt(now)
 	}
 }
 
@@ -228,7 +231,7 @@
 	}
 	t.number++
 	t.addFailure(&failure{id: failureID{number: t.number}, server: server, causes: slices.Clone(r.causes), sent: r.sent, failed: now}, now)
-	t.evaluate(now)
+	t.changedAt(now)
 }
 
 // Done records the end of a run that shows nothing: it was cancelled, or its backend server goes on.
@@ -308,6 +311,7 @@
 	if !cleared {
 		return false
 	}
+	delete(t.suspects, c)
 	if b.own {
 		t.notices[c] = now.Add(reportTime)
 	}
@@ -320,7 +324,7 @@
 // servers; what remains is judged without these.
 func (t *Tracker) evaluate(now time.Time) {
 	t.expire(now)
-	t.evaluateAt = time.Time{}
+	t.evaluateAt, t.evaluatedAt = time.Time{}, now
 	clear(t.suspects)
 	slices.SortFunc(t.failures, func(a, b *failure) int { return a.failed.Compare(b.failed) })
 	margin := t.margin()
@@ -328,40 +332,67 @@
 	t.markExplained(now)
 	remaining := t.failures
 	for {
-		s := strongest(remaining, margin)
-		if s.runs < suspectLimit {
+		suspicions := judge(remaining, margin)
+		s := strongest(suspicions)
+		if s.runs < limit {
+			t.suspect(suspicions)
 			break
 		}
 		// Until then other entries may report that requests with some of the causes began to write.
-		confirmed := s.first.Add(SettleTime + 2*t.viewAge())
-		switch {
-		case s.runs >= limit && !now.Before(confirmed):
+		if confirmed := s.first.Add(SettleTime + 2*t.viewAge()); !now.Before(confirmed) {
 			t.blame(&s)
-		case s.runs >= limit && (t.evaluateAt.IsZero() || confirmed.Before(t.evaluateAt)):
-			t.evaluateAt = confirmed
-			fallthrough
-		default:
+		} else {
+			if t.evaluateAt.IsZero() || confirmed.Before(t.evaluateAt) {
+				t.evaluateAt = confirmed
+			}
 			for _, c := range s.causes {
 				t.suspects[c] = true
 			}
 		}
-		remaining = without(remaining, s.ends)
+		remaining = without(remaining, &s.ends)
 	}
 	t.markExplained(now)
 	t.quiet.Store(len(t.verdicts)+len(t.suspects) == 0)
 }
 
+func (t *Tracker) evaluateIfDue(now time.Time) {
+	if !t.evaluateAt.IsZero() && !now.Before(t.evaluateAt) {
+		t.evaluate(now)
+	}
+}
+
+func (t *Tracker) suspect(suspicions map[Cause]*suspicion) {
+	for c, s := range suspicions {
+		if s.runs >= suspectLimit {
+			t.suspects[c] = true
+		}
+	}
+}
+
+// changedAt records that the failures have changed. They are judged at the next check; many of them not more often than
+// evaluateInterval, since failures come by the hundred when many backend servers are lost.
+func (t *Tracker) changedAt(now time.Time) {
+	t.quiet.Store(false)
+	due := now
+	if next := t.evaluatedAt.Add(evaluateInterval); len(t.failures) > fewFailures && next.After(now) {
+		due = next
+	}
+	if t.evaluateAt.IsZero() || due.Before(t.evaluateAt) {
+		t.evaluateAt = due
+	}
+}
+
 // blame records a verdict.
 func (t *Tracker) blame(s *suspicion) {
 	v := t.verdictOn(s.causes)
 	if v == nil {
-		t.adopt(&verdict{causes: s.causes, latest: s.latest, runs: s.runs, servers: len(s.ends)}, "")
+		t.adopt(&verdict{causes: s.causes, latest: s.latest, runs: s.runs, servers: s.ends.len()}, "")
 		return
 	}
 	if s.latest.After(v.latest) {
 		v.latest = s.latest
 	}
-	v.runs, v.servers = max(v.runs, s.runs), max(v.servers, len(s.ends))
+	v.runs, v.servers = max(v.runs, s.runs), max(v.servers, s.ends.len())
 }
 
 // markExplained marks the failures at backend servers that a single blamed cause ended. They are kept for as long as
@@ -369,7 +400,7 @@
 // may have been made where only some of them were known.
 func (t *Tracker) markExplained(now time.Time) {
 	t.withdraw()
-	explained := ends{}
+	var explained ends
 	for _, v := range t.verdicts {
 		if len(v.causes) > 1 {
 			continue
@@ -378,14 +409,14 @@
 			if !slices.Contains(f.causes, v.causes[0]) {
 				continue
 			}
-			explained[f.end] = true
+			explained.add(f.end)
 			if f.failed.After(v.latest) {
 				v.latest = f.failed
 			}
 		}
 	}
 	t.failures = slices.DeleteFunc(t.failures, func(f *failure) bool {
-		f.explained = f.explained || explained[f.end]
+		f.explained = f.explained || explained.has(f.end)
 		return f.explained && now.Sub(f.failed) > reportTime
 	})
 }
@@ -396,22 +427,22 @@
 	if len(t.verdicts) < 2 {
 		return
 	}
-	of := map[*verdict]ends{}
+	of := map[*verdict]*ends{}
 	for _, v := range t.verdicts {
-		of[v] = ends{}
+		of[v] = &ends{}
 		for _, f := range t.failures {
 			if slices.Contains(f.causes, v.causes[0]) {
-				of[v][f.end] = true
+				of[v].add(f.end)
 			}
 		}
 	}
 	kept := make([]*verdict, 0, len(t.verdicts))
 	for _, v := range t.verdicts {
 		explains := func(other *verdict) bool {
-			return len(v.causes) == 1 && len(other.causes) == 1 && len(of[v]) > 0 && len(of[v]) < len(of[other]) && of[v].within(of[other])
+			return len(v.causes) == 1 && len(other.causes) == 1 && of[v].len() > 0 && of[v].len() < of[other].len() && of[v].within(of[other])
 		}
 		if slices.ContainsFunc(t.verdicts, explains) {
-			t.changed(Change{Kind: Withdrawn, Causes: v.causes, Servers: len(of[v])})
+			t.changed(Change{Kind: Withdrawn, Causes: v.causes, Servers: of[v].len()})
 			continue
 		}
 		kept = append(kept, v)
--- a/blame/blame_test.go
+++ b/blame/blame_test.go
@@ -147,3 +147,21 @@
 		tr.Began(run, now, now)
 	}
 }
+
+// Guards against the loss of many backend servers at once making each further failure expensive.
+func BenchmarkFailureInALossOfAll(b *testing.B) {
+	tr, now := newTracker(), time.Now()
+	lose := func(n uint64) {
+		run := &Run{causes: []Cause{Cause(n % 8), Cause(100 + n%200), Cause(1000 + n)}, sent: now.Add(-time.Duration(n%200) * time.Millisecond)}
+		tr.Failed(run, uint32(n%40), now.Add(time.Duration(n%50)*time.Millisecond))
+	}
+	for n := range uint64(maxFailures) {
+		lose(n)
+	}
+	n := uint64(maxFailures)
+	for b.Loop() {
+		n++
+		lose(n)
+		tr.evaluate(now)
+	}
+}
--- a/blame/judge.go
+++ b/blame/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 	"time"
 )
@@ -25,6 +26,8 @@
 	sent, failed time.Time
 	// end numbers the ends of backend servers. An id isn't enough: a backend server may start again under its id.
 	end int
+	// lost are the ends at about the same time.
+	lost *ends
 	// explained is set if a single blamed cause ended the backend server.
 	explained bool
 }
@@ -46,22 +49,31 @@
 	first, latest time.Time
 }
 
-// ends is a set of ends of backend servers.
-type ends map[int]bool
+// ends is a set of ends of backend servers, by their numbers.
+type ends [maxFailures / 64]uint64
 
-// equal reports whether two sets are the same.
-func (e ends) equal(other ends) bool { return len(e) == len(other) && e.within(other) }
+func (e *ends) add(end int) { e[end/64] |= 1 << (end % 64) }
+
+func (e *ends) has(end int) bool { return e[end/64]&(1<<(end%64)) != 0 }
 
 // within reports whether all elements are in another set.
-func (e ends) within(other ends) bool {
-	for end := range e {
-		if !other[end] {
+func (e *ends) within(other *ends) bool {
+	for n := range e {
+		if e[n]&^other[n] != 0 {
 			return false
 		}
 	}
 	return true
 }
 
+func (e *ends) len() int {
+	count := 0
+	for _, word := range e {
+		count += bits.OnesCount64(word)
+	}
+	return count
+}
+
 // numberEnds numbers the ends of backend servers behind failures that are sorted by their time.
 func numberEnds(failures []*failure, margin time.Duration) {
 	latest := map[uint32]*failure{}
@@ -74,78 +86,77 @@
 	}
 }
 
-// strongest returns the causes with the most failed runs one after the other. Runs that were in progress at the
-// same time may have been lost together and count once. margin is the error of the time between failures at
-// different entries. The failures are sorted by their time.
-//
-// A cause that ends backend servers is in a failed run at each of them, whatever else these requests hold. Other parts
-// are in fewer, as long as requests with the cause differ in them.
-func strongest(failures []*failure, margin time.Duration) suspicion {
+// judge returns what failures show about each cause, those left out that can't be its doing. margin is the error of the
+// time between failures at different entries. The failures are sorted by their time.
+func judge(failures []*failure, margin time.Duration) map[Cause]*suspicion {
 	byCause := map[Cause][]*failure{}
-	for n, f := range failures {
+	for _, f := range failures {
 		if f.explained {
 			continue
 		}
-		together := lostTogether(failures, n, margin)
 		for _, c := range f.causes {
-			if together.mayBeCause(c) {
-				byCause[c] = append(byCause[c], f)
-			}
+			byCause[c] = append(byCause[c], f)
 		}
 	}
-	var best suspicion
+	all := make([]ends, len(failures))
+	for n, f := range failures {
+		all[n] = f.lostWith(failures, margin)
+		f.lost = &all[n]
+	}
+	suspicions := map[Cause]*suspicion{}
 	for c, list := range byCause {
-		runs := consecutive(list, margin)
-		if runs < best.runs {
-			continue
-		}
-		of := ends{}
+		counted := make([]*failure, 0, len(list))
 		for _, f := range list {
-			of[f.end] = true
+			// If many backend servers end at the same time, a cause that only few of them ran has nothing to do with it.
+			if with := f.lostWith(list, margin); with.len()*minShare >= f.lost.len() {
+				counted = append(counted, f)
+			}
 		}
-		order := cmp.Or(cmp.Compare(runs, best.runs), cmp.Compare(len(of), len(best.ends)))
-		switch {
-		case order > 0 || order == 0 && !of.equal(best.ends) && c < best.causes[0]:
-			best = suspicion{causes: []Cause{c}, runs: runs, ends: of, first: list[0].failed, latest: list[len(list)-1].failed}
-		case order == 0 && of.equal(best.ends):
-			best.causes = append(best.causes, c)
+		if len(counted) == 0 {
+			continue
 		}
+		s := &suspicion{causes: []Cause{c}, runs: consecutive(counted, margin), first: counted[0].failed, latest: counted[len(counted)-1].failed}
+		for _, f := range counted {
+			s.ends.add(f.end)
+		}
+		suspicions[c] = s
 	}
-	slices.Sort(best.causes)
-	return best
+	return suspicions
 }
 
-// lostServers holds the failed runs at backend servers that ended at about the same time, by their ends.
-type lostServers map[int][]*failure
-
-// lostTogether returns the backend servers that ended at about the same time as that of a failure.
-func lostTogether(failures []*failure, n int, margin time.Duration) lostServers {
-	lost := lostServers{}
-	add := func(f *failure) (near bool) {
-		window := togetherTime + f.errorTo(failures[n], margin)
-		distance := f.failed.Sub(failures[n].failed).Abs()
-		if distance <= window && !f.explained {
-			lost[f.end] = append(lost[f.end], f)
+// lostWith returns the ends among failures that happened at about the same time as that of a failure.
+func (f *failure) lostWith(failures []*failure, margin time.Duration) (lost ends) {
+	n, _ := slices.BinarySearchFunc(failures, f.failed.Add(-togetherTime-margin), func(other *failure, at time.Time) int { return other.failed.Compare(at) })
+	for _, other := range failures[n:] {
+		distance := other.failed.Sub(f.failed)
+		if distance > togetherTime+margin {
+			break
+		}
+		if !other.explained && distance.Abs() <= togetherTime+f.errorTo(other, margin) {
+			lost.add(other.end)
 		}
-		return distance <= togetherTime+margin
-	}
-	for i := n; i < len(failures) && add(failures[i]); i++ {
-	}
-	for i := n - 1; i >= 0 && add(failures[i]); i-- {
 	}
 	return lost
 }
 
-// mayBeCause reports whether a cause may have ended these backend servers. If many end at the same time, a cause that
-// only few of them ran has nothing to do with it.
-func (l lostServers) mayBeCause(c Cause) bool {
-	with := 0
-	for _, list := range l {
-		if slices.ContainsFunc(list, func(f *failure) bool { return slices.Contains(f.causes, c) }) {
-			with++
+// strongest returns the causes with the most failed runs one after the other, and with the same ends.
+//
+// A cause that ends backend servers is in a failed run at each of them, whatever else these requests hold. Other parts
+// are in fewer, as long as requests with the cause differ in them.
+func strongest(suspicions map[Cause]*suspicion) suspicion {
+	var best suspicion
+	for c, s := range suspicions {
+		order := cmp.Or(cmp.Compare(s.runs, best.runs), cmp.Compare(s.ends.len(), best.ends.len()))
+		switch {
+		case order > 0 || order == 0 && s.ends != best.ends && c < best.causes[0]:
+			best = *s
+			best.causes = slices.Clone(s.causes)
+		case order == 0 && s.ends == best.ends:
+			best.causes = append(best.causes, c)
 		}
 	}
-	return with*minShare >= len(l)
+	slices.Sort(best.causes)
+	return best
 }
 
 // consecutive returns how many of the failed runs were sent after the one before had failed. Of those that failed at
@@ -178,6 +189,6 @@
 }
 
 // without returns the failures that don't belong to the given ends.
-func without(failures []*failure, of ends) []*failure {
-	return slices.DeleteFunc(slices.Clone(failures), func(f *failure) bool { return of[f.end] })
+func without(failures []*failure, of *ends) []*failure {
+	return slices.DeleteFunc(slices.Clone(failures), func(f *failure) bool { return of.has(f.end) })
 }
--- a/blame/report.go
+++ b/blame/report.go
@@ -61,6 +61,7 @@
 func (t *Tracker) Reports(now time.Time) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.evaluateIfDue(now)
 	if len(t.failures)+len(t.verdicts)+len(t.notices) == 0 {
 		return nil
 	}
@@ -143,7 +144,7 @@
 		}
 	}
 	if changed {
-		t.evaluate(now)
+		t.changedAt(now)
 	}
 }
 
