--- a/blame/blame_test.go
+++ b/blame/blame_test.go
@@ -38,7 +38,7 @@
 
 // Guards against a part that was only seen beside the guilty one being rejected when it comes without it, and against
 // the guilty one being sent on with another companion.
-func TestPartsThatCameTogetherAreToldApart(t *testing.T) {
+func TestPartsThatCameTogetherAreDistinguished(t *testing.T) {
 	g, now := NewWithT(t), time.Now()
 	tr := newTracker()
 	for n := range uint32(limit) {
--- a/blame/judge.go
+++ b/blame/judge.go
@@ -38,7 +38,7 @@
 	number uint32
 }
 
-// suspicion is what failures show about causes that can't be told apart by them.
+// suspicion is what failures show about causes that they don't distinguish.
 type suspicion struct {
 	// causes are sorted.
 	causes []Cause
--- a/blame/report.go
+++ b/blame/report.go
@@ -36,7 +36,7 @@
 	KindBegin
 )
 
-// Report is what an entry tells the others.
+// Report is a message to the other entries.
 type Report struct {
 	Kind   Kind
 	Causes []Cause
--- a/blame/verdict.go
+++ b/blame/verdict.go
@@ -11,7 +11,7 @@
 
 // verdict says that one of its causes ends backend servers.
 type verdict struct {
-	// causes are sorted. Those of several can't be told apart: no run failed that had only some of them.
+	// causes are sorted. Several can't be distinguished: no run failed that had only some of them.
 	causes []Cause
 	// latest is the time of the latest failure.
 	latest time.Time
