--- a/review/_stub/cases.go
+++ b/review/_stub/cases.go
@@ -13,13 +13,11 @@
 	"route-added":   routeAdded,
 	"route-removed": routeRemoved,
 	"smuggled":      smuggled,
-	"silent-config": silentConfig,
 }
 
 const (
 	batchPrefix = "/pule252/"
 	configApply = 2000 * time.Millisecond
-	contact     = 3000 * time.Millisecond
 	finish      = 18 * time.Second
 )
 
@@ -167,58 +165,3 @@
 		}
 	}
 }
-
-// silentConfig moves a route to another service while the connections of one entry to the store have gone silent.
-func silentConfig(w *world) {
-	moved := func(service string) map[string]any {
-		return route("r-fetch", "/puxa403/", "safe", map[string]any{"service": service, "timeout_ms": 2500})
-	}
-	w.configure(1, streamRoute(), batchRoute("r-batch", batchPrefix), moved("app-old"))
-	w.startWorker("i-7f3a91c2", models, 100*time.Millisecond)
-	w.startWorker("i-02d9e6b4", models, 100*time.Millisecond)
-	w.startWorker("i-0a7d1e55", "app-old", 0)
-	w.startWorker("i-5c20b9d1", "app-new", 0)
-	w.startEntries(2)
-	e := w.entries[1]
-	// Usual work of the entry: batch jobs are handed in and read by several clients at once.
-	done := make(chan bool)
-	for n := range 12 {
-		go func() {
-			job := fmt.Sprintf("7c41e09b52d6a3%02x", n)
-			w.submit(e, batchPrefix+job[:6], job, jobItems(job, 3)...)
-			for range 6 {
-				w.read(e, job)
-				time.Sleep(100 * time.Millisecond)
-			}
-			done <- true
-		}()
-	}
-	for range 12 {
-		<-done
-	}
-	time.Sleep(3 * time.Second)
-	silent := time.Now()
-	if w.trouble {
-		w.note("%s: %d connections to the store are open and go silent; new ones work", e.name, e.proxy.count())
-		e.proxy.silence()
-	}
-	w.configure(3, streamRoute(), batchRoute("r-batch", batchPrefix), moved("app-new"))
-	acknowledged := time.Now()
-	old, last := 0, time.Time{}
-	for n := 0; time.Since(silent) < 14*time.Second; n++ {
-		sent := time.Now()
-		id := fmt.Sprintf("%016x", n)
-		status, raw := w.call(e, http.MethodPost, "/puxa403/x", id, map[string]string{"Deadline-Ms": "2500"}, []byte("body"))
-		if status == http.StatusOK && strings.Contains(string(raw), "app-old") {
-			last = sent
-			if sent.Sub(acknowledged) > configApply && sent.Sub(silent) > contact {
-				old++
-			}
-		}
-		time.Sleep(40 * time.Millisecond)
-	}
-	w.note("the last request that the old service ran was sent %.2f s after the acknowledgement", last.Sub(acknowledged).Seconds())
-	if old > 0 {
-		w.broke("CONFIG: %d requests that were sent over %v after the acknowledgement were run by the old service", old, configApply)
-	}
-}
--- a/review/_stub/proxy.go
+++ b/review/_stub/proxy.go
@@ -15,8 +15,6 @@
 	mu sync.Mutex
 	// silent is closed when the connections that are open now go silent.
 	silent chan struct{}
-	// open is the number of open connections.
-	open int
 }
 
 func newProxy(ip, target string) *proxy {
@@ -56,25 +54,10 @@
 		c.Close()
 		return
 	}
-	p.add(1)
-	defer p.add(-1)
 	go forward(c, b, silent)
 	forward(b, c, silent)
 }
 
-func (p *proxy) add(n int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.open += n
-}
-
-// count returns the number of open connections.
-func (p *proxy) count() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open
-}
-
 func forward(from, to net.Conn, silent chan struct{}) {
 	buffer := make([]byte, 32<<10)
 	for {
