--- a/review/_stub/cases.go
+++ b/review/_stub/cases.go
@@ -29,19 +29,23 @@
 	return items
 }
 
-// routeRemoved removes a batch route after a job on it was done, and reads the job again within status_s.
+// routeRemoved removes a batch route after one job on it was done and while another one is open, and reads both again
+// within status_s.
 func routeRemoved(w *world) {
 	w.configure(1, streamRoute(), batchRoute("r-batch", batchPrefix))
 	w.startWorker("i-7f3a91c2", models, 100*time.Millisecond)
 	w.startWorker("i-02d9e6b4", models, 100*time.Millisecond)
 	w.startEntries(2)
-	const job = "7c41e09b52d6a3f8"
-	if !w.submit(w.entries[0], batchPrefix+job[:6], job, jobItems(job, 4)...) {
+	const done, open, openItems = "7c41e09b52d6a3f8", "91d86acea8eccc98", 60
+	if !w.submit(w.entries[0], batchPrefix+done[:6], done, jobItems(done, 4)...) {
 		fail("the job wasn't accepted")
 	}
-	if page := w.awaitResults(w.entries[1], job, 4, 20*time.Second); len(page.Results) != 4 {
+	if page := w.awaitResults(w.entries[1], done, 4, 20*time.Second); len(page.Results) != 4 {
 		fail("the job isn't done after 20 s")
 	}
+	if !w.submit(w.entries[1], batchPrefix+open[:6], open, jobItems(open, openItems)...) {
+		fail("the job wasn't accepted")
+	}
 	if w.trouble {
 		w.configure(4, streamRoute())
 	} else {
@@ -50,12 +54,14 @@
 	time.Sleep(configApply + time.Second)
 	for range 5 {
 		for _, e := range w.entries {
-			status, page := w.read(e, job)
-			switch {
-			case status == http.StatusNotFound || status == http.StatusGone:
-				w.broke("LOST: %s answers %d for batch job %s, which was accepted, and whose 4 results were read", e.name, status, job)
-			case status == http.StatusOK && len(page.Results) != 4:
-				w.broke("LOST: %s has %d results of batch job %s; 4 had been read", e.name, len(page.Results), job)
+			for _, job := range []string{done, open} {
+				status, page := w.read(e, job)
+				switch {
+				case status == http.StatusNotFound || status == http.StatusGone:
+					w.broke("LOST: %s answers %d for batch job %s, which was accepted", e.name, status, job)
+				case status == http.StatusOK && job == done && len(page.Results) != 4:
+					w.broke("LOST: %s has %d results of batch job %s; 4 had been read", e.name, len(page.Results), job)
+				}
 			}
 		}
 		time.Sleep(500 * time.Millisecond)
