runner, items: lost owners postpone the next run of an item and don't prevent it

The start of a run is recorded before it, and items.MaxRuns bounded the recorded starts. A lost owner leaves a start without an outcome, which was charged like a failure, although nothing shows one; so is a start that a slow store records too late and that is never sent. mayRun then withheld the item.

Such starts now decide when the next run starts: after three seconds in which the owner has kept the job and the entry and the store have worked. So that items that fail still reach few backend servers, a failed run is told to seven other entries before it is recorded (new package tally), who takes a job over asks them, and failures are appended at once.

--- a/event/event.go
+++ b/event/event.go
@@ -71,6 +71,8 @@
 	ItemDelayed     ID = 523
 	ItemStartedOver ID = 524
 	ItemHeld        ID = 525
+	ItemPostponed   ID = 526
+	FailuresAsked   ID = 527
 	BundleAccepted  ID = 601
 	BundleRejected  ID = 602
 	BundleInForce   ID = 603
--- a/ledger/apply.go
+++ b/ledger/apply.go
@@ -216,7 +216,7 @@
 		return err
 	}
 	if w := l.work[k.job]; k.index == w.epoch+1 {
-		w.owner, w.epoch = owner, k.index
+		w.owner, w.epoch, w.claimedAt = owner, k.index, time.Now()
 	}
 	return nil
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -36,6 +36,8 @@
 	// owner is the entry that claimed the job last, and epoch the number of claims so far.
 	owner string
 	epoch int
+	// claimedAt is when this entry read the latest claim; zero if there is none.
+	claimedAt time.Time
 	// keys lists the keys of all these records.
 	keys []string
 }
@@ -213,6 +215,8 @@
 	FirstOwner      string
 	FirstOwnerStart int64
 	Epoch           int
+	// ClaimedAt is when this entry read the latest claim; zero if there is none.
+	ClaimedAt time.Time
 }
 
 // Ownership names the entry that runs the items of an open job.
@@ -291,7 +295,7 @@
 			open = append(open, OpenItem{
 				Job: id, Route: j.Route, Host: j.Host, Team: j.Team, CreatedAt: time.UnixMilli(j.CreatedAt), Index: i,
 				Remaining: len(j.Tokens) - len(w.results), Bodies: j.Bodies, SeenAt: j.SeenAt, Failures: len(w.failures[i]),
-				Runs: w.runs(i), FirstOwner: j.Owner, FirstOwnerStart: j.OwnerStart, Epoch: w.epoch,
+				Runs: w.runs(i), FirstOwner: j.Owner, FirstOwnerStart: j.OwnerStart, Epoch: w.epoch, ClaimedAt: w.claimedAt,
 			})
 		}
 	}
--- a/node/home.go
+++ b/node/home.go
@@ -12,6 +12,7 @@
 	"github.com/sardinerock/sardinerock/origin"
 	"github.com/sardinerock/sardinerock/owner"
 	"github.com/sardinerock/sardinerock/quota"
+	"github.com/sardinerock/sardinerock/tally"
 )
 
 // homeTimeout is how long a team's home entry may take to answer: several round trips
@@ -68,6 +69,9 @@
 	if origin.IsMessage(raw) {
 		return n.origins.Answer(raw)
 	}
+	if tally.IsMessage(raw) {
+		return n.tally.Answer(raw)
+	}
 	var query peerQuery
 	if err := cbor.Unmarshal(raw, &query); err != nil {
 		return nil, err
--- a/node/lost_test.go
+++ b/node/lost_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -124,6 +126,48 @@
 	}
 }
 
+// TestItemIsRunAgainAfterAnyNumberOfLostOwners guards against an item that would succeed being withheld because its
+// owners were lost during its runs, before its first output.
+func TestItemIsRunAgainAfterAnyNumberOfLostOwners(t *testing.T) {
+	// finishTime is the time within which open items have to be done once all is calm.
+	const finishTime = 18 * time.Second
+	for _, losses := range []int{3, 5, 10} {
+		t.Run(strconv.Itoa(losses), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 0)
+			var owner atomic.Pointer[losingStore]
+			f.onRun = func(r *http.Request) {
+				if s := owner.Load(); s != nil {
+					s.lose()
+					select {
+					case <-r.Context().Done():
+					case <-f.t.Context().Done():
+					}
+				}
+			}
+			runs := func() int { f.mu.Lock(); defer f.mu.Unlock(); return f.runs["item0"] }
+			for n := range losses {
+				s := &losingStore{}
+				owner.Store(s)
+				e := f.startLosing("front", s)
+				f.entries = []*entry{e}
+				if n == 0 {
+					f.configureBatch(1, time.Hour)
+					status, body := f.call(e, http.MethodPost, "/batch/j", "job1", jobBody(1, 1))
+					f.g.Expect(status).To(Equal(http.StatusAccepted), body)
+				}
+				f.g.Eventually(runs, finishTime).Should(Equal(n+1), "the item is run again")
+				f.g.Eventually(s.isLost, timeout).Should(BeTrue())
+			}
+			owner.Store(nil)
+			f.entries = []*entry{f.start("front")}
+			f.g.Eventually(func() int { return f.get("http://" + f.entries[0].settings.ReadyAddress) }, timeout).Should(Equal(http.StatusOK))
+			f.g.Eventually(func() int { return len(f.results(f.entries[0], "job1", 0).Results) }, finishTime).Should(Equal(1))
+			f.expectDone("job1", 1)
+		})
+	}
+}
+
 // TestFirstOutputAfterALossIsSaved guards against an item that would succeed being withheld because
 // several of its owners were lost in the middle of a run: its first output shows that it isn't one
 // that fails at each run.
--- a/node/node.go
+++ b/node/node.go
@@ -45,6 +45,7 @@
 	"github.com/sardinerock/sardinerock/share"
 	"github.com/sardinerock/sardinerock/shed"
 	"github.com/sardinerock/sardinerock/submit"
+	"github.com/sardinerock/sardinerock/tally"
 	"github.com/sardinerock/sardinerock/watch"
 )
 
@@ -101,6 +102,7 @@
 	blame    *blame.Tracker
 	access   *access.Access
 	origins  *origin.Locator
+	tally    *tally.Tally
 	roster   *roster.Roster
 
 	configuration *watch.Follower
@@ -288,6 +290,13 @@
 	}
 	n.gossip.Prepare()
 	n.origins = n.newLocator()
+	n.tally = &tally.Tally{
+		Peers: n.tallyPeers, Notify: n.gossip.Notify, Events: n.Events,
+		Query: func(ctx context.Context, peer string, raw []byte) ([]byte, error) {
+			return n.gossip.Query(ctx, peer, raw)
+		},
+	}
+	n.tally.Prepare()
 	n.lease = &lease.Lease{
 		Table: n.table, OwnAge: n.configuration.Age, Length: n.leaseLength, Peers: func() []string { return n.gossip.StoreReaders(time.Now()) },
 		Client: peerClient, Events: n.Events, Metrics: n.Metrics,
@@ -323,12 +332,14 @@
 		Owners:           n.owners,
 		OwnerView:        n.ownerView,
 		OwnershipCurrent: n.ownershipCurrent,
-		CanRecord:        n.canRecord,
+		WorkingFor:       func() time.Duration { return n.recorder.WorkingFor(time.Now()) },
+		SteadyFor:        n.steadyFor,
 		SetActive:        n.setActive,
 		ViewAge:          n.gossip.ViewAge,
 		RunningElsewhere: func() map[uint32]bool { return n.gossip.RunningElsewhere(time.Now()) },
 	}
 	n.runner.Prepare()
+	n.runner.Tally = n.tally
 	n.adopter = &adopt.Adopter{
 		Name: n.Settings.ID, Ledger: n.ledger, Recorder: n.recorder, View: n.ownerView, Members: n.gossip.Members,
 		Probe:   func(ctx context.Context, name string) { n.gossip.Probe(ctx, name, time.Now()) },
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -52,6 +52,8 @@
 	status  atomic.Int32
 	// endsAfter is after how many events of a response a backend server ends the connection; 0 for never.
 	endsAfter int
+	// onRun, if set, is called when a run has reached a backend server, before it writes.
+	onRun func(r *http.Request)
 }
 
 type entry struct {
@@ -116,6 +118,9 @@
 			f.resumed[request] = append(f.resumed[request], after)
 		}
 		f.mu.Unlock()
+		if f.onRun != nil {
+			f.onRun(r)
+		}
 		w.Header().Set("Request-Id", request)
 		w.Header().Set("Response-Signature", "sig")
 		if r.Header.Get("Expect-Instance") != id {
--- a/node/owners.go
+++ b/node/owners.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/gossip"
 	"github.com/sardinerock/sardinerock/ledger"
@@ -19,9 +21,6 @@
 	// maxUnreadTimeouts is how long the topic of items may be unread before no more items start,
 	// in timeouts of a peer. A read of a slow store takes longer than one timeout.
 	maxUnreadTimeouts = 3
-	// steadyTime is how long the store must have worked for this entry before it starts the last run
-	// that an item may have. Losses in quick succession are over by then.
-	steadyTime = 3 * time.Second
 )
 
 // owners returns the names of the entries among which new jobs are distributed.
@@ -50,7 +49,7 @@
 	reachable, total := n.gossip.Entries(now)
 	return owner.View{
 		Self: n.Settings.ID, Timeout: n.gossip.Timeout(), Reachable: reachable, Total: total,
-		StoreReadFor: min(n.jobs.HealthyFor(now), n.work.HealthyFor(now)), LoadTime: time.Duration(n.loadTime.Load()),
+		StoreReadFor: n.steadyFor(), LoadTime: time.Duration(n.loadTime.Load()),
 		Peer: func(name string) owner.PeerState { return n.gossip.PeerState(name, now) },
 	}, true
 }
@@ -70,17 +69,15 @@
 	return read && age-unread < timeout && unread < maxUnreadTimeouts*timeout
 }
 
-// canRecord reports whether the start of a run can be recorded now: appends succeed. For the last
-// run that an item may have, the topics of jobs must have been read and written for steadyTime.
-func (n *Node) canRecord(last bool) bool {
+// steadyFor returns for how long the topics of jobs and items have been read without interruption.
+func (n *Node) steadyFor() time.Duration {
 	now := time.Now()
-	working := n.recorder.WorkingFor(now)
-	if !last {
-		return working > 0
-	}
-	return min(working, n.jobs.HealthyFor(now), n.work.HealthyFor(now)) >= steadyTime
+	return min(n.jobs.HealthyFor(now), n.work.HealthyFor(now))
 }
 
+// tallyPeers returns the entries that are told of the failed runs of a job's items.
+func (n *Node) tallyPeers(job string) []string { return n.originPeers(xxhash.Sum64String(job)) }
+
 // notifyOwner notifies the owner of a new job, unless that is this entry.
 func (n *Node) notifyOwner(job *ledger.Accepted) {
 	if job.Owner == n.Settings.ID {
--- a/runner/account.go
+++ b/runner/account.go
@@ -36,23 +36,27 @@
 }
 
 // mayRun reports whether a run of an item may be sent now. A run whose start has to be recorded
-// waits while that fails, and the last one until the entry and the store have worked for a while:
-// otherwise a series of losses would use up the runs of an item that would succeed. An item
-// of which as many runs as allowed may have failed is given up once its retention has passed.
+// waits while that fails. If the earlier runs that may have failed are as many as an item that
+// fails may have, it also waits until this entry has kept the job, and the store has worked, for a
+// while: otherwise a series of lost owners would send an item that fails again and again.
 func (r *Runner) mayRun(c *candidate) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	limit := items.MaxRuns(c.Failures, c.route.MaxAttempts)
-	switch {
-	case !r.needsStart(c):
+	if !r.needsStart(c) {
 		return true
-	case c.Runs < limit:
-		return r.CanRecord(c.Runs == limit-1)
 	}
-	if i := r.itemOf(c); !i.exhausted {
-		i.exhausted = true
-		r.Events.Warn(event.ItemFailed).Str("job", c.Job).Str("item", c.body.ID).Int("runs", c.Runs).Int("limit", limit).
-			Str("reason", "its owners were lost during all runs that it may have").Msg("item is not run any more")
+	limit, steady := items.NextStart(c.Runs, c.Failures, c.route.MaxAttempts)
+	if !steady {
+		return r.WorkingFor() > 0
+	}
+	calm := min(r.WorkingFor(), r.SteadyFor(), time.Since(c.ClaimedAt))
+	if calm >= items.SteadyTime {
+		return true
+	}
+	if i := r.itemOf(c); !i.waitsForCalm {
+		i.waitsForCalm = true
+		r.Events.Warn(event.ItemPostponed).Str("job", c.Job).Str("item", c.body.ID).Int("runs", c.Runs).Int("limit", limit).
+			Dur("calm", calm).Msg("owners of the item were lost during its runs; it is run once this entry and the store have worked for a while")
 	}
 	return false
 }
@@ -62,7 +66,7 @@
 func (r *Runner) ensureStartRecorded(ctx context.Context, i *item, attempts int) error {
 	r.mu.Lock()
 	needed := i.needsStart()
-	canRecord := r.CanRecord(false)
+	canRecord := r.WorkingFor() > 0
 	i.recordingStart = needed && canRecord
 	r.mu.Unlock()
 	switch {
@@ -99,7 +103,12 @@
 // is set. It returns once that is in the ledger.
 func (r *Runner) submitStart(i *item, attempts int, failed bool) {
 	r.mu.Lock()
-	open, item, limit := i.open, i.body.ID, items.MaxRuns(i.failures, attempts)
+	open, item := i.open, i.body.ID
+	// After a failed run the next start is recorded only if it needn't wait: see mayRun.
+	limit := items.MaxRuns(i.failures, attempts)
+	if !failed {
+		limit, _ = items.NextStart(open.Runs, i.failures, attempts)
+	}
 	r.mu.Unlock()
 	var change string
 	begin := time.Now()
--- a/runner/bodies.go
+++ b/runner/bodies.go
@@ -7,6 +7,7 @@
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/blobs"
 	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/items"
 	"github.com/sardinerock/sardinerock/ledger"
 )
 
@@ -25,6 +26,8 @@
 	// progress is the saved progress of the items at the time this entry read the job.
 	progress map[int]blobs.Progress
 	reading  bool
+	// epoch is the job's epoch for which the other entries were asked for failed runs.
+	epoch int
 	// retryAt is the earliest time of the next read after a failed one.
 	retryAt time.Time
 	// hasProgress holds the indices of items with saved progress in the store. obsolete lists
@@ -37,7 +40,7 @@
 
 // loadJob returns a job once its items are read. Until then it returns nil and starts a read
 // if none is in progress.
-func (r *Runner) loadJob(ctx context.Context, open *ledger.OpenItem, now time.Time) *loadedJob {
+func (r *Runner) loadJob(ctx context.Context, open ledger.OpenItem, now time.Time) *loadedJob {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	j := r.jobs[open.Job]
@@ -45,7 +48,7 @@
 		j = &loadedJob{hasProgress: map[int]bool{}}
 		r.jobs[open.Job] = j
 	}
-	if j.items != nil {
+	if j.items != nil && j.epoch == open.Epoch {
 		return j
 	}
 	if !j.reading && now.After(j.retryAt) {
@@ -54,30 +57,35 @@
 		r.group.Add(1)
 		go func() {
 			defer r.group.Done()
-			r.readJob(ctx, open.Job, open.Bodies, j, skipProgress)
+			r.readJob(ctx, open, j, skipProgress)
 		}()
 	}
 	return nil
 }
 
-// readJob reads a job's items and, unless skipProgress is set, their saved progress.
-func (r *Runner) readJob(ctx context.Context, job string, bodies sardinerock.ContentRef, j *loadedJob, skipProgress bool) {
+// readJob reads a job's items and, unless skipProgress is set, their saved progress. If another process may have run
+// the items, it asks the other entries what became of these runs.
+func (r *Runner) readJob(ctx context.Context, open ledger.OpenItem, j *loadedJob, skipProgress bool) {
 	ctx, cancel := context.WithTimeout(ctx, jobReadTimeout)
 	defer cancel()
+	job, bodies := open.Job, open.Bodies
+	if !items.MayStartUnrecorded(&open, r.Name, r.ProcessStart) {
+		r.Tally.Ask(ctx, job)
+	}
 	begin := time.Now()
-	items, err := r.Blobs.ReadItems(ctx, job, &bodies)
+	read, err := r.Blobs.ReadItems(ctx, job, &bodies)
 	var progress map[int]blobs.Progress
 	if err == nil && !skipProgress {
 		progress, err = r.Blobs.ReadProgress(ctx, job)
 	}
-	r.Events.Info(event.BodiesRead).Str("job", job).Int("items", len(items)).Int("bytes", bodies.Size()).Bool("fresh", skipProgress).
+	r.Events.Info(event.BodiesRead).Str("job", job).Int("items", len(read)).Int("bytes", bodies.Size()).Bool("fresh", skipProgress).
 		Int("begun", len(progress)).Dur("took", time.Since(begin)).Err(err).Msg("finished reading the items of a job")
 	r.mu.Lock()
 	j.reading = false
 	if err != nil {
 		j.retryAt = time.Now().Add(retryDelay)
 	} else {
-		j.items, j.progress = items, progress
+		j.items, j.progress, j.epoch = read, progress, open.Epoch
 		for index := range progress {
 			j.hasProgress[index] = true
 		}
--- a/runner/run.go
+++ b/runner/run.go
@@ -13,6 +13,7 @@
 	"github.com/sardinerock/sardinerock/ledger"
 	"github.com/sardinerock/sardinerock/pool"
 	"github.com/sardinerock/sardinerock/speed"
+	"github.com/sardinerock/sardinerock/tally"
 )
 
 // run runs an item once. processCtx ends with the process, runCtx when the run is to be
@@ -59,7 +60,8 @@
 	case invoke.Succeeded:
 		r.record(processCtx, i, sardinerock.BatchResult{Item: i.body.ID, Succeeded: true, Text: string(i.text)}, "")
 	case invoke.Unprocessable:
-		r.record(processCtx, i, sardinerock.BatchResult{Item: i.body.ID}, "the backend server rejected it for good")
+		r.Tally.Report(i.open.Job, i.open.Index, tally.Failures{Count: i.failures, Rejected: true})
+		r.record(processCtx, i, sardinerock.BatchResult{Item: i.body.ID}, rejectedForGood)
 	case invoke.Failed:
 		r.recordFailure(processCtx, i, route)
 	}
@@ -108,6 +110,12 @@
 	i.events++
 }
 
+// The reasons for which an item is given up after its runs.
+const (
+	rejectedForGood = "the backend server rejected it for good"
+	failedTooOften  = "it failed as often as its route allows"
+)
+
 // recordFailure counts a failed run in the store. Otherwise each new owner of the job would
 // try all attempts again, and an item that crashes or blocks backend servers would be sent to
 // them again after each change of owner. The item waits until the count is stored. The same append
@@ -117,8 +125,9 @@
 	i.failures++
 	i.accounted = false
 	r.mu.Unlock()
+	r.Tally.Report(i.open.Job, i.open.Index, tally.Failures{Count: i.failures})
 	if i.failures >= route.MaxAttempts {
-		r.record(processCtx, i, sardinerock.BatchResult{Item: i.body.ID}, "it failed as often as its route allows")
+		r.record(processCtx, i, sardinerock.BatchResult{Item: i.body.ID}, failedTooOften)
 		return
 	}
 	r.submitStart(i, route.MaxAttempts, true)
@@ -148,7 +157,12 @@
 
 func (r *Runner) recordOnce(i *item, outcome *ledger.Outcome, reason string, began time.Time) error {
 	open := &i.open
-	verdict, err := r.Recorder.SubmitLazily(context.Background(), func(p *ledger.Plan) (ledger.Verdict, error) {
+	submit := r.Recorder.SubmitLazily
+	if !outcome.Succeeded {
+		// Until it is recorded, the next owner may run the item again.
+		submit = r.Recorder.Submit
+	}
+	verdict, err := submit(context.Background(), func(p *ledger.Plan) (ledger.Verdict, error) {
 		return p.Finish(open.Job, open.Index, outcome)
 	})
 	metrics.GetOrRegisterCounter("batch.recorded", r.Metrics).Inc(1)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -19,6 +19,7 @@
 	"github.com/sardinerock/sardinerock/ledger"
 	"github.com/sardinerock/sardinerock/owner"
 	"github.com/sardinerock/sardinerock/pool"
+	"github.com/sardinerock/sardinerock/tally"
 )
 
 const (
@@ -57,6 +58,8 @@
 	Conns *conns.Conns
 	// Blame knows which parts of prompts end backend servers.
 	Blame *blame.Tracker
+	// Tally knows of failed runs that aren't recorded yet.
+	Tally *tally.Tally
 	// Pace limits how many items start at once.
 	Pace *items.Pacer
 	// SlotFreed is called when an item has released a slot that is now free.
@@ -74,9 +77,9 @@
 	// job ownership is below the time without contact after which another entry takes over
 	// its jobs, or the store cannot be read.
 	OwnershipCurrent func() bool
-	// CanRecord reports whether the start of a run can be recorded now; for the last run that an
-	// item may have, whether this entry and the store have worked without interruption for a while.
-	CanRecord func(last bool) bool
+	// WorkingFor returns for how long appends to the store have succeeded, and SteadyFor for how long this
+	// entry has read the state of jobs without interruption; 0 if not now.
+	WorkingFor, SteadyFor func() time.Duration
 	// SetActive is called in each round with whether this entry has jobs. While it has, the
 	// node reads the topics of jobs at short intervals.
 	SetActive func(active bool)
@@ -156,8 +159,8 @@
 	recordingStart bool
 	// held is set once a log line says that the item waits because of its prompt.
 	held bool
-	// exhausted is set once a log line says that the item isn't run any more.
-	exhausted bool
+	// waitsForCalm is set once a log line says that the item waits since its owners were lost.
+	waitsForCalm bool
 	// retryAt is the earliest time of the next run.
 	retryAt time.Time
 }
--- a/runner/start.go
+++ b/runner/start.go
@@ -146,12 +146,14 @@
 		if elsewhere[items.ShortKey(c.key)] || !r.ready(c.key) {
 			continue
 		}
-		job := r.loadJob(ctx, &c.OpenItem, now)
+		job := r.loadJob(ctx, c.OpenItem, now)
 		if job == nil || c.Index >= len(job.items) {
 			continue
 		}
 		c.body, c.progress = &job.items[c.Index], job.progress[c.Index]
 		c.route = table.Match(c.Host, c.body.Path)
+		known := r.Tally.Known(c.Job, c.Index)
+		c.Failures = max(c.Failures, known.Count)
 		switch {
 		case c.route == nil:
 			r.giveUp(ctx, &c, "its route was removed")
@@ -159,6 +161,12 @@
 		case c.route.Retention > 0 && now.Sub(c.CreatedAt) > c.route.Retention+clockSkewMargin:
 			r.giveUp(ctx, &c, "it is too old")
 			continue
+		case known.Rejected:
+			r.giveUp(ctx, &c, rejectedForGood)
+			continue
+		case c.route.MaxAttempts > 0 && c.Failures >= c.route.MaxAttempts:
+			r.giveUp(ctx, &c, failedTooOften)
+			continue
 		}
 		if !r.mayRun(&c) || r.held(&c) {
 			continue
