access, submit: calls on an accepted job don't depend on its route

access asked the configuration in force whether a host has batch jobs, and matched a repeated job with the routes. Now the ledger decides: a call is one on a job if the host has a batch route, no route has its path, or the job is known; a repeat of an accepted job gets 202 without a route.

--- a/access/access.go
+++ b/access/access.go
@@ -43,6 +43,8 @@
 	Table  func() *sardinerock.RouteTable
 	Online sardinerock.OnlineHandler
 	Batch  sardinerock.BatchHandler
+	// JobKnown reports whether a batch job was accepted, as far as this entry has read.
+	JobKnown func(id string) bool
 	// Quota enforces the quotas of teams over all entries.
 	Quota *quota.Teams
 	// ConfigurationAge returns how long ago the configuration in force was proven to be the newest.
@@ -66,6 +68,9 @@
 	longestWait map[string]time.Duration
 }
 
+// repeatedJob stands for the route of a repeated batch job whose route was removed. It has room for no other job.
+var repeatedJob = &sardinerock.Route{Kind: sardinerock.RouteBatch, Removed: true}
+
 // ServeHTTP implements http.Handler.
 func (a *Access) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
@@ -78,16 +83,19 @@
 		a.reject(w, r, http.StatusServiceUnavailable, "no configuration is known yet", a.startupRetryAfter(a.Dialect.ReadCall(r).Timeout))
 		return
 	}
-	if call, ok := a.BatchDialect.ReadBatchCall(r); ok && table.HasBatch(r.Host) {
+	route := table.Match(r.Host, r.URL.EscapedPath())
+	if call, ok := a.BatchDialect.ReadBatchCall(r); ok && (route == nil || table.HasBatch(r.Host) || a.JobKnown(call.Job)) {
 		a.batchCall(w, r, table, age, call)
 		return
 	}
-	route := table.Match(r.Host, r.URL.EscapedPath())
-	if route == nil {
+	call := a.Dialect.ReadCall(r)
+	switch {
+	case route == nil && a.JobKnown(call.ID):
+		route = repeatedJob
+	case route == nil:
 		a.reject(w, r, http.StatusNotFound, "no route for this host and path", 0)
 		return
 	}
-	call := a.Dialect.ReadCall(r)
 	identity := a.identify(table, age, route.Anonymous, call.Key)
 	call.Team, call.Unverified = identity.TeamName(), identity.Verdict == caller.Unverified
 	// Batch requests of unverified callers are passed on, since a peer may know the caller.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -160,6 +160,13 @@
 	Open bool
 }
 
+// Known reports whether a job exists.
+func (l *Ledger) Known(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.jobs[id] != nil
+}
+
 // Accessible reports whether a job exists that a team may access.
 func (l *Ledger) Accessible(id, team string) bool {
 	l.mu.Lock()
--- a/node/lost_test.go
+++ b/node/lost_test.go
@@ -139,10 +139,7 @@
 			f.onRun = func(r *http.Request) {
 				if s := owner.Load(); s != nil {
 					s.lose()
-					select {
-					case <-r.Context().Done():
-					case <-f.t.Context().Done():
-					}
+					f.hang(r)
 				}
 			}
 			runs := func() int { f.mu.Lock(); defer f.mu.Unlock(); return f.runs["item0"] }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -113,13 +113,14 @@
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		request := r.Header.Get("Request-Id")
 		f.mu.Lock()
+		onRun := f.onRun
 		f.runs[request]++
 		if after := r.Header.Get("Last-Event-Id"); after != "" {
 			f.resumed[request] = append(f.resumed[request], after)
 		}
 		f.mu.Unlock()
-		if f.onRun != nil {
-			f.onRun(r)
+		if onRun != nil {
+			onRun(r)
 		}
 		w.Header().Set("Request-Id", request)
 		w.Header().Set("Response-Signature", "sig")
@@ -149,6 +150,16 @@
 	f.put(serversTopic, id, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","slots":4,"state":"ready","sequence":1,"born":1767225600001}`, s.Listener.Addr()))
 }
 
+// hang keeps a run from writing until its request is cancelled, or the test ends.
+func (f *fleet) hang(r *http.Request) {
+	// The server notices that a connection was closed once it has read the request.
+	_, _ = io.Copy(io.Discard, r.Body)
+	select {
+	case <-r.Context().Done():
+	case <-f.t.Context().Done():
+	}
+}
+
 // addresses counts the loopback addresses that tests have used.
 var addresses atomic.Int32
 
--- a/serving.go
+++ b/serving.go
@@ -59,6 +59,8 @@
 	MaxTokens int64
 	// Priority is the route's priority; 0 is the most urgent.
 	Priority int
+	// Removed is set for the route of a batch job that is no longer configured: it accepts no new jobs.
+	Removed bool
 	// Anonymous routes are served without a key.
 	Anonymous bool
 	Shares    []ServiceShare
--- a/submit/submit.go
+++ b/submit/submit.go
@@ -115,6 +115,10 @@
 		ID: call.ID, Route: route.Name, Host: call.Host, CreatedAt: received.UnixMilli(),
 		Digest: xxhash.Sum64(call.Body), Team: call.Team,
 	}
+	if route.Removed {
+		h.repeat(w, job)
+		return
+	}
 	job.Owner, job.OwnerStart = h.Owner(call.ID)
 	for i := range items {
 		job.Tokens = append(job.Tokens, items[i].Tokens)
@@ -129,6 +133,21 @@
 	h.writeAccepted(w, job, verdict, err, received, late)
 }
 
+// repeat answers a repeated job whose route was removed after it had been accepted.
+func (h *Handler) repeat(w http.ResponseWriter, job *ledger.Accepted) {
+	switch verdict, known := h.Ledger.KnownVerdict(job, 0); {
+	case verdict == ledger.Stale:
+		h.reject(w, job.ID, http.StatusServiceUnavailable, "the batch job's state is being read anew", storeRetryAfter)
+	case verdict == ledger.Conflict:
+		h.reject(w, job.ID, http.StatusConflict, "another batch job has this id", 0)
+	case known:
+		w.Header().Set("Content-Length", "0")
+		w.WriteHeader(http.StatusAccepted)
+	default:
+		h.reject(w, job.ID, http.StatusNotFound, "no route for this host and path", 0)
+	}
+}
+
 // updateView reads the decisions on jobs up to a time. An entry that has no jobs follows them
 // seconds late.
 func (h *Handler) updateView(ctx context.Context, at time.Time) {
