items, blame: an item under which backend servers crashed is run again soon

Reported from a system like ours: sound items whose servers died in a burst were never placed again. Here such an item waited 10 s, 20 s, 40 s and up to ten minutes, and could be held as the cause of the crashes.

items.Breaks and blame took it for a request that ends backend servers, which items never are. The wait after three such runs is now constant, 4 s, below the 5 s of calm within which an item has to be at a server. An item is held only for shared parts of its prompt, not for its content; its run still counts for the content, so that parts aren't blamed in its place.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -140,12 +140,23 @@
 // Send is called right before a request is sent. The run is nil unless the request may be sent. Began, Failed or Done
 // must be called for it.
 func (t *Tracker) Send(causes []Cause, now time.Time) (*Run, Decision) {
+	return t.send(causes, causes, now)
+}
+
+// SendItem does the same for a batch item, which is sent even if its content is blamed. Its run counts for its content as
+// well, so that the parts aren't blamed for what no other request with them shows.
+func (t *Tracker) SendItem(causes []Cause, now time.Time) (*Run, Decision) {
+	return t.send(causes, PartsOf(causes), now)
+}
+
+// send sends a request with some causes, of which the deciding ones may prevent that.
+func (t *Tracker) send(causes, deciding []Cause, now time.Time) (*Run, Decision) {
 	if len(causes) == 0 {
 		return &Run{ended: true}, Decision{}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	d, trial := t.check(causes, now)
+	d, trial := t.check(deciding, now)
 	if d.Action != Allow {
 		return nil, d
 	}
--- a/blame/cause.go
+++ b/blame/cause.go
@@ -32,6 +32,9 @@
 	return append(causes, content(contentHash))
 }
 
+// PartsOf returns those of a request's causes that stand for parts of its prompt.
+func PartsOf(causes []Cause) []Cause { return causes[:max(len(causes)-1, 0)] }
+
 // count returns how many of some causes are among others.
 func count(causes, among []Cause) int {
 	n := 0
--- a/items/breaks.go
+++ b/items/breaks.go
@@ -5,17 +5,16 @@
 const (
 	// maxBreaks is how many backend servers in a row may end during the runs of an item before it waits.
 	maxBreaks = 3
-	// breakDelay is how long it waits then. Each further one doubles the delay.
-	breakDelay = 10 * time.Second
-	// maxBreakDelay bounds the delay.
-	maxBreakDelay = 10 * time.Minute
+	// breakDelay is how long it waits then. The delay doesn't grow: the item isn't the cause, and is
+	// owed however many backend servers ended.
+	breakDelay = 4 * time.Second
 	// breakEvents is the number of events from which a run doesn't count: the item advances, and ends
 	// after as many such runs as it has events.
 	breakEvents = 30
 )
 
-// Breaks counts the runs of an item during which backend servers ended. It answers a load of one item that
-// ends each backend server that runs it, and with it all other work there.
+// Breaks counts the runs of an item during which backend servers ended, one after the other. An item doesn't
+// end backend servers by itself, but while they are being lost, its runs are lost with them.
 type Breaks struct{ count int }
 
 // Record records a run that received a number of events. ended is set if the backend server ended the
@@ -35,5 +34,5 @@
 	if b.count < maxBreaks {
 		return 0
 	}
-	return min(breakDelay<<min(b.count-maxBreaks, 10), maxBreakDelay)
+	return breakDelay
 }
--- a/runner/part.go
+++ b/runner/part.go
@@ -28,7 +28,7 @@
 	if r.Blame.Quiet() {
 		return false
 	}
-	d := r.Blame.Check(r.causes(c.Host, c.Team, c.body), time.Now())
+	d := r.Blame.Check(blame.PartsOf(r.causes(c.Host, c.Team, c.body)), time.Now())
 	if d.Action != blame.Reject {
 		return d.Action == blame.Wait
 	}
@@ -57,7 +57,7 @@
 
 // send is called right before the item is sent.
 func (p *partRun) send(causes []blame.Cause) error {
-	run, d := p.tracker.Send(causes, time.Now())
+	run, d := p.tracker.SendItem(causes, time.Now())
 	if d.Action != blame.Allow {
 		return errPartBlamed
 	}
--- a/runner/run.go
+++ b/runner/run.go
@@ -91,7 +91,7 @@
 	if d > 0 {
 		metrics.GetOrRegisterCounter("batch.delayed", r.Metrics).Inc(1)
 		r.Events.Warn(event.ItemDelayed).Str("job", i.open.Job).Str("item", i.body.ID).Str("server", i.server).
-			Dur("delay", d).Msg("item is assumed to end backend servers; it waits before its next run")
+			Dur("delay", d).Msg("backend servers ended during several runs of the item; it waits before its next run")
 	}
 	return d
 }
