conns: bound what is read from a backend server in bytes

A request whose backend server did so waited until its time was over; an entry read hundreds of megabytes for it and kept an event without end in memory, searched from its start at each read.

Only time bounded the reads. What goes beyond is no answer: the connection is closed, and the request goes on as after any broken response.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -28,6 +28,10 @@
 	idleFraction = 0.6
 	// readBufferBytes has room for the head of a response and one or two events.
 	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the head of a response, together with the informational ones before it.
+	maxHeadBytes = 64 << 10
+	// maxStrayBytes bounds the body of a response to another request, which is discarded.
+	maxStrayBytes = 256 << 10
 	// maxStrayResponses is how many responses to other requests are discarded before the one
 	// to the request that was sent.
 	maxStrayResponses = 2
@@ -50,6 +54,9 @@
 	// ErrOtherOrigin means that the stream can't go on at the backend server, which has another service or
 	// software version than the one that began it. It accompanies ErrNotSent.
 	ErrOtherOrigin = errors.New("backend server has another software version than the stream")
+	// ErrTooLarge means that the backend server sent more bytes than a head, a response to another request, an
+	// event or a body may have. It accompanies ErrIncomplete.
+	ErrTooLarge = errors.New("more bytes received than a response may have")
 	// ErrInsideEvent means that a stream ended inside an event. It accompanies ErrIncomplete and
 	// ErrBrokenOff.
 	ErrInsideEvent = errors.New("stream ended inside an event")
@@ -75,18 +82,40 @@
 	reused  bool
 	// ended is set once the backend server has closed or reset the connection.
 	ended bool
+	// limited is set while at most budget more bytes may be read.
+	limited bool
+	budget  int
+	// exceeded is set once more bytes would have been read.
+	exceeded bool
 }
 
+// limit bounds the bytes that are read from now on, besides those in the reader's buffer.
+func (c *conn) limit(bytes int) { c.limited, c.budget = true, bytes }
+
+func (c *conn) unlimit() { c.limited = false }
+
 // Read reads from the connection.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.limited {
+		if c.budget <= 0 {
+			c.exceeded = true
+			return 0, ErrTooLarge
+		}
+		b = b[:min(len(b), c.budget)]
+	}
 	n, err := c.Conn.Read(b)
+	c.budget -= n
 	c.ended = c.ended || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
 	return n, err
 }
 
 // incomplete wraps the error of a response that isn't complete.
 func (c *conn) incomplete(err error) error {
-	if c.ended {
+	switch {
+	case c.exceeded:
+		// Not every parser returns the error of the last read.
+		return fmt.Errorf("%w: %w: %w", ErrIncomplete, ErrTooLarge, err)
+	case c.ended:
 		return fmt.Errorf("%w: %w: %w", ErrIncomplete, ErrBrokenOff, err)
 	}
 	return fmt.Errorf("%w: %w", ErrIncomplete, err)
@@ -254,6 +283,7 @@
 		}
 	}
 	for range maxStrayResponses + 1 {
+		cn.limit(maxHeadBytes)
 		httpResp, err := c.readHead(cn, call.Method) //nolint:bodyclose // the body ends with the connection, which Finish closes or keeps
 		if err != nil {
 			return nil, cn.incomplete(err)
@@ -263,12 +293,14 @@
 			resp.Close = true
 		}
 		if resp.CallID == call.ID || resp.CallID == "" && resp.NotRun {
+			cn.unlimit()
 			return resp, cn.SetReadDeadline(time.Time{})
 		}
 		// This is a late second response to an earlier request. The response to this request
 		// follows it, if there is one.
+		cn.limit(maxStrayBytes)
 		if _, err := io.Copy(io.Discard, httpResp.Body); err != nil {
-			return nil, fmt.Errorf("%w: read a response to another request: %w", ErrIncomplete, err)
+			return nil, fmt.Errorf("read a response to another request: %w", cn.incomplete(err))
 		}
 	}
 	return nil, fmt.Errorf("%w: received only responses to other requests", ErrIncomplete)
@@ -343,6 +375,35 @@
 	return r.err
 }
 
+// Bounded returns a reader of the body that fails with ErrTooLarge after a number of bytes, unless the response states its size.
+func (r *Response) Bounded(bytes int64) io.Reader {
+	if r.Framing() == FramingLength {
+		return r
+	}
+	return &boundedBody{Response: r, left: bytes}
+}
+
+type boundedBody struct {
+	*Response
+	left int64
+}
+
+// Read reads the body.
+func (b *boundedBody) Read(p []byte) (int, error) {
+	n, err := b.Response.Read(p)
+	if b.left -= int64(n); b.left < 0 && err == nil {
+		err = b.tooLarge()
+	}
+	return n, err
+}
+
+// tooLarge records that the body has more bytes than it may have, and returns the error that says so.
+func (r *Response) tooLarge() error {
+	r.complete = false
+	r.err = fmt.Errorf("%w: %w", ErrIncomplete, ErrTooLarge)
+	return r.err
+}
+
 // Err returns the error that ended the body before its end, or nil.
 func (r *Response) Err() error { return r.err }
 
--- a/conns/events.go
+++ b/conns/events.go
@@ -10,6 +10,9 @@
 	"time"
 )
 
+// maxEventBytes bounds an event. It holds the text of a few tokens.
+const maxEventBytes = 256 << 10
+
 // Event is one server-sent event of a stream.
 type Event struct {
 	// Raw holds the bytes as received, valid until the next call of EventReader.Next.
@@ -25,6 +28,8 @@
 	ReadDeadline func() time.Time
 
 	buffer []byte
+	// scan is how far the buffer was searched for the end of an event.
+	scan scan
 	// consumed is the length of the part of the buffer that Next returned.
 	consumed int
 	err      error
@@ -36,14 +41,18 @@
 // ErrInsideEvent.
 func (e *EventReader) Next() (Event, error) {
 	e.buffer = e.buffer[:copy(e.buffer, e.buffer[e.consumed:])]
-	e.consumed = 0
+	e.consumed, e.scan = 0, scan{}
 	for {
-		if end := eventLength(e.buffer); end > 0 {
+		if end := e.scan.eventLength(e.buffer); end > 0 {
 			e.consumed = end
 			return parseEvent(e.buffer[:end]), nil
 		}
-		if e.err != nil {
+		switch {
+		case e.err != nil:
 			return e.last()
+		case len(e.buffer) > maxEventBytes:
+			e.err = e.Response.tooLarge()
+			return Event{}, e.err
 		}
 		if err := e.Response.SetReadDeadline(e.ReadDeadline()); err != nil {
 			return Event{}, err
@@ -95,20 +104,31 @@
 	return i, i + 1, true
 }
 
+// scan is a search for the end of an event in a buffer that grows.
+type scan struct {
+	// start is where the first line starts that hasn't ended, and searched how far its end was searched for.
+	start, searched int
+	// hasContent is set if a line before it isn't empty.
+	hasContent bool
+}
+
 // eventLength returns the length of the first event, including the empty line that ends it and any empty lines
 // before it. It returns 0 if the event is incomplete.
-func eventLength(b []byte) int {
-	start, hasContent := 0, false
+func (s *scan) eventLength(b []byte) int {
 	for {
-		length, next, ok := lineEnd(b[start:])
+		length, next, ok := lineEnd(b[s.searched:])
 		if !ok {
+			// A CR at the end may be followed by an LF.
+			s.searched = max(s.searched, len(b)-1)
 			return 0
 		}
-		start += next
-		if length == 0 && hasContent {
-			return start
+		length += s.searched - s.start
+		s.start = s.searched + next
+		s.searched = s.start
+		if length == 0 && s.hasContent {
+			return s.start
 		}
-		hasContent = hasContent || length > 0
+		s.hasContent = s.hasContent || length > 0
 	}
 }
 
--- a/conns/framing.go
+++ b/conns/framing.go
@@ -36,6 +36,8 @@
 	EndNoEvent End = "noEvent"
 	// EndInsideEvent means that a stream ended inside an event.
 	EndInsideEvent End = "insideEvent"
+	// EndTooLarge means that the backend server sent more bytes than a response may have.
+	EndTooLarge End = "tooLarge"
 	// EndBroken means that the response is incomplete for another reason.
 	EndBroken End = "broken"
 )
--- a/invoke/invoke.go
+++ b/invoke/invoke.go
@@ -19,6 +19,9 @@
 // resumed elsewhere. Events arrive every 30 ms.
 const eventTimeout = 2 * time.Second
 
+// maxRunBytes bounds the text of a run. The results of a job are read by the megabyte.
+const maxRunBytes = 4 << 20
+
 // Outcome is the outcome of one run.
 type Outcome int
 
@@ -105,11 +108,14 @@
 // has cut the stream continues it, and one that has completed it sends no event.
 func (v *Invoker) exchange(ctx context.Context, i *Item, choice *pool.Choice, reservation *conns.Reservation) (Outcome, error) {
 	i.End = ""
-	defer func() {
-		if ctx.Err() != nil {
+	defer func(parent context.Context) {
+		if parent.Err() != nil {
 			i.End = ""
 		}
-	}()
+	}(ctx)
+	// A backend server ends its work at the deadline that it is given.
+	ctx, cancel := context.WithTimeout(ctx, v.Batch.ItemDeadline()+eventTimeout)
+	defer cancel()
 	before := i.Position.LastEvent
 	outcome, err := v.send(ctx, i, choice, reservation)
 	for errors.Is(err, conns.ErrUnproven) {
@@ -156,6 +162,9 @@
 		Instance: choice.Name, Remaining: v.Batch.ItemDeadline(), Position: i.Position, HeadTimeout: eventTimeout,
 	}, reservation)
 	if err != nil {
+		if errors.Is(err, conns.ErrTooLarge) {
+			i.End = conns.EndTooLarge
+		}
 		return interruption(err), err
 	}
 	defer resp.Finish()
@@ -175,7 +184,7 @@
 // read passes the events of a response to the item. Events received before an error are kept:
 // the next run resumes after them.
 func (v *Invoker) read(resp *conns.Response, i *Item, o sardinerock.Origin) (Outcome, error) {
-	began, events := time.Now(), 0
+	began, events, size := time.Now(), 0, 0
 	reader := &conns.EventReader{Response: resp, ReadDeadline: func() time.Time { return time.Now().Add(eventTimeout) }}
 	for {
 		e, err := reader.Next()
@@ -196,6 +205,10 @@
 			if !conns.IsNextEvent(i.Position.LastEvent, e.ID) {
 				return Interrupted, errors.New("stream does not resume after the requested event")
 			}
+			if size += len(data); size > maxRunBytes {
+				i.End = conns.EndTooLarge
+				return Interrupted, fmt.Errorf("%w: %w: %d bytes of text", conns.ErrIncomplete, conns.ErrTooLarge, size)
+			}
 			i.Position = sardinerock.Position{LastEvent: e.ID, Origin: o}
 			i.OnEvent(i.Position, data)
 			events++
@@ -210,6 +223,8 @@
 		return conns.EndUnproven
 	case errors.Is(err, conns.ErrInsideEvent):
 		return conns.EndInsideEvent
+	case errors.Is(err, conns.ErrTooLarge):
+		return conns.EndTooLarge
 	}
 	return conns.EndBroken
 }
--- a/node/config_test.go
+++ b/node/config_test.go
@@ -55,10 +55,11 @@
 			f.g.Expect(status).To(Equal(http.StatusAccepted), body)
 			f.expectDone("done", 2)
 			f.mu.Lock()
-			f.onRun = func(r *http.Request) {
+			f.onRun = func(_ http.ResponseWriter, r *http.Request) bool {
 				if r.Host == "h" && r.Method == http.MethodPost {
 					f.hang(r)
 				}
+				return false
 			}
 			f.mu.Unlock()
 			status, body = f.call(f.entries[1], http.MethodPost, "/batch/j", "open", jobBody(3, 1))
--- a/node/lost_test.go
+++ b/node/lost_test.go
@@ -136,11 +136,12 @@
 			t.Parallel()
 			f := newFleet(t, 0)
 			var owner atomic.Pointer[losingStore]
-			f.onRun = func(r *http.Request) {
+			f.onRun = func(_ http.ResponseWriter, r *http.Request) bool {
 				if s := owner.Load(); s != nil {
 					s.lose()
 					f.hang(r)
 				}
+				return false
 			}
 			runs := func() int { f.mu.Lock(); defer f.mu.Unlock(); return f.runs["item0"] }
 			for n := range losses {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -52,8 +52,9 @@
 	status  atomic.Int32
 	// endsAfter is after how many events of a response a backend server ends the connection; 0 for never.
 	endsAfter int
-	// onRun, if set, is called when a run has reached a backend server, before it writes.
-	onRun func(r *http.Request)
+	// onRun, if set, is called when a run has reached a backend server, before it writes. It returns true if it
+	// has written the response.
+	onRun func(w http.ResponseWriter, r *http.Request) bool
 }
 
 type entry struct {
@@ -119,11 +120,11 @@
 			f.resumed[request] = append(f.resumed[request], after)
 		}
 		f.mu.Unlock()
-		if onRun != nil {
-			onRun(r)
-		}
 		w.Header().Set("Request-Id", request)
 		w.Header().Set("Response-Signature", "sig")
+		if onRun != nil && onRun(w, r) {
+			return
+		}
 		if r.Header.Get("Expect-Instance") != id {
 			f.t.Errorf("%s expects instance %q at %s", request, r.Header.Get("Expect-Instance"), id)
 		}
--- a/node/unlucky_test.go
+++ b/node/unlucky_test.go
@@ -26,10 +26,11 @@
 			t.Parallel()
 			f := newFleet(t, 3)
 			var calm atomic.Bool
-			f.onRun = func(r *http.Request) {
+			f.onRun = func(_ http.ResponseWriter, r *http.Request) bool {
 				if r.Header.Get("Request-Id") == "item0" && !calm.Load() {
 					panic(http.ErrAbortHandler)
 				}
+				return false
 			}
 			var list []string
 			for n := range items {
--- a/relay/end.go
+++ b/relay/end.go
@@ -103,12 +103,23 @@
 		return
 	case errors.Is(err, conns.ErrInsideEvent):
 		e = conns.EndInsideEvent
+	case errors.Is(err, conns.ErrTooLarge):
+		e = conns.EndTooLarge
 	case result != answered && e != conns.EndServerGone && e != conns.EndNoEvent:
 		e = conns.EndBroken
 	}
 	p.relay.count("relay.ends." + string(e))
 }
 
+// logTooLarge logs that a backend server sent more bytes than a response may have.
+func (p *proxyRequest) logTooLarge(choice *pool.Choice, err error) {
+	if !errors.Is(err, conns.ErrTooLarge) {
+		return
+	}
+	p.relay.Events.Warn(event.ResponseTooLarge).Str("request", p.call.ID).Str("server", choice.ID).Int("events", p.events).Int("runs", p.runs).
+		Dur("took", time.Since(p.timings.sent)).Err(err).Msg("backend server sends bytes without end; its connection is closed")
+}
+
 // logUnproven logs the end of a response whose framing doesn't prove that it is complete.
 func (p *proxyRequest) logUnproven(resp *conns.Response, e conns.End) {
 	p.relay.Events.Warn(event.EndUnproven).Str("request", p.call.ID).Str("server", resp.Server()).Str("framing", string(resp.Framing())).
--- a/relay/request.go
+++ b/relay/request.go
@@ -34,6 +34,8 @@
 	// maxBufferedResponse is the size in bytes up to which a response is buffered until
 	// it is complete.
 	maxBufferedResponse = 256 << 10
+	// maxUnstatedResponse bounds the size in bytes of a response that doesn't state it.
+	maxUnstatedResponse = 256 << 20
 )
 
 // attemptResult says how an attempt ended.
@@ -255,6 +257,10 @@
 	defer p.relay.Blame.Done(p.part.run)
 	if err != nil {
 		p.endRun(choice, sent, p.ctx.Err() == nil)
+		if errors.Is(err, conns.ErrTooLarge) {
+			p.countEnd(incomplete, err)
+			p.logTooLarge(choice, err)
+		}
 		p.timings.add(&p.timings.failed, sent)
 		p.logFailure(choice, err)
 		if errors.Is(err, conns.ErrNotSent) {
@@ -300,6 +306,7 @@
 		if result != notRun {
 			p.countEnd(result, err)
 		}
+		p.logTooLarge(choice, err)
 		p.endRun(choice, sent, failed)
 	}()
 	return p.handleResponse(resp, choice)
--- a/relay/response.go
+++ b/relay/response.go
@@ -53,7 +53,7 @@
 		p.writeHead(resp, int(resp.ContentLength))
 		p.write(body)
 		body = nil
-		if _, err = io.Copy(p.writer, resp); err == nil {
+		if _, err = io.Copy(p.writer, resp.Bounded(maxUnstatedResponse)); err == nil {
 			return p.finish(resp, conns.EndProven)
 		}
 	}
--- a/runner/run.go
+++ b/runner/run.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/conns"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/invoke"
 	"github.com/sardinerock/sardinerock/items"
@@ -20,6 +22,7 @@
 // aborted.
 func (r *Runner) run(processCtx, runCtx context.Context, i *item, choice *pool.Choice, route *sardinerock.Route) {
 	eventsBefore := i.events
+	positionBefore, textBefore := i.position, len(i.text)
 	var meter speed.Meter
 	part := &partRun{tracker: r.Blame}
 	attempt := &invoke.Item{Host: i.open.Host, Team: i.open.Team, Body: i.body, Position: i.position, UnprovenAfter: i.unprovenAfter, OnEvent: func(after sardinerock.Position, data string) {
@@ -36,6 +39,9 @@
 	}
 	outcome, err := r.invoker.Run(runCtx, attempt, choice)
 	i.unprovenAfter = attempt.UnprovenAfter
+	if errors.Is(err, conns.ErrTooLarge) {
+		r.discardRun(i, positionBefore, textBefore)
+	}
 	took := time.Since(i.started)
 	serverFailed := err != nil && runCtx.Err() == nil && (outcome == invoke.Interrupted || outcome == invoke.BrokenOff)
 	part.end(outcome, serverFailed && outcome == invoke.BrokenOff, choice.ID)
@@ -85,6 +91,16 @@
 	r.Wake()
 }
 
+// discardRun discards the text of a run that received bytes without end.
+func (r *Runner) discardRun(i *item, before sardinerock.Position, text int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(i.text) >= text {
+		i.position, i.text = before, i.text[:text:text]
+		i.savedBytes = min(i.savedBytes, text)
+	}
+}
+
 // breakDelay returns how long an item waits because backend servers ended during its runs.
 func (r *Runner) breakDelay(i *item) time.Duration {
 	d := i.breaks.Delay()
