runner, ledger: an entry with an older configuration than a job waits

Where a route had moved, items ran at the service that it had left.

The runner took a route that isn't in its table for one that was removed, though nothing showed that the table was as new as that under which the job was accepted. The record of a job now has that version. An entry with an older one neither runs the job's items nor gives them up (event 528); for jobs accepted by older builds, which have no version, the configuration must have been confirmed after the job was read.

--- a/access/access.go
+++ b/access/access.go
@@ -97,7 +97,7 @@
 		return
 	}
 	identity := a.identify(table, age, route.Anonymous, call.Key)
-	call.Team, call.Unverified = identity.TeamName(), identity.Verdict == caller.Unverified
+	call.Team, call.Unverified, call.Config = identity.TeamName(), identity.Verdict == caller.Unverified, table.Version
 	// Batch requests of unverified callers are passed on, since a peer may know the caller.
 	// Online requests are rejected: a retry by the caller is faster.
 	if identity.Verdict == caller.Denied || call.Unverified && route.Kind != sardinerock.RouteBatch {
--- a/event/event.go
+++ b/event/event.go
@@ -73,6 +73,7 @@
 	ItemHeld         ID = 525
 	ItemPostponed    ID = 526
 	FailuresAsked    ID = 527
+	JobPostponed     ID = 528
 	BundleAccepted   ID = 601
 	BundleRejected   ID = 602
 	BundleInForce    ID = 603
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -208,7 +208,9 @@
 	Host      string
 	Team      string
 	CreatedAt time.Time
-	Index     int
+	// Config is the version of the configuration under which the job was accepted; 0 if it isn't known.
+	Config int64
+	Index  int
 	// Remaining is the number of items of the job without a result.
 	Remaining int
 	// Bodies is where the job's items are stored. SeenAt is that of the job.
@@ -300,7 +302,7 @@
 				continue
 			}
 			open = append(open, OpenItem{
-				Job: id, Route: j.Route, Host: j.Host, Team: j.Team, CreatedAt: time.UnixMilli(j.CreatedAt), Index: i,
+				Job: id, Route: j.Route, Host: j.Host, Team: j.Team, CreatedAt: time.UnixMilli(j.CreatedAt), Config: j.Config, Index: i,
 				Remaining: len(j.Tokens) - len(w.results), Bodies: j.Bodies, SeenAt: j.SeenAt, Failures: len(w.failures[i]),
 				Runs: w.runs(i), FirstOwner: j.Owner, FirstOwnerStart: j.OwnerStart, Epoch: w.epoch, ClaimedAt: w.claimedAt,
 			})
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -46,6 +46,9 @@
 	// OwnerStart identifies the process of the owner at the time of acceptance; see
 	// digest.Message. It is 0 if it isn't known, and in records written by versions without it.
 	OwnerStart int64 `cbor:"10,keyasint,omitempty"`
+	// Config is the version of the configuration under which the job was accepted. It is 0 in records written
+	// by versions without it.
+	Config int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // quotaKey returns the key of the quota against which the job's tokens count: each team has a
--- a/node/config_test.go
+++ b/node/config_test.go
@@ -9,32 +9,35 @@
 )
 
 const (
-	batchRoute  = `{"name":"b","host":"h","path_prefix":"/batch/","kind":"batch","service":"s","max_attempts":2,"completion_target_ms":18000,"retention_s":600,"max_count":1000}`
-	otherRoute  = `{"name":"l","host":"h","path_prefix":"/letters/","kind":"safe","service":"s","max_attempts":2,"timeout_ms":5000}`
-	rootRoute   = `{"name":"l","host":"h","path_prefix":"/","kind":"safe","service":"s","max_attempts":2,"timeout_ms":5000}`
-	otherHost   = `{"name":"l","host":"g","path_prefix":"/letters/","kind":"safe","service":"s","max_attempts":2,"timeout_ms":5000}`
-	otherBatch  = `{"name":"c","host":"h","path_prefix":"/other/","kind":"batch","service":"s","max_attempts":2,"completion_target_ms":18000,"retention_s":600,"max_count":1000}`
-	probePrefix = "/probe/"
+	batchRoute = `{"name":"b","host":"h","path_prefix":"/batch/","kind":"batch","service":"s","max_attempts":2,"completion_target_ms":18000,"retention_s":600,"max_count":1000}`
+	otherRoute = `{"name":"l","host":"h","path_prefix":"/letters/","kind":"safe","service":"s","max_attempts":2,"timeout_ms":5000}`
+	rootRoute  = `{"name":"l","host":"h","path_prefix":"/","kind":"safe","service":"s","max_attempts":2,"timeout_ms":5000}`
+	otherHost  = `{"name":"l","host":"g","path_prefix":"/letters/","kind":"safe","service":"s","max_attempts":2,"timeout_ms":5000}`
+	otherBatch = `{"name":"c","host":"h","path_prefix":"/other/","kind":"batch","service":"s","max_attempts":2,"completion_target_ms":18000,"retention_s":600,"max_count":1000}`
 )
 
-// configureRoutes stores a configuration with some routes, and waits until all entries have it.
-func (f *fleet) configureRoutes(version int, routes string) {
-	probe := fmt.Sprintf(`{"name":"p","host":"p","path_prefix":"%s%d/","kind":"safe","service":"s","max_attempts":1,"timeout_ms":1000}`, probePrefix, version)
+// configureRoutes stores a configuration with some routes, and waits until some entries have it.
+func (f *fleet) configureRoutes(version int, routes string, entries ...*entry) {
+	path := fmt.Sprintf("/probe/%d/", version)
+	probe := fmt.Sprintf(`{"name":"p","host":"p","path_prefix":%q,"kind":"safe","service":"s","max_attempts":1,"timeout_ms":1000}`, path)
 	f.put(configTopic, "config", fmt.Sprintf(`{"version":%d,"routes":[%s,%s]}`, version, routes, probe))
-	for _, e := range f.entries {
-		f.g.Eventually(func() int {
-			r, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s%s%d/x", e.settings.CallerAddress, probePrefix, version), http.NoBody)
-			f.g.Expect(err).NotTo(HaveOccurred())
-			r.Host = "p"
-			r.Header.Set("Request-Id", "probe")
-			answer, err := http.DefaultClient.Do(r)
-			if err != nil {
-				return 0
-			}
-			answer.Body.Close()
-			return answer.StatusCode
-		}, timeout).ShouldNot(Or(Equal(http.StatusNotFound), BeZero()))
+	for _, e := range entries {
+		f.g.Eventually(func() int { return f.statusAt(e, "p", path) }, timeout).ShouldNot(Or(Equal(http.StatusNotFound), BeZero()))
+	}
+}
+
+// statusAt returns the status of a request to a host and path, or 0 if there is no response.
+func (f *fleet) statusAt(e *entry, host, path string) int {
+	r, err := http.NewRequest(http.MethodGet, "http://"+e.settings.CallerAddress+path, http.NoBody)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	r.Host = host
+	r.Header.Set("Request-Id", "probe")
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
 	}
+	answer.Body.Close()
+	return answer.StatusCode
 }
 
 // TestJobOutlivesItsRoute guards against calls on accepted jobs, done and open ones, being rejected because of what was configured
@@ -66,7 +69,7 @@
 			f.g.Expect(status).To(Equal(http.StatusAccepted), body)
 			routes := ""
 			for n, c := range configurations {
-				f.configureRoutes(10+n, c)
+				f.configureRoutes(10+n, c, f.entries...)
 				routes = c
 			}
 			for _, e := range f.entries {
--- a/node/node.go
+++ b/node/node.go
@@ -332,6 +332,7 @@
 		Owners:           n.owners,
 		OwnerView:        n.ownerView,
 		OwnershipCurrent: n.ownershipCurrent,
+		ConfigurationAge: n.lease.Age,
 		WorkingFor:       func() time.Duration { return n.recorder.WorkingFor(time.Now()) },
 		SteadyFor:        n.steadyFor,
 		SetActive:        n.setActive,
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -49,7 +49,9 @@
 	ProcessStart int64
 	Batch        sardinerock.BatchDialect
 	Table        func() *sardinerock.RouteTable
-	Ledger       *ledger.Ledger
+	// ConfigurationAge returns how long ago the configuration in force was proven to be the newest.
+	ConfigurationAge func() time.Duration
+	Ledger           *ledger.Ledger
 	// Recorder appends the results and failures of items to the store.
 	Recorder *commit.Appender
 	// Blobs stores the bodies of items, their progress and the texts of results.
@@ -107,6 +109,8 @@
 	headroom map[string]*headroom
 	// firstOutput is set if an item's first output is to be saved at once.
 	firstOutput bool
+	// olderLogged is the version of the newest configuration of a job that a log line says is newer than the one here.
+	olderLogged int64
 	// progressSavedAt is when progress was last written to the store.
 	progressSavedAt time.Time
 	group           sync.WaitGroup
--- a/runner/start.go
+++ b/runner/start.go
@@ -143,6 +143,11 @@
 	var waiting []candidate
 	for n := range open {
 		c := candidate{OpenItem: open[n], key: items.Key(open[n].Job, open[n].Index)}
+		if table.Version < c.Config {
+			// The table may lack the route, or have a service that the route has left.
+			r.logOlder(&c.OpenItem, table)
+			continue
+		}
 		if elsewhere[items.ShortKey(c.key)] || !r.ready(c.key) {
 			continue
 		}
@@ -155,6 +160,8 @@
 		known := r.Tally.Known(c.Job, c.Index)
 		c.Failures = max(c.Failures, known.Count)
 		switch {
+		case c.route == nil && !r.newerThanJob(&c.OpenItem, now):
+			continue
 		case c.route == nil:
 			r.giveUp(ctx, &c, "its route was removed")
 			continue
@@ -178,6 +185,23 @@
 	return waiting
 }
 
+// newerThanJob reports whether the configuration in force was the newest after the job had been accepted. Jobs without the
+// version of their configuration were accepted before this entry read them.
+func (r *Runner) newerThanJob(open *ledger.OpenItem, now time.Time) bool {
+	return open.Config > 0 || now.Add(-r.ConfigurationAge()).After(open.SeenAt)
+}
+
+// logOlder logs that a job was accepted under a newer configuration than that of this entry, once for each version.
+func (r *Runner) logOlder(open *ledger.OpenItem, table *sardinerock.RouteTable) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.olderLogged < open.Config {
+		r.olderLogged = open.Config
+		r.Events.Info(event.JobPostponed).Str("job", open.Job).Int64("accepted", open.Config).Int64("config", table.Version).
+			Msg("job was accepted under a newer configuration; its items wait until this entry has read it")
+	}
+}
+
 // Waiting returns how many items this entry could start.
 func (r *Runner) Waiting() int {
 	r.mu.Lock()
--- a/serving.go
+++ b/serving.go
@@ -209,6 +209,8 @@
 	Team string
 	// Unverified is set if this entry can't verify the caller; a peer may be able to.
 	Unverified bool
+	// Config is the version of the configuration under which the call was routed.
+	Config int64
 }
 
 // Attempt holds the parameters of one attempt to run a call.
--- a/submit/submit.go
+++ b/submit/submit.go
@@ -113,7 +113,7 @@
 	}
 	job := &ledger.Accepted{
 		ID: call.ID, Route: route.Name, Host: call.Host, CreatedAt: received.UnixMilli(),
-		Digest: xxhash.Sum64(call.Body), Team: call.Team,
+		Digest: xxhash.Sum64(call.Body), Team: call.Team, Config: call.Config,
 	}
 	if route.Removed {
 		h.repeat(w, job)
