--- a/conns/conns.go
+++ b/conns/conns.go
@@ -2,14 +2,12 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -54,6 +52,8 @@
 	// ErrOtherOrigin means that the stream can't go on at the backend server, which has another service or
 	// software version than the one that began it. It accompanies ErrNotSent.
 	ErrOtherOrigin = errors.New("backend server has another software version than the stream")
+	// ErrMalformedRequest means that the request has a value that would change its form. It accompanies ErrNotSent.
+	ErrMalformedRequest = errors.New("request has a value that can't be sent")
 	// ErrTooLarge means that the backend server sent more bytes than a head, a response to another request, an
 	// event or a body may have. It accompanies ErrIncomplete.
 	ErrTooLarge = errors.New("more bytes received than a response may have")
@@ -272,7 +272,11 @@
 
 // exchange sends a call over a connection and reads the head of the response to it.
 func (c *Conns) exchange(cn *conn, id string, call *sardinerock.Call, header http.Header, headTimeout time.Duration) (*Response, error) {
-	n, err := cn.Write(encode(call, header))
+	raw, err := encode(call, header)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	n, err := cn.Write(raw)
 	if err != nil && n == 0 {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -319,23 +323,6 @@
 	}
 }
 
-// encode returns a request in the form in which it is sent, with its Content-Length.
-func encode(call *sardinerock.Call, header http.Header) []byte {
-	b := bytes.NewBuffer(make([]byte, 0, 512+len(call.Body)))
-	fmt.Fprintf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", call.Method, call.Target, call.Host)
-	for name, values := range header {
-		for _, value := range values {
-			b.WriteString(name + ": " + value + "\r\n")
-		}
-	}
-	if len(call.Body) > 0 || call.Method != http.MethodGet && call.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(call.Body)) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	b.Write(call.Body)
-	return b.Bytes()
-}
-
 // Framing says how the end of the body is marked.
 func (r *Response) Framing() Framing {
 	switch {
--- a/invoke/invoke.go
+++ b/invoke/invoke.go
@@ -162,7 +162,11 @@
 		Instance: choice.Name, Remaining: v.Batch.ItemDeadline(), Position: i.Position, HeadTimeout: eventTimeout,
 	}, reservation)
 	if err != nil {
-		if errors.Is(err, conns.ErrTooLarge) {
+		switch {
+		case errors.Is(err, conns.ErrMalformedRequest):
+			// No backend server can run an item that an older build accepted with such a value.
+			return Unprocessable, err
+		case errors.Is(err, conns.ErrTooLarge):
 			i.End = conns.EndTooLarge
 		}
 		return interruption(err), err
--- a/serving.go
+++ b/serving.go
@@ -213,6 +213,12 @@
 	Config int64
 }
 
+// ValidTarget reports whether a path with a query can be the target of a request: it is not empty and has neither
+// spaces nor control characters.
+func ValidTarget(target string) bool { return target != "" && !strings.ContainsFunc(target, isSpaceOrControl) }
+
+func isSpaceOrControl(r rune) bool { return r <= ' ' || r == '\x7f' }
+
 // Attempt holds the parameters of one attempt to run a call.
 type Attempt struct {
 	// Instance is the Name of the only backend server that may run the attempt.
