--- a/access/access.go
+++ b/access/access.go
@@ -68,7 +68,7 @@
 	longestWait map[string]time.Duration
 }
 
-// repeatedJob stands for the route of a repeated batch job whose route was removed. It has room for no other job.
+// repeatedJob is used in place of the route of a repeated batch job whose route was removed. It accepts no new job.
 var repeatedJob = &sardinerock.Route{Kind: sardinerock.RouteBatch, Removed: true}
 
 // ServeHTTP implements http.Handler.
--- a/blame/cause.go
+++ b/blame/cause.go
@@ -32,7 +32,7 @@
 	return append(causes, content(contentHash))
 }
 
-// PartsOf returns those of a request's causes that stand for parts of its prompt.
+// PartsOf returns those of a request's causes that are parts of its prompt.
 func PartsOf(causes []Cause) []Cause { return causes[:max(len(causes)-1, 0)] }
 
 // count returns how many of some causes are among others.
--- a/commit/failures_test.go
+++ b/commit/failures_test.go
@@ -21,7 +21,7 @@
 	// ends with a failure.
 	unprocessable bool
 	owner         int
-	// countedBy is the number of failures that each entry knows of: its own, and what the others have told it.
+	// countedBy is the number of failures that each entry knows of: its own, and what the others have reported.
 	countedBy []int
 	// accounted is set for each entry that may run the item, and starting is the change that records
 	// the start of a run, until that is read. The first owner's first run isn't recorded.
--- a/node/owners.go
+++ b/node/owners.go
@@ -75,7 +75,7 @@
 	return min(n.jobs.HealthyFor(now), n.work.HealthyFor(now))
 }
 
-// tallyPeers returns the entries that are told of the failed runs of a job's items.
+// tallyPeers returns the entries that are notified of the failed runs of a job's items.
 func (n *Node) tallyPeers(job string) []string { return n.originPeers(xxhash.Sum64String(job)) }
 
 // notifyOwner notifies the owner of a new job, unless that is this entry.
--- a/tally/doc.go
+++ b/tally/doc.go
@@ -1,3 +1,3 @@
-// Package tally tells other entries how runs of batch items have failed before the store has it, and asks
+// Package tally notifies other entries of failed runs of batch items before the store has them, and queries
 // them after an owner was lost.
 package tally
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -35,9 +35,9 @@
 	index int
 }
 
-// Tally holds the failed runs of items, own ones and those that other entries have told this one about.
+// Tally holds the failed runs of items, own ones and those that other entries have reported.
 type Tally struct {
-	// Peers returns the entries that are told about the items of a job, and asked for them.
+	// Peers returns the entries that are notified of failed runs of a job's items, and queried for them.
 	Peers func(job string) []string
 	// Notify sends a message to an entry without waiting, Query sends one and returns the answer.
 	Notify func(peer string, raw []byte)
@@ -54,7 +54,7 @@
 	t.known, _ = simplelru.NewLRU[itemID, Failures](maxItems, nil)
 }
 
-// Report records the failures of an item and tells the other entries. It returns once the messages are sent.
+// Report records the failures of an item and notifies the other entries. It returns once the messages are sent.
 func (t *Tally) Report(job string, index int, f Failures) {
 	t.add(job, index, f)
 	raw, err := encode(&message{Job: job, Items: []entry{{Index: index, Count: f.Count, Rejected: f.Rejected}}})
@@ -83,7 +83,7 @@
 	t.known.Add(id, known.merge(f))
 }
 
-// Ask asks the other entries for the failures of a job's items. Entries that don't answer in time are left out.
+// Ask queries the other entries for the failures of a job's items. Entries that don't answer in time are left out.
 func (t *Tally) Ask(ctx context.Context, job string) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
