--- a/crowd/world_test.go
+++ b/crowd/world_test.go
@@ -22,7 +22,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock"
-	"github.com/sardinerock/sardinerock/memkv"
+	"github.com/sardinerock/sardinerock/platform/stand"
 )
 
 // The limits in the settings and the configuration of the entry under test.
@@ -66,7 +66,7 @@
 type world struct {
 	t     *testing.T
 	g     *WithT
-	store *memkv.Server
+	store *stand.Server
 	// storeDown has the store answer every call with status 503.
 	storeDown atomic.Bool
 	ip        string
@@ -88,7 +88,7 @@
 var addresses atomic.Int32
 
 func newWorld(t *testing.T) *world {
-	w := &world{t: t, g: NewWithT(t), store: &memkv.Server{}, exited: make(chan struct{}), done: make(chan struct{})}
+	w := &world{t: t, g: NewWithT(t), store: &stand.Server{}, exited: make(chan struct{}), done: make(chan struct{})}
 	w.store.PageSize = 100
 	storeAddress := w.listen(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if w.storeDown.Load() {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -14,12 +14,12 @@
 	"time"
 
 	"github.com/sardinerock/sardinerock"
-	"github.com/sardinerock/sardinerock/memkv"
+	"github.com/sardinerock/sardinerock/platform/stand"
 )
 
 // storeServer serves the platform's store to the entries.
 type storeServer struct {
-	memkv.Server
+	stand.Server
 	proxy *proxy
 	// abortReplies aborts most appends after they were stored, without a reply; unavailable
 	// answers every call with status 503.
