budget, intake: one budget of memory and one of descriptors for all clients

What callers saw: clients that sent heads without end, bodies that stop just short of their end, whole large bodies or jobs at once ended an entry: it ran out of memory, and its requests with it.

Cause: each request had bounds (a megabyte for the head, the configuration's for the body), all together had none; a body had no bound in time, so that a client that stops keeps what it took; memory_mb and max_fds of the settings and max_header_bytes and header_timeout_ms of the configuration were used by nothing. Bodies grew by copying. A batch job of a megabyte of empty items or headers was decoded to tens of megabytes.

Change: package budget divides memory and descriptors of the settings into shares and decides who yields (docs/design/CLIENTS.md); package intake accepts connections and reads heads and bodies within it, at all four addresses. What is charged: heads, bodies before they are allocated, decoded jobs, results and item bodies that are read, buffered responses. Incomplete requests yield, those with the most bytes times age first; requests in progress never. Receive buffers are 32 KB, writes end after 10 s, the runtime has a memory limit, the items of a job are decoded up to one more than its maximum.

--- a/access/access.go
+++ b/access/access.go
@@ -12,6 +12,7 @@
 	"github.com/sardinerock/sardinerock/caller"
 	"github.com/sardinerock/sardinerock/clock"
 	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/intake"
 	"github.com/sardinerock/sardinerock/quota"
 )
 
@@ -104,12 +105,9 @@
 		a.rejectCaller(w, r, table, age, identity.Verdict)
 		return
 	}
-	body, err := readBody(r, table.Limits.MaxBodyBytes)
-	if err != nil {
-		a.reject(w, r, bodyStatus(err), err.Error(), 0)
+	if !a.readBody(w, r, table, route, &call, received) {
 		return
 	}
-	call.Body = body
 	if route.Kind == sardinerock.RouteBatch {
 		a.Batch.Submit(w, r, route, &call, received, a.waitedBefore(route.Name, call.Timeout))
 		return
@@ -248,6 +246,7 @@
 
 // reject answers a request of which nothing was sent to a backend server.
 func (a *Access) reject(w http.ResponseWriter, r *http.Request, status int, reason string, retryAfter time.Duration) {
+	intake.Abandon(r)
 	a.count("relay.refused." + strconv.Itoa(status))
 	a.Events.Info(event.RequestRefused).Str("request", a.Dialect.ReadCall(r).ID).Str("host", r.Host).Str("path", r.URL.Path).
 		Int("status", status).Str("reason", reason).Dur("retryAfter", retryAfter).Msg("request rejected")
--- a/access/body.go
+++ b/access/body.go
@@ -1,38 +1,56 @@
 package access
 
 import (
+	"bytes"
 	"errors"
-	"io"
 	"net/http"
-)
+	"time"
 
-var errBodyTooLarge = errors.New("the body is larger than the configuration allows")
+	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/intake"
+)
 
-func bodyStatus(err error) int {
-	if errors.Is(err, errBodyTooLarge) {
-		return http.StatusRequestEntityTooLarge
-	}
-	return http.StatusBadRequest
-}
+const (
+	// jobBytesPerByte and jobBytesPerColon estimate the memory of a decoded job from its body: its strings and decoded bodies,
+	// and its items and their headers, which have a colon each.
+	jobBytesPerByte  = 4
+	jobBytesPerColon = 128
+	// memoryRetryAfter is the retry delay sent to callers for whose requests there is no memory. It is short, as the retry
+	// reaches another entry.
+	memoryRetryAfter = 200 * time.Millisecond
+)
 
-// readBody reads the whole body of a request, since a retry sends it again. A body of more
-// than limit bytes is an error; there is no limit if it is 0.
-func readBody(r *http.Request, limit int64) ([]byte, error) {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
+// readBody reads the body of a request into its call. If it can't, it rejects the request and returns false.
+func (a *Access) readBody(w http.ResponseWriter, r *http.Request, table *sardinerock.RouteTable, route *sardinerock.Route, call *sardinerock.Call, received time.Time) bool {
+	wait := intake.BodyTimeout
+	for _, limit := range []time.Duration{call.Timeout, route.Timeout} {
+		if limit > 0 {
+			wait = min(wait, limit)
+		}
 	}
-	if limit <= 0 {
-		return io.ReadAll(r.Body)
+	var err error
+	call.Body, err = intake.ReadBody(r, table.Limits.MaxBodyBytes, received.Add(wait))
+	if err == nil && route.Kind == sardinerock.RouteBatch && !intake.TakeEstimate(r.Context(), jobBytes(call.Body)) {
+		err = intake.ErrNoMemory
 	}
-	if r.ContentLength > limit {
-		return nil, errBodyTooLarge
+	switch {
+	case err == nil:
+		return true
+	case errors.Is(err, intake.ErrTooLarge):
+		a.reject(w, r, http.StatusRequestEntityTooLarge, err.Error(), 0)
+	case errors.Is(err, intake.ErrNoMemory):
+		w.Header().Set("Connection", "close")
+		a.reject(w, r, http.StatusServiceUnavailable, err.Error(), memoryRetryAfter)
+	case errors.Is(err, intake.ErrTooSlow):
+		w.Header().Set("Connection", "close")
+		a.reject(w, r, http.StatusRequestTimeout, err.Error(), 0)
+	default:
+		a.reject(w, r, http.StatusBadRequest, err.Error(), 0)
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, errBodyTooLarge
-	}
-	return body, nil
+	return false
+}
+
+// jobBytes estimates the memory that a job takes beside its body.
+func jobBytes(body []byte) int64 {
+	return int64(jobBytesPerByte*len(body) + jobBytesPerColon*bytes.Count(body, []byte{':'}))
 }
--- /dev/null
+++ b/budget/divide.go
@@ -0,0 +1,60 @@
+package budget
+
+const (
+	// DefaultMemory and DefaultDescriptors are assumed if the settings state none.
+	DefaultMemory      = 256 << 20
+	DefaultDescriptors = 1024
+	// reservedDescriptors are reserved for files.
+	reservedDescriptors = 200
+	// connectionBytes is the memory of a connection beside what its requests hold: its receive buffer, the buffers of
+	// net/http and the stacks of its goroutines.
+	connectionBytes = 56 << 10
+	// SmallBytes is the size in bytes up to which a request may use the reserve of a budget.
+	SmallBytes = 64 << 10
+	// minConnections is the least number of connections of a share.
+	minConnections = 16
+	// checkConnections and checkBytes are the share of readiness checks, and that of metrics requests.
+	checkConnections = 32
+	checkBytes       = 1 << 20
+)
+
+// Limits is one share of a process's memory and descriptors.
+type Limits struct {
+	// Connections is the largest number of connections.
+	Connections int
+	// Bytes is the most that all requests may hold, in bytes.
+	Bytes int64
+	// Reserve is the part of Bytes that is kept for requests of up to SmallBytes.
+	Reserve int64
+}
+
+// Shares are the shares of all clients of a process.
+type Shares struct {
+	Callers, Peers, Checks Limits
+	// RuntimeBytes is the memory limit of the Go runtime, in bytes.
+	RuntimeBytes int64
+}
+
+// Divide returns the shares of a process with memory bytes of memory and as many descriptors, each from the settings. A
+// value that isn't positive is replaced by its default.
+func Divide(memory int64, descriptors int) Shares {
+	if memory <= 0 {
+		memory = DefaultMemory
+	}
+	if descriptors <= 0 {
+		descriptors = DefaultDescriptors
+	}
+	sockets := max(descriptors-reservedDescriptors, descriptors/2)
+	return Shares{
+		Callers:      share(memory/4, memory/6, sockets*3/8),
+		Peers:        share(memory/16, memory/32, sockets/8),
+		Checks:       Limits{Connections: checkConnections, Bytes: checkBytes, Reserve: checkBytes / 4},
+		RuntimeBytes: memory / 8 * 5,
+	}
+}
+
+// share returns the limits of clients whose requests may hold requests bytes, and whose connections take up to
+// connections bytes and as many descriptors.
+func share(requests, connections int64, descriptors int) Limits {
+	return Limits{Connections: max(minConnections, min(int(connections/connectionBytes), descriptors)), Bytes: requests, Reserve: requests / 4}
+}
--- a/conf/node.go
+++ b/conf/node.go
@@ -35,6 +35,8 @@
 	ApplyTimeout time.Duration
 	// MemoryBytes is the memory limit at which the process is killed.
 	MemoryBytes int64
+	// Descriptors is the number of descriptors that the process may have open.
+	Descriptors int
 	// Strength is the CPU share of the instance in percent of a core.
 	Strength int
 	// StrictRevoke requires that every entry rejects a revoked key once RevokeTimeout
--- a/event/event.go
+++ b/event/event.go
@@ -94,6 +94,7 @@
 	StartAwaited     ID = 907
 	ConnectionsShed  ID = 908
 	ResponseTooLarge ID = 909
+	ClientsRejected  ID = 910
 )
 
 // Logger writes numbered events as JSON lines. The zero value and a nil Logger discard them.
--- a/node/node.go
+++ b/node/node.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -30,6 +29,7 @@
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/gossip"
 	"github.com/sardinerock/sardinerock/idle"
+	"github.com/sardinerock/sardinerock/intake"
 	"github.com/sardinerock/sardinerock/items"
 	"github.com/sardinerock/sardinerock/lease"
 	"github.com/sardinerock/sardinerock/ledger"
@@ -43,7 +43,6 @@
 	"github.com/sardinerock/sardinerock/roster"
 	"github.com/sardinerock/sardinerock/runner"
 	"github.com/sardinerock/sardinerock/share"
-	"github.com/sardinerock/sardinerock/shed"
 	"github.com/sardinerock/sardinerock/submit"
 	"github.com/sardinerock/sardinerock/tally"
 	"github.com/sardinerock/sardinerock/watch"
@@ -125,6 +124,8 @@
 	startTime time.Time
 	loadTime  atomic.Int64
 	group     sync.WaitGroup
+	// intakes accept the connections of clients.
+	intakes []*intake.Listener
 }
 
 const (
@@ -185,15 +186,15 @@
 func (n *Node) Run(ctx context.Context) error {
 	n.settings = &reload.Settings{Read: n.ReadSettings, OnChange: n.settingsChanged, Events: n.Events}
 	n.settings.Prepare(n.Settings)
-	callerListener, err := net.Listen("tcp", n.Settings.CallerAddress)
+	callerListener, err := intake.Listen(n.Settings.CallerAddress)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	readyListener, err := net.Listen("tcp", n.Settings.ReadyAddress)
+	readyListener, err := intake.Listen(n.Settings.ReadyAddress)
 	if err != nil {
 		return fmt.Errorf("listen for readiness checks: %w", err)
 	}
-	metricsListener, err := net.Listen("tcp", n.Settings.MetricsAddress)
+	metricsListener, err := intake.Listen(n.Settings.MetricsAddress)
 	if err != nil {
 		return fmt.Errorf("listen for metrics requests: %w", err)
 	}
@@ -205,7 +206,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers' datagrams: %w", err)
 	}
-	peerListener, err := net.Listen("tcp", n.Settings.PeerAddress)
+	peerListener, err := intake.Listen(n.Settings.PeerAddress)
 	if err != nil {
 		return fmt.Errorf("listen for peers' requests: %w", err)
 	}
@@ -217,30 +218,18 @@
 	workCtx, cancelWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelWork()
 	n.start(workCtx)
-	callerServer := &http.Server{Handler: n.callerHandler(), ReadHeaderTimeout: headerTimeout, ConnContext: sardinerock.ConnContext}
 	idleConns := &idle.Conns{Limit: n.idleLimit}
-	shedListener := &shed.Listener{Listener: callerListener, Limiter: &shed.Limiter{}, Events: n.Events, Metrics: n.Metrics}
-	callerServer.ConnState = func(c net.Conn, s http.ConnState) {
-		idleConns.State(c, s)
-		shedListener.State(c, s)
-	}
-	n.serve(callerServer, shedListener)
-	peerServer := &http.Server{Handler: n.shareServer.Handler(n.lease.Handler(proxy.FromPeer(n.callerHandler()))), ReadHeaderTimeout: headerTimeout}
-	n.serve(peerServer, peerListener)
-	readyServer := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
-	n.serve(readyServer, readyListener)
-	metricsServer := &http.Server{Handler: http.HandlerFunc(n.serveMetrics), ReadHeaderTimeout: headerTimeout}
-	n.serve(metricsServer, metricsListener)
+	servers := n.serveClients(callerListener, peerListener, readyListener, metricsListener, idleConns)
 	n.goRun(workCtx, func(ctx context.Context) { n.cleanUp(ctx, idleConns) })
 	n.goRun(workCtx, n.settings.Run)
 	n.goRun(workCtx, n.roster.Purge)
 
 	<-ctx.Done()
-	n.stop(callerServer)
+	n.stop(servers[0])
 	cancelWork()
-	peerServer.Close()
-	readyServer.Close()
-	metricsServer.Close()
+	for _, s := range servers[1:] {
+		s.Close()
+	}
 	n.group.Wait()
 	n.Events.Info(event.Stopped).Msg("stopped")
 	return nil
--- a/node/serve.go
+++ b/node/serve.go
@@ -12,14 +12,14 @@
 )
 
 const (
-	// headerTimeout is how long a caller may take to send the head of a request.
-	headerTimeout = 10 * time.Second
 	// defaultIdleTimeout is how long callers' connections may be idle if the configuration has no
 	// idle timeout.
 	defaultIdleTimeout = time.Minute
 	// idleMargin is added to the configured idle timeout, so that a request sent just before
 	// the timeout doesn't arrive on a closed connection.
 	idleMargin = 2 * time.Second
+	// maxPlainHead bounds the heads of peers' requests, readiness checks and metrics requests, in bytes.
+	maxPlainHead = 64 << 10
 	// deregisterTime is how long the load balancer takes to stop sending connections to an
 	// entry that isn't ready: two readiness checks, one a second, and a margin.
 	deregisterTime = 2300 * time.Millisecond
@@ -45,6 +45,9 @@
 
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	n.updateGauges()
+	for _, l := range n.intakes {
+		l.UpdateGauges()
+	}
 	scrape.Write(w, n.Metrics)
 }
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -34,6 +34,8 @@
 	// maxBufferedResponse is the size in bytes up to which a response is buffered until
 	// it is complete.
 	maxBufferedResponse = 256 << 10
+	// readGrowth is how many times its size a buffered response takes while it is read.
+	readGrowth = 2
 	// maxUnstatedResponse bounds the size in bytes of a response that doesn't state it.
 	maxUnstatedResponse = 256 << 20
 )
--- a/relay/response.go
+++ b/relay/response.go
@@ -9,6 +9,7 @@
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/conns"
+	"github.com/sardinerock/sardinerock/intake"
 	"github.com/sardinerock/sardinerock/pool"
 )
 
@@ -41,11 +42,17 @@
 }
 
 // forwardComplete forwards a response once it is complete, so that the request can be
-// repeated if the response is cut off. A large response is streamed.
+// repeated if the response is cut off. A large response is streamed, and one for which there is no memory.
 func (p *proxyRequest) forwardComplete(resp *conns.Response, choice *pool.Choice) (attemptResult, bool) {
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedResponse+1))
+	buffer := bufferSize(resp)
+	if taken := readGrowth * int64(buffer); intake.Take(p.request.Context(), taken) {
+		defer intake.Give(p.request.Context(), taken)
+	} else {
+		buffer = 0
+	}
+	body, err := io.ReadAll(io.LimitReader(resp, int64(buffer)+1))
 	switch {
-	case err == nil && len(body) <= maxBufferedResponse:
+	case err == nil && len(body) <= buffer:
 		p.writeHead(resp, len(body))
 		p.write(body)
 		return p.finish(resp, conns.EndProven)
@@ -76,6 +83,14 @@
 	return p.finish(resp, end)
 }
 
+// bufferSize returns how much of a response is buffered at most, in bytes.
+func bufferSize(resp *conns.Response) int {
+	if resp.ContentLength >= 0 && resp.ContentLength < maxBufferedResponse {
+		return int(resp.ContentLength)
+	}
+	return maxBufferedResponse
+}
+
 // writeHead sends the head of the response; a negative size means that the size is unknown. A response without
 // framing is forwarded without framing, so that its end proves no more to the caller than it did here.
 func (p *proxyRequest) writeHead(resp *conns.Response, size int) {
--- a/submit/submit.go
+++ b/submit/submit.go
@@ -17,6 +17,7 @@
 	"github.com/sardinerock/sardinerock/blobs"
 	"github.com/sardinerock/sardinerock/commit"
 	"github.com/sardinerock/sardinerock/event"
+	"github.com/sardinerock/sardinerock/intake"
 	"github.com/sardinerock/sardinerock/ledger"
 	"github.com/sardinerock/sardinerock/watch"
 )
@@ -55,6 +56,11 @@
 	// responseBytes limits how much text is read for one response, of which there is at least
 	// one result. The dialect has a higher limit of its own.
 	responseBytes = 512 << 10
+	// readBytesPerByte estimates the memory of reading a value and of its response, for each byte of the value.
+	readBytesPerByte = 6
+	// maxAcceptTime bounds how long the store may take to accept a job, however long its caller waits: until then the job
+	// holds memory.
+	maxAcceptTime = 30 * time.Second
 	// maxWait bounds how long a read may wait for a result.
 	maxWait = time.Second
 	// finalReadMargin is how long before the end of that wait the store is read once more.
@@ -182,9 +188,9 @@
 		return acceptTimeout
 	}
 	if before > 0 {
-		return max(wait-responseMargin, responseMargin)
+		return min(max(wait-responseMargin, responseMargin), maxAcceptTime)
 	}
-	return time.Duration(firstAttemptShare * float64(wait))
+	return min(time.Duration(firstAttemptShare*float64(wait)), maxAcceptTime)
 }
 
 func (h *Handler) writeAccepted(w http.ResponseWriter, job *ledger.Accepted, verdict ledger.Verdict, err error, received time.Time, late bool) {
@@ -315,9 +321,14 @@
 func (h *Handler) writeResults(w http.ResponseWriter, r *http.Request, call sardinerock.BatchCall, page ledger.Page) {
 	fitting := fitPage(page.Results)
 	locations := make([]blobs.Result, len(fitting))
+	size := 0
 	for n := range fitting {
+		size += fitting[n].Text.Size()
 		locations[n] = blobs.Result{Index: fitting[n].Index, Content: fitting[n].Text}
 	}
+	if !h.takeMemory(w, r, call.Job, size) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), blobTimeout)
 	defer cancel()
 	read, err := h.Blobs.ReadResults(ctx, call.Job, locations)
@@ -334,6 +345,16 @@
 	}
 }
 
+// takeMemory takes the memory for reading a value of size bytes and for its response. If there is too little, it rejects the
+// request and returns false.
+func (h *Handler) takeMemory(w http.ResponseWriter, r *http.Request, job string, size int) bool {
+	if intake.TakeEstimate(r.Context(), int64(readBytesPerByte*size)) {
+		return true
+	}
+	h.reject(w, job, http.StatusServiceUnavailable, intake.ErrNoMemory.Error(), storeRetryAfter)
+	return false
+}
+
 // fitPage returns the leading results whose texts are read for one response, at least one.
 func fitPage(results []ledger.Result) []ledger.Result {
 	size := 0
@@ -354,6 +375,9 @@
 		h.reject(w, call.Job, http.StatusServiceUnavailable, "the batch job's state is being read anew", storeRetryAfter)
 		return
 	}
+	if !h.takeMemory(w, r, call.Job, bodies.Size()) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), blobTimeout)
 	defer cancel()
 	items, err := h.Blobs.ReadItems(ctx, call.Job, &bodies)
