--- a/access/body.go
+++ b/access/body.go
@@ -33,16 +33,17 @@
 	if err == nil && route.Kind == sardinerock.RouteBatch && !intake.TakeEstimate(r.Context(), jobBytes(call.Body)) {
 		err = intake.ErrNoMemory
 	}
-	switch {
-	case err == nil:
+	if err == nil {
 		return true
+	}
+	// The response is sent at once, and the rest of the body isn't waited for.
+	w.Header().Set("Connection", "close")
+	switch {
 	case errors.Is(err, intake.ErrTooLarge):
 		a.reject(w, r, http.StatusRequestEntityTooLarge, err.Error(), 0)
 	case errors.Is(err, intake.ErrNoMemory):
-		w.Header().Set("Connection", "close")
 		a.reject(w, r, http.StatusServiceUnavailable, err.Error(), memoryRetryAfter)
 	case errors.Is(err, intake.ErrTooSlow):
-		w.Header().Set("Connection", "close")
 		a.reject(w, r, http.StatusRequestTimeout, err.Error(), 0)
 	default:
 		a.reject(w, r, http.StatusBadRequest, err.Error(), 0)
--- a/intake/body.go
+++ b/intake/body.go
@@ -70,8 +70,16 @@
 }
 
 // ReadBody reads the whole body of a request, since a retry sends it again. A body of more than limit bytes is an error;
-// there is no limit if it is 0. The deadline is that of the whole body.
+// there is no limit if it is 0. The deadline is that of the whole body. After an error, Abandon need not be called.
 func ReadBody(r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
+	body, err := readBody(r, limit, deadline)
+	if err != nil {
+		Abandon(r)
+	}
+	return body, err
+}
+
+func readBody(r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
 	c := fromContext(r.Context())
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
@@ -119,9 +127,11 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if r.Body != nil && r.Body != http.NoBody {
+		hasBody := r.Body != nil && r.Body != http.NoBody
+		if hasBody {
 			_ = c.SetReadDeadline(time.Now().Add(BodyTimeout))
-		} else if c.complete() != nil {
+		}
+		if !c.chargeHeader(r.Header) || !hasBody && c.complete() != nil {
 			w.Header().Set("Connection", "close")
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
--- a/intake/head.go
+++ b/intake/head.go
@@ -80,12 +80,25 @@
 	if limits.MaxHeaderBytes > 0 && c.headBytes > limits.MaxHeaderBytes+readAhead {
 		return http.StatusRequestHeaderFieldsTooLarge, reasonHead
 	}
-	if !c.take(int64(bytesPerByte*len(part) + bytesPerLine*bytes.Count(part, []byte{'\n'}))) {
+	charge := int64(bytesPerByte*len(part) + bytesPerLine*bytes.Count(part, []byte{'\n'}))
+	if !c.take(charge) {
 		return http.StatusServiceUnavailable, reasonMemory
 	}
+	c.headCharge += charge
 	return 0, ""
 }
 
+// chargeHeader charges the lines of a head that was received together with an earlier request. It reports whether there
+// is memory for it.
+func (c *Conn) chargeHeader(h http.Header) bool {
+	lines := 0
+	for _, values := range h {
+		lines += len(values)
+	}
+	missing := int64(bytesPerLine*lines) - c.headCharge
+	return missing <= 0 || c.take(missing)
+}
+
 // rejectHead answers a head that isn't complete.
 func (c *Conn) rejectHead(status int) {
 	// An error means that the client has disconnected.
--- a/intake/listen.go
+++ b/intake/listen.go
@@ -177,9 +177,10 @@
 	listener *Listener
 	holder   *budget.Holder
 	phase    atomic.Int32
-	// headBytes is the size of what was received of the present head, and headDeadline when it has to be complete; only the
-	// goroutine that reads heads uses them.
+	// headBytes is the size of what was received of the present head, headCharge what was charged for it, and headDeadline when
+	// it has to be complete; only the goroutine that reads heads and serves requests uses them.
 	headBytes    int
+	headCharge   int64
 	headDeadline time.Time
 
 	mu sync.Mutex
@@ -266,5 +267,6 @@
 // requestEnded is called when a request was answered and its connection is kept.
 func (c *Conn) requestEnded() {
 	c.phase.Store(phaseHead)
+	c.headCharge = 0
 	c.holder.End(time.Now())
 }
