--- a/budget/divide.go
+++ b/budget/divide.go
@@ -1,14 +1,15 @@
 package budget
 
 const (
-	// DefaultMemory and DefaultDescriptors are assumed if the settings state none.
-	DefaultMemory      = 256 << 20
+	// DefaultMemory is the memory in bytes that is assumed if the settings state none.
+	DefaultMemory = 256 << 20
+	// DefaultDescriptors is the number of descriptors that is assumed if the settings state none.
 	DefaultDescriptors = 1024
 	// reservedDescriptors are reserved for files.
 	reservedDescriptors = 200
-	// connectionBytes is the memory of a connection beside what its requests hold: its receive buffer, the buffers of
-	// net/http and the stacks of its goroutines.
-	connectionBytes = 56 << 10
+	// connectionBytes is the memory of a connection beside what its requests are charged for: bytes received and not read,
+	// the buffers of net/http, and the goroutines and the state of a request in progress.
+	connectionBytes = 72 << 10
 	// SmallBytes is the size in bytes up to which a request may use the reserve of a budget.
 	SmallBytes = 64 << 10
 	// minConnections is the least number of connections of a share.
@@ -46,8 +47,8 @@
 	}
 	sockets := max(descriptors-reservedDescriptors, descriptors/2)
 	return Shares{
-		Callers:      share(memory/4, memory/6, sockets*3/8),
-		Peers:        share(memory/16, memory/32, sockets/8),
+		Callers:      share(memory/4, memory*3/16, sockets*3/8),
+		Peers:        share(memory/16, memory/24, sockets/8),
 		Checks:       Limits{Connections: checkConnections, Bytes: checkBytes, Reserve: checkBytes / 4},
 		RuntimeBytes: memory / 8 * 5,
 	}
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -29,6 +29,8 @@
 	sendTimeout = 2 * time.Second
 	// quiet is how long the crowd stays connected once all have sent what they send.
 	quiet = time.Second
+	// comingAtOnce is the number of clients of a crowd that connect again and again.
+	comingAtOnce = 100
 	// rounds is how often a crowd that comes again does so.
 	rounds = 3
 )
@@ -261,6 +263,45 @@
 	w.withstand(w.front(), silentSize, silent)
 }
 
+// TestCrowdThatKeepsComing guards against clients that connect again and again keeping ordinary ones out.
+func TestCrowdThatKeepsComing(t *testing.T) {
+	for _, name := range []string{"silent", "bodies that stop short", "header lines without end"} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			send := forms[name]
+			if send == nil {
+				send = silent
+			}
+			stop := make(chan struct{})
+			var crowd sync.WaitGroup
+			for range comingAtOnce {
+				crowd.Go(func() {
+					for {
+						select {
+						case <-stop:
+							return
+						default:
+						}
+						c, err := net.DialTimeout("tcp", w.front(), patience)
+						if err != nil {
+							continue
+						}
+						send(&impatient{c}, 0)
+						time.Sleep(100 * time.Millisecond)
+						c.Close()
+					}
+				})
+			}
+			time.Sleep(quiet)
+			w.expectServed()
+			close(stop)
+			crowd.Wait()
+			w.expectServed()
+			w.expectWithinLimits()
+		})
+	}
+}
+
 // TestCrowdOfTwoForms guards against bounds that hold for one form of misuse each, but not for their sum.
 func TestCrowdOfTwoForms(t *testing.T) {
 	for name, pair := range map[string][2]string{
--- a/intake/head.go
+++ b/intake/head.go
@@ -27,8 +27,12 @@
 
 type headError struct{}
 
-func (headError) Error() string   { return "head rejected" }
-func (headError) Timeout() bool   { return true }
+func (headError) Error() string { return "head rejected" }
+
+// Timeout implements net.Error.
+func (headError) Timeout() bool { return true }
+
+// Temporary implements net.Error.
 func (headError) Temporary() bool { return false }
 
 // isTimeout reports whether a deadline has passed.
--- a/intake/listen.go
+++ b/intake/listen.go
@@ -19,7 +19,7 @@
 const (
 	// receiveBuffer is the size of the receive buffer of a connection, in bytes. Bytes that were received and not read are
 	// memory of the process.
-	receiveBuffer = 32 << 10
+	receiveBuffer = 16 << 10
 	// headMargin is added to the time that the configuration allows for a head.
 	headMargin = time.Second
 	// HeadTimeout is how long a client may take to send a head if the configuration doesn't say, and to send its first byte.
@@ -245,7 +245,7 @@
 
 // Write implements net.Conn. A client that doesn't read what is sent to it is disconnected.
 func (c *Conn) Write(b []byte) (int, error) {
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Write(b)
