relay: the test of broken streams doesn't reuse connections that its server closes

Cause: the test's server closes each connection after a complete response without saying so. A retry that is sent on such a kept connection at that moment gets a reset; it may have run, so it counts as one of the stream's three attempts, and the second reset ends the stream. Its server now sends Connection: close, as the one of the test of prompt parts does. All checks are as they were.

--- a/relay/version_test.go
+++ b/relay/version_test.go
@@ -40,9 +40,10 @@
 	s.relay.Origins.SetServers(list)
 }
 
-// writeStream streams events that name a version, and ends the response only if the fifth is sent.
+// writeStream streams events that name a version, and ends the response only if the fifth is sent. It says that the connection
+// isn't kept: a request that is sent on one which ends at that moment may have run, and counts as an attempt.
 func writeStream(c net.Conn, r *http.Request, first, last int, version string) {
-	fmt.Fprintf(c, signedHead+"Transfer-Encoding: chunked\r\n\r\n", 1, r.Header.Get("Request-Id"), eventStream)
+	fmt.Fprintf(c, signedHead+"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n", 1, r.Header.Get("Request-Id"), eventStream)
 	for i := first; i <= last; i++ {
 		text := fmt.Sprintf("id: %d\ndata: %s %d\n\n", i, version, i)
 		fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
