intake: a connection that has to yield twice is closed; 503 says when to come back

If a request had to yield its memory and then another client needed the connection, the descriptor stayed open for up to half a second although it was counted as free.

Rejections with 503 that intake sends itself have a Retry-After of a second.

--- a/intake/body.go
+++ b/intake/body.go
@@ -133,6 +133,7 @@
 		}
 		if !c.chargeHeader(r.Header) || !hasBody && c.complete() != nil {
 			w.Header().Set("Connection", "close")
+			w.Header().Set("Retry-After", retryAfterSeconds)
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
--- a/intake/head.go
+++ b/intake/head.go
@@ -18,6 +18,8 @@
 	// drainBytes and drainTime bound what is read from a client after it was rejected.
 	drainBytes = 256 << 10
 	drainTime  = 500 * time.Millisecond
+	// retryAfterSeconds is when clients may come back whose requests were rejected before they were understood.
+	retryAfterSeconds = "1"
 	// writeTimeout is how long a write to a client may take.
 	writeTimeout = 10 * time.Second
 )
@@ -105,8 +107,12 @@
 
 // rejectHead answers a head that isn't complete.
 func (c *Conn) rejectHead(status int) {
+	retry := ""
+	if status == http.StatusServiceUnavailable {
+		retry = "Retry-After: " + retryAfterSeconds + "\r\n"
+	}
 	// An error means that the client has disconnected.
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", status, http.StatusText(status))
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\nConnection: close\r\n\r\n", status, http.StatusText(status), retry)
 }
 
 // drain reads what a client still sends after it was rejected into b, so that it receives the response before its
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -252,3 +252,17 @@
 	s.g.Expect(status).To(Equal(http.StatusOK))
 	s.g.Expect(s.Budget.Usage().Connections).To(BeNumerically("<=", 5))
 }
+
+// TestConnectionThatYieldsTwiceIsClosed guards against a connection whose request had to yield keeping its descriptor while
+// another client needs it.
+func TestConnectionThatYieldsTwiceIsClosed(t *testing.T) {
+	s := newServer(t, roomyLimits)
+	ours, theirs := net.Pipe()
+	s.g.Expect(theirs.SetReadDeadline(time.Now().Add(patience))).To(Succeed())
+	c := &Conn{Conn: ours, listener: s.Listener, yielded: make(chan struct{})}
+	c.holder = s.Budget.Open(time.Now(), c.yield)
+	c.yield(budget.ForBytes)
+	c.yield(budget.ForConnection)
+	_, err := theirs.Read(make([]byte, 1))
+	s.g.Expect(err).To(MatchError(io.EOF))
+}
--- a/intake/listen.go
+++ b/intake/listen.go
@@ -211,13 +211,9 @@
 // yield is called when the client has to yield.
 func (c *Conn) yield(r budget.Reason) {
 	c.mu.Lock()
-	if c.hasYielded {
-		c.mu.Unlock()
-		return
-	}
-	c.hasYielded = true
-	close(c.yielded)
-	if r == budget.ForBytes {
+	if !c.hasYielded {
+		c.hasYielded = true
+		close(c.yielded)
 		// The read in progress fails, and its request is rejected.
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
