crowd: what clients held is given back once they have left

After each crowd has left, the metrics of what requests hold must be 0 for callers, peers and readiness checks. Crowds and bounds are unchanged.

--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -241,6 +241,7 @@
 	w.expectServed()
 	release()
 	w.expectServed()
+	w.expectGivenBack()
 	w.expectWithinLimits()
 }
 
@@ -297,6 +298,7 @@
 			close(stop)
 			crowd.Wait()
 			w.expectServed()
+			w.expectGivenBack()
 			w.expectWithinLimits()
 		})
 	}
--- a/crowd/world_test.go
+++ b/crowd/world_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -351,6 +352,30 @@
 	w.g.Expect(w.peakDescriptors.Load()).To(BeNumerically("<=", maxDescriptors), "descriptors")
 }
 
+// heldByClients are the metrics of what the requests of clients hold, but for the metrics request itself.
+var heldByClients = regexp.MustCompile(`(?m)^sardinerock_intake_(?:callers|peers|checks)_bytes (\S+)$`)
+
+// expectGivenBack checks that no request holds memory once its client has left.
+func (w *world) expectGivenBack() {
+	w.t.Helper()
+	w.g.Eventually(func() []string {
+		answer, err := http.Get("http://" + w.ip + ":9464/metrics")
+		if err != nil {
+			return nil
+		}
+		defer answer.Body.Close()
+		page, err := io.ReadAll(answer.Body)
+		if err != nil {
+			return nil
+		}
+		var held []string
+		for _, m := range heldByClients.FindAllSubmatch(page, -1) {
+			held = append(held, string(m[1]))
+		}
+		return held
+	}, patience).Should(Equal([]string{"0", "0", "0"}))
+}
+
 // expectServed checks that an ordinary request is answered. Like ordinary clients, it retries on a new connection after a
 // refusal that says so or a closed connection.
 func (w *world) expectServed() {
