intake: a test that the configuration's header timeout is in force

TestIncompleteRequestsEnd waits for the end of an incomplete head, but would do so with the default of 10 s as well, so no test showed that header_timeout_ms decides.

--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -166,6 +166,16 @@
 	}
 }
 
+// TestHeadTimeoutIsThatOfTheConfiguration guards against a client that stops inside a head being waited for longer than the
+// configuration allows, up to the default.
+func TestHeadTimeoutIsThatOfTheConfiguration(t *testing.T) {
+	s := newServer(t, roomyLimits)
+	begin := time.Now()
+	status, _ := s.answer("GET / HTTP/1.1\r\nHost: h\r\n")
+	s.g.Expect(status).To(BeZero())
+	s.g.Expect(time.Since(begin)).To(BeNumerically("<", HeadTimeout))
+}
+
 // TestConnectionIsKept guards against deadlines of one request ending the next one on its connection, and against what
 // requests hold adding up.
 func TestConnectionIsKept(t *testing.T) {
