--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -23,6 +23,7 @@
 	"silent-drain":  silentDrainCase,
 	"silent-config": silentConfigCase,
 	"deadly":        deadlyCase,
+	"ended":         endedCase,
 	"quota":         quotaCase,
 	"reborn":        rebornCase,
 }
--- a/review/_harness/silent.go
+++ b/review/_harness/silent.go
@@ -166,7 +166,7 @@
 	time.Sleep(5 * time.Second)
 	at := time.Now()
 	if trouble {
-		w.logf("%d open connections to the store go silent", w.storeProxy.silence())
+		w.silence()
 	}
 	leaving := servers[0]
 	leaving.stopBeat()
@@ -211,7 +211,7 @@
 		time.Sleep(3 * time.Second)
 		at := time.Now()
 		if trouble {
-			w.logf("%d open connections to the store go silent", w.storeProxy.silence())
+			w.silence()
 		}
 		time.Sleep(100 * time.Millisecond)
 		before, after := services[round%2], services[(round+1)%2]
--- a/review/_harness/world.go
+++ b/review/_harness/world.go
@@ -29,8 +29,6 @@
 	begin   time.Time
 	store   *stand.Server
 	storeIP string
-	// storeProxy is between the entries and the store.
-	storeProxy *proxy
 	// bounds are further bounds in the settings of entries.
 	bounds    string
 	entries   []*entry
@@ -45,6 +43,8 @@
 // entry is one process of the project.
 type entry struct {
 	name, ip string
+	// store is between the entry and the store.
+	store    *proxy
 	cmd      *exec.Cmd
 	settings string
 }
@@ -67,8 +67,7 @@
 		}
 		w.storeIP = w.prefix + "1"
 		go func() { _ = http.Serve(l, http.HandlerFunc(w.serveStore)) }()
-		w.storeProxy, err = newProxy(w.prefix+"2:8142", w.storeIP+":8142")
-		return w, err
+		return w, nil
 	}
 	return nil, errors.New("no free loopback address")
 }
@@ -186,9 +185,13 @@
 func (w *world) startEntries(n int) error {
 	for i := range n {
 		e := &entry{name: fmt.Sprintf("front-%d", i+1), ip: fmt.Sprintf("%s%d", w.prefix, 10+i)}
+		var err error
+		if e.store, err = newProxy(fmt.Sprintf("%s%d:8142", w.prefix, 50+i), w.storeIP+":8142"); err != nil {
+			return err
+		}
 		e.settings = filepath.Join(w.dir, e.name+".toml")
 		zone := []string{"mill-hall", "dock-hall"}[i%2]
-		text := fmt.Sprintf(settingsText, e.name, e.ip, zone, e.ip, e.ip, w.bounds, w.storeProxy.address)
+		text := fmt.Sprintf(settingsText, e.name, e.ip, zone, e.ip, e.ip, w.bounds, e.store.address)
 		if err := os.WriteFile(e.settings, []byte(text), 0o644); err != nil {
 			return err
 		}
@@ -223,6 +226,15 @@
 	return nil
 }
 
+// silence makes the open connections between all entries and the store silent.
+func (w *world) silence() {
+	n := 0
+	for _, e := range w.entries {
+		n += e.store.silence()
+	}
+	w.logf("%d open connections to the store go silent", n)
+}
+
 // killAll kills all entries at the same moment and starts them again after a while.
 func (w *world) killAll(down time.Duration) error {
 	for _, e := range w.entries {
