conns, verify: a response whose status or version HTTP/1.1 doesn't have is no response

What callers saw: a backend server in trouble sent a head with status 000, 099 or 101 and the text of another response in the body; the caller got the inner one as its response. A status of 600 or 999, and a version of HTTP/0.9, 2.0 or 3.7, were passed on.

Cause: http.ReadResponse accepts any three digits and any version, and conns takes all below 200 for informational heads, after which the next head begins where the body of this one does.

Change: verify.Status, called for each head that conns reads, rejects a version other than HTTP/1, a status outside 100 to 599, and 101, which needs a request for an upgrade; conns sends none. The attempt may have run and counts as one whose response isn't one, as with other malformed bytes; its connection is closed. Informational heads are skipped as before.

Evidence: relay.TestMalformedStatusIsNoResponse failed before in 12 of 17 cases, and in conns the tests of reservations, health checks and the next request on the connection (TestMalformedReservation, TestMalformedHealth, TestConnectionAfterAMalformedHeadIsClosed) in 12 of 12: 000 and 101 with another response after them, 600 and HTTP/2.0. All pass now; TestInformationalHeadsAreSkipped passed before and passes now.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -412,6 +412,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := verify.Status(httpResp); err != nil {
+			return nil, err
+		}
 		if httpResp.StatusCode >= http.StatusOK {
 			return httpResp, nil
 		}
