conns, verify: a response with a field that breaks the grammar of HTTP/1.1 is no response

What callers saw: a backend server in trouble sent a head with a blank in the name of a field, or before its colon. The caller got the response without that line. If the line was a length, the body had what follows it as well; if it was an encoding, the body was the text of the chunks, with a length of its own.

Cause: net/textproto accepts blanks in names and keeps such a name as it is, so that the line states nothing. A line that begins with a blank continues the value before, and a field Transfer-Encoding in HTTP/1.0 is dropped; neither shows in the parsed head.

Change: verify.Head checks the fields of each head as their bytes arrive at conns, informational heads included: a name is a token and its colon follows at once, no line is continued (RFC 9112 lets a gateway reject it), and HTTP/1.0 has no Transfer-Encoding. The trailer of a chunked body is checked by its names once the body was read. As with a malformed status, the attempt may have run, is repeated where the route allows it, and its connection is closed; also if the head states that the request hasn't run.

Handled before: other control bytes, empty names, no colon, two lengths.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -106,6 +106,8 @@
 	headBytes, headCharge, eventBytes int64
 	room                              Room
 	inHead                            bool
+	// head checks the head that is being read.
+	head verify.Head
 	// noRoom is set once there was no memory for the response.
 	noRoom atomic.Bool
 }
@@ -127,6 +129,7 @@
 	n, err := c.Conn.Read(b)
 	c.budget -= n
 	if c.inHead {
+		c.head.Add(b[:n])
 		if err := c.holdHead(b[:n]); err != nil {
 			return 0, err
 		}
@@ -135,6 +138,14 @@
 	return n, err
 }
 
+// beginHead prepares to check the next head, which may begin with bytes that were read with the one before.
+func (c *conn) beginHead() {
+	c.head = verify.Head{}
+	// As many bytes as are buffered can be peeked.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.head.Add(buffered)
+}
+
 // holdHead takes memory for a part of a head, which may be followed by a part of the body.
 func (c *conn) holdHead(part []byte) error {
 	part = part[:headLength(part)]
@@ -408,11 +419,12 @@
 // readHead reads the head of a response and skips informational ones (1xx).
 func (c *Conns) readHead(cn *conn, method string) (*http.Response, error) {
 	for {
+		cn.beginHead()
 		httpResp, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
-		if err := verify.Status(httpResp); err != nil {
+		if err := cn.head.Check(httpResp); err != nil {
 			return nil, err
 		}
 		if httpResp.StatusCode >= http.StatusOK {
@@ -449,6 +461,10 @@
 	case r.Framing() == FramingNone:
 		return n, ErrUnproven
 	}
+	if err := verify.Trailer(r.Response); err != nil {
+		r.err = r.conn.incomplete(err)
+		return n, r.err
+	}
 	r.complete = true
 	return n, io.EOF
 }
--- a/conns/malformed_test.go
+++ b/conns/malformed_test.go
@@ -17,10 +17,15 @@
 	whole := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", fields, len(body), body)
 	ok := "HTTP/1.1 200 OK\r\n" + whole
 	return map[string]string{
-		"status 000":      "HTTP/1.1 000 X\r\n\r\n" + ok,
-		"status 101":      "HTTP/1.1 101 X\r\n\r\n" + ok,
-		"status 600":      "HTTP/1.1 600 X\r\n" + whole,
-		"another version": "HTTP/2.0 200 OK\r\n" + whole,
+		"status 000":             "HTTP/1.1 000 X\r\n\r\n" + ok,
+		"status 101":             "HTTP/1.1 101 X\r\n\r\n" + ok,
+		"status 600":             "HTTP/1.1 600 X\r\n" + whole,
+		"another version":        "HTTP/2.0 200 OK\r\n" + whole,
+		"blank in a name":        "HTTP/1.1 200 OK\r\nOther Name: x\r\n" + whole,
+		"blank before a colon":   "HTTP/1.1 200 OK\r\nOther : x\r\n" + whole,
+		"continued line":         "HTTP/1.1 200 OK\r\nOther: x\r\n Name: x\r\n" + whole,
+		"control byte in a name": "HTTP/1.1 200 OK\r\nOther\x01: x\r\n" + whole,
+		"informational head":     "HTTP/1.1 103 OK\r\nOther : x\r\n\r\n" + ok,
 	}
 }
 
