remote, verify: malformed replies, and replies reset while the request is written, are errors

What callers saw (the project's own form): a plain service's status of 000 or 600, a reply with a blank in the name of a field, the text of chunks in a reply of HTTP/1.0, and a part of a reply without framing whose connection was reset, or half closed, while the request was being written, counted as replies. Log, engines and lists took JSON from such replies.

Cause: http.Transport passes on any status and version and names with blanks; it reads while it writes, so that either a read or a write gets the reset, and an end in order may come before the request is out.

Change: verify.Transport wraps the transport of remote.Sender. A reply without framing isn't whole before the request was written; an end waits up to 100 ms for a write that is returning. verify.Conn now also checks the heads for conns. The request may have run in each case: no error wraps ErrNotSent or ErrLogRefused.

Handled before: control bytes, heads that stop, a reset with a request of 1 MB, early replies with a length.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -106,8 +106,6 @@
 	headBytes, headCharge, eventBytes int64
 	room                              Room
 	inHead                            bool
-	// head checks the head that is being read.
-	head verify.Head
 	// noRoom is set once there was no memory for the response.
 	noRoom atomic.Bool
 }
@@ -129,7 +127,6 @@
 	n, err := c.Conn.Read(b)
 	c.budget -= n
 	if c.inHead {
-		c.head.Add(b[:n])
 		if err := c.holdHead(b[:n]); err != nil {
 			return 0, err
 		}
@@ -138,14 +135,6 @@
 	return n, err
 }
 
-// beginHead prepares to check the next head, which may begin with bytes that were read with the one before.
-func (c *conn) beginHead() {
-	c.head = verify.Head{}
-	// As many bytes as are buffered can be peeked.
-	buffered, _ := c.reader.Peek(c.reader.Buffered())
-	c.head.Add(buffered)
-}
-
 // holdHead takes memory for a part of a head, which may be followed by a part of the body.
 func (c *conn) holdHead(part []byte) error {
 	part = part[:headLength(part)]
@@ -418,13 +407,16 @@
 
 // readHead reads the head of a response and skips informational ones (1xx).
 func (c *Conns) readHead(cn *conn, method string) (*http.Response, error) {
+	// The head may begin with bytes that were read with the body of a response to another request. As many bytes as are buffered
+	// can be peeked.
+	buffered, _ := cn.reader.Peek(cn.reader.Buffered())
+	cn.BeginHead(buffered)
 	for {
-		cn.beginHead()
 		httpResp, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
-		if err := cn.head.Check(httpResp); err != nil {
+		if err := cn.CheckHead(httpResp); err != nil {
 			return nil, err
 		}
 		if httpResp.StatusCode >= http.StatusOK {
--- a/remote/send.go
+++ b/remote/send.go
@@ -16,6 +16,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/verify"
 )
 
 // Limits of the connections to one backend server or platform service.
@@ -44,7 +45,7 @@
 	URL string
 
 	once      sync.Once
-	transport *http.Transport
+	transport *verify.Transport
 }
 
 // countingConn counts the bytes written to a connection and can be sealed against further writes.
@@ -55,6 +56,9 @@
 	sealed  bool
 }
 
+// NetConn returns the connection whose bytes are counted.
+func (c *countingConn) NetConn() net.Conn { return c.Conn }
+
 // Write implements net.Conn.
 func (c *countingConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
@@ -118,9 +122,10 @@
 
 func (s *Sender) init() {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	s.transport = &http.Transport{
+	dial := verify.Dialer(dialer.DialContext)
+	s.transport = &verify.Transport{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
@@ -130,7 +135,7 @@
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-	}
+	}}
 }
 
 // Send sends one request; the caller closes the response's body. An error that
--- a/verify/conn.go
+++ b/verify/conn.go
@@ -6,8 +6,11 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -16,6 +19,20 @@
 // the whole request. It wraps syscall.ECONNRESET.
 var ErrReset = fmt.Errorf("verify: request not received as a whole: %w", syscall.ECONNRESET)
 
+// writeGrace bounds how long the end of a connection waits for a write in progress. One whose bytes the other side has received is
+// about to return.
+const writeGrace = 100 * time.Millisecond
+
+// await reports whether a condition is met within writeGrace.
+func await(met func() bool) bool {
+	for begin := time.Now(); !met(); time.Sleep(time.Millisecond) {
+		if time.Since(begin) > writeGrace {
+			return false
+		}
+	}
+	return true
+}
+
 // tcpClosed is the state of a connection that was reset and not closed here (TCP_CLOSE of Linux).
 const tcpClosed = 7
 
@@ -28,6 +45,12 @@
 	// writing counts the writes in progress, and failed is set once one has failed.
 	writing atomic.Int32
 	failed  atomic.Bool
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// head checks the next head of a response, and inHead is set until its end was read.
+	head   Head
+	inHead bool
 }
 
 // NewConn returns a Conn for a connection that was established.
@@ -65,6 +88,7 @@
 // Read implements net.Conn. It returns ErrReset in place of io.EOF if CheckEnd does.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.addHead(b[:n])
 	if errors.Is(err, io.EOF) {
 		if reset := c.CheckEnd(); reset != nil {
 			return n, reset
@@ -73,10 +97,34 @@
 	return n, err
 }
 
+// BeginHead makes the bytes that are read from now on be checked as the head of a response, and the informational heads before
+// it. Buffered bytes have been read already and belong to it.
+func (c *Conn) BeginHead(buffered []byte) {
+	c.mu.Lock()
+	c.head, c.inHead = Head{}, true
+	c.mu.Unlock()
+	c.addHead(buffered)
+}
+
+func (c *Conn) addHead(received []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inHead {
+		c.inHead = !c.head.Add(received)
+	}
+}
+
+// CheckHead returns the error of Head.Check for a response whose head was read since BeginHead.
+func (c *Conn) CheckHead(r *http.Response) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.Check(r)
+}
+
 // CheckEnd returns ErrReset if the connection, which the other side has ended, was reset meanwhile, or if the other side can't
 // have read all that was written before: it hasn't received it.
 func (c *Conn) CheckEnd() error {
-	if c.writing.Load() > 0 || c.failed.Load() {
+	if !await(func() bool { return c.writing.Load() == 0 }) || c.failed.Load() {
 		return ErrReset
 	}
 	if c.raw == nil {
--- a/verify/head.go
+++ b/verify/head.go
@@ -49,7 +49,9 @@
 type place int
 
 const (
-	inStatus place = iota
+	inVersion place = iota
+	inStatus
+	inReason
 	atLineStart
 	inName
 	inValue
@@ -58,10 +60,12 @@
 	atEnd
 )
 
-// Head checks the fields of one head as their bytes arrive: a parsed head no longer shows which lines were continued by the next
-// one, and which encoding net/http ignores.
+// Head checks the lines of the head of a response, and of the informational heads before it, as their bytes arrive: a parsed head no
+// longer shows which lines were continued by the next one, and which encoding net/http ignores.
 type Head struct {
 	place place
+	// informational is set in a head that another one follows.
+	informational bool
 	// coding is how much of codingName the present name is so far, or noCoding.
 	coding    int
 	hasCoding bool
@@ -71,30 +75,42 @@
 // noCoding means that a name isn't codingName.
 const noCoding = -1
 
-// Add checks the next bytes of the head. What follows its end is ignored.
-func (h *Head) Add(received []byte) {
+// Add checks the next bytes that were received, and reports whether the head has ended or is malformed. What follows is ignored.
+func (h *Head) Add(received []byte) (ended bool) {
 	for _, b := range received {
-		if h.place == atEnd || h.err != nil {
-			return
+		if h.ended() {
+			break
 		}
 		h.next(b)
 	}
+	return h.ended()
 }
 
+func (h *Head) ended() bool { return h.place == atEnd || h.err != nil }
+
 func (h *Head) next(b byte) {
 	switch {
-	case h.place == inStatus || h.place == inValue:
+	case h.place == inVersion && b != '\n':
+		if b == ' ' {
+			h.place = inStatus
+		}
+	case h.place == inStatus && '0' <= b && b <= '9':
+		h.place, h.informational = inReason, b == '1'
+	case h.place == inReason || h.place == inValue:
 		if b == '\n' {
 			h.place = atLineStart
 		}
 	case b == '\n' && (h.place == atLineStart || h.place == atLastLineFeed):
 		h.place = atEnd
+		if h.informational {
+			h.place, h.informational = inVersion, false
+		}
 	case b == '\r' && h.place == atLineStart:
 		h.place = atLastLineFeed
 	case b == ':' && h.place == inName:
 		h.hasCoding = h.hasCoding || h.coding == len(codingName)
 		h.place, h.coding = inValue, 0
-	case h.place != atLastLineFeed && httpguts.IsTokenRune(rune(b)):
+	case (h.place == atLineStart || h.place == inName) && httpguts.IsTokenRune(rune(b)):
 		h.place = inName
 		if 0 <= h.coding && h.coding < len(codingName) && toLower(b) == codingName[h.coding] {
 			h.coding++
@@ -102,7 +118,7 @@
 			h.coding = noCoding
 		}
 	default:
-		h.err = fmt.Errorf("%w: byte %q in the name of a field", ErrMalformed, b)
+		h.err = fmt.Errorf("%w: byte %q in the first line or in the name of a field", ErrMalformed, b)
 	}
 }
 
@@ -113,7 +129,7 @@
 	return b
 }
 
-// Check returns ErrMalformed if the head, which was added and parsed, breaks the grammar. A line that begins with a blank, and
+// Check returns ErrMalformed if a head, which was added and parsed, breaks the grammar. A line that begins with a blank, and
 // continues the line before, is rejected, too: senders must not use it, and which field such a line was meant to be is unknown. An
 // encoding in HTTP/1.0 leaves unknown where the body ends.
 func (h *Head) Check(r *http.Response) error {
