proxy, share: a malformed or unframed response of a peer is no response

What callers saw: a call on a job that an entry forwarded to a peer was answered with what the peer's connection had brought: a status of 000 became 503, which promises that nothing was done, or ended in a panic (099); a body without framing was passed on as a whole one with a length. share took records from such replies, and a gap from a malformed 410.

Cause: http.Transport passes them on, and response.write takes a status of 0 for a caller that left.

Change: the client of peers is a verify.Transport that requires framing, which entries always send.

--- a/proxy/response.go
+++ b/proxy/response.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/sardinerock/sardinerock/verify"
 )
 
 const (
@@ -25,14 +27,14 @@
 
 // NewClient returns an HTTP client for calls to peers.
 func NewClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+	return &http.Client{Transport: &verify.Transport{Framed: true, Transport: &http.Transport{
+		DialContext:         verify.Dialer((&net.Dialer{Timeout: dialTimeout}).DialContext),
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     10 * time.Second,
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: maxResponseHead,
-	}}
+	}}}
 }
 
 // response buffers a complete response until it is known which one the caller gets.
