entry: a malformed reply that a side passes on is unknown, not a reply

What callers saw (the project's own form): a side of an older build passes on what a plain service sent. An entry that got a reply with status 0 panicked while it wrote it, which closes the caller's connection; one with status 103 became an empty success; a call that a side ended without a reply was a panic as well.

Cause: the entry copied the reply of the End frame unchecked.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -3,15 +3,22 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/link"
 	"github.com/sardinerock/sardinerock/route"
 	"github.com/sardinerock/sardinerock/sides"
+	"github.com/sardinerock/sardinerock/verify"
 	"github.com/sardinerock/sardinerock/wire"
 )
 
+// errNoReply reports a call of a plain service that a side ended without a failure and without a reply.
+var errNoReply = errors.New("entry: call of a service ended without a reply")
+
 // failure describes an attempt that ended without a complete answer.
 type failure struct {
 	refusal *sardinerock.Refusal
@@ -188,12 +195,32 @@
 		PromptTokens:     int(end.PromptTokens),
 		CompletionTokens: int(end.CompletionTokens),
 	}}
-	if end.Reply != nil {
+	if r.execution.request.Service != "" {
+		if err := checkReply(end.Reply); err != nil {
+			return sardinerock.Result{}, newFailure(sardinerock.CodeBackendLost, sardinerock.OutcomeUnknown, err.Error())
+		}
+
 		result.Reply = &sardinerock.ServiceReply{Status: int(end.Reply.Status), Header: end.Reply.Header, Body: end.Reply.Body, Unframed: end.Reply.Unframed}
 	}
 	return result, nil
 }
 
+// checkReply returns an error for a reply that can't be one of a plain service. A side that doesn't check what it receives passes it
+// on, and to write such a reply to a caller is a panic, or a success without its body.
+func checkReply(reply *wire.ServiceReply) error {
+	if reply == nil {
+		return errNoReply
+	}
+	if reply.Status < http.StatusOK {
+		return fmt.Errorf("entry: reply has status %d, want a final one", reply.Status)
+	}
+	head := &http.Response{ProtoMajor: 1, StatusCode: int(reply.Status), Status: strconv.Itoa(int(reply.Status)), Header: http.Header{}}
+	for name, value := range reply.Header {
+		head.Header[name] = []string{value}
+	}
+	return errors.Join(verify.Status(head), verify.Names(head.Header))
+}
+
 // sample returns what routing learns about the backend server from this attempt.
 func (r *reader) sample(f *failure) route.Sample {
 	var s route.Sample
