origin: an entry that is out of step doesn't take the version on its last list for the only one

What callers saw elsewhere, and can happen here: an entry was cut off from the store and the other entries, or stood still, for a few seconds while backend servers of a new version joined. Streams that other entries had begun there broke, were resumed at that entry, and went on at the version before: events of two versions in one stream.

Cause: an entry that can't read the records and gets no answer from its peers went by its own list if that was less than 2.5 s old. A version can join, and begin and lose a stream, within that time; after a pause, the list may be of before it.

Change: the list counts only as of a read that was sent since the caller has resumed the stream; it is read again, for at most 300 ms, and what it shows is looked at after that. If it can't be read, the stream is rejected with 503, not run. Answers of peers and the case that no entry can read the store are as before.

Evidence: node.TestEntryOutOfStepDoesNotKnowTheOnlyVersion failed before (events of v1 after three of v2), and two cases of origin.TestOriginIsFoundOrUnknown (cut off; read again after a pause). They pass now, with all cases there were. Entries that are cut off together are open (docs/design/VERSIONS.md).

--- a/node/isolated_test.go
+++ b/node/isolated_test.go
@@ -45,6 +45,50 @@
 	f.g.Expect(rest.status).To(Equal(http.StatusServiceUnavailable))
 }
 
+// TestEntryOutOfStepDoesNotKnowTheOnlyVersion guards against an entry that was cut off from the store and the other entries less than
+// the age of an old list ago taking the version on that list for the only one, while another one has joined and begun streams.
+func TestEntryOutOfStepDoesNotKnowTheOnlyVersion(t *testing.T) {
+	t.Parallel()
+	f := newVersions(t, 1, "v1")
+	// A shorter timeout shortens the time after which an entry that has seen no other version relies on that.
+	f.configureStreams(9, "s", 500)
+	s := &unknownMember{cutOffStore: &cutOffStore{pendingStore: &pendingStore{Store: f.store, topics: map[string]bool{"members": true}}}}
+	s.pending.Store(true)
+	outOfStep := f.startWith("outOfStep", s)
+	f.g.Eventually(func() int { return f.get("http://" + outOfStep.settings.ReadyAddress) }, timeout).Should(Equal(http.StatusOK))
+	f.g.Expect(f.read(outOfStep, "first", "", 0, 10).events).To(HaveLen(10))
+	time.Sleep(11 * time.Second)
+	s.cut.Store(true)
+	f.startVersion("new", "s", "v2")
+	id, begun := "", part{}
+	for n := 0; !begun.writers["s-v2"]; n++ {
+		id = fmt.Sprint("begins-", n)
+		begun = f.read(f.entries[0], id, "", 0, 3)
+	}
+	rest := f.read(outOfStep, "late", id, 3, 10)
+	f.g.Expect(rest.writers).NotTo(HaveKey("s-v1"), "the stream goes on at another version")
+	f.g.Expect(rest.status).To(Equal(http.StatusServiceUnavailable))
+	s.cut.Store(false)
+	f.g.Eventually(func() map[string]bool { return f.read(outOfStep, "later", id, 3, 10).writers }, timeout, 100*time.Millisecond).Should(Equal(map[string]bool{"s-v2": true}))
+}
+
+// unknownMember is the store of an entry that is in no list of members, so that no other entry sends it messages.
+type unknownMember struct{ *cutOffStore }
+
+func (s *unknownMember) Append(ctx context.Context, topic string, records []sardinerock.StoreRecord) (int64, error) {
+	if s.topics[topic] {
+		return 0, sardinerock.ErrStoreRefused
+	}
+	return s.cutOffStore.Append(ctx, topic, records)
+}
+
+func (s *unknownMember) AppendAt(ctx context.Context, topic string, at int64, records []sardinerock.StoreRecord) (int64, error) {
+	if s.topics[topic] {
+		return 0, sardinerock.ErrStoreRefused
+	}
+	return s.cutOffStore.AppendAt(ctx, topic, at, records)
+}
+
 // TestOnlyEntryServesWithoutTheStore guards against the only entry of a fleet rejecting resumable streams once the store has been
 // unreachable for longer than an entry that is out of touch may begin them.
 func TestOnlyEntryServesWithoutTheStore(t *testing.T) {
--- a/node/origins.go
+++ b/node/origins.go
@@ -40,6 +40,9 @@
 			return read && age < currentAge
 		},
 		StoreLostByAll: n.storeLostByPeers,
+		ReadList: func(ctx context.Context, at time.Time) bool {
+			return n.registrations.EnsureCurrent(ctx, at) == nil
+		},
 		Versions: &origin.Versions{
 			Store: n.Store, Topic: n.Topics.Versions, Writes: n.writesOrigins, Events: n.Events, Metrics: n.Metrics,
 		},
--- a/origin/locator.go
+++ b/origin/locator.go
@@ -55,7 +55,7 @@
 	EvidenceBegun Evidence = "begun"
 	// EvidenceNotified means that another entry notified this one, or has just named the origin.
 	EvidenceNotified Evidence = "notified"
-	// EvidenceOwnView means that this entry has observed one version for long enough, and its list is current.
+	// EvidenceOwnView means that this entry has observed one version for long enough, by a list that it has read since.
 	EvidenceOwnView Evidence = "ownView"
 	// EvidenceOldView is the same with an old list, while no entry can read the store.
 	EvidenceOldView Evidence = "oldView"
@@ -88,6 +88,8 @@
 	// Current reports whether the list of backend servers is current, StoreLostByAll whether no entry can read it.
 	Current        func() bool
 	StoreLostByAll func() bool
+	// ReadList reports whether the list of backend servers holds all that the store held at a time. It reads the list if necessary.
+	ReadList func(ctx context.Context, at time.Time) bool
 	// Versions keeps in the store which versions may have begun streams, Streams which did begin one.
 	Versions *Versions
 	Streams  *Streams
--- a/origin/locator_test.go
+++ b/origin/locator_test.go
@@ -32,8 +32,11 @@
 	*Locator
 	fleet *fleet
 	name  string
-	// cut is set while no message from or to the entry arrives, stale while its list of backend servers is old.
-	cut, stale bool
+	// cut is set while no message from or to the entry arrives, stale while its list of backend servers is old, and unread
+	// while that can't be read any more, though it isn't old.
+	cut, stale, unread bool
+	// onRead, if set, is called when the list is read again.
+	onRead func()
 }
 
 var route = sardinerock.Route{Host: "h", Prefix: "/x/", Kind: sardinerock.RouteStream, Resumable: true, Timeout: testLifetime, Shares: []sardinerock.ServiceShare{{Service: "s", Weight: 1}}}
@@ -50,7 +53,7 @@
 func (f *fleet) start(name string) *entry {
 	e := &entry{fleet: f, name: name}
 	e.Locator = &Locator{
-		Peers: e.peers, Notify: e.send, AwaitPeers: func(context.Context) {}, Current: func() bool { return !e.stale }, StoreLostByAll: func() bool { return false },
+		Peers: e.peers, Notify: e.send, AwaitPeers: func(context.Context) {}, Current: func() bool { return !e.stale }, ReadList: e.readList, StoreLostByAll: func() bool { return false },
 		Query:    func(_ context.Context, peer string, raw []byte) ([]byte, error) { return e.exchange(peer, raw) },
 		Versions: &Versions{Store: f.store, Topic: "versions", Writes: func(string) bool { return true }},
 		Streams:  &Streams{Store: f.store, Topic: "streams", Process: name, RecordBytes: 1000}, Metrics: metrics.NewRegistry(),
@@ -62,6 +65,13 @@
 	return e
 }
 
+func (e *entry) readList(context.Context, time.Time) bool {
+	if e.onRead != nil {
+		e.onRead()
+	}
+	return !e.stale && !e.unread
+}
+
 func (e *entry) peers(uint64) []string {
 	e.fleet.mu.Lock()
 	defer e.fleet.mu.Unlock()
@@ -404,6 +414,30 @@
 			f.entries["b"].StoreLostByAll = func() bool { return true }
 			return f.entries["b"].locate("r")
 		}, "only v1"},
+		"a second version joins, cut off for less than the age of an old list": {func(f *fleet) string {
+			f.list("v1")
+			f.run(time.Second, "a")
+			time.Sleep(settled)
+			f.entries["b"].cut, f.entries["b"].unread = true, true
+			f.list("v1 v2", "a", "c")
+			f.entries["a"].begin("r", "v2")
+			time.Sleep(100 * time.Millisecond)
+			f.store.SetFault(func(string, string) memkv.Fault { return memkv.Reject })
+			return f.entries["b"].locate("r")
+		}, "none"},
+		"a second version joins, the list is read once more": {func(f *fleet) string {
+			f.list("v1")
+			f.run(time.Second, "a")
+			time.Sleep(settled)
+			b := f.entries["b"]
+			b.cut = true
+			b.onRead = func() { f.list("v1 v2", "b") }
+			f.list("v1 v2", "a", "c")
+			f.entries["a"].begin("r", "v2")
+			time.Sleep(100 * time.Millisecond)
+			f.store.SetFault(func(string, string) memkv.Fault { return memkv.Reject })
+			return b.locate("r")
+		}, "none"},
 		"the route has moved to the service": {func(f *fleet) string {
 			f.list("v1")
 			time.Sleep(settled)
--- a/origin/recorded.go
+++ b/origin/recorded.go
@@ -13,6 +13,8 @@
 	// locateTimeout is how long a caller that resumes its stream waits for the records of the store. A read that began
 	// before has to end first.
 	locateTimeout = time.Second
+	// listTimeout is how long it then waits for the list of backend servers, if the records can't be read.
+	listTimeout = 300 * time.Millisecond
 	// beginTimeout is how long the first event of a stream waits for the records that have to be stored before.
 	beginTimeout = time.Second
 )
@@ -25,11 +27,12 @@
 
 // locateRecorded finds out the origin of a stream that no entry knows from the records of the store.
 func (l *Locator) locateRecorded(ctx context.Context, stream uint64, r *sardinerock.Route, service string, a *answers) Finding {
-	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
+	began := time.Now()
+	readCtx, cancel := context.WithTimeout(ctx, locateTimeout)
 	defer cancel()
 	streams := make(chan map[uint64]recordedStream, 1)
 	readStreams := func() {
-		all, err := l.Streams.read(ctx)
+		all, err := l.Streams.read(readCtx)
 		if err != nil {
 			all = nil
 		}
@@ -40,13 +43,13 @@
 	if early {
 		go readStreams()
 	}
-	stored, err := l.Versions.read(ctx)
+	stored, err := l.Versions.read(readCtx)
 	if err != nil {
-		return l.locateUnread(service, a)
+		return l.locateUnread(ctx, service, a, began)
 	}
 	s, ok := stored.services[service]
 	if service != "" && (!ok || len(s.Versions) == 0) {
-		return l.locateNew(ctx, r, service, a)
+		return l.locateNew(readCtx, r, service, a)
 	}
 	settled := l.settled(stored, r, service)
 	if version, ok := s.base(); ok && settled && len(s.Versions) == 1 && !a.several {
@@ -123,28 +126,39 @@
 	return Finding{Origin: sardinerock.Origin{Service: service, Version: version}, Source: SourceOnly, Evidence: EvidencePeerView}
 }
 
-// locateUnread finds out the origin if the store can't be read, or not in time. An entry that was there for as long as a
-// stream can last was notified of those that began at another version than the one that it lists. As long as no entry can
-// read the store, none has learned of another version.
-func (l *Locator) locateUnread(service string, a *answers) Finding {
+// locateUnread finds out the origin if the records can't be read, or not in time. An entry that was there for as long as a
+// stream can last was notified of those that began at another version than the one that it lists, unless it was cut off or
+// stood still when that version joined. So its list counts only as of a read since the caller has resumed the stream. As long as no
+// entry can read the store, none has learned of another version.
+func (l *Locator) locateUnread(ctx context.Context, service string, a *answers, resumed time.Time) Finding {
 	if service == "" {
 		return unknown
 	}
 	if f := l.peerView(service, a); f.Origin.Known() {
 		return f
 	}
-	version, v := l.history.view(service, l.window(), time.Now())
-	f := Finding{Origin: sardinerock.Origin{Service: service, Version: version}, Source: SourceOnly, Evidence: EvidenceOwnView}
-	switch {
-	case v != viewOnly || a.several || len(a.only) > 0:
+	if a.several || len(a.only) > 0 {
 		return unknown
-	case l.Current():
-		return f
+	}
+	evidence := EvidenceNone
+	switch {
 	case l.StoreLostByAll():
-		f.Evidence = EvidenceOldView
-		return f
+		evidence = EvidenceOldView
+	case l.listRead(ctx, resumed):
+		evidence = EvidenceOwnView
 	}
-	return unknown
+	version, v := l.history.view(service, l.window(), time.Now())
+	if v != viewOnly || evidence == EvidenceNone {
+		return unknown
+	}
+	return Finding{Origin: sardinerock.Origin{Service: service, Version: version}, Source: SourceOnly, Evidence: evidence}
+}
+
+// listRead reports whether the list of backend servers is as of a time, or later; it is read again if it isn't.
+func (l *Locator) listRead(ctx context.Context, since time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	return l.ReadList(ctx, since)
 }
 
 // Prepare returns once streams may begin at the versions and on the routes that are known, or with the error that prevents
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -130,7 +130,7 @@
 	store := &memkv.Store{PageSize: 1}
 	return &origin.Locator{
 		Peers: func(uint64) []string { return nil }, AwaitPeers: func(context.Context) {}, Current: func() bool { return true },
-		StoreLostByAll: func() bool { return false }, Versions: &origin.Versions{Store: store, Topic: "versions"},
+		StoreLostByAll: func() bool { return false }, ReadList: func(context.Context, time.Time) bool { return true }, Versions: &origin.Versions{Store: store, Topic: "versions"},
 		Streams: &origin.Streams{Store: store, Topic: "streams", Process: "front", RecordBytes: 1000}, Metrics: metrics.NewRegistry(),
 	}
 }
