--- a/origin/recorded.go
+++ b/origin/recorded.go
@@ -126,10 +126,9 @@
 	return Finding{Origin: sardinerock.Origin{Service: service, Version: version}, Source: SourceOnly, Evidence: EvidencePeerView}
 }
 
-// locateUnread finds out the origin if the records can't be read, or not in time. An entry that was there for as long as a
-// stream can last was notified of those that began at another version than the one that it lists, unless it was cut off or
-// stood still when that version joined. So its list counts only as of a read since the caller has resumed the stream. As long as no
-// entry can read the store, none has learned of another version.
+// locateUnread finds out the origin if the records can't be read, or not in time. While an entry is cut off or paused, it isn't
+// notified of streams that begin at a version which has joined meanwhile. So its list counts only as of a read since the caller has
+// resumed the stream. As long as no entry can read the store, none has learned of another version.
 func (l *Locator) locateUnread(ctx context.Context, service string, a *answers, resumed time.Time) Finding {
 	if service == "" {
 		return unknown
--- a/verify/conn.go
+++ b/verify/conn.go
@@ -17,7 +17,7 @@
 
 // ErrReset means that a connection that seemed to end in order was reset, or that the other side ended it before it had received
 // the whole request. It wraps syscall.ECONNRESET.
-var ErrReset = fmt.Errorf("verify: request not received as a whole: %w", syscall.ECONNRESET)
+var ErrReset = fmt.Errorf("verify: connection ended before the request was received: %w", syscall.ECONNRESET)
 
 // writeGrace bounds how long the end of a connection waits for a write in progress. One whose bytes the other side has received is
 // about to return.
@@ -121,8 +121,8 @@
 	return c.head.Check(r)
 }
 
-// CheckEnd returns ErrReset if the connection, which the other side has ended, was reset meanwhile, or if the other side can't
-// have read all that was written before: it hasn't received it.
+// CheckEnd returns ErrReset if the connection, which the other side has ended, was reset, or if the other side hasn't received all
+// that was written: then it can't have read the request.
 func (c *Conn) CheckEnd() error {
 	if !await(func() bool { return c.writing.Load() == 0 }) || c.failed.Load() {
 		return ErrReset
