conns, relay: the test of heads that stop uses fewer sockets

What was seen: in four runs in a row of the new tests of relay, TestHeadThatStopsIsNoResponse failed to start a backend server (listen: address already in use).

Cause: the test started four listeners for each byte of eight heads and each kind of route, some 20,000 in a run, and as many connections; with those of earlier runs in TIME_WAIT, no ephemeral port was free. Other tests on the machine could fail by it.

Change: conns stops at each byte, with one listener for each head, and expects an incomplete response; relay stops around each line end, on all four kinds of route. The heads are those of before, in fakes.Heads; nothing that was checked isn't any more, but the forwarding of a head that stops inside a line, for which relay gets the same error from conns.

--- a/conns/malformed_test.go
+++ b/conns/malformed_test.go
@@ -69,3 +69,23 @@
 		})
 	}
 }
+
+// TestHeadThatStopsIsNoResponse guards against a head that stops at any byte, before the connection is closed in order, being
+// returned as that of a response.
+func TestHeadThatStopsIsNoResponse(t *testing.T) {
+	for name, text := range fakes.Heads("Request-Id: $ID\r\nResponse-Signature: s\r\n") {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var scripts []script
+			for end := range len(text) {
+				scripts = append(scripts, func(c net.Conn, r *http.Request) bool { write(text[:end])(c, r); return false })
+			}
+			b := startBackend(t, scripts...)
+			c := &conns.Conns{Dialect: platform.Dialect{}}
+			for range scripts {
+				_, err := exchange(c, b, "r1")
+				g.Expect(err).To(MatchError(conns.ErrIncomplete))
+			}
+		})
+	}
+}
--- a/fakes/malformed.go
+++ b/fakes/malformed.go
@@ -1,6 +1,9 @@
 package fakes
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // Malformed returns bytes by name that aren't a response of HTTP/1.1, with fields, each ended by CRLF, and a body that a client
 // would take for those of a response if it skipped the first head, or ignored what breaks the grammar.
@@ -29,3 +32,18 @@
 		"head without an end":    ok + fields,
 	}
 }
+
+// Heads returns whole heads of responses by name, with fields, each ended by CRLF.
+func Heads(fields string) map[string]string {
+	head := "HTTP/1.1 200 OK\r\n" + fields + "Content-Type: text/plain\r\n"
+	return map[string]string{
+		"with a length":          head + "Content-Length: 40\r\n\r\n",
+		"in chunks":              head + "Transfer-Encoding: chunked\r\n\r\n",
+		"without framing":        head + "\r\n",
+		"HTTP/1.0":               strings.Replace(head, "1.1", "1.0", 1) + "\r\n",
+		"line feeds only":        strings.ReplaceAll(head+"Content-Length: 40\r\n\r\n", "\r\n", "\n"),
+		"after an informational": "HTTP/1.1 100 Continue\r\n\r\n" + head + "\r\n",
+		"status 404":             strings.Replace(head, "200", "404", 1) + "Content-Length: 40\r\n\r\n",
+		"not executed":           strings.Replace(head, "200", "503", 1) + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	}
+}
--- a/relay/malformed_test.go
+++ b/relay/malformed_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/sardinerock/sardinerock/fakes"
 )
 
 // raw sends bytes, with the id of the request in place of $ID, and ends the connection.
@@ -194,22 +196,15 @@
 }
 
 // TestHeadThatStopsIsNoResponse guards against a response whose backend server stopped in the middle of its head, and closed the
-// connection in order, reaching the caller with an empty or short body.
+// connection in order, reaching the caller with an empty or short body. A test of conns stops at each byte.
 func TestHeadThatStopsIsNoResponse(t *testing.T) {
-	head := "HTTP/1.1 200 OK\r\n" + signedFields + "Content-Type: text/plain\r\n"
-	for name, text := range map[string]string{
-		"with a length":          head + "Content-Length: 40\r\n\r\n",
-		"in chunks":              head + "Transfer-Encoding: chunked\r\n\r\n",
-		"without framing":        head + "\r\n",
-		"HTTP/1.0":               strings.Replace(head, "1.1", "1.0", 1) + "\r\n",
-		"line feeds only":        strings.ReplaceAll(head+"Content-Length: 40\r\n\r\n", "\r\n", "\n"),
-		"after an informational": "HTTP/1.1 100 Continue\r\n\r\n" + head + "\r\n",
-		"status 404":             strings.Replace(head, "200", "404", 1) + "Content-Length: 40\r\n\r\n",
-		"not executed":           strings.Replace(head, "200", "503", 1) + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-	} {
+	for name, text := range fakes.Heads(signedFields) {
 		t.Run(name, func(t *testing.T) {
-			for end := range len(text) {
-				expectNoResponse(t, text[:end])
+			for end := range len(text) - 1 {
+				if text[end] == '\n' {
+					expectNoResponse(t, text[:end])
+					expectNoResponse(t, text[:end+1])
+				}
 			}
 		})
 	}
