fakes, conns, relay: the platform's header is named by the tests only

fakes.Heads held a header of the platform's pages, whose names belong to platform/ and to tests. The head that states that the request wasn't run is now made by the two tests that use it; a 503 without that header is a further case.

--- a/conns/malformed_test.go
+++ b/conns/malformed_test.go
@@ -73,7 +73,9 @@
 // TestHeadThatStopsIsNoResponse guards against a head that stops at any byte, before the connection is closed in order, being
 // returned as that of a response.
 func TestHeadThatStopsIsNoResponse(t *testing.T) {
-	for name, text := range fakes.Heads("Request-Id: $ID\r\nResponse-Signature: s\r\n") {
+	heads := fakes.Heads("Request-Id: $ID\r\nResponse-Signature: s\r\n")
+	heads["not executed"] = fakes.Heads("Not-Executed: 1\r\n" + "Request-Id: $ID\r\nResponse-Signature: s\r\n")["status 503"]
+	for name, text := range heads {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			var scripts []script
--- a/fakes/malformed.go
+++ b/fakes/malformed.go
@@ -44,6 +44,6 @@
 		"line feeds only":        strings.ReplaceAll(head+"Content-Length: 40\r\n\r\n", "\r\n", "\n"),
 		"after an informational": "HTTP/1.1 100 Continue\r\n\r\n" + head + "\r\n",
 		"status 404":             strings.Replace(head, "200", "404", 1) + "Content-Length: 40\r\n\r\n",
-		"not executed":           strings.Replace(head, "200", "503", 1) + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"status 503":             strings.Replace(head, "200", "503", 1) + "Content-Length: 0\r\n\r\n",
 	}
 }
--- a/relay/malformed_test.go
+++ b/relay/malformed_test.go
@@ -198,7 +198,9 @@
 // TestHeadThatStopsIsNoResponse guards against a response whose backend server stopped in the middle of its head, and closed the
 // connection in order, reaching the caller with an empty or short body. A test of conns stops at each byte.
 func TestHeadThatStopsIsNoResponse(t *testing.T) {
-	for name, text := range fakes.Heads(signedFields) {
+	heads := fakes.Heads(signedFields)
+	heads["not executed"] = fakes.Heads("Not-Executed: 1\r\n" + signedFields)["status 503"]
+	for name, text := range heads {
 		t.Run(name, func(t *testing.T) {
 			for end := range len(text) - 1 {
 				if text[end] == '\n' {
