verify, platform, share: a request that times out closes the idle connections

Cause: up to eight idle connections to the store go silent together. A read waits 1.5 s on one of them; its repetition takes the next one. The same holds for connections between entries (reads of topics at a reader, forwarded calls), and for appends that are repeated after a time-out.

Change: verify.Transport closes the idle connections once a request has timed out, also in its body. Connections in use are closed by their own time-outs, or are proven by their answers. A reader that doesn't answer in time makes the store be read on a new connection. Nothing is cut off earlier than before, so that a slow store isn't asked twice. fakes.Forwarder can make connections go silent.

--- a/fakes/forward.go
+++ b/fakes/forward.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,6 +26,8 @@
 	mu       sync.Mutex
 	open     map[net.Conn]bool
 	stopped  bool
+	// silences counts the calls of Silence.
+	silences atomic.Int64
 }
 
 // Start listens on a free loopback port and forwards; the error is that of listening.
@@ -61,6 +64,24 @@
 	}
 }
 
+// Silence makes all open connections go silent for good: they stay open, and nothing passes on them in either direction. New ones
+// work.
+func (f *Forwarder) Silence() { f.silences.Add(1) }
+
+// audible is a connection to which nothing is written any more once heard returns false.
+type audible struct {
+	net.Conn
+	heard func() bool
+}
+
+// Write implements io.Writer.
+func (a audible) Write(b []byte) (int, error) {
+	if !a.heard() {
+		return len(b), nil
+	}
+	return a.Conn.Write(b)
+}
+
 // track makes Stop close a connection, and returns false if that was called.
 func (f *Forwarder) track(c net.Conn) bool {
 	f.mu.Lock()
@@ -84,6 +105,8 @@
 	if !f.track(c) {
 		return
 	}
+	silences := f.silences.Load()
+	heard := func() bool { return f.silences.Load() == silences }
 	target, err := net.Dial("tcp", f.Target)
 	if err != nil {
 		f.unreachable(c)
@@ -93,16 +116,21 @@
 	if !f.track(target) {
 		return
 	}
+	left := make(chan struct{})
 	go func() {
+		defer close(left)
 		// A caller that resets its connection ends that to the target, too.
-		if _, err := io.Copy(target, c); err != nil {
+		if _, err := io.Copy(audible{target, heard}, c); err != nil {
 			target.Close()
 			return
 		}
 		closeWrite(target)
 	}()
 	// An error is that of a reset, which ends the connection in order.
-	_, _ = io.Copy(c, target)
+	_, _ = io.Copy(audible{c, heard}, target)
+	if !heard() {
+		<-left
+	}
 	end(c)
 }
 
--- a/serving.go
+++ b/serving.go
@@ -399,3 +399,7 @@
 	// after the given key.
 	Newest(ctx context.Context, topic, after string) (StorePage, error)
 }
+
+// IdleCloser is a Store that keeps idle connections. CloseIdle closes them, so that the next call doesn't wait on one that
+// has gone silent.
+type IdleCloser interface{ CloseIdle() }
--- a/share/source.go
+++ b/share/source.go
@@ -55,7 +55,8 @@
 }
 
 // Read implements sardinerock.Store. If a reader fails, the store is read without waiting for
-// records, since some of the wait has passed already.
+// records, since some of the wait has passed already. If the reader didn't answer, that is done on a new connection: those of
+// this entry may have gone silent together.
 func (s *Source) Read(ctx context.Context, topic string, from int64, wait time.Duration) (sardinerock.StorePage, error) {
 	query := url.Values{
 		paramTopic: {topic}, paramFrom: {strconv.FormatInt(from, 10)}, paramWait: {strconv.FormatInt(wait.Milliseconds(), 10)},
@@ -97,6 +98,9 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	page, err := s.fetch(ctx, reader, query)
+	if c, ok := s.Store.(sardinerock.IdleCloser); ok && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.CloseIdle()
+	}
 	if err == nil && page.Age > s.MaxAge {
 		err = fmt.Errorf("share: reply is %v old, expected at most %v", page.Age, s.MaxAge)
 	}
--- a/verify/transport.go
+++ b/verify/transport.go
@@ -1,6 +1,7 @@
 package verify
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -12,7 +13,8 @@
 )
 
 // Transport is an http.Transport that returns an error in place of a response that breaks the grammar of HTTP/1.1, and whose
-// responses end with an error where Conn reports a reset. Its DialContext is one of Dialer.
+// responses end with an error where Conn reports a reset. A request that times out closes all idle connections: the others may have
+// gone silent with its own, and each would hold a further request until that times out. Its DialContext is one of Dialer.
 type Transport struct {
 	*http.Transport
 	// Framed makes responses without a length and without chunks errors, too: nothing shows that they are complete.
@@ -53,6 +55,7 @@
 	trace := &httptrace.ClientTrace{GotConn: e.gotConn, WroteRequest: func(info httptrace.WroteRequestInfo) { e.written.Store(info.Err == nil) }}
 	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
+		t.closeSilent(r.Context())
 		return nil, err
 	}
 	resp.Request = r
@@ -67,11 +70,18 @@
 		return nil, err
 	}
 	if resp.Body != http.NoBody {
-		resp.Body = &body{ReadCloser: resp.Body, exchange: e, resp: resp}
+		resp.Body = &body{ReadCloser: resp.Body, exchange: e, resp: resp, transport: t}
 	}
 	return resp, nil
 }
 
+// closeSilent closes the idle connections if a request that failed has timed out.
+func (t *Transport) closeSilent(ctx context.Context) {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		t.CloseIdleConnections()
+	}
+}
+
 // isFramed reports whether a response states its length, is sent in chunks, or has no body.
 func isFramed(resp *http.Response) bool {
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
@@ -92,14 +102,18 @@
 // the request was written: http.Transport reads while it writes.
 type body struct {
 	io.ReadCloser
-	exchange *exchange
-	resp     *http.Response
+	exchange  *exchange
+	resp      *http.Response
+	transport *Transport
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if !errors.Is(err, io.EOF) {
+		if err != nil {
+			b.transport.closeSilent(b.resp.Request.Context())
+		}
 		return n, err
 	}
 	if !isFramed(b.resp) && !await(b.exchange.written.Load) {
