watch, node: a removed backend server is kept only if the store may have been away

Cause: one read that fails after more than a second counted as an outage of the store, in which registrations expire though the servers work. After it, removed servers are kept for two seconds. A read on a silent connection looks the same.

Change: an outage lies between two answers of the topic, so the time between them bounds its length. The read after a failed one doesn't wait for records, so that its answer comes at once. A log line (509) says how long nothing was proven and what was concluded.

--- a/watch/follow.go
+++ b/watch/follow.go
@@ -36,9 +36,12 @@
 	// ApplyPartial, if set, is called with each page of the first load as it arrives: the newest
 	// records, in the order of their keys. They are usable before the rest is loaded.
 	ApplyPartial func(records []sardinerock.StoreRecord)
-	// OnRecovery, if set, is called when a read succeeds after reads failed for outageTimeout, a
-	// failed read took longer than that, or the store reports that it was unavailable.
+	// OnRecovery, if set, is called when a read succeeds after reads failed for outageTimeout or a
+	// failed read took longer than that, if the store may have been unavailable for MinOutage, and when a page reports that it was.
 	OnRecovery func()
+	// MinOutage is the shortest outage that OnRecovery is to be called for. A read also fails if its connection goes silent, while
+	// the store works: the time between two answers bounds how long an outage can have been.
+	MinOutage time.Duration
 	// Wait is how long a read waits for new records at the end of the topic; 0 is 1 s.
 	Wait time.Duration
 	// WriteOnce states that each key of the topic is written once, so that a load can read the
@@ -83,6 +86,8 @@
 	// slowFailure is set once a failed read took so long that the store may have been
 	// unavailable.
 	slowFailure bool
+	// servedAt is the latest time at which the store is known to have served the topic.
+	servedAt time.Time
 }
 
 // Prepare initializes f. It is called once, before all other methods.
@@ -136,18 +141,20 @@
 	if wait == 0 {
 		wait = defaultWait
 	}
-	pause := minBackoff
+	pause, stepWait := minBackoff, wait
 	for ctx.Err() == nil {
 		sent := time.Now()
-		if err := f.step(ctx, wait); err != nil {
+		if err := f.step(ctx, stepWait); err != nil {
 			f.readFailed(err, sent)
+			// The next read is to show at once whether the store can be read.
+			stepWait = 0
 			if !await.Sleep(ctx, pause) {
 				return
 			}
 			pause = min(2*pause, maxBackoff)
 			continue
 		}
-		pause = minBackoff
+		pause, stepWait = minBackoff, wait
 		if !f.waitInterval(ctx, sent) {
 			return
 		}
@@ -323,7 +330,7 @@
 	if err != nil {
 		return err
 	}
-	f.readSucceeded(page.StoreRecovered)
+	f.readSucceeded(page.StoreRecovered, page.Age)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.applyNew(page.Records, from)
@@ -379,19 +386,28 @@
 
 // readSucceeded is called before the records of a successful read are applied: Apply has to know
 // that some of them may be from an outage of the store, at this entry or at the one that read
-// them for it.
-func (f *Follower) readSucceeded(storeRecovered bool) {
+// them for it. age is how long ago what was read was the end of the topic.
+func (f *Follower) readSucceeded(storeRecovered bool, age time.Duration) {
 	f.mu.Lock()
-	lost, recovered := f.lost, f.lost || f.slowFailure || storeRecovered
+	now := time.Now()
+	lost, suspected, unproven := f.lost, f.lost || f.slowFailure, now.Sub(f.servedAt)
+	recovered := storeRecovered || suspected && unproven >= f.MinOutage
 	f.slowFailure = false
 	if f.workingSince.IsZero() || lost {
-		f.workingSince = time.Now()
+		f.workingSince = now
 	}
 	f.failingSince, f.lost = time.Time{}, false
+	if served := now.Add(-age); served.After(f.servedAt) {
+		f.servedAt = served
+	}
 	f.mu.Unlock()
 	if lost {
 		f.Events.Info(event.LogBack).Str("topic", f.Topic).Int64("next", f.Next()).Msg("store can be read again")
 	}
+	if f.OnRecovery != nil && suspected {
+		f.Events.Info(event.LogBack).Str("topic", f.Topic).Dur("unproven", unproven).Dur("minOutage", f.MinOutage).
+			Bool("outage", recovered).Msg("store can be read after reads failed; only an outage excuses missing records")
+	}
 	if recovered && f.OnRecovery != nil {
 		f.OnRecovery()
 	}
--- a/watch/load.go
+++ b/watch/load.go
@@ -142,7 +142,7 @@
 
 func (f *Follower) finishLoad(l *loading) error {
 	sort.Slice(l.records, func(i, j int) bool { return l.records[i].Offset < l.records[j].Offset })
-	f.readSucceeded(l.storeRecovered)
+	f.readSucceeded(l.storeRecovered, time.Since(l.sent.Time))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	// A stale answer must not undo records that are already applied.
