saved, crash, blame: verdicts on what ends backend servers outlive the entries

Cause: what is known of such a request, and of parts of prompts that do the same, was in the memory of entries only. A loss of all of them cleared it and gave the request three failures and three trials anew.

Change, as docs/design/CRASHES.md has settled: package saved keeps the verdicts in a compacted topic of the platform's store, for requests (crash) and parts (blame) alike. A verdict is written in the background once it is made; a trial is on record before it is sent, and isn't sent otherwise; a response deletes it. Entries read them once at the start, beside the records of versions and within the same second; if the store is away, they serve and read them later.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -7,6 +7,8 @@
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/sardinerock/sardinerock"
 )
 
 const (
@@ -49,6 +51,8 @@
 	ViewAge func() time.Duration
 	// Changed, if set, is called for each change, for the log. It must not call the tracker.
 	Changed func(c Change)
+	// Verdicts, if set, keeps the verdicts.
+	Verdicts sardinerock.VerdictStore
 
 	mu sync.Mutex
 	// begun holds the latest time at which a run with a cause began to write.
@@ -239,6 +243,7 @@
 		v.trials++
 		v.latest, v.trialUntil = now, time.Time{}
 		t.changed(Change{Kind: TrialFailed, Causes: v.causes, Trials: v.trials})
+		t.save(v, now)
 	}
 	t.number++
 	t.addFailure(&failure{id: failureID{number: t.number}, server: server, causes: slices.Clone(r.causes), sent: r.sent, failed: now}, now)
@@ -314,7 +319,14 @@
 	}
 	for _, v := range t.verdicts {
 		if i := slices.Index(v.causes, c); i >= 0 && t.innocent(b.at, v.latest, false) {
+			keeps := b.own || v.savedHere
+			if keeps {
+				t.discard(v)
+			}
 			v.causes = slices.Delete(slices.Clone(v.causes), i, i+1)
+			if keeps && len(v.causes) > 0 {
+				t.save(v, now)
+			}
 			cleared = true
 			t.changed(Change{Kind: Cleared, Causes: []Cause{c}, Trials: v.trials, From: from})
 		}
@@ -351,7 +363,7 @@
 		}
 		// Until then other entries may report that requests with some of the causes began to write.
 		if confirmed := s.first.Add(SettleTime + 2*t.viewAge()); !now.Before(confirmed) {
-			t.blame(&s)
+			t.blame(&s, now)
 		} else {
 			if t.evaluateAt.IsZero() || confirmed.Before(t.evaluateAt) {
 				t.evaluateAt = confirmed
@@ -394,10 +406,13 @@
 }
 
 // blame records a verdict.
-func (t *Tracker) blame(s *suspicion) {
+func (t *Tracker) blame(s *suspicion, now time.Time) {
 	v := t.verdictOn(s.causes)
 	if v == nil {
-		t.adopt(&verdict{causes: s.causes, latest: s.latest, runs: s.runs, servers: s.ends.len()}, "")
+		v = &verdict{causes: s.causes, latest: s.latest, runs: s.runs, servers: s.ends.len()}
+		if t.adopt(v, "") {
+			t.save(v, now)
+		}
 		return
 	}
 	if s.latest.After(v.latest) {
@@ -454,6 +469,9 @@
 		}
 		if slices.ContainsFunc(t.verdicts, explains) {
 			t.changed(Change{Kind: Withdrawn, Causes: v.causes, Servers: of[v].len()})
+			if v.savedHere {
+				t.discard(v)
+			}
 			continue
 		}
 		kept = append(kept, v)
--- a/blame/verdict.go
+++ b/blame/verdict.go
@@ -21,6 +21,9 @@
 	trialUntil time.Time
 	// runs and servers are the numbers of failed runs one after the other and of backend servers behind the verdict.
 	runs, servers int
+	// saved is the number of trials on record, and savedHere set if this entry has written it.
+	saved     int
+	savedHere bool
 }
 
 // blockedFor returns how long a request with all causes must not be sent; 0 if it may be, as a trial. Live entries
@@ -50,17 +53,21 @@
 	return nil
 }
 
-// adopt adds a verdict, unless there is one on some of the causes already. It replaces verdicts on more causes.
-func (t *Tracker) adopt(v *verdict, from string) {
+// adopt adds a verdict, unless there is one on some of the causes already; then it returns false. It replaces verdicts on more
+// causes.
+func (t *Tracker) adopt(v *verdict, from string) bool {
 	for _, other := range t.verdicts {
 		if properSubset(other.causes, v.causes) {
-			return
+			return false
 		}
 	}
 	t.verdicts = slices.DeleteFunc(t.verdicts, func(other *verdict) bool {
 		if !properSubset(v.causes, other.causes) {
 			return false
 		}
+		if other.savedHere {
+			t.discard(other)
+		}
 		v.trials = max(v.trials, other.trials)
 		if other.latest.After(v.latest) {
 			v.latest = other.latest
@@ -72,6 +79,7 @@
 	}
 	t.verdicts = append(t.verdicts, v)
 	t.changed(Change{Kind: Blamed, Causes: v.causes, Runs: v.runs, Servers: v.servers, Trials: v.trials, From: from})
+	return true
 }
 
 // ChangeKind is what has changed about causes.
--- a/clis/node.go
+++ b/clis/node.go
@@ -23,6 +23,7 @@
 	workTopic     = "work2"
 	versionsTopic = "versions"
 	streamsTopic  = "streams"
+	verdictsTopic = "verdicts"
 	bodiesTopic   = "bodies2"
 	resultsTopic  = "results2"
 	progressTopic = "progress2"
@@ -80,6 +81,7 @@
 			Work:             platform.Topic(workTopic),
 			Versions:         platform.Topic(versionsTopic),
 			Streams:          platform.Topic(streamsTopic),
+			Verdicts:         platform.Topic(verdictsTopic),
 			Blobs: blobs.Topics{
 				Bodies:   platform.Topic(bodiesTopic),
 				Results:  platform.Topic(resultsTopic),
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -5,6 +5,8 @@
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/sardinerock/sardinerock"
 )
 
 const (
@@ -35,6 +37,8 @@
 	// trialTime is how long no second trial is sent, and retryAfter how long callers are to wait for one.
 	trialTime  = 10 * time.Second
 	retryAfter = 5 * time.Second
+	// chargeRetryTime is the time until the next try to have a trial on record.
+	chargeRetryTime = time.Second
 	// graceTime is the time after a response in which failures don't count. If many backend servers are
 	// lost at once, or one after the other, requests that many callers send fail at several of them, but got
 	// a response shortly before. A request that ends all backend servers never gets one.
@@ -64,6 +68,8 @@
 	// MaySendTrial reports whether this entry is the one that sends a request again once it is no
 	// longer rejected; nil if there is one entry only.
 	MaySendTrial func(request uint64) bool
+	// Verdicts, if set, keeps the failures one after the other of requests that are rejected.
+	Verdicts sardinerock.VerdictStore
 
 	mu       sync.Mutex
 	requests *lru.Cache[uint64, *record]
@@ -104,6 +110,7 @@
 	r.own = failures{count: r.counted(r.own, now) + 1, latest: now}
 	r.sequence = failures{count: max(known+1, r.counted(r.sequence, now)), latest: now}
 	c.reported.Add(request, struct{}{})
+	c.save(request, r, now)
 }
 
 // RecordResponse records that a backend server gave a complete response to a request, which
@@ -113,6 +120,9 @@
 	defer c.mu.Unlock()
 	c.served.Add(request, now)
 	if r, ok := c.requests.Peek(request); ok {
+		if known, _ := r.count(now); known >= limit || r.saved > 0 {
+			c.discard(request, r)
+		}
 		r.clear(now)
 		r.servedReportUntil = now.Add(servedReportTime)
 		c.reported.Add(request, struct{}{})
@@ -157,6 +167,9 @@
 			c.receiveFailures(request, source{name, start}, report, now)
 		} else if r, ok := c.requests.Peek(request); ok {
 			r.clear(now.Add(-report.Age))
+			if r.savedHere && r.counted(r.sequence, now) == 0 {
+				c.discard(request, r)
+			}
 		}
 	}
 }
--- a/crash/record.go
+++ b/crash/record.go
@@ -31,6 +31,9 @@
 	reportUntil, servedReportUntil time.Time
 	// trialUntil is until when no other trial is sent.
 	trialUntil time.Time
+	// saved is the count that is on record, and savedHere set if this entry has written it.
+	saved     int
+	savedHere bool
 }
 
 // counted returns how many failures still count.
--- a/event/event.go
+++ b/event/event.go
@@ -52,6 +52,7 @@
 	EndUnproven      ID = 409
 	PartRejected     ID = 410
 	PartBlamed       ID = 411
+	VerdictSaved     ID = 412
 	JobAccepted      ID = 501
 	JobCancelled     ID = 502
 	JobFinished      ID = 503
--- a/node/blame.go
+++ b/node/blame.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/sardinerock/sardinerock"
 	"github.com/sardinerock/sardinerock/blame"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/owner"
@@ -29,3 +30,17 @@
 	n.Events.Warn(event.PartBlamed).Str("change", string(c.Kind)).Strs("causes", causes).Int("runs", c.Runs).Int("servers", c.Servers).
 		Int("trials", c.Trials).Str("from", c.From).Msg("what is known of parts of prompts that end backend servers has changed")
 }
+
+// restoreVerdict passes on a verdict that was kept in the store.
+func (n *Node) restoreVerdict(v sardinerock.Verdict) {
+	if len(v.Causes) == 0 {
+		n.crashes.Restore(v, time.Now())
+		return
+	}
+	n.blame.Restore(v, time.Now())
+}
+
+// ownsVerdict reports whether this entry, of all live ones, deletes the old verdicts of a key.
+func (n *Node) ownsVerdict(key string) bool {
+	return owner.Of(key, n.gossip.Live(time.Now())) == n.Settings.ID
+}
--- a/node/node.go
+++ b/node/node.go
@@ -44,6 +44,7 @@
 	"github.com/sardinerock/sardinerock/reload"
 	"github.com/sardinerock/sardinerock/roster"
 	"github.com/sardinerock/sardinerock/runner"
+	"github.com/sardinerock/sardinerock/saved"
 	"github.com/sardinerock/sardinerock/share"
 	"github.com/sardinerock/sardinerock/submit"
 	"github.com/sardinerock/sardinerock/tally"
@@ -65,6 +66,8 @@
 	// whose origin doesn't follow from these.
 	Versions string
 	Streams  string
+	// Verdicts is the topic of the verdicts on what ends backend servers.
+	Verdicts string
 	// Blobs are the topics of the jobs' large values.
 	Blobs blobs.Topics
 }
@@ -105,6 +108,7 @@
 	relay    *relay.Relay
 	crashes  *crash.Counter
 	blame    *blame.Tracker
+	verdicts *saved.Verdicts
 	access   *access.Access
 	origins  *origin.Locator
 	tally    *tally.Tally
@@ -187,7 +191,7 @@
 	defaultQuotaWindow = time.Second
 	// startPollInterval is the time between two checks whether a step of the start is complete.
 	startPollInterval = 5 * time.Millisecond
-	// originsTimeout is how long the start waits for the records of versions.
+	// originsTimeout is how long the start waits for the records of versions, and for the verdicts.
 	originsTimeout = time.Second
 	// membersTimeout is how long the start waits for the members before it loads the ledger
 	// without them.
@@ -354,9 +358,13 @@
 		Name: n.Settings.ID, Ledger: n.ledger, Jobs: n.appender, Recorder: n.recorder, Blobs: blobClient, WaitForJobs: n.jobs.AwaitCurrent,
 		Owners: n.runner.Owners, Retention: n.Settings.KeepResults + retentionMargin, Events: n.Events,
 	}
-	n.crashes = &crash.Counter{MaySendTrial: n.maySendTrial}
+	n.verdicts = &saved.Verdicts{
+		Store: n.Store, Topic: n.Topics.Verdicts, Restore: n.restoreVerdict, Owns: n.ownsVerdict, Events: n.Events, Metrics: n.Metrics,
+	}
+	n.verdicts.Prepare()
+	n.crashes = &crash.Counter{MaySendTrial: n.maySendTrial, Verdicts: n.verdicts}
 	n.crashes.Prepare()
-	n.blame = &blame.Tracker{Rank: n.trialRank, ViewAge: n.gossip.ViewAge, Changed: n.logBlame}
+	n.blame = &blame.Tracker{Rank: n.trialRank, ViewAge: n.gossip.ViewAge, Changed: n.logBlame, Verdicts: n.verdicts}
 	n.blame.Prepare()
 	n.runner.Blame = n.blame
 	n.relay = &relay.Relay{
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -189,7 +189,7 @@
 	e.stop = stop
 	n := &node.Node{
 		Settings: e.settings, Store: store, Dialect: platform.Dialect{}, Batch: platform.Dialect{}, Events: &event.Logger{}, Metrics: metrics.NewRegistry(),
-		Topics: node.Topics{Configuration: configTopic, ConfigurationKey: "config", Servers: serversTopic, Members: "members", Jobs: "jobs", Work: "work", Versions: "versions", Streams: "streams",
+		Topics: node.Topics{Configuration: configTopic, ConfigurationKey: "config", Servers: serversTopic, Members: "members", Jobs: "jobs", Work: "work", Versions: "versions", Streams: "streams", Verdicts: "verdicts",
 			Blobs: blobs.Topics{Bodies: "bodies", Results: "results", Progress: "progress"}},
 		ParseTable: platform.ParseConfiguration, ParseServer: platform.ParseServer,
 	}
--- a/node/start.go
+++ b/node/start.go
@@ -26,10 +26,11 @@
 	n.goRun(ctx, n.lease.Run)
 	n.goRun(ctx, func(ctx context.Context) { n.origins.Versions.Run(ctx, n.origins) })
 	n.goRun(ctx, n.origins.Streams.Run)
+	n.goRun(ctx, n.verdicts.Run)
 }
 
 // awaitStart closes started once callers can be served: the records of versions, without which no resumable stream begins, are
-// read before, but a store that doesn't answer doesn't keep the entry from serving other requests. It then starts to read the members and
+// read before, and the verdicts on what ends backend servers, but a store that doesn't answer doesn't keep the entry from serving other requests. It then starts to read the members and
 // the ledger. Online requests need neither, and when all entries restart at once, each byte that
 // one of them reads delays all others. The ledger is read last, since in large fleets another member
 // may have loaded it already and can send it.
@@ -38,10 +39,13 @@
 		return
 	}
 	originsCtx, cancel := context.WithTimeout(ctx, originsTimeout)
+	defer cancel()
 	if err := n.origins.Prepare(originsCtx); err != nil {
 		n.Events.Info(event.LogOutage).Str("topic", n.Topics.Versions).Err(err).Msg("serving without the records of versions; resumable streams begin once they are read")
 	}
-	cancel()
+	if err := n.verdicts.AwaitLoaded(originsCtx); err != nil {
+		n.Events.Info(event.LogOutage).Str("topic", n.Topics.Verdicts).Err(err).Msg("serving without the verdicts on what ends backend servers; they count once they are read")
+	}
 	close(n.started)
 	n.goRun(ctx, n.members.Run)
 	membersCtx, cancelMembers := context.WithTimeout(ctx, membersTimeout)
--- a/relay/part.go
+++ b/relay/part.go
@@ -56,8 +56,9 @@
 
 // beginRun records that the request is sent to a backend server, unless it became known meanwhile that it must not be.
 func (p *proxyRequest) beginRun(choice *pool.Choice) (sent bool) {
-	run, d := p.relay.Blame.Send(p.part.causes, time.Now())
-	if d.Action != blame.Allow {
+	now := time.Now()
+	run, d := p.relay.Blame.Send(p.part.causes, now)
+	if d.Action != blame.Allow || !p.relay.Blame.ChargeTrial(p.ctx, run, now) {
 		p.release(choice)
 		return false
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -189,8 +189,12 @@
 // checkCrashes ends the request if it became known, while it waited for a slot, that backend servers fail
 // during it.
 func (p *proxyRequest) checkCrashes(choice *pool.Choice) bool {
-	known, blocked := p.relay.Crashes.Send(p.fingerprint, time.Now())
+	now := time.Now()
+	known, blocked := p.relay.Crashes.Send(p.fingerprint, now)
 	p.knownFailures = known
+	if blocked <= 0 {
+		blocked = p.relay.Crashes.ChargeTrial(p.ctx, p.fingerprint, now)
+	}
 	if blocked <= 0 {
 		return true
 	}
--- a/runner/part.go
+++ b/runner/part.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"errors"
 	"strconv"
 	"time"
@@ -56,9 +57,10 @@
 }
 
 // send is called right before the item is sent.
-func (p *partRun) send(causes []blame.Cause) error {
-	run, d := p.tracker.SendItem(causes, time.Now())
-	if d.Action != blame.Allow {
+func (p *partRun) send(ctx context.Context, causes []blame.Cause) error {
+	now := time.Now()
+	run, d := p.tracker.SendItem(causes, now)
+	if d.Action != blame.Allow || !p.tracker.ChargeTrial(ctx, run, now) {
 		return errPartBlamed
 	}
 	p.run = run
--- a/runner/run.go
+++ b/runner/run.go
@@ -37,7 +37,7 @@
 		if err := r.ensureStartRecorded(ctx, i, route.MaxAttempts); err != nil {
 			return err
 		}
-		return part.send(r.causes(i.open.Host, i.open.Team, i.body))
+		return part.send(ctx, r.causes(i.open.Host, i.open.Team, i.body))
 	}
 	outcome, err := r.invoker.Run(runCtx, attempt, choice)
 	i.unprovenAfter = attempt.UnprovenAfter
