--- a/node/node_test.go
+++ b/node/node_test.go
@@ -37,6 +37,8 @@
 // fleet is a few entries in this process, with a store in memory and backend servers
 // that stream events.
 type fleet struct {
+	// adjust, if set, changes the settings of entries before they start.
+	adjust  func(s *conf.Node)
 	t       *testing.T
 	g       *WithT
 	store   *memkv.Store
@@ -185,6 +187,9 @@
 		MetricsAddress: freeAddress(f.g), RecordBytes: 1000, AppendBytes: 50_000, Partitions: 4, ShutdownTimeout: 5 * time.Second, KeepResults: time.Hour,
 		StrictRevoke: true, RevokeTimeout: revokeTimeout,
 	}}
+	if f.adjust != nil {
+		f.adjust(e.settings)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	e.stop = stop
 	n := &node.Node{
