--- a/saved/saved.go
+++ b/saved/saved.go
@@ -31,7 +31,7 @@
 	maxConflicts = 5
 	// minBackoff and maxBackoff bound the pause after a failed call.
 	minBackoff = 50 * time.Millisecond
-	maxBackoff = time.Second
+	maxBackoff = 400 * time.Millisecond
 )
 
 // errNotLoaded means that it isn't known yet what is on record.
