watch: the read after a failed one has the time-outs of a waiting read

A read without a wait has the time-outs of pages, which double after each, up to 8 s: while the store hangs, the next read could hold on for seconds after it was back.

--- a/watch/follow.go
+++ b/watch/follow.go
@@ -16,6 +16,9 @@
 const (
 	// defaultWait is the default of Follower.Wait. A connection that hangs is detected a little later.
 	defaultWait = time.Second
+	// retryWait is the wait of a read after a failed one, which is to show at once whether the store can be read. It isn't 0,
+	// which is for reads of large pages with longer timeouts.
+	retryWait = time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed read; rejected calls are billed too.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 400 * time.Millisecond
@@ -146,8 +149,7 @@
 		sent := time.Now()
 		if err := f.step(ctx, stepWait); err != nil {
 			f.readFailed(err, sent)
-			// The next read is to show at once whether the store can be read.
-			stepWait = 0
+			stepWait = retryWait
 			if !await.Sleep(ctx, pause) {
 				return
 			}
