--- a/watch/silent_test.go
+++ b/watch/silent_test.go
@@ -85,3 +85,39 @@
 		})
 	}
 }
+
+// waitsStore fails every second read and records the waits of all.
+type waitsStore struct {
+	*memkv.Store
+	waits []time.Duration
+	done  chan struct{}
+}
+
+func (s *waitsStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (sardinerock.StorePage, error) {
+	if s.waits = append(s.waits, wait); len(s.waits) == 4 {
+		close(s.done)
+	}
+	if len(s.waits) > 3 {
+		<-ctx.Done()
+		return sardinerock.StorePage{}, ctx.Err()
+	}
+	if len(s.waits)%2 == 1 {
+		return sardinerock.StorePage{}, memkv.ErrNoResponse
+	}
+	return s.Store.Read(ctx, topic, from, wait)
+}
+
+// TestRetryDoesNotHangAsLongAsALoad guards against the read after a failed one waiting for records, or having the timeouts of large
+// pages (a wait of 0), which double each time: it would go on for seconds after the store is back.
+func TestRetryDoesNotHangAsLongAsALoad(t *testing.T) {
+	g := NewWithT(t)
+	const wait = 100 * time.Millisecond
+	store := &waitsStore{Store: &memkv.Store{}, done: make(chan struct{})}
+	put(g, store.Store, "k", "v")
+	f := &Follower{Store: store, Topic: "t", Wait: wait, Events: &event.Logger{}, Apply: func([]sardinerock.StoreRecord, bool) {}}
+	f.Prepare()
+	go f.Run(t.Context())
+	g.Eventually(store.done, 5*time.Second).Should(BeClosed())
+	g.Expect(store.waits).To(Equal([]time.Duration{wait, retryWait, wait, retryWait}))
+	g.Expect(retryWait).To(BeNumerically(">", 0))
+}
