saved: a response during the record of a trial deletes the verdict

What could happen: a response that comes (from another entry) while a trial is being recorded marks the verdict for deletion; the end of the charge removed that mark, and the verdict stayed on record until the next response. Found by reading.

Change: the charge replaces what is known before its append and restores it if that fails, unless there was a change meanwhile, which is written afterwards. saved.TestResponseDuringAChargeDeletesTheVerdict: case "recorded" failed before; three cases pass, three times with the race detector.

--- a/saved/saved.go
+++ b/saved/saved.go
@@ -167,18 +167,39 @@
 	if err != nil {
 		return err
 	}
+	undo := s.begin(key, d)
 	if err := s.append(ctx, []sardinerock.StoreRecord{r}); err != nil {
+		undo()
 		s.count("saved.chargeFailed")
 		s.Events.Warn(event.VerdictSaved).Uint64("key", v.Key).Int("count", v.Count).Err(err).Msg("trial isn't on record; it isn't sent")
 		return err
 	}
 	s.count("saved.charged")
 	s.Events.Info(event.VerdictSaved).Uint64("key", v.Key).Int("count", v.Count).Msg("trial is on record")
+	return nil
+}
+
+// begin replaces what is known of a key while a charge is appended; undo restores it. A change meanwhile is written afterwards.
+func (s *Verdicts) begin(key string, d document) (undo func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	old, had := s.known[key]
+	pending := s.pending[key]
 	s.known[key] = d
 	delete(s.pending, key)
-	return nil
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.pending[key] {
+			return
+		}
+		if delete(s.known, key); had {
+			s.known[key] = old
+		}
+		if pending {
+			s.markPending(key)
+		}
+	}
 }
 
 // Run reads the verdicts on record, and then writes changes, until ctx ends.
--- a/saved/saved_test.go
+++ b/saved/saved_test.go
@@ -124,6 +124,37 @@
 	}
 }
 
+// TestResponseDuringAChargeDeletesTheVerdict guards against a verdict staying on record because the response that ends it came while a
+// trial was being recorded.
+func TestResponseDuringAChargeDeletesTheVerdict(t *testing.T) {
+	for name, fault := range map[string]memkv.Fault{"recorded": memkv.NoFault, "response lost": memkv.LoseResponse, "rejected": memkv.Reject} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			store := &memkv.Store{}
+			p := start(t, store, 0)
+			g.Expect(p.AwaitLoaded(t.Context())).To(Succeed())
+			p.Put(sardinerock.Verdict{Key: 1, Count: 3})
+			expectWritten(g, p)
+			var once sync.Once
+			store.SetFault(func(string, string) memkv.Fault {
+				got := memkv.NoFault
+				once.Do(func() {
+					p.Delete(sardinerock.Verdict{Key: 1})
+					got = fault
+				})
+				return got
+			})
+			if err := p.Charge(t.Context(), sardinerock.Verdict{Key: 1, Count: 4}); fault == memkv.NoFault {
+				g.Expect(err).NotTo(HaveOccurred())
+			} else {
+				g.Expect(err).To(HaveOccurred())
+			}
+			expectWritten(g, p)
+			expectOnRecord(t, g, store, map[uint64]int{})
+		})
+	}
+}
+
 // TestLateAppendBringsNothingBack guards against a verdict being on record after it was deleted, because the store executes the append
 // of the verdict seconds after its answer was lost.
 func TestLateAppendBringsNothingBack(t *testing.T) {
