share: the read of the store after a reader failed uses a new connection and short timeouts

Cause, by reading: an entry that reads at another one of its zone gets pages that become too old, since the reader's connection to the store is silent. It then reads the store itself, on an idle connection, which is silent, too, and without a wait; such reads have the timeouts of large pages, 1 s, doubled after each timeout of any page, also of other topics.

--- a/share/silent_test.go
+++ b/share/silent_test.go
@@ -1,8 +1,10 @@
 package share
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,22 +17,37 @@
 	"github.com/sardinerock/sardinerock/memkv"
 )
 
-// closingStore counts the calls of CloseIdle.
+// closingStore counts the calls of CloseIdle, and records the wait of the latest read.
 type closingStore struct {
 	sardinerock.Store
 	closed atomic.Int64
+	wait   time.Duration
+}
+
+func (s *closingStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (sardinerock.StorePage, error) {
+	s.wait = wait
+	return s.Store.Read(ctx, topic, from, wait)
 }
 
 func (s *closingStore) CloseIdle() { s.closed.Add(1) }
 
-// TestSilentReaderMakesTheStoreBeReadAnew guards against an entry whose connections to its reader and to the store have gone silent
-// together waiting for both in turn.
+// TestSilentReaderMakesTheStoreBeReadAnew guards against an entry waiting for its reader and for the store in turn if connections to
+// both, or those of the reader and of this entry to the store, have gone silent together, and against a read of the store with the
+// timeouts of large pages (a wait of 0), which double each time.
 func TestSilentReaderMakesTheStoreBeReadAnew(t *testing.T) {
 	for name, tt := range map[string]struct {
 		reader http.HandlerFunc
 		closed int64
 	}{
-		"silent":  {func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, 1},
+		"silent": {func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, 1},
+		"answers with an old page": {func(w http.ResponseWriter, _ *http.Request) {
+			raw, err := encode(&sardinerock.StorePage{})
+			if err != nil {
+				w.WriteHeader(http.StatusInternalServerError)
+			}
+			w.Header().Set(headerAge, strconv.FormatInt(int64(2*time.Second), 10))
+			_, _ = w.Write(raw)
+		}, 1},
 		"refuses": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -45,6 +62,7 @@
 			_, err := s.Read(t.Context(), topic, 0, 0)
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(store.closed.Load()).To(Equal(tt.closed))
+			g.Expect(store.wait).To(And(BeNumerically(">", 0), BeNumerically("<", 100*time.Millisecond)))
 		})
 	}
 }
--- a/share/source.go
+++ b/share/source.go
@@ -24,6 +24,9 @@
 	replySlack = 500 * time.Millisecond
 	// newestTimeout bounds a read of the newest record of each key.
 	newestTimeout = 1200 * time.Millisecond
+	// fallbackWait is the wait of a read of the store after a reader has failed. It isn't 0, which is for reads of large pages with
+	// longer timeouts.
+	fallbackWait = time.Millisecond
 	// cooldown is how long a reader is skipped after a failure.
 	cooldown = 5 * time.Second
 	// maxReplyBytes bounds a reply after decompression.
@@ -55,8 +58,7 @@
 }
 
 // Read implements sardinerock.Store. If a reader fails, the store is read without waiting for
-// records, since some of the wait has passed already. If the reader didn't answer, that is done on a new connection: those of
-// this entry may have gone silent together.
+// records, since some of the wait has passed already.
 func (s *Source) Read(ctx context.Context, topic string, from int64, wait time.Duration) (sardinerock.StorePage, error) {
 	query := url.Values{
 		paramTopic: {topic}, paramFrom: {strconv.FormatInt(from, 10)}, paramWait: {strconv.FormatInt(wait.Milliseconds(), 10)},
@@ -70,7 +72,7 @@
 	case errors.Is(err, errNoReader):
 		return s.Store.Read(ctx, topic, from, wait)
 	}
-	return s.Store.Read(ctx, topic, from, 0)
+	return s.Store.Read(ctx, topic, from, fallbackWait)
 }
 
 // Newest implements sardinerock.Store. A reader sends all records in one page, so that only
@@ -98,11 +100,13 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	page, err := s.fetch(ctx, reader, query)
-	if c, ok := s.Store.(sardinerock.IdleCloser); ok && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		c.CloseIdle()
-	}
+	silent := errors.Is(ctx.Err(), context.DeadlineExceeded)
 	if err == nil && page.Age > s.MaxAge {
-		err = fmt.Errorf("share: reply is %v old, expected at most %v", page.Age, s.MaxAge)
+		silent, err = true, fmt.Errorf("share: reply is %v old, expected at most %v", page.Age, s.MaxAge)
+	}
+	// Where the reader doesn't answer, or isn't answered by the store, connections of all entries may have gone silent together.
+	if c, ok := s.Store.(sardinerock.IdleCloser); ok && silent {
+		c.CloseIdle()
 	}
 	if err == nil || errors.Is(err, sardinerock.ErrStoreGap) {
 		metrics.GetOrRegisterCounter("share.read", s.Metrics).Inc(1)
