--- a/blame/saved.go
+++ b/blame/saved.go
@@ -14,7 +14,7 @@
 const (
 	// chargeRetryTime is the time until the next try to have a trial on record.
 	chargeRetryTime = time.Second
-	// storeName stands for the store where a change names the entry that has reported a verdict.
+	// storeName takes the place of the reporting entry in a change that was read from the store.
 	storeName = "store"
 )
 
--- a/blame/saved_test.go
+++ b/blame/saved_test.go
@@ -94,7 +94,7 @@
 }
 
 // TestPartThatWorksAgainIsNotRestored guards against a part being rejected after a loss of all entries though a backend server has
-// begun to write on it, or on the part that it couldn't be told apart from.
+// begun to write on it, or on the part that came with it each time.
 func TestPartThatWorksAgainIsNotRestored(t *testing.T) {
 	for name, restored := range map[string]bool{"the entry that blamed it": false, "an entry that restored it": true} {
 		t.Run(name, func(t *testing.T) {
--- a/fakes/forward.go
+++ b/fakes/forward.go
@@ -68,18 +68,18 @@
 // work.
 func (f *Forwarder) Silence() { f.silences.Add(1) }
 
-// audible is a connection to which nothing is written any more once heard returns false.
-type audible struct {
+// muted is a connection that discards what is written once passes returns false.
+type muted struct {
 	net.Conn
-	heard func() bool
+	passes func() bool
 }
 
 // Write implements io.Writer.
-func (a audible) Write(b []byte) (int, error) {
-	if !a.heard() {
+func (m muted) Write(b []byte) (int, error) {
+	if !m.passes() {
 		return len(b), nil
 	}
-	return a.Conn.Write(b)
+	return m.Conn.Write(b)
 }
 
 // track makes Stop close a connection, and returns false if that was called.
@@ -106,7 +106,7 @@
 		return
 	}
 	silences := f.silences.Load()
-	heard := func() bool { return f.silences.Load() == silences }
+	passes := func() bool { return f.silences.Load() == silences }
 	target, err := net.Dial("tcp", f.Target)
 	if err != nil {
 		f.unreachable(c)
@@ -120,15 +120,15 @@
 	go func() {
 		defer close(left)
 		// A caller that resets its connection ends that to the target, too.
-		if _, err := io.Copy(audible{target, heard}, c); err != nil {
+		if _, err := io.Copy(muted{target, passes}, c); err != nil {
 			target.Close()
 			return
 		}
 		closeWrite(target)
 	}()
 	// An error is that of a reset, which ends the connection in order.
-	_, _ = io.Copy(audible{c, heard}, target)
-	if !heard() {
+	_, _ = io.Copy(muted{c, passes}, target)
+	if !passes() {
 		<-left
 	}
 	end(c)
--- a/node/silent_test.go
+++ b/node/silent_test.go
@@ -78,7 +78,7 @@
 }
 
 // TestRemovalIsLearnedAfterSilence guards against requests at a backend server that was removed, or drains, long after connections to
-// the store have gone silent: each read waits on another silent connection, and the removal counts as an effect of an outage.
+// the store went silent: each read waits on another silent connection, and the removal counts as an effect of an outage.
 func TestRemovalIsLearnedAfterSilence(t *testing.T) {
 	const contactTime = 3 * time.Second
 	drain := func(f *silentFleet) {
--- a/serving.go
+++ b/serving.go
@@ -400,6 +400,5 @@
 	Newest(ctx context.Context, topic, after string) (StorePage, error)
 }
 
-// IdleCloser is a Store that keeps idle connections. CloseIdle closes them, so that the next call doesn't wait on one that
-// has gone silent.
+// IdleCloser is a Store that keeps idle connections. CloseIdle closes them, so that the next call doesn't wait on a silent one.
 type IdleCloser interface{ CloseIdle() }
--- a/share/silent_test.go
+++ b/share/silent_test.go
@@ -32,7 +32,7 @@
 func (s *closingStore) CloseIdle() { s.closed.Add(1) }
 
 // TestSilentReaderMakesTheStoreBeReadAnew guards against an entry waiting for its reader and for the store in turn if connections to
-// both, or those of the reader and of this entry to the store, have gone silent together, and against a read of the store with the
+// both, or those of the reader and of this entry to the store, went silent together, and against a read of the store with the
 // timeouts of large pages (a wait of 0), which double each time.
 func TestSilentReaderMakesTheStoreBeReadAnew(t *testing.T) {
 	for name, tt := range map[string]struct {
--- a/share/source.go
+++ b/share/source.go
@@ -104,7 +104,7 @@
 	if err == nil && page.Age > s.MaxAge {
 		silent, err = true, fmt.Errorf("share: reply is %v old, expected at most %v", page.Age, s.MaxAge)
 	}
-	// Where the reader doesn't answer, or isn't answered by the store, connections of all entries may have gone silent together.
+	// Where the reader doesn't answer, or isn't answered by the store, connections of all entries may be silent.
 	if c, ok := s.Store.(sardinerock.IdleCloser); ok && silent {
 		c.CloseIdle()
 	}
--- a/verdict.go
+++ b/verdict.go
@@ -9,7 +9,7 @@
 type Verdict struct {
 	// Key is the hash of the request or of the causes.
 	Key uint64
-	// Causes are those of which one ends backend servers; empty if Key stands for a whole request.
+	// Causes are those of which one ends backend servers; empty if Key is the hash of a whole request.
 	Causes []uint64
 	// Count is the number of failures one after the other of a request, or of failed trials with the causes.
 	Count int
--- a/verify/transport.go
+++ b/verify/transport.go
@@ -13,8 +13,8 @@
 )
 
 // Transport is an http.Transport that returns an error in place of a response that breaks the grammar of HTTP/1.1, and whose
-// responses end with an error where Conn reports a reset. A request that times out closes all idle connections: the others may have
-// gone silent with its own, and each would hold a further request until that times out. Its DialContext is one of Dialer.
+// responses end with an error where Conn reports a reset. A request that times out closes all idle connections: if its own went
+// silent, the others may have, too, and each would hold a further request until that times out. Its DialContext is one of Dialer.
 type Transport struct {
 	*http.Transport
 	// Framed makes responses without a length and without chunks errors, too: nothing shows that they are complete.
