--- a/node/metrics_test.go
+++ b/node/metrics_test.go
@@ -22,7 +22,7 @@
 func TestMetricsPageMatchesTheCode(t *testing.T) {
 	g := NewWithT(t)
 	code := map[string]bool{}
-	for _, folder := range []string{"node", "lease", "access", "relay", "origin", "submit", "runner", "commit", "intake", "platform", "proxy", "share", "shed", "watch"} {
+	for _, folder := range []string{"node", "lease", "access", "relay", "origin", "saved", "submit", "runner", "commit", "intake", "platform", "proxy", "share", "shed", "watch"} {
 		files, err := filepath.Glob("../" + folder + "/*.go")
 		g.Expect(err).NotTo(HaveOccurred())
 		for _, file := range files {
