watch, platform, share: an outage of the store is concluded from a read on a new connection, not from a duration

Cause: the time between two answers was compared with 1.8 heartbeats. In a silence it is 1.95 s and the first answer on a new connection; 1.8 heartbeats are 2.16 s. Whether a removed server was kept for two seconds depended on 208 ms: on how fast the machine accepts a connection, and on heartbeat_ms.

Change: an outage needs the failure of a read on a new connection that was sent after another one had failed or was overdue. A silent connection explains the first failure, never the second. 4xx says that the store works. A read that is 0.4 s overdue is repeated on a new connection while it goes on, so that there is a second read in time; the first answer counts. A read after a failed one has 1.5 s for its answer (0.7 s). MinOutage, lapseHeartbeats and the setting heartbeat_ms are gone: no duration is compared.

Why it works: what decides is whether the store answers on a connection that the silence can't have hit, however late.

TestSilentConnectionIsNoOutage had a store that was silent for a time and a MinOutage; its store now scripts each read, since a repeated read would have met the silence again by luck, and its two cases stay among the 13: one silent connection, and an outage of 4.5 s (4.3 s).

--- a/conf/node.go
+++ b/conf/node.go
@@ -25,8 +25,6 @@
 	Partitions int
 	// ShutdownTimeout is the time between SIGTERM and SIGKILL.
 	ShutdownTimeout time.Duration
-	// Heartbeat is the interval at which backend servers renew their registrations; 0 if unknown.
-	Heartbeat time.Duration
 	// DrainTimeout is the time within which all entries must stop sending new work to a backend server that starts draining.
 	DrainTimeout time.Duration
 	// KeepResults is how long results stay readable after a job was accepted.
--- a/fakes/forward.go
+++ b/fakes/forward.go
@@ -28,6 +28,9 @@
 	stopped  bool
 	// silences counts the calls of Silence.
 	silences atomic.Int64
+	// delay is that of SetDelay, and down that of SetDown.
+	delay atomic.Int64
+	down  atomic.Bool
 }
 
 // Start listens on a free loopback port and forwards; the error is that of listening.
@@ -68,6 +71,12 @@
 // work.
 func (f *Forwarder) Silence() { f.silences.Add(1) }
 
+// SetDelay makes new connections pass their first bytes only after a while.
+func (f *Forwarder) SetDelay(d time.Duration) { f.delay.Store(int64(d)) }
+
+// SetDown makes new connections silent from the start, until it is called with false. Those stay silent.
+func (f *Forwarder) SetDown(down bool) { f.down.Store(down) }
+
 // muted is a connection that discards what is written once passes returns false.
 type muted struct {
 	net.Conn
@@ -106,6 +115,12 @@
 		return
 	}
 	silences := f.silences.Load()
+	if f.down.Load() {
+		// An error means that the other side gave up, or that Stop was called.
+		_, _ = io.Copy(io.Discard, c)
+		return
+	}
+	time.Sleep(time.Duration(f.delay.Load()))
 	passes := func() bool { return f.silences.Load() == silences }
 	target, err := net.Dial("tcp", f.Target)
 	if err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -176,9 +176,6 @@
 	// the time within which they must be in force. When many backend servers change,
 	// without an interval each entry would make a call for every change.
 	intervalFraction = 0.2
-	// lapseHeartbeats is the shortest outage of the store in which a registration can expire, in heartbeat intervals: it expires
-	// after three without a heartbeat, and the last one comes a little over one interval before the outage at most.
-	lapseHeartbeats = 1.8
 	// retentionMargin is added to the time for which results are promised, since the clocks
 	// of entries differ.
 	retentionMargin = time.Minute
@@ -277,7 +274,6 @@
 	n.registrations.OnRecovery = n.servers.StoreRecovered
 	n.configuration.Wait = n.configurationWait()
 	n.registrations.Wait = readWait(n.Settings.DrainTimeout)
-	n.registrations.MinOutage = time.Duration(lapseHeartbeats * float64(n.Settings.Heartbeat))
 	n.registrations.Interval = time.Duration(intervalFraction * float64(n.Settings.DrainTimeout))
 	n.shareReads(n.registrations, peerClient)
 	if !n.needsCurrentConfiguration() {
--- a/serving.go
+++ b/serving.go
@@ -322,6 +322,8 @@
 var (
 	// ErrStoreRefused means that the store did not and will not execute the call.
 	ErrStoreRefused = errors.New("store: call refused, nothing was done")
+	// ErrStoreAnswered means that the store rejected the call for a reason other than its own state, such as too many calls: it works.
+	ErrStoreAnswered = errors.New("store: the store works and rejected the call")
 	// ErrStoreConflict means that the partition doesn't end at the offset that the append expected.
 	ErrStoreConflict = errors.New("store: the partition has a later end")
 	// ErrStoreGap means that records at this offset are no longer retained.
--- a/share/silent_test.go
+++ b/share/silent_test.go
@@ -66,3 +66,28 @@
 		})
 	}
 }
+
+// TestCancelledReadKeepsItsReader guards against a reader being skipped for seconds because a read of it was no longer needed.
+func TestCancelledReadKeepsItsReader(t *testing.T) {
+	g := NewWithT(t)
+	reached := make(chan struct{})
+	reader := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(reached)
+		<-r.Context().Done()
+	}))
+	defer reader.Close()
+	store := &closingStore{Store: &memkv.Store{}}
+	s := &Source{
+		Store: store, Readers: func() []string { return []string{reader.Listener.Addr().String()} }, Serving: func() bool { return false },
+		MaxAge: time.Second, Client: http.DefaultClient, Events: &event.Logger{}, Metrics: metrics.NewRegistry(),
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-reached
+		cancel()
+	}()
+	_, err := s.Read(ctx, topic, 0, time.Second)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(s.cooldowns).To(BeEmpty())
+	g.Expect(store.closed.Load()).To(BeZero())
+}
--- a/share/source.go
+++ b/share/source.go
@@ -75,6 +75,14 @@
 	return s.Store.Read(ctx, topic, from, fallbackWait)
 }
 
+// CloseIdle implements sardinerock.IdleCloser, for the connections to the store and to readers.
+func (s *Source) CloseIdle() {
+	s.Client.CloseIdleConnections()
+	if c, ok := s.Store.(sardinerock.IdleCloser); ok {
+		c.CloseIdle()
+	}
+}
+
 // Newest implements sardinerock.Store. A reader sends all records in one page, so that only
 // the first page is read there.
 func (s *Source) Newest(ctx context.Context, topic, after string) (sardinerock.StorePage, error) {
@@ -97,10 +105,13 @@
 	if !ok {
 		return sardinerock.StorePage{}, errNoReader
 	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	readerCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	page, err := s.fetch(ctx, reader, query)
-	silent := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	page, err := s.fetch(readerCtx, reader, query)
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return page, err
+	}
+	silent := errors.Is(readerCtx.Err(), context.DeadlineExceeded)
 	if err == nil && page.Age > s.MaxAge {
 		silent, err = true, fmt.Errorf("share: reply is %v old, expected at most %v", page.Age, s.MaxAge)
 	}
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -16,8 +16,8 @@
 const (
 	// defaultWait is the default of Follower.Wait. A connection that hangs is detected a little later.
 	defaultWait = time.Second
-	// retryWait is the wait of a read after a failed one, which is to show at once whether the store can be read. It isn't 0,
-	// which is for reads of large pages with longer timeouts.
+	// retryWait is the wait of a read after one that failed or is overdue. It is to show at once whether the store can be read. It
+	// isn't 0, which is for reads of large pages with longer timeouts.
 	retryWait = time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed read; rejected calls are billed too.
 	minBackoff = 50 * time.Millisecond
@@ -39,12 +39,10 @@
 	// ApplyPartial, if set, is called with each page of the first load as it arrives: the newest
 	// records, in the order of their keys. They are usable before the rest is loaded.
 	ApplyPartial func(records []sardinerock.StoreRecord)
-	// OnRecovery, if set, is called when a read succeeds after reads failed for outageTimeout or a
-	// failed read took longer than that, if the store may have been unavailable for MinOutage, and when a page reports that it was.
+	// OnRecovery, if set, is called when a read succeeds after an outage of the store, and when a page reports one. Only the failure of
+	// a read on a new connection, sent after another read had failed or was overdue, shows an outage: connections also go silent
+	// while the store works.
 	OnRecovery func()
-	// MinOutage is the shortest outage that OnRecovery is to be called for. A read also fails if its connection goes silent, while
-	// the store works: the time between two answers bounds how long an outage can have been.
-	MinOutage time.Duration
 	// Wait is how long a read waits for new records at the end of the topic; 0 is 1 s.
 	Wait time.Duration
 	// WriteOnce states that each key of the topic is written once, so that a load can read the
@@ -86,9 +84,11 @@
 	lost         bool
 	// workingSince is the time of the first successful read after the last outage.
 	workingSince time.Time
-	// slowFailure is set once a failed read took so long that the store may have been
-	// unavailable.
-	slowFailure bool
+	// overdue is set if a read was overdue after the last successful one.
+	overdue bool
+	// outage is the failure that showed that the store, and not only a connection to it, was unavailable after the last
+	// successful read; nil if none did.
+	outage error
 	// servedAt is the latest time at which the store is known to have served the topic.
 	servedAt time.Time
 }
@@ -148,7 +148,7 @@
 	for ctx.Err() == nil {
 		sent := time.Now()
 		if err := f.step(ctx, stepWait); err != nil {
-			f.readFailed(err, sent)
+			f.readFailed(err, sent, stepWait == retryWait && ctx.Err() == nil)
 			stepWait = retryWait
 			if !await.Sleep(ctx, pause) {
 				return
@@ -198,7 +198,7 @@
 	sent := time.Now()
 	err := f.Sync(ctx)
 	if err != nil {
-		f.readFailed(err, sent)
+		f.readFailed(err, sent, false)
 	}
 	return err
 }
@@ -327,8 +327,7 @@
 	f.mu.Lock()
 	from := f.next
 	f.mu.Unlock()
-	sent := clock.Now()
-	page, err := f.Store.Read(ctx, f.Topic, from, wait)
+	page, sent, err := f.fetch(ctx, from, wait)
 	if err != nil {
 		return err
 	}
@@ -371,12 +370,33 @@
 	f.progress = make(chan struct{})
 }
 
-// readFailed records the failure of a read that was sent at a time.
-func (f *Follower) readFailed(err error, sent time.Time) {
+// closeIdle closes the idle connections to the store, of which all may be silent.
+func (f *Follower) closeIdle() {
+	if c, ok := f.Store.(sardinerock.IdleCloser); ok {
+		c.CloseIdle()
+	}
+}
+
+// readOverdue records that a read is overdue. Later ones use new connections.
+func (f *Follower) readOverdue() {
+	f.closeIdle()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.overdue = true
+}
+
+// readFailed records the failure of a read that was sent at a time. repeated states that it was sent after another one had failed or
+// was overdue, and so on a new connection.
+func (f *Follower) readFailed(err error, sent time.Time, repeated bool) {
+	if !errors.Is(err, sardinerock.ErrStoreRefused) {
+		f.closeIdle()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	f.slowFailure = f.slowFailure || now.Sub(sent) > outageTimeout
+	if repeated && f.outage == nil && !f.servedAt.After(sent) && showsOutage(err) {
+		f.outage = err
+	}
 	if f.failingSince.IsZero() {
 		f.failingSince = now
 	}
@@ -386,15 +406,20 @@
 	}
 }
 
+// showsOutage reports whether the failure of a read on a new connection means that the store, or the path to it, was unavailable.
+func showsOutage(err error) bool {
+	return !errors.Is(err, sardinerock.ErrStoreAnswered) && !errors.Is(err, errStale)
+}
+
 // readSucceeded is called before the records of a successful read are applied: Apply has to know
 // that some of them may be from an outage of the store, at this entry or at the one that read
 // them for it. age is how long ago what was read was the end of the topic.
 func (f *Follower) readSucceeded(storeRecovered bool, age time.Duration) {
 	f.mu.Lock()
 	now := time.Now()
-	lost, suspected, unproven := f.lost, f.lost || f.slowFailure, now.Sub(f.servedAt)
-	recovered := storeRecovered || suspected && unproven >= f.MinOutage
-	f.slowFailure = false
+	lost, failed, outage, unproven := f.lost, f.overdue || !f.failingSince.IsZero(), f.outage, now.Sub(f.servedAt)
+	recovered := storeRecovered || outage != nil
+	f.overdue, f.outage = false, nil
 	if f.workingSince.IsZero() || lost {
 		f.workingSince = now
 	}
@@ -406,9 +431,9 @@
 	if lost {
 		f.Events.Info(event.LogBack).Str("topic", f.Topic).Int64("next", f.Next()).Msg("store can be read again")
 	}
-	if f.OnRecovery != nil && suspected {
-		f.Events.Info(event.LogBack).Str("topic", f.Topic).Dur("unproven", unproven).Dur("minOutage", f.MinOutage).
-			Bool("outage", recovered).Msg("store can be read after reads failed; only an outage excuses missing records")
+	if f.OnRecovery != nil && failed {
+		f.Events.Info(event.LogBack).Str("topic", f.Topic).Dur("unproven", unproven).Bool("outage", recovered).AnErr("evidence", outage).
+			Msg("store can be read after reads failed or were overdue; only a failure on a new connection shows an outage")
 	}
 	if recovered && f.OnRecovery != nil {
 		f.OnRecovery()
--- a/watch/silent_test.go
+++ b/watch/silent_test.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"testing"
@@ -9,64 +10,116 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sardinerock/sardinerock"
+	"github.com/sardinerock/sardinerock/await"
 	"github.com/sardinerock/sardinerock/event"
 	"github.com/sardinerock/sardinerock/memkv"
 )
 
-// silentStore is a store that doesn't answer reads until a time.
-type silentStore struct {
+// failingStore is a store of which the reads fail from a time on.
+type failingStore struct {
 	*memkv.Store
+	// fail returns how the nth read after that time, from 0, fails, by the time since then.
+	fail func(n int, since time.Duration) failure
+
 	mu    sync.Mutex
-	until time.Time
-	// timeout is that of reads which aren't answered.
-	timeout time.Duration
+	begun time.Time
+	reads int
+}
+
+// failure is how a read fails: it waits until its time-out (hangs), for a while, or not at all, and then returns an error or the records.
+type failure struct {
+	hangs bool
+	delay time.Duration
+	err   error
 }
 
-// silence makes the store not answer from now on, for as long as given.
-func (s *silentStore) silence(d time.Duration) {
+// readTimeout is the time-out of reads in these tests.
+const readTimeout = 1500 * time.Millisecond
+
+// begin makes reads fail from now on.
+func (s *failingStore) begin() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.until = time.Now().Add(d)
+	s.begun = time.Now()
 }
 
-func (s *silentStore) silent() bool {
+func (s *failingStore) next() failure {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Now().Before(s.until)
+	if s.begun.IsZero() {
+		return failure{}
+	}
+	s.reads++
+	return s.fail(s.reads-1, time.Since(s.begun))
 }
 
-func (s *silentStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (sardinerock.StorePage, error) {
-	if s.silent() {
-		ctx, cancel := context.WithTimeout(ctx, s.timeout)
-		defer cancel()
-		<-ctx.Done()
-		return sardinerock.StorePage{}, ctx.Err()
+func (s *failingStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (sardinerock.StorePage, error) {
+	f := s.next()
+	if f.hangs {
+		f.delay, f.err = readTimeout, context.DeadlineExceeded
+	}
+	await.Sleep(ctx, f.delay)
+	if err := cmp.Or(f.err, ctx.Err()); err != nil {
+		return sardinerock.StorePage{}, err
 	}
 	return s.Store.Read(ctx, topic, from, wait)
 }
 
-// TestSilentConnectionIsNoOutage guards against a removed backend server being kept because one read of the registrations took long:
-// that is kept only if the store may have been away for as long as a registration takes to expire.
+// TestSilentConnectionIsNoOutage guards against a removed backend server being kept because reads on a silent connection failed or
+// the first answer on a new one came late, and against it being dropped after an outage, in which registrations expire.
 func TestSilentConnectionIsNoOutage(t *testing.T) {
-	const (
-		minOutage = 2160 * time.Millisecond
-		timeout   = 1500 * time.Millisecond
-	)
+	silent := func(n int, _ time.Duration) failure { return failure{hangs: n == 0} }
+	// late returns a silent connection after which new ones answer late.
+	late := func(delay time.Duration) func(n int, since time.Duration) failure {
+		return func(n int, _ time.Duration) failure { return failure{hangs: n == 0, delay: delay} }
+	}
+	// second returns a silent connection after which some reads on new ones fail.
+	second := func(reads int, f failure) func(n int, since time.Duration) failure {
+		return func(n int, _ time.Duration) failure {
+			if n == 0 {
+				return failure{hangs: true}
+			}
+			if n <= reads {
+				return f
+			}
+			return failure{}
+		}
+	}
+	// away returns a store that fails for as long as given.
+	away := func(d time.Duration, f failure) func(n int, since time.Duration) failure {
+		return func(_ int, since time.Duration) failure {
+			if since < d {
+				return f
+			}
+			return failure{}
+		}
+	}
 	for name, tt := range map[string]struct {
-		silence time.Duration
-		kept    int
+		fail func(n int, since time.Duration) failure
+		kept int
 	}{
-		"a connection is silent":       {silence: timeout / 2, kept: 1},
-		"the store is away for longer": {silence: 2 * minOutage, kept: 2},
+		"a connection is silent":                       {silent, 1},
+		"and new ones answer after 0.25 s":             {late(250 * time.Millisecond), 1},
+		"and new ones answer after 0.5 s":              {late(500 * time.Millisecond), 1},
+		"and new ones answer after 1 s":                {late(time.Second), 1},
+		"and then there are too many calls":            {second(3, failure{err: sardinerock.ErrStoreAnswered}), 1},
+		"and then a new one is silent, too":            {second(1, failure{hangs: true}), 1},
+		"the store doesn't answer for 2.5 s":           {away(2500*time.Millisecond, failure{hangs: true}), 2},
+		"and then a new one is refused":                {second(1, failure{err: sardinerock.ErrStoreRefused}), 2},
+		"the store doesn't answer for 4.5 s":           {away(4500*time.Millisecond, failure{hangs: true}), 2},
+		"the store refuses for 2.5 s":                  {away(2500*time.Millisecond, failure{err: sardinerock.ErrStoreRefused}), 2},
+		"the store resets connections for 2.5 s":       {away(2500*time.Millisecond, failure{err: memkv.ErrNoResponse}), 2},
+		"the store answers that there are many, 2.5 s": {away(2500*time.Millisecond, failure{err: sardinerock.ErrStoreAnswered}), 1},
+		"the store is slow":                            {away(5*time.Second, failure{delay: 250 * time.Millisecond}), 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
 			l := newList()
-			store := &silentStore{Store: &memkv.Store{}, timeout: timeout}
+			store := &failingStore{Store: &memkv.Store{}, fail: tt.fail}
 			put(g, store.Store, "i-1", "r1")
 			put(g, store.Store, "i-2", "r1")
-			f := &Follower{Store: store, Topic: "t", Wait: 300 * time.Millisecond, MinOutage: minOutage, Events: &event.Logger{}}
+			f := &Follower{Store: store, Topic: "t", Wait: 300 * time.Millisecond, Events: &event.Logger{}}
 			servers := make(chan int, 100)
 			f.Apply = func(records []sardinerock.StoreRecord, reset bool) {
 				l.Apply(records, reset)
@@ -76,7 +129,7 @@
 			f.Prepare()
 			go f.Run(t.Context())
 			g.Eventually(servers, 5*time.Second).Should(Receive(Equal(2)))
-			store.silence(tt.silence)
+			store.begin()
 			// The read in progress is answered without the removal, and the next one isn't.
 			time.Sleep(2 * f.Wait)
 			_, err := store.Append(t.Context(), "t", record("i-2", ""))
@@ -86,6 +139,43 @@
 	}
 }
 
+// TestOverdueReadIsRepeated guards against changes that are read only after the time-out of a read on a silent connection, against
+// a slow store being asked twice, and against one that doesn't answer being asked without bounds.
+func TestOverdueReadIsRepeated(t *testing.T) {
+	for name, tt := range map[string]struct {
+		fail func(n int, since time.Duration) failure
+		// within bounds the time until the answer, and reads is the most reads that are sent.
+		within time.Duration
+		reads  int
+	}{
+		"silent": {func(n int, _ time.Duration) failure { return failure{hangs: n == 0} }, readTimeout, 2},
+		"slow":   {func(int, time.Duration) failure { return failure{delay: 250 * time.Millisecond} }, readTimeout, 1},
+		"away": {func(_ int, since time.Duration) failure {
+			return failure{hangs: since < 4*time.Second}
+		}, 6 * time.Second, 13},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			store := &failingStore{Store: &memkv.Store{}, fail: tt.fail}
+			put(g, store.Store, "k", "1")
+			f, v := newFollower(store.Store)
+			f.Store, f.Wait = store, 100*time.Millisecond
+			g.Expect(f.Sync(t.Context())).To(Succeed())
+			put(g, store.Store, "k", "2")
+			store.begin()
+			begin := time.Now()
+			f.Interval = time.Hour
+			go f.Run(t.Context())
+			g.Eventually(func() string { return v.get("k") }, 10*time.Second, time.Millisecond).Should(Equal("2"))
+			g.Expect(time.Since(begin)).To(BeNumerically("<", tt.within))
+			store.mu.Lock()
+			defer store.mu.Unlock()
+			g.Expect(store.reads).To(BeNumerically("<=", tt.reads))
+		})
+	}
+}
+
 // waitsStore fails every second read and records the waits of all.
 type waitsStore struct {
 	*memkv.Store
