watch: the tests of silent connections run on simulated time

Cause: on a machine that stalls for 0.15 s, the read of a slow store (0.25 s) is overdue (0.4 s), and TestOverdueReadIsRepeated would count a read more than it allows. Seen by reading, not in a run.

Change: TestSilentConnectionIsNoOutage and TestOverdueReadIsRepeated run under testing/synctest. Cases and bounds are the same.

--- a/watch/silent_test.go
+++ b/watch/silent_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -113,32 +114,36 @@
 		"the store is slow":                            {away(5*time.Second, failure{delay: 250 * time.Millisecond}), 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			g := NewWithT(t)
-			l := newList()
-			store := &failingStore{Store: &memkv.Store{}, fail: tt.fail}
-			put(g, store.Store, "i-1", "r1")
-			put(g, store.Store, "i-2", "r1")
-			f := &Follower{Store: store, Topic: "t", Wait: 300 * time.Millisecond, Events: &event.Logger{}}
-			servers := make(chan int, 100)
-			f.Apply = func(records []sardinerock.StoreRecord, reset bool) {
-				l.Apply(records, reset)
-				servers <- len(l.servers)
-			}
-			f.OnRecovery = l.StoreRecovered
-			f.Prepare()
-			go f.Run(t.Context())
-			g.Eventually(servers, 5*time.Second).Should(Receive(Equal(2)))
-			store.begin()
-			// The read in progress is answered without the removal, and the next one isn't.
-			time.Sleep(2 * f.Wait)
-			_, err := store.Append(t.Context(), "t", record("i-2", ""))
-			g.Expect(err).NotTo(HaveOccurred())
-			g.Eventually(servers, 10*time.Second).Should(Receive(Equal(tt.kept)))
+			synctest.Test(t, func(t *testing.T) { expectKept(t, &failingStore{Store: &memkv.Store{}, fail: tt.fail}, tt.kept) })
 		})
 	}
 }
 
+// expectKept expects how many of two backend servers are listed once the removal of one of them was read, after reads have failed.
+func expectKept(t *testing.T, store *failingStore, kept int) {
+	g := NewWithT(t)
+	l := newList()
+	put(g, store.Store, "i-1", "r1")
+	put(g, store.Store, "i-2", "r1")
+	f := &Follower{Store: store, Topic: "t", Wait: 300 * time.Millisecond, Events: &event.Logger{}}
+	servers := make(chan int, 100)
+	f.Apply = func(records []sardinerock.StoreRecord, reset bool) {
+		l.Apply(records, reset)
+		servers <- len(l.servers)
+	}
+	f.OnRecovery = l.StoreRecovered
+	f.Prepare()
+	go f.Run(t.Context())
+	g.Expect(<-servers).To(Equal(2))
+	synctest.Wait()
+	store.begin()
+	// The read in progress is answered without the removal, and the next one isn't.
+	time.Sleep(2 * f.Wait)
+	_, err := store.Append(t.Context(), "t", record("i-2", ""))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(<-servers).To(Equal(kept))
+}
+
 // TestOverdueReadIsRepeated guards against changes that are read only after the time-out of a read on a silent connection, against
 // a slow store being asked twice, and against one that doesn't answer being asked without bounds.
 func TestOverdueReadIsRepeated(t *testing.T) {
@@ -155,23 +160,22 @@
 		}, 6 * time.Second, 13},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			g := NewWithT(t)
-			store := &failingStore{Store: &memkv.Store{}, fail: tt.fail}
-			put(g, store.Store, "k", "1")
-			f, v := newFollower(store.Store)
-			f.Store, f.Wait = store, 100*time.Millisecond
-			g.Expect(f.Sync(t.Context())).To(Succeed())
-			put(g, store.Store, "k", "2")
-			store.begin()
-			begin := time.Now()
-			f.Interval = time.Hour
-			go f.Run(t.Context())
-			g.Eventually(func() string { return v.get("k") }, 10*time.Second, time.Millisecond).Should(Equal("2"))
-			g.Expect(time.Since(begin)).To(BeNumerically("<", tt.within))
-			store.mu.Lock()
-			defer store.mu.Unlock()
-			g.Expect(store.reads).To(BeNumerically("<=", tt.reads))
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				store := &failingStore{Store: &memkv.Store{}, fail: tt.fail}
+				put(g, store.Store, "k", "1")
+				f, v := newFollower(store.Store)
+				f.Store, f.Wait, f.Interval = store, 100*time.Millisecond, time.Hour
+				g.Expect(f.Sync(t.Context())).To(Succeed())
+				put(g, store.Store, "k", "2")
+				store.begin()
+				begin := time.Now()
+				go f.Run(t.Context())
+				g.Expect(f.WaitFor(t.Context(), 2)).To(Succeed())
+				g.Expect(time.Since(begin)).To(BeNumerically("<", tt.within))
+				g.Expect(v.get("k")).To(Equal("2"))
+				g.Expect(store.reads).To(BeNumerically("<=", tt.reads))
+			})
 		})
 	}
 }
