watch: the pause after a failed read counts from its sending

What callers saw: after an outage in which the store didn't answer, a server that had left in it could be used until 2.95 s after (by adding up: 0.7 s until the next read, 2 s, 0.25 s until the check); 3 s are allowed.

Cause: a read that took 1.5 s to fail was followed by a pause of up to 0.4 s, in which no repeat was sent.

Change: the pause counts from the sending of the read, so that it is over if the read took longer.

Measured: watch.TestReadsGoOnDuringAnOutage red before (0.5 s between two reads, 0.4 s wanted), ten times green with the race detector after; node.TestServersAreUsedAfterAnOutage green.

--- a/watch/follow.go
+++ b/watch/follow.go
@@ -19,7 +19,7 @@
 	// retryWait is the wait of a read after one that failed or is overdue. It is to show at once whether the store can be read. It
 	// isn't 0, which is for reads of large pages with longer timeouts.
 	retryWait = time.Millisecond
-	// minBackoff and maxBackoff bound the pause after a failed read; rejected calls are billed too.
+	// minBackoff and maxBackoff bound the time from a failed read to the next one; rejected calls are billed too.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 400 * time.Millisecond
 	// maxLoadAge is the age at which an incomplete load is discarded: the records that follow
@@ -150,7 +150,7 @@
 		if err := f.step(ctx, stepWait); err != nil {
 			f.readFailed(err, sent, stepWait == retryWait && ctx.Err() == nil)
 			stepWait = retryWait
-			if !await.Sleep(ctx, pause) {
+			if !await.Sleep(ctx, pause-time.Since(sent)) {
 				return
 			}
 			pause = min(2*pause, maxBackoff)
--- a/watch/repeat.go
+++ b/watch/repeat.go
@@ -52,6 +52,7 @@
 			if a.err == nil || errors.Is(a.err, sardinerock.ErrStoreGap) {
 				return a.page, a.sent, a.err
 			}
+			// Run records the returned error once more, which changes nothing.
 			f.readFailed(a.err, a.sent.Time, a.repeated && ctx.Err() == nil)
 			if pending == 0 || a.repeated {
 				return a.page, a.sent, a.err
--- a/watch/silent_test.go
+++ b/watch/silent_test.go
@@ -180,6 +180,33 @@
 	}
 }
 
+// TestReadsGoOnDuringAnOutage guards against the end of an outage being noticed late: backend servers that left in it are used for
+// two seconds from then on.
+func TestReadsGoOnDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var sent []time.Duration
+		store := &failingStore{Store: &memkv.Store{}, fail: func(_ int, since time.Duration) failure {
+			sent = append(sent, since)
+			return failure{hangs: since < 20*time.Second}
+		}}
+		put(g, store.Store, "k", "1")
+		f, _ := newFollower(store.Store)
+		f.Store, f.Wait, f.Interval = store, 100*time.Millisecond, time.Hour
+		g.Expect(f.Sync(t.Context())).To(Succeed())
+		put(g, store.Store, "k", "2")
+		store.begin()
+		go f.Run(t.Context())
+		g.Expect(f.WaitFor(t.Context(), 2)).To(Succeed())
+		for n, at := range sent {
+			// The first read and its repeats are followed by the next one once the first repeat has failed.
+			if n > 1+maxRepeats {
+				g.Expect(at-sent[n-1]).To(BeNumerically("<=", retryWait+overdueTime), "between reads %d and %d", n-1, n)
+			}
+		}
+	})
+}
+
 // waitsStore fails every second read and records the waits of all.
 type waitsStore struct {
 	*memkv.Store
